--- /dev/null
+++ b/packages/testing/src/exploreStates.ts
@@ -0,0 +1,91 @@
+/**
+ * A breadth-first explorer of everything that can happen within stated bounds. It runs the real
+ * reducers: a model is a state, the steps that are possible from it, and the invariants that
+ * must hold in each. The first violation found is the shortest one, with the steps that lead to it.
+ */
+
+/** One step that can be taken from a state. `take` must return a new state, not change its own. */
+export interface Step<State> {
+  readonly label: string;
+  take(): State;
+}
+
+export interface Model<State> {
+  readonly initial: State;
+  /** Every step possible now; an empty list ends the path. */
+  steps(state: State): readonly Step<State>[];
+  /** Two states with the same key are the same state. */
+  key(state: State): string;
+  /** Returns what is wrong in this state, or undefined. */
+  check(state: State): string | undefined;
+}
+
+export interface ExploreBounds {
+  readonly mostStates: number;
+  readonly mostSteps: number;
+}
+
+export interface Violation {
+  readonly reason: string;
+  /** Labels of the steps that lead to it from the initial state. */
+  readonly trace: readonly string[];
+}
+
+export interface Exploration {
+  /** Distinct states that were checked. */
+  readonly states: number;
+  /** Length of the longest path that was followed. */
+  readonly depth: number;
+  /** True if every state within `mostSteps` was checked. */
+  readonly exhaustive: boolean;
+  readonly violation?: Violation;
+}
+
+interface Visited<State> {
+  readonly state: State;
+  readonly label: string;
+  readonly from: Visited<State> | undefined;
+  readonly depth: number;
+}
+
+function traceOf<State>(visited: Visited<State>): string[] {
+  const trace: string[] = [];
+  for (let node = visited; node.from !== undefined; node = node.from) trace.push(node.label);
+  return trace.reverse();
+}
+
+/** Explores a model breadth first until a violation is found or the bounds are reached. */
+export function exploreStates<State>(model: Model<State>, bounds: ExploreBounds): Exploration {
+  const seen = new Set([model.key(model.initial)]);
+  let frontier: Visited<State>[] = [{ state: model.initial, label: '', from: undefined, depth: 0 }];
+  let depth = 0;
+  const firstReason = model.check(model.initial);
+  if (firstReason !== undefined) {
+    const violation = { reason: firstReason, trace: [] };
+    return { states: 1, depth, exhaustive: false, violation };
+  }
+  while (frontier.length > 0 && depth < bounds.mostSteps) {
+    const next: Visited<State>[] = [];
+    for (const visited of frontier) {
+      for (const step of model.steps(visited.state)) {
+        const state = step.take();
+        const key = model.key(state);
+        if (seen.has(key)) continue;
+        seen.add(key);
+        const reached = { state, label: step.label, from: visited, depth: visited.depth + 1 };
+        const reason = model.check(state);
+        if (reason !== undefined) {
+          const violation = { reason, trace: traceOf(reached) };
+          return { states: seen.size, depth: reached.depth, exhaustive: false, violation };
+        }
+        if (seen.size >= bounds.mostStates) {
+          return { states: seen.size, depth, exhaustive: false };
+        }
+        next.push(reached);
+      }
+    }
+    if (next.length > 0) depth += 1;
+    frontier = next;
+  }
+  return { states: seen.size, depth, exhaustive: true };
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,2 +1,3 @@
+export * from './exploreStates.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
