--- /dev/null
+++ b/packages/entry-core/src/entryEffects.ts
@@ -0,0 +1,84 @@
+/**
+ * Everything an entry's reducer can ask its shell to do.
+ */
+import type {
+  CountEffect,
+  EntryReport,
+  ErrorKind,
+  LogEffect,
+  MetricName,
+  Milliseconds,
+  PoolKind,
+  Ran,
+  StoreCommand,
+  StoredAnswer,
+} from '@hornbeampond/schema';
+
+/** Where an attempt goes. */
+export interface AttemptTarget {
+  readonly instance: string;
+  readonly kind: PoolKind;
+  readonly host: string;
+  readonly port: number;
+}
+
+export type EntryEffect =
+  | {
+      readonly type: 'startAttempt';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly target: AttemptTarget;
+      /** Tokens of the answer that are there already; the engine goes on after them. */
+      readonly resumeFromTokens: number;
+      /** 0 is served first, 9 last. */
+      readonly priority: number;
+      /** True if the call may not be repeated: only a fresh connection, and no second send. */
+      readonly sendOnce: boolean;
+      /** The attempt fails as `silent` if nothing has come back for so long. */
+      readonly firstByteTimeout: Milliseconds;
+      /** The attempt fails as `silent` if the stream pauses for so long. */
+      readonly silenceTimeout: Milliseconds;
+    }
+  /** Gives an attempt up; whatever still comes from it is dropped. */
+  | { readonly type: 'cancelAttempt'; readonly attemptId: string }
+  /** Moves the KV cache of a running stream between engines; answered by `cacheMoved`. */
+  | {
+      readonly type: 'moveCache';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly from: AttemptTarget;
+      readonly to: AttemptTarget;
+    }
+  /** The caller's answer is whole: the shell ends it. */
+  | { readonly type: 'finishAnswer'; readonly requestId: string }
+  /** The caller's final answer is a problem document, or an error event in a started stream. */
+  | {
+      readonly type: 'answerProblem';
+      readonly requestId: string;
+      readonly kind: ErrorKind;
+      readonly detail: string;
+      readonly retryAfterMilliseconds?: Milliseconds;
+      readonly ran?: Ran;
+    }
+  | { readonly type: 'replayAnswer'; readonly requestId: string; readonly answer: StoredAnswer }
+  /** Proposes a claim command; answered by `claimAnswered` with the same request id. */
+  | { readonly type: 'proposeClaim'; readonly requestId: string; readonly command: StoreCommand }
+  /** Proposes a command whose result nobody waits for; the shell resends it until it is taken. */
+  | { readonly type: 'proposeCommand'; readonly command: StoreCommand }
+  /** Asks a backend server for a sign of life over a new connection. */
+  | { readonly type: 'probe'; readonly target: AttemptTarget }
+  /** Sends this entry's report to all its peers. */
+  | { readonly type: 'reportToEntries'; readonly report: EntryReport }
+  /** A newer configuration is in force. */
+  | { readonly type: 'configurationApplied'; readonly revision: number }
+  /** Nothing is in progress any more; a graceful shutdown can end. */
+  | { readonly type: 'shutdownReady' }
+  | { readonly type: 'setGauge'; readonly metric: MetricName; readonly value: number }
+  | {
+      readonly type: 'observe';
+      readonly metric: MetricName;
+      readonly value: number;
+      readonly label?: string;
+    }
+  | CountEffect
+  | LogEffect;
--- /dev/null
+++ b/packages/entry-core/src/entryEvents.ts
@@ -0,0 +1,103 @@
+/**
+ * Everything that can happen to an entry, as the reducer sees it. The shell stamps each event
+ * with its clocks; stream bytes never pass through here, only the edges of streams.
+ */
+import type {
+  CacheEvent,
+  ClaimResult,
+  Configuration,
+  EntryReport,
+  EpochMilliseconds,
+  LoadReport,
+  Milliseconds,
+  MonotonicMilliseconds,
+  PlatformInstance,
+  QuarantineEntry,
+} from '@hornbeampond/schema';
+
+/** A caller's request as far as decisions need it; its body stays in the shell. */
+export interface CallerRequest {
+  /** Unique for all time; it names the request in logs and answers. */
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly method: string;
+  readonly path: string;
+  readonly model?: string;
+  readonly idempotencyKey?: string;
+  /** Digest of method, path and body. */
+  readonly digest: string;
+  /** Digests of the prompt's prefixes, shortest first, for cache affinity. */
+  readonly prefixDigests: readonly string[];
+  /** Estimated tokens of the prompt; 0 for plain services. */
+  readonly promptTokens: number;
+  /** Most tokens the caller wants generated; 0 for plain services. */
+  readonly mostTokens: number;
+}
+
+/** Why an attempt at a backend server ended without a whole answer. */
+export const attemptFailures = [
+  'connectFailed',
+  'busy',
+  'serverError',
+  'clientError',
+  'connectionLost',
+  'silent',
+  'malformed',
+] as const;
+export type AttemptFailure = (typeof attemptFailures)[number];
+
+/** How a proposal to the store came back. */
+export type ClaimAnswer =
+  | { readonly type: 'result'; readonly result: ClaimResult }
+  /** The command was provably not taken into the log. */
+  | { readonly type: 'unavailable' }
+  /** The command may or may not be in the log. */
+  | { readonly type: 'unsure' };
+
+/** The clocks of this process at the event. */
+export interface Timed {
+  readonly now: MonotonicMilliseconds;
+  readonly wallNow: EpochMilliseconds;
+}
+
+export type EntryOccurrence =
+  /** Sent often; everything that waits for time to pass is looked at. */
+  | { readonly type: 'tick' }
+  | { readonly type: 'configurationReceived'; readonly configuration: Configuration }
+  | { readonly type: 'instancesListed'; readonly instances: readonly PlatformInstance[] }
+  | {
+      readonly type: 'reclaimNoticed';
+      readonly instance: string;
+      readonly goneAt: EpochMilliseconds;
+    }
+  | { readonly type: 'loadReported'; readonly report: LoadReport }
+  | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
+  | { readonly type: 'probeAnswered'; readonly instance: string; readonly answered: boolean }
+  | { readonly type: 'requestArrived'; readonly request: CallerRequest }
+  | { readonly type: 'callerGone'; readonly requestId: string }
+  /** From here on a byte of the call may have reached the backend server. */
+  | { readonly type: 'attemptSent'; readonly attemptId: string }
+  | { readonly type: 'firstTokenReceived'; readonly attemptId: string }
+  /** Sent now and then while a stream runs. `tokens` counts the whole answer so far. */
+  | { readonly type: 'attemptProgressed'; readonly attemptId: string; readonly tokens: number }
+  /** The whole answer has come from the backend server. */
+  | { readonly type: 'attemptFinished'; readonly attemptId: string; readonly tokens: number }
+  | {
+      readonly type: 'attemptFailed';
+      readonly attemptId: string;
+      readonly failure: AttemptFailure;
+      /** `nothing`: provably not one byte of the call was sent. */
+      readonly sent: 'nothing' | 'maybe';
+      /** Tokens of the whole answer that the caller can already have been given. */
+      readonly tokens: number;
+      /** True if bytes of an answer that cannot be resumed have reached the caller. */
+      readonly answerStarted: boolean;
+      readonly retryAfter?: Milliseconds;
+    }
+  | { readonly type: 'cacheMoved'; readonly requestId: string; readonly moved: boolean }
+  | { readonly type: 'claimAnswered'; readonly requestId: string; readonly answer: ClaimAnswer }
+  | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
+  | { readonly type: 'entryReported'; readonly report: EntryReport }
+  | { readonly type: 'shutdownStarted' };
+
+export type EntryEvent = EntryOccurrence & Timed;
--- /dev/null
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -0,0 +1,20 @@
+/** One accepted request until its final answer. */
+import type { MonotonicMilliseconds, Pool, Route } from '@hornbeampond/schema';
+import type { CallerRequest } from '../entryEvents.js';
+
+export interface RequestState {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly pool: Pool;
+  readonly arrivedAt: MonotonicMilliseconds;
+  readonly firstTokenDueAt: MonotonicMilliseconds;
+  readonly wholeAnswerDueAt: MonotonicMilliseconds;
+  /** The attempt that the caller's answer is bound to now. */
+  attemptId: string | undefined;
+  attemptsStarted: number;
+  /** Backend servers that this request was tried at. */
+  readonly triedInstances: Set<string>;
+  /** Tokens of the answer that are there already. */
+  tokens: number;
+  firstTokenAt: MonotonicMilliseconds | undefined;
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,3 +1,4 @@
+export * from './assertNever.js';
 export * from './errors/HornbeampondError.js';
 export * from './errors/errorKinds.js';
 export * from './logEvents/LogEventDefinition.js';
