Add the state machine of the store: tables, claims, leases, quarantine

Contracts: claimsFull (the bound on claims must refuse, since dropping a claim would let it run twice) and leaseHeld.previousDuration (a successor has to wait out leases of other durations than its own).

--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -11,6 +11,7 @@
 export * from './Reducer.js';
 export * from './settings/settings.js';
 export * from './tables/Configuration.js';
+export * from './tables/ConfigurationDelta.js';
 export * from './tables/checkTables.js';
 export * from './tables/pools.js';
 export * from './tables/routes.js';
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -117,11 +117,19 @@
   | { readonly type: 'claimBarred' }
   /** The attempt holds the claim no longer, or never did. */
   | { readonly type: 'claimNotHeld' }
+  /** The bound on claims is reached; nothing was opened. */
+  | { readonly type: 'claimsFull' }
   | { readonly type: 'claimReleased' }
   | { readonly type: 'claimSettled' };
 
 export type LeaseResult =
-  | { readonly type: 'leaseHeld'; readonly epoch: number; readonly duration: Milliseconds }
+  | {
+      readonly type: 'leaseHeld';
+      readonly epoch: number;
+      readonly duration: Milliseconds;
+      /** Longest duration granted under any earlier epoch; it may still be running out. */
+      readonly previousDuration: Milliseconds;
+    }
   | { readonly type: 'leaseRefused'; readonly holder: string; readonly remaining: Milliseconds }
   | { readonly type: 'leaseReleased' };
 
--- /dev/null
+++ b/packages/schema/src/tables/ConfigurationDelta.ts
@@ -0,0 +1,54 @@
+/**
+ * What changed between two revisions of the configuration, by row name. Stores make deltas and
+ * entries, controllers and relays apply them, so that a change of one row does not send them all.
+ */
+import type { Configuration, Table } from './Configuration.js';
+import type { Pool } from './pools.js';
+import type { Route } from './routes.js';
+
+export interface TableDelta<Row> {
+  /** The table's revision after the delta. */
+  readonly revision: number;
+  /** Rows that were added or replaced, in the order of the table. */
+  readonly changed: readonly Row[];
+  /** Names of rows that are gone. */
+  readonly removed: readonly string[];
+}
+
+export interface ConfigurationDelta {
+  readonly fromRevision: number;
+  readonly toRevision: number;
+  /** Missing if the table did not change. */
+  readonly routes?: TableDelta<Route>;
+  readonly pools?: TableDelta<Pool>;
+}
+
+function applyTableDelta<Row extends { readonly name: string }>(
+  table: Table<Row>,
+  delta: TableDelta<Row> | undefined,
+): Table<Row> {
+  if (delta === undefined) return table;
+  const removed = new Set(delta.removed);
+  const changed = new Map(delta.changed.map((row) => [row.name, row]));
+  const kept = table.rows.filter((row) => !removed.has(row.name));
+  const known = new Set(kept.map((row) => row.name));
+  const added = delta.changed.filter((row) => !known.has(row.name));
+  const replaced = kept.map((row) => changed.get(row.name) ?? row);
+  return { revision: delta.revision, rows: [...replaced, ...added] };
+}
+
+/**
+ * Applies a delta; undefined if it starts from another revision, so that the whole configuration
+ * has to be asked for.
+ */
+export function applyDelta(
+  configuration: Configuration,
+  delta: ConfigurationDelta,
+): Configuration | undefined {
+  if (configuration.revision !== delta.fromRevision) return undefined;
+  return {
+    revision: delta.toRevision,
+    routes: applyTableDelta(configuration.routes, delta.routes),
+    pools: applyTableDelta(configuration.pools, delta.pools),
+  };
+}
--- a/packages/store-core/src/index.ts
+++ b/packages/store-core/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './machine/index.js';
--- /dev/null
+++ b/packages/store-core/src/machine/applyCommand.ts
@@ -0,0 +1,51 @@
+/**
+ * The state machine of the replicated log: one deterministic function from state and stamped
+ * command to result. Time is only what the command is stamped with, so all voters agree.
+ */
+import type {
+  CommandResult,
+  EpochMilliseconds,
+  StampedCommand,
+  StoreCommand,
+} from '@hornbeampond/schema';
+import { forgetClaims, openClaim, releaseClaim, settleClaim } from './claims.js';
+import { releaseLease, takeLease } from './leases.js';
+import type { MachineState } from './MachineState.js';
+import { forgetCrashes, reportCrash } from './quarantine.js';
+import { forgetChanges, putTable } from './tables.js';
+
+function runCommand(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: StoreCommand,
+): CommandResult {
+  switch (command.type) {
+    case 'putTable':
+      return putTable(state, at, command);
+    case 'openClaim':
+      return openClaim(state, at, command);
+    case 'releaseClaim':
+      return releaseClaim(state, at, command);
+    case 'settleClaim':
+      return settleClaim(state, at, command);
+    case 'takeLease':
+      return takeLease(state, at, command);
+    case 'releaseLease':
+      return releaseLease(state, at, command);
+    case 'reportCrash':
+      return reportCrash(state, at, command);
+    default:
+      return command satisfies never;
+  }
+}
+
+/** Applies the next command of the log to the state, in place, and returns its result. */
+export function applyCommand(state: MachineState, stamped: StampedCommand): CommandResult {
+  // A new leader's wall clock may be behind; what has expired must not be taken for valid again.
+  const at = Math.max(state.lastAt, stamped.at);
+  state.lastAt = at;
+  forgetChanges(state, at);
+  forgetClaims(state, at);
+  forgetCrashes(state, at);
+  return runCommand(state, at, stamped.command);
+}
--- /dev/null
+++ b/packages/store-core/src/machine/claims.ts
@@ -0,0 +1,152 @@
+/**
+ * Claims of calls that may run at most once. One attempt holds the open claim of a workspace's
+ * key, and only that attempt may send the call, once.
+ */
+import type {
+  ClaimResult,
+  EpochMilliseconds,
+  Milliseconds,
+  OpenClaimCommand,
+  ReleaseClaimCommand,
+  SettleClaimCommand,
+  StoredAnswer,
+} from '@hornbeampond/schema';
+import {
+  BAR_RETENTION,
+  CLAIM_RETENTION,
+  MOST_ANSWER_BYTES,
+  MOST_CLAIM_EXPIRY,
+  MOST_CLAIMS,
+  MOST_STORED_ANSWER_BYTES,
+} from './constants.js';
+import type { Claim, MachineState } from './MachineState.js';
+
+/** Name of a claim among all workspaces; a workspace's name holds no space. */
+export function claimName({ workspace, key }: { workspace: string; key: string }): string {
+  return `${workspace} ${key}`;
+}
+
+/** Keeps a span that a client chose within bounds; one that is no number counts as none. */
+export function boundedSpan(span: Milliseconds, most: Milliseconds): Milliseconds {
+  return span > 0 ? Math.min(span, most) : 0;
+}
+
+function isOpen(claim: Claim, at: EpochMilliseconds): boolean {
+  return claim.phase === 'open' && at < claim.expiresAt;
+}
+
+/** What an attempt is told of a claim that stands already. */
+function readClaim(
+  state: MachineState,
+  at: EpochMilliseconds,
+  claim: Claim,
+  command: OpenClaimCommand,
+): ClaimResult {
+  if (claim.digest !== command.digest) return { type: 'claimKeyReused' };
+  if (isOpen(claim, at)) {
+    const held = claim.attemptId === command.attemptId;
+    return { type: held ? 'claimOpened' : 'claimRunning' };
+  }
+  if (claim.phase !== 'done') return { type: 'claimUnknown' };
+  const answer = state.answers.get(claimName(command));
+  return answer === undefined ? { type: 'claimDone' } : { type: 'claimDone', answer };
+}
+
+export function openClaim(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: OpenClaimCommand,
+): ClaimResult {
+  if (state.barredAttempts.has(command.attemptId)) return { type: 'claimBarred' };
+  const name = claimName(command);
+  const claim = state.claims.get(name);
+  if (claim !== undefined) return readClaim(state, at, claim, command);
+  if (state.claims.size >= MOST_CLAIMS) return { type: 'claimsFull' };
+  const expiresAt = at + boundedSpan(command.expiresAfter, MOST_CLAIM_EXPIRY);
+  state.claims.set(name, {
+    digest: command.digest,
+    holder: command.holder,
+    attemptId: command.attemptId,
+    expiresAt,
+    phase: 'open',
+    keptUntil: expiresAt + CLAIM_RETENTION,
+  });
+  return { type: 'claimOpened' };
+}
+
+/**
+ * Gives an attempt up and bars it. The sender may not know whether its `openClaim` was lost or is
+ * still on its way: without the bar it could open the claim after the caller was told `ran: no`,
+ * and the caller's resend would then be held off by an attempt that nobody will send.
+ */
+export function releaseClaim(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: ReleaseClaimCommand,
+): ClaimResult {
+  const name = claimName(command);
+  const claim = state.claims.get(name);
+  const isOwn = claim?.attemptId === command.attemptId;
+  if (isOwn && claim.phase !== 'open') return { type: 'claimNotHeld' };
+  // A claim that has expired was told `unknown` to others; it stays so, though nothing was sent.
+  if (isOwn && isOpen(claim, at)) state.claims.delete(name);
+  state.barredAttempts.delete(command.attemptId);
+  state.barredAttempts.set(command.attemptId, at + BAR_RETENTION);
+  return { type: 'claimReleased' };
+}
+
+function sizeOf(answer: StoredAnswer): number {
+  const headers = Object.entries(answer.headers);
+  const headerBytes = headers.reduce((sum, [name, value]) => sum + name.length + value.length, 0);
+  return headerBytes + (answer.body?.byteLength ?? 0);
+}
+
+function dropAnswer(state: MachineState, name: string): void {
+  const answer = state.answers.get(name);
+  if (answer === undefined) return;
+  state.answers.delete(name);
+  state.answerBytes -= sizeOf(answer);
+}
+
+/** Keeps an answer for resends, within the bounds; a claim without one still reads `done`. */
+function keepAnswer(state: MachineState, name: string, answer: StoredAnswer | undefined): void {
+  if (answer === undefined || sizeOf(answer) > MOST_ANSWER_BYTES) return;
+  state.answers.set(name, answer);
+  state.answerBytes += sizeOf(answer);
+  for (const oldest of state.answers.keys()) {
+    if (state.answerBytes <= MOST_STORED_ANSWER_BYTES) return;
+    dropAnswer(state, oldest);
+  }
+}
+
+/**
+ * Notes how the call ended. The attempt that sent it may still say `done` after its claim has
+ * expired or was settled `unknown`: that is the truth come late, and opens nothing again.
+ */
+export function settleClaim(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: SettleClaimCommand,
+): ClaimResult {
+  const name = claimName(command);
+  const claim = state.claims.get(name);
+  if (claim?.attemptId !== command.attemptId) return { type: 'claimNotHeld' };
+  if (claim.phase === 'done' || claim.phase === command.outcome) return { type: 'claimSettled' };
+  state.claims.delete(name);
+  state.claims.set(name, { ...claim, phase: command.outcome, keptUntil: at + CLAIM_RETENTION });
+  if (command.outcome === 'done') keepAnswer(state, name, command.answer);
+  return { type: 'claimSettled' };
+}
+
+/** Drops claims and bars whose time is past. */
+export function forgetClaims(state: MachineState, at: EpochMilliseconds): void {
+  for (const [name, claim] of state.claims) {
+    if (claim.keptUntil > at) break;
+    state.claims.delete(name);
+    dropAnswer(state, name);
+  }
+  for (const [attemptId, until] of state.barredAttempts) {
+    if (until > at) break;
+    state.barredAttempts.delete(attemptId);
+  }
+}
--- /dev/null
+++ b/packages/store-core/src/machine/constants.ts
@@ -0,0 +1,66 @@
+/**
+ * The bounds of the state machine. All replicas must use the same values, since results depend on
+ * them: a change here is a change of the snapshot version.
+ */
+import type { Milliseconds } from '@hornbeampond/schema';
+
+const SECOND: Milliseconds = 1000;
+const MINUTE: Milliseconds = 60 * SECOND;
+const HOUR: Milliseconds = 60 * MINUTE;
+
+/**
+ * How long a change id gets its first answer again. Two days cover a script that an operator
+ * resumes the next morning; a later resend finds its base revision stale, so it is still harmless.
+ */
+export const CHANGE_RETENTION: Milliseconds = 48 * HOUR;
+
+/** Change ids kept at most: two days at 8,000 changes a day, three times over. */
+export const MOST_CHANGES = 48_000;
+
+/** Faults reported for one refused table; more do not help, and each answer is kept. */
+export const MOST_FAULTS = 100;
+
+/**
+ * How long a claim is remembered after it was settled or has expired. A caller that resends its
+ * key later than this is taken for a new call, so the span is above any client's own retries.
+ */
+export const CLAIM_RETENTION: Milliseconds = 24 * HOUR;
+
+/** Longest time that a claim may stay open; above the longest deadline that tables are run with. */
+export const MOST_CLAIM_EXPIRY: Milliseconds = HOUR;
+
+/** Claims kept at most, about 0.5 GB. New ones are refused then: dropping one would let it run twice. */
+export const MOST_CLAIMS = 1_000_000;
+
+/** Largest answer kept for one claim: an offer or a reservation is a few KiB. */
+export const MOST_ANSWER_BYTES = 64 * 1024;
+
+/** All kept answers together. Above it the oldest go first; their claims still read `done`. */
+export const MOST_STORED_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/**
+ * How long a released attempt stays barred. Above the longest time that an `openClaim` can be on
+ * its way: proposers give up on a request, and stores on an uncommitted command, within seconds.
+ */
+export const BAR_RETENTION: Milliseconds = 10 * MINUTE;
+
+/** Longest lease that is granted; it bounds how long a successor has to wait. */
+export const MOST_LEASE_DURATION: Milliseconds = 5 * MINUTE;
+
+/** Two crashes further apart than this are not held against the same request. */
+export const CRASH_WINDOW: Milliseconds = HOUR;
+
+/** How long a named digest is kept from backend servers after the crash that named it. */
+export const QUARANTINE_DURATION: Milliseconds = 10 * MINUTE;
+
+/** Crashes at which a digest is named even if another shared each of them. */
+export const INSEPARABLE_CRASHES = 3;
+
+/** Crashes kept at most; a wave of reclaims is not reported as crashes. */
+export const MOST_CRASHES = 1000;
+
+/** Digests kept for one crash: above the requests that one backend server runs at a time. */
+export const MOST_DIGESTS_PER_CRASH = 1024;
+
+/** Changes from which deltas are made; a subscriber further behind gets the whole configuration. */
+export const MOST_CHANGES_IN_DELTA = 256;
--- /dev/null
+++ b/packages/store-core/src/machine/leases.ts
@@ -0,0 +1,66 @@
+/**
+ * Leases with epochs. The epoch grows when the holder changes, and when a lease had ended before
+ * its holder renewed it, so that no two spans of holding share one.
+ */
+import type {
+  EpochMilliseconds,
+  LeaseResult,
+  ReleaseLeaseCommand,
+  TakeLeaseCommand,
+} from '@hornbeampond/schema';
+import { boundedSpan } from './claims.js';
+import { MOST_LEASE_DURATION } from './constants.js';
+import type { Lease, MachineState } from './MachineState.js';
+
+function renewed(lease: Lease, at: EpochMilliseconds, command: TakeLeaseCommand): Lease {
+  const asked = boundedSpan(command.duration, MOST_LEASE_DURATION);
+  // The holder measures each grant by itself; an earlier and longer one may still be running.
+  const duration = Math.max(asked, lease.duration);
+  return { ...lease, duration, until: Math.max(lease.until, at + asked) };
+}
+
+function granted(
+  lease: Lease | undefined,
+  at: EpochMilliseconds,
+  command: TakeLeaseCommand,
+): Lease {
+  const duration = boundedSpan(command.duration, MOST_LEASE_DURATION);
+  return {
+    holder: command.holder,
+    epoch: (lease?.epoch ?? 0) + 1,
+    until: at + duration,
+    duration,
+    previousDuration: Math.max(lease?.duration ?? 0, lease?.previousDuration ?? 0),
+  };
+}
+
+/** Takes a free lease, renews an own one, or tells who holds it. */
+export function takeLease(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: TakeLeaseCommand,
+): LeaseResult {
+  const lease = state.leases.get(command.lease);
+  const isHeld = lease !== undefined && at < lease.until;
+  if (isHeld && lease.holder !== command.holder) {
+    return { type: 'leaseRefused', holder: lease.holder, remaining: lease.until - at };
+  }
+  const next = isHeld ? renewed(lease, at, command) : granted(lease, at, command);
+  state.leases.set(command.lease, next);
+  const { epoch, previousDuration } = next;
+  const duration = boundedSpan(command.duration, MOST_LEASE_DURATION);
+  return { type: 'leaseHeld', epoch, duration, previousDuration };
+}
+
+/** Ends a lease early; one that is held under another epoch is left alone. */
+export function releaseLease(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: ReleaseLeaseCommand,
+): LeaseResult {
+  const lease = state.leases.get(command.lease);
+  if (lease?.holder === command.holder && lease.epoch === command.epoch && at < lease.until) {
+    state.leases.set(command.lease, { ...lease, until: at });
+  }
+  return { type: 'leaseReleased' };
+}
--- /dev/null
+++ b/packages/store-core/src/machine/tables.ts
@@ -0,0 +1,95 @@
+/**
+ * Changes of the two tables. The log's order decides a race: of two changes made from the same
+ * revision of a table the first is accepted and the second told that its base is stale.
+ */
+import { createHash } from 'node:crypto';
+import {
+  checkJoin,
+  checkPools,
+  checkRoutes,
+  type Configuration,
+  type EpochMilliseconds,
+  type Fault,
+  type PutTableCommand,
+  type PutTableResult,
+} from '@hornbeampond/schema';
+import { CHANGE_RETENTION, MOST_CHANGES, MOST_FAULTS } from './constants.js';
+import type { MachineState } from './MachineState.js';
+
+type Proposed =
+  | { readonly ok: true; readonly configuration: Configuration }
+  | { readonly ok: false; readonly faults: readonly Fault[] };
+
+/** Writes the keys of each object in one order, so that equal content has one digest. */
+function sortKeys(_key: string, value: unknown): unknown {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return value;
+  return Object.fromEntries(Object.entries(value).sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+function digestOf({ table, baseRevision, rows }: PutTableCommand): string {
+  const content = JSON.stringify({ table, baseRevision, rows }, sortKeys);
+  return createHash('sha256').update(content).digest('base64url');
+}
+
+function checkedAgainst(
+  configuration: Configuration,
+  routes: Configuration['routes'],
+  pools: Configuration['pools'],
+): Proposed {
+  const faults = checkJoin(routes.rows, pools.rows);
+  if (faults.length > 0) return { ok: false, faults };
+  return { ok: true, configuration: { revision: configuration.revision + 1, routes, pools } };
+}
+
+/** Checks the rows by themselves and joined with the other table as it is in the log. */
+function propose(current: Configuration, command: PutTableCommand): Proposed {
+  const revision = current.revision + 1;
+  if (command.table === 'routes') {
+    const checked = checkRoutes(command.rows);
+    if (!checked.ok) return checked;
+    return checkedAgainst(current, { revision, rows: checked.rows }, current.pools);
+  }
+  const checked = checkPools(command.rows);
+  if (!checked.ok) return checked;
+  return checkedAgainst(current, current.routes, { revision, rows: checked.rows });
+}
+
+function decide(state: MachineState, command: PutTableCommand): PutTableResult {
+  const before = state.configuration;
+  const currentRevision = before[command.table].revision;
+  if (command.baseRevision !== currentRevision) return { type: 'revisionStale', currentRevision };
+  const proposed = propose(before, command);
+  if (!proposed.ok) return { type: 'tableInvalid', faults: proposed.faults.slice(0, MOST_FAULTS) };
+  state.configuration = proposed.configuration;
+  state.history.record(command.table, before, proposed.configuration);
+  return { type: 'tableAccepted', revision: proposed.configuration.revision };
+}
+
+/**
+ * Runs one change. An operator whose answer was lost resends the change, perhaps after a restart
+ * or through another leader; without the first answer kept he would be told that his own accepted
+ * change lost the race. The answer is part of the replicated state, so every voter has it.
+ */
+export function putTable(
+  state: MachineState,
+  at: EpochMilliseconds,
+  command: PutTableCommand,
+): PutTableResult {
+  const digest = digestOf(command);
+  const known = state.changes.get(command.changeId);
+  if (known !== undefined) {
+    return known.digest === digest ? known.result : { type: 'changeIdReused' };
+  }
+  const result = decide(state, command);
+  state.changes.set(command.changeId, { at, digest, result });
+  return result;
+}
+
+/** Drops change ids that are past their window, or too many. */
+export function forgetChanges(state: MachineState, at: EpochMilliseconds): void {
+  for (const [changeId, change] of state.changes) {
+    const isPast = change.at + CHANGE_RETENTION <= at;
+    if (!isPast && state.changes.size <= MOST_CHANGES) return;
+    state.changes.delete(changeId);
+  }
+}
