Meet backend servers, the platform and the weight store through adapters, with fakes

The thin path needs engines, plain services and the platform behind abstract classes, each with an HTTP implementation and a fake that speaks the same wire.

A call that may not be repeated goes out on a connection opened for it alone, whose socket counts what was written; a kept connection was ruled out for it, since it can be dead unseen.

--- /dev/null
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -0,0 +1,192 @@
+/**
+ * The connections to one HTTP server, and the one place where a call goes out.
+ *
+ * What is assumed of the wire: HTTP/1.1 over plain TCP, by IP number. There is no pipelining, no
+ * redirect is followed, nothing is sent again by itself, and there is no timeout besides the
+ * caller's `AbortSignal`.
+ *
+ * A kept-alive connection can be dead without a sign (its server went away, or something between
+ * the two ends lost track of it). A call on it then fails with bytes written and an unknown
+ * outcome. `sendFresh` therefore opens a connection for one call alone. The socket counts what
+ * was written to it, so after a failure `bytesWritten === 0` proves that the call cannot have
+ * run: the socket is destroyed before the count is read, and the client may not connect again.
+ */
+import type { Socket } from 'node:net';
+import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import { BackendServerFailure, type Sent } from '../BackendServerFailure.js';
+
+/** Idle connections are closed this soon, since an old one is likelier to be dead. */
+const KEEP_ALIVE_MILLISECONDS = 4000;
+
+const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const;
+
+/** An error out of the connector proves that the call had no connection to be written to. */
+class ConnectError extends Error {
+  readonly code = 'CONNECT_FAILED';
+}
+
+export interface HttpCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Record<string, string | string[]>;
+  readonly body?: Uint8Array | string;
+  readonly signal: AbortSignal;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** Read once. Throws `BackendServerFailure`; leaving it early drops the connection. */
+  readonly body: AsyncIterable<Uint8Array>;
+}
+
+function describeError(error: unknown): string {
+  if (error instanceof AggregateError && error.message === '') {
+    return error.errors.map(describeError).join('; ');
+  }
+  return error instanceof Error ? error.message : String(error);
+}
+
+function toFailure(error: unknown, signal: AbortSignal, sent: Sent): BackendServerFailure {
+  if (error instanceof BackendServerFailure) return error;
+  if (error instanceof ConnectError) {
+    return new BackendServerFailure(error.message, {
+      failure: 'connectFailed',
+      sent: 'nothing',
+      cause: error,
+    });
+  }
+  if (signal.aborted) {
+    const message = 'the caller ended the call before the answer was whole';
+    return new BackendServerFailure(message, { failure: 'silent', sent, cause: error });
+  }
+  const parseFailed = error instanceof Error && error.name === 'HTTPParserError';
+  const failure = parseFailed ? 'malformed' : 'connectionLost';
+  return new BackendServerFailure(describeError(error), { failure, sent, cause: error });
+}
+
+async function* readBody(
+  body: Dispatcher.ResponseData['body'],
+  signal: AbortSignal,
+): AsyncGenerator<Uint8Array> {
+  try {
+    for await (const bytes of body) yield bytes as Uint8Array;
+  } catch (error) {
+    throw toFailure(error, signal, 'maybe');
+  }
+}
+
+function makeAnswer(data: Dispatcher.ResponseData, signal: AbortSignal): HttpAnswer {
+  // A body that breaks before its reader comes would otherwise end the process; the reader
+  // still gets the error.
+  data.body.on('error', () => {});
+  return { status: data.statusCode, headers: data.headers, body: readBody(data.body, signal) };
+}
+
+/** Wraps undici's connector; `onSocket` sees each socket before anything is written to it. */
+function makeConnector(onSocket: (socket: Socket) => void): buildConnector.connector {
+  const connect = buildConnector({ timeout: 0, keepAlive: true });
+  return (options, callback) => {
+    connect(options, (...outcome) => {
+      const [error, socket] = outcome;
+      if (error !== null) {
+        callback(new ConnectError(describeError(error), { cause: error }), null);
+        return;
+      }
+      onSocket(socket);
+      callback(null, socket);
+    });
+  };
+}
+
+/** A connector that serves once, so that no second send can happen whatever the client does. */
+function makeSingleConnector(onSocket: (socket: Socket) => void): buildConnector.connector {
+  const connect = makeConnector(onSocket);
+  let used = false;
+  return (options, callback) => {
+    if (used) {
+      callback(new Error('the one connection of this call is used up'), null);
+      return;
+    }
+    used = true;
+    connect(options, callback);
+  };
+}
+
+/** Writes an IPv6 number as URLs want it. */
+export function formatOrigin(host: string, port: number): string {
+  return `http://${host.includes(':') ? `[${host}]` : host}:${port}`;
+}
+
+export class HttpConnections {
+  private pool: Pool;
+
+  private readonly freshClients = new Set<Client>();
+
+  /** @param origin - Such as `http://127.0.0.1:8080`. */
+  constructor(private readonly origin: string) {
+    this.pool = this.openPool();
+  }
+
+  /** Sends a call that may be repeated, on a kept connection if one is free. */
+  async send(call: HttpCall): Promise<HttpAnswer> {
+    try {
+      call.signal.throwIfAborted();
+    } catch (error) {
+      throw toFailure(error, call.signal, 'nothing');
+    }
+    try {
+      return makeAnswer(await this.pool.request(call), call.signal);
+    } catch (error) {
+      throw toFailure(error, call.signal, 'maybe');
+    }
+  }
+
+  /** Sends a call once, on a connection opened for it alone. */
+  async sendFresh(call: HttpCall): Promise<HttpAnswer> {
+    let socket: Socket | undefined;
+    const connect = makeSingleConnector((opened) => {
+      socket = opened;
+    });
+    const client = new Client(this.origin, { ...noTimeouts, pipelining: 1, connect });
+    this.freshClients.add(client);
+    try {
+      call.signal.throwIfAborted();
+      const data = await client.request({ ...call, reset: true });
+      data.body.once('close', () => {
+        this.freshClients.delete(client);
+        void client.destroy();
+      });
+      return makeAnswer(data, call.signal);
+    } catch (error) {
+      this.freshClients.delete(client);
+      await client.destroy();
+      socket?.destroy();
+      const sent = socket === undefined || socket.bytesWritten === 0 ? 'nothing' : 'maybe';
+      throw toFailure(error, call.signal, sent);
+    }
+  }
+
+  /** Leaves running calls their connections; later calls open new ones. */
+  renew(): void {
+    const old = this.pool;
+    this.pool = this.openPool();
+    void old.close();
+  }
+
+  /** Ends all connections at once; calls in progress fail with `connectionLost`. */
+  async close(): Promise<void> {
+    const fresh = [...this.freshClients];
+    this.freshClients.clear();
+    await Promise.all([this.pool.destroy(), ...fresh.map((client) => client.destroy())]);
+  }
+
+  private openPool(): Pool {
+    return new Pool(this.origin, {
+      ...noTimeouts,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      connect: makeConnector(() => {}),
+    });
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -0,0 +1,149 @@
+/**
+ * Meets a model engine over HTTP. Every assumption about its wire is in this folder:
+ *
+ * - `POST /v1/chat/completions`: OpenAI shape, always with `stream: true`; the answer is a stream
+ *   of `chat.completion.chunk` events that ends with `data: [DONE]`. One choice only. A chunk may
+ *   carry `tokens` where it holds more than one. Headers `x-attempt-id` and `x-request-priority`
+ *   (0 first) go with it. To resume, the body has
+ *   `resume: {generated_text, generated_tokens}`; the stream then holds what follows that text.
+ * - 429 and 503 mean busy: the request was not run.
+ * - `POST /engine/cancel` `{attemptId}`; 404 for one that is not there.
+ * - `GET /engine/cache?attempt=ID` gives the KV cache as bytes, its tokens in `x-cache-tokens`;
+ *   `PUT` of the same takes it.
+ * - `GET /engine/load`, `GET /engine/cache-events?after=SEQUENCE`, `POST /engine/orders`,
+ *   `GET /health`.
+ */
+import type { LoadReport, Order, OrderResult } from '@hornbeampond/schema';
+import { BackendServerFailure } from '../BackendServerFailure.js';
+import {
+  EngineAdapter,
+  type CacheEventBatch,
+  type CompletionStart,
+  type CompletionStream,
+  type ExportedCache,
+} from '../EngineAdapter.js';
+import { formatOrigin, HttpConnections, type HttpAnswer } from './HttpConnections.js';
+import { probeHealth } from './probeHealth.js';
+import { readBytes, readJson, readNothing, requireSuccess } from './readAnswer.js';
+import { readCompletion } from './readCompletion.js';
+import { cacheEventsSchema, loadReportSchema, orderResultSchema } from './wireSchemas.js';
+
+/** Bound of one exported KV cache. */
+const MOST_CACHE_BYTES = 512 * 1024 * 1024;
+
+const jsonHeaders = { 'content-type': 'application/json' } as const;
+
+function makeCompletionBody({ body, resume }: CompletionStart): string {
+  if (resume === undefined) return JSON.stringify({ ...body, stream: true });
+  const { generatedText, generatedTokens } = resume;
+  return JSON.stringify({
+    ...body,
+    stream: true,
+    resume: { generated_text: generatedText, generated_tokens: generatedTokens },
+  });
+}
+
+function makeCachePath(attemptId: string): string {
+  return `/engine/cache?attempt=${encodeURIComponent(attemptId)}`;
+}
+
+export class HttpEngineAdapter extends EngineAdapter {
+  private readonly connections: HttpConnections;
+
+  constructor(address: { readonly host: string; readonly port: number }) {
+    super();
+    this.connections = new HttpConnections(formatOrigin(address.host, address.port));
+  }
+
+  override async startCompletion(start: CompletionStart): Promise<CompletionStream> {
+    const answer = await this.connections.send({
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers: {
+        ...jsonHeaders,
+        'x-attempt-id': start.attemptId,
+        'x-request-priority': String(start.priority),
+      },
+      body: makeCompletionBody(start),
+      signal: start.signal,
+    });
+    await requireSuccess(answer);
+    return readCompletion(answer.body);
+  }
+
+  override async cancel(attemptId: string, signal: AbortSignal): Promise<void> {
+    try {
+      await readNothing(await this.post('/engine/cancel', { attemptId }, signal));
+    } catch (error) {
+      if (error instanceof BackendServerFailure && error.status === 404) return;
+      throw error;
+    }
+  }
+
+  override async exportCache(attemptId: string, signal: AbortSignal): Promise<ExportedCache> {
+    const answer = await this.connections.send({
+      method: 'GET',
+      path: makeCachePath(attemptId),
+      signal,
+    });
+    await requireSuccess(answer);
+    const tokens = Number(answer.headers['x-cache-tokens']);
+    if (!Number.isSafeInteger(tokens)) {
+      throw new BackendServerFailure('x-cache-tokens is missing', {
+        failure: 'malformed',
+        sent: 'maybe',
+      });
+    }
+    return { attemptId, tokens, bytes: await readBytes(answer, MOST_CACHE_BYTES) };
+  }
+
+  override async importCache(cache: ExportedCache, signal: AbortSignal): Promise<void> {
+    const answer = await this.connections.send({
+      method: 'PUT',
+      path: makeCachePath(cache.attemptId),
+      headers: {
+        'content-type': 'application/octet-stream',
+        'x-cache-tokens': String(cache.tokens),
+      },
+      body: cache.bytes,
+      signal,
+    });
+    await readNothing(answer);
+  }
+
+  override async readLoad(signal: AbortSignal): Promise<LoadReport> {
+    const call = { method: 'GET', path: '/engine/load', signal };
+    return readJson(loadReportSchema, await this.connections.send(call));
+  }
+
+  override async readCacheEvents(
+    afterSequence: number,
+    signal: AbortSignal,
+  ): Promise<CacheEventBatch> {
+    const path = `/engine/cache-events?after=${afterSequence}`;
+    const call = { method: 'GET', path, signal };
+    return readJson(cacheEventsSchema, await this.connections.send(call));
+  }
+
+  override async sendOrder(order: Order, signal: AbortSignal): Promise<OrderResult> {
+    const answer = await this.post('/engine/orders', order, signal);
+    return (await readJson(orderResultSchema, answer)).result;
+  }
+
+  override async probe(signal: AbortSignal): Promise<void> {
+    await probeHealth(this.connections, signal);
+  }
+
+  override renewConnections(): void {
+    this.connections.renew();
+  }
+
+  override async close(): Promise<void> {
+    await this.connections.close();
+  }
+
+  private async post(path: string, value: object, signal: AbortSignal): Promise<HttpAnswer> {
+    const body = JSON.stringify(value);
+    return this.connections.send({ method: 'POST', path, headers: jsonHeaders, body, signal });
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/http/HttpPlatformAdapter.ts
@@ -0,0 +1,76 @@
+/**
+ * Meets the platform over HTTP. What is assumed of its API:
+ *
+ * - `GET /instances` gives `{instances: [...]}`.
+ * - `POST /instances` `{pool, dataCentre, instanceClass, startToken}` gives `{instance}`, or
+ *   `{refused: reason}` with status 409. A token it knows gives the first answer's instance.
+ * - `DELETE /instances/NAME`; 404 for one that is gone.
+ * - `GET /notices` gives `{notices: [{instance, goneAt}]}`, all that are in force.
+ */
+import type { PlatformInstance } from '@hornbeampond/schema';
+import {
+  PlatformAdapter,
+  type InstanceStart,
+  type InstanceStartResult,
+  type ReclaimNotice,
+} from '../PlatformAdapter.js';
+import { HttpConnections } from './HttpConnections.js';
+import { MOST_JSON_BYTES, parseJson, readBytes, readJson, readNothing } from './readAnswer.js';
+import { instanceListSchema, instanceStartSchema, noticesSchema } from './wireSchemas.js';
+
+const REFUSED = 409;
+const GONE = 404;
+
+export class HttpPlatformAdapter extends PlatformAdapter {
+  private readonly connections: HttpConnections;
+
+  /** @param url - Base address of the API; a path in it is not kept. */
+  constructor(url: string) {
+    super();
+    this.connections = new HttpConnections(new URL(url).origin);
+  }
+
+  override async listInstances(signal: AbortSignal): Promise<readonly PlatformInstance[]> {
+    const answer = await this.connections.send({ method: 'GET', path: '/instances', signal });
+    return (await readJson(instanceListSchema, answer)).instances;
+  }
+
+  override async startInstance(
+    start: InstanceStart,
+    signal: AbortSignal,
+  ): Promise<InstanceStartResult> {
+    const answer = await this.connections.send({
+      method: 'POST',
+      path: '/instances',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(start),
+      signal,
+    });
+    const result =
+      answer.status === REFUSED
+        ? parseJson(instanceStartSchema, String(await readBytes(answer, MOST_JSON_BYTES)))
+        : await readJson(instanceStartSchema, answer);
+    return 'refused' in result
+      ? { type: 'refused', reason: result.refused }
+      : { type: 'started', instance: result.instance };
+  }
+
+  override async endInstance(instance: string, signal: AbortSignal): Promise<void> {
+    const path = `/instances/${encodeURIComponent(instance)}`;
+    const answer = await this.connections.send({ method: 'DELETE', path, signal });
+    if (answer.status === GONE) {
+      await readBytes(answer, MOST_JSON_BYTES);
+      return;
+    }
+    await readNothing(answer);
+  }
+
+  override async readNotices(signal: AbortSignal): Promise<readonly ReclaimNotice[]> {
+    const answer = await this.connections.send({ method: 'GET', path: '/notices', signal });
+    return (await readJson(noticesSchema, answer)).notices;
+  }
+
+  override async close(): Promise<void> {
+    await this.connections.close();
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/http/wireSchemas.ts
@@ -0,0 +1,79 @@
+/** Shapes of the JSON answers that the HTTP adapters read. Unknown keys are left out. */
+import { instanceStates } from '@hornbeampond/schema';
+import { z } from 'zod';
+
+const countSchema = z.number().int().min(0);
+
+export const loadReportSchema = z.object({
+  instance: z.string(),
+  measuredAt: z.number(),
+  running: countSchema,
+  queued: countSchema,
+  tokensPerSecond: z.number().min(0).optional(),
+  firstTokenDelay: z.number().min(0).optional(),
+  model: z.string().optional(),
+  adapter: z.string().optional(),
+  version: z.string().optional(),
+});
+
+export const cacheEventsSchema = z.object({
+  newestSequence: countSchema,
+  events: z.array(
+    z.object({
+      instance: z.string(),
+      sequence: countSchema,
+      change: z.enum(['stored', 'evicted', 'cleared']),
+      prefixDigests: z.array(z.string()),
+    }),
+  ),
+});
+
+export const orderResultSchema = z.object({
+  result: z.enum(['done', 'refusedAsOld', 'failed']),
+});
+
+export const platformInstanceSchema = z.object({
+  instance: z.string(),
+  dataCentre: z.string(),
+  instanceClass: z.string(),
+  pool: z.string(),
+  state: z.enum(instanceStates),
+  host: z.string(),
+  port: z.number().int().min(0).max(65_535),
+  goneAt: z.number().optional(),
+  startToken: z.string().optional(),
+});
+
+export const instanceListSchema = z.object({ instances: z.array(platformInstanceSchema) });
+
+export const instanceStartSchema = z.union([
+  z.object({ instance: platformInstanceSchema }),
+  z.object({ refused: z.string() }),
+]);
+
+export const noticesSchema = z.object({
+  notices: z.array(z.object({ instance: z.string(), goneAt: z.number() })),
+});
+
+export const loadPermissionSchema = z.union([
+  z.object({ granted: z.literal(true) }),
+  z.object({ granted: z.literal(false), retryAfterMilliseconds: z.number().min(0) }),
+]);
+
+export const loadRateSchema = z.object({
+  loadsPerMinute: z.number().min(0),
+  available: z.number().min(0),
+});
+
+/** One `data:` line of a streamed answer, in the OpenAI `chat.completion.chunk` shape. */
+export const completionChunkSchema = z.object({
+  choices: z.array(
+    z.object({
+      delta: z.object({ content: z.string().nullish() }).optional(),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+  /** Tokens in this chunk, if the engine says so; otherwise one. */
+  tokens: countSchema.optional(),
+  usage: z.object({ prompt_tokens: countSchema, completion_tokens: countSchema }).nullish(),
+});
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './BackendServerFailure.js';
+export * from './EngineAdapter.js';
+export * from './PlainServiceAdapter.js';
+export * from './PlatformAdapter.js';
+export * from './WeightStoreAdapter.js';
+export { HttpEngineAdapter } from './http/HttpEngineAdapter.js';
+export { HttpPlainServiceAdapter } from './http/HttpPlainServiceAdapter.js';
+export { HttpPlatformAdapter } from './http/HttpPlatformAdapter.js';
+export { HttpWeightStoreAdapter } from './http/HttpWeightStoreAdapter.js';
+export { formatOrigin } from './http/HttpConnections.js';
+export { digestPrefixes, splitPrompt, TOKENS_PER_BLOCK } from './digestPrefixes.js';
--- /dev/null
+++ b/packages/testing/src/fakes/FakeBatch.ts
@@ -0,0 +1,76 @@
+/**
+ * The slots of a fake engine's batch. Whoever finds none free waits, by priority and then by
+ * arrival.
+ */
+
+/** Gives a slot back; calling it twice does no harm. */
+export type ReleaseSlot = () => void;
+
+interface Waiting {
+  readonly priority: number;
+  readonly start: () => void;
+}
+
+export class FakeBatch {
+  running = 0;
+
+  private queue: Waiting[] = [];
+
+  constructor(
+    private readonly concurrency: number,
+    private readonly mostQueued: number,
+    private readonly onChange: () => void,
+  ) {}
+
+  get queued(): number {
+    return this.queue.length;
+  }
+
+  get full(): boolean {
+    return this.running >= this.concurrency && this.queued >= this.mostQueued;
+  }
+
+  /** Resolves with a slot, or with nothing if `signal` fires first. */
+  async takeSlot(priority: number, signal: AbortSignal): Promise<ReleaseSlot | undefined> {
+    if (signal.aborted) return undefined;
+    if (this.running >= this.concurrency) {
+      const given = await this.waitForSlot(priority, signal);
+      return given ? this.makeRelease() : undefined;
+    }
+    this.running += 1;
+    this.onChange();
+    return this.makeRelease();
+  }
+
+  /** Resolves true once a slot is handed over, false if `signal` fires first. */
+  private async waitForSlot(priority: number, signal: AbortSignal): Promise<boolean> {
+    return new Promise<boolean>((resolve) => {
+      const waiting = { priority, start: () => resolve(true) };
+      this.enqueue(waiting);
+      signal.addEventListener('abort', () => {
+        this.queue = this.queue.filter((other) => other !== waiting);
+        this.onChange();
+        resolve(false);
+      });
+    });
+  }
+
+  private enqueue(waiting: Waiting): void {
+    const behind = this.queue.findIndex(({ priority }) => priority > waiting.priority);
+    this.queue.splice(behind < 0 ? this.queue.length : behind, 0, waiting);
+    this.onChange();
+  }
+
+  private makeRelease(): ReleaseSlot {
+    let released = false;
+    return () => {
+      if (released) return;
+      released = true;
+      const next = this.queue.shift();
+      // The slot passes straight on, so that nobody who arrives meanwhile takes it.
+      if (next === undefined) this.running -= 1;
+      else next.start();
+      this.onChange();
+    };
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -0,0 +1,352 @@
+/**
+ * A fake model engine, which speaks what `HttpEngineAdapter` speaks. It batches continuously with
+ * bounded concurrency, keeps a limited prefix cache, resumes, cancels, exports and imports KV
+ * cache, takes orders, and counts what it computes. Plain calls make it misbehave.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  digestPrefixes,
+  splitPrompt,
+  TOKENS_PER_BLOCK,
+  type CompletionBody,
+} from '@hornbeampond/adapters';
+import type { LoadReport, Milliseconds, Order, OrderResult } from '@hornbeampond/schema';
+import { FakeBackendServer, type FakeBackendServerOptions } from './FakeBackendServer.js';
+import { FakeBatch } from './FakeBatch.js';
+import { FakeKvCaches } from './FakeKvCaches.js';
+import { FakePrefixCache } from './FakePrefixCache.js';
+import { answerJson, readRequestBody } from './FakeServer.js';
+import { FakeStream, type FakeStreamLimits } from './FakeStream.js';
+import { digestPrompt, generateText } from './generateToken.js';
+
+const DEFAULT_CONCURRENCY = 8;
+const DEFAULT_QUEUE = 64;
+const DEFAULT_ANSWER_TOKENS = 32;
+const DEFAULT_CACHE_BLOCKS = 1024;
+const DEFAULT_CACHE_BYTES_PER_TOKEN = 16;
+
+export interface FakeEngineOptions extends FakeBackendServerOptions {
+  /** What it has loaded at the start. */
+  readonly model?: string;
+  /** Streams in the batch at a time. */
+  readonly concurrency?: number;
+  /** Calls that wait for the batch; more are refused as busy. */
+  readonly mostQueued?: number;
+  /** Time from one token to the next; 0, the default, needs no timer to move. */
+  readonly tokenDelay?: Milliseconds;
+  /** Time to compute one token of a prompt that is not cached. */
+  readonly prefillDelay?: Milliseconds;
+  /** Length of an answer whose request names no `max_tokens`. */
+  readonly answerTokens?: number;
+  /** Size of the prefix cache. */
+  readonly cacheBlocks?: number;
+  /** Size of an exported KV cache. */
+  readonly cacheBytesPerToken?: number;
+  /** False: takes orders with old fencing numbers as well. */
+  readonly checksFencing?: boolean;
+}
+
+/** What the engine has done since it was made, deaths included. */
+export interface FakeEngineCounts {
+  /** Completions that began to run. */
+  runs: number;
+  /** Answers sent to their end. */
+  finished: number;
+  cancelled: number;
+  generatedTokens: number;
+  /** Tokens of prompts and resumed texts that were computed, not found in a cache. */
+  prefilledTokens: number;
+  /** Those of them in resumed runs, which another run had computed before. */
+  recomputedTokens: number;
+  /** Resumed runs whose text is not what this prompt generates. */
+  wrongResumes: number;
+}
+
+interface WireCompletion extends CompletionBody {
+  readonly stream?: boolean;
+  readonly resume?: { readonly generated_text: string; readonly generated_tokens: number };
+}
+
+export class FakeEngine extends FakeBackendServer {
+  readonly counts: FakeEngineCounts = {
+    runs: 0,
+    finished: 0,
+    cancelled: 0,
+    generatedTokens: 0,
+    prefilledTokens: 0,
+    recomputedTokens: 0,
+    wrongResumes: 0,
+  };
+
+  /** Runs by prompt digest; `digestPrompt` names a prompt. */
+  readonly runsByPrompt = new Map<string, number>();
+
+  /** Orders that were carried out, in that order. */
+  readonly orders: Order[] = [];
+
+  readonly prefixCache: FakePrefixCache;
+
+  private readonly streams = new Map<string, FakeStream>();
+
+  private readonly kvCaches: FakeKvCaches;
+
+  private batch: FakeBatch;
+
+  private limits: FakeStreamLimits = {};
+
+  private loaded: { model?: string; adapter?: string; version?: string };
+
+  private checksFencing: boolean;
+
+  private newestOrder = { epoch: -1, sequence: -1 };
+
+  private ordersFail = false;
+
+  constructor(private readonly options: FakeEngineOptions = {}) {
+    super(options, 'engine-1');
+    const { cacheBlocks = DEFAULT_CACHE_BLOCKS } = options;
+    this.prefixCache = new FakePrefixCache(this.instance, cacheBlocks);
+    this.kvCaches = new FakeKvCaches(options.cacheBytesPerToken ?? DEFAULT_CACHE_BYTES_PER_TOKEN);
+    this.batch = this.makeBatch();
+    this.loaded = { model: options.model };
+    this.checksFencing = options.checksFencing ?? true;
+  }
+
+  static async start(options: FakeEngineOptions = {}): Promise<FakeEngine> {
+    const engine = new FakeEngine(options);
+    await engine.restart();
+    return engine;
+  }
+
+  get running(): number {
+    return this.batch.running;
+  }
+
+  get queued(): number {
+    return this.batch.queued;
+  }
+
+  /** Streams stop for good after this many tokens of their own; `undefined` lets them go on. */
+  stallStreamsAfter(tokens: number | undefined): void {
+    this.limits = { ...this.limits, stallAfter: tokens };
+    this.streams.forEach((stream) => stream.setLimits(this.limits));
+  }
+
+  /** Streams lose their connection after this many tokens of their own. */
+  cutStreamsAfter(tokens: number | undefined): void {
+    this.limits = { ...this.limits, cutAfter: tokens };
+    this.streams.forEach((stream) => stream.setLimits(this.limits));
+  }
+
+  setChecksFencing(checks: boolean): void {
+    this.checksFencing = checks;
+  }
+
+  setOrdersFail(fail: boolean): void {
+    this.ordersFail = fail;
+  }
+
+  protected override forget(): void {
+    super.forget();
+    this.streams.forEach((stream) => stream.stop());
+    this.streams.clear();
+    this.kvCaches.clear();
+    this.prefixCache.clear();
+    this.batch = this.makeBatch();
+    this.newestOrder = { epoch: -1, sequence: -1 };
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', this.url);
+    const body = await readRequestBody(request);
+    switch (`${request.method} ${url.pathname}`) {
+      case 'POST /v1/chat/completions':
+        await this.complete(request, response, body);
+        break;
+      case 'POST /engine/cancel':
+        this.cancel(response, body);
+        break;
+      case 'GET /engine/cache':
+        this.exportCache(response, url.searchParams.get('attempt') ?? '');
+        break;
+      case 'PUT /engine/cache':
+        this.kvCaches.import(url.searchParams.get('attempt') ?? '', body);
+        answerJson(response, 200, {});
+        break;
+      case 'GET /engine/load':
+        answerJson(response, 200, this.reportEngineLoad());
+        break;
+      case 'GET /engine/cache-events':
+        this.answerCacheEvents(response, Number(url.searchParams.get('after')));
+        break;
+      case 'POST /engine/orders':
+        answerJson(response, 200, { result: this.takeOrder(JSON.parse(body.toString()) as Order) });
+        break;
+      case 'GET /health':
+        answerJson(response, 200, {});
+        break;
+      default:
+        answerJson(response, 404, { error: 'not found' });
+    }
+  }
+
+  private makeBatch(): FakeBatch {
+    const { concurrency = DEFAULT_CONCURRENCY, mostQueued = DEFAULT_QUEUE } = this.options;
+    const batch: FakeBatch = new FakeBatch(concurrency, mostQueued, () => {
+      if (batch === this.batch) this.noteLoad(batch.running, batch.queued);
+    });
+    return batch;
+  }
+
+  private async complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+    bytes: Buffer,
+  ): Promise<void> {
+    if (!(await this.admitWork(request, response, bytes))) return;
+    if (this.batch.full) {
+      answerJson(response, 429, { error: 'the queue is full' });
+      return;
+    }
+    const body = JSON.parse(bytes.toString()) as WireCompletion;
+    const promptDigest = digestPrompt(body.messages);
+    if (!this.checkResume(promptDigest, body.resume)) {
+      answerJson(response, 400, { error: 'the resumed text is not of this prompt' });
+      return;
+    }
+    await this.runStream(request, response, body, promptDigest);
+  }
+
+  private checkResume(promptDigest: string, resume: WireCompletion['resume']): boolean {
+    if (resume === undefined) return true;
+    const expected = generateText(promptDigest, 0, resume.generated_tokens);
+    if (expected === resume.generated_text) return true;
+    this.counts.wrongResumes += 1;
+    return false;
+  }
+
+  private async runStream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: WireCompletion,
+    promptDigest: string,
+  ): Promise<void> {
+    const attemptId = String(request.headers['x-attempt-id'] ?? '');
+    const stream = new FakeStream({
+      attemptId,
+      promptDigest,
+      promptTokens: splitPrompt(body.messages).length,
+      firstToken: body.resume?.generated_tokens ?? 0,
+      lastToken: body.max_tokens ?? this.options.answerTokens ?? DEFAULT_ANSWER_TOKENS,
+      model: body.model ?? this.loaded.model ?? '',
+      tokenDelay: this.options.tokenDelay ?? 0,
+      timers: this.timers,
+      onToken: () => {
+        this.counts.generatedTokens += 1;
+        this.changed();
+      },
+    });
+    stream.setLimits(this.limits);
+    this.streams.set(attemptId, stream);
+    response.once('close', () => stream.stop());
+    stream.open(response);
+    const priority = Number(request.headers['x-request-priority'] ?? 0);
+    const release = await this.batch.takeSlot(priority, stream.signal);
+    try {
+      if (release === undefined) return;
+      this.countRun(promptDigest);
+      await stream.wait(this.prefill(body, stream) * (this.options.prefillDelay ?? 0));
+      if (await stream.generate(response)) this.counts.finished += 1;
+    } finally {
+      release?.();
+      this.endStream(attemptId, stream);
+    }
+  }
+
+  private countRun(promptDigest: string): void {
+    this.counts.runs += 1;
+    this.runsByPrompt.set(promptDigest, (this.runsByPrompt.get(promptDigest) ?? 0) + 1);
+    this.changed();
+  }
+
+  /** Computes the prompt and the resumed text; returns the number of tokens that took. */
+  private prefill({ messages, resume }: WireCompletion, stream: FakeStream): number {
+    const digests = digestPrefixes(messages);
+    const cachedPrompt = this.prefixCache.countCached(digests) * TOKENS_PER_BLOCK;
+    const imported = this.kvCaches.countTokens(stream.attemptId, stream.promptDigest);
+    const wanted = stream.promptTokens + (resume?.generated_tokens ?? 0);
+    const computed = Math.max(0, wanted - Math.max(cachedPrompt, imported));
+    this.prefixCache.store(digests);
+    this.counts.prefilledTokens += computed;
+    if (resume !== undefined) this.counts.recomputedTokens += computed;
+    return computed;
+  }
+
+  private endStream(attemptId: string, stream: FakeStream): void {
+    if (this.streams.get(attemptId) !== stream) return;
+    this.streams.delete(attemptId);
+    this.kvCaches.keep(attemptId, stream.promptDigest, stream.computedTokens);
+    this.changed();
+  }
+
+  private cancel(response: ServerResponse, body: Buffer): void {
+    const { attemptId } = JSON.parse(body.toString()) as { attemptId: string };
+    const stream = this.streams.get(attemptId);
+    if (stream === undefined) {
+      answerJson(response, 404, { error: 'no such attempt' });
+      return;
+    }
+    this.counts.cancelled += 1;
+    stream.stop();
+    answerJson(response, 200, {});
+  }
+
+  private exportCache(response: ServerResponse, attemptId: string): void {
+    const stream = this.streams.get(attemptId);
+    if (stream !== undefined) {
+      this.kvCaches.keep(attemptId, stream.promptDigest, stream.computedTokens);
+    }
+    const cache = this.kvCaches.export(attemptId);
+    if (cache === undefined) {
+      answerJson(response, 404, { error: 'no such attempt' });
+      return;
+    }
+    response.writeHead(200, { 'x-cache-tokens': String(cache.tokens) });
+    response.end(cache.bytes);
+  }
+
+  private reportEngineLoad(): LoadReport {
+    const report = this.reportLoad();
+    const {
+      tokenDelay = 0,
+      concurrency = DEFAULT_CONCURRENCY,
+      answerTokens = DEFAULT_ANSWER_TOKENS,
+    } = this.options;
+    const tokensPerSecond = tokenDelay > 0 ? (report.running * 1000) / tokenDelay : undefined;
+    const firstTokenDelay = (report.queued * answerTokens * tokenDelay) / concurrency;
+    return { ...report, ...this.loaded, tokensPerSecond, firstTokenDelay };
+  }
+
+  private answerCacheEvents(response: ServerResponse, afterSequence: number): void {
+    const events = this.prefixCache.readEvents(afterSequence);
+    answerJson(response, 200, { newestSequence: this.prefixCache.newestSequence, events });
+  }
+
+  private takeOrder(order: Order): OrderResult {
+    const { epoch, sequence } = this.newestOrder;
+    const old = order.epoch < epoch || (order.epoch === epoch && order.sequence < sequence);
+    if (old && this.checksFencing) return 'refusedAsOld';
+    if (this.ordersFail) return 'failed';
+    if (!old) this.newestOrder = { epoch: order.epoch, sequence: order.sequence };
+    this.orders.push(order);
+    if (order.action.type === 'load') {
+      const { model, adapter, version } = order.action;
+      this.loaded = { model, adapter, version };
+    }
+    this.changed();
+    return 'done';
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakePlainService.ts
@@ -0,0 +1,132 @@
+/**
+ * A fake plain service, which speaks what `HttpPlainServiceAdapter` speaks. It records each run
+ * with its `Idempotency-Key`, so that a doubled run shows, and echoes unless told otherwise.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { FakeBackendServer, type FakeBackendServerOptions } from './FakeBackendServer.js';
+import { answerJson, readRequestBody } from './FakeServer.js';
+
+/** One call that the service has begun to run. */
+export interface FakeServiceRun {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly idempotencyKey: string | undefined;
+  readonly body: string;
+}
+
+export interface FakeServiceAnswer {
+  readonly status: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/**
+ * What becomes of a call after it has run: it is answered, nothing is ever sent, or the
+ * connection ends before the answer or in its middle.
+ */
+export type FakeServiceOutcome = 'answer' | 'silence' | 'lost' | 'cut';
+
+export type FakeServiceResponder = (run: FakeServiceRun, count: number) => FakeServiceAnswer;
+
+function echo(instance: string): FakeServiceResponder {
+  return (run, count) => ({
+    status: 200,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify({ instance, run: count, ...run }),
+  });
+}
+
+export class FakePlainService extends FakeBackendServer {
+  /** All runs since the service was made, deaths included. */
+  readonly runs: FakeServiceRun[] = [];
+
+  private running = 0;
+
+  private respond: FakeServiceResponder;
+
+  private outcome: FakeServiceOutcome = 'answer';
+
+  constructor(options: FakeBackendServerOptions = {}) {
+    super(options, 'service-1');
+    this.respond = echo(this.instance);
+  }
+
+  static async start(options: FakeBackendServerOptions = {}): Promise<FakePlainService> {
+    const service = new FakePlainService(options);
+    await service.restart();
+    return service;
+  }
+
+  /** Makes the answers from now on. */
+  answerWith(respond: FakeServiceResponder): void {
+    this.respond = respond;
+  }
+
+  setOutcome(outcome: FakeServiceOutcome): void {
+    this.outcome = outcome;
+  }
+
+  /** How often calls with this key have run. */
+  countRuns(idempotencyKey: string): number {
+    return this.runs.filter((run) => run.idempotencyKey === idempotencyKey).length;
+  }
+
+  protected override forget(): void {
+    super.forget();
+    this.running = 0;
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const name = `${request.method} ${request.url}`;
+    if (name === 'GET /health') {
+      answerJson(response, 200, {});
+      return;
+    }
+    if (name === 'GET /load') {
+      answerJson(response, 200, this.reportLoad());
+      return;
+    }
+    await this.work(request, response);
+  }
+
+  private async work(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readRequestBody(request);
+    this.changeRunning(1);
+    response.once('close', () => this.changeRunning(-1));
+    if (!(await this.admitWork(request, response, body))) return;
+    const run = {
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      idempotencyKey: request.headers['idempotency-key']?.toString(),
+      body: body.toString(),
+    };
+    this.runs.push(run);
+    this.changed();
+    this.send(response, this.respond(run, this.runs.length));
+  }
+
+  private changeRunning(change: number): void {
+    this.running = Math.max(0, this.running + change);
+    this.noteLoad(this.running, 0);
+  }
+
+  private send(response: ServerResponse, { status, headers = {}, body }: FakeServiceAnswer): void {
+    if (this.outcome === 'silence') return;
+    if (this.outcome === 'lost') {
+      response.socket?.destroy();
+      return;
+    }
+    const bytes = Buffer.from(body);
+    response.writeHead(status, { ...headers, 'content-length': bytes.length });
+    if (this.outcome === 'cut') {
+      response.write(bytes.subarray(0, Math.floor(bytes.length / 2)));
+      response.socket?.destroySoon();
+      return;
+    }
+    response.end(bytes);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakePlatform.ts
@@ -0,0 +1,217 @@
+/**
+ * A fake platform, which speaks what `HttpPlatformAdapter` speaks. Its list of instances lags;
+ * starts can be refused; a notice says when an instance will be gone, and then it is.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { InstanceStart, ReclaimNotice } from '@hornbeampond/adapters';
+import { SystemTimerService, type TimerService } from '@hornbeampond/runtime';
+import type { EpochMilliseconds, Milliseconds, PlatformInstance } from '@hornbeampond/schema';
+import { answerJson, FakeServer, readRequestBody, type FakeServerOptions } from './FakeServer.js';
+
+/** Lists kept for lagging answers. */
+const MOST_LISTS = 1000;
+
+/** What runs on a bought instance. */
+export interface LaunchedServer {
+  readonly host: string;
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+export type Launch = (start: InstanceStart, instance: string) => Promise<LaunchedServer>;
+
+export interface FakePlatformOptions extends FakeServerOptions {
+  readonly timers?: TimerService;
+  /** How old the list of instances is. */
+  readonly listLag?: Milliseconds;
+  /** How long a bought instance is `starting`. */
+  readonly startDelay?: Milliseconds;
+  /** Starts the backend server of a bought instance; without it nothing listens there. */
+  readonly launch?: Launch;
+}
+
+/** Which starts to refuse: all that match each key given. */
+export interface StartRefusal {
+  readonly pool?: string;
+  readonly dataCentre?: string;
+  readonly instanceClass?: string;
+  readonly reason: string;
+}
+
+interface InstanceList {
+  readonly since: EpochMilliseconds;
+  readonly instances: readonly PlatformInstance[];
+}
+
+export class FakePlatform extends FakeServer {
+  /** Purchases made, one for each start token. */
+  readonly purchases: InstanceStart[] = [];
+
+  /** Starts that were refused. */
+  refusedCount = 0;
+
+  private readonly timers: TimerService;
+
+  private readonly instances = new Map<string, PlatformInstance>();
+
+  private readonly servers = new Map<string, LaunchedServer>();
+
+  private readonly startsByToken = new Map<string, Promise<PlatformInstance>>();
+
+  private lists: InstanceList[] = [];
+
+  private refusals: readonly StartRefusal[] = [];
+
+  private listLag: Milliseconds;
+
+  private noticesHidden = false;
+
+  constructor(private readonly options: FakePlatformOptions = {}) {
+    super(options);
+    this.timers = options.timers ?? new SystemTimerService();
+    this.listLag = options.listLag ?? 0;
+  }
+
+  static async start(options: FakePlatformOptions = {}): Promise<FakePlatform> {
+    const platform = new FakePlatform(options);
+    await platform.restart();
+    return platform;
+  }
+
+  /** Adds an instance that nobody has to buy. */
+  add(instance: PlatformInstance, server?: LaunchedServer): void {
+    this.instances.set(instance.instance, instance);
+    if (server !== undefined) this.servers.set(instance.instance, server);
+    this.noteList();
+  }
+
+  /** Refuses the starts that match one of these; an empty list refuses none. */
+  refuseStarts(refusals: readonly StartRefusal[]): void {
+    this.refusals = refusals;
+  }
+
+  setListLag(lag: Milliseconds): void {
+    this.listLag = lag;
+  }
+
+  /** Keeps notices back from whoever asks; the instances go all the same. */
+  setNoticesHidden(hidden: boolean): void {
+    this.noticesHidden = hidden;
+  }
+
+  /** Says that an instance will be gone after `notice`; then it is. */
+  giveNotice(instance: string, notice: Milliseconds): void {
+    const found = this.instances.get(instance);
+    if (found === undefined) return;
+    const goneAt = this.timers.wallNow() + notice;
+    this.add({ ...found, state: 'leaving', goneAt });
+    this.timers.after(notice, () => {
+      void this.remove(instance);
+    });
+  }
+
+  /** Takes an instance away at once. */
+  async remove(instance: string): Promise<void> {
+    this.instances.delete(instance);
+    const server = this.servers.get(instance);
+    this.servers.delete(instance);
+    this.noteList();
+    await server?.close();
+  }
+
+  /** The list as it is now, without the lag. */
+  listNow(): readonly PlatformInstance[] {
+    return [...this.instances.values()];
+  }
+
+  override async close(): Promise<void> {
+    await Promise.all([...this.servers.values()].map((server) => server.close()));
+    await super.close();
+  }
+
+  /** The platform's own records outlive its API servers. */
+  protected override forget(): void {}
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const [path, name] = (request.url ?? '').split('/').slice(1);
+    const route = `${request.method} ${path}`;
+    if (route === 'GET instances') answerJson(response, 200, { instances: this.listLagging() });
+    else if (route === 'GET notices') answerJson(response, 200, { notices: this.listNotices() });
+    else if (route === 'POST instances') await this.answerStart(request, response);
+    else if (route === 'DELETE instances') await this.answerEnd(response, name);
+    else answerJson(response, 404, { error: 'not found' });
+  }
+
+  private noteList(): void {
+    this.lists.push({ since: this.timers.wallNow(), instances: this.listNow() });
+    if (this.lists.length > MOST_LISTS) this.lists.shift();
+    this.changed();
+  }
+
+  private listLagging(): readonly PlatformInstance[] {
+    const asOf = this.timers.wallNow() - this.listLag;
+    return this.lists.findLast(({ since }) => since <= asOf)?.instances ?? [];
+  }
+
+  private listNotices(): ReclaimNotice[] {
+    if (this.noticesHidden) return [];
+    return this.listNow().flatMap(({ instance, goneAt }) =>
+      goneAt === undefined ? [] : [{ instance, goneAt }],
+    );
+  }
+
+  private findRefusal(start: InstanceStart): StartRefusal | undefined {
+    return this.refusals.find(
+      ({ pool, dataCentre, instanceClass }) =>
+        (pool ?? start.pool) === start.pool &&
+        (dataCentre ?? start.dataCentre) === start.dataCentre &&
+        (instanceClass ?? start.instanceClass) === start.instanceClass,
+    );
+  }
+
+  private async answerStart(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const start = JSON.parse(String(await readRequestBody(request))) as InstanceStart;
+    const known = this.startsByToken.get(start.startToken);
+    const refusal = known === undefined ? this.findRefusal(start) : undefined;
+    if (refusal !== undefined) {
+      this.refusedCount += 1;
+      answerJson(response, 409, { refused: refusal.reason });
+      return;
+    }
+    const bought = known ?? this.buy(start);
+    this.startsByToken.set(start.startToken, bought);
+    answerJson(response, 200, { instance: await bought });
+  }
+
+  private async buy(start: InstanceStart): Promise<PlatformInstance> {
+    this.purchases.push(start);
+    const instance = `${start.pool}-${start.dataCentre}-${this.purchases.length}`;
+    const server = await this.options.launch?.(start, instance);
+    const { startDelay = 0 } = this.options;
+    const bought: PlatformInstance = {
+      instance,
+      ...start,
+      state: startDelay > 0 ? 'starting' : 'live',
+      host: server?.host ?? this.host,
+      port: server?.port ?? 0,
+    };
+    this.add(bought, server);
+    if (startDelay > 0) this.timers.after(startDelay, () => this.becomeLive(instance));
+    return bought;
+  }
+
+  private becomeLive(instance: string): void {
+    const found = this.instances.get(instance);
+    if (found?.state === 'starting') this.add({ ...found, state: 'live' });
+  }
+
+  private async answerEnd(response: ServerResponse, instance = ''): Promise<void> {
+    const name = decodeURIComponent(instance);
+    const status = this.instances.has(name) ? 200 : 404;
+    await this.remove(name);
+    answerJson(response, status, {});
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakeStream.ts
@@ -0,0 +1,146 @@
+/** One answer of a fake engine on its way to whoever asked for it. */
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import type { TimerService } from '@hornbeampond/runtime';
+import type { Milliseconds } from '@hornbeampond/schema';
+import { generateToken } from './generateToken.js';
+
+/** Both count the tokens that this stream itself has sent. */
+export interface FakeStreamLimits {
+  readonly stallAfter?: number;
+  readonly cutAfter?: number;
+}
+
+export interface FakeStreamOptions {
+  readonly attemptId: string;
+  readonly promptDigest: string;
+  readonly promptTokens: number;
+  /** Position of the first token to generate; above 0 in a resumed run. */
+  readonly firstToken: number;
+  /** Position after the last token. */
+  readonly lastToken: number;
+  readonly model: string;
+  readonly tokenDelay: Milliseconds;
+  readonly timers: TimerService;
+  readonly onToken: () => void;
+}
+
+export class FakeStream {
+  private readonly controller = new AbortController();
+
+  private limits: FakeStreamLimits = {};
+
+  private limitsChanged: () => void = () => {};
+
+  private position: number;
+
+  constructor(private readonly options: FakeStreamOptions) {
+    this.position = options.firstToken;
+  }
+
+  get attemptId(): string {
+    return this.options.attemptId;
+  }
+
+  get promptDigest(): string {
+    return this.options.promptDigest;
+  }
+
+  get promptTokens(): number {
+    return this.options.promptTokens;
+  }
+
+  /** Tokens of prompt and answer in its KV cache. */
+  get computedTokens(): number {
+    return this.promptTokens + this.position;
+  }
+
+  /** Fires when the stream is stopped. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  setLimits(limits: FakeStreamLimits): void {
+    this.limits = limits;
+    this.limitsChanged();
+  }
+
+  stop(): void {
+    this.controller.abort();
+  }
+
+  /** Sends the headers: the call is accepted. */
+  open(response: ServerResponse): void {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.flushHeaders();
+  }
+
+  /** Resolves after `delay`, or at once when stopped. */
+  async wait(delay: Milliseconds): Promise<void> {
+    if (delay <= 0 || this.signal.aborted) return;
+    await new Promise<void>((resolve) => {
+      const cancel = this.options.timers.after(delay, resolve);
+      this.signal.addEventListener('abort', () => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  /** Sends the tokens; true if the answer came to its end. */
+  async generate(response: ServerResponse): Promise<boolean> {
+    while (this.position < this.options.lastToken) {
+      await this.wait(this.options.tokenDelay);
+      await this.stall();
+      if (this.cut(response) || this.signal.aborted) break;
+      await this.sendToken(response);
+    }
+    if (this.signal.aborted || this.position < this.options.lastToken) {
+      response.end();
+      return false;
+    }
+    this.sendEnd(response);
+    return true;
+  }
+
+  private get sentTokens(): number {
+    return this.position - this.options.firstToken;
+  }
+
+  private async stall(): Promise<void> {
+    while (!this.signal.aborted && this.sentTokens >= (this.limits.stallAfter ?? Infinity)) {
+      await new Promise<void>((resolve) => {
+        this.limitsChanged = resolve;
+        this.signal.addEventListener('abort', () => resolve());
+      });
+    }
+  }
+
+  private cut(response: ServerResponse): boolean {
+    if (this.sentTokens < (this.limits.cutAfter ?? Infinity)) return false;
+    // What was written before still arrives, so the cut is exactly after that many tokens.
+    response.socket?.destroySoon();
+    return true;
+  }
+
+  private async sendToken(response: ServerResponse): Promise<void> {
+    const content = generateToken(this.promptDigest, this.position);
+    this.position += 1;
+    const drained = this.sendChunk(response, [{ index: 0, delta: { content } }]);
+    this.options.onToken();
+    if (drained || this.signal.aborted) return;
+    await once(response, 'drain', { signal: this.signal }).catch(() => {});
+  }
+
+  private sendEnd(response: ServerResponse): void {
+    const usage = { prompt_tokens: this.promptTokens, completion_tokens: this.position };
+    this.sendChunk(response, [{ index: 0, delta: {}, finish_reason: 'stop' }], usage);
+    response.end('data: [DONE]\n\n');
+  }
+
+  private sendChunk(response: ServerResponse, choices: object[], usage?: object): boolean {
+    const { attemptId: id, model } = this.options;
+    const chunk = { id, object: 'chat.completion.chunk', model, choices, usage };
+    return response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakeWeightStore.ts
@@ -0,0 +1,91 @@
+/** A fake weight store, which speaks what `HttpWeightStoreAdapter` speaks: a token bucket. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { LoadRequest } from '@hornbeampond/adapters';
+import { SystemTimerService, type TimerService } from '@hornbeampond/runtime';
+import { answerJson, FakeServer, readRequestBody, type FakeServerOptions } from './FakeServer.js';
+
+const DEFAULT_LOADS_PER_MINUTE = 6;
+const DEFAULT_BURST = 2;
+const MINUTE = 60_000;
+
+export interface FakeWeightStoreOptions extends FakeServerOptions {
+  readonly timers?: TimerService;
+  readonly loadsPerMinute?: number;
+  /** Loads that may come at once. */
+  readonly burst?: number;
+}
+
+export class FakeWeightStore extends FakeServer {
+  readonly granted: LoadRequest[] = [];
+
+  refusedCount = 0;
+
+  private readonly timers: TimerService;
+
+  private readonly loadsPerMinute: number;
+
+  private readonly burst: number;
+
+  private available: number;
+
+  private filledAt: number;
+
+  constructor(options: FakeWeightStoreOptions = {}) {
+    super(options);
+    this.timers = options.timers ?? new SystemTimerService();
+    this.loadsPerMinute = options.loadsPerMinute ?? DEFAULT_LOADS_PER_MINUTE;
+    this.burst = options.burst ?? DEFAULT_BURST;
+    this.available = this.burst;
+    this.filledAt = this.timers.monotonicNow();
+  }
+
+  static async start(options: FakeWeightStoreOptions = {}): Promise<FakeWeightStore> {
+    const store = new FakeWeightStore(options);
+    await store.restart();
+    return store;
+  }
+
+  protected override forget(): void {}
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.fill();
+    switch (`${request.method} ${request.url}`) {
+      case 'GET /rate': {
+        const { loadsPerMinute } = this;
+        answerJson(response, 200, { loadsPerMinute, available: Math.floor(this.available) });
+        break;
+      }
+      case 'POST /loads': {
+        const load = JSON.parse(String(await readRequestBody(request))) as LoadRequest;
+        answerJson(response, 200, this.takeLoad(load));
+        break;
+      }
+      default:
+        answerJson(response, 404, { error: 'not found' });
+    }
+  }
+
+  private fill(): void {
+    const now = this.timers.monotonicNow();
+    const added = ((now - this.filledAt) * this.loadsPerMinute) / MINUTE;
+    this.available = Math.min(this.burst, this.available + added);
+    this.filledAt = now;
+  }
+
+  private takeLoad(load: LoadRequest): object {
+    if (this.available >= 1) {
+      this.available -= 1;
+      this.granted.push(load);
+      return { granted: true };
+    }
+    this.refusedCount += 1;
+    const missing = 1 - this.available;
+    return {
+      granted: false,
+      retryAfterMilliseconds: Math.ceil((missing * MINUTE) / this.loadsPerMinute),
+    };
+  }
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,10 @@
 export * from './exploreStates.js';
+export * from './fakes/FakeBackendServer.js';
+export * from './fakes/FakeEngine.js';
+export * from './fakes/FakePlainService.js';
+export * from './fakes/FakePlatform.js';
+export { FakeServer, type FakeServerOptions } from './fakes/FakeServer.js';
+export * from './fakes/FakeWeightStore.js';
+export * from './fakes/generateToken.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
