--- /dev/null
+++ b/apps/entry/src/AdapterDirectory.ts
@@ -0,0 +1,60 @@
+/**
+ * The adapters to backend servers, one for each that the platform lists. The rest of the shell
+ * meets backend servers only through them.
+ */
+import {
+  HttpEngineAdapter,
+  HttpPlainServiceAdapter,
+  type EngineAdapter,
+  type PlainServiceAdapter,
+} from '@hornbeampond/adapters';
+import type { AttemptTarget } from '@hornbeampond/entry-core';
+
+export type BackendServerAdapter =
+  | { readonly kind: 'modelEngine'; readonly adapter: EngineAdapter }
+  | { readonly kind: 'plainService'; readonly adapter: PlainServiceAdapter };
+
+export class AdapterDirectory {
+  private readonly adapters = new Map<string, BackendServerAdapter>();
+
+  /** The adapter to a backend server; the same one while its address stays the same. */
+  find(target: AttemptTarget): BackendServerAdapter {
+    const key = this.keyOf(target);
+    const known = this.adapters.get(key);
+    if (known !== undefined) return known;
+    const made: BackendServerAdapter =
+      target.kind === 'modelEngine'
+        ? { kind: 'modelEngine', adapter: new HttpEngineAdapter(target) }
+        : { kind: 'plainService', adapter: new HttpPlainServiceAdapter(target) };
+    this.adapters.set(key, made);
+    return made;
+  }
+
+  engine(target: AttemptTarget): EngineAdapter {
+    const found = this.find(target);
+    if (found.kind !== 'modelEngine') throw new TypeError(`${target.instance} is no model engine`);
+    return found.adapter;
+  }
+
+  plainService(target: AttemptTarget): PlainServiceAdapter {
+    const found = this.find(target);
+    if (found.kind !== 'plainService') throw new TypeError(`${target.instance} is a model engine`);
+    return found.adapter;
+  }
+
+  /** Drops the adapters of backend servers that are gone. */
+  async keepOnly(targets: readonly AttemptTarget[]): Promise<void> {
+    const kept = new Set(targets.map((target) => this.keyOf(target)));
+    const gone = [...this.adapters].filter(([key]) => !kept.has(key));
+    gone.forEach(([key]) => this.adapters.delete(key));
+    await Promise.all(gone.map(async ([, { adapter }]) => adapter.close()));
+  }
+
+  async close(): Promise<void> {
+    await this.keepOnly([]);
+  }
+
+  private keyOf({ instance, kind, host, port }: AttemptTarget): string {
+    return `${instance} ${kind} ${host} ${port}`;
+  }
+}
--- /dev/null
+++ b/apps/entry/src/AttemptRunner.ts
@@ -0,0 +1,224 @@
+/**
+ * Runs attempts: moves the bytes of streams from backend servers to callers, and tells the
+ * reducer of their edges. Whatever comes from an attempt that was cancelled is dropped here, so
+ * that no caller is ever given bytes of two attempts at once.
+ */
+import { BackendServerFailure } from '@hornbeampond/adapters';
+import type { AttemptFailure, EntryEffect, EntryOccurrence } from '@hornbeampond/entry-core';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { AdapterDirectory } from './AdapterDirectory.js';
+import type { CallerExchange } from './CallerServer.js';
+import { CompletionAnswer } from './CompletionAnswer.js';
+import { PlainAnswer } from './PlainAnswer.js';
+
+export type StartAttempt = Extract<EntryEffect, { type: 'startAttempt' }>;
+type MoveCache = Extract<EntryEffect, { type: 'moveCache' }>;
+
+/** Edges of a long stream are reported no more often than this. */
+const PROGRESS_MILLISECONDS = 250;
+
+/** Time for a cancellation to reach an engine. */
+const CANCEL_MILLISECONDS = 2000;
+
+/** Time for a KV cache to be exported and imported. */
+const MOVE_MILLISECONDS = 30_000;
+
+interface RunningAttempt {
+  readonly start: StartAttempt;
+  readonly controller: AbortController;
+  cancelled: boolean;
+  silent: boolean;
+  stopWatch: Unsubscribe;
+}
+
+export interface AttemptRunnerOptions {
+  readonly timers: TimerService;
+  readonly adapters: AdapterDirectory;
+  findExchange(requestId: string): CallerExchange | undefined;
+  dispatch(occurrence: EntryOccurrence): void;
+}
+
+export class AttemptRunner {
+  private readonly running = new Map<string, RunningAttempt>();
+
+  constructor(private readonly options: AttemptRunnerOptions) {}
+
+  get size(): number {
+    return this.running.size;
+  }
+
+  start(start: StartAttempt): void {
+    const attempt: RunningAttempt = {
+      start,
+      controller: new AbortController(),
+      cancelled: false,
+      silent: false,
+      stopWatch: () => {},
+    };
+    this.running.set(start.attemptId, attempt);
+    this.run(attempt).then(
+      () => this.end(attempt),
+      (error: unknown) => {
+        this.end(attempt);
+        if (!attempt.cancelled) this.reportFailure(attempt, error);
+      },
+    );
+  }
+
+  /** Gives an attempt up at once and tells its engine. */
+  cancel(attemptId: string): void {
+    const attempt = this.running.get(attemptId);
+    if (attempt === undefined || attempt.cancelled) return;
+    attempt.cancelled = true;
+    attempt.stopWatch();
+    attempt.controller.abort();
+    const { target } = attempt.start;
+    if (target.kind !== 'modelEngine') return;
+    const signal = AbortSignal.timeout(CANCEL_MILLISECONDS);
+    this.options.adapters
+      .engine(target)
+      .cancel(attemptId, signal)
+      .catch(() => {});
+  }
+
+  /** Moves the KV cache of an attempt from one engine to another. */
+  async moveCache({ requestId, attemptId, from, to }: MoveCache): Promise<void> {
+    const { adapters, dispatch } = this.options;
+    const signal = AbortSignal.timeout(MOVE_MILLISECONDS);
+    try {
+      const cache = await adapters.engine(from).exportCache(attemptId, signal);
+      await adapters.engine(to).importCache(cache, signal);
+      dispatch({ type: 'cacheMoved', requestId, moved: true });
+    } catch {
+      dispatch({ type: 'cacheMoved', requestId, moved: false });
+    }
+  }
+
+  private end(attempt: RunningAttempt): void {
+    attempt.stopWatch();
+    this.running.delete(attempt.start.attemptId);
+  }
+
+  /** Aborts the attempt as silent unless this is called again, or stopped, within `limit`. */
+  private watch(attempt: RunningAttempt, limit: Milliseconds): void {
+    attempt.stopWatch();
+    attempt.stopWatch = this.options.timers.after(limit, () => {
+      attempt.silent = true;
+      attempt.controller.abort();
+    });
+  }
+
+  private async run(attempt: RunningAttempt): Promise<void> {
+    const { start } = attempt;
+    const exchange = this.options.findExchange(start.requestId);
+    if (exchange === undefined) return;
+    this.watch(attempt, start.firstByteTimeout);
+    if (exchange.answer instanceof CompletionAnswer) {
+      await this.runCompletion(attempt, exchange, exchange.answer);
+    } else if (exchange.answer instanceof PlainAnswer) {
+      await this.runPlain(attempt, exchange, exchange.answer);
+    }
+  }
+
+  private async runCompletion(
+    attempt: RunningAttempt,
+    exchange: CallerExchange,
+    answer: CompletionAnswer,
+  ): Promise<void> {
+    const { attemptId, target, priority, silenceTimeout } = attempt.start;
+    const { dispatch, timers, adapters } = this.options;
+    const { generatedText, generatedTokens } = answer;
+    dispatch({ type: 'attemptSent', attemptId });
+    const stream = await adapters.engine(target).startCompletion({
+      attemptId,
+      body: exchange.completion ?? { messages: [] },
+      priority,
+      signal: attempt.controller.signal,
+      ...(generatedTokens > 0 ? { resume: { generatedText, generatedTokens } } : {}),
+    });
+    let reportedAt = 0;
+    for await (const chunk of stream) {
+      if (attempt.cancelled) return;
+      // A caller that reads slowly must not make its engine look silent.
+      attempt.stopWatch();
+      if (chunk.type === 'end') {
+        answer.end(chunk.finishReason, chunk.usage);
+        dispatch({ type: 'attemptFinished', attemptId, tokens: answer.generatedTokens });
+        return;
+      }
+      if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
+      await answer.writeToken(chunk.text, chunk.tokens);
+      const now = timers.monotonicNow();
+      if (now - reportedAt > PROGRESS_MILLISECONDS) {
+        reportedAt = now;
+        dispatch({ type: 'attemptProgressed', attemptId, tokens: answer.generatedTokens });
+      }
+      if (!attempt.cancelled) this.watch(attempt, silenceTimeout);
+    }
+  }
+
+  private async runPlain(
+    attempt: RunningAttempt,
+    exchange: CallerExchange,
+    answer: PlainAnswer,
+  ): Promise<void> {
+    const { attemptId, target, sendOnce, silenceTimeout } = attempt.start;
+    const { dispatch, adapters } = this.options;
+    const { method, path } = exchange.request;
+    dispatch({ type: 'attemptSent', attemptId });
+    const received = await adapters.plainService(target).send({
+      method,
+      path,
+      headers: this.forwardedHeaders(exchange),
+      body: exchange.body,
+      fresh: sendOnce,
+      signal: attempt.controller.signal,
+    });
+    if (attempt.cancelled) return;
+    answer.begin(received.status, received.headers);
+    dispatch({ type: 'firstTokenReceived', attemptId });
+    for await (const bytes of received.body) {
+      if (attempt.cancelled) return;
+      attempt.stopWatch();
+      await answer.writeBytes(bytes);
+      if (!attempt.cancelled) this.watch(attempt, silenceTimeout);
+    }
+    dispatch({ type: 'attemptFinished', attemptId, tokens: 0 });
+  }
+
+  /** The caller's headers, without its key: a backend server has no business with it. */
+  private forwardedHeaders({
+    headers,
+    request,
+  }: CallerExchange): Record<string, string | string[]> {
+    const { authorization, host, ...rest } = headers;
+    const kept = Object.entries(rest).filter(
+      (entry): entry is [string, string | string[]] => entry[1] !== undefined,
+    );
+    return {
+      ...Object.fromEntries(kept),
+      'x-request-id': request.requestId,
+      'x-workspace': request.workspace,
+    };
+  }
+
+  private reportFailure(attempt: RunningAttempt, error: unknown): void {
+    const { attemptId, requestId } = attempt.start;
+    const answer = this.options.findExchange(requestId)?.answer;
+    const failed = error instanceof BackendServerFailure ? error : undefined;
+    const failure: AttemptFailure = attempt.silent ? 'silent' : (failed?.failure ?? 'malformed');
+    this.options.dispatch({
+      type: 'attemptFailed',
+      attemptId,
+      failure,
+      sent: failed?.sent ?? 'maybe',
+      tokens: answer instanceof CompletionAnswer ? answer.generatedTokens : 0,
+      // A completion can be resumed by offset; what a plain service has begun cannot.
+      answerStarted: answer instanceof PlainAnswer && answer.started,
+      ...(failed?.retryAfter === undefined
+        ? {}
+        : { retryAfter: failed.retryAfter }),
+    });
+  }
+}
--- /dev/null
+++ b/apps/entry/src/CallerAnswer.ts
@@ -0,0 +1,64 @@
+/**
+ * The answer to one caller, as the relay writes it. Its subclasses know the shapes; all of them
+ * hold to one rule: an answer that could not be finished never looks complete.
+ */
+import type { ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { toProblemDocument, type StoredAnswer } from '@hornbeampond/schema';
+import { writeProblem } from '@hornbeampond/transport';
+
+export abstract class CallerAnswer {
+  constructor(
+    readonly requestId: string,
+    protected readonly response: ServerResponse,
+  ) {}
+
+  /** True once a byte of the answer has gone to the caller. */
+  get started(): boolean {
+    return this.response.headersSent;
+  }
+
+  get gone(): boolean {
+    return this.response.destroyed || this.response.writableEnded;
+  }
+
+  /** Ends the answer as whole. */
+  abstract finish(): void;
+
+  /** Ends a started answer with an error that a caller cannot take for its end. */
+  protected abstract cut(error: unknown): void;
+
+  /** Ends the answer with a problem. */
+  fail(error: unknown): void {
+    if (this.gone) return;
+    if (this.started) this.cut(error);
+    else writeProblem(this.response, error, this.requestId);
+  }
+
+  /** Gives an answer that was kept from the first run of the same call. */
+  replay({ status, headers, body }: StoredAnswer): void {
+    if (this.gone) return;
+    const replayed = { ...headers, 'x-request-id': this.requestId, 'idempotent-replay': 'true' };
+    this.response.writeHead(status, replayed);
+    this.response.end(body);
+  }
+
+  /** Writes bytes and waits while the caller is slower than the backend server. */
+  protected async write(bytes: string | Uint8Array): Promise<void> {
+    if (this.gone || this.response.write(bytes)) return;
+    const controller = new AbortController();
+    const { signal } = controller;
+    try {
+      await Promise.race([
+        once(this.response, 'drain', { signal }),
+        once(this.response, 'close', { signal }),
+      ]);
+    } finally {
+      controller.abort();
+    }
+  }
+
+  protected describe(error: unknown): string {
+    return JSON.stringify({ error: toProblemDocument(error, this.requestId) });
+  }
+}
--- /dev/null
+++ b/apps/entry/src/CallerServer.ts
@@ -0,0 +1,184 @@
+/**
+ * Where callers connect. It checks who calls and whether the call is well formed, within bounds
+ * on sizes, and hands it to the reducer; everything after that is decided there.
+ */
+import { createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { HornbeampondError, type EntrySettings } from '@hornbeampond/schema';
+import { readBody, writeProblem } from '@hornbeampond/transport';
+import type { TimerService } from '@hornbeampond/runtime';
+import { digestPrefixes, splitPrompt, type CompletionBody } from '@hornbeampond/adapters';
+import type { CallerRequest } from '@hornbeampond/entry-core';
+import type { CallerAnswer } from './CallerAnswer.js';
+import { CompletionAnswer } from './CompletionAnswer.js';
+import { PlainAnswer } from './PlainAnswer.js';
+import { parseCompletion } from './parseCompletion.js';
+
+/** A request in the shell: what the reducer knows of it, its bytes, and its way back. */
+export interface CallerExchange {
+  readonly request: CallerRequest;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: Buffer;
+  /** Set if the call is a chat completion. */
+  readonly completion: CompletionBody | undefined;
+  readonly answer: CallerAnswer;
+}
+
+export interface CallerServerOptions {
+  readonly settings: EntrySettings;
+  readonly timers: TimerService;
+  /** Names requests; unique for all time. */
+  nameRequest(): string;
+  onRequest(exchange: CallerExchange): void;
+  onGone(requestId: string): void;
+  /** Counts a refusal that the reducer does not see. */
+  onRefused(error: unknown): void;
+}
+
+export const COMPLETIONS_PATH = '/v1/chat/completions';
+
+/** Used where a completion does not say how many tokens it wants. */
+const DEFAULT_MOST_TOKENS = 1024;
+
+/** Longest `Idempotency-Key` in characters. */
+const MOST_KEY_CHARACTERS = 256;
+
+export class CallerServer {
+  private readonly server: Server;
+
+  private readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
+
+  constructor(private readonly options: CallerServerOptions) {
+    const { settings } = options;
+    this.workspaceByKeyDigest = new Map(
+      settings.workspaces.map((workspace) => [workspace.keySha256, workspace.name]),
+    );
+    const { headerBytes } = settings.limits;
+    this.server = createServer({ maxHeaderSize: headerBytes }, (request, response) => {
+      this.take(request, response).catch((error: unknown) => this.refuse(response, error));
+    });
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+      const kind = tooLarge ? 'headersTooLarge' : 'badRequest';
+      options.onRefused(new HornbeampondError(kind, 'The request could not be read'));
+      const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+      if (socket.writable) socket.end(`HTTP/1.1 ${line}\r\nconnection: close\r\n\r\n`);
+    });
+  }
+
+  async listen(): Promise<number> {
+    const { host, port } = this.options.settings.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new connections; those in use go on until their answers are given. */
+  stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private refuse(response: ServerResponse, error: unknown): void {
+    this.options.onRefused(error);
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    // A body that was not read to its end would be taken for the next request.
+    response.setHeader('connection', 'close');
+    writeProblem(response, error);
+  }
+
+  private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { settings } = this.options;
+    const workspace = this.authenticate(request);
+    const body = await readBody(request, settings.limits.bodyBytes);
+    const exchange = this.makeExchange(request, response, workspace, body);
+    const { requestId } = exchange.request;
+    response.on('close', () => {
+      if (!response.writableEnded) this.options.onGone(requestId);
+    });
+    this.options.onRequest(exchange);
+  }
+
+  private authenticate(request: IncomingMessage): string {
+    const [scheme, key] = (request.headers.authorization ?? '').split(' ');
+    if (scheme?.toLowerCase() !== 'bearer' || key === undefined) {
+      throw new HornbeampondError('unauthorized', 'Send "Authorization: Bearer KEY"');
+    }
+    const digest = createHash('sha256').update(key).digest('hex');
+    const workspace = this.workspaceByKeyDigest.get(digest);
+    if (workspace === undefined)
+      throw new HornbeampondError('unauthorized', 'The key is not known');
+    return workspace;
+  }
+
+  private makeExchange(
+    message: IncomingMessage,
+    response: ServerResponse,
+    workspace: string,
+    body: Buffer,
+  ): CallerExchange {
+    const method = message.method ?? 'GET';
+    const url = new URL(message.url ?? '/', 'http://callers');
+    const path = url.pathname + url.search;
+    const requestId = this.options.nameRequest();
+    const idempotencyKey = this.readIdempotencyKey(message);
+    const digest = createHash('sha256').update(`${method}\n${path}\n`).update(body).digest('hex');
+    const shared = {
+      requestId,
+      workspace,
+      method,
+      path,
+      digest,
+      ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+    };
+    const { answerBytes } = this.options.settings.limits;
+    const { headers } = message;
+    if (url.pathname !== COMPLETIONS_PATH) {
+      const request = { ...shared, prefixDigests: [], promptTokens: 0, mostTokens: 0 };
+      const shape = { held: idempotencyKey !== undefined, mostBytes: answerBytes };
+      const answer = new PlainAnswer(requestId, response, shape);
+      return { request, headers, body, completion: undefined, answer };
+    }
+    if (method !== 'POST') {
+      throw new HornbeampondError('methodNotAllowed', `Send POST to ${COMPLETIONS_PATH}`);
+    }
+    const completion = parseCompletion(body);
+    const request = {
+      ...shared,
+      ...(completion.model === undefined ? {} : { model: completion.model }),
+      prefixDigests: digestPrefixes(completion.messages),
+      promptTokens: splitPrompt(completion.messages).length,
+      mostTokens: completion.max_tokens ?? DEFAULT_MOST_TOKENS,
+    };
+    const answer = new CompletionAnswer(requestId, response, {
+      model: completion.model ?? '',
+      streamed: completion.stream === true,
+      created: Math.floor(this.options.timers.wallNow() / 1000),
+      mostCharacters: answerBytes,
+    });
+    return { request, headers, body, completion, answer };
+  }
+
+  private readIdempotencyKey(message: IncomingMessage): string | undefined {
+    const key = message.headers['idempotency-key'];
+    if (key === undefined) return undefined;
+    if (typeof key !== 'string' || key === '' || key.length > MOST_KEY_CHARACTERS) {
+      const detail = `Idempotency-Key must have 1 to ${MOST_KEY_CHARACTERS} characters`;
+      throw new HornbeampondError('badRequest', detail);
+    }
+    return key;
+  }
+}
--- /dev/null
+++ b/apps/entry/src/CompletionAnswer.ts
@@ -0,0 +1,116 @@
+/**
+ * A model engine's answer in the OpenAI shape, streamed as server-sent events or whole. It keeps
+ * the text so far, for that is what another engine resumes from.
+ */
+import type { ServerResponse } from 'node:http';
+import { HornbeampondError } from '@hornbeampond/schema';
+import type { CompletionUsage } from '@hornbeampond/adapters';
+import { CallerAnswer } from './CallerAnswer.js';
+
+export interface CompletionShape {
+  readonly model: string;
+  readonly streamed: boolean;
+  /** Epoch seconds. */
+  readonly created: number;
+  /** Most characters of generated text. */
+  readonly mostCharacters: number;
+}
+
+export class CompletionAnswer extends CallerAnswer {
+  private text = '';
+
+  private tokens = 0;
+
+  private finishReason = 'stop';
+
+  private usage: CompletionUsage | undefined;
+
+  constructor(
+    requestId: string,
+    response: ServerResponse,
+    private readonly shape: CompletionShape,
+  ) {
+    super(requestId, response);
+  }
+
+  get generatedText(): string {
+    return this.text;
+  }
+
+  get generatedTokens(): number {
+    return this.tokens;
+  }
+
+  async writeToken(text: string, tokens: number): Promise<void> {
+    if (this.text.length + text.length > this.shape.mostCharacters) {
+      throw new HornbeampondError('answerCut', 'The answer is above the bound on its size');
+    }
+    this.text += text;
+    this.tokens += tokens;
+    if (!this.shape.streamed) return;
+    this.begin();
+    await this.write(this.event({ content: text }, null));
+  }
+
+  /** Notes how the engine ended; `finish` then ends the caller's answer. */
+  end(finishReason: string, usage: CompletionUsage | undefined): void {
+    this.finishReason = finishReason;
+    this.usage = usage;
+  }
+
+  override finish(): void {
+    if (this.gone) return;
+    if (!this.shape.streamed) {
+      this.finishWhole();
+      return;
+    }
+    this.begin();
+    this.response.end(`${this.event({}, this.finishReason)}data: [DONE]\n\n`);
+  }
+
+  protected override cut(error: unknown): void {
+    this.response.end(`event: error\ndata: ${this.describe(error)}\n\n`);
+  }
+
+  private begin(): void {
+    if (this.started) return;
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+      'x-request-id': this.requestId,
+    });
+    this.response.write(this.event({ role: 'assistant' }, null));
+  }
+
+  private event(delta: Readonly<Record<string, string>>, finishReason: string | null): string {
+    const { model, created } = this.shape;
+    const choices = [{ index: 0, delta, finish_reason: finishReason }];
+    const chunk = { id: this.requestId, object: 'chat.completion.chunk', created, model, choices };
+    return `data: ${JSON.stringify(chunk)}\n\n`;
+  }
+
+  private finishWhole(): void {
+    const { model, created } = this.shape;
+    const message = { role: 'assistant', content: this.text };
+    const completionTokens = this.tokens;
+    const promptTokens = this.usage?.promptTokens ?? 0;
+    const body = JSON.stringify({
+      id: this.requestId,
+      object: 'chat.completion',
+      created,
+      model,
+      choices: [{ index: 0, message, finish_reason: this.finishReason }],
+      usage: {
+        prompt_tokens: promptTokens,
+        completion_tokens: completionTokens,
+        total_tokens: promptTokens + completionTokens,
+      },
+    });
+    this.response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      'x-request-id': this.requestId,
+    });
+    this.response.end(body);
+  }
+}
--- /dev/null
+++ b/apps/entry/src/EntryProcess.ts
@@ -0,0 +1,376 @@
+/**
+ * One running entry: it feeds the reducer with events and carries out its effects.
+ */
+import { HttpPlatformAdapter } from '@hornbeampond/adapters';
+import {
+  makeEntryState,
+  reduceEntry,
+  type EntryEffect,
+  type EntryEvent,
+  type EntryOccurrence,
+  type EntryState,
+} from '@hornbeampond/entry-core';
+import {
+  EventLoop,
+  Logger,
+  Metrics,
+  runCommonEffect,
+  type RunningProcess,
+  type TimerService,
+  type Unsubscribe,
+} from '@hornbeampond/runtime';
+import {
+  HornbeampondError,
+  assertNever,
+  type ClaimResult,
+  type EntrySettings,
+  type StoreCommand,
+} from '@hornbeampond/schema';
+import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
+import { AdapterDirectory } from './AdapterDirectory.js';
+import { AttemptRunner } from './AttemptRunner.js';
+import { BackendServerWatcher } from './BackendServerWatcher.js';
+import { CallerServer, type CallerExchange } from './CallerServer.js';
+import { EntryPeers } from './EntryPeers.js';
+import { PlainAnswer } from './PlainAnswer.js';
+import { TableApi } from './TableApi.js';
+
+/** How often the reducer looks at what waits for time to pass. */
+const TICK_MILLISECONDS = 20;
+
+/** A claim command is given so long before it counts as unavailable or unsure. */
+const CLAIM_MILLISECONDS = 2000;
+
+/** Commands that nobody waits for are resent for so long. */
+const COMMAND_MILLISECONDS = 60_000;
+
+const PROBE_MILLISECONDS = 1000;
+
+/** A starting entry that no store tells a configuration within this span asks its peers. */
+const CUT_OFF_MILLISECONDS = 2000;
+
+/** Ports that the process listens on, which matter where settings gave port 0. */
+export interface EntryPorts {
+  readonly callers: number;
+  readonly operators: number;
+  readonly peers: number;
+}
+
+export class EntryProcess implements RunningProcess {
+  private readonly logger: Logger;
+
+  private readonly metrics = new Metrics({ withProcessMetrics: true });
+
+  private readonly adapters = new AdapterDirectory();
+
+  private readonly exchanges = new Map<string, CallerExchange>();
+
+  private readonly loop: EventLoop<EntryState, EntryEvent, EntryEffect>;
+
+  private readonly attempts: AttemptRunner;
+
+  private readonly store: StoreClient;
+
+  private readonly callers: CallerServer;
+
+  private readonly operators: OperatorServer;
+
+  private readonly peers: EntryPeers;
+
+  private readonly watcher: BackendServerWatcher;
+
+  private readonly incarnation: number;
+
+  private readonly subscriptions: Unsubscribe[] = [];
+
+  private requestCount = 0;
+
+  private ready = false;
+
+  private cutOff = false;
+
+  private onShutdownReady: () => void = () => {};
+
+  constructor(
+    private readonly settings: EntrySettings,
+    private readonly timers: TimerService,
+  ) {
+    const { instance, dataCentre } = settings;
+    this.incarnation = timers.wallNow();
+    this.logger = new Logger({ process: 'hornbeampond-entry', instance }, settings.logLevel);
+    const { queuedRequests } = settings.limits;
+    this.loop = new EventLoop(
+      makeEntryState({ instance, dataCentre, incarnation: this.incarnation, queuedRequests }),
+      reduceEntry,
+      (effect) => this.carryOut(effect),
+      (error, event) => this.reportError(error, event.type),
+    );
+    const dispatch = (occurrence: EntryOccurrence) => this.dispatch(occurrence);
+    const readConfiguration = () => this.loop.state.configuration;
+    this.attempts = new AttemptRunner({
+      timers,
+      adapters: this.adapters,
+      findExchange: (requestId) => this.exchanges.get(requestId),
+      dispatch,
+    });
+    const context = this.makePeerContext();
+    this.store = new StoreClient(
+      settings.stores,
+      context,
+      {
+        onConfiguration: (configuration) => {
+          this.cutOff = false;
+          dispatch({ type: 'configurationReceived', configuration });
+        },
+        onQuarantine: (quarantine) => dispatch({ type: 'quarantineReceived', quarantine }),
+      },
+      this.makeReport(0),
+    );
+    this.peers = new EntryPeers({
+      settings,
+      context,
+      readConfiguration,
+      onReport: (report) => dispatch({ type: 'entryReported', report }),
+    });
+    this.watcher = new BackendServerWatcher({
+      platform: new HttpPlatformAdapter(settings.platform.url),
+      adapters: this.adapters,
+      timers,
+      logger: this.logger,
+      pollMilliseconds: settings.platform.pollMilliseconds,
+      readConfiguration,
+      dispatch,
+    });
+    this.callers = new CallerServer({
+      settings,
+      timers,
+      nameRequest: () => this.nameRequest(),
+      onRequest: (exchange) => this.takeRequest(exchange),
+      onGone: (requestId) => dispatch({ type: 'callerGone', requestId }),
+      onRefused: (error) => this.countRefusal(error),
+    });
+    const tables = new TableApi(settings, this.store);
+    this.operators = new OperatorServer({
+      metrics: this.metrics,
+      isReady: () => this.ready,
+      readStatus: async () => this.readStatus(),
+      handle: async (request, response, url) => tables.handle(request, response, url),
+    });
+  }
+
+  /** Starts to serve; resolves once callers can connect. */
+  async start(): Promise<EntryPorts> {
+    this.logger.write('processStarted', { dataCentre: this.settings.dataCentre });
+    this.subscriptions.push(
+      this.timers.every(TICK_MILLISECONDS, () => this.dispatch({ type: 'tick' })),
+      this.timers.after(CUT_OFF_MILLISECONDS, () => this.askPeersIfCutOff()),
+    );
+    const peers = await this.peers.listen();
+    const operators = await this.operators.listen(this.settings.operatorListen);
+    await this.watcher.start();
+    const callers = await this.callers.listen();
+    this.ready = true;
+    this.logger.write('processReady', { callers, operators, peers });
+    return { callers, operators, peers };
+  }
+
+  /** The revision of the configuration in force here. */
+  get revision(): number {
+    return this.loop.state.configuration.revision;
+  }
+
+  /**
+   * Ends without cutting off a request: the balancer is told first and given its delay, then no
+   * new connection is taken, then the reducer says when nothing is in progress any more.
+   */
+  async shutDown(): Promise<void> {
+    const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
+    this.ready = false;
+    this.logger.write('shutdownStarted', {});
+    await this.timers.wait(balancerDelayMilliseconds);
+    this.callers.stopListening();
+    const settled = new Promise<void>((resolve) => {
+      this.onShutdownReady = resolve;
+    });
+    this.dispatch({ type: 'shutdownStarted' });
+    await Promise.race([settled, this.timers.wait(shutdownMilliseconds)]);
+    await this.close();
+    this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
+  }
+
+  /** Stops at once. */
+  async close(): Promise<void> {
+    this.subscriptions.forEach((unsubscribe) => unsubscribe());
+    this.store.close();
+    await Promise.all([
+      this.watcher.close(),
+      this.peers.close(),
+      this.callers.close(),
+      this.operators.close(),
+    ]);
+    await this.adapters.close();
+  }
+
+  private dispatch(occurrence: EntryOccurrence): void {
+    const now = this.timers.monotonicNow();
+    this.loop.dispatch({ ...occurrence, now, wallNow: this.timers.wallNow() });
+  }
+
+  private makePeerContext(): PeerContext {
+    const { cluster, clusterSecret, instance, dataCentre } = this.settings;
+    return {
+      identity: { cluster, instance, dataCentre, role: 'entry' },
+      secret: clusterSecret,
+      timers: this.timers,
+      logger: this.logger,
+      metrics: this.metrics,
+    };
+  }
+
+  private makeReport(revision: number) {
+    const { instance, dataCentre } = this.settings;
+    return { instance, dataCentre, role: 'entry' as const, revision, cutOff: this.cutOff };
+  }
+
+  private nameRequest(): string {
+    this.requestCount += 1;
+    return `${this.settings.instance}-${this.incarnation.toString(36)}-${this.requestCount}`;
+  }
+
+  private takeRequest(exchange: CallerExchange): void {
+    this.exchanges.set(exchange.request.requestId, exchange);
+    this.metrics.setGauge('openStreams', this.exchanges.size);
+    this.dispatch({ type: 'requestArrived', request: exchange.request });
+  }
+
+  private endExchange(requestId: string, end: (exchange: CallerExchange) => void): void {
+    const exchange = this.exchanges.get(requestId);
+    if (exchange === undefined) return;
+    this.exchanges.delete(requestId);
+    this.metrics.setGauge('openStreams', this.exchanges.size);
+    end(exchange);
+  }
+
+  private carryOut(effect: EntryEffect): void {
+    if (runCommonEffect(effect, this.logger, this.metrics)) return;
+    switch (effect.type) {
+      case 'startAttempt':
+        this.attempts.start(effect);
+        return;
+      case 'cancelAttempt':
+        this.attempts.cancel(effect.attemptId);
+        return;
+      case 'moveCache':
+        void this.attempts.moveCache(effect);
+        return;
+      case 'finishAnswer':
+        this.endExchange(effect.requestId, ({ answer }) => answer.finish());
+        return;
+      case 'answerProblem': {
+        const { kind, detail, retryAfterMilliseconds, ran } = effect;
+        const error = new HornbeampondError(kind, detail, { retryAfterMilliseconds, ran });
+        this.endExchange(effect.requestId, ({ answer }) => answer.fail(error));
+        return;
+      }
+      case 'replayAnswer':
+        this.endExchange(effect.requestId, ({ answer }) => answer.replay(effect.answer));
+        return;
+      case 'proposeClaim':
+        void this.proposeClaim(effect.requestId, effect.command);
+        return;
+      case 'proposeCommand':
+        void this.store.propose(effect.command, COMMAND_MILLISECONDS);
+        return;
+      case 'probe':
+        void this.probe(effect.target);
+        return;
+      case 'reportToEntries':
+        this.peers.report(effect.report);
+        return;
+      case 'configurationApplied':
+        this.store.updateReport(this.makeReport(effect.revision));
+        return;
+      case 'shutdownReady':
+        this.onShutdownReady();
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  /** A settlement carries the answer, which only the shell has. */
+  private async proposeClaim(requestId: string, command: StoreCommand): Promise<void> {
+    const answer = this.exchanges.get(requestId)?.answer;
+    const stored = answer instanceof PlainAnswer ? answer.storedAnswer : undefined;
+    const whole: StoreCommand =
+      command.type === 'settleClaim' && command.outcome === 'done' && stored !== undefined
+        ? { ...command, answer: stored }
+        : command;
+    const outcome = await this.store.propose(whole, CLAIM_MILLISECONDS);
+    this.dispatch({
+      type: 'claimAnswered',
+      requestId,
+      answer:
+        outcome.type === 'result'
+          ? { type: 'result', result: outcome.result as ClaimResult }
+          : outcome,
+    });
+  }
+
+  private async probe(target: Extract<EntryEffect, { type: 'probe' }>['target']): Promise<void> {
+    const { instance } = target;
+    try {
+      await this.adapters.find(target).adapter.probe(AbortSignal.timeout(PROBE_MILLISECONDS));
+      this.dispatch({ type: 'probeAnswered', instance, answered: true });
+    } catch {
+      this.dispatch({ type: 'probeAnswered', instance, answered: false });
+    }
+  }
+
+  /** A cut-off data centre still has to serve: its starting entry takes what its peers know. */
+  private askPeersIfCutOff(): void {
+    if (this.revision > 0) return;
+    void this.peers.peekConfigurations().then((configurations) => {
+      if (this.revision > 0) return;
+      configurations.forEach((configuration) => {
+        if (configuration.revision === 0) return;
+        this.cutOff = true;
+        this.dispatch({ type: 'configurationReceived', configuration });
+      });
+      this.subscriptions.push(
+        this.timers.after(CUT_OFF_MILLISECONDS, () => this.askPeersIfCutOff()),
+      );
+    });
+  }
+
+  private countRefusal(error: unknown): void {
+    const kind = error instanceof HornbeampondError ? error.kind : 'internalError';
+    this.metrics.count({ metric: 'refusals', label: kind });
+    if (kind === 'internalError') this.reportError(error, 'request');
+  }
+
+  private reportError(error: unknown, at: string): void {
+    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.logger.write('unexpectedError', { at, reason });
+  }
+
+  private async readStatus(): Promise<unknown> {
+    const { state } = this.loop;
+    return {
+      instance: this.settings.instance,
+      dataCentre: this.settings.dataCentre,
+      ready: this.ready,
+      cutOff: this.cutOff,
+      configurationRevision: this.revision,
+      openStreams: this.exchanges.size,
+      backendServers: [...state.backendServers.values()].map(({ listed, goneAt, attemptIds }) => ({
+        instance: listed.instance,
+        pool: listed.pool,
+        dataCentre: listed.dataCentre,
+        state: goneAt === undefined ? listed.state : 'leaving',
+        inProgress: attemptIds.size,
+      })),
+      stores: await this.store.readStatus(),
+    };
+  }
+}
--- /dev/null
+++ b/apps/entry/src/PlainAnswer.ts
@@ -0,0 +1,83 @@
+/**
+ * A plain service's answer, passed on as it is. The answer to a call that may not be repeated is
+ * held until it is whole, so that it can be stored for callers who send the call again.
+ */
+import type { ServerResponse } from 'node:http';
+import { HornbeampondError, type StoredAnswer } from '@hornbeampond/schema';
+import type { HeaderFields } from '@hornbeampond/adapters';
+import { CallerAnswer } from './CallerAnswer.js';
+
+export interface PlainShape {
+  /** True if the answer is held until it is whole. */
+  readonly held: boolean;
+  /** Most bytes of an answer that is held. */
+  readonly mostBytes: number;
+}
+
+/** Headers of a backend server's answer that speak of its connection, not of the answer. */
+const droppedHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
+
+export class PlainAnswer extends CallerAnswer {
+  private status = 200;
+
+  private headers: Record<string, string> = {};
+
+  private held: Uint8Array[] = [];
+
+  private heldBytes = 0;
+
+  constructor(
+    requestId: string,
+    response: ServerResponse,
+    private readonly shape: PlainShape,
+  ) {
+    super(requestId, response);
+  }
+
+  /** Takes in the head of the backend server's answer. */
+  begin(status: number, headers: HeaderFields): void {
+    this.status = status;
+    this.held = [];
+    this.heldBytes = 0;
+    this.headers = Object.fromEntries(
+      Object.entries(headers)
+        .filter(([name]) => !droppedHeaders.has(name))
+        .map(([name, value]) => [name, typeof value === 'string' ? value : value.join(', ')]),
+    );
+  }
+
+  async writeBytes(bytes: Uint8Array): Promise<void> {
+    if (!this.shape.held) {
+      this.writeHead();
+      await this.write(bytes);
+      return;
+    }
+    this.heldBytes += bytes.length;
+    if (this.heldBytes > this.shape.mostBytes) {
+      throw new HornbeampondError('answerCut', `The answer is above ${this.shape.mostBytes} bytes`);
+    }
+    this.held.push(bytes);
+  }
+
+  /** The whole answer, if it was held. */
+  get storedAnswer(): StoredAnswer | undefined {
+    if (!this.shape.held) return undefined;
+    return { status: this.status, headers: this.headers, body: Buffer.concat(this.held) };
+  }
+
+  override finish(): void {
+    if (this.gone) return;
+    this.writeHead();
+    this.response.end(this.shape.held ? Buffer.concat(this.held) : undefined);
+  }
+
+  protected override cut(): void {
+    // Without its last chunk a chunked body is known to be cut, whatever the caller reads it with.
+    this.response.destroy();
+  }
+
+  private writeHead(): void {
+    if (this.started) return;
+    this.response.writeHead(this.status, { ...this.headers, 'x-request-id': this.requestId });
+  }
+}
--- /dev/null
+++ b/apps/entry/src/TableApi.ts
@@ -0,0 +1,133 @@
+/**
+ * Reading and changing the two tables on the operators' port: `GET` and `PUT` on
+ * `/tables/routes` and `/tables/pools`, with `ETag`, `If-Match` and a change id in
+ * `Idempotency-Key`.
+ */
+import { createHash } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  HornbeampondError,
+  assertNever,
+  tableNames,
+  type EntrySettings,
+  type PutTableResult,
+  type TableName,
+} from '@hornbeampond/schema';
+import { readBody, writeJson, type StoreClient } from '@hornbeampond/transport';
+
+/** A change that has not come back from the log within this span is told as unsure. */
+const CHANGE_MILLISECONDS = 5000;
+const READ_MILLISECONDS = 3000;
+const MOST_TABLE_BYTES = 32 * 1024 * 1024;
+const MOST_CHANGE_ID_CHARACTERS = 200;
+
+function toETag(revision: number): string {
+  return `"${revision}"`;
+}
+
+function readRevision(header: string | undefined): number {
+  const match = /^"(\d+)"$/.exec(header ?? '');
+  if (match === null) {
+    const detail = 'Send "If-Match" with the ETag of the table that the change was made from';
+    throw new HornbeampondError('preconditionMissing', detail);
+  }
+  return Number(match[1]);
+}
+
+function readChangeId(header: string | string[] | undefined): string {
+  if (typeof header === 'string' && header !== '' && header.length <= MOST_CHANGE_ID_CHARACTERS) {
+    return header;
+  }
+  throw new HornbeampondError('idempotencyKeyMissing', 'Name the change in "Idempotency-Key"');
+}
+
+function readRows(body: Buffer): readonly unknown[] {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString('utf8'));
+  } catch (error) {
+    throw new HornbeampondError('badRequest', 'The body is not JSON', {}, error);
+  }
+  if (typeof value === 'object' && value !== null && 'rows' in value && Array.isArray(value.rows)) {
+    return value.rows as readonly unknown[];
+  }
+  throw new HornbeampondError('badRequest', 'The body must be an object with "rows"');
+}
+
+export class TableApi {
+  constructor(
+    private readonly settings: EntrySettings,
+    private readonly store: StoreClient,
+  ) {}
+
+  /** Serves `/tables/…`; says whether the path was one of these. */
+  async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<boolean> {
+    const [, folder, name] = url.pathname.split('/');
+    if (folder !== 'tables') return false;
+    const table = tableNames.find((known) => known === name);
+    if (table === undefined) {
+      throw new HornbeampondError('routeNotFound', 'The tables are "routes" and "pools"');
+    }
+    this.authorize(request);
+    if (request.method === 'GET') await this.get(table, response);
+    else if (request.method === 'PUT') await this.put(table, request, response);
+    else throw new HornbeampondError('methodNotAllowed', 'Use GET or PUT');
+    return true;
+  }
+
+  private authorize(request: IncomingMessage): void {
+    const [, key = ''] = (request.headers.authorization ?? '').split(' ');
+    const digest = createHash('sha256').update(key).digest('hex');
+    if (this.settings.operatorKeys.some(({ keySha256 }) => keySha256 === digest)) return;
+    throw new HornbeampondError('unauthorized', 'The operator key is missing or not known');
+  }
+
+  private async get(table: TableName, response: ServerResponse): Promise<void> {
+    const configuration = await this.store.readConfiguration(READ_MILLISECONDS);
+    const { revision, rows } = configuration[table];
+    response.setHeader('etag', toETag(revision));
+    writeJson(response, 200, { revision, rows, configurationRevision: configuration.revision });
+  }
+
+  private async put(
+    table: TableName,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const baseRevision = readRevision(request.headers['if-match']);
+    const changeId = readChangeId(request.headers['idempotency-key']);
+    const rows = readRows(await readBody(request, MOST_TABLE_BYTES));
+    const outcome = await this.store.propose(
+      { type: 'putTable', table, baseRevision, changeId, rows },
+      CHANGE_MILLISECONDS,
+    );
+    if (outcome.type === 'unavailable') {
+      throw new HornbeampondError('storeUnavailable', 'The change was not made');
+    }
+    if (outcome.type === 'unsure') {
+      throw new HornbeampondError('changeUnsure', 'The change may have been made');
+    }
+    this.answerResult(outcome.result as PutTableResult, response);
+  }
+
+  private answerResult(result: PutTableResult, response: ServerResponse): void {
+    switch (result.type) {
+      case 'tableAccepted':
+        response.setHeader('etag', toETag(result.revision));
+        writeJson(response, 200, { revision: result.revision });
+        return;
+      case 'revisionStale':
+        throw new HornbeampondError('revisionStale', 'Another change came first', {
+          currentRevision: result.currentRevision,
+        });
+      case 'tableInvalid':
+        throw new HornbeampondError('tableInvalid', 'Nothing was changed', {
+          faults: result.faults,
+        });
+      case 'changeIdReused':
+        throw new HornbeampondError('changeIdReused', 'Use a new change id');
+      default:
+        assertNever(result);
+    }
+  }
+}
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './EntryProcess.js';
--- /dev/null
+++ b/apps/entry/src/parseCompletion.ts
@@ -0,0 +1,29 @@
+/** Checks the body of a chat completion as far as the system itself depends on it. */
+import { HornbeampondError } from '@hornbeampond/schema';
+import type { CompletionBody } from '@hornbeampond/adapters';
+import { z } from 'zod';
+
+const completionSchema = z.looseObject({
+  model: z.string().min(1).max(200).optional(),
+  messages: z.array(z.looseObject({ role: z.string(), content: z.unknown() })).min(1),
+  max_tokens: z.number().int().min(1).optional(),
+  stream: z.boolean().optional(),
+  n: z.literal(1, 'only one choice can be asked for').optional(),
+});
+
+/** Throws `badRequest` with every fault. */
+export function parseCompletion(body: Buffer): CompletionBody {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString('utf8'));
+  } catch (error) {
+    throw new HornbeampondError('badRequest', 'The body is not JSON', {}, error);
+  }
+  const parsed = completionSchema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  const faults = parsed.error.issues.map((issue) => ({
+    where: issue.path.join('.'),
+    reason: issue.message,
+  }));
+  throw new HornbeampondError('badRequest', 'The body is not a chat completion', { faults });
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,6 +42,18 @@
       'n/no-sync': 'off',
     },
   },
+  {
+    files: ['**/*.ts'],
+    rules: {
+      // The compiler sees these as errors; the rule does not see through modern-errors' types.
+      '@typescript-eslint/only-throw-error': [
+        'error',
+        {
+          allow: [{ from: 'package', name: 'HornbeampondError', package: '@hornbeampond/schema' }],
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,3 +4,5 @@
 export * from './TimerService.js';
 export * from './readSettings.js';
 export * from './runBinary.js';
+export * from './runCommonEffect.js';
+export * from './EventLoop.js';
--- /dev/null
+++ b/packages/transport/src/OperatorServer.ts
@@ -0,0 +1,74 @@
+/**
+ * The operators' port, the same on every process: `/livez`, `/readyz`, `/metrics` and `/status`,
+ * and what else the process adds.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { HornbeampondError, type ListenAddress } from '@hornbeampond/schema';
+import type { Metrics } from '@hornbeampond/runtime';
+import { writeProblem } from './writeProblem.js';
+
+export interface OperatorServerOptions {
+  readonly metrics: Metrics;
+  isReady(): boolean;
+  /** What `/status` answers, as JSON. */
+  readStatus(): Promise<unknown>;
+  /** Serves further paths; says whether the path was one of them. */
+  handle?(request: IncomingMessage, response: ServerResponse, url: URL): Promise<boolean>;
+}
+
+export function writeJson(response: ServerResponse, status: number, value: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(`${JSON.stringify(value)}\n`);
+}
+
+export class OperatorServer {
+  private readonly server: Server;
+
+  constructor(private readonly options: OperatorServerOptions) {
+    this.server = createServer((request, response) => {
+      this.answer(request, response).catch((error: unknown) => {
+        if (response.headersSent) response.destroy();
+        else writeProblem(response, error);
+      });
+    });
+  }
+
+  async listen({ host, port }: ListenAddress): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://operators');
+    switch (url.pathname) {
+      case '/livez':
+        response.end('live\n');
+        return;
+      case '/readyz':
+        response.writeHead(this.options.isReady() ? 200 : 503);
+        response.end(this.options.isReady() ? 'ready\n' : 'not ready\n');
+        return;
+      case '/metrics':
+        response.writeHead(200, { 'content-type': this.options.metrics.registry.contentType });
+        response.end(await this.options.metrics.print());
+        return;
+      case '/status':
+        writeJson(response, 200, await this.options.readStatus());
+        return;
+      default:
+        if (await this.options.handle?.(request, response, url)) return;
+        throw new HornbeampondError('routeNotFound', `There is no ${url.pathname} on this port`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/transport/src/PeerConnection.ts
@@ -0,0 +1,272 @@
+/**
+ * One authenticated, framed connection between two processes of the system.
+ *
+ * A connection is trusted only while it answers. Both ends send heartbeats; one that has been
+ * silent for several of them is dropped, and its user connects anew from a fresh port. Without
+ * this a connection that something in between has forgotten would hold its users for ever.
+ */
+import type { Socket } from 'node:net';
+import type { Logger, Metrics, TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import { FrameDecoder, encodeFrame } from './FrameCodec.js';
+import type {
+  HandshakeMessage,
+  PeerIdentity,
+  PeerMessage,
+  SessionMessage,
+} from './peerMessages.js';
+import { makeNonce, makeProof, sameProof, type Handshake } from './proveSecret.js';
+
+/** What every connection of a process shares. */
+export interface PeerContext {
+  readonly identity: PeerIdentity;
+  readonly secret: string;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics?: Metrics;
+  /** Interval of heartbeats in milliseconds. */
+  readonly heartbeatMilliseconds?: number;
+}
+
+const DEFAULT_HEARTBEAT_MILLISECONDS = 1000;
+
+/** A connection is dropped after so many heartbeats without a byte from the other end. */
+const SILENT_HEARTBEATS = 4;
+
+/** Bytes that may wait for a slow peer before the connection is given up. */
+const MOST_WAITING_BYTES = 128 * 1024 * 1024;
+
+export interface PeerConnectionHandlers {
+  onOpen(peer: PeerIdentity): void;
+  onRequest(body: unknown, respond: (response: unknown) => void): void;
+  onPush(body: unknown): void;
+  /** Called once, whether or not the connection was ever open. */
+  onClose(): void;
+}
+
+type Expecting = 'hello' | 'challenge' | 'proof' | 'welcome' | 'session';
+
+export class PeerConnection {
+  private readonly decoder = new FrameDecoder();
+
+  private readonly nonce = makeNonce();
+
+  private expecting: Expecting;
+
+  private handshake: Handshake | undefined;
+
+  private peerIdentity: PeerIdentity | undefined;
+
+  private readonly pending = new Map<number, (response: unknown) => void>();
+
+  private nextRequestId = 1;
+
+  private silentHeartbeats = 0;
+
+  private closed = false;
+
+  private readonly stopHeartbeats: Unsubscribe;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly side: 'client' | 'server',
+    private readonly context: PeerContext,
+    private readonly handlers: PeerConnectionHandlers,
+  ) {
+    this.expecting = side === 'server' ? 'hello' : 'challenge';
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('error', () => this.close());
+    socket.on('close', () => this.close());
+    const interval = context.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS;
+    this.stopHeartbeats = context.timers.every(interval, () => this.beat());
+  }
+
+  get isOpen(): boolean {
+    return this.expecting === 'session' && !this.closed;
+  }
+
+  get peer(): PeerIdentity | undefined {
+    return this.peerIdentity;
+  }
+
+  /** Begins the handshake; for the client side, once its socket is connected. */
+  begin(): void {
+    this.write({ type: 'hello', identity: this.context.identity, nonce: this.nonce });
+  }
+
+  /** Sends a request; `onResponse` is not called if the connection closes before. */
+  request(body: unknown, onResponse: (response: unknown) => void): number {
+    const id = this.nextRequestId;
+    this.nextRequestId += 1;
+    this.pending.set(id, onResponse);
+    this.write({ type: 'request', id, body });
+    return id;
+  }
+
+  /** Forgets a request: its response will be dropped. */
+  forget(id: number): void {
+    this.pending.delete(id);
+  }
+
+  push(body: unknown): void {
+    this.write({ type: 'push', body });
+  }
+
+  /** Sends bytes that were made by `encodeFrame` already, to spare encoding them for each peer. */
+  pushEncoded(frame: Buffer): void {
+    this.writeFrame(frame);
+  }
+
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.stopHeartbeats();
+    this.pending.clear();
+    this.socket.destroy();
+    this.handlers.onClose();
+  }
+
+  private beat(): void {
+    this.silentHeartbeats += 1;
+    if (this.silentHeartbeats > SILENT_HEARTBEATS) {
+      this.context.logger.write('peerSilent', { peer: this.peerIdentity?.instance });
+      this.close();
+      return;
+    }
+    if (this.isOpen) this.write({ type: 'heartbeat' });
+  }
+
+  private write(message: PeerMessage): void {
+    this.writeFrame(encodeFrame(message));
+  }
+
+  private writeFrame(frame: Buffer): void {
+    if (this.closed) return;
+    this.context.metrics?.count({ metric: 'frames', label: 'out' });
+    this.context.metrics?.count({ metric: 'frameBytes', label: 'out', amount: frame.length });
+    this.socket.write(frame);
+    if (this.socket.writableLength > MOST_WAITING_BYTES) this.close();
+  }
+
+  private receive(chunk: Buffer): void {
+    this.silentHeartbeats = 0;
+    this.context.metrics?.count({ metric: 'frameBytes', label: 'in', amount: chunk.length });
+    try {
+      this.decoder.push(chunk).forEach((message) => {
+        this.context.metrics?.count({ metric: 'frames', label: 'in' });
+        if (!this.closed) this.take(message as PeerMessage);
+      });
+    } catch (error) {
+      this.context.logger.write('frameRejected', { reason: String(error) });
+      this.close();
+    }
+  }
+
+  private take(message: PeerMessage): void {
+    if (this.expecting === 'session') this.takeSession(message as SessionMessage);
+    else this.takeHandshake(message as HandshakeMessage);
+  }
+
+  private takeSession(message: SessionMessage): void {
+    switch (message.type) {
+      case 'request':
+        this.handlers.onRequest(message.body, (body) => {
+          this.write({ type: 'response', id: message.id, body });
+        });
+        return;
+      case 'response': {
+        const onResponse = this.pending.get(message.id);
+        this.pending.delete(message.id);
+        onResponse?.(message.body);
+        return;
+      }
+      case 'push':
+        this.handlers.onPush(message.body);
+        return;
+      case 'heartbeat':
+        return;
+      default:
+        this.refuse('unexpected message');
+    }
+  }
+
+  private takeHandshake(message: HandshakeMessage): void {
+    if (message.type !== this.expecting) {
+      this.refuse(`expected ${this.expecting}`);
+      return;
+    }
+    switch (message.type) {
+      case 'hello':
+        this.answerHello(message.identity, message.nonce);
+        return;
+      case 'challenge':
+        this.answerChallenge(message);
+        return;
+      case 'proof':
+        if (!this.proofHolds('client', message.proof)) this.refuse('wrong secret');
+        else {
+          this.write({ type: 'welcome' });
+          this.open();
+        }
+        return;
+      case 'welcome':
+        this.open();
+        return;
+      default:
+        this.refuse('unexpected message');
+    }
+  }
+
+  private answerHello(client: PeerIdentity, clientNonce: Uint8Array): void {
+    const { identity, secret } = this.context;
+    if (!this.sameCluster(client)) return;
+    this.handshake = { client, server: identity, clientNonce, serverNonce: this.nonce };
+    this.expecting = 'proof';
+    const proof = makeProof(secret, 'server', this.handshake);
+    this.write({ type: 'challenge', identity, nonce: this.nonce, proof });
+  }
+
+  private answerChallenge(challenge: Extract<HandshakeMessage, { type: 'challenge' }>): void {
+    const { identity, secret } = this.context;
+    const server = challenge.identity;
+    if (!this.sameCluster(server)) return;
+    this.handshake = {
+      client: identity,
+      server,
+      clientNonce: this.nonce,
+      serverNonce: challenge.nonce,
+    };
+    if (!this.proofHolds('server', challenge.proof)) {
+      this.refuse('wrong secret');
+      return;
+    }
+    this.expecting = 'welcome';
+    this.write({ type: 'proof', proof: makeProof(secret, 'client', this.handshake) });
+  }
+
+  private sameCluster(peer: PeerIdentity): boolean {
+    this.peerIdentity = peer;
+    if (peer.cluster === this.context.identity.cluster) return true;
+    this.refuse('another cluster');
+    return false;
+  }
+
+  private proofHolds(side: 'client' | 'server', proof: Uint8Array): boolean {
+    if (this.handshake === undefined) return false;
+    return sameProof(proof, makeProof(this.context.secret, side, this.handshake));
+  }
+
+  private open(): void {
+    this.expecting = 'session';
+    if (this.peerIdentity !== undefined) this.handlers.onOpen(this.peerIdentity);
+  }
+
+  private refuse(reason: string): void {
+    this.context.logger.write('peerRefused', {
+      peer: this.peerIdentity?.instance,
+      side: this.side,
+      reason,
+    });
+    this.close();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/StoreClient.ts
@@ -0,0 +1,224 @@
+/**
+ * How entries, controllers and the operators' port reach the stores: it finds the leader, sends
+ * commands again under the same intent when an answer is lost, and keeps a subscription open.
+ */
+import { HornbeampondError } from '@hornbeampond/schema';
+import type {
+  CommandResult,
+  Configuration,
+  InstanceReport,
+  Milliseconds,
+  QuarantineEntry,
+  StoreAddress,
+  StoreCommand,
+  StorePush,
+  StoreRequest,
+  StoreResponse,
+  StoreStatus,
+} from '@hornbeampond/schema';
+import { PeerClient, PeerRequestError } from './PeerClient.js';
+import type { PeerContext } from './PeerConnection.js';
+
+/** How a proposal ended. */
+export type ProposalOutcome =
+  | { readonly type: 'result'; readonly result: CommandResult }
+  /** The command is provably in no log and will not get into one. */
+  | { readonly type: 'unavailable' }
+  /** The command may be in the log; resend it under the same intent to learn. */
+  | { readonly type: 'unsure' };
+
+export interface StoreClientHandlers {
+  onConfiguration?(configuration: Configuration): void;
+  onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
+}
+
+/** A store that does not answer within this span is passed over for another. */
+const ATTEMPT_MILLISECONDS = 1500;
+const PAUSE_MILLISECONDS = 40;
+const STATUS_MILLISECONDS = 1000;
+
+interface StorePeer {
+  readonly address: StoreAddress;
+  readonly client: PeerClient;
+}
+
+export class StoreClient {
+  private readonly stores: StorePeer[];
+
+  private leader: string | undefined;
+
+  private next = 0;
+
+  private subscribedTo: string | undefined;
+
+  private stopped = false;
+
+  constructor(
+    addresses: readonly StoreAddress[],
+    private readonly context: PeerContext,
+    private readonly handlers: StoreClientHandlers = {},
+    private report?: InstanceReport,
+  ) {
+    this.stores = addresses.map((address) => ({ address, client: this.connect(address) }));
+  }
+
+  /** Runs a command through the log, resending it until `timeout` milliseconds have passed. */
+  async propose(command: StoreCommand, timeout: Milliseconds): Promise<ProposalOutcome> {
+    const outcome = await this.ask({ type: 'propose', command }, timeout);
+    if (outcome.type !== 'answered') return outcome;
+    if (outcome.response.type === 'result') {
+      return { type: 'result', result: outcome.response.result };
+    }
+    return { type: 'unsure' };
+  }
+
+  /** Linearizable read of the tables. */
+  async readConfiguration(timeout: Milliseconds): Promise<Configuration> {
+    const outcome = await this.ask({ type: 'readConfiguration' }, timeout);
+    if (outcome.type === 'answered' && outcome.response.type === 'configuration') {
+      return outcome.response.configuration;
+    }
+    throw new HornbeampondError('storeUnavailable', 'No quorum of stores can be reached');
+  }
+
+  /** Sends a request that only the leader carries out. */
+  async askLeader(request: StoreRequest, timeout: Milliseconds): Promise<StoreResponse> {
+    const outcome = await this.ask(request, timeout);
+    if (outcome.type === 'answered') return outcome.response;
+    return { type: outcome.type, reason: 'no quorum of stores can be reached' };
+  }
+
+  /** What each store that answers says of itself. */
+  async readStatus(): Promise<StoreStatus[]> {
+    const answers = await Promise.all(
+      this.stores.map(async ({ client }) => {
+        try {
+          const request: StoreRequest = { type: 'readStatus' };
+          const response = (await client.request(request, STATUS_MILLISECONDS)) as StoreResponse;
+          return response.type === 'status' ? [response.status] : [];
+        } catch {
+          return [];
+        }
+      }),
+    );
+    return answers.flat();
+  }
+
+  /** Tells the stores what this instance has in force. */
+  updateReport(report: InstanceReport): void {
+    this.report = report;
+    this.stores.forEach(({ client }) => {
+      if (!client.isOpen) return;
+      client.request({ type: 'report', report }, STATUS_MILLISECONDS).catch(() => {});
+    });
+  }
+
+  close(): void {
+    this.stopped = true;
+    this.stores.forEach(({ client }) => client.close());
+  }
+
+  private connect(address: StoreAddress): PeerClient {
+    return new PeerClient(address, this.context, {
+      onOpen: () => this.subscribeIfNeeded(),
+      onPush: (body) => {
+        if (address.instance === this.subscribedTo) this.take(body as StorePush);
+      },
+      onClose: () => {
+        if (this.subscribedTo !== address.instance) return;
+        this.subscribedTo = undefined;
+        this.subscribeIfNeeded();
+      },
+    });
+  }
+
+  /** A store of the own data centre is preferred: it stays reachable when others are cut off. */
+  private subscribeIfNeeded(): void {
+    const { report } = this;
+    if (report === undefined || this.stopped || this.subscribedTo !== undefined) return;
+    const open = this.stores.filter(({ client }) => client.isOpen);
+    const store = open.find(({ address }) => address.dataCentre === report.dataCentre) ?? open[0];
+    if (store === undefined) return;
+    this.subscribedTo = store.address.instance;
+    store.client.request({ type: 'subscribe', report }, ATTEMPT_MILLISECONDS).then(
+      (response) => {
+        const subscribed = response as StoreResponse;
+        if (subscribed.type !== 'subscribed') return;
+        this.handlers.onConfiguration?.(subscribed.configuration);
+        this.handlers.onQuarantine?.(subscribed.quarantine);
+      },
+      () => {
+        if (this.subscribedTo !== store.address.instance) return;
+        this.subscribedTo = undefined;
+        this.context.timers.after(PAUSE_MILLISECONDS, () => this.subscribeIfNeeded());
+      },
+    );
+  }
+
+  private take(push: StorePush): void {
+    if (push.type === 'configuration') this.handlers.onConfiguration?.(push.configuration);
+    else this.handlers.onQuarantine?.(push.quarantine);
+  }
+
+  private async ask(
+    request: StoreRequest,
+    timeout: Milliseconds,
+  ): Promise<
+    | { readonly type: 'answered'; readonly response: StoreResponse }
+    | { readonly type: 'unavailable' }
+    | { readonly type: 'unsure' }
+  > {
+    const { timers } = this.context;
+    const endsAt = timers.monotonicNow() + timeout;
+    let everSent = false;
+    for (let left = timeout; left > 0 && !this.stopped; left = endsAt - timers.monotonicNow()) {
+      const store = this.chooseStore();
+      const tried = await this.tryStore(store, request, Math.min(left, ATTEMPT_MILLISECONDS));
+      if (tried.type === 'answered') return tried;
+      everSent ||= tried.type === 'unsure';
+      await timers.wait(Math.min(PAUSE_MILLISECONDS, Math.max(1, left)));
+    }
+    return { type: everSent ? 'unsure' : 'unavailable' };
+  }
+
+  private chooseStore(): StorePeer | undefined {
+    const open = this.stores.filter(({ client }) => client.isOpen);
+    const leader = open.find(({ address }) => address.instance === this.leader);
+    if (leader !== undefined) return leader;
+    this.next += 1;
+    return open[this.next % Math.max(1, open.length)];
+  }
+
+  private async tryStore(
+    store: StorePeer | undefined,
+    request: StoreRequest,
+    timeout: Milliseconds,
+  ): Promise<
+    | { readonly type: 'answered'; readonly response: StoreResponse }
+    | { readonly type: 'notSent' }
+    | { readonly type: 'unsure' }
+  > {
+    if (store === undefined) return { type: 'notSent' };
+    try {
+      const response = (await store.client.request(request, timeout)) as StoreResponse;
+      switch (response.type) {
+        case 'notLeader':
+          this.leader = response.leader === store.address.instance ? undefined : response.leader;
+          return { type: 'notSent' };
+        case 'unavailable':
+          this.leader = undefined;
+          return { type: 'notSent' };
+        case 'unsure':
+          this.leader = undefined;
+          return { type: 'unsure' };
+        default:
+          this.leader = store.address.instance;
+          return { type: 'answered', response };
+      }
+    } catch (error) {
+      this.leader = undefined;
+      const sent = error instanceof PeerRequestError ? error.sent : 'maybe';
+      return { type: sent === 'nothing' ? 'notSent' : 'unsure' };
+    }
+  }
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './FrameCodec.js';
+export * from './PeerClient.js';
+export * from './PeerConnection.js';
+export * from './PeerServer.js';
+export * from './peerMessages.js';
+export * from './StoreClient.js';
+export * from './OperatorServer.js';
+export * from './readBody.js';
+export * from './writeProblem.js';
--- /dev/null
+++ b/packages/transport/src/peerMessages.ts
@@ -0,0 +1,30 @@
+/**
+ * The messages of the framed protocol itself; what they carry is the business of its users.
+ */
+
+/** Who a process says it is. */
+export interface PeerIdentity {
+  readonly cluster: string;
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly role: 'store' | 'entry' | 'controller' | 'operator';
+}
+
+export type HandshakeMessage =
+  | { readonly type: 'hello'; readonly identity: PeerIdentity; readonly nonce: Uint8Array }
+  | {
+      readonly type: 'challenge';
+      readonly identity: PeerIdentity;
+      readonly nonce: Uint8Array;
+      readonly proof: Uint8Array;
+    }
+  | { readonly type: 'proof'; readonly proof: Uint8Array }
+  | { readonly type: 'welcome' };
+
+export type SessionMessage =
+  | { readonly type: 'request'; readonly id: number; readonly body: unknown }
+  | { readonly type: 'response'; readonly id: number; readonly body: unknown }
+  | { readonly type: 'push'; readonly body: unknown }
+  | { readonly type: 'heartbeat' };
+
+export type PeerMessage = HandshakeMessage | SessionMessage;
