--- /dev/null
+++ b/packages/store-core/src/consensus/StepContext.ts
@@ -0,0 +1,11 @@
+/** What the sub-reducers share while one event is being reduced. */
+import type { EpochMilliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { ConsensusEffect } from './consensusEvents.js';
+import type { ConsensusState } from './ConsensusState.js';
+
+export interface StepContext {
+  readonly state: ConsensusState;
+  readonly now: MonotonicMilliseconds;
+  readonly wallNow: EpochMilliseconds;
+  readonly effects: ConsensusEffect[];
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/appends.ts
@@ -0,0 +1,93 @@
+/** The leader's appends to its peers: they run ahead of their answers, up to a bound. */
+import type { Member } from './consensusTypes.js';
+import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
+import { entriesFrom, lastIndexOf, termAt } from './memoryLog.js';
+import { otherMembers } from './membership.js';
+import { sendNow } from './persistence.js';
+import { sendSnapshot } from './snapshots.js';
+import type { StepContext } from './StepContext.js';
+
+export function makeProgress(state: ConsensusState, now: number): Progress {
+  return {
+    matchIndex: 0,
+    nextIndex: lastIndexOf(state) + 1,
+    mode: 'probing',
+    inFlight: [],
+    round: 0,
+    lastHeardAt: now,
+    snapshotSentAt: 0,
+    refused: false,
+  };
+}
+
+function sendOneAppend(
+  context: StepContext,
+  leader: LeaderState,
+  member: Member,
+  previousIndex: number,
+  previousTerm: number,
+  most: number,
+): number {
+  const { state } = context;
+  const entries = most === 0 ? [] : entriesFrom(state, previousIndex + 1, most);
+  const to = { instance: member.address.instance, identity: member.identity };
+  sendNow(context, to, {
+    type: 'appendRequest',
+    term: state.term,
+    previousIndex,
+    previousTerm,
+    entries,
+    commitIndex: state.commitIndex,
+    round: leader.round,
+  });
+  return entries.length;
+}
+
+/** Sends all that may be under way now, and at least one message if `always`. */
+export function sendAppends(
+  context: StepContext,
+  leader: LeaderState,
+  member: Member,
+  always: boolean,
+): void {
+  const { state } = context;
+  const progress = leader.progress[member.identity];
+  if (progress === undefined || progress.refused) return;
+  if (termAt(state, progress.nextIndex - 1) === undefined) {
+    sendSnapshot(context, leader, member, progress);
+    // An append that matches every log keeps the peer from calling an election meanwhile.
+    if (always) sendOneAppend(context, leader, member, 0, 0, 0);
+    return;
+  }
+  let sent = false;
+  const mostInFlight = progress.mode === 'probing' ? 1 : state.settings.mostAppendsInFlight;
+  while (progress.nextIndex <= lastIndexOf(state) && progress.inFlight.length < mostInFlight) {
+    const previousIndex = progress.nextIndex - 1;
+    const previousTerm = termAt(state, previousIndex) ?? 0;
+    const most = state.settings.mostEntriesPerAppend;
+    const count = sendOneAppend(context, leader, member, previousIndex, previousTerm, most);
+    progress.inFlight.push(previousIndex + count);
+    sent = true;
+    if (progress.mode === 'probing') break;
+    progress.nextIndex += count;
+  }
+  if (always && !sent) {
+    const previousIndex = progress.nextIndex - 1;
+    sendOneAppend(context, leader, member, previousIndex, termAt(state, previousIndex) ?? 0, 0);
+  }
+}
+
+export function broadcastAppends(context: StepContext, leader: LeaderState, always: boolean): void {
+  otherMembers(context.state).forEach((member) => sendAppends(context, leader, member, always));
+}
+
+/** Makes the leader's book of peers agree with the membership that has just changed. */
+export function followMembership(context: StepContext, leader: LeaderState): void {
+  const { state, now } = context;
+  const members = otherMembers(state);
+  const known = leader.progress;
+  leader.progress = Object.fromEntries(
+    members.map(({ identity }) => [identity, known[identity] ?? makeProgress(state, now)]),
+  );
+  broadcastAppends(context, leader, true);
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/election.ts
@@ -0,0 +1,159 @@
+/**
+ * Elections: a pre-vote finds out whether an election could be won before any term is raised, so
+ * that a voter coming back from a partition doesn't unseat a leader that others still hear. A vote
+ * is given once a term, only for a log at least as new as our own, and leaves only when it is on
+ * disk.
+ */
+import type { Sender, VoteRequest, VoteResponse } from './consensusTypes.js';
+import { lastIndexOf, lastTermOf, appendNew } from './memoryLog.js';
+import { hasQuorum, isVoter, otherMembers } from './membership.js';
+import { sendToOthersWhenPersisted, sendWhenPersisted } from './persistence.js';
+import { broadcastAppends, makeProgress } from './appends.js';
+import { announceRole, becomeFollower, enterTerm, resetElectionTimer } from './roles.js';
+import type { ConsensusState } from './ConsensusState.js';
+import type { StepContext } from './StepContext.js';
+
+function mayStand(state: ConsensusState): boolean {
+  return !state.readOnly && !state.diskRefused && isVoter(state, state.self.identity);
+}
+
+function requestVotes(context: StepContext, preVote: boolean, term: number): void {
+  const { state } = context;
+  sendToOthersWhenPersisted(context, {
+    type: 'voteRequest',
+    preVote,
+    term,
+    lastIndex: lastIndexOf(state),
+    lastTerm: lastTermOf(state),
+  });
+}
+
+/** Runs when no leader was heard for an election timeout. */
+export function startPreVote(context: StepContext): void {
+  const { state } = context;
+  resetElectionTimer(context);
+  if (!mayStand(state)) return;
+  state.role = { type: 'candidate', preVote: true, votes: [state.self.identity] };
+  announceRole(context);
+  requestVotes(context, true, state.term + 1);
+  countVotes(context);
+}
+
+function startElection(context: StepContext): void {
+  const { state } = context;
+  resetElectionTimer(context);
+  enterTerm(state, state.term + 1);
+  state.votedFor = state.self.identity;
+  state.role = { type: 'candidate', preVote: false, votes: [] };
+  announceRole(context);
+  requestVotes(context, false, state.term);
+}
+
+/** Our own vote counts like any other: once it is on disk. */
+export function countOwnVote(context: StepContext): void {
+  const { state } = context;
+  const { role, self } = state;
+  if (role.type !== 'candidate' || role.preVote || role.votes.includes(self.identity)) return;
+  if (state.syncedBatch < state.lastBatch) return;
+  role.votes.push(self.identity);
+  countVotes(context);
+}
+
+function countVotes(context: StepContext): void {
+  const { role } = context.state;
+  if (role.type !== 'candidate') return;
+  if (!hasQuorum(context.state, (identity) => role.votes.includes(identity))) return;
+  if (role.preVote) startElection(context);
+  else becomeLeader(context);
+}
+
+export function becomeLeader(context: StepContext): void {
+  const { state, now, wallNow } = context;
+  const progress = Object.fromEntries(
+    otherMembers(state).map(({ identity }) => [identity, makeProgress(state, now)]),
+  );
+  state.requests = [];
+  state.role = {
+    type: 'leader',
+    progress,
+    round: 0,
+    reads: [],
+    firstIndex: lastIndexOf(state) + 1,
+    nextHeartbeatAt: now + state.settings.heartbeatInterval,
+  };
+  // Entries of earlier terms can't be committed by counting copies; this one can, and takes them
+  // along. Until then the leader doesn't know what is committed, so reads wait for it too.
+  appendNew(state, { type: 'noOperation' }, wallNow);
+  announceRole(context);
+  broadcastAppends(context, state.role, true);
+}
+
+/**
+ * A live leader is not voted out by a voter that merely can't hear it. A voter that has just
+ * started waits as long, because it may have heard a leader right before it stopped.
+ */
+function leaderIsAlive({ state, now }: StepContext): boolean {
+  return state.role.type === 'leader' || now < state.voteAfter;
+}
+
+function logIsAsNew(state: ConsensusState, request: VoteRequest): boolean {
+  if (!state.settings.safeguards.voteForNewerLog) return true;
+  const lastTerm = lastTermOf(state);
+  if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
+  return request.lastIndex >= lastIndexOf(state);
+}
+
+function voteIsFree(state: ConsensusState, candidate: string): boolean {
+  if (!state.settings.safeguards.oneVotePerTerm) return true;
+  return state.votedFor === undefined || state.votedFor === candidate;
+}
+
+export function receiveVoteRequest(context: StepContext, from: Sender, request: VoteRequest): void {
+  const { state } = context;
+  if (state.readOnly || state.diskRefused) return;
+  const { preVote, term } = request;
+  const respond = (granted: boolean) => {
+    const response: VoteResponse = {
+      type: 'voteResponse',
+      preVote,
+      term: granted ? term : state.term,
+      granted,
+    };
+    sendWhenPersisted(context, from, response);
+  };
+  if (leaderIsAlive(context)) {
+    respond(false);
+    return;
+  }
+  if (preVote) {
+    respond(term > state.term && logIsAsNew(state, request));
+    return;
+  }
+  if (term > state.term) becomeFollower(context, term);
+  const granted =
+    term === state.term && voteIsFree(state, from.identity) && logIsAsNew(state, request);
+  if (granted) {
+    state.dirty.vote ||= state.votedFor !== from.identity;
+    state.votedFor = from.identity;
+    resetElectionTimer(context);
+  }
+  respond(granted);
+}
+
+export function receiveVoteResponse(
+  context: StepContext,
+  from: Sender,
+  response: VoteResponse,
+): void {
+  const { state } = context;
+  if (!response.granted && response.term > state.term) {
+    becomeFollower(context, response.term);
+    return;
+  }
+  const { role } = state;
+  if (role.type !== 'candidate' || role.preVote !== response.preVote || !response.granted) return;
+  const expectedTerm = role.preVote ? state.term + 1 : state.term;
+  if (response.term !== expectedTerm || role.votes.includes(from.identity)) return;
+  role.votes.push(from.identity);
+  countVotes(context);
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/following.ts
@@ -0,0 +1,87 @@
+/** The follower's side of replication: takes what the leader sends, and acknowledges it once synced. */
+import type { AppendRequest, AppendResponse, LogEntry, Sender } from './consensusTypes.js';
+import type { ConsensusState } from './ConsensusState.js';
+import { commitThrough } from './commit.js';
+import { appendEntry, lastIndexOf, termAt, truncateLog } from './memoryLog.js';
+import { sendWhenPersisted } from './persistence.js';
+import { becomeFollower, resetElectionTimer } from './roles.js';
+import type { StepContext } from './StepContext.js';
+
+export function respondToAppend(
+  context: StepContext,
+  to: Sender,
+  round: number,
+  result: AppendResponse['result'],
+): void {
+  const { state } = context;
+  sendWhenPersisted(context, to, {
+    type: 'appendResponse',
+    term: state.term,
+    round,
+    lastIndex: lastIndexOf(state),
+    result,
+  });
+}
+
+/**
+ * Takes note of a message of a leader. Returns false if the sender leads no longer; it learns the
+ * newer term from the response.
+ */
+export function followLeader(context: StepContext, from: Sender, term: number): boolean {
+  const { state, now } = context;
+  if (state.readOnly || state.diskRefused) return false;
+  if (term < state.term) {
+    respondToAppend(context, from, 0, { type: 'conflict', previousIndex: 0, conflictIndex: 0 });
+    return false;
+  }
+  if (term === state.term && state.role.type === 'leader') {
+    throw new Error(`Two leaders in term ${term}: ${state.self.instance} and ${from.instance}`);
+  }
+  becomeFollower(context, term, from.instance);
+  resetElectionTimer(context);
+  state.voteAfter = now + state.settings.electionTimeout;
+  return true;
+}
+
+function conflictOf(state: ConsensusState, request: AppendRequest): AppendResponse['result'] {
+  const { previousIndex } = request;
+  const lastIndex = lastIndexOf(state);
+  if (previousIndex > lastIndex) {
+    return { type: 'conflict', previousIndex, conflictIndex: lastIndex + 1 };
+  }
+  const conflictTerm = termAt(state, previousIndex);
+  let conflictIndex = previousIndex;
+  while (
+    conflictIndex - 1 > state.commitIndex &&
+    termAt(state, conflictIndex - 1) === conflictTerm
+  ) {
+    conflictIndex -= 1;
+  }
+  return { type: 'conflict', previousIndex, conflictIndex, conflictTerm };
+}
+
+function takeEntries(state: ConsensusState, entries: readonly LogEntry[]): void {
+  entries.forEach((entry) => {
+    if (entry.index <= state.log.base.index) return;
+    const known = termAt(state, entry.index);
+    if (known === entry.term) return;
+    if (known !== undefined) truncateLog(state, entry.index);
+    appendEntry(state, entry);
+  });
+}
+
+export function receiveAppend(context: StepContext, from: Sender, request: AppendRequest): void {
+  const { state } = context;
+  const { previousIndex, previousTerm, entries, round } = request;
+  // What is committed agrees with every leader, so an append that starts below it needs no check.
+  const agrees =
+    previousIndex <= state.commitIndex || termAt(state, previousIndex) === previousTerm;
+  if (!agrees) {
+    respondToAppend(context, from, round, conflictOf(state, request));
+    return;
+  }
+  takeEntries(state, entries);
+  const matchIndex = previousIndex + entries.length;
+  commitThrough(context, Math.min(request.commitIndex, matchIndex));
+  respondToAppend(context, from, round, { type: 'accepted', matchIndex });
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/membership.ts
@@ -0,0 +1,105 @@
+/**
+ * Who is a member, what a quorum is, and how members come and go: one change at a time, each
+ * through the log. A new disk enters as a learner, is made a voter once it holds everything that
+ * is committed, and counts for nothing before.
+ */
+import type { Member, Membership } from './consensusTypes.js';
+import type { MembershipChange } from './consensusEvents.js';
+import type { ConsensusState, LeaderState } from './ConsensusState.js';
+
+/** The membership in force: the newest in the log, committed or not. */
+export function currentMembership(state: ConsensusState): Membership {
+  return state.memberships.at(-1)?.membership ?? { members: [] };
+}
+
+/** The membership that was in force at `index`. */
+export function membershipAt(state: ConsensusState, index: number): Membership {
+  const found = state.memberships.findLast((item) => item.index <= index);
+  return found?.membership ?? { members: [] };
+}
+
+export function votersOf(state: ConsensusState): Member[] {
+  return currentMembership(state).members.filter((member) => member.role === 'voter');
+}
+
+export function memberOf(state: ConsensusState, identity: string): Member | undefined {
+  return currentMembership(state).members.find((member) => member.identity === identity);
+}
+
+export function otherMembers(state: ConsensusState): Member[] {
+  return currentMembership(state).members.filter(
+    (member) => member.identity !== state.self.identity,
+  );
+}
+
+export function isVoter(state: ConsensusState, identity: string): boolean {
+  return memberOf(state, identity)?.role === 'voter';
+}
+
+export function quorumSize(state: ConsensusState): number {
+  const half = Math.floor(votersOf(state).length / 2);
+  return state.settings.safeguards.quorumIsMajority ? half + 1 : Math.max(1, half);
+}
+
+/** True if a quorum of the voters satisfies `test`. */
+export function hasQuorum(state: ConsensusState, test: (identity: string) => boolean): boolean {
+  const agreeing = votersOf(state).filter((member) => test(member.identity));
+  return agreeing.length >= quorumSize(state);
+}
+
+function changeUnderWay(state: ConsensusState): boolean {
+  if (!state.settings.safeguards.oneChangeAtATime) return false;
+  return (state.memberships.at(-1)?.index ?? 0) > state.commitIndex;
+}
+
+/**
+ * True if the leader may append a membership. Two changes at once, or a change before the leader
+ * has committed an entry of its own term, could give two quorums without a common voter: two
+ * leaders would each commit.
+ */
+export function mayChangeMembership(state: ConsensusState, leader: LeaderState): boolean {
+  if (!state.settings.safeguards.oneChangeAtATime) return true;
+  return state.commitIndex >= leader.firstIndex && !changeUnderWay(state);
+}
+
+/** The membership after a change, or undefined if the change makes no sense now. */
+export function changedMembership(
+  state: ConsensusState,
+  change: MembershipChange,
+): Membership | undefined {
+  const { members } = currentMembership(state);
+  if (change.type === 'addLearner') {
+    const { identity, address } = change.member;
+    // An instance has one member at a time: a lost disk's old identity is removed first, so that
+    // it can't be counted beside the new one.
+    const taken = members.some(
+      (member) => member.identity === identity || member.address.instance === address.instance,
+    );
+    if (taken) return undefined;
+    return { members: [...members, { ...change.member, role: 'learner' }] };
+  }
+  const left = members.filter((member) => member.identity !== change.identity);
+  const votersLeft = left.filter((member) => member.role === 'voter');
+  if (left.length === members.length || votersLeft.length === 0) return undefined;
+  return { members: left };
+}
+
+/** A learner that holds all that is committed, as of the leader's knowledge. */
+export function learnerToPromote(state: ConsensusState, leader: LeaderState): Member | undefined {
+  const caughtUp = (member: Member) => {
+    const progress = leader.progress[member.identity];
+    if (progress === undefined || progress.refused) return false;
+    if (!state.settings.safeguards.promoteWhenCaughtUp) return true;
+    return progress.mode === 'replicating' && progress.matchIndex >= state.commitIndex;
+  };
+  return currentMembership(state).members.find(
+    (member) => member.role === 'learner' && caughtUp(member),
+  );
+}
+
+export function promotedMembership(state: ConsensusState, identity: string): Membership {
+  const members = currentMembership(state).members.map((member) =>
+    member.identity === identity ? { ...member, role: 'voter' as const } : member,
+  );
+  return { members };
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/memoryLog.ts
@@ -0,0 +1,82 @@
+/** Look-ups and changes of the log in memory. Every change is marked for the next `persist`. */
+import type { EntryBody, LogEntry } from './consensusTypes.js';
+import type { ConsensusState } from './ConsensusState.js';
+
+export function lastIndexOf(state: ConsensusState): number {
+  return state.log.base.index + state.log.entries.length;
+}
+
+export function lastTermOf(state: ConsensusState): number {
+  return state.log.entries.at(-1)?.term ?? state.log.base.term;
+}
+
+export function entryAt(state: ConsensusState, index: number): LogEntry | undefined {
+  return state.log.entries[index - state.log.base.index - 1];
+}
+
+/** Term of the entry at `index`, or undefined if it is compacted away or not there yet. */
+export function termAt(state: ConsensusState, index: number): number | undefined {
+  if (index === state.log.base.index) return state.log.base.term;
+  return entryAt(state, index)?.term;
+}
+
+export function entriesFrom(state: ConsensusState, index: number, most: number): LogEntry[] {
+  const start = index - state.log.base.index - 1;
+  return state.log.entries.slice(start, start + most);
+}
+
+function markNew(state: ConsensusState, index: number): void {
+  state.dirty.firstNewIndex = Math.min(state.dirty.firstNewIndex ?? index, index);
+}
+
+/** Adds an entry that the leader has made. */
+export function appendEntry(state: ConsensusState, entry: LogEntry): void {
+  state.log.entries.push(entry);
+  markNew(state, entry.index);
+  if (entry.body.type === 'membership') {
+    state.memberships.push({ index: entry.index, membership: entry.body.membership });
+  }
+}
+
+/** Makes an entry of this leader's term. Its time never goes back along the log. */
+export function appendNew(state: ConsensusState, body: EntryBody, wallNow: number): LogEntry {
+  const previousAt = state.log.entries.at(-1)?.at ?? state.log.base.at;
+  const entry = {
+    index: lastIndexOf(state) + 1,
+    term: state.term,
+    at: Math.max(wallNow, previousAt),
+    body,
+  };
+  appendEntry(state, entry);
+  return entry;
+}
+
+/**
+ * Drops everything from `index` on, because a leader's log differs there.
+ *
+ * @throws If a committed entry would go. That can only come of a broken disk or a broken promise
+ * of another voter; going on would hand two histories to callers, so the process must stop.
+ */
+export function truncateLog(state: ConsensusState, index: number): void {
+  if (index <= state.commitIndex) {
+    throw new Error(`A leader's log differs from the committed entry at index ${index}`);
+  }
+  state.log.entries.length = index - state.log.base.index - 1;
+  state.memberships = state.memberships.filter((item) => item.index < index);
+  state.dirty.truncateFrom = Math.min(state.dirty.truncateFrom ?? index, index);
+  if (state.dirty.firstNewIndex !== undefined && state.dirty.firstNewIndex >= index) {
+    state.dirty.firstNewIndex = undefined;
+  }
+  state.durableIndex = Math.min(state.durableIndex, index - 1);
+  state.unsynced.forEach((write) => {
+    write.lastIndex = Math.min(write.lastIndex, index - 1);
+  });
+}
+
+/** Lets go of entries up to `index`, which a snapshot on disk stands for. */
+export function compactLog(state: ConsensusState, index: number): void {
+  const base = entryAt(state, index);
+  if (base === undefined) return;
+  state.log.entries.splice(0, index - state.log.base.index);
+  state.log.base = { index, term: base.term, at: base.at };
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/persistence.ts
@@ -0,0 +1,103 @@
+/**
+ * Persist before send. All changes of one event go to the disk as one batch; votes and
+ * acknowledgements that rest on it are held until the shell reports the batch synced. Without
+ * this a voter could vote twice in a term, or forget an entry it was counted for, after a crash.
+ */
+import type { ConsensusMessage, Envelope } from './consensusTypes.js';
+import type { PersistEffect } from './consensusEvents.js';
+import { entriesFrom, lastIndexOf } from './memoryLog.js';
+import { otherMembers } from './membership.js';
+import type { StepContext } from './StepContext.js';
+
+export function makeEnvelope(
+  context: StepContext,
+  to: string,
+  message: ConsensusMessage,
+): Envelope {
+  const { settings, self } = context.state;
+  return { cluster: settings.cluster, from: self, to, message };
+}
+
+export interface Recipient {
+  readonly instance: string;
+  readonly identity: string;
+}
+
+/** Sends at once. Only for messages that promise nothing about this disk. */
+export function sendNow(context: StepContext, to: Recipient, message: ConsensusMessage): void {
+  const envelope = makeEnvelope(context, to.identity, message);
+  context.effects.push({ type: 'send', instance: to.instance, envelope });
+}
+
+/** Sends once everything that has changed up to now is on disk. */
+export function sendWhenPersisted(
+  context: StepContext,
+  to: Recipient,
+  message: ConsensusMessage,
+): void {
+  const { state } = context;
+  const batch = isDirty(context) ? state.lastBatch + 1 : state.lastBatch;
+  if (batch <= state.syncedBatch) {
+    sendNow(context, to, message);
+    return;
+  }
+  const envelope = makeEnvelope(context, to.identity, message);
+  state.held.push({ batch, instance: to.instance, envelope });
+}
+
+export function sendToOthersWhenPersisted(context: StepContext, message: ConsensusMessage): void {
+  otherMembers(context.state)
+    .filter((member) => member.role === 'voter')
+    .forEach((member) => {
+      const { identity, address } = member;
+      sendWhenPersisted(context, { instance: address.instance, identity }, message);
+    });
+}
+
+function isDirty({ state }: StepContext): boolean {
+  const { vote, truncateFrom, firstNewIndex, snapshot } = state.dirty;
+  return (
+    vote || truncateFrom !== undefined || firstNewIndex !== undefined || snapshot !== undefined
+  );
+}
+
+/** Hands all changes since the last call to the disk as one batch. */
+export function flushChanges(context: StepContext): void {
+  if (!isDirty(context)) return;
+  const { state, effects } = context;
+  const { vote, truncateFrom, firstNewIndex, snapshot } = state.dirty;
+  state.lastBatch += 1;
+  const entries =
+    firstNewIndex === undefined
+      ? []
+      : entriesFrom(state, firstNewIndex, lastIndexOf(state) - firstNewIndex + 1);
+  const effect: PersistEffect = {
+    type: 'persist',
+    batch: state.lastBatch,
+    ...(vote ? { vote: { term: state.term, votedFor: state.votedFor } } : {}),
+    ...(snapshot === undefined ? {} : { snapshot }),
+    ...(truncateFrom === undefined ? {} : { truncateFrom }),
+    entries,
+  };
+  effects.push(effect);
+  state.unsynced.push({ batch: state.lastBatch, lastIndex: lastIndexOf(state) });
+  state.dirty = { vote: false };
+}
+
+/** Counts batches as synced and lets go of what waited for them. */
+export function acceptPersisted(context: StepContext, batch: number): void {
+  const { state, effects } = context;
+  if (state.readOnly) return;
+  state.syncedBatch = Math.max(state.syncedBatch, Math.min(batch, state.lastBatch));
+  state.unsynced
+    .filter((write) => write.batch <= batch)
+    .forEach((write) => {
+      state.durableIndex = Math.max(state.durableIndex, write.lastIndex);
+    });
+  state.unsynced = state.unsynced.filter((write) => write.batch > batch);
+  const ready = state.held.filter((message) => message.batch <= batch);
+  state.held = state.held.filter((message) => message.batch > batch);
+  ready.forEach(({ instance, envelope }) => {
+    effects.push({ type: 'send', instance, envelope });
+  });
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/proposals.ts
@@ -0,0 +1,64 @@
+/** Requests to change the log: commands and membership changes. Only a leader takes them. */
+import type { MembershipChange, Proposal, UnavailableReason } from './consensusEvents.js';
+import type { ConsensusState } from './ConsensusState.js';
+import { appendNew, lastIndexOf } from './memoryLog.js';
+import { changedMembership, mayChangeMembership } from './membership.js';
+import { broadcastAppends, followMembership } from './appends.js';
+import { leaderHint, leaderOf, reply } from './roles.js';
+import type { StepContext } from './StepContext.js';
+
+function refuseIfNotLeader(context: StepContext, requestId: string): void {
+  const { state } = context;
+  if (state.readOnly) reply(context, requestId, { type: 'unavailable', reason: 'diskFull' });
+  else reply(context, requestId, { type: 'notLeader', leader: leaderHint(state) });
+}
+
+function isBacklogged(state: ConsensusState): boolean {
+  return lastIndexOf(state) - state.commitIndex >= state.settings.mostUncommittedEntries;
+}
+
+export function propose(context: StepContext, proposals: readonly Proposal[]): void {
+  const { state, wallNow } = context;
+  const leader = leaderOf(state);
+  proposals.forEach(({ requestId, command }) => {
+    if (leader === undefined) {
+      refuseIfNotLeader(context, requestId);
+      return;
+    }
+    if (isBacklogged(state)) {
+      reply(context, requestId, { type: 'unavailable', reason: 'logBacklog' });
+      return;
+    }
+    const { index } = appendNew(state, { type: 'command', command }, wallNow);
+    state.requests.push({ index, requestId });
+  });
+  if (leader !== undefined) broadcastAppends(context, leader, false);
+}
+
+export function changeMembership(
+  context: StepContext,
+  requestId: string,
+  change: MembershipChange,
+): void {
+  const { state, wallNow } = context;
+  const leader = leaderOf(state);
+  if (leader === undefined) {
+    refuseIfNotLeader(context, requestId);
+    return;
+  }
+  const refuse = (reason: UnavailableReason) => {
+    reply(context, requestId, { type: 'unavailable', reason });
+  };
+  if (!mayChangeMembership(state, leader)) {
+    refuse('changeInProgress');
+    return;
+  }
+  const membership = changedMembership(state, change);
+  if (membership === undefined) {
+    refuse('changeNotPossible');
+    return;
+  }
+  const { index } = appendNew(state, { type: 'membership', membership }, wallNow);
+  state.requests.push({ index, requestId });
+  followMembership(context, leader);
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/reads.ts
@@ -0,0 +1,66 @@
+/**
+ * Linearizable reads. A read notes the commit index and is answered after a quorum has answered
+ * an append that was sent later: only then is it sure that no other leader had committed more
+ * before the read began. An isolated leader gets no such round and answers none. Reads that come
+ * in during a round share the next one.
+ */
+import type { LeaderState } from './ConsensusState.js';
+import { hasQuorum } from './membership.js';
+import { broadcastAppends } from './appends.js';
+import { leaderHint, leaderOf, reply } from './roles.js';
+import type { StepContext } from './StepContext.js';
+
+export function beginRead(context: StepContext, requestId: string): void {
+  const { state } = context;
+  const leader = leaderOf(state);
+  if (leader === undefined) {
+    reply(context, requestId, { type: 'notLeader', leader: leaderHint(state) });
+    return;
+  }
+  if (!state.settings.safeguards.readNeedsRound) {
+    reply(context, requestId, { type: 'readable', index: state.commitIndex });
+    return;
+  }
+  leader.reads.push({ requestId, round: 0, readIndex: 0 });
+  startReadRound(context, leader);
+}
+
+/** Begins a round for the waiting reads, unless one is under way. */
+export function startReadRound(context: StepContext, leader: LeaderState): void {
+  const { state } = context;
+  const underWay = leader.reads.some((read) => read.round > 0);
+  if (underWay || leader.reads.length === 0) return;
+  // Before its first own entry is committed, a new leader's commit index may lag behind writes
+  // that its predecessor has acknowledged.
+  if (state.commitIndex < leader.firstIndex) return;
+  leader.round += 1;
+  leader.reads.forEach((read) => {
+    read.round = leader.round;
+    read.readIndex = state.commitIndex;
+  });
+  broadcastAppends(context, leader, true);
+  confirmReads(context, leader);
+}
+
+/** Answers the reads whose round a quorum has answered. */
+export function confirmReads(context: StepContext, leader: LeaderState): void {
+  const { state } = context;
+  if (state.role !== leader) return;
+  const confirmed = leader.reads.filter(
+    (read) => read.round > 0 && roundIsAnswered(context, leader, read.round),
+  );
+  if (confirmed.length === 0) return;
+  leader.reads = leader.reads.filter((read) => !confirmed.includes(read));
+  confirmed.forEach(({ requestId, readIndex }) => {
+    reply(context, requestId, { type: 'readable', index: readIndex });
+  });
+  startReadRound(context, leader);
+}
+
+function roundIsAnswered({ state }: StepContext, leader: LeaderState, round: number): boolean {
+  return hasQuorum(state, (identity) => {
+    if (identity === state.self.identity) return true;
+    const progress = leader.progress[identity];
+    return progress !== undefined && !progress.refused && progress.round >= round;
+  });
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -0,0 +1,184 @@
+/**
+ * Agreement among the stores on one log, as a pure reducer: a log replication of the Raft family.
+ * This module only hands events to the concern they belong to and closes each step: changes go to
+ * the disk as one batch, and the timer is set anew.
+ */
+import type { Reducer } from '@hornbeampond/schema';
+import type { ConsensusEffect, ConsensusEvent } from './consensusEvents.js';
+import type { Envelope, Refusal } from './consensusTypes.js';
+import type { ConsensusState } from './ConsensusState.js';
+import { askForSnapshot } from './commit.js';
+import {
+  becomeLeader,
+  countOwnVote,
+  receiveVoteRequest,
+  receiveVoteResponse,
+  startPreVote,
+} from './election.js';
+import { followLeader, receiveAppend } from './following.js';
+import { appendNew, lastIndexOf } from './memoryLog.js';
+import { acceptPersisted, flushChanges, sendNow } from './persistence.js';
+import { changeMembership, propose } from './proposals.js';
+import { beginRead } from './reads.js';
+import { advanceCommit, leaderTimerFired, receiveAppendResponse } from './replication.js';
+import { announceRole, becomeFollower, enterTerm, leaderOf, resetElectionTimer } from './roles.js';
+import { acceptCompacted, receiveSnapshot } from './snapshots.js';
+import type { StepContext } from './StepContext.js';
+
+function start(context: StepContext): void {
+  const { state, now } = context;
+  resetElectionTimer(context);
+  // An empty disk has promised nothing; any other may have heard a leader just before it stopped.
+  if (state.term > 0) state.voteAfter = now + state.settings.electionTimeout;
+  announceRole(context);
+}
+
+/**
+ * Founds a cluster with this one as its only voter; all others are then added through the log. It
+ * is for a disk that has never been part of a cluster, so that no lost disk founds a second one.
+ */
+function found(context: StepContext, event: Extract<ConsensusEvent, { type: 'found' }>): void {
+  const { state, wallNow } = context;
+  if (state.term > 0 || lastIndexOf(state) > 0) return;
+  enterTerm(state, 1);
+  state.votedFor = state.self.identity;
+  const membership = { members: [{ ...event.member, role: 'voter' as const }] };
+  appendNew(state, { type: 'membership', membership }, wallNow);
+  becomeLeader(context);
+}
+
+function timerFired(context: StepContext): void {
+  const { state, now } = context;
+  const leader = leaderOf(state);
+  if (leader !== undefined) leaderTimerFired(context, leader);
+  else if (now >= state.electionDueAt) startPreVote(context);
+}
+
+function persistFailed(context: StepContext): void {
+  const { state } = context;
+  state.readOnly = true;
+  // What waits for the disk will never be promised.
+  state.held = [];
+  becomeFollower(context, state.term);
+}
+
+function receiveRefusal(context: StepContext, refusal: Refusal): void {
+  const { state, effects } = context;
+  const { run } = state.self;
+  if (refusal.run.count !== run.count || refusal.run.token !== run.token) return;
+  if (refusal.reason !== 'diskOlder' && refusal.reason !== 'runOutdated') return;
+  state.diskRefused = true;
+  becomeFollower(context, state.term);
+  effects.push({ type: 'diskRefused', reason: refusal.reason });
+}
+
+/** True if the message is from our cluster and for this very disk; a stranger is refused. */
+function isForUs(context: StepContext, envelope: Envelope): boolean {
+  const { state, effects } = context;
+  const { cluster, from, to } = envelope;
+  if (cluster !== state.settings.cluster) {
+    effects.push({ type: 'messageRefused', reason: 'otherCluster', from: from.instance });
+    return false;
+  }
+  if (to !== state.self.identity) {
+    // Meant for a disk that this instance no longer has.
+    effects.push({ type: 'messageRefused', reason: 'otherIdentity', from: from.instance });
+    if (envelope.message.type !== 'refusal') {
+      sendNow(context, from, { type: 'refusal', reason: 'otherIdentity', run: from.run });
+    }
+    return false;
+  }
+  return true;
+}
+
+function receive(context: StepContext, envelope: Envelope): void {
+  if (!isForUs(context, envelope)) return;
+  const { from, message } = envelope;
+  switch (message.type) {
+    case 'voteRequest':
+      receiveVoteRequest(context, from, message);
+      break;
+    case 'voteResponse':
+      receiveVoteResponse(context, from, message);
+      break;
+    case 'appendRequest':
+      if (followLeader(context, from, message.term)) receiveAppend(context, from, message);
+      break;
+    case 'appendResponse':
+      receiveAppendResponse(context, from, message);
+      break;
+    case 'snapshotRequest':
+      if (followLeader(context, from, message.term)) receiveSnapshot(context, from, message);
+      break;
+    case 'refusal':
+      receiveRefusal(context, message);
+      break;
+    default:
+      message satisfies never;
+  }
+}
+
+function persisted(context: StepContext, batch: number): void {
+  acceptPersisted(context, batch);
+  countOwnVote(context);
+  const leader = leaderOf(context.state);
+  if (leader !== undefined) advanceCommit(context, leader);
+}
+
+function dispatch(context: StepContext, event: ConsensusEvent): void {
+  switch (event.type) {
+    case 'started':
+      start(context);
+      break;
+    case 'found':
+      found(context, event);
+      break;
+    case 'timerFired':
+      timerFired(context);
+      break;
+    case 'received':
+      receive(context, event.envelope);
+      break;
+    case 'propose':
+      propose(context, event.proposals);
+      break;
+    case 'read':
+      beginRead(context, event.requestId);
+      break;
+    case 'changeMembership':
+      changeMembership(context, event.requestId, event.change);
+      break;
+    case 'persisted':
+      persisted(context, event.batch);
+      break;
+    case 'persistFailed':
+      persistFailed(context);
+      break;
+    case 'compacted':
+      acceptCompacted(context, event.header);
+      break;
+    default:
+      event satisfies never;
+  }
+}
+
+function setTimer({ state, effects }: StepContext): void {
+  const at = leaderOf(state)?.nextHeartbeatAt ?? state.electionDueAt;
+  if (at === state.wakeAt) return;
+  state.wakeAt = at;
+  effects.push({ type: 'wake', at });
+}
+
+/** Decides what one event means for this voter. */
+export const reduceConsensus: Reducer<ConsensusState, ConsensusEvent, ConsensusEffect> = (
+  state,
+  event,
+) => {
+  const effects: ConsensusEffect[] = [];
+  const context = { state, now: event.now, wallNow: event.wallNow, effects };
+  dispatch(context, event);
+  flushChanges(context);
+  askForSnapshot(context);
+  setTimer(context);
+  return effects;
+};
--- /dev/null
+++ b/packages/store-core/src/consensus/replication.ts
@@ -0,0 +1,188 @@
+/**
+ * What the answers of peers mean to the leader: a conflict sends a peer back by a whole term at
+ * once, and an entry is committed when a quorum of voters has it on disk.
+ */
+import type { AppendResponse, Sender } from './consensusTypes.js';
+import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
+import { broadcastAppends, followMembership, sendAppends } from './appends.js';
+import { commitThrough } from './commit.js';
+import { appendNew, termAt } from './memoryLog.js';
+import {
+  hasQuorum,
+  isVoter,
+  learnerToPromote,
+  mayChangeMembership,
+  memberOf,
+  otherMembers,
+  promotedMembership,
+  quorumSize,
+  votersOf,
+} from './membership.js';
+import { sendNow } from './persistence.js';
+import { confirmReads, startReadRound } from './reads.js';
+import { becomeFollower } from './roles.js';
+import type { StepContext } from './StepContext.js';
+
+function promoteLearner(context: StepContext, leader: LeaderState): void {
+  const { state, wallNow } = context;
+  if (!mayChangeMembership(state, leader)) return;
+  const learner = learnerToPromote(state, leader);
+  if (learner === undefined) return;
+  const membership = promotedMembership(state, learner.identity);
+  appendNew(state, { type: 'membership', membership }, wallNow);
+  followMembership(context, leader);
+}
+
+/** A leader that the committed membership no longer names has done its last duty. */
+function leaveIfRemoved(context: StepContext): void {
+  const { state } = context;
+  const committed = (state.memberships.at(-1)?.index ?? 0) <= state.commitIndex;
+  if (committed && !isVoter(state, state.self.identity)) becomeFollower(context, state.term);
+}
+
+function matchIndexOf(state: ConsensusState, leader: LeaderState, identity: string): number {
+  if (identity === state.self.identity) return state.durableIndex;
+  const progress = leader.progress[identity];
+  return progress === undefined || progress.refused ? 0 : progress.matchIndex;
+}
+
+/** Commits what a quorum has on disk, and does what that sets free. */
+export function advanceCommit(context: StepContext, leader: LeaderState): void {
+  const { state } = context;
+  const matches = votersOf(state)
+    .map(({ identity }) => matchIndexOf(state, leader, identity))
+    .sort((a, b) => b - a);
+  const index = matches[quorumSize(state) - 1] ?? 0;
+  // Copies of an older term's entry prove nothing: a voter with a newer, shorter log can still be
+  // elected and overwrite it after it was acknowledged.
+  const ownTerm = termAt(state, index) === state.term;
+  if (index > state.commitIndex && (ownTerm || !state.settings.safeguards.commitOwnTermOnly)) {
+    commitThrough(context, index);
+    if (state.settings.announceCommits) announceCommit(context, leader);
+    leaveIfRemoved(context);
+  }
+  if (state.role !== leader) return;
+  startReadRound(context, leader);
+  promoteLearner(context, leader);
+}
+
+/** Tells idle peers at once, so that they needn't wait for the next heartbeat to apply. */
+function announceCommit(context: StepContext, leader: LeaderState): void {
+  otherMembers(context.state)
+    .filter(({ identity }) => leader.progress[identity]?.mode === 'replicating')
+    .forEach((member) => sendAppends(context, leader, member, true));
+}
+
+/** True if the answer comes from a run, or a disk, that the leader can't count on. */
+function refuseRun(
+  context: StepContext,
+  progress: Progress,
+  from: Sender,
+  lastIndex: number,
+): boolean {
+  const { state, effects } = context;
+  if (!state.settings.safeguards.oldDiskRefused) return false;
+  const known = progress.run;
+  if (known?.count === from.run.count && known.token === from.run.token) return progress.refused;
+  const refuse = (reason: 'runOutdated' | 'diskOlder') => {
+    sendNow(context, from, { type: 'refusal', reason, run: from.run });
+    effects.push({ type: 'messageRefused', reason, from: from.instance });
+    return true;
+  };
+  if (known !== undefined && from.run.count <= known.count) return refuse('runOutdated');
+  progress.run = from.run;
+  progress.refused = lastIndex < progress.matchIndex;
+  if (progress.refused) return refuse('diskOlder');
+  progress.mode = 'probing';
+  progress.inFlight = [];
+  progress.nextIndex = Math.max(
+    progress.matchIndex + 1,
+    Math.min(progress.nextIndex, lastIndex + 1),
+  );
+  return false;
+}
+
+function acceptMatch(state: ConsensusState, progress: Progress, matchIndex: number): void {
+  progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+  progress.inFlight = progress.inFlight.filter((index) => index > progress.matchIndex);
+  const wasBehind = progress.matchIndex < progress.nextIndex - 1;
+  progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+  // A heartbeat that was answered while the peer waits for its snapshot says nothing of its log.
+  const reachable = termAt(state, progress.nextIndex - 1) !== undefined;
+  if (progress.mode !== 'replicating' && !wasBehind && reachable) {
+    progress.mode = 'replicating';
+    progress.inFlight = [];
+  }
+}
+
+function backOff(
+  state: ConsensusState,
+  progress: Progress,
+  conflict: Extract<AppendResponse['result'], { type: 'conflict' }>,
+): void {
+  if (conflict.previousIndex <= progress.matchIndex || progress.mode === 'snapshot') return;
+  const stale = progress.mode === 'probing' && conflict.previousIndex !== progress.nextIndex - 1;
+  if (stale) return;
+  let next = conflict.conflictIndex;
+  if (conflict.conflictTerm !== undefined) {
+    const shared = state.log.entries.findLast((entry) => entry.term === conflict.conflictTerm);
+    if (shared !== undefined && shared.index < conflict.previousIndex) {
+      next = Math.max(next, shared.index + 1);
+    }
+  }
+  progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(next, conflict.previousIndex));
+  progress.mode = 'probing';
+  progress.inFlight = [];
+}
+
+export function receiveAppendResponse(
+  context: StepContext,
+  from: Sender,
+  response: AppendResponse,
+): void {
+  const { state, now } = context;
+  if (response.term > state.term) {
+    becomeFollower(context, response.term);
+    return;
+  }
+  const leader = state.role;
+  if (leader.type !== 'leader' || response.term !== state.term) return;
+  const progress = leader.progress[from.identity];
+  if (progress === undefined || refuseRun(context, progress, from, response.lastIndex)) return;
+  progress.lastHeardAt = now;
+  progress.round = Math.max(progress.round, response.round);
+  if (response.result.type === 'accepted') acceptMatch(state, progress, response.result.matchIndex);
+  else backOff(state, progress, response.result);
+  advanceCommit(context, leader);
+  confirmReads(context, leader);
+  const member = memberOf(state, from.identity);
+  if (state.role === leader && member !== undefined) sendAppends(context, leader, member, false);
+}
+
+/**
+ * An isolated leader would keep its callers waiting while the others go on under a new one. It
+ * steps down once it hasn't heard from a quorum for an election timeout.
+ */
+function hearsQuorum({ state, now }: StepContext, leader: LeaderState): boolean {
+  const { electionTimeout } = state.settings;
+  return hasQuorum(state, (identity) => {
+    if (identity === state.self.identity) return true;
+    const progress = leader.progress[identity];
+    return progress !== undefined && now - progress.lastHeardAt <= electionTimeout;
+  });
+}
+
+export function leaderTimerFired(context: StepContext, leader: LeaderState): void {
+  const { state, now } = context;
+  if (now < leader.nextHeartbeatAt) return;
+  if (!hearsQuorum(context, leader)) {
+    becomeFollower(context, state.term);
+    return;
+  }
+  leader.nextHeartbeatAt = now + state.settings.heartbeatInterval;
+  Object.values(leader.progress).forEach((progress) => {
+    // An append or its answer may be lost; a probing peer gets its append again.
+    if (progress.mode === 'probing') progress.inFlight = [];
+  });
+  broadcastAppends(context, leader, true);
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/roles.ts
@@ -0,0 +1,73 @@
+/** Changes of role that several concerns share: stepping down, and the timers that go with it. */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plusFromState } from 'pure-rand/generator/xoroshiro128plus';
+import type { RequestOutcome } from './consensusEvents.js';
+import type { ConsensusState, LeaderState } from './ConsensusState.js';
+import { isVoter } from './membership.js';
+import type { StepContext } from './StepContext.js';
+
+export function leaderOf(state: ConsensusState): LeaderState | undefined {
+  return state.role.type === 'leader' ? state.role : undefined;
+}
+
+export function leaderHint(state: ConsensusState): string | undefined {
+  if (state.role.type === 'leader') return state.self.instance;
+  return state.role.type === 'follower' ? state.role.leader : undefined;
+}
+
+export function reply(context: StepContext, requestId: string, outcome: RequestOutcome): void {
+  context.effects.push({ type: 'reply', requestId, outcome });
+}
+
+/** What this voter is, as operators are told. */
+export function publicRole(state: ConsensusState): 'leader' | 'follower' | 'candidate' | 'learner' {
+  if (state.role.type === 'leader') return 'leader';
+  return isVoter(state, state.self.identity) ? state.role.type : 'learner';
+}
+
+export function announceRole(context: StepContext): void {
+  const { state, effects } = context;
+  effects.push({
+    type: 'roleChanged',
+    role: publicRole(state),
+    term: state.term,
+    leader: leaderHint(state),
+  });
+}
+
+/** Draws the next election timeout; drawn apart, two voters seldom split the votes twice. */
+export function resetElectionTimer({ state, now }: StepContext): void {
+  const { electionTimeout } = state.settings;
+  const generator = xoroshiro128plusFromState(state.random);
+  state.electionDueAt = now + electionTimeout + uniformInt(generator, 0, electionTimeout);
+  state.random = [...generator.getState()];
+}
+
+export function enterTerm(state: ConsensusState, term: number): void {
+  state.term = term;
+  state.votedFor = undefined;
+  state.dirty.vote = true;
+}
+
+/**
+ * Settles what a leader still owed. An entry in the log may yet be committed by the next leader,
+ * so its proposer is told `unsure`; a read has done nothing and may simply be asked elsewhere.
+ */
+function settleRequests(context: StepContext, leader: LeaderState): void {
+  const { state } = context;
+  state.requests.forEach(({ requestId }) => reply(context, requestId, { type: 'unsure' }));
+  state.requests = [];
+  leader.reads.forEach(({ requestId }) => reply(context, requestId, { type: 'notLeader' }));
+}
+
+export function becomeFollower(context: StepContext, term: number, leader?: string): void {
+  const { state } = context;
+  const before = state.role;
+  if (before.type === 'leader') settleRequests(context, before);
+  const termChanged = term > state.term;
+  if (termChanged) enterTerm(state, term);
+  if (before.type !== 'follower') resetElectionTimer(context);
+  state.role = { type: 'follower', leader };
+  const sameRole = before.type === 'follower' && before.leader === leader;
+  if (termChanged || !sameRole) announceRole(context);
+}
--- /dev/null
+++ b/packages/store-core/src/consensus/testing/modelCluster.ts
@@ -0,0 +1,484 @@
+/**
+ * A cluster of real reducers as one value, for the explorer and for random schedules. Disks keep
+ * only what was synced, messages wait in a bag from which any may come next, and each step copies
+ * only the voter it touches. What the voters do is compared with what all of them did before.
+ */
+import {
+  createConsensusState,
+  defaultConsensusSettings,
+  type ConsensusSettings,
+  type ConsensusState,
+} from '../ConsensusState.js';
+import type { ConsensusEffect, ConsensusEvent, PersistEffect } from '../consensusEvents.js';
+import type { Envelope, LogEntry, Member, SnapshotHeader } from '../consensusTypes.js';
+import { entryAt } from '../memoryLog.js';
+import { votersOf } from '../membership.js';
+import { reduceConsensus } from '../reduceConsensus.js';
+
+/** Faults of the shell that a test puts in to see the checks notice. */
+export type ShellMutation = 'acknowledgeBeforeSync' | 'voteForgotten' | 'lostDiskKeepsIdentity';
+
+interface SavedSnapshot {
+  readonly header: SnapshotHeader;
+  readonly data: Uint8Array;
+}
+
+export interface ModelDisk {
+  runs: number;
+  term: number;
+  votedFor?: string;
+  snapshot?: SavedSnapshot;
+  entries: LogEntry[];
+}
+
+type DiskJob =
+  | { readonly type: 'batch'; readonly effect: PersistEffect }
+  | { readonly type: 'snapshot'; readonly snapshot: SavedSnapshot };
+
+export interface ModelVoter {
+  readonly instance: string;
+  identity: string;
+  now: number;
+  /** Missing while the process is down. */
+  state?: ConsensusState;
+  disk: ModelDisk;
+  jobs: DiskJob[];
+  /** The state machine: what was applied, in order. */
+  applied: string[];
+  key: string;
+}
+
+export interface ModelMessage {
+  readonly instance: string;
+  readonly envelope: Envelope;
+  readonly key: string;
+}
+
+export interface ModelCluster {
+  readonly settings: ConsensusSettings;
+  readonly mutation?: ShellMutation;
+  readonly voters: Readonly<Record<string, ModelVoter>>;
+  readonly network: readonly ModelMessage[];
+  readonly leaders: Readonly<Record<number, string>>;
+  /** Every entry that any voter has applied, from index 1 on. */
+  readonly committed: readonly string[];
+  readonly acknowledgedIndex: number;
+  /** Reads under way, and the index that was acknowledged when they began. */
+  readonly reads: Readonly<Record<string, number>>;
+  readonly answeredReads: number;
+  readonly requests: number;
+  /** What each disk ever had synced at an index, by identity; it outlives the disk. */
+  readonly everSynced: Readonly<Record<string, readonly string[]>>;
+  readonly violation?: string;
+}
+
+type Changes = { -readonly [Name in keyof ModelCluster]: ModelCluster[Name] };
+
+const TIME_FIELDS = new Set([
+  'now',
+  'electionDueAt',
+  'voteAfter',
+  'random',
+  'wakeAt',
+  'lastHeardAt',
+  'nextHeartbeatAt',
+  'snapshotSentAt',
+  'settings',
+  'address',
+  'key',
+  'at',
+]);
+
+function keyOf(value: unknown): string {
+  return JSON.stringify(value, (name, item: unknown) => (TIME_FIELDS.has(name) ? undefined : item));
+}
+
+function nameOf(entry: LogEntry): string {
+  const { body } = entry;
+  if (body.type === 'command') return `${entry.term}:${String(body.command)}`;
+  if (body.type === 'noOperation') return `${entry.term}:noOperation`;
+  const members = body.membership.members.map((member) => `${member.identity}/${member.role}`);
+  return `${entry.term}:${members.join(',')}`;
+}
+
+export function addressOf(instance: string) {
+  return { instance, dataCentre: 'wien-a', host: '127.0.0.1', port: 1 };
+}
+
+function newDisk(): ModelDisk {
+  return { runs: 0, term: 0, entries: [] };
+}
+
+function copyVoter(voter: ModelVoter): ModelVoter {
+  const { settings } = voter.state ?? {};
+  const copy = structuredClone(voter);
+  return copy.state === undefined || settings === undefined
+    ? copy
+    : { ...copy, state: { ...copy.state, settings } };
+}
+
+function changed(cluster: ModelCluster, instance: string): [Changes, ModelVoter] {
+  const found = cluster.voters[instance];
+  if (found === undefined) throw new Error(`No voter ${instance}`);
+  const voter = copyVoter(found);
+  return [{ ...cluster, voters: { ...cluster.voters, [instance]: voter } }, voter];
+}
+
+function violate(cluster: Changes, reason: string): void {
+  cluster.violation ??= reason;
+}
+
+function noteCommitted(cluster: Changes, index: number, name: string): void {
+  const known = cluster.committed[index - 1];
+  if (known === name) return;
+  if (known !== undefined) {
+    violate(cluster, `index ${index} was committed as ${known} and as ${name}`);
+    return;
+  }
+  if (index !== cluster.committed.length + 1) violate(cluster, `index ${index} leaves a gap`);
+  cluster.committed = [...cluster.committed, name];
+}
+
+/** An entry counts as committed only if a quorum of the voters has had it on disk. */
+function checkCopies(cluster: Changes, voter: ModelVoter, index: number, name: string): void {
+  if (voter.state?.role.type !== 'leader') return;
+  const voters = votersOf(voter.state);
+  const copies = voters.filter(({ identity }) => cluster.everSynced[identity]?.[index] === name);
+  if (copies.length * 2 <= voters.length) {
+    violate(cluster, `index ${index} was committed with ${copies.length} copies on disk`);
+  }
+}
+
+function checkNewLeader(cluster: Changes, voter: ModelVoter, term: number): void {
+  const known = cluster.leaders[term];
+  if (known !== undefined && known !== voter.identity) violate(cluster, `two leaders in ${term}`);
+  cluster.leaders = { ...cluster.leaders, [term]: voter.identity };
+  const { state } = voter;
+  if (state === undefined) return;
+  cluster.committed.forEach((name, position) => {
+    const index = position + 1;
+    if (index <= state.log.base.index) return;
+    const entry = entryAt(state, index);
+    if (entry === undefined || nameOf(entry) !== name) {
+      violate(cluster, `the leader of term ${term} lacks the committed index ${index}`);
+    }
+  });
+}
+
+function noteSynced(cluster: Changes, voter: ModelVoter): void {
+  const names = [...(cluster.everSynced[voter.identity] ?? [])];
+  const { snapshot, entries } = voter.disk;
+  if (snapshot !== undefined) {
+    const applied = JSON.parse(Buffer.from(snapshot.data).toString()) as string[];
+    applied.forEach((name, position) => {
+      names[position + 1] = name;
+    });
+  }
+  entries.forEach((entry) => {
+    names[entry.index] = nameOf(entry);
+  });
+  cluster.everSynced = { ...cluster.everSynced, [voter.identity]: names };
+}
+
+function dropBelow(disk: ModelDisk, snapshot: SavedSnapshot): void {
+  const { index, term } = snapshot.header;
+  if (index <= (disk.snapshot?.header.index ?? 0)) return;
+  const joins = disk.entries.some((entry) => entry.index === index && entry.term === term);
+  disk.entries = joins ? disk.entries.filter((entry) => entry.index > index) : [];
+  disk.snapshot = snapshot;
+}
+
+function writeBatch(disk: ModelDisk, effect: PersistEffect): void {
+  const { vote, snapshot, truncateFrom, entries } = effect;
+  if (vote !== undefined) {
+    disk.term = vote.term;
+    disk.votedFor = vote.votedFor;
+  }
+  if (snapshot !== undefined) dropBelow(disk, snapshot);
+  if (truncateFrom !== undefined) {
+    disk.entries = disk.entries.filter((entry) => entry.index < truncateFrom);
+  }
+  const base = disk.snapshot?.header.index ?? 0;
+  disk.entries.push(...entries.filter((entry) => entry.index > base));
+}
+
+function carryOut(cluster: Changes, voter: ModelVoter, effect: ConsensusEffect): void {
+  switch (effect.type) {
+    case 'persist':
+      voter.jobs.push({ type: 'batch', effect });
+      if (cluster.mutation === 'acknowledgeBeforeSync') {
+        handle(cluster, voter, { type: 'persisted', batch: effect.batch });
+      }
+      break;
+    case 'send':
+      send(cluster, effect.instance, effect.envelope);
+      break;
+    case 'sendSnapshot': {
+      const data = voter.disk.snapshot?.data ?? new Uint8Array(0);
+      const { message } = effect.envelope;
+      if (message.type !== 'snapshotRequest') break;
+      send(cluster, effect.instance, { ...effect.envelope, message: { ...message, data } });
+      break;
+    }
+    case 'apply': {
+      const name = nameOf(effect.entry);
+      if (effect.index !== voter.applied.length + 1) violate(cluster, 'applied out of order');
+      voter.applied.push(name);
+      const first = effect.index > cluster.committed.length;
+      noteCommitted(cluster, effect.index, name);
+      if (first) checkCopies(cluster, voter, effect.index, name);
+      break;
+    }
+    case 'restore': {
+      voter.applied = JSON.parse(Buffer.from(effect.data).toString()) as string[];
+      if (voter.applied.length !== effect.header.index) violate(cluster, 'snapshot of other size');
+      voter.applied.forEach((name, position) => noteCommitted(cluster, position + 1, name));
+      break;
+    }
+    case 'takeSnapshot': {
+      const data = new Uint8Array(Buffer.from(JSON.stringify(voter.applied)));
+      voter.jobs.push({ type: 'snapshot', snapshot: { header: effect.header, data } });
+      break;
+    }
+    case 'reply': {
+      const { outcome, requestId } = effect;
+      if (outcome.type === 'committed') {
+        cluster.acknowledgedIndex = Math.max(cluster.acknowledgedIndex, outcome.index);
+      }
+      if (outcome.type === 'readable') {
+        const floor = cluster.reads[requestId] ?? 0;
+        cluster.answeredReads += 1;
+        if (voter.applied.length < floor) {
+          violate(cluster, `a read missed index ${floor}, acknowledged before it began`);
+        }
+      }
+      break;
+    }
+    case 'roleChanged':
+      if (effect.role === 'leader') checkNewLeader(cluster, voter, effect.term);
+      break;
+    default:
+  }
+}
+
+function send(cluster: Changes, instance: string, envelope: Envelope): void {
+  const message = { instance, envelope, key: keyOf(envelope) };
+  cluster.network = [...cluster.network, message];
+}
+
+type Untimed<Event> = Event extends ConsensusEvent ? Omit<Event, 'now' | 'wallNow'> : never;
+export type ModelEvent = Untimed<ConsensusEvent>;
+
+function handle(cluster: Changes, voter: ModelVoter, event: ModelEvent): void {
+  const { state, now } = voter;
+  if (state === undefined) return;
+  try {
+    const effects = reduceConsensus(state, { ...event, now, wallNow: now });
+    effects.forEach((effect) => carryOut(cluster, voter, effect));
+  } catch (error) {
+    violate(cluster, String(error));
+  }
+}
+
+function finish(cluster: Changes, voter: ModelVoter): ModelCluster {
+  voter.key = keyOf(voter);
+  return cluster;
+}
+
+/** Hands one event to one voter. */
+export function happen(cluster: ModelCluster, instance: string, event: ModelEvent): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  handle(next, voter, event);
+  return finish(next, voter);
+}
+
+/** Lets a message arrive, or a copy of it if `keep`. A voter's patience is taken to be over. */
+export function deliver(
+  cluster: ModelCluster,
+  message: ModelMessage,
+  keep = false,
+  patient = false,
+): ModelCluster {
+  const [next, voter] = changed(cluster, message.instance);
+  if (!keep) next.network = cluster.network.filter((other) => other !== message);
+  const { state } = voter;
+  if (!patient && state !== undefined && message.envelope.message.type === 'voteRequest') {
+    voter.now = Math.max(voter.now, state.voteAfter);
+  }
+  handle(next, voter, { type: 'received', envelope: message.envelope });
+  return finish(next, voter);
+}
+
+/** Lets a voter's timer fire, as soon as it is due. */
+export function fireTimer(cluster: ModelCluster, instance: string): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  voter.now = Math.max(voter.now, voter.state?.wakeAt ?? 0);
+  handle(next, voter, { type: 'timerFired' });
+  return finish(next, voter);
+}
+
+/** Lets a voter's clock run, and fires its timer if it is due then. */
+export function elapse(cluster: ModelCluster, instance: string, span: number): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  voter.now += span;
+  if (voter.state !== undefined && voter.now >= voter.state.wakeAt) {
+    handle(next, voter, { type: 'timerFired' });
+  }
+  return finish(next, voter);
+}
+
+/** Syncs the first `count` writes that wait. */
+export function syncDisk(cluster: ModelCluster, instance: string, count: number): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  voter.jobs.splice(0, count).forEach((job) => {
+    if (job.type === 'batch') writeBatch(voter.disk, job.effect);
+    else dropBelow(voter.disk, job.snapshot);
+    noteSynced(next, voter);
+    if (job.type === 'snapshot')
+      handle(next, voter, { type: 'compacted', header: job.snapshot.header });
+    else if (next.mutation !== 'acknowledgeBeforeSync') {
+      handle(next, voter, { type: 'persisted', batch: job.effect.batch });
+    }
+  });
+  return finish(next, voter);
+}
+
+export function crash(cluster: ModelCluster, instance: string): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  voter.state = undefined;
+  voter.jobs = [];
+  voter.applied = [];
+  return finish(next, voter);
+}
+
+export function restart(cluster: ModelCluster, instance: string): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  const { disk, identity } = voter;
+  disk.runs += 1;
+  const run = { count: disk.runs, token: `${identity}-${disk.runs}` };
+  voter.state = createConsensusState(
+    cluster.settings,
+    {
+      self: { instance, identity, run },
+      term: disk.term,
+      votedFor: cluster.mutation === 'voteForgotten' ? undefined : disk.votedFor,
+      snapshot: disk.snapshot?.header,
+      entries: structuredClone(disk.entries),
+    },
+    instance.charCodeAt(0) * 31 + disk.runs,
+  );
+  voter.applied =
+    disk.snapshot === undefined
+      ? []
+      : (JSON.parse(Buffer.from(disk.snapshot.data).toString()) as string[]);
+  handle(next, voter, { type: 'started' });
+  return finish(next, voter);
+}
+
+/** A stopped voter's disk is replaced by an empty one, which has an identity of its own. */
+export function loseDisk(cluster: ModelCluster, instance: string): ModelCluster {
+  const [next, voter] = changed(cluster, instance);
+  voter.disk = {
+    ...newDisk(),
+    runs: cluster.mutation === 'lostDiskKeepsIdentity' ? voter.disk.runs : 0,
+  };
+  if (cluster.mutation !== 'lostDiskKeepsIdentity') voter.identity = `${voter.identity}'`;
+  return finish(next, voter);
+}
+
+export function propose(cluster: ModelCluster, instance: string): ModelCluster {
+  const requestId = `write-${cluster.requests}`;
+  const counted = { ...cluster, requests: cluster.requests + 1 };
+  const proposals = [{ requestId, command: requestId }];
+  return happen(counted, instance, { type: 'propose', proposals });
+}
+
+export function read(cluster: ModelCluster, instance: string): ModelCluster {
+  const requestId = `read-${cluster.requests}`;
+  const counted = {
+    ...cluster,
+    requests: cluster.requests + 1,
+    reads: { ...cluster.reads, [requestId]: cluster.acknowledgedIndex },
+  };
+  return happen(counted, instance, { type: 'read', requestId });
+}
+
+export interface ModelOptions {
+  readonly voters: readonly string[];
+  /** Instances that run, but are no members yet. */
+  readonly spares?: readonly string[];
+  readonly settings?: Partial<ConsensusSettings>;
+  readonly mutation?: ShellMutation;
+}
+
+/** A cluster whose voters have just started, with a founding membership on every disk. */
+export function makeCluster(options: ModelOptions): ModelCluster {
+  const settings = { ...defaultConsensusSettings, cluster: 'test', ...options.settings };
+  const members: Member[] = options.voters.map((instance) => ({
+    identity: `${instance}1`,
+    role: 'voter',
+    address: addressOf(instance),
+  }));
+  const header = { index: 0, term: 0, at: 0, membership: { members } };
+  const founded = { header, data: new Uint8Array(Buffer.from('[]')) };
+  const makeVoter = (instance: string, isMember: boolean): ModelVoter => ({
+    instance,
+    identity: `${instance}1`,
+    now: 0,
+    disk: isMember ? { ...newDisk(), snapshot: founded } : newDisk(),
+    jobs: [],
+    applied: [],
+    key: '',
+  });
+  const voters = Object.fromEntries([
+    ...options.voters.map((instance) => [instance, makeVoter(instance, true)] as const),
+    ...(options.spares ?? []).map((instance) => [instance, makeVoter(instance, false)] as const),
+  ]);
+  const cluster: ModelCluster = {
+    settings,
+    mutation: options.mutation,
+    voters,
+    network: [],
+    leaders: {},
+    committed: [],
+    acknowledgedIndex: 0,
+    reads: {},
+    answeredReads: 0,
+    requests: 0,
+    everSynced: {},
+  };
+  return Object.keys(voters).reduce((next, instance) => restart(next, instance), cluster);
+}
+
+/** Names a cluster's state, for the explorer. */
+export function clusterKey(cluster: ModelCluster): string {
+  const messages = cluster.network.map((message) => message.key).sort();
+  const voters = Object.values(cluster.voters).map((voter) => voter.key);
+  const { leaders, committed, acknowledgedIndex, reads, requests } = cluster;
+  return [
+    ...voters,
+    ...messages,
+    JSON.stringify([leaders, committed, acknowledgedIndex, reads, requests]),
+  ].join('\n');
+}
+
+export function currentLeader(cluster: ModelCluster): ModelVoter | undefined {
+  return Object.values(cluster.voters)
+    .filter((voter) => voter.state?.role.type === 'leader')
+    .sort((a, b) => (b.state?.term ?? 0) - (a.state?.term ?? 0))[0];
+}
+
+/** Lets everything run without faults until nothing is left to do. */
+export function settle(start: ModelCluster, mostSteps = 2000): ModelCluster {
+  let cluster = start;
+  for (let step = 0; step < mostSteps; step += 1) {
+    const waiting = Object.values(cluster.voters).find(
+      (voter) => voter.state !== undefined && voter.jobs.length > 0,
+    );
+    const [message] = cluster.network;
+    if (waiting !== undefined) cluster = syncDisk(cluster, waiting.instance, 1);
+    else if (message !== undefined) cluster = deliver(cluster, message);
+    else return cluster;
+  }
+  return cluster;
+}
--- a/packages/store-core/src/index.ts
+++ b/packages/store-core/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './consensus/index.js';
