--- /dev/null
+++ b/apps/ctl/src/describeDifference.ts
@@ -0,0 +1,40 @@
+/** Tells what differs between two states of a table, row by row. */
+import { isDeepStrictEqual } from 'node:util';
+
+export interface Difference {
+  readonly change: 'added' | 'removed' | 'changed';
+  readonly row: string;
+  /** Keys that differ, of a changed row. */
+  readonly keys: readonly string[];
+}
+
+type Row = Readonly<Record<string, unknown>>;
+
+function byName(rows: readonly unknown[]): Map<string, Row> {
+  return new Map((rows as readonly Row[]).map((row) => [String(row.name), row]));
+}
+
+export function describeDifference(
+  before: readonly unknown[],
+  after: readonly unknown[],
+): Difference[] {
+  const old = byName(before);
+  const now = byName(after);
+  const removed = [...old.keys()]
+    .filter((name) => !now.has(name))
+    .map((row): Difference => ({ change: 'removed', row, keys: [] }));
+  const others = [...now].flatMap(([name, row]): Difference[] => {
+    const earlier = old.get(name);
+    if (earlier === undefined) return [{ change: 'added', row: name, keys: [] }];
+    const keys = [...new Set([...Object.keys(earlier), ...Object.keys(row)])].filter(
+      (key) => !isDeepStrictEqual(earlier[key], row[key]),
+    );
+    return keys.length === 0 ? [] : [{ change: 'changed', row: name, keys }];
+  });
+  return [...removed, ...others];
+}
+
+export function printDifference({ change, row, keys }: Difference): string {
+  const sign = { added: '+', removed: '-', changed: '~' }[change];
+  return keys.length === 0 ? `${sign} ${row}` : `${sign} ${row}: ${keys.join(', ')}`;
+}
--- a/apps/ctl/src/index.ts
+++ b/apps/ctl/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './runCommandLine.js';
--- a/packages/store-core/src/index.ts
+++ b/packages/store-core/src/index.ts
@@ -1,1 +1,2 @@
+export * from './consensus/index.js';
 export * from './machine/index.js';
