--- a/apps/ctl/src/commands/status.ts
+++ b/apps/ctl/src/commands/status.ts
@@ -7,7 +7,10 @@
 const DEFAULT_WATCH_SECONDS = 2;
 
 export function describeStatus(status: EntryStatus): string[] {
-  const newest = status.stores.reduce((most, store) => store.appliedIndex > (most?.appliedIndex ?? -1) ? store : most, status.stores[0]);
+  const newest = status.stores.reduce(
+    (most, store) => (store.appliedIndex > (most?.appliedIndex ?? -1) ? store : most),
+    status.stores[0],
+  );
   const leader = status.stores.find((store) => store.role === 'leader');
   const reports = newest?.instances ?? [];
   return [
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -216,9 +216,7 @@
       tokens: answer instanceof CompletionAnswer ? answer.generatedTokens : 0,
       // A completion can be resumed by offset; what a plain service has begun cannot.
       answerStarted: answer instanceof PlainAnswer && answer.started,
-      ...(failed?.retryAfter === undefined
-        ? {}
-        : { retryAfter: failed.retryAfter }),
+      ...(failed?.retryAfter === undefined ? {} : { retryAfter: failed.retryAfter }),
     });
   }
 }
--- a/apps/entry/src/TableApi.ts
+++ b/apps/entry/src/TableApi.ts
@@ -3,7 +3,6 @@
  * `/tables/routes` and `/tables/pools`, with `ETag`, `If-Match` and a change id in
  * `Idempotency-Key`.
  */
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   HornbeampondError,
@@ -13,7 +12,7 @@
   type PutTableResult,
   type TableName,
 } from '@hornbeampond/schema';
-import { readBody, writeJson, type StoreClient } from '@hornbeampond/transport';
+import { authorizeOperator, readBody, writeJson, type StoreClient } from '@hornbeampond/transport';
 
 /** A change that has not come back from the log within this span is told as unsure. */
 const CHANGE_MILLISECONDS = 5000;
@@ -68,20 +67,13 @@
     if (table === undefined) {
       throw new HornbeampondError('routeNotFound', 'The tables are "routes" and "pools"');
     }
-    this.authorize(request);
+    authorizeOperator(request, this.settings.operatorKeys);
     if (request.method === 'GET') await this.get(table, response);
     else if (request.method === 'PUT') await this.put(table, request, response);
     else throw new HornbeampondError('methodNotAllowed', 'Use GET or PUT');
     return true;
   }
 
-  private authorize(request: IncomingMessage): void {
-    const [, key = ''] = (request.headers.authorization ?? '').split(' ');
-    const digest = createHash('sha256').update(key).digest('hex');
-    if (this.settings.operatorKeys.some(({ keySha256 }) => keySha256 === digest)) return;
-    throw new HornbeampondError('unauthorized', 'The operator key is missing or not known');
-  }
-
   private async get(table: TableName, response: ServerResponse): Promise<void> {
     const configuration = await this.store.readConfiguration(READ_MILLISECONDS);
     const { revision, rows } = configuration[table];
--- /dev/null
+++ b/apps/store/src/JoinRequests.ts
@@ -0,0 +1,44 @@
+/**
+ * A store whose disk is new asks the others to be let in, until it is a member. It votes and
+ * counts as a copy only once it has caught up; the leader sees to that.
+ */
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type { JoiningVoter, StoreRequest } from '@hornbeampond/schema';
+import type { StorePeers } from './StorePeers.js';
+
+const INTERVAL_MILLISECONDS = 250;
+const REQUEST_MILLISECONDS = 2000;
+
+export interface JoinRequestsOptions {
+  readonly timers: TimerService;
+  readonly peers: StorePeers;
+  isMember(): boolean;
+  describe(): JoiningVoter;
+}
+
+export class JoinRequests {
+  private unsubscribe: Unsubscribe = () => {};
+
+  constructor(private readonly options: JoinRequestsOptions) {}
+
+  start(): void {
+    this.stop();
+    this.unsubscribe = this.options.timers.every(INTERVAL_MILLISECONDS, () => this.ask());
+  }
+
+  stop(): void {
+    this.unsubscribe();
+  }
+
+  private ask(): void {
+    if (this.options.isMember()) {
+      this.stop();
+      return;
+    }
+    const request: StoreRequest = { type: 'addVoter', voter: this.options.describe() };
+    this.options.peers.all.forEach((client) => {
+      // Only the leader carries it out; the answers of all others say nothing new.
+      if (client.isOpen) client.request(request, REQUEST_MILLISECONDS).catch(() => {});
+    });
+  }
+}
--- /dev/null
+++ b/apps/store/src/StoreOperations.ts
@@ -0,0 +1,53 @@
+/** What operators can tell one store on its operators' port. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HornbeampondError, type OperatorKey, type StoreResponse } from '@hornbeampond/schema';
+import { authorizeOperator, readBody, writeJson } from '@hornbeampond/transport';
+
+const MOST_BODY_BYTES = 4096;
+
+export interface StoreOperationsOptions {
+  readonly operatorKeys: readonly OperatorKey[];
+  found(): void;
+  join(): void;
+  remove(instance: string): Promise<StoreResponse>;
+}
+
+function readInstance(body: Buffer): string {
+  const value: unknown = JSON.parse(body.toString('utf8'));
+  if (typeof value === 'object' && value !== null && 'instance' in value) {
+    if (typeof value.instance === 'string') return value.instance;
+  }
+  throw new HornbeampondError('badRequest', 'The body must name the "instance"');
+}
+
+export class StoreOperations {
+  constructor(private readonly options: StoreOperationsOptions) {}
+
+  async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<boolean> {
+    const [, folder, operation] = url.pathname.split('/');
+    if (folder !== 'store') return false;
+    if (request.method !== 'POST') throw new HornbeampondError('methodNotAllowed', 'Use POST');
+    authorizeOperator(request, this.options.operatorKeys);
+    const body = await readBody(request, MOST_BODY_BYTES);
+    switch (operation) {
+      case 'found':
+        this.options.found();
+        break;
+      case 'join':
+        this.options.join();
+        break;
+      case 'remove': {
+        const removed = await this.options.remove(readInstance(body));
+        if (removed.type !== 'accepted') {
+          const detail = `The store was not removed: ${removed.type}`;
+          throw new HornbeampondError('storeUnavailable', detail);
+        }
+        break;
+      }
+      default:
+        throw new HornbeampondError('routeNotFound', 'There is no such operation on stores');
+    }
+    writeJson(response, 200, {});
+    return true;
+  }
+}
--- /dev/null
+++ b/apps/store/src/StoreProcess.ts
@@ -0,0 +1,482 @@
+/**
+ * One running store: it drives the reducer of the agreement, keeps its disk, applies what is
+ * agreed to the tables, claims and leases, and answers clients.
+ */
+import { Encoder } from 'cbor-x';
+import {
+  EventLoop,
+  Logger,
+  Metrics,
+  type RunningProcess,
+  type TimerService,
+  type Unsubscribe,
+} from '@hornbeampond/runtime';
+import {
+  HornbeampondError,
+  assertNever,
+  type CommandResult,
+  type StampedCommand,
+  type StoreAddress,
+  type StoreCommand,
+  type StoreRequest,
+  type StoreResponse,
+  type StoreSettings,
+  type StoreStatus,
+} from '@hornbeampond/schema';
+import {
+  MachineState,
+  applyCommand,
+  createConsensusState,
+  currentMembership,
+  defaultConsensusSettings,
+  leaderHint,
+  publicRole,
+  quarantineAt,
+  reduceConsensus,
+  restoreSnapshot,
+  takeSnapshot,
+  type ConsensusEffect,
+  type ConsensusEvent,
+  type ConsensusState,
+  type Envelope,
+  type LogEntry,
+  type PersistEffect,
+  type SnapshotHeader,
+} from '@hornbeampond/store-core';
+import {
+  OperatorServer,
+  PeerServer,
+  type PeerContext,
+  type PeerSession,
+} from '@hornbeampond/transport';
+import { JoinRequests } from './JoinRequests.js';
+import { RequestDesk, type Respond } from './RequestDesk.js';
+import { StoreOperations } from './StoreOperations.js';
+import { StorePeers } from './StorePeers.js';
+import { Subscribers } from './Subscribers.js';
+import type { DiskContents, StoreDisk } from './StoreDisk.js';
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+/** What happens to a store, without the clocks. */
+type Occurrence = ConsensusEvent extends infer Event
+  ? Event extends { now: number; wallNow: number }
+    ? Omit<Event, 'now' | 'wallNow'>
+    : never
+  : never;
+
+export interface StorePorts {
+  readonly peers: number;
+  readonly operators: number;
+}
+
+export class StoreProcess implements RunningProcess {
+  private readonly logger: Logger;
+
+  private readonly metrics = new Metrics({ withProcessMetrics: true });
+
+  private readonly server: PeerServer;
+
+  private readonly operators: OperatorServer;
+
+  private readonly peers: StorePeers;
+
+  private readonly desk = new RequestDesk();
+
+  private readonly subscribers = new Subscribers();
+
+  private loop!: EventLoop<ConsensusState, ConsensusEvent, ConsensusEffect>;
+
+  private machine = new MachineState();
+
+  /** Results of commands of this step, until their replies have been sent. */
+  private readonly results = new Map<number, CommandResult>();
+
+  private disk: Promise<void> = Promise.resolve();
+
+  private proposals: { requestId: string; command: StoreCommand }[] = [];
+
+  private readonly joining: JoinRequests;
+
+  private address: StoreAddress;
+
+  private cancelWake: Unsubscribe = () => {};
+
+  private closed = false;
+
+  constructor(
+    private readonly settings: StoreSettings,
+    private readonly timers: TimerService,
+    private readonly storage: StoreDisk,
+  ) {
+    const { instance, dataCentre, cluster, clusterSecret, listen } = settings;
+    this.address = { instance, dataCentre, ...listen };
+    this.logger = new Logger({ process: 'hornbeampond-store', instance }, settings.logLevel);
+    const context: PeerContext = {
+      identity: { cluster, instance, dataCentre, role: 'store' },
+      secret: clusterSecret,
+      timers,
+      logger: this.logger,
+      metrics: this.metrics,
+    };
+    this.peers = new StorePeers(instance, context);
+    this.joining = new JoinRequests({
+      timers,
+      peers: this.peers,
+      isMember: () => this.isMember(),
+      describe: () => ({ ...this.address, identity: this.loop.state.self.identity }),
+    });
+    this.server = new PeerServer(context, {
+      onPush: (session, body) => this.receive(session, body as Envelope),
+      onRequest: (session, body, respond) => this.answer(session, body as StoreRequest, respond),
+      onClose: (session) => this.subscribers.remove(session),
+    });
+    const operations = new StoreOperations({
+      operatorKeys: settings.operatorKeys,
+      found: () => this.found(),
+      join: () => this.joining.start(),
+      remove: async (removed) => this.removeVoter(removed),
+    });
+    this.operators = new OperatorServer({
+      metrics: this.metrics,
+      isReady: () => leaderHint(this.loop.state) !== undefined,
+      readStatus: async () => ({ stores: [this.readStatus()] }),
+      handle: async (request, response, url) => operations.handle(request, response, url),
+    });
+  }
+
+  /** Reads the disk and starts to serve. */
+  async start(): Promise<StorePorts> {
+    const contents = await this.storage.open(this.settings.instance);
+    this.loop = this.makeLoop(contents);
+    const peers = await this.server.listen(this.settings.listen);
+    this.address = { ...this.address, port: peers };
+    const operators = await this.operators.listen(this.settings.operatorListen);
+    this.peers.keep(this.settings.stores);
+    this.peers.keep(this.memberAddresses());
+    this.dispatch({ type: 'started' });
+    if (contents.isNew) this.joining.start();
+    this.logger.write('processReady', { peers, operators });
+    return { peers, operators };
+  }
+
+  /** Founds a cluster on this disk; refused unless the disk is empty. */
+  found(): void {
+    const { state } = this.loop;
+    if (state.term > 0 || this.isMember()) {
+      const detail = 'This store is part of a cluster already';
+      throw new HornbeampondError('badRequest', detail);
+    }
+    this.joining.stop();
+    this.dispatch({
+      type: 'found',
+      member: { identity: state.self.identity, address: this.address },
+    });
+  }
+
+  async shutDown(): Promise<void> {
+    this.logger.write('shutdownStarted', {});
+    await this.close();
+    this.logger.write('shutdownFinished', {});
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    this.cancelWake();
+    this.joining.stop();
+    this.peers.close();
+    await Promise.all([this.server.close(), this.operators.close()]);
+    await this.disk;
+    await this.storage.close();
+  }
+
+  private makeLoop({ restored, snapshot }: DiskContents) {
+    if (snapshot !== undefined) this.machine = restoreSnapshot(codec.decode(snapshot.data));
+    const { cluster, electionTimeoutMilliseconds, heartbeatMilliseconds } = this.settings;
+    const state = createConsensusState(
+      {
+        ...defaultConsensusSettings,
+        cluster,
+        electionTimeout: electionTimeoutMilliseconds,
+        heartbeatInterval: heartbeatMilliseconds,
+      },
+      restored,
+      restored.self.run.count + restored.self.identity.length,
+    );
+    return new EventLoop<ConsensusState, ConsensusEvent, ConsensusEffect>(
+      state,
+      reduceConsensus,
+      (effect) => this.carryOut(effect),
+      (error, event) => this.reportError(error, event.type),
+    );
+  }
+
+  private dispatch(occurrence: Occurrence): void {
+    if (this.closed) return;
+    const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
+    this.loop.dispatch({ ...occurrence, ...clocks });
+  }
+
+  private receive(session: PeerSession, envelope: Envelope): void {
+    if (session.peer.role === 'store') this.dispatch({ type: 'received', envelope });
+  }
+
+  private isMember(): boolean {
+    const { state } = this.loop;
+    return currentMembership(state).members.some(
+      (member) => member.identity === state.self.identity,
+    );
+  }
+
+  private memberAddresses(): StoreAddress[] {
+    return currentMembership(this.loop.state).members.map((member) => member.address);
+  }
+
+  private carryOut(effect: ConsensusEffect): void {
+    switch (effect.type) {
+      case 'persist':
+        this.persist(effect);
+        return;
+      case 'send':
+        this.peers.send(effect.instance, effect.envelope);
+        return;
+      case 'sendSnapshot':
+        this.sendSnapshot(effect);
+        return;
+      case 'apply':
+        this.apply(effect.entry);
+        return;
+      case 'restore':
+        this.machine = restoreSnapshot(codec.decode(effect.data));
+        this.publishConfiguration();
+        return;
+      case 'takeSnapshot':
+        this.saveSnapshot(effect.header);
+        return;
+      case 'discardLog':
+        this.onDisk(async () => this.storage.discardLog(effect.throughIndex));
+        return;
+      case 'reply': {
+        const index = effect.outcome.type === 'committed' ? effect.outcome.index : undefined;
+        const result = index === undefined ? undefined : this.results.get(index);
+        this.desk.settle(effect.requestId, effect.outcome, result);
+        return;
+      }
+      case 'wake':
+        this.cancelWake();
+        this.cancelWake = this.timers.after(
+          Math.max(0, effect.at - this.timers.monotonicNow()),
+          () => this.dispatch({ type: 'timerFired' }),
+        );
+        return;
+      case 'membershipChanged':
+        this.peers.keep(effect.membership.members.map((member) => member.address));
+        return;
+      case 'roleChanged':
+        this.logger.write('storeRoleChanged', { ...effect });
+        return;
+      case 'messageRefused':
+        this.logger.write('storeMessageRefused', { from: effect.from, reason: effect.reason });
+        return;
+      case 'diskRefused':
+        this.logger.write('diskRefused', { reason: effect.reason });
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  /** Runs disk work one after another, in the order in which it was asked for. */
+  private onDisk(work: () => Promise<void>): void {
+    this.disk = this.disk.then(work).catch((error: unknown) => {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.logger.write('diskFailed', { reason });
+      this.dispatch({ type: 'persistFailed', reason });
+    });
+  }
+
+  private persist(effect: PersistEffect): void {
+    this.onDisk(async () => {
+      await this.storage.write(effect);
+      this.dispatch({ type: 'persisted', batch: effect.batch });
+    });
+  }
+
+  private saveSnapshot(header: SnapshotHeader): void {
+    const data = codec.encode(takeSnapshot(this.machine));
+    this.onDisk(async () => {
+      await this.storage.saveSnapshot({ header, data });
+      this.dispatch({ type: 'compacted', header });
+    });
+  }
+
+  private sendSnapshot(effect: Extract<ConsensusEffect, { type: 'sendSnapshot' }>): void {
+    this.onDisk(async () => {
+      const snapshot = await this.storage.readSnapshot();
+      const { envelope } = effect;
+      if (snapshot === undefined || envelope.message.type !== 'snapshotRequest') return;
+      // The disk may hold a newer snapshot by now; header and data go together.
+      this.peers.send(effect.instance, {
+        ...envelope,
+        message: { ...envelope.message, header: snapshot.header, data: snapshot.data },
+      });
+    });
+  }
+
+  private apply(entry: LogEntry): void {
+    if (entry.body.type !== 'command') return;
+    const stamped: StampedCommand = {
+      at: entry.at,
+      command: entry.body.command as StoreCommand,
+    };
+    const result = applyCommand(this.machine, stamped);
+    this.results.clear();
+    this.results.set(entry.index, result);
+    if (result.type === 'tableAccepted') this.publishConfiguration();
+    if (result.type === 'crashCounted') this.publishQuarantine();
+  }
+
+  private publishConfiguration(): void {
+    const { configuration } = this.machine;
+    this.metrics.setGauge('configurationRevision', configuration.revision);
+    this.subscribers.push({ type: 'configuration', configuration });
+  }
+
+  private publishQuarantine(): void {
+    const quarantine = quarantineAt(this.machine, this.timers.wallNow());
+    this.subscribers.push({ type: 'quarantine', quarantine });
+  }
+
+  private answer(session: PeerSession, request: StoreRequest, respond: Respond): void {
+    switch (request.type) {
+      case 'propose':
+        this.propose(request.command, respond);
+        return;
+      case 'readConfiguration': {
+        const requestId = this.desk.add(respond, () => this.describeConfiguration());
+        this.dispatch({ type: 'read', requestId });
+        return;
+      }
+      case 'peekConfiguration':
+        respond(this.describeConfiguration());
+        return;
+      case 'subscribe':
+        this.subscribers.add(session, request.report);
+        respond({
+          type: 'subscribed',
+          configuration: this.machine.configuration,
+          quarantine: quarantineAt(this.machine, this.timers.wallNow()),
+        });
+        return;
+      case 'report':
+        this.subscribers.note(session, request.report);
+        respond({ type: 'accepted' });
+        return;
+      case 'readStatus':
+        respond({ type: 'status', status: this.readStatus() });
+        return;
+      case 'addVoter':
+        this.addVoter(request, respond);
+        return;
+      case 'removeVoter':
+        this.changeMembership(respond, request.instance);
+        return;
+      default:
+        assertNever(request);
+    }
+  }
+
+  /** Commands that come in within one turn of the process go into the log as one batch. */
+  private propose(command: StoreCommand, respond: Respond): void {
+    const requestId = this.desk.add(respond, (result) =>
+      result === undefined
+        ? { type: 'unsure', reason: 'the result is not there' }
+        : { type: 'result', result },
+    );
+    this.proposals.push({ requestId, command });
+    if (this.proposals.length > 1) return;
+    setImmediate(() => {
+      const { proposals } = this;
+      this.proposals = [];
+      this.dispatch({ type: 'propose', proposals });
+    });
+  }
+
+  /**
+   * A store whose disk is new asks to join. If the log still knows its instance by another disk,
+   * that disk is lost: its identity is removed first, so that it is never counted again.
+   */
+  private addVoter(request: Extract<StoreRequest, { type: 'addVoter' }>, respond: Respond): void {
+    const { identity, ...address } = request.voter;
+    const { members } = currentMembership(this.loop.state);
+    if (members.some((member) => member.identity === identity)) {
+      respond({ type: 'accepted' });
+      return;
+    }
+    const lost = members.find((member) => member.address.instance === address.instance);
+    const requestId = this.desk.add(respond, () => ({ type: 'accepted' }));
+    this.dispatch({
+      type: 'changeMembership',
+      requestId,
+      change:
+        lost === undefined
+          ? { type: 'addLearner', member: { identity, address } }
+          : { type: 'removeMember', identity: lost.identity },
+    });
+  }
+
+  private changeMembership(respond: Respond, instance: string): void {
+    const { members } = currentMembership(this.loop.state);
+    const member = members.find((known) => known.address.instance === instance);
+    if (member === undefined) {
+      respond({ type: 'unavailable', reason: `${instance} is no member` });
+      return;
+    }
+    const requestId = this.desk.add(respond, () => ({ type: 'accepted' }));
+    const change = { type: 'removeMember' as const, identity: member.identity };
+    this.dispatch({ type: 'changeMembership', requestId, change });
+  }
+
+  private async removeVoter(instance: string): Promise<StoreResponse> {
+    return new Promise((resolve) => {
+      this.changeMembership(resolve, instance);
+    });
+  }
+
+  private describeConfiguration(): StoreResponse {
+    return { type: 'configuration', configuration: this.machine.configuration };
+  }
+
+  private readStatus(): StoreStatus {
+    const { state } = this.loop;
+    const { members } = currentMembership(state);
+    const named = (role: 'voter' | 'learner') =>
+      members.filter((member) => member.role === role).map((member) => member.address.instance);
+    const leader = leaderHint(state);
+    return {
+      instance: this.settings.instance,
+      role: publicRole(state),
+      term: state.term,
+      ...(leader === undefined ? {} : { leader }),
+      commitIndex: state.commitIndex,
+      appliedIndex: state.appliedIndex,
+      voters: named('voter'),
+      learners: named('learner'),
+      readOnly: state.readOnly,
+      configurationRevision: this.machine.configuration.revision,
+      instances: this.subscribers.reports,
+      leases: [...this.machine.leases].map(([lease, { holder, epoch }]) => ({
+        lease,
+        holder,
+        epoch,
+      })),
+      claims: this.machine.claims.size,
+      quarantine: quarantineAt(this.machine, this.timers.wallNow()),
+    };
+  }
+
+  private reportError(error: unknown, at: string): void {
+    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.logger.write('unexpectedError', { at, reason });
+  }
+}
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -6,4 +6,12 @@
   tornTailCut: define(3001, 'warn', 'An unfinished record at the end of the log was cut off'),
   logDamaged: define(3002, 'error', 'The log is damaged before its end; the store stops'),
   diskFull: define(3003, 'error', 'The disk is full; the store is read-only'),
+  storeRoleChanged: define(3200, 'info', 'The store has another role or follows another leader'),
+  storeMessageRefused: define(3201, 'warn', 'A message of another store was refused'),
+  diskRefused: define(
+    3202,
+    'error',
+    'The disk is older than what it has promised; it counts no more',
+  ),
+  diskFailed: define(3203, 'error', 'The disk could not be written'),
 } as const;
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -35,7 +35,7 @@
   | { readonly type: 'report'; readonly report: InstanceReport }
   | { readonly type: 'readStatus' }
   /** Membership of the log. */
-  | { readonly type: 'addVoter'; readonly voter: VoterAddress }
+  | { readonly type: 'addVoter'; readonly voter: JoiningVoter }
   | { readonly type: 'removeVoter'; readonly instance: string };
 
 /** How a store is reached by its peers and clients. */
@@ -46,6 +46,11 @@
   readonly port: number;
 }
 
+/** A store that asks to be let in, with the random identity of its disk. */
+export interface JoiningVoter extends VoterAddress {
+  readonly identity: string;
+}
+
 /** A store's own view of the log, for operators. */
 export interface StoreStatus {
   readonly instance: string;
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -21,6 +21,12 @@
   port: portSchema.min(1),
 });
 
+/** Keys by which operators may read and change tables. */
+const operatorKeysSchema = z
+  .array(z.strictObject({ name: nameSchema, keySha256: z.string().regex(/^[0-9a-f]{64}$/) }))
+  .max(1000)
+  .default([]);
+
 const commonShape = {
   /** Name of this instance, unique in the cluster. */
   instance: nameSchema,
@@ -32,16 +38,11 @@
   logLevel: z.enum(logLevels).default('info'),
   /** Where operators reach `/status`, `/metrics`, `/livez`, `/readyz`. */
   operatorListen: listenSchema,
+  operatorKeys: operatorKeysSchema,
   /** The stores that are known from the start. */
   stores: z.array(storeAddressSchema).min(1).max(16),
 };
 
-/** Keys by which operators may read and change tables. */
-const operatorKeysSchema = z
-  .array(z.strictObject({ name: nameSchema, keySha256: z.string().regex(/^[0-9a-f]{64}$/) }))
-  .max(1000)
-  .default([]);
-
 const platformSchema = z.strictObject({
   /** Base address of the platform's API. */
   url: z.url({ protocol: /^https?$/ }),
@@ -72,7 +73,6 @@
   peerListen: listenSchema,
   /** The other entries. */
   entries: z.array(storeAddressSchema).max(1000).default([]),
-  operatorKeys: operatorKeysSchema,
   workspaces: z.array(workspaceSchema).min(1).max(10_000),
   platform: platformSchema,
   limits: z
@@ -110,6 +110,7 @@
   leaseMilliseconds: milliseconds(500, 600_000).default(5000),
 });
 
+export type OperatorKey = z.infer<typeof operatorKeysSchema>[number];
 export type ListenAddress = z.infer<typeof listenSchema>;
 export type StoreAddress = z.infer<typeof storeAddressSchema>;
 export type StoreSettings = z.infer<typeof storeSettingsSchema>;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -7,3 +7,4 @@
 export * from './OperatorServer.js';
 export * from './readBody.js';
 export * from './writeProblem.js';
+export * from './authorizeOperator.js';
