Test the adapters against fakes that misbehave

The fake's silent connection first corked its sockets; Node's HTTP server uncorks them at each answer's end, so it swallows writes instead. Connecting is bounded at 10 s, since an attempt that its caller gave up on would else hold a socket for minutes.

--- a/packages/adapters/src/EngineAdapter.ts
+++ b/packages/adapters/src/EngineAdapter.ts
@@ -58,6 +58,7 @@
 
 /** The KV cache of one attempt, in the engine's own encoding. */
 export interface ExportedCache {
+  /** The attempt it was taken from, or on import the one that will use it. */
   readonly attemptId: string;
   /** Tokens of prompt and answer that the cache spares whoever imports it. */
   readonly tokens: number;
@@ -81,7 +82,7 @@
   /** Takes the KV cache of an attempt in progress or just cancelled. */
   abstract exportCache(attemptId: string, signal: AbortSignal): Promise<ExportedCache>;
 
-  /** Gives an engine a KV cache, which the resumed attempt with that id will find. */
+  /** Gives an engine a KV cache under the id of the attempt that will resume with it. */
   abstract importCache(cache: ExportedCache, signal: AbortSignal): Promise<void>;
 
   /** The engine's latest load report, which may lag; `measuredAt` says how much. */
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -2,8 +2,8 @@
  * The connections to one HTTP server, and the one place where a call goes out.
  *
  * What is assumed of the wire: HTTP/1.1 over plain TCP, by IP number. There is no pipelining, no
- * redirect is followed, nothing is sent again by itself, and there is no timeout besides the
- * caller's `AbortSignal`.
+ * redirect is followed, and nothing is sent again by itself. The caller's `AbortSignal` is the only
+ * timeout, but for one on connecting, which bounds the attempts that nobody waits for any more.
  *
  * A kept-alive connection can be dead without a sign (its server went away, or something between
  * the two ends lost track of it). A call on it then fails with bytes written and an unknown
@@ -13,11 +13,18 @@
  */
 import type { Socket } from 'node:net';
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
-import { BackendServerFailure, type Sent } from '../BackendServerFailure.js';
+import {
+  BackendServerFailure,
+  type BackendServerFailureKind,
+  type Sent,
+} from '../BackendServerFailure.js';
 
 /** Idle connections are closed this soon, since an old one is likelier to be dead. */
 const KEEP_ALIVE_MILLISECONDS = 4000;
 
+/** Without a bound, each call into a cut-off data centre would leave a socket for minutes. */
+const CONNECT_MILLISECONDS = 10_000;
+
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
 /** An error out of the connector proves that the call had no connection to be written to. */
@@ -47,22 +54,28 @@
   return error instanceof Error ? error.message : String(error);
 }
 
-function toFailure(error: unknown, signal: AbortSignal, sent: Sent): BackendServerFailure {
-  if (error instanceof BackendServerFailure) return error;
-  if (error instanceof ConnectError) {
-    return new BackendServerFailure(error.message, {
-      failure: 'connectFailed',
-      sent: 'nothing',
-      cause: error,
-    });
+function classify(error: unknown): BackendServerFailureKind {
+  if (!(error instanceof Error)) return 'connectionLost';
+  const code = 'code' in error ? error.code : undefined;
+  if (code === 'UND_ERR_INVALID_ARG') return 'clientError';
+  const broken = error.name === 'HTTPParserError' || code === 'UND_ERR_HEADERS_OVERFLOW';
+  return broken ? 'malformed' : 'connectionLost';
+}
+
+function toFailure(cause: unknown, signal: AbortSignal, sent: Sent): BackendServerFailure {
+  if (cause instanceof BackendServerFailure) return cause;
+  const message = describeError(cause);
+  if (cause instanceof ConnectError) {
+    return new BackendServerFailure(message, { failure: 'connectFailed', sent: 'nothing', cause });
   }
   if (signal.aborted) {
-    const message = 'the caller ended the call before the answer was whole';
-    return new BackendServerFailure(message, { failure: 'silent', sent, cause: error });
+    return new BackendServerFailure('the caller ended the call', {
+      failure: 'silent',
+      sent,
+      cause,
+    });
   }
-  const parseFailed = error instanceof Error && error.name === 'HTTPParserError';
-  const failure = parseFailed ? 'malformed' : 'connectionLost';
-  return new BackendServerFailure(describeError(error), { failure, sent, cause: error });
+  return new BackendServerFailure(message, { failure: classify(cause), sent, cause });
 }
 
 async function* readBody(
@@ -85,7 +98,7 @@
 
 /** Wraps undici's connector; `onSocket` sees each socket before anything is written to it. */
 function makeConnector(onSocket: (socket: Socket) => void): buildConnector.connector {
-  const connect = buildConnector({ timeout: 0, keepAlive: true });
+  const connect = buildConnector({ timeout: CONNECT_MILLISECONDS, keepAlive: true });
   return (options, callback) => {
     connect(options, (...outcome) => {
       const [error, socket] = outcome;
--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -6,6 +6,7 @@
   type CompletionBody,
   type CompletionStream,
 } from '@hornbeampond/adapters';
+import { ManualTimerService } from '../ManualTimerService.js';
 import { FakeEngine, type FakeEngineOptions } from '../fakes/FakeEngine.js';
 import { digestPrompt, generateText } from '../fakes/generateToken.js';
 
@@ -84,3 +85,185 @@
   assert.equal(begun.text + rest.text, wholeText);
   assert.equal(second.engine.counts.wrongResumes, 0);
 });
+
+test('a stream that ends early never looks complete, at first, middle and last token', async (t) => {
+  // The caller must not take a part for the whole. The engine's connection ends after 0, 6 and 11
+  // of 12 tokens; each time the reader gets exactly
+  // those tokens and then a failure, because only `[DONE]` makes an answer whole.
+  const { engine, adapter } = await meet(t);
+  for (const tokens of [0, 6, 11]) {
+    engine.cutStreamsAfter(tokens);
+    const start = { attemptId: `a-${tokens}`, body, priority: 5, signal };
+    const answer = await readAll(await adapter.startCompletion(start));
+    assertFailure(answer.failure, 'connectionLost', 'maybe');
+    assert.equal(answer.tokens, tokens);
+    assert.equal(answer.finishReason, undefined);
+  }
+});
+
+test('an engine that dies in the middle of a stream fails it, and refuses until it is back', async (t) => {
+  // The engine process is killed after four tokens. The reader gets the tokens that came and a
+  // lost connection; the next call proves that nothing was sent, since no connection came about.
+  // The restarted engine remembers nothing and serves again.
+  const { engine, adapter } = await meet(t);
+  engine.stallStreamsAfter(4);
+  const start = { attemptId: 'a-1', body, priority: 5, signal };
+  const reading = readAll(await adapter.startCompletion(start));
+  await engine.waitFor(() => engine.counts.generatedTokens === 4);
+  await engine.die();
+  assertFailure((await reading).failure, 'connectionLost', 'maybe');
+  await assert.rejects(adapter.startCompletion(start), (error) =>
+    assertFailure(error, 'connectFailed', 'nothing'),
+  );
+  engine.stallStreamsAfter(undefined);
+  await engine.restart();
+  assert.equal((await readAll(await adapter.startCompletion(start))).text, wholeText);
+});
+
+test('a silent connection ends by the caller, a probe over a new one tells that the engine lives', async (t) => {
+  // Something between the two ends loses track of the open connection in the middle of a stream.
+  // The reader sees neither token nor end. The probe answers, because it opens a connection of its
+  // own; so the caller aborts, which drops the old one, and resumes with what it has.
+  const { engine, adapter } = await meet(t);
+  engine.stallStreamsAfter(3);
+  const giveUp = new AbortController();
+  const start = { attemptId: 'a-1', body, priority: 5, signal: giveUp.signal };
+  const reading = readAll(await adapter.startCompletion(start));
+  await engine.waitFor(() => engine.counts.generatedTokens === 3);
+  await adapter.readLoad(signal);
+  engine.goSilent();
+  engine.stallStreamsAfter(undefined);
+  await adapter.probe(signal);
+  giveUp.abort();
+  const begun = await reading;
+  assertFailure(begun.failure, 'silent', 'maybe');
+  adapter.renewConnections();
+  const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
+  const rest = await readAll(
+    await adapter.startCompletion({ attemptId: 'a-2', body, resume, priority: 5, signal }),
+  );
+  assert.equal(begun.text + rest.text, wholeText);
+});
+
+test('busy, wrong and broken answers are told apart', async (t) => {
+  const { engine, adapter } = await meet(t);
+  const start = { attemptId: 'a-1', body, priority: 5, signal };
+  engine.setBusy(true);
+  await assert.rejects(adapter.startCompletion(start), (error) => {
+    assertFailure(error, 'busy', 'maybe');
+    assert.equal((error as BackendServerFailure).retryAfter, 1000);
+    return true;
+  });
+  engine.setBusy(false);
+  const resume = { generatedText: 'text of another answer', generatedTokens: 3 };
+  await assert.rejects(adapter.startCompletion({ ...start, resume }), (error) =>
+    assertFailure(error, 'clientError', 'maybe'),
+  );
+  await assert.rejects(adapter.startCompletion({ ...start, body: { messages: null as never } }));
+  assert.equal(engine.counts.runs, 0);
+});
+
+test('a poison request kills the engine that runs it, and no other', async (t) => {
+  const first = await meet(t);
+  const second = await meet(t);
+  first.engine.setPoison('MARKER');
+  const poison = { messages: [{ role: 'user', content: 'a MARKER b' }] };
+  const start = { attemptId: 'a-1', body: poison, priority: 5, signal };
+  await assert.rejects(first.adapter.startCompletion(start), (error) =>
+    assertFailure(error, 'connectionLost', 'maybe'),
+  );
+  assert.deepEqual([first.engine.alive, first.engine.crashCount], [false, 1]);
+  await readAll(await second.adapter.startCompletion(start));
+  assert.equal(second.engine.alive, true);
+});
+
+test('an exported KV cache spares the resumed run all that was computed', async (t) => {
+  // The first engine is on notice. After six tokens its cache of the attempt goes to the second,
+  // which resumes the answer and computes neither prompt nor generated tokens again. Without the
+  // import the same resume computes them all, so the difference is the cache's.
+  const first = await meet(t);
+  first.engine.stallStreamsAfter(6);
+  const reading = readAll(
+    await first.adapter.startCompletion({ attemptId: 'a-1', body, priority: 5, signal }),
+  );
+  await first.engine.waitFor(() => first.engine.counts.generatedTokens === 6);
+  const cache = await first.adapter.exportCache('a-1', signal);
+  await first.adapter.cancel('a-1', signal);
+  const begun = await reading;
+  const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
+  const recomputed: number[] = [];
+  for (const moved of [true, false]) {
+    const { engine, adapter } = await meet(t);
+    if (moved) await adapter.importCache({ ...cache, attemptId: 'a-2' }, signal);
+    const start = { attemptId: 'a-2', body, resume, priority: 5, signal };
+    const rest = await readAll(await adapter.startCompletion(start));
+    assert.equal(begun.text + rest.text, wholeText);
+    recomputed.push(engine.counts.recomputedTokens);
+  }
+  assert.deepEqual(recomputed, [0, cache.tokens]);
+});
+
+test('a caller that leaves frees its place in the batch for the next by priority', async (t) => {
+  const { engine, adapter } = await meet(t, { concurrency: 1, mostQueued: 2 });
+  engine.stallStreamsAfter(2);
+  const leave = new AbortController();
+  const first = { attemptId: 'first', body, priority: 5, signal: leave.signal };
+  const reading = readAll(await adapter.startCompletion(first));
+  await engine.waitFor(() => engine.counts.generatedTokens === 2);
+  const low = await adapter.startCompletion({ attemptId: 'low', body, priority: 9, signal });
+  const high = await adapter.startCompletion({ attemptId: 'high', body, priority: 0, signal });
+  const full = { attemptId: 'full', body, priority: 0, signal };
+  await assert.rejects(adapter.startCompletion(full), (error) =>
+    assertFailure(error, 'busy', 'maybe'),
+  );
+  const order: string[] = [];
+  engine.stallStreamsAfter(undefined);
+  leave.abort();
+  await reading;
+  await Promise.all([
+    readAll(low).then(() => order.push('low')),
+    readAll(high).then(() => order.push('high')),
+  ]);
+  assert.deepEqual(order, ['high', 'low']);
+});
+
+test('an order with an old fencing number is refused, unless the engine ignores fencing', async (t) => {
+  const { engine, adapter } = await meet(t);
+  const load = (epoch: number, sequence: number, model: string) =>
+    adapter.sendOrder({ epoch, sequence, action: { type: 'load', model } }, signal);
+  assert.equal(await load(2, 1, 'new'), 'done');
+  assert.equal(await load(1, 9, 'old'), 'refusedAsOld');
+  assert.equal(await load(2, 1, 'new'), 'done');
+  engine.setOrdersFail(true);
+  assert.equal(await load(2, 2, 'broken'), 'failed');
+  engine.setOrdersFail(false);
+  assert.equal((await adapter.readLoad(signal)).model, 'new');
+  engine.setChecksFencing(false);
+  assert.equal(await load(1, 10, 'old'), 'done');
+  assert.equal((await adapter.readLoad(signal)).model, 'old');
+});
+
+test('load reports lag, and cache events are late and have gaps', async (t) => {
+  const timers = new ManualTimerService();
+  const { engine, adapter } = await meet(t, { timers, loadLag: 3000, cacheBlocks: 2 });
+  engine.prefixCache.eventLag = 1000;
+  engine.prefixCache.loseEvery = 2;
+  engine.stallStreamsAfter(1);
+  const content = Array.from({ length: 60 }, (_, word) => `word${word}`).join(' ');
+  const long = { messages: [{ role: 'user', content }] };
+  await adapter.startCompletion({ attemptId: 'a-1', body: long, priority: 5, signal });
+  await engine.waitFor(() => engine.running === 1);
+  const before = await adapter.readLoad(signal);
+  assert.deepEqual(await adapter.readCacheEvents(0, signal), { events: [], newestSequence: 0 });
+  timers.advance(3000);
+  const after = await adapter.readLoad(signal);
+  assert.deepEqual([before.running, after.running], [0, 1]);
+  assert.equal(after.measuredAt, timers.wallNow() - 3000);
+  const { events, newestSequence } = await adapter.readCacheEvents(0, signal);
+  // The second event, an eviction, is lost; the sequence shows that it was there.
+  assert.deepEqual(
+    events.map(({ change, sequence }) => [change, sequence]),
+    [['stored', 1]],
+  );
+  assert.equal(newestSequence, 2);
+});
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -44,14 +44,22 @@
   readonly cacheBytesPerToken?: number;
   /** False: takes orders with old fencing numbers as well. */
   readonly checksFencing?: boolean;
+  /** How long an order takes. */
+  readonly orderDelay?: Milliseconds;
 }
 
+/** Which parts of a completion an engine takes. */
+export type EngineRole = Extract<Order['action'], { type: 'changeRole' }>['role'];
+
 /** What the engine has done since it was made, deaths included. */
 export interface FakeEngineCounts {
   /** Completions that began to run. */
   runs: number;
   /** Answers sent to their end. */
   finished: number;
+  /** Answers that ended before, by a cancel, a cut or a caller that left. */
+  stopped: number;
+  /** Cancels of an attempt that was there. */
   cancelled: number;
   generatedTokens: number;
   /** Tokens of prompts and resumed texts that were computed, not found in a cache. */
@@ -71,6 +79,7 @@
   readonly counts: FakeEngineCounts = {
     runs: 0,
     finished: 0,
+    stopped: 0,
     cancelled: 0,
     generatedTokens: 0,
     prefilledTokens: 0,
@@ -102,10 +111,12 @@
 
   private ordersFail = false;
 
+  private currentRole: EngineRole = 'both';
+
   constructor(private readonly options: FakeEngineOptions = {}) {
     super(options, 'engine-1');
     const { cacheBlocks = DEFAULT_CACHE_BLOCKS } = options;
-    this.prefixCache = new FakePrefixCache(this.instance, cacheBlocks);
+    this.prefixCache = new FakePrefixCache(this.instance, cacheBlocks, this.timers);
     this.kvCaches = new FakeKvCaches(options.cacheBytesPerToken ?? DEFAULT_CACHE_BYTES_PER_TOKEN);
     this.batch = this.makeBatch();
     this.loaded = { model: options.model };
@@ -126,6 +137,10 @@
     return this.batch.queued;
   }
 
+  get role(): EngineRole {
+    return this.currentRole;
+  }
+
   /** Streams stop for good after this many tokens of their own; `undefined` lets them go on. */
   stallStreamsAfter(tokens: number | undefined): void {
     this.limits = { ...this.limits, stallAfter: tokens };
@@ -183,7 +198,7 @@
         this.answerCacheEvents(response, Number(url.searchParams.get('after')));
         break;
       case 'POST /engine/orders':
-        answerJson(response, 200, { result: this.takeOrder(JSON.parse(body.toString()) as Order) });
+        await this.answerOrder(response, JSON.parse(body.toString()) as Order);
         break;
       case 'GET /health':
         answerJson(response, 200, {});
@@ -259,7 +274,8 @@
       if (release === undefined) return;
       this.countRun(promptDigest);
       await stream.wait(this.prefill(body, stream) * (this.options.prefillDelay ?? 0));
-      if (await stream.generate(response)) this.counts.finished += 1;
+      const finished = await stream.generate(response);
+      this.counts[finished ? 'finished' : 'stopped'] += 1;
     } finally {
       release?.();
       this.endStream(attemptId, stream);
@@ -331,22 +347,37 @@
   }
 
   private answerCacheEvents(response: ServerResponse, afterSequence: number): void {
-    const events = this.prefixCache.readEvents(afterSequence);
-    answerJson(response, 200, { newestSequence: this.prefixCache.newestSequence, events });
+    answerJson(response, 200, this.prefixCache.readEvents(afterSequence));
   }
 
-  private takeOrder(order: Order): OrderResult {
+  private async answerOrder(response: ServerResponse, order: Order): Promise<void> {
+    const result = this.admitOrder(order);
+    if (result === 'done') {
+      if (this.options.orderDelay) await this.timers.wait(this.options.orderDelay);
+      // An order on its way when the engine dies has no effect.
+      if (response.destroyed) return;
+      this.carryOut(order);
+    }
+    answerJson(response, 200, { result });
+  }
+
+  private admitOrder(order: Order): OrderResult {
     const { epoch, sequence } = this.newestOrder;
     const old = order.epoch < epoch || (order.epoch === epoch && order.sequence < sequence);
     if (old && this.checksFencing) return 'refusedAsOld';
     if (this.ordersFail) return 'failed';
     if (!old) this.newestOrder = { epoch: order.epoch, sequence: order.sequence };
+    return 'done';
+  }
+
+  private carryOut(order: Order): void {
     this.orders.push(order);
     if (order.action.type === 'load') {
       const { model, adapter, version } = order.action;
       this.loaded = { model, adapter, version };
+    } else {
+      this.currentRole = order.action.role;
     }
     this.changed();
-    return 'done';
   }
 }
--- a/packages/testing/src/fakes/FakePlatform.ts
+++ b/packages/testing/src/fakes/FakePlatform.ts
@@ -64,7 +64,7 @@
 
   private listLag: Milliseconds;
 
-  private noticesHidden = false;
+  private noticeReads = Infinity;
 
   constructor(private readonly options: FakePlatformOptions = {}) {
     super(options);
@@ -94,9 +94,9 @@
     this.listLag = lag;
   }
 
-  /** Keeps notices back from whoever asks; the instances go all the same. */
-  setNoticesHidden(hidden: boolean): void {
-    this.noticesHidden = hidden;
+  /** Tells only the next so many askers of notices; the instances go all the same. */
+  setNoticeReads(count: number): void {
+    this.noticeReads = count;
   }
 
   /** Says that an instance will be gone after `notice`; then it is. */
@@ -157,7 +157,8 @@
   }
 
   private listNotices(): ReclaimNotice[] {
-    if (this.noticesHidden) return [];
+    if (this.noticeReads <= 0) return [];
+    this.noticeReads -= 1;
     return this.listNow().flatMap(({ instance, goneAt }) =>
       goneAt === undefined ? [] : [{ instance, goneAt }],
     );
--- a/packages/testing/src/fakes/FakePrefixCache.ts
+++ b/packages/testing/src/fakes/FakePrefixCache.ts
@@ -1,25 +1,36 @@
 /**
  * A fake engine's prefix cache: blocks of prompts, the least recently used leave first. Its
- * changes become events, some of which can be lost before anybody reads them.
+ * changes become events, which are published late, and some of which get lost.
  */
-import type { CacheEvent } from '@hornbeampond/schema';
+import type { TimerService } from '@hornbeampond/runtime';
+import type { CacheEvent, EpochMilliseconds, Milliseconds } from '@hornbeampond/schema';
 
 /** Events kept for readers; older ones are lost, which readers see as a gap. */
 const MOST_EVENTS = 1000;
 
-export class FakePrefixCache {
-  newestSequence = 0;
+interface PublishedEvent {
+  readonly at: EpochMilliseconds;
+  readonly event: CacheEvent;
+  readonly lost: boolean;
+}
 
+export class FakePrefixCache {
   /** Every so many events one is lost; 0 means none. */
   loseEvery = 0;
 
+  /** How late events are published. */
+  eventLag: Milliseconds = 0;
+
+  private sequence = 0;
+
   private readonly blocks = new Set<string>();
 
-  private events: CacheEvent[] = [];
+  private events: PublishedEvent[] = [];
 
   constructor(
     private readonly instance: string,
     private readonly mostBlocks: number,
+    private readonly timers: TimerService,
   ) {}
 
   /** Number of leading blocks that are cached, of a prompt with these prefix digests. */
@@ -46,15 +57,22 @@
     this.note('cleared', []);
   }
 
-  readEvents(afterSequence: number): CacheEvent[] {
-    return this.events.filter(({ sequence }) => sequence > afterSequence);
+  /** Published events above a sequence, and the newest published sequence, lost or not. */
+  readEvents(afterSequence: number): { events: CacheEvent[]; newestSequence: number } {
+    const publishedUntil = this.timers.wallNow() - this.eventLag;
+    const published = this.events.filter(({ at }) => at <= publishedUntil);
+    const events = published
+      .filter(({ event, lost }) => !lost && event.sequence > afterSequence)
+      .map(({ event }) => event);
+    return { events, newestSequence: published.at(-1)?.event.sequence ?? 0 };
   }
 
   private note(change: CacheEvent['change'], prefixDigests: readonly string[]): void {
-    this.newestSequence += 1;
-    if (this.loseEvery > 0 && this.newestSequence % this.loseEvery === 0) return;
-    const { instance, newestSequence: sequence } = this;
-    this.events.push({ instance, sequence, change, prefixDigests });
+    this.sequence += 1;
+    const { instance, sequence } = this;
+    const lost = this.loseEvery > 0 && sequence % this.loseEvery === 0;
+    const event = { instance, sequence, change, prefixDigests };
+    this.events.push({ at: this.timers.wallNow(), event, lost });
     if (this.events.length > MOST_EVENTS) this.events.shift();
   }
 }
--- a/packages/testing/src/fakes/FakeServer.ts
+++ b/packages/testing/src/fakes/FakeServer.ts
@@ -99,7 +99,7 @@
   goSilent(): void {
     this.sockets.forEach((socket) => {
       this.silentSockets.add(socket);
-      socket.cork();
+      swallowWrites(socket);
     });
   }
 
@@ -144,6 +144,12 @@
   }
 }
 
+/** Makes a socket take what is written to it, and its end, without sending anything. */
+function swallowWrites(socket: Socket): void {
+  const swallow = () => {};
+  Object.assign(socket, { _write: swallow, _writev: swallow, _final: swallow });
+}
+
 /** Reads a request's body whole. */
 export async function readRequestBody(request: IncomingMessage): Promise<Buffer> {
   const parts: Buffer[] = [];
