Start fakes as a process of their own, controlled over HTTP

End-to-end tests run the real binaries and need fakes beyond their own process. hornbeampond-fakes starts a platform, a weight store, engines and plain services from one TOML file, prints their addresses as a line of JSON, and takes the same misbehaviour as the plain calls by POST /control.

--- /dev/null
+++ b/packages/testing/bin/hornbeampond-fakes.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/fakes/main.js';
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -111,6 +111,8 @@
 
   private ordersFail = false;
 
+  private unnamedAttempts = 0;
+
   private currentRole: EngineRole = 'both';
 
   constructor(private readonly options: FakeEngineOptions = {}) {
@@ -249,7 +251,8 @@
     body: WireCompletion,
     promptDigest: string,
   ): Promise<void> {
-    const attemptId = String(request.headers['x-attempt-id'] ?? '');
+    this.unnamedAttempts += 1;
+    const attemptId = String(request.headers['x-attempt-id'] ?? `unnamed-${this.unnamedAttempts}`);
     const stream = new FakeStream({
       attemptId,
       promptDigest,
--- a/packages/testing/src/fakes/FakePlainService.ts
+++ b/packages/testing/src/fakes/FakePlainService.ts
@@ -25,7 +25,8 @@
  * What becomes of a call after it has run: it is answered, nothing is ever sent, or the
  * connection ends before the answer or in its middle.
  */
-export type FakeServiceOutcome = 'answer' | 'silence' | 'lost' | 'cut';
+export const fakeServiceOutcomes = ['answer', 'silence', 'lost', 'cut'] as const;
+export type FakeServiceOutcome = (typeof fakeServiceOutcomes)[number];
 
 export type FakeServiceResponder = (run: FakeServiceRun, count: number) => FakeServiceAnswer;
 
--- /dev/null
+++ b/packages/testing/src/fakes/fakeClusterSettings.ts
@@ -0,0 +1,60 @@
+/** Settings of a cluster of fakes: what runs at the start, and on which ports. */
+import { nameSchema, poolKinds } from '@hornbeampond/schema';
+import { z } from 'zod';
+
+const portSchema = z.number().int().min(0).max(65_535).default(0);
+const millisecondsSchema = z.number().int().min(0).max(3_600_000);
+
+/** How fake engines behave; the fakes' own defaults are in force where a key is left out. */
+const engineBehaviourShape = {
+  model: z.string().min(1).max(200).optional(),
+  concurrency: z.number().int().min(1).max(100_000).optional(),
+  tokenDelayMilliseconds: millisecondsSchema.optional(),
+  prefillDelayMilliseconds: millisecondsSchema.optional(),
+  answerTokens: z.number().int().min(1).max(1_000_000).optional(),
+  checksFencing: z.boolean().optional(),
+};
+
+const placeShape = {
+  instance: nameSchema,
+  pool: nameSchema,
+  dataCentre: nameSchema,
+  instanceClass: nameSchema,
+  port: portSchema,
+};
+
+export const fakeEngineSchema = z.strictObject({ ...placeShape, ...engineBehaviourShape });
+
+export const fakeServiceSchema = z.strictObject(placeShape);
+
+/** What to launch on an instance that is bought for a pool. */
+export const fakeLaunchSchema = z.strictObject({
+  pool: nameSchema,
+  kind: z.enum(poolKinds),
+  ...engineBehaviourShape,
+});
+
+export const fakeClusterSchema = z.strictObject({
+  host: z.union([z.ipv4(), z.ipv6()]).default('127.0.0.1'),
+  control: z.strictObject({ port: portSchema }).prefault({}),
+  platform: z
+    .strictObject({
+      port: portSchema,
+      listLagMilliseconds: millisecondsSchema.default(0),
+      startDelayMilliseconds: millisecondsSchema.default(0),
+    })
+    .prefault({}),
+  weightStore: z
+    .strictObject({ port: portSchema, loadsPerMinute: z.number().min(0).max(100_000).default(60) })
+    .prefault({}),
+  engines: z.array(fakeEngineSchema).max(1000).default([]),
+  services: z.array(fakeServiceSchema).max(1000).default([]),
+  launches: z.array(fakeLaunchSchema).max(1000).default([]),
+});
+
+/** Keys that are left out get their defaults. */
+export type FakeClusterInput = z.input<typeof fakeClusterSchema>;
+export type FakeClusterSettings = z.infer<typeof fakeClusterSchema>;
+export type FakeEngineSettings = z.infer<typeof fakeEngineSchema>;
+export type FakeServiceSettings = z.infer<typeof fakeServiceSchema>;
+export type FakeLaunch = z.infer<typeof fakeLaunchSchema>;
