Serve the embedded default: store, entry and fakes in one process

modern-errors only raises classes made by its subclass function; the first 401 showed that the base class was extended directly and took the process down.

--- a/apps/ctl/src/index.ts
+++ b/apps/ctl/src/index.ts
@@ -1,1 +1,2 @@
+export * from './OperatorClient.js';
 export * from './runCommandLine.js';
--- a/apps/dev/src/index.ts
+++ b/apps/dev/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './DevCluster.js';
+export * from './devTables.js';
--- a/apps/store/src/index.ts
+++ b/apps/store/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './StoreDisk.js';
+export * from './StoreProcess.js';
+export * from './testing/MemoryDisk.js';
--- a/packages/schema/src/errors/HornbeampondError.ts
+++ b/packages/schema/src/errors/HornbeampondError.ts
@@ -17,8 +17,7 @@
   readonly currentRevision?: number;
 }
 
-/** An error of a known kind. Its message says what happened in this one case. */
-export class HornbeampondError extends ModernError {
+class HornbeampondErrorBase extends ModernError {
   readonly kind: ErrorKind;
 
   readonly details: ErrorDetails;
@@ -30,6 +29,25 @@
   }
 }
 
+/** Constructor of the class, typed without the library's generics. */
+type HornbeampondErrorConstructor = new (
+  kind: ErrorKind,
+  message: string,
+  details?: ErrorDetails,
+  cause?: unknown,
+) => HornbeampondError;
+
+/** An error of a known kind. Its message says what happened in this one case. */
+export interface HornbeampondError extends Error {
+  readonly kind: ErrorKind;
+  readonly details: ErrorDetails;
+}
+
+export const HornbeampondError = ModernError.subclass('HornbeampondError', {
+  // The library's types want the message first; at run time it takes any arguments.
+  custom: HornbeampondErrorBase as never,
+}) as unknown as HornbeampondErrorConstructor;
+
 /** An RFC 9457 problem document, as sent in `application/problem+json`. */
 export interface ProblemDocument {
   readonly type: string;
