Refuse answers that are not text, and keep content-length on plain answers

A tool call or a second choice was dropped from a stream without a sign, so a caller would have taken a part for its whole answer; both are malformed now. A caller's own resume key went through to the engine and would have been taken for one of ours; it is left out.

--- a/packages/adapters/src/http/HttpEngineAdapter.ts
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -2,8 +2,8 @@
  * Meets a model engine over HTTP. Every assumption about its wire is in this folder:
  *
  * - `POST /v1/chat/completions`: OpenAI shape, always with `stream: true`; the answer is a stream
- *   of `chat.completion.chunk` events that ends with `data: [DONE]`. One choice only. A chunk may
- *   carry `tokens` where it holds more than one. Headers `x-attempt-id` and `x-request-priority`
+ *   of `chat.completion.chunk` events that ends with `data: [DONE]`. One choice, text only. A chunk
+ *   may carry `tokens` where it holds more than one. Headers `x-attempt-id` and `x-request-priority`
  *   (0 first) go with it. To resume, the body has
  *   `resume: {generated_text, generated_tokens}`; the stream then holds what follows that text.
  * - 429 and 503 mean busy: the request was not run.
@@ -34,13 +34,12 @@
 const jsonHeaders = { 'content-type': 'application/json' } as const;
 
 function makeCompletionBody({ body, resume }: CompletionStart): string {
-  if (resume === undefined) return JSON.stringify({ ...body, stream: true });
-  const { generatedText, generatedTokens } = resume;
-  return JSON.stringify({
-    ...body,
-    stream: true,
-    resume: { generated_text: generatedText, generated_tokens: generatedTokens },
-  });
+  // A `resume` of the caller's own is left out: it would be taken for one of ours.
+  const wireResume =
+    resume === undefined
+      ? undefined
+      : { generated_text: resume.generatedText, generated_tokens: resume.generatedTokens };
+  return JSON.stringify({ ...body, stream: true, resume: wireResume });
 }
 
 function makeCachePath(attemptId: string): string {
--- a/packages/adapters/src/http/HttpPlainServiceAdapter.ts
+++ b/packages/adapters/src/http/HttpPlainServiceAdapter.ts
@@ -18,12 +18,9 @@
 /** Bound of one answer, if the owner sets none. */
 const MOST_ANSWER_BYTES = 64 * 1024 * 1024;
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those undici sets. */
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
 const connectionHeaders = new Set([
   'connection',
-  'content-length',
-  'expect',
-  'host',
   'keep-alive',
   'proxy-authenticate',
   'proxy-authorization',
@@ -34,6 +31,9 @@
   'upgrade',
 ]);
 
+/** Headers of a request that undici sets by itself. */
+const ownRequestHeaders = new Set(['content-length', 'expect', 'host']);
+
 function toHeaderList(value: string | readonly string[]): string | string[] {
   return typeof value === 'string' ? value : [...value];
 }
@@ -90,7 +90,8 @@
 
   override async send(request: PlainServiceRequest): Promise<PlainServiceAnswer> {
     const { method, path, body, fresh, signal } = request;
-    const headers = withoutConnectionHeaders(request.headers);
+    const passedOn = Object.entries(withoutConnectionHeaders(request.headers));
+    const headers = Object.fromEntries(passedOn.filter(([name]) => !ownRequestHeaders.has(name)));
     const call = { method, path, headers, body, signal };
     const answer = await (fresh ? this.connections.sendFresh(call) : this.connections.send(call));
     return this.toServiceAnswer(answer);
--- /dev/null
+++ b/packages/adapters/src/http/readCompletion.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BackendServerFailure } from '../BackendServerFailure.js';
+import type { CompletionChunk } from '../EngineAdapter.js';
+import { readCompletion } from './readCompletion.js';
+import { MOST_LINE_CHARACTERS } from './readEventData.js';
+
+function encodeChunk(choice: object, rest: object = {}): string {
+  return `data: ${JSON.stringify({ choices: [choice], ...rest })}\n\n`;
+}
+
+async function* cutInto(text: string, size: number): AsyncGenerator<Uint8Array> {
+  const bytes = Buffer.from(text);
+  for (let start = 0; start < bytes.length; start += size)
+    yield bytes.subarray(start, start + size);
+}
+
+async function readAll(text: string, size = 7): Promise<CompletionChunk[]> {
+  const chunks: CompletionChunk[] = [];
+  for await (const chunk of readCompletion(cutInto(text, size))) chunks.push(chunk);
+  return chunks;
+}
+
+const whole = [
+  ': a comment\r\n\r\n',
+  encodeChunk({ delta: { role: 'assistant', content: '' } }),
+  encodeChunk({ delta: { content: 'près 車' } }, { tokens: 2 }),
+  encodeChunk({ delta: {}, finish_reason: 'stop' }),
+  'data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}\n\n',
+  'data: [DONE]\n\n',
+].join('');
+
+test('a stream reads the same however its bytes are cut', async () => {
+  const expected = [
+    { type: 'token', text: 'près 車', tokens: 2 },
+    { type: 'end', finishReason: 'stop', usage: { promptTokens: 3, completionTokens: 2 } },
+  ];
+  for (const size of [1, 2, 3, 5, 64, 4096]) assert.deepEqual(await readAll(whole, size), expected);
+});
+
+const faults = {
+  'no [DONE]': [whole.replace('data: [DONE]\n\n', ''), 'connectionLost'],
+  'no finish reason': ['data: [DONE]\n\n', 'malformed'],
+  'no JSON': ['data: {"choices"\n\n', 'malformed'],
+  'a tool call': [encodeChunk({ delta: { tool_calls: [{}] } }), 'malformed'],
+  'a line without end': [`data: ${'x'.repeat(MOST_LINE_CHARACTERS)}`, 'malformed'],
+} as const;
+
+Object.entries(faults).forEach(([name, [text, failure]]) => {
+  test(`a stream with ${name} never looks complete`, async () => {
+    await assert.rejects(readAll(text, 65_536), (error) => {
+      assert.ok(error instanceof BackendServerFailure);
+      assert.deepEqual([error.failure, error.sent], [failure, 'maybe']);
+      return true;
+    });
+  });
+});
--- a/packages/adapters/src/http/wireSchemas.ts
+++ b/packages/adapters/src/http/wireSchemas.ts
@@ -67,12 +67,21 @@
 
 /** One `data:` line of a streamed answer, in the OpenAI `chat.completion.chunk` shape. */
 export const completionChunkSchema = z.object({
-  choices: z.array(
-    z.object({
-      delta: z.object({ content: z.string().nullish() }).optional(),
-      finish_reason: z.string().nullish(),
-    }),
-  ),
+  choices: z
+    .array(
+      z.object({
+        delta: z
+          .object({
+            content: z.string().nullish(),
+            // Text is all that a resume can carry on; anything else must not get lost unseen.
+            tool_calls: z.null('tool calls are not supported').optional(),
+            function_call: z.null('function calls are not supported').optional(),
+          })
+          .optional(),
+        finish_reason: z.string().nullish(),
+      }),
+    )
+    .max(1, 'one choice is supported'),
   /** Tokens in this chunk, if the engine says so; otherwise one. */
   tokens: countSchema.optional(),
   usage: z.object({ prompt_tokens: countSchema, completion_tokens: countSchema }).nullish(),
--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -159,7 +159,10 @@
   await assert.rejects(adapter.startCompletion({ ...start, resume }), (error) =>
     assertFailure(error, 'clientError', 'maybe'),
   );
-  await assert.rejects(adapter.startCompletion({ ...start, body: { messages: null as never } }));
+  const broken = { messages: 'none' as never };
+  await assert.rejects(adapter.startCompletion({ ...start, body: broken }), (error) =>
+    assertFailure(error, 'clientError', 'maybe'),
+  );
   assert.equal(engine.counts.runs, 0);
 });
 
--- a/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
@@ -54,7 +54,7 @@
   const answer = await adapter.send({ ...offer, headers });
   assert.equal(await readText(answer), '{"lot":17}');
   const { date, ...kept } = answer.headers;
-  assert.deepEqual([answer.status, kept], [201, { 'x-lot': '17' }]);
+  assert.deepEqual([answer.status, kept], [201, { 'x-lot': '17', 'content-length': '10' }]);
   assert.ok(date);
   assert.deepEqual(service.runs, [
     { method: 'POST', path: '/offers?shop=3', idempotencyKey: 'offer-1', body: '{"lot":17}' },
@@ -94,6 +94,19 @@
   assert.equal(service.connectionCount, 0);
 });
 
+test('a fresh call that its caller ends while it connects is never sent', async (t) => {
+  // The caller gives up before the connection is there. The adapter says that nothing was sent,
+  // and that stays true: the client is destroyed, so the connection that still comes about is
+  // closed without a byte. Only the second call runs.
+  const { service, adapter } = await meet(t);
+  const giveUp = new AbortController();
+  const sending = adapter.send({ ...offer, signal: giveUp.signal });
+  giveUp.abort();
+  await assert.rejects(sending, hasFailure('silent', 'nothing'));
+  await readText(await adapter.send(offer));
+  assert.equal(service.countRuns('offer-1'), 1);
+});
+
 test('a fresh call whose connection breaks after it ran is not sent again', async (t) => {
   // The service commits the purchase and its connection ends before the answer. The adapter can't
   // know whether it ran and says so. It neither retries nor opens a second connection, because the
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -75,6 +75,15 @@
   readonly resume?: { readonly generated_text: string; readonly generated_tokens: number };
 }
 
+function parseCompletion(bytes: Buffer): WireCompletion | undefined {
+  try {
+    const body = JSON.parse(bytes.toString()) as WireCompletion;
+    return Array.isArray(body.messages) ? body : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 export class FakeEngine extends FakeBackendServer {
   readonly counts: FakeEngineCounts = {
     runs: 0,
@@ -228,7 +237,11 @@
       answerJson(response, 429, { error: 'the queue is full' });
       return;
     }
-    const body = JSON.parse(bytes.toString()) as WireCompletion;
+    const body = parseCompletion(bytes);
+    if (body === undefined) {
+      answerJson(response, 400, { error: 'the request is malformed' });
+      return;
+    }
     const promptDigest = digestPrompt(body.messages);
     if (!this.checkResume(promptDigest, body.resume)) {
       answerJson(response, 400, { error: 'the resumed text is not of this prompt' });
