Add the pure clients of the store: claimed call, lease holder, table applier

Cause: the log's rules hold only if senders and holders keep their side of them. Change: reduceClaimedCall sends once, releases until acknowledged before ran: no; reduceLease measures from the ask and waits out its predecessor; configurations go upwards only.

--- a/packages/controller-core/src/index.ts
+++ b/packages/controller-core/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './lease/index.js';
--- /dev/null
+++ b/packages/controller-core/src/lease/LeaseHolder.ts
@@ -0,0 +1,194 @@
+/**
+ * The holder's side of a lease. Two controllers must never give orders at once to a backend server
+ * that does not check fencing numbers; between them only clocks and waiting can keep order. The
+ * holder therefore counts its lease from when it asked, and a successor waits until that count
+ * and the last order of the one before must have ended, whatever wall clocks say.
+ */
+import type {
+  Milliseconds,
+  MonotonicMilliseconds,
+  ReleaseLeaseCommand,
+  TakeLeaseCommand,
+} from '@hornbeampond/schema';
+
+export interface LeaseSettings {
+  readonly lease: string;
+  /** Unique to this process start: a restarted process must not renew its predecessor's lease. */
+  readonly holder: string;
+  readonly duration: Milliseconds;
+  /** Time between asks; a third of `duration` lets two asks be lost. */
+  readonly renewEvery: Milliseconds;
+  /** Most that a monotonic clock gains or loses, as a fraction of the time passed. */
+  readonly driftBound: number;
+  /** Longest time from the decision to give an order until it can act no more. */
+  readonly longestOrder: Milliseconds;
+}
+
+/** Monotonic clocks are specified to 500 parts in a million; twenty times that is allowed for. */
+export const CLOCK_DRIFT_BOUND = 0.01;
+
+/** Asks whose answers are still of use; older ones would be measured as ended anyway. */
+const MOST_ASKS = 8;
+
+export interface LeaseHolder {
+  readonly settings: LeaseSettings;
+  /** The newest epoch granted to this process; 0 if none was. */
+  epoch: number;
+  heldUntil: MonotonicMilliseconds;
+  /** From when on orders may go to backend servers that do not check fencing. */
+  unfencedFrom: MonotonicMilliseconds;
+  /** Number of the last order under this epoch. */
+  sequence: number;
+  /** When each open ask was made, by its number. */
+  readonly asks: Map<number, MonotonicMilliseconds>;
+  lastAsk: number;
+  active: boolean;
+  stopped: boolean;
+}
+
+export interface LeaseHeldEvent {
+  readonly type: 'leaseHeld';
+  readonly now: MonotonicMilliseconds;
+  /** Number of the ask that this is the result of. */
+  readonly ask: number;
+  readonly epoch: number;
+  readonly duration: Milliseconds;
+  readonly previousDuration: Milliseconds;
+}
+
+export type LeaseEvent =
+  | { readonly type: 'askDue'; readonly now: MonotonicMilliseconds }
+  | LeaseHeldEvent
+  | { readonly type: 'endDue'; readonly now: MonotonicMilliseconds }
+  /** Sent once the last order has ended: gives the lease back, for a planned replacement. */
+  | { readonly type: 'stop' };
+
+export type LeaseEffect =
+  | {
+      readonly type: 'propose';
+      readonly ask: number;
+      readonly command: TakeLeaseCommand | ReleaseLeaseCommand;
+    }
+  | { readonly type: 'startAskTimer'; readonly after: Milliseconds }
+  /** Replaces the last such timer. */
+  | { readonly type: 'startEndTimer'; readonly after: Milliseconds }
+  | { readonly type: 'leaseStarted'; readonly epoch: number }
+  | { readonly type: 'leaseEnded'; readonly epoch: number };
+
+/** The fencing number of one order. Engines that check refuse a lower one. */
+export interface OrderNumber {
+  readonly epoch: number;
+  readonly sequence: number;
+}
+
+/** A holder that holds nothing yet; `askDue` makes it ask. */
+export function makeLeaseHolder(settings: LeaseSettings): LeaseHolder {
+  return {
+    settings,
+    epoch: 0,
+    heldUntil: -Infinity,
+    unfencedFrom: Infinity,
+    sequence: 0,
+    asks: new Map(),
+    lastAsk: 0,
+    active: false,
+    stopped: false,
+  };
+}
+
+/** True if orders may be given now; to be asked again right before each order leaves. */
+export function mayGiveOrder(
+  holder: LeaseHolder,
+  now: MonotonicMilliseconds,
+  checksFencing: boolean,
+): boolean {
+  if (holder.stopped || now >= holder.heldUntil) return false;
+  return checksFencing || now >= holder.unfencedFrom;
+}
+
+/** Numbers the next order. */
+export function nextOrderNumber(holder: LeaseHolder): OrderNumber {
+  holder.sequence += 1;
+  return { epoch: holder.epoch, sequence: holder.sequence };
+}
+
+/** Decides what one event means for the lease; changes `holder` in place. */
+export function reduceLease(holder: LeaseHolder, event: LeaseEvent): LeaseEffect[] {
+  if (holder.stopped) return [];
+  switch (event.type) {
+    case 'askDue':
+      return ask(holder, event.now);
+    case 'leaseHeld':
+      return onHeld(holder, event);
+    case 'endDue':
+      return onEndDue(holder, event.now);
+    case 'stop':
+      return stop(holder);
+    default:
+      return event satisfies never;
+  }
+}
+
+function ask(holder: LeaseHolder, now: MonotonicMilliseconds): LeaseEffect[] {
+  const { lease, holder: name, duration, renewEvery } = holder.settings;
+  holder.lastAsk += 1;
+  holder.asks.set(holder.lastAsk, now);
+  holder.asks.delete(holder.lastAsk - MOST_ASKS);
+  return [
+    {
+      type: 'propose',
+      ask: holder.lastAsk,
+      command: { type: 'takeLease', lease, holder: name, duration },
+    },
+    { type: 'startAskTimer', after: renewEvery },
+  ];
+}
+
+function onHeld(holder: LeaseHolder, event: LeaseHeldEvent): LeaseEffect[] {
+  const askedAt = holder.asks.get(event.ask);
+  holder.asks.delete(event.ask);
+  if (askedAt === undefined || event.epoch < holder.epoch) return [];
+  const ended = event.epoch > holder.epoch ? beginEpoch(holder, event) : [];
+  // The log granted the lease after it was asked for, so a count from then on ends before its own.
+  const end = askedAt + event.duration * (1 - holder.settings.driftBound);
+  holder.heldUntil = Math.max(holder.heldUntil, end);
+  if (event.now >= holder.heldUntil) return ended;
+  const endTimer: LeaseEffect = { type: 'startEndTimer', after: holder.heldUntil - event.now };
+  if (holder.active) return [endTimer];
+  holder.active = true;
+  return [...ended, { type: 'leaseStarted', epoch: holder.epoch }, endTimer];
+}
+
+/**
+ * The holder before may still count its lease, and its last order may still act: the log's clock
+ * is a wall clock and may have jumped when its leader changed. Waiting its whole lease from now,
+ * by this process's clock, is enough, since its last ask came before this grant.
+ */
+function beginEpoch(holder: LeaseHolder, event: LeaseHeldEvent): LeaseEffect[] {
+  const { driftBound, longestOrder } = holder.settings;
+  const wait = (event.previousDuration + longestOrder) * (1 + driftBound);
+  const ended: LeaseEffect[] = holder.active ? [{ type: 'leaseEnded', epoch: holder.epoch }] : [];
+  holder.active = false;
+  holder.epoch = event.epoch;
+  holder.sequence = 0;
+  holder.heldUntil = -Infinity;
+  holder.unfencedFrom = event.now + (event.previousDuration > 0 ? wait : 0);
+  return ended;
+}
+
+function onEndDue(holder: LeaseHolder, now: MonotonicMilliseconds): LeaseEffect[] {
+  if (!holder.active || now < holder.heldUntil) return [];
+  holder.active = false;
+  return [{ type: 'leaseEnded', epoch: holder.epoch }];
+}
+
+function stop(holder: LeaseHolder): LeaseEffect[] {
+  const { lease, holder: name } = holder.settings;
+  const { epoch, active } = holder;
+  holder.stopped = true;
+  holder.active = false;
+  if (epoch === 0) return [];
+  const command = { type: 'releaseLease', lease, holder: name, epoch } as const;
+  const ended: LeaseEffect[] = active ? [{ type: 'leaseEnded', epoch }] : [];
+  return [...ended, { type: 'propose', ask: holder.lastAsk + 1, command }];
+}
--- /dev/null
+++ b/packages/controller-core/src/lease/index.ts
@@ -0,0 +1,1 @@
+export * from './LeaseHolder.js';
--- /dev/null
+++ b/packages/entry-core/src/claims/index.ts
@@ -0,0 +1,2 @@
+export * from './ClaimedCall.js';
+export * from './reduceClaimedCall.js';
--- /dev/null
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -0,0 +1,236 @@
+/**
+ * The sender's side of a claim. It keeps three promises together with the log: a call is sent at
+ * most once, `ran: no` is only said of a call that was not sent and cannot be, and an attempt given
+ * up never stands in the way of the caller's resend.
+ */
+import type { ErrorKind, Milliseconds, MonotonicMilliseconds, Ran } from '@hornbeampond/schema';
+import type {
+  AfterRelease,
+  ClaimCommand,
+  ClaimedCall,
+  ClaimedCallEffect,
+  ClaimedCallEvent,
+  ClaimIntent,
+} from './ClaimedCall.js';
+
+/** Copies of `openClaim` that are sent before the attempt is given up. */
+export const MOST_OPEN_TRIES = 3;
+
+/** Wait before the first resend; it doubles with each. */
+export const FIRST_RESEND_AFTER: Milliseconds = 200;
+
+/** Longest wait between resends. */
+export const MOST_RESEND_AFTER: Milliseconds = 5000;
+
+/** How long after its claim's expiry a settlement is still resent, so that a resend learns it. */
+export const SETTLE_AFTER_EXPIRY: Milliseconds = 10 * 60 * 1000;
+
+type EventOf<Type extends ClaimedCallEvent['type']> = Extract<ClaimedCallEvent, { type: Type }>;
+
+/** Starts an attempt: the first effect asks the log for the claim. */
+export function startClaimedCall(
+  intent: ClaimIntent,
+  attemptId: string,
+  now: MonotonicMilliseconds,
+  expiresAfter: Milliseconds,
+): { readonly call: ClaimedCall; readonly effects: ClaimedCallEffect[] } {
+  const call: ClaimedCall = {
+    intent,
+    attemptId,
+    startedAt: now,
+    expiresAfter,
+    phase: 'opening',
+    pending: undefined,
+    tries: 0,
+    openUnsure: false,
+    answered: false,
+    afterRelease: 'nothing',
+  };
+  const effects = propose(call, { type: 'openClaim', ...intent, attemptId, expiresAfter });
+  return { call, effects };
+}
+
+/** Decides what one event means for the attempt; changes `call` in place. */
+export function reduceClaimedCall(call: ClaimedCall, event: ClaimedCallEvent): ClaimedCallEffect[] {
+  switch (event.type) {
+    case 'claimResult':
+      return onResult(call, event);
+    case 'storeFailed':
+      return onStoreFailed(call, event);
+    case 'resendDue':
+      return onResendDue(call, event.now);
+    case 'sendFailed':
+      return onSendFailed(call, event.beforeFirstByte);
+    case 'answered':
+      return onAnswered(call, event);
+    case 'deadlineReached':
+      return onDeadline(call);
+    default:
+      return event satisfies never;
+  }
+}
+
+function resendAfter(tries: number): Milliseconds {
+  return Math.min(FIRST_RESEND_AFTER * 2 ** (tries - 1), MOST_RESEND_AFTER);
+}
+
+function propose(call: ClaimedCall, command: ClaimCommand): ClaimedCallEffect[] {
+  call.pending = command;
+  call.tries = 1;
+  return resend(call, command);
+}
+
+function resend(call: ClaimedCall, command: ClaimCommand): ClaimedCallEffect[] {
+  return [
+    { type: 'propose', command },
+    { type: 'startResendTimer', after: resendAfter(call.tries) },
+  ];
+}
+
+function finish(call: ClaimedCall): ClaimedCallEffect[] {
+  call.phase = 'finished';
+  call.pending = undefined;
+  return [{ type: 'finished' }];
+}
+
+/** Refuses unless the caller has its answer already. */
+function refuse(call: ClaimedCall, kind: ErrorKind, ran: Ran): ClaimedCallEffect[] {
+  if (call.answered) return [];
+  call.answered = true;
+  return [{ type: 'refuse', kind, ran }];
+}
+
+/**
+ * Gives the attempt up for good. From here on no event makes it send, and the log is told until it
+ * acknowledges, because an `openClaim` still on its way would otherwise open the claim later.
+ */
+function release(call: ClaimedCall, afterRelease: AfterRelease): ClaimedCallEffect[] {
+  const { attemptId } = call;
+  const { workspace, key } = call.intent;
+  call.phase = 'releasing';
+  call.afterRelease = afterRelease;
+  return propose(call, { type: 'releaseClaim', workspace, key, attemptId });
+}
+
+function onResult(call: ClaimedCall, event: EventOf<'claimResult'>): ClaimedCallEffect[] {
+  // A late or repeated result of a command that is done with decides nothing any more.
+  if (call.pending?.type !== event.command) return [];
+  if (call.phase === 'opening') return onOpenResult(call, event);
+  if (call.phase === 'releasing') return onReleaseResult(call, event);
+  return finish(call);
+}
+
+function onOpenResult(call: ClaimedCall, event: EventOf<'claimResult'>): ClaimedCallEffect[] {
+  const { result, now } = event;
+  switch (result.type) {
+    case 'claimOpened':
+      return onOpened(call, now);
+    case 'claimDone':
+      return [...replay(call, result.answer), ...finish(call)];
+    case 'claimUnknown':
+      return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
+    case 'claimRunning':
+      // The claim in the way may be released; a copy of our open still on its way must not take it.
+      return [...refuse(call, 'claimRunning', 'unknown'), ...release(call, 'nothing')];
+    case 'claimKeyReused':
+      return [...refuse(call, 'idempotencyKeyReused', 'no'), ...release(call, 'nothing')];
+    default:
+      return release(call, 'refuse');
+  }
+}
+
+/**
+ * Sends, unless the grant comes so late that the claim has expired: others were told `unknown`
+ * by then, and past its retention the log would let another attempt open it.
+ */
+function onOpened(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
+  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuse');
+  call.phase = 'sending';
+  call.pending = undefined;
+  return [{ type: 'sendCall', attemptId: call.attemptId }];
+}
+
+function replay(
+  call: ClaimedCall,
+  answer: EventOf<'answered'>['answer'] | undefined,
+): ClaimedCallEffect[] {
+  if (answer?.body === undefined) return refuse(call, 'answerTooLargeToReplay', 'unknown');
+  if (call.answered) return [];
+  call.answered = true;
+  return [{ type: 'answer', answer, replayed: true }];
+}
+
+function onReleaseResult(call: ClaimedCall, event: EventOf<'claimResult'>): ClaimedCallEffect[] {
+  if (event.result.type !== 'claimReleased') {
+    return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
+  }
+  const { afterRelease } = call;
+  if (afterRelease === 'tryElsewhere' && !call.answered) {
+    call.answered = true;
+    return [{ type: 'tryElsewhere' }, ...finish(call)];
+  }
+  return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
+}
+
+function onStoreFailed(call: ClaimedCall, event: EventOf<'storeFailed'>): ClaimedCallEffect[] {
+  if (call.phase !== 'opening' || event.command !== 'openClaim') return [];
+  if (!event.nothingDone) {
+    call.openUnsure = true;
+    return [];
+  }
+  // An earlier copy of the same open may still be run; only the release makes sure.
+  if (call.openUnsure || call.tries > 1) return [];
+  return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
+}
+
+function onResendDue(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
+  const { pending } = call;
+  if (pending === undefined) return [];
+  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES) return release(call, 'refuse');
+  if (now - call.startedAt >= resendSpan(call)) {
+    return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
+  }
+  call.tries += 1;
+  return resend(call, pending);
+}
+
+/** Once the claim reads `unknown` by itself, a release has nothing left to bring about. */
+function resendSpan(call: ClaimedCall): Milliseconds {
+  if (call.phase === 'settling') return call.expiresAfter + SETTLE_AFTER_EXPIRY;
+  return call.expiresAfter;
+}
+
+/** Only a failure provably before the first byte lets the call be tried elsewhere. */
+function onSendFailed(call: ClaimedCall, beforeFirstByte: boolean): ClaimedCallEffect[] {
+  if (call.phase !== 'sending') return [];
+  if (beforeFirstByte) return release(call, call.answered ? 'nothing' : 'tryElsewhere');
+  return [...refuse(call, 'outcomeUnknown', 'unknown'), ...settle(call, { outcome: 'unknown' })];
+}
+
+function onAnswered(call: ClaimedCall, { answer }: EventOf<'answered'>): ClaimedCallEffect[] {
+  if (call.phase !== 'sending') return [];
+  const isLate = call.answered;
+  call.answered = true;
+  const settling = settle(call, { outcome: 'done', answer });
+  return isLate ? settling : [{ type: 'answer', answer, replayed: false }, ...settling];
+}
+
+function settle(
+  call: ClaimedCall,
+  end: Pick<Extract<ClaimCommand, { type: 'settleClaim' }>, 'outcome' | 'answer'>,
+): ClaimedCallEffect[] {
+  const { attemptId } = call;
+  const { workspace, key } = call.intent;
+  call.phase = 'settling';
+  return propose(call, { type: 'settleClaim', workspace, key, attemptId, ...end });
+}
+
+/**
+ * The caller is answered now, `unknown` since no release is acknowledged yet. An attempt that was
+ * sent is not recalled: its late answer is still stored for the caller's resend.
+ */
+function onDeadline(call: ClaimedCall): ClaimedCallEffect[] {
+  const refusal = refuse(call, 'deadlineExceeded', 'unknown');
+  if (call.phase === 'opening') return [...refusal, ...release(call, 'nothing')];
+  return refusal;
+}
--- /dev/null
+++ b/packages/entry-core/src/configuration/ConfigurationApplier.ts
@@ -0,0 +1,36 @@
+/**
+ * Which configuration an instance applies. Revisions only ever go up: pushes come from several
+ * stores and relays, late and out of order, and an old one applied after a new one would put back
+ * what the operators have replaced.
+ */
+import { applyDelta, type Configuration, type ConfigurationDelta } from '@hornbeampond/schema';
+
+export interface ConfigurationState {
+  configuration: Configuration;
+}
+
+export type ConfigurationEffect =
+  | { readonly type: 'configurationInForce'; readonly configuration: Configuration }
+  /** A delta did not fit; everything has to be asked for. */
+  | { readonly type: 'askWholeConfiguration' };
+
+/** Applies a whole configuration if it is newer than the one in force. */
+export function offerConfiguration(
+  state: ConfigurationState,
+  offered: Configuration,
+): ConfigurationEffect[] {
+  if (offered.revision <= state.configuration.revision) return [];
+  state.configuration = offered;
+  return [{ type: 'configurationInForce', configuration: offered }];
+}
+
+/** Applies a delta if it starts from the revision in force; one that is behind it is passed over. */
+export function offerDelta(
+  state: ConfigurationState,
+  delta: ConfigurationDelta,
+): ConfigurationEffect[] {
+  if (delta.toRevision <= state.configuration.revision) return [];
+  const changed = applyDelta(state.configuration, delta);
+  if (changed === undefined) return [{ type: 'askWholeConfiguration' }];
+  return offerConfiguration(state, changed);
+}
--- /dev/null
+++ b/packages/entry-core/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './ConfigurationApplier.js';
+export * from './ConfigurationStart.js';
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './claims/index.js';
+export * from './configuration/index.js';
