Add the controller's reducer: plan, purchases, orders, reclaims

One pure reducer now turns the tables, the platform's list, demand reports and answers into starts, drains, ends and orders. Ruled out: agreeing on the split between data centres by messages; each controller makes the same plan from shared figures and acts on its own data centre's part only.

--- /dev/null
+++ b/packages/controller-core/src/buying/buyInstances.ts
@@ -0,0 +1,141 @@
+/**
+ * Buys what the plan wants in the own data centre and is not there or on its way.
+ *
+ * A start token names one purchase for all time: the lease's epoch is in it, so that no two
+ * holders ever use the same. A start without an answer is resent under its token, for the platform
+ * may have sold the instance and only its answer was lost; a new token would buy a second one.
+ */
+import type { Pool } from '@hornbeampond/schema';
+import type { ControllerEffect, StartInstanceEffect } from '../effects.js';
+import { instancesOf, isKept } from '../fleet/FleetInstance.js';
+import { countPending, isClosed } from '../planning/offers.js';
+import type { PlannedPlace, PoolPlan } from '../planning/PoolPlan.js';
+import type { ControllerState, HeldLease, PendingStart } from '../state.js';
+import { closeAfterRefusal } from './closures.js';
+
+/** A start that was never answered is given up after so long; if it bought, the list shows it. */
+const FORGET_AFTER = 10 * 60_000;
+
+function effectOf(state: ControllerState, pending: PendingStart): StartInstanceEffect {
+  const { pool, instanceClass, startToken } = pending;
+  return {
+    type: 'startInstance',
+    pool,
+    dataCentre: state.dataCentre,
+    instanceClass,
+    startToken,
+  };
+}
+
+function buy(
+  state: ControllerState,
+  lease: HeldLease,
+  plan: PoolPlan,
+  place: PlannedPlace,
+): ControllerEffect[] {
+  state.startSequence += 1;
+  const pending: PendingStart = {
+    startToken: `${state.dataCentre}-${lease.epoch}-${state.startSequence}`,
+    pool: plan.pool,
+    instanceClass: place.instanceClass,
+    askedAt: state.now,
+    resendAt: state.now + state.policy.startAnswerTimeout,
+    resends: 0,
+  };
+  state.pendingStarts.set(pending.startToken, pending);
+  return [
+    effectOf(state, pending),
+    {
+      type: 'log',
+      event: 'startAsked',
+      fields: {
+        startToken: pending.startToken,
+        pool: plan.pool,
+        dataCentre: state.dataCentre,
+        instanceClass: place.instanceClass,
+        reclaimable: place.reclaimable,
+        eurosPerHour: place.eurosPerHour,
+        wanted: place.wanted,
+        slotsNeeded: plan.need.normal,
+        slotsNeededAfterLoss: plan.need.afterLoss,
+      },
+    },
+    { type: 'count', metric: 'startsAsked' },
+  ];
+}
+
+function countThere(state: ControllerState, pool: Pool, place: PlannedPlace): number {
+  const there = instancesOf(state, pool).filter(
+    (instance) =>
+      instance.dataCentre === state.dataCentre &&
+      instance.instanceClass === place.instanceClass &&
+      isKept(instance),
+  );
+  return there.length + countPending(state, pool, state.dataCentre, place.instanceClass);
+}
+
+function buyForPool(state: ControllerState, lease: HeldLease, pool: Pool): ControllerEffect[] {
+  const plan = state.plans.get(pool.name);
+  if (plan === undefined) return [];
+  return plan.places
+    .filter((place) => place.dataCentre === state.dataCentre)
+    .filter((place) => !isClosed(state, place.dataCentre, place.instanceClass))
+    .flatMap((place) => {
+      const lacking = Math.max(0, place.wanted - countThere(state, pool, place));
+      return Array.from({ length: lacking }, () => buy(state, lease, plan, place)).flat();
+    });
+}
+
+/** Sends unanswered starts again, under the same tokens. */
+function resendStarts(state: ControllerState): ControllerEffect[] {
+  return [...state.pendingStarts.values()].flatMap((pending): ControllerEffect[] => {
+    if (state.now - pending.askedAt > FORGET_AFTER) {
+      state.pendingStarts.delete(pending.startToken);
+      const { startToken, pool, instanceClass, resends } = pending;
+      const fields = { startToken, pool, instanceClass, resends };
+      return [{ type: 'log', event: 'startGivenUp', fields }];
+    }
+    if (state.now < pending.resendAt) return [];
+    pending.resends += 1;
+    pending.resendAt =
+      state.now + state.policy.startAnswerTimeout * 2 ** Math.min(pending.resends, 3);
+    return [
+      effectOf(state, pending),
+      { type: 'count', metric: 'fleetRetries', label: 'startAnswerLost' },
+    ];
+  });
+}
+
+/** Purchases that went unanswered too long no longer hold the next cheapest place back. */
+function closeUnanswered(state: ControllerState): ControllerEffect[] {
+  return [...state.pendingStarts.values()]
+    .filter(
+      (pending) =>
+        state.now - pending.askedAt > state.policy.startGiveUp &&
+        !isClosed(state, state.dataCentre, pending.instanceClass),
+    )
+    .map((pending) => {
+      const closure = closeAfterRefusal(state, pending.instanceClass, 'unanswered');
+      return {
+        type: 'log',
+        event: 'startUnanswered',
+        fields: {
+          startToken: pending.startToken,
+          pool: pending.pool,
+          instanceClass: pending.instanceClass,
+          resends: pending.resends,
+          closedMilliseconds: closure.until - state.now,
+        },
+      };
+    });
+}
+
+/** Buys, unless the lease is so fresh that the last holder's purchases may not be listed yet. */
+export function buyInstances(state: ControllerState, lease: HeldLease): ControllerEffect[] {
+  const effects = [...closeUnanswered(state), ...resendStarts(state)];
+  if (state.now - lease.since < state.policy.takeoverPause) return effects;
+  return [
+    ...effects,
+    ...state.configuration.pools.rows.flatMap((pool) => buyForPool(state, lease, pool)),
+  ];
+}
--- /dev/null
+++ b/packages/controller-core/src/buying/closures.ts
@@ -0,0 +1,73 @@
+/**
+ * Places where nothing is bought for a while: starts were refused or went unanswered, or instances
+ * were reclaimed there lately. The plan then takes the next cheapest place, and comes back when
+ * the closure ends.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { ClosedOffer } from '../events.js';
+import { placeOf, type Closure, type ControllerState } from '../state.js';
+
+/** A refusal counts as one in a row if it comes this soon after the last closure ended. */
+const ROW_GAP: Milliseconds = 10 * 60_000;
+
+/**
+ * The wait doubles with each refusal in a row. A random half of it is left out, so that the
+ * controllers and pools that were refused together do not all ask again together.
+ */
+function backoffAfter(state: ControllerState, refusals: number): Milliseconds {
+  const { firstBackoff, longestBackoff } = state.policy;
+  const longest = Math.min(longestBackoff, firstBackoff * 2 ** Math.min(refusals - 1, 20));
+  return uniformInt(state.random, Math.ceil(longest / 2), Math.ceil(longest));
+}
+
+/** Closes an own place after a refused or unanswered start. */
+export function closeAfterRefusal(
+  state: ControllerState,
+  instanceClass: string,
+  reason: 'refused' | 'unanswered',
+): Closure {
+  const place = placeOf(state.dataCentre, instanceClass);
+  const before = state.closures.get(place);
+  const inRow = before !== undefined && state.now < before.until + ROW_GAP;
+  const refusals = (inRow ? before.refusals : 0) + 1;
+  const until = Math.max(
+    state.now + backoffAfter(state, refusals),
+    before?.reason === 'reclaimed' ? before.until : 0,
+  );
+  const closure = { dataCentre: state.dataCentre, instanceClass, reason, until, refusals };
+  state.closures.set(place, closure);
+  return closure;
+}
+
+/** Closes a place where reclaimable instances were taken away. */
+export function closeAfterReclaim(
+  state: ControllerState,
+  dataCentre: string,
+  instanceClass: string,
+): void {
+  const place = placeOf(dataCentre, instanceClass);
+  const before = state.closures.get(place);
+  const until = Math.max(state.now + state.policy.reclaimCooldown, before?.until ?? 0);
+  const refusals = before?.refusals ?? 0;
+  state.closures.set(place, { dataCentre, instanceClass, reason: 'reclaimed', until, refusals });
+}
+
+/** A start that succeeded ends the row of refusals. */
+export function openPlace(state: ControllerState, instanceClass: string): void {
+  const closure = state.closures.get(placeOf(state.dataCentre, instanceClass));
+  if (closure !== undefined && closure.reason !== 'reclaimed') {
+    state.closures.delete(placeOf(state.dataCentre, instanceClass));
+  }
+}
+
+/** The own places that are closed, for the report to the other controllers. */
+export function ownClosedOffers(state: ControllerState): ClosedOffer[] {
+  return [...state.closures.values()]
+    .filter((closure) => closure.dataCentre === state.dataCentre && closure.until > state.now)
+    .map(({ dataCentre, instanceClass, until }) => ({
+      dataCentre,
+      instanceClass,
+      remaining: until - state.now,
+    }));
+}
--- /dev/null
+++ b/packages/controller-core/src/buying/reduceBuying.ts
@@ -0,0 +1,87 @@
+/** Takes in what the platform answers to purchases and ends. */
+import type { ControllerEffect } from '../effects.js';
+import type { ControllerEvent, StartOutcome } from '../events.js';
+import { addInstance, forgetInstance } from '../fleet/fleet.js';
+import type { ControllerState, PendingStart } from '../state.js';
+import { closeAfterRefusal, openPlace } from './closures.js';
+
+function takeStarted(
+  state: ControllerState,
+  pending: PendingStart,
+  outcome: StartOutcome & { readonly type: 'started' },
+): ControllerEffect[] {
+  state.pendingStarts.delete(pending.startToken);
+  openPlace(state, pending.instanceClass);
+  const { instance } = outcome.instance;
+  if (!state.fleet.has(instance) && !state.gone.has(instance)) addInstance(state, outcome.instance);
+  return [
+    {
+      type: 'log',
+      event: 'instanceBought',
+      fields: {
+        instance,
+        startToken: pending.startToken,
+        pool: pending.pool,
+        dataCentre: state.dataCentre,
+        instanceClass: pending.instanceClass,
+        resends: pending.resends,
+      },
+    },
+    { type: 'count', metric: 'instancesBought' },
+  ];
+}
+
+function takeRefused(
+  state: ControllerState,
+  pending: PendingStart,
+  reason: string,
+): ControllerEffect[] {
+  state.pendingStarts.delete(pending.startToken);
+  const closure = closeAfterRefusal(state, pending.instanceClass, 'refused');
+  return [
+    {
+      type: 'log',
+      event: 'startRefused',
+      fields: {
+        startToken: pending.startToken,
+        pool: pending.pool,
+        dataCentre: state.dataCentre,
+        instanceClass: pending.instanceClass,
+        reason,
+        refusalsInRow: closure.refusals,
+        closedMilliseconds: closure.until - state.now,
+      },
+    },
+    { type: 'count', metric: 'startsRefused', label: pending.instanceClass },
+  ];
+}
+
+function takeStartAnswer(
+  state: ControllerState,
+  startToken: string,
+  outcome: StartOutcome,
+): ControllerEffect[] {
+  const pending = state.pendingStarts.get(startToken);
+  if (pending === undefined) return [];
+  switch (outcome.type) {
+    case 'started':
+      return takeStarted(state, pending, outcome);
+    case 'refused':
+      return takeRefused(state, pending, outcome.reason);
+    default:
+      // Lost: it stays pending, and is resent under its token when its timeout has passed.
+      return [];
+  }
+}
+
+export function reduceBuying(state: ControllerState, event: ControllerEvent): ControllerEffect[] {
+  switch (event.type) {
+    case 'startAnswered':
+      return takeStartAnswer(state, event.startToken, event.outcome);
+    case 'endAnswered':
+      if (event.ok) forgetInstance(state, event.instance);
+      return [];
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/packages/controller-core/src/demand/reduceDemand.ts
@@ -0,0 +1,98 @@
+/**
+ * Keeps the measured demand: reports of the own entries, sums from the other data centres'
+ * controllers, and the shape of the day.
+ *
+ * Controllers send each other one report a second; nothing is sent per request.
+ */
+import type { ControllerEffect } from '../effects.js';
+import type { ControllerEvent, DataCentreReport, RouteDemandReport } from '../events.js';
+import type { ControllerState } from '../state.js';
+import {
+  addReport,
+  createRouteDemand,
+  learnShape,
+  levelOf,
+  type RouteDemand,
+} from './RouteDemand.js';
+
+function demandOf(state: ControllerState, route: string): RouteDemand {
+  const known = state.demand.get(route);
+  if (known !== undefined) return known;
+  const created = createRouteDemand();
+  state.demand.set(route, created);
+  return created;
+}
+
+function addReports(
+  state: ControllerState,
+  name: string,
+  dataCentre: string,
+  reports: readonly RouteDemandReport[],
+): void {
+  reports.forEach((report) => {
+    addReport(state, demandOf(state, report.route), name, dataCentre, report);
+  });
+}
+
+function takePeerReport(state: ControllerState, report: DataCentreReport): void {
+  if (report.dataCentre === state.dataCentre) return;
+  addReports(state, `dataCentre:${report.dataCentre}`, report.dataCentre, report.demand);
+  state.peers.set(report.dataCentre, { heardAt: state.now, closedOffers: report.closedOffers });
+  Object.entries(report.shapes ?? {}).forEach(([route, shape]) => {
+    const known = demandOf(state, route).shape;
+    shape.forEach((value, slot) => {
+      known[slot] ??= value;
+    });
+  });
+}
+
+/** True if the platform still lists instances of a data centre. */
+function hasInstances(state: ControllerState, dataCentre: string): boolean {
+  return [...state.fleet.values()].some((instance) => instance.dataCentre === dataCentre);
+}
+
+/**
+ * Drops sources that speak no longer. A silent entry's callers have gone to other entries. A
+ * silent data centre may be cut off or may only have lost its controllers: as long as its
+ * instances are listed, both its demand and its capacity are still there, so both keep counting.
+ */
+function dropSilentSources(state: ControllerState): void {
+  state.demand.forEach((demand) => {
+    demand.sources.forEach((source, name) => {
+      const silent = state.now - source.heardAt;
+      const own = source.dataCentre === state.dataCentre;
+      const dropped = own
+        ? silent > state.policy.entrySilence
+        : silent > state.policy.peerSilence && !hasInstances(state, source.dataCentre);
+      if (dropped) demand.sources.delete(name);
+    });
+  });
+}
+
+function learn(state: ControllerState): void {
+  dropSilentSources(state);
+  state.configuration.routes.rows.forEach((route) => {
+    const demand = state.demand.get(route.name);
+    if (demand !== undefined) learnShape(state, route, demand);
+  });
+}
+
+export function reduceDemand(state: ControllerState, event: ControllerEvent): ControllerEffect[] {
+  if (event.type === 'demandReported') {
+    addReports(state, `entry:${event.entry}`, state.dataCentre, event.demand);
+  }
+  if (event.type === 'peerReported') takePeerReport(state, event.report);
+  if (event.type === 'tick') learn(state);
+  return [];
+}
+
+/** The own data centre's demand, for the report to the other controllers. */
+export function ownDemand(state: ControllerState): RouteDemandReport[] {
+  return [...state.demand].flatMap(([route, demand]) => {
+    const sources = [...demand.sources].filter(
+      ([, source]) => source.dataCentre === state.dataCentre,
+    );
+    if (sources.length === 0) return [];
+    return [{ route, ...levelOf({ ...demand, sources: new Map(sources) }) }];
+  });
+}
--- /dev/null
+++ b/packages/controller-core/src/fleet/reduceFleet.ts
@@ -0,0 +1,133 @@
+/**
+ * Keeps the known instances by the platform's lagging list and by load reports.
+ *
+ * What a list says is believed one way only. A row of an instance that is gone is ignored, and an
+ * instance that a list does not show is kept until the lag's bound has passed: the list may be
+ * older than its purchase.
+ */
+import type { EpochMilliseconds, LoadReport, PlatformInstance } from '@hornbeampond/schema';
+import type { ControllerEffect } from '../effects.js';
+import type { ControllerEvent } from '../events.js';
+import { noticeReclaim, recordReclaim } from '../reclaims/reclaims.js';
+import { placeOf, type ControllerState } from '../state.js';
+import { addInstance, forgetInstance } from './fleet.js';
+import { enterPhase, hasModel, poolOf, type FleetInstance } from './FleetInstance.js';
+
+/** Weight of the newest start in the measured time that a start takes. */
+const NEWEST_START_WEIGHT = 0.3;
+/** A reclaimed instance is dropped this long after it should be gone. */
+const GONE_MARGIN = 1000;
+
+/** Takes in an instance that this controller did not know. */
+function adopt(state: ControllerState, row: PlatformInstance): ControllerEffect[] {
+  const instance = addInstance(state, row);
+  const pending =
+    row.startToken === undefined ? undefined : state.pendingStarts.get(row.startToken);
+  if (pending !== undefined) state.pendingStarts.delete(pending.startToken);
+  if (row.dataCentre !== state.dataCentre || state.lease === undefined) return [];
+  const { instance: name, pool, instanceClass } = instance;
+  const fields = { instance: name, pool, instanceClass, startToken: row.startToken };
+  // A purchase whose answer was lost, or one of an earlier holder: it is paid for, so it is used.
+  const event = pending === undefined ? 'orphanClaimed' : 'purchaseFound';
+  return [{ type: 'log', event, fields }];
+}
+
+/** Moves a known instance forward by its row; never backward. */
+function applyRow(state: ControllerState, instance: FleetInstance, row: PlatformInstance): void {
+  instance.lastListedAt = state.now;
+  if (row.state === 'live' && instance.phase === 'starting') enterPhase(state, instance, 'live');
+  const leaves = row.state === 'leaving' && row.goneAt === undefined;
+  if (leaves && instance.phase !== 'leaving') enterPhase(state, instance, 'draining');
+}
+
+function takeRow(state: ControllerState, row: PlatformInstance): ControllerEffect[] {
+  if (state.gone.has(row.instance)) return [];
+  const known = state.fleet.get(row.instance);
+  const effects = known === undefined ? adopt(state, row) : [];
+  const instance = known ?? state.fleet.get(row.instance);
+  if (instance === undefined) return effects;
+  applyRow(state, instance, row);
+  if (row.goneAt === undefined) return effects;
+  return [...effects, ...noticeReclaim(state, instance, row.goneAt)];
+}
+
+function lose(state: ControllerState, instance: FleetInstance, reason: string): ControllerEffect[] {
+  forgetInstance(state, instance.instance);
+  const { instance: name, pool, dataCentre, instanceClass, phase } = instance;
+  const planned = phase === 'draining' || phase === 'leaving';
+  if (!planned) recordReclaim(state, instance);
+  const fields = { instance: name, pool, dataCentre, instanceClass, phase, reason };
+  return [{ type: 'log', event: planned ? 'instanceGone' : 'instanceVanished', fields }];
+}
+
+function takeList(state: ControllerState, rows: readonly PlatformInstance[]): ControllerEffect[] {
+  const effects = rows.flatMap((row) => takeRow(state, row));
+  const unlisted = [...state.fleet.values()].filter(
+    (instance) => state.now - instance.lastListedAt > state.policy.listLag,
+  );
+  return [...effects, ...unlisted.flatMap((instance) => lose(state, instance, 'notListed'))];
+}
+
+function dropReclaimed(state: ControllerState): ControllerEffect[] {
+  return [...state.fleet.values()]
+    .filter(({ goneAt }) => goneAt !== undefined && state.wallNow > goneAt + GONE_MARGIN)
+    .flatMap((instance) => lose(state, instance, 'reclaimed'));
+}
+
+function forgetOldNames(state: ControllerState): void {
+  state.gone.forEach((until, name) => {
+    if (until <= state.now) state.gone.delete(name);
+  });
+}
+
+/** Measures how long starts take, from the purchase to a backend server that serves. */
+export function measureStart(state: ControllerState, instance: FleetInstance): void {
+  const pool = poolOf(state, instance.pool);
+  if (pool === undefined || instance.startMeasured) return;
+  if (instance.phase !== 'live' || !hasModel(pool, instance)) return;
+  instance.startMeasured = true;
+  const took = state.now - instance.firstSeenAt;
+  const before = state.startDurations.get(pool.name) ?? state.policy.startDuration;
+  state.startDurations.set(pool.name, before + NEWEST_START_WEIGHT * (took - before));
+}
+
+/** True if a report made then tells what is loaded now: nothing was ordered or changed since. */
+function isNewerThanOrder(instance: FleetInstance, measuredAt: EpochMilliseconds): boolean {
+  return instance.order === undefined || measuredAt > instance.order.sentAtWall;
+}
+
+function takeLoad(state: ControllerState, report: LoadReport): void {
+  const instance = state.fleet.get(report.instance);
+  if (instance === undefined) return;
+  if (report.measuredAt < (instance.load?.measuredAt ?? 0)) return;
+  instance.load = report;
+  instance.loadReceivedAt = state.now;
+  if (report.model === undefined || !isNewerThanOrder(instance, report.measuredAt)) return;
+  const { model, adapter, version } = report;
+  instance.loaded = { model, adapter, version };
+}
+
+export function reduceFleet(state: ControllerState, event: ControllerEvent): ControllerEffect[] {
+  switch (event.type) {
+    case 'platformListed':
+      return takeList(state, event.instances);
+    case 'loadReported':
+      takeLoad(state, event.report);
+      return [];
+    case 'instanceLost': {
+      const instance = state.fleet.get(event.instance);
+      return instance === undefined ? [] : lose(state, instance, 'dead');
+    }
+    case 'pricesListed':
+      event.prices.forEach(({ dataCentre, instanceClass, eurosPerHour }) => {
+        state.prices.set(placeOf(dataCentre, instanceClass), eurosPerHour);
+      });
+      return [];
+    case 'tick':
+      forgetOldNames(state);
+      state.fleet.forEach((instance) => measureStart(state, instance));
+      return dropReclaimed(state);
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/packages/controller-core/src/orders/orders.ts
@@ -0,0 +1,50 @@
+/** Sending one order and keeping count of the weight store's rate. */
+import type { Order, Pool } from '@hornbeampond/schema';
+import type { ControllerEffect } from '../effects.js';
+import type { FleetInstance } from '../fleet/FleetInstance.js';
+import type { ControllerState, HeldLease } from '../state.js';
+
+const MINUTE = 60_000;
+
+/** The order that makes an engine what the pools table says. */
+export function loadAction(pool: Pool): Order['action'] | undefined {
+  if (pool.model === undefined) return undefined;
+  const { model, adapter, version } = pool;
+  return { type: 'load', model, adapter, version };
+}
+
+/**
+ * Sends an order under the lease's epoch and the next sequence number, so that an engine that
+ * checks refuses whatever was sent before it but comes in later.
+ */
+export function sendOrder(
+  state: ControllerState,
+  lease: HeldLease,
+  instance: FleetInstance,
+  action: Order['action'],
+): ControllerEffect[] {
+  state.orderSequence += 1;
+  const order = { epoch: lease.epoch, sequence: state.orderSequence, action };
+  instance.order = { order, sentAt: state.now, sentAtWall: state.wallNow };
+  if (action.type === 'load') state.loadTimes.push(state.now);
+  const { instance: name, pool, loaded } = instance;
+  return [
+    { type: 'sendOrder', instance: name, order },
+    { type: 'log', event: 'orderSent', fields: { instance: name, pool, order, loaded } },
+    { type: 'count', metric: 'ordersSent' },
+  ];
+}
+
+/** True if one more load keeps within the weight store's rate and what may run at a time. */
+export function mayLoad(state: ControllerState): boolean {
+  state.loadTimes = state.loadTimes.filter((at) => state.now - at < MINUTE);
+  const running = [...state.fleet.values()].filter(
+    ({ order }) => order?.order.action.type === 'load',
+  ).length;
+  if (running >= state.policy.loadsAtOnce) return false;
+  if (state.loadsPerMinute === undefined) return true;
+  const dataCentres = new Set(state.configuration.pools.rows.flatMap((pool) => pool.dataCentres));
+  // Each data centre uses its share of the one weight store's rate, at least one load a minute.
+  const share = Math.max(1, Math.floor(state.loadsPerMinute / Math.max(1, dataCentres.size)));
+  return state.loadTimes.length < share;
+}
--- /dev/null
+++ b/packages/controller-core/src/planning/PoolPlan.ts
@@ -0,0 +1,44 @@
+/** What a pool should have, and the figures that it was planned from. */
+import type { Euros, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+
+/** Instances of one class in one data centre. */
+export interface PlannedPlace {
+  readonly dataCentre: string;
+  readonly instanceClass: string;
+  readonly reclaimable: boolean;
+  readonly slotsEach: number;
+  readonly eurosPerHour: Euros;
+  readonly wanted: number;
+}
+
+/** Places for requests that the deadlines ask for. */
+export interface SlotNeed {
+  /** While all capacity stands. */
+  readonly normal: number;
+  /** Just after the loss that is planned for. */
+  readonly afterLoss: number;
+}
+
+export interface NeedFigures extends SlotNeed {
+  readonly requestsPerSecond: number;
+  readonly forecastPerSecond: number;
+  readonly serviceMilliseconds: number;
+  /** The shortest wait for a place that any of the pool's routes allows. */
+  readonly patience: Milliseconds;
+}
+
+export interface PoolPlan {
+  readonly pool: string;
+  readonly places: readonly PlannedPlace[];
+  /** What the deadlines ask for at this moment. */
+  readonly figures: NeedFigures;
+  /** What was planned for: the highest need of the last while and of the time ahead. */
+  readonly need: SlotNeed;
+  /** Slots of the largest wave that is remembered. */
+  readonly waveSlots: number;
+  /** Slots that the plan lacks because of `most` or because nothing more can be bought. */
+  readonly missingSlots: number;
+  readonly eurosPerHour: Euros;
+  /** Needs of the last minutes, one a minute; scaling in waits until all of them are lower. */
+  readonly recentNeeds: readonly (SlotNeed & { readonly at: MonotonicMilliseconds })[];
+}
--- /dev/null
+++ b/packages/controller-core/src/planning/offers.ts
@@ -0,0 +1,94 @@
+/** What can be kept or bought for a pool, with prices and closures as this controller knows them. */
+import type { InstanceClass, Pool } from '@hornbeampond/schema';
+import { instancesOf, isKept } from '../fleet/FleetInstance.js';
+import { placeOf, type ControllerState } from '../state.js';
+import type { Offer } from './chooseMix.js';
+
+/** True if the data centre's controller is heard, so that somebody can buy there. */
+export function isHeard(state: ControllerState, dataCentre: string): boolean {
+  if (dataCentre === state.dataCentre) return true;
+  const peer = state.peers.get(dataCentre);
+  return peer !== undefined && state.now - peer.heardAt <= state.policy.peerSilence;
+}
+
+function isClosedByPeer(
+  state: ControllerState,
+  dataCentre: string,
+  instanceClass: string,
+): boolean {
+  const peer = state.peers.get(dataCentre);
+  return (
+    peer?.closedOffers.some(
+      (offer) =>
+        offer.dataCentre === dataCentre &&
+        offer.instanceClass === instanceClass &&
+        peer.heardAt + offer.remaining > state.now,
+    ) ?? false
+  );
+}
+
+/** True if nothing is to be bought at a place for now. */
+export function isClosed(
+  state: ControllerState,
+  dataCentre: string,
+  instanceClass: string,
+): boolean {
+  const closure = state.closures.get(placeOf(dataCentre, instanceClass));
+  if (closure !== undefined && closure.until > state.now) return true;
+  return !isHeard(state, dataCentre) || isClosedByPeer(state, dataCentre, instanceClass);
+}
+
+function countWaves(state: ControllerState, dataCentre: string, instanceClass: string): number {
+  const place = placeOf(dataCentre, instanceClass);
+  return state.waves.filter((wave) => wave.places.has(place)).length;
+}
+
+/** Purchases without an answer count as capacity to come for a while only. */
+export function countPending(
+  state: ControllerState,
+  pool: Pool,
+  dataCentre: string,
+  instanceClass: string,
+): number {
+  if (dataCentre !== state.dataCentre) return 0;
+  return [...state.pendingStarts.values()].filter(
+    (pending) =>
+      pending.pool === pool.name &&
+      pending.instanceClass === instanceClass &&
+      state.now - pending.askedAt <= state.policy.startGiveUp,
+  ).length;
+}
+
+function offerOf(
+  state: ControllerState,
+  pool: Pool,
+  dataCentre: string,
+  instanceClass: InstanceClass,
+): Offer {
+  const { name, reclaimable, concurrency } = instanceClass;
+  const eurosPerHour = state.prices.get(placeOf(dataCentre, name)) ?? instanceClass.eurosPerHour;
+  const waves = reclaimable ? countWaves(state, dataCentre, name) : 0;
+  const there = instancesOf(state, pool).filter(
+    (instance) =>
+      instance.dataCentre === dataCentre && instance.instanceClass === name && isKept(instance),
+  ).length;
+  return {
+    dataCentre,
+    instanceClass: name,
+    reclaimable,
+    slotsEach: concurrency,
+    eurosPerHour,
+    comparedPrice: eurosPerHour * (1 + waves * state.policy.waveHandicap),
+    kept: there + countPending(state, pool, dataCentre, name),
+    closed: isClosed(state, dataCentre, name),
+  };
+}
+
+/** Every place of the pool, in one order for all controllers. */
+export function listOffers(state: ControllerState, pool: Pool): Offer[] {
+  return [...pool.dataCentres]
+    .sort()
+    .flatMap((dataCentre) =>
+      pool.instanceClasses.map((instanceClass) => offerOf(state, pool, dataCentre, instanceClass)),
+    );
+}
--- /dev/null
+++ b/packages/controller-core/src/planning/scaleIn.ts
@@ -0,0 +1,153 @@
+/**
+ * Takes instances out that the plan no longer wants: drained first, ended only once idle. The
+ * plan's need already holds the highest of the last minutes, so a short dip takes nothing out.
+ */
+import type { DrainReason, Pool } from '@hornbeampond/schema';
+import type { ControllerEffect } from '../effects.js';
+import {
+  enterPhase,
+  instancesOf,
+  isIdle,
+  isKept,
+  isServing,
+  isUpToDate,
+  poolOf,
+  type FleetInstance,
+} from '../fleet/FleetInstance.js';
+import { placeOf, type ControllerState } from '../state.js';
+import { canDoWithout } from './standing.js';
+import { isOwnTurn } from './turns.js';
+
+/** An end without an answer is resent after so long; ending what is gone already is no fault. */
+const END_TIMEOUT = 30_000;
+
+/** Takes an instance out of service for good. */
+export function drain(
+  state: ControllerState,
+  instance: FleetInstance,
+  reason: DrainReason,
+  fields: Record<string, unknown>,
+): ControllerEffect[] {
+  enterPhase(state, instance, 'draining');
+  const { instance: name, pool, dataCentre, instanceClass } = instance;
+  return [
+    { type: 'drainInstance', instance: name, reason },
+    {
+      type: 'log',
+      event: 'instanceDrained',
+      fields: { instance: name, pool, dataCentre, instanceClass, reason, ...fields },
+    },
+    { type: 'count', metric: 'instancesDrained', label: reason },
+  ];
+}
+
+/** Those that serve nothing go first, then those with the wrong weights, then the newest. */
+function compareForRemoval(pool: Pool, a: FleetInstance, b: FleetInstance): number {
+  const worth = (instance: FleetInstance) =>
+    Number(isServing(pool, instance)) + Number(isUpToDate(pool, instance));
+  return (
+    worth(a) - worth(b) || b.firstSeenAt - a.firstSeenAt || a.instance.localeCompare(b.instance)
+  );
+}
+
+function findSurplus(state: ControllerState, pool: Pool): FleetInstance[] {
+  const plan = state.plans.get(pool.name);
+  if (plan === undefined) return [];
+  return plan.places
+    .filter((place) => place.dataCentre === state.dataCentre)
+    .flatMap((place) => {
+      const there = instancesOf(state, pool).filter(
+        (instance) =>
+          isKept(instance) &&
+          placeOf(instance.dataCentre, instance.instanceClass) ===
+            placeOf(place.dataCentre, place.instanceClass),
+      );
+      return there
+        .sort((a, b) => compareForRemoval(pool, a, b))
+        .slice(0, Math.max(0, there.length - place.wanted));
+    });
+}
+
+/** At most one instance of a pool in one turn. */
+function scaleInPool(state: ControllerState, pool: Pool): ControllerEffect[] {
+  if (!isOwnTurn(state, pool)) return [];
+  const turnStartedAt = state.now - (state.wallNow % state.policy.turnDuration);
+  const drainedThisTurn = instancesOf(state, pool).some(
+    (instance) => instance.phase === 'draining' && instance.phaseSince >= turnStartedAt,
+  );
+  if (drainedThisTurn) return [];
+  const candidate = findSurplus(state, pool).find(
+    (instance) => !isServing(pool, instance) || canDoWithout(state, pool, instance),
+  );
+  if (candidate === undefined) return [];
+  const plan = state.plans.get(pool.name);
+  return drain(state, candidate, 'scaleIn', {
+    slotsNeeded: plan?.need.normal,
+    slotsNeededAfterLoss: plan?.need.afterLoss,
+  });
+}
+
+/**
+ * True if nothing can still run there. A backend server that reports nothing at all any more is
+ * ended only when even the longest answer, begun just before the drain, must be over.
+ */
+function canEnd(state: ControllerState, instance: FleetInstance): boolean {
+  if (isIdle(state, instance)) return true;
+  const heardAt = instance.loadReceivedAt ?? instance.phaseSince;
+  const silentFor = state.now - Math.max(heardAt, instance.phaseSince);
+  const longest = state.configuration.routes.rows
+    .filter((route) => route.pool === instance.pool)
+    .flatMap((route) => [route.deadline, ...route.deadlinesByHour])
+    .reduce((most, deadline) => Math.max(most, deadline.wholeAnswerMilliseconds), 0);
+  return silentFor > longest + state.policy.listLag;
+}
+
+/** Ends what was drained and is idle; resends an end whose answer was lost. */
+export function endDrained(state: ControllerState): ControllerEffect[] {
+  const ready = [...state.fleet.values()].filter(
+    (instance) =>
+      instance.dataCentre === state.dataCentre &&
+      instance.phase === 'draining' &&
+      (instance.endSentAt === undefined || state.now - instance.endSentAt >= END_TIMEOUT) &&
+      canEnd(state, instance),
+  );
+  return ready.flatMap((instance): ControllerEffect[] => {
+    const resent = instance.endSentAt !== undefined;
+    instance.endSentAt = state.now;
+    const { instance: name, pool } = instance;
+    const retry: ControllerEffect[] = resent
+      ? [{ type: 'count', metric: 'fleetRetries', label: 'endAnswerLost' }]
+      : [];
+    return [
+      { type: 'endInstance', instance: name },
+      { type: 'log', event: 'instanceEnded', fields: { instance: name, pool, resent } },
+      ...retry,
+    ];
+  });
+}
+
+/**
+ * Drains instances of the own data centre that belong to no row of the pools table. Before a
+ * table has come in, none is a stray: a restarted controller would end the whole fleet.
+ */
+function drainStrays(state: ControllerState): ControllerEffect[] {
+  if (state.configuration.pools.revision === 0) return [];
+  return [...state.fleet.values()]
+    .filter((instance) => {
+      if (instance.dataCentre !== state.dataCentre || !isKept(instance)) return false;
+      const pool = poolOf(state, instance.pool);
+      const belongs =
+        pool?.dataCentres.includes(instance.dataCentre) === true &&
+        pool.instanceClasses.some(({ name }) => name === instance.instanceClass);
+      return !belongs && state.now - instance.firstSeenAt >= state.policy.strayGrace;
+    })
+    .flatMap((instance) => drain(state, instance, 'stray', {}));
+}
+
+export function scaleIn(state: ControllerState): ControllerEffect[] {
+  return [
+    ...drainStrays(state),
+    ...state.configuration.pools.rows.flatMap((pool) => scaleInPool(state, pool)),
+    ...endDrained(state),
+  ];
+}
--- /dev/null
+++ b/packages/controller-core/src/reclaims/reclaims.ts
@@ -0,0 +1,78 @@
+/**
+ * Reclaims: what they take from the fleet, how large the waves are that they come in, and where
+ * replacements are not bought for a while.
+ *
+ * The replacement itself needs no code of its own. An instance under notice counts no longer, so
+ * the plan that follows the very same event lacks its slots; its place is closed for a while and
+ * the spread over data centres holds, so the plan takes the next cheapest safe places.
+ */
+import type { EpochMilliseconds } from '@hornbeampond/schema';
+import { closeAfterReclaim } from '../buying/closures.js';
+import type { ControllerEffect } from '../effects.js';
+import { classOf, enterPhase, poolOf, type FleetInstance } from '../fleet/FleetInstance.js';
+import { placeOf, type ControllerState, type Wave } from '../state.js';
+
+/** Reclaims that come within this of a wave's first belong to it. */
+const WAVE_SPAN = 90_000;
+
+function waveFor(state: ControllerState, pool: string): Wave {
+  const current = state.waves.find(
+    (wave) => wave.pool === pool && state.now - wave.startedAt <= WAVE_SPAN,
+  );
+  if (current !== undefined) return current;
+  const wave = { startedAt: state.now, pool, places: new Set<string>(), slots: 0, instances: 0 };
+  state.waves.push(wave);
+  return wave;
+}
+
+/** Adds one lost reclaimable instance to the wave in progress and closes its place. */
+export function recordReclaim(state: ControllerState, instance: FleetInstance): Wave | undefined {
+  const pool = poolOf(state, instance.pool);
+  const instanceClass = pool === undefined ? undefined : classOf(pool, instance);
+  if (instanceClass?.reclaimable !== true) return undefined;
+  const wave = waveFor(state, instance.pool);
+  wave.places.add(placeOf(instance.dataCentre, instance.instanceClass));
+  wave.slots += instanceClass.concurrency;
+  wave.instances += 1;
+  closeAfterReclaim(state, instance.dataCentre, instance.instanceClass);
+  return wave;
+}
+
+/** An instance is under notice: it counts as capacity no longer. */
+export function noticeReclaim(
+  state: ControllerState,
+  instance: FleetInstance,
+  goneAt: EpochMilliseconds,
+): ControllerEffect[] {
+  if (instance.goneAt !== undefined) return [];
+  const wasKept = instance.phase !== 'draining';
+  instance.goneAt = goneAt;
+  enterPhase(state, instance, 'leaving');
+  if (!wasKept) return [];
+  const wave = recordReclaim(state, instance);
+  const { instance: name, pool, dataCentre, instanceClass } = instance;
+  return [
+    {
+      type: 'log',
+      event: 'reclaimNoticed',
+      fields: {
+        instance: name,
+        pool,
+        dataCentre,
+        instanceClass,
+        noticeMilliseconds: goneAt - state.wallNow,
+        waveInstances: wave?.instances,
+        waveSlots: wave?.slots,
+      },
+    },
+    { type: 'count', metric: 'instancesReclaimed' },
+  ];
+}
+
+/** Drops waves that are too long ago to plan for. */
+export function forgetOldWaves(state: ControllerState): void {
+  const recent = state.waves.filter(
+    (wave) => state.now - wave.startedAt <= state.policy.waveMemory,
+  );
+  state.waves.splice(0, state.waves.length, ...recent);
+}
--- /dev/null
+++ b/packages/controller-core/src/reclaims/reduceReclaims.ts
@@ -0,0 +1,12 @@
+/** Takes in reclaim notices that come outside the platform's list. */
+import type { ControllerEffect } from '../effects.js';
+import type { ControllerEvent } from '../events.js';
+import type { ControllerState } from '../state.js';
+import { forgetOldWaves, noticeReclaim } from './reclaims.js';
+
+export function reduceReclaims(state: ControllerState, event: ControllerEvent): ControllerEffect[] {
+  if (event.type === 'tick') forgetOldWaves(state);
+  if (event.type !== 'reclaimNoticed') return [];
+  const instance = state.fleet.get(event.instance);
+  return instance === undefined ? [] : noticeReclaim(state, instance, event.goneAt);
+}
--- /dev/null
+++ b/packages/controller-core/src/reduceController.ts
@@ -0,0 +1,67 @@
+/**
+ * The controller: one reducer over all events. The concerns take in the event one after another;
+ * then, where the event can change what is wanted, the fleet is planned anew and acted on.
+ */
+import type { Reducer } from '@hornbeampond/schema';
+import { buyInstances } from './buying/buyInstances.js';
+import { reduceBuying } from './buying/reduceBuying.js';
+import { reduceDemand } from './demand/reduceDemand.js';
+import { isFleetEffect, type ControllerEffect } from './effects.js';
+import type { ControllerEvent, ControllerEventType } from './events.js';
+import { reduceFleet } from './fleet/reduceFleet.js';
+import { giveOrders } from './orders/giveOrders.js';
+import { reduceOrders } from './orders/reduceOrders.js';
+import { planPools } from './planning/planPools.js';
+import { scaleIn } from './planning/scaleIn.js';
+import { reduceReclaims } from './reclaims/reduceReclaims.js';
+import { reduceLease } from './reduceLease.js';
+import type { ControllerState, HeldLease } from './state.js';
+
+const concerns: readonly Reducer<ControllerState, ControllerEvent, ControllerEffect>[] = [
+  reduceLease,
+  reduceFleet,
+  reduceReclaims,
+  reduceDemand,
+  reduceBuying,
+  reduceOrders,
+];
+
+/** Events after which waiting for the next tick would cost capacity in time. */
+const urgentEvents: ReadonlySet<ControllerEventType> = new Set([
+  'tick',
+  'configurationApplied',
+  'reclaimNoticed',
+  'instanceLost',
+  'startAnswered',
+  'orderAnswered',
+]);
+
+function act(state: ControllerState, lease: HeldLease): ControllerEffect[] {
+  return [
+    ...planPools(state),
+    ...buyInstances(state, lease),
+    ...giveOrders(state, lease),
+    ...scaleIn(state),
+  ];
+}
+
+/** Decides what one event means for the fleet of this controller's data centre. */
+export const reduceController: Reducer<ControllerState, ControllerEvent, ControllerEffect> = (
+  state,
+  event,
+) => {
+  state.now = event.now;
+  state.wallNow = event.wallNow;
+  if (event.type === 'configurationApplied') {
+    const newer = event.configuration.revision >= state.configuration.revision;
+    if (newer) state.configuration = event.configuration;
+  }
+  const effects = concerns.flatMap((reduce) => reduce(state, event));
+  const { lease } = state;
+  if (lease !== undefined && !state.newerEpochSeen) {
+    return urgentEvents.has(event.type) ? [...effects, ...act(state, lease)] : effects;
+  }
+  // Without the lease another controller may act: two would buy twice and undo each other's work.
+  if (event.type === 'tick') planPools(state);
+  return effects.filter((effect) => !isFleetEffect(effect));
+};
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -4,6 +4,8 @@
  */
 import { errorKinds } from './errors/errorKinds.js';
 import {
+  drainReasons,
+  fleetRetryReasons,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -89,6 +91,44 @@
     help: 'Bytes of frames between the processes of the system, by direction',
     label: { name: 'direction', values: ['in', 'out'] },
   },
+  startsAsked: {
+    name: 'hornbeampond_starts_asked_total',
+    kind: 'counter',
+    help: 'Purchases of instances that were begun',
+  },
+  instancesBought: {
+    name: 'hornbeampond_instances_bought_total',
+    kind: 'counter',
+    help: 'Instances that were bought',
+  },
+  startsRefused: {
+    name: 'hornbeampond_starts_refused_total',
+    kind: 'counter',
+    help: 'Starts that the platform refused, by instance class',
+    label: { name: 'instance_class' },
+  },
+  instancesReclaimed: {
+    name: 'hornbeampond_instances_reclaimed_total',
+    kind: 'counter',
+    help: 'Instances in use that came under a reclaim notice',
+  },
+  instancesDrained: {
+    name: 'hornbeampond_instances_drained_total',
+    kind: 'counter',
+    help: 'Instances taken out of service by plan, by reason',
+    label: { name: 'reason', values: drainReasons },
+  },
+  ordersSent: {
+    name: 'hornbeampond_orders_sent_total',
+    kind: 'counter',
+    help: 'Orders sent to backend servers',
+  },
+  fleetRetries: {
+    name: 'hornbeampond_fleet_retries_total',
+    kind: 'counter',
+    help: 'Purchases, ends and orders that were sent again, by reason',
+    label: { name: 'reason', values: fleetRetryReasons },
+  },
 } as const satisfies Record<string, MetricDefinition>;
 
 export type MetricName = keyof typeof metricDefinitions;
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -38,3 +38,17 @@
 /** Why a late answer or part of one was dropped. */
 export const lateAnswerReasons = ['attemptGivenUp', 'callerGone', 'duplicate'] as const;
 export type LateAnswerReason = (typeof lateAnswerReasons)[number];
+
+/** Why a controller did something to the fleet again. */
+export const fleetRetryReasons = [
+  'startAnswerLost',
+  'endAnswerLost',
+  'orderAnswerLost',
+  'orderFailed',
+  'weightStoreBusy',
+] as const;
+export type FleetRetryReason = (typeof fleetRetryReasons)[number];
+
+/** Why an instance was taken out of service by a controller. */
+export const drainReasons = ['scaleIn', 'reload', 'stray'] as const;
+export type DrainReason = (typeof drainReasons)[number];
