--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -1,10 +1,17 @@
 /**
  * All that an entry knows and decides from. The reducer changes it in place; nothing else does.
  */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { emptyConfiguration, type Configuration } from '@hornbeampond/schema';
+import { makeAdmissionState, type AdmissionState } from './admission/AdmissionState.js';
 import type { AttemptState } from './attempts/AttemptState.js';
 import type { BackendServerState } from './backendServers/BackendServerState.js';
+import type { PoolBalance } from './backendServers/PoolBalance.js';
+import type { Timed } from './entryEvents.js';
+import { makeLimitState, type LimitState } from './limits/LimitState.js';
 import type { RequestState } from './requests/RequestState.js';
+import { RouteIndex } from './routing/RouteIndex.js';
 
 /** What an entry is told at start. */
 export interface EntryIdentity {
@@ -26,6 +33,25 @@
   /** Attempts without an end, by attempt id. */
   readonly attempts: Map<string, AttemptState>;
   shuttingDown: boolean;
+  /** The clocks at the event that is being handled. */
+  clocks: Timed;
+  /** Advances with each draw; two entries that start together draw differently. */
+  readonly random: RandomGenerator;
+  routeIndex: RouteIndex;
+  /** By pool. */
+  readonly poolBalances: Map<string, PoolBalance>;
+  readonly admission: AdmissionState;
+  readonly limits: LimitState;
+}
+
+const SEED_FACTOR = 31;
+
+function seedOf({ instance, incarnation }: EntryIdentity): number {
+  let seed = Math.trunc(incarnation);
+  for (const character of instance) {
+    seed = Math.imul(seed, SEED_FACTOR) + (character.codePointAt(0) ?? 0);
+  }
+  return seed;
 }
 
 export function makeEntryState(identity: EntryIdentity): EntryState {
@@ -36,5 +62,11 @@
     requests: new Map(),
     attempts: new Map(),
     shuttingDown: false,
+    clocks: { now: 0, wallNow: 0 },
+    random: xoroshiro128plus(seedOf(identity)),
+    routeIndex: new RouteIndex(emptyConfiguration),
+    poolBalances: new Map(),
+    admission: makeAdmissionState(),
+    limits: makeLimitState(),
   };
 }
--- /dev/null
+++ b/packages/entry-core/src/admission/FairQueue.ts
@@ -0,0 +1,162 @@
+/**
+ * The requests of one pool and one priority that wait for a backend server: earliest deadline
+ * first, as far as fair shares between workspaces allow. Each workspace has a virtual time, the
+ * work it has been served so far; only workspaces within one quantum of the least served one may
+ * be served next, and among these the earliest deadline wins. So a workspace that floods the
+ * queue delays another by a quantum at most, and an urgent request passes a patient one as long as
+ * its workspace has not had more than its share. A workspace that comes back from idleness starts
+ * at the virtual time of the queue and has no claim on the past.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** Workspaces may run ahead of the least served one by so many requests of usual cost. */
+const QUANTUM_REQUESTS = 2;
+
+/** One waiting request. */
+export interface Waiting {
+  readonly accepted: RequestState;
+  /** When its next token is due; the queue's order. */
+  readonly dueAt: MonotonicMilliseconds;
+  /** How long it is expected to keep one place of a backend server busy. */
+  readonly cost: Milliseconds;
+}
+
+/** What waits of one workspace. */
+export interface WorkspaceQueue {
+  readonly workspace: string;
+  /** Earliest deadline first. */
+  readonly waiting: Waiting[];
+  /** Sum of the costs of all that wait. */
+  backlog: Milliseconds;
+  /** Work that this workspace has been served, as far as it counts for fairness. */
+  virtualTime: Milliseconds;
+}
+
+function placeOf(waiting: readonly Waiting[], dueAt: MonotonicMilliseconds): number {
+  let low = 0;
+  let high = waiting.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if ((waiting[middle]?.dueAt ?? 0) <= dueAt) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+export class FairQueue {
+  private readonly workspaces = new Map<string, WorkspaceQueue>();
+
+  /** Virtual times of workspaces that wait for nothing now but have had more than others. */
+  private readonly aheadWhenIdle = new Map<string, Milliseconds>();
+
+  /** Virtual time of the least served workspace. */
+  private virtualTime: Milliseconds = 0;
+
+  get backlogged(): Iterable<WorkspaceQueue> {
+    return this.workspaces.values();
+  }
+
+  get isEmpty(): boolean {
+    return this.workspaces.size === 0;
+  }
+
+  get backlog(): Milliseconds {
+    let backlog = 0;
+    for (const queue of this.workspaces.values()) backlog += queue.backlog;
+    return backlog;
+  }
+
+  workspaceQueue(workspace: string): WorkspaceQueue | undefined {
+    return this.workspaces.get(workspace);
+  }
+
+  add(waiting: Waiting): void {
+    const { workspace } = waiting.accepted.request;
+    const queue = this.workspaces.get(workspace) ?? {
+      workspace,
+      waiting: [],
+      backlog: 0,
+      virtualTime: this.startOf(workspace),
+    };
+    queue.waiting.splice(placeOf(queue.waiting, waiting.dueAt), 0, waiting);
+    queue.backlog += waiting.cost;
+    this.workspaces.set(workspace, queue);
+  }
+
+  /** Takes a request out without counting it as served. */
+  remove(waiting: Waiting): void {
+    const queue = this.workspaces.get(waiting.accepted.request.workspace);
+    const index = queue?.waiting.indexOf(waiting) ?? -1;
+    if (queue === undefined || index < 0) return;
+    queue.waiting.splice(index, 1);
+    queue.backlog -= waiting.cost;
+    if (queue.waiting.length === 0) this.becomeIdle(queue);
+  }
+
+  /** The request to be served next. */
+  peek(): Waiting | undefined {
+    const leastServed = this.findLeastServed();
+    let next: Waiting | undefined;
+    for (const { virtualTime, waiting } of this.workspaces.values()) {
+      const [first] = waiting;
+      if (first === undefined) continue;
+      const ahead = virtualTime - leastServed;
+      if (ahead > QUANTUM_REQUESTS * first.cost) continue;
+      if (next === undefined || first.dueAt < next.dueAt) next = first;
+    }
+    return next;
+  }
+
+  /** Takes a request out as served and charges its workspace. */
+  serve(waiting: Waiting): void {
+    const queue = this.workspaces.get(waiting.accepted.request.workspace);
+    if (queue === undefined) return;
+    this.virtualTime = Math.max(this.virtualTime, this.findLeastServed());
+    queue.virtualTime += waiting.cost;
+    this.remove(waiting);
+  }
+
+  /** Work that is served before this request, which may wait already or not yet. */
+  workAhead({ accepted, dueAt, cost }: Waiting): Milliseconds {
+    const { workspace } = accepted.request;
+    let own = 0;
+    for (const waiting of this.workspaces.get(workspace)?.waiting ?? []) {
+      if (waiting.dueAt > dueAt) break;
+      if (waiting.accepted !== accepted) own += waiting.cost;
+    }
+    return own + this.workOfOthers(workspace, own + cost);
+  }
+
+  /** What others are served while this workspace is served `own`. */
+  workOfOthers(workspace: string, own: Milliseconds): Milliseconds {
+    const virtualTime = this.workspaces.get(workspace)?.virtualTime ?? this.startOf(workspace);
+    let others = 0;
+    for (const queue of this.workspaces.values()) {
+      if (queue.workspace !== workspace) {
+        const share = Math.max(0, virtualTime + own - queue.virtualTime);
+        others += Math.min(queue.backlog, share);
+      }
+    }
+    return others;
+  }
+
+  private findLeastServed(): Milliseconds {
+    let least = Number.POSITIVE_INFINITY;
+    for (const { virtualTime } of this.workspaces.values()) least = Math.min(least, virtualTime);
+    return Number.isFinite(least) ? least : this.virtualTime;
+  }
+
+  /** The virtual time that an idle workspace would come back with. */
+  private startOf(workspace: string): Milliseconds {
+    return Math.max(this.virtualTime, this.aheadWhenIdle.get(workspace) ?? 0);
+  }
+
+  private becomeIdle({ workspace, virtualTime }: WorkspaceQueue): void {
+    this.workspaces.delete(workspace);
+    this.aheadWhenIdle.set(workspace, virtualTime);
+    for (const [idle, ahead] of this.aheadWhenIdle) {
+      if (ahead <= this.virtualTime) this.aheadWhenIdle.delete(idle);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry-core/src/admission/PoolQueue.ts
@@ -0,0 +1,64 @@
+/** Everything that waits for the backend servers of one pool: one fair queue for each priority. */
+import type { Milliseconds } from '@hornbeampond/schema';
+import { FairQueue, type Waiting } from './FairQueue.js';
+
+/** 0 is served first, 9 last. */
+const PRIORITIES = 10;
+
+export class PoolQueue {
+  readonly levels: readonly FairQueue[] = Array.from({ length: PRIORITIES }, () => new FairQueue());
+
+  /** Requests that wait, by request id. */
+  readonly waiting = new Map<string, Waiting>();
+
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  add(waiting: Waiting): void {
+    this.waiting.set(waiting.accepted.request.requestId, waiting);
+    this.levelOf(waiting)?.add(waiting);
+  }
+
+  remove(waiting: Waiting): void {
+    this.waiting.delete(waiting.accepted.request.requestId);
+    this.levelOf(waiting)?.remove(waiting);
+  }
+
+  serve(waiting: Waiting): void {
+    this.waiting.delete(waiting.accepted.request.requestId);
+    this.levelOf(waiting)?.serve(waiting);
+  }
+
+  peek(): Waiting | undefined {
+    return this.levels.find((level) => !level.isEmpty)?.peek();
+  }
+
+  /** Requests of one workspace that wait, over all priorities. */
+  countOf(workspace: string): number {
+    let count = 0;
+    for (const level of this.levels) count += level.workspaceQueue(workspace)?.waiting.length ?? 0;
+    return count;
+  }
+
+  /** Workspaces that have anything waiting. */
+  countWorkspaces(): number {
+    const names = new Set<string>();
+    for (const level of this.levels) {
+      for (const { workspace } of level.backlogged) names.add(workspace);
+    }
+    return names.size;
+  }
+
+  /** Work that is served before this request. */
+  workAhead(waiting: Waiting): Milliseconds {
+    const { priority } = waiting.accepted.route;
+    let ahead = this.levelOf(waiting)?.workAhead(waiting) ?? 0;
+    for (const level of this.levels.slice(0, priority)) ahead += level.backlog;
+    return ahead;
+  }
+
+  private levelOf({ accepted }: Waiting): FairQueue | undefined {
+    return this.levels[accepted.route.priority];
+  }
+}
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -10,6 +10,9 @@
 import type { RequestState } from '../requests/RequestState.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
 import { findRoute } from '../routing/findRoute.js';
+import { routeIndexOf } from '../routing/routeIndexOf.js';
+import { acquire } from '../limits/releaseEnded.js';
+import { decideAdmission } from './refuseEarly.js';
 
 export function admitRequest(
   state: EntryState,
@@ -19,7 +22,8 @@
   if (state.shuttingDown) {
     return refuse(request, 'draining', 'This instance is shutting down');
   }
-  const found = findRoute(state.configuration.routes.rows, request);
+  const index = routeIndexOf(state);
+  const found = findRoute(index, request);
   if (found.type === 'forbidden') {
     return refuse(request, 'forbidden', `Workspace "${request.workspace}" may not use this route`);
   }
@@ -27,14 +31,14 @@
     return refuse(request, 'routeNotFound', `No route matches ${request.path}`);
   }
   const { route } = found;
-  const pool = state.configuration.pools.rows.find((row) => row.name === route.pool);
+  const pool = index.pool(route.pool);
   if (pool === undefined) {
     return refuse(request, 'noBackendServer', `Pool "${route.pool}" is not there`);
   }
   if (!route.idempotent && request.idempotencyKey === undefined) {
     return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
   }
-  const deadline = deadlineAt(route, wallNow);
+  const deadline = deadlineAt(route, wallNow, index.clock);
   const accepted: RequestState = {
     request,
     route,
@@ -48,7 +52,13 @@
     tokens: 0,
     firstTokenAt: undefined,
   };
+  const admission = decideAdmission(state, accepted, now);
+  if (admission.type === 'refused') {
+    const { kind, detail, retryAfterMilliseconds } = admission.refusal;
+    return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds });
+  }
   state.requests.set(request.requestId, accepted);
+  acquire(state, request.requestId, route.name, request.workspace);
   return [
     { type: 'count', metric: 'requestsAccepted', label: route.name },
     {
@@ -56,6 +66,6 @@
       event: 'requestAccepted',
       fields: { requestId: request.requestId, route: route.name, workspace: request.workspace },
     },
-    ...startAttempt(state, accepted, now),
+    ...startAttempt(state, accepted, now, admission.server),
   ];
 }
--- /dev/null
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -0,0 +1,94 @@
+/**
+ * Gives requests in the queue their final answer at the moment their deadline has become
+ * unreachable, as when servers were lost or slowed down after they were accepted. They are walked
+ * in the order they would be served; one that is given up no longer delays those behind it.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { failRequest } from '../requests/endRequest.js';
+import type { FairQueue, Waiting, WorkspaceQueue } from './FairQueue.js';
+import type { PoolQueue } from './PoolQueue.js';
+import { usualDelay } from './predictWait.js';
+import { promiseRetry } from './retryAfter.js';
+
+/**
+ * A predicted wait must miss the deadline by this share of the wait before it is acted on:
+ * predictions are noisy, and a request given up too early is a loss too.
+ */
+const PREDICTION_TOLERANCE = 0.25;
+
+/** Places of backend servers of all data centres that this entry can count on. */
+function countAllPlaces(state: EntryState, pool: string, now: MonotonicMilliseconds): number {
+  const { local, remote } = poolBalanceOf(state, pool);
+  const entries = state.limits.ledger.countEntries(now);
+  return Math.max(1, (local.limitSum + remote.limitSum) / entries);
+}
+
+/** Walks the queue of one pool. */
+class UnreachableSearch {
+  readonly found: Waiting[] = [];
+
+  private readonly places: number;
+
+  constructor(
+    private readonly state: EntryState,
+    pool: string,
+    private readonly now: MonotonicMilliseconds,
+  ) {
+    this.places = countAllPlaces(state, pool, now);
+  }
+
+  walk(queue: PoolQueue): void {
+    let higher = 0;
+    for (const level of queue.levels) {
+      for (const workspace of level.backlogged) this.walkWorkspace(level, workspace, higher);
+      higher += level.backlog;
+    }
+  }
+
+  private walkWorkspace(
+    level: FairQueue,
+    { workspace, waiting }: WorkspaceQueue,
+    higher: Milliseconds,
+  ): void {
+    let own = 0;
+    for (const one of waiting) {
+      const others = level.workOfOthers(workspace, own + one.cost);
+      const wait = (higher + own + others) / this.places;
+      if (this.isUnreachable(one, wait)) this.found.push(one);
+      else own += one.cost;
+    }
+  }
+
+  private isUnreachable({ accepted, dueAt }: Waiting, wait: Milliseconds): boolean {
+    const earliest = this.now + usualDelay(this.state, accepted, this.now);
+    return earliest + wait * (1 - PREDICTION_TOLERANCE) > dueAt;
+  }
+}
+
+function giveUp(state: EntryState, { accepted, cost }: Waiting, now: number): EntryEffect[] {
+  const { pool, request } = accepted;
+  const interval = cost / countAllPlaces(state, pool.name, now);
+  const key = `queue/${pool.name}/${request.workspace}`;
+  const retryAfterMilliseconds = promiseRetry(state, key, interval, interval, now);
+  const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
+  const detail = 'The deadline can no longer be met';
+  const problem = { ran, retryAfterMilliseconds } as const;
+  return failRequest(state, accepted, 'deadlineUnreachable', detail, problem);
+}
+
+export function dropUnreachable(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  const effects: EntryEffect[] = [];
+  for (const [pool, queue] of state.admission.queues) {
+    if (queue.size === 0) continue;
+    const search = new UnreachableSearch(state, pool, now);
+    search.walk(queue);
+    for (const waiting of search.found) {
+      queue.remove(waiting);
+      effects.push(...giveUp(state, waiting, now));
+    }
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/entry-core/src/admission/enqueue.ts
@@ -0,0 +1,21 @@
+/** Lets an accepted request wait until a backend server has room for it. */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { countWaiting, poolQueueOf } from './AdmissionState.js';
+import { makeWaiting } from './predictWait.js';
+
+export function enqueue(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
+  const queue = poolQueueOf(state, accepted.pool.name);
+  const { requestId } = accepted.request;
+  if (!queue.waiting.has(requestId)) queue.add(makeWaiting(state, accepted, now));
+  return [
+    { type: 'setGauge', metric: 'queuedRequests', value: countWaiting(state) },
+    { type: 'log', event: 'requestQueued', fields: { requestId, pool: accepted.pool.name } },
+  ];
+}
--- /dev/null
+++ b/packages/entry-core/src/admission/reduceAdmission.ts
@@ -0,0 +1,43 @@
+/**
+ * What admission does after any event: it lets go of what has ended, gives up what can no longer
+ * be in time, and sends on what waits.
+ */
+import { endEjections } from '../backendServers/ejectOutliers.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryEvent } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { releaseEnded, requestIdOf } from '../limits/releaseEnded.js';
+import { drainQueues } from './drainQueues.js';
+import { dropUnreachable } from './dropUnreachable.js';
+import { leaveQueue } from './leaveQueue.js';
+import { forgetKeptPromises } from './retryAfter.js';
+
+/** What an event is about, to be found before the event is handled. */
+export interface Concerned {
+  readonly requestId: string | undefined;
+  readonly instance: string | undefined;
+}
+
+export function findConcerned(state: EntryState, event: EntryEvent): Concerned {
+  const requestId = requestIdOf(state, event);
+  const attemptId =
+    'attemptId' in event ? event.attemptId : state.requests.get(requestId ?? '')?.attemptId;
+  return { requestId, instance: state.attempts.get(attemptId ?? '')?.instance };
+}
+
+function passTime(state: EntryState, now: number): EntryEffect[] {
+  for (const pool of state.poolBalances.values()) endEjections(pool, now);
+  forgetKeptPromises(state, now);
+  return dropUnreachable(state, now);
+}
+
+export function reduceAdmission(
+  state: EntryState,
+  event: EntryEvent,
+  { requestId, instance }: Concerned,
+): EntryEffect[] {
+  releaseEnded(state, event, requestId);
+  leaveQueue(state, requestId);
+  const dropped = event.type === 'tick' ? passTime(state, event.now) : [];
+  return [...dropped, ...drainQueues(state, event, instance)];
+}
--- /dev/null
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -0,0 +1,142 @@
+/**
+ * Decides whether a request that has just arrived is refused before anything is done for it, and
+ * when its caller should come back. Only what is predicted to meet its deadline is accepted.
+ */
+import type { ErrorKind, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import { isPredictionTrusted, predictFirstToken } from '../backendServers/predictFirstToken.js';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import type { EntryState } from '../EntryState.js';
+import { limitKey, limitOf } from '../limits/limitOf.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { countWaiting, poolQueueOf } from './AdmissionState.js';
+import { placeRequest } from './placeRequest.js';
+import { countPlaces, makeWaiting, predictWait, usualDelay } from './predictWait.js';
+import { LONGEST_RETRY_AFTER_MILLISECONDS, promiseRetry } from './retryAfter.js';
+
+export interface EarlyRefusal {
+  readonly kind: ErrorKind;
+  readonly detail: string;
+  readonly retryAfterMilliseconds: Milliseconds;
+}
+
+/** Without any backend server nothing can be predicted; instances start in about this time. */
+const NO_BACKEND_SERVER_RETRY_MILLISECONDS: Milliseconds = 5000;
+
+/** One workspace may have waiting so many times the room that is left in the queue. */
+const QUEUE_SHARE_FACTOR = 2;
+
+function refuseOverLimit(
+  state: EntryState,
+  { request, route, pool }: RequestState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal | undefined {
+  const limit = limitOf(route, request.workspace);
+  const key = limitKey(route.name, request.workspace);
+  const { ledger } = state.limits;
+  if (ledger.hasRoom(key, limit, now)) return undefined;
+  const detail = `Workspace "${request.workspace}" has ${limit} requests in progress`;
+  const serviceTime = poolBalanceOf(state, pool.name).serviceTime(route.name, now);
+  const interval =
+    limit === 0
+      ? LONGEST_RETRY_AFTER_MILLISECONDS
+      : serviceTime / Math.max(1, ledger.ownInProgress(key));
+  const retryAfterMilliseconds = promiseRetry(state, `limit/${key}`, interval, interval, now);
+  return { kind: 'limitReached', detail, retryAfterMilliseconds };
+}
+
+/**
+ * A workspace may fill the queue only as far as room for others is left: it is refused once it
+ * has more waiting than twice the free places. With a plain bound, one that floods would fill the
+ * whole queue, and every other caller would be refused at the door, however fair the queue is.
+ */
+function refuseOverQueue(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal | undefined {
+  const { workspace } = accepted.request;
+  const queue = poolQueueOf(state, accepted.pool.name);
+  const free = state.identity.queuedRequests - countWaiting(state);
+  const own = queue.countOf(workspace);
+  const excess = own + 1 - Math.min(own + free, QUEUE_SHARE_FACTOR * free);
+  if (excess <= 0) return undefined;
+  const { cost } = makeWaiting(state, accepted, now);
+  const workspaces = Math.max(1, queue.countWorkspaces());
+  const interval = (cost * workspaces) / countPlaces(state, accepted.pool.name, now);
+  const key = `queue/${accepted.pool.name}/${workspace}`;
+  const retryAfterMilliseconds = promiseRetry(state, key, interval * excess, interval, now);
+  return { kind: 'overloaded', detail: 'Too many requests wait', retryAfterMilliseconds };
+}
+
+function refuseLateInQueue(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal | undefined {
+  const waiting = makeWaiting(state, accepted, now);
+  const predicted = predictWait(state, waiting, now) + usualDelay(state, accepted, now);
+  const late = predicted - (waiting.dueAt - now);
+  if (late <= 0) return undefined;
+  const pool = accepted.pool.name;
+  const workspaces = Math.max(1, poolQueueOf(state, pool).countWorkspaces());
+  const interval = (waiting.cost * workspaces) / countPlaces(state, pool, now);
+  const key = `queue/${pool}/${accepted.request.workspace}`;
+  const retryAfterMilliseconds = promiseRetry(state, key, late + interval, interval, now);
+  const detail = `The first token is predicted in ${Math.round(predicted)} ms`;
+  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds };
+}
+
+function refuseLateAt(
+  state: EntryState,
+  accepted: RequestState,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal | undefined {
+  const { request, route, pool } = accepted;
+  const balance = poolBalanceOf(state, pool.name);
+  const predicted = predictFirstToken(balance, server, request, route.name, now);
+  const patience = nextTokenDueAt(accepted) - now;
+  if (predicted <= patience || !isPredictionTrusted(balance, server, patience, now)) {
+    return undefined;
+  }
+  const interval = makeWaiting(state, accepted, now).cost / countPlaces(state, pool.name, now);
+  const key = `server/${pool.name}/${request.workspace}`;
+  const wait = predicted - patience;
+  const retryAfterMilliseconds = promiseRetry(state, key, wait, interval, now);
+  const detail = `The first token is predicted in ${Math.round(predicted)} ms`;
+  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds };
+}
+
+/** The refusal, or where the request goes. */
+export type Admission =
+  | { readonly type: 'refused'; readonly refusal: EarlyRefusal }
+  | { readonly type: 'admitted'; readonly server: BackendServerState | undefined };
+
+function toAdmission(refusal: EarlyRefusal | undefined, server?: BackendServerState): Admission {
+  return refusal === undefined ? { type: 'admitted', server } : { type: 'refused', refusal };
+}
+
+export function decideAdmission(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): Admission {
+  const overLimit = refuseOverLimit(state, accepted, now);
+  if (overLimit !== undefined) return toAdmission(overLimit);
+  const placement = placeRequest(state, accepted, now);
+  if (placement.type === 'none') {
+    return toAdmission({
+      kind: 'noBackendServer',
+      detail: `Pool "${accepted.pool.name}" has no backend server`,
+      retryAfterMilliseconds: NO_BACKEND_SERVER_RETRY_MILLISECONDS,
+    });
+  }
+  if (placement.type === 'start') {
+    const { server } = placement;
+    return toAdmission(refuseLateAt(state, accepted, server, now), server);
+  }
+  const overQueue = refuseOverQueue(state, accepted, now);
+  return toAdmission(overQueue ?? refuseLateInQueue(state, accepted, now));
+}
--- /dev/null
+++ b/packages/entry-core/src/admission/retryAfter.ts
@@ -0,0 +1,37 @@
+/**
+ * When a refused caller is asked to come back. A prediction alone would send all callers that
+ * were refused in one moment back in one moment, to be refused again; so each is given a time of
+ * its own, one place of the queue after the one before. Times are kept by what refused them and
+ * by workspace, so that a workspace that floods only puts off itself.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+
+export const LONGEST_RETRY_AFTER_MILLISECONDS: Milliseconds = 60_000;
+const SHORTEST_RETRY_AFTER_MILLISECONDS: Milliseconds = 50;
+
+/**
+ * @param key - What refused the caller.
+ * @param wait - Predicted time until there is room for one.
+ * @param interval - Predicted time from then on between two that find room.
+ */
+export function promiseRetry(
+  state: EntryState,
+  key: string,
+  wait: Milliseconds,
+  interval: Milliseconds,
+  now: MonotonicMilliseconds,
+): Milliseconds {
+  const last = state.admission.promises.get(key) ?? Number.NEGATIVE_INFINITY;
+  const wanted = Math.max(now + wait, last + interval);
+  const latest = now + LONGEST_RETRY_AFTER_MILLISECONDS;
+  const promised = Math.min(wanted, latest);
+  state.admission.promises.set(key, promised);
+  return Math.ceil(Math.max(SHORTEST_RETRY_AFTER_MILLISECONDS, promised - now));
+}
+
+export function forgetKeptPromises(state: EntryState, now: MonotonicMilliseconds): void {
+  for (const [key, promised] of state.admission.promises) {
+    if (promised < now) state.admission.promises.delete(key);
+  }
+}
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -4,24 +4,35 @@
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
-import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
+import { enqueue } from '../admission/enqueue.js';
+import { placeRequest } from '../admission/placeRequest.js';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { failRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 
 /** A stream that pauses for so long is taken for lost. */
 const SILENCE_TIMEOUT_MILLISECONDS = 5000;
 
+/**
+ * @param chosen - The backend server, where admission has chosen it already.
+ */
 export function startAttempt(
   state: EntryState,
   accepted: RequestState,
   now: MonotonicMilliseconds,
+  chosen?: BackendServerState,
 ): EntryEffect[] {
-  const server = chooseBackendServer(state, accepted);
-  if (server === undefined) {
+  const placement =
+    chosen === undefined
+      ? placeRequest(state, accepted, now)
+      : ({ type: 'start', server: chosen } as const);
+  if (placement.type === 'wait') return enqueue(state, accepted, now);
+  if (placement.type === 'none') {
     const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
     const detail = `Pool "${accepted.pool.name}" has no backend server left to try`;
     return failRequest(state, accepted, 'noBackendServer', detail, { ran });
   }
+  const { server } = placement;
   const { requestId } = accepted.request;
   accepted.attemptsStarted += 1;
   const attemptId = `${requestId}.${accepted.attemptsStarted}`;
--- a/packages/entry-core/src/backendServers/BackendServerState.ts
+++ b/packages/entry-core/src/backendServers/BackendServerState.ts
@@ -5,6 +5,7 @@
   MonotonicMilliseconds,
   PlatformInstance,
 } from '@hornbeampond/schema';
+import type { ServerBalance } from './ServerBalance.js';
 
 export interface BackendServerState {
   /** The platform's newest word on it. */
@@ -15,4 +16,11 @@
   readonly attemptIds: Set<string>;
   load: LoadReport | undefined;
   loadReceivedAt: MonotonicMilliseconds | undefined;
+  /** What the choice of a backend server is made from. */
+  readonly balance: ServerBalance;
+}
+
+/** True if the platform and the reclaim notices let it have new work. */
+export function takesNewWork(server: BackendServerState): boolean {
+  return server.listed.state === 'live' && server.goneAt === undefined;
 }
--- /dev/null
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -0,0 +1,110 @@
+/**
+ * The backend servers of one pool as the choice sees them: those that take new work, in two
+ * groups (own data centre and the others), each an array so that sampling costs the same at ten
+ * servers and at ten thousand; and what all of them have taught about delays.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { LearntMean } from './LearntMean.js';
+import { takesNewWork, type BackendServerState } from './BackendServerState.js';
+import { PrefixBeliefs } from './PrefixBeliefs.js';
+
+/** Servers of one pool in one group of data centres. */
+export class CandidateGroup {
+  readonly candidates: BackendServerState[] = [];
+
+  /** Servers that would take new work but were ejected as outliers. */
+  readonly ejected = new Set<BackendServerState>();
+
+  /** Sum of the adaptive limits of all candidates. */
+  limitSum = 0;
+
+  clear(): void {
+    this.candidates.length = 0;
+    this.ejected.clear();
+    this.limitSum = 0;
+  }
+
+  add(server: BackendServerState): void {
+    server.balance.candidateIndex = this.candidates.length;
+    this.candidates.push(server);
+    this.limitSum += server.balance.limit;
+  }
+
+  /** Takes a server out by putting the last one in its place. */
+  remove(server: BackendServerState): void {
+    const index = server.balance.candidateIndex;
+    if (index === undefined || this.candidates[index] !== server) return;
+    const last = this.candidates.pop();
+    if (last !== undefined && last !== server) {
+      this.candidates[index] = last;
+      last.balance.candidateIndex = index;
+    }
+    server.balance.candidateIndex = undefined;
+    this.limitSum -= server.balance.limit;
+  }
+
+  has(server: BackendServerState): boolean {
+    return this.candidates[server.balance.candidateIndex ?? -1] === server;
+  }
+
+  /** The server at a place, unless it has stopped taking new work; then it is taken out. */
+  at(index: number): BackendServerState | undefined {
+    const server = this.candidates[index];
+    if (server === undefined || takesNewWork(server)) return server;
+    this.remove(server);
+    return undefined;
+  }
+}
+
+const SERVICE_PRIOR_MILLISECONDS: Milliseconds = 1000;
+
+export class PoolBalance {
+  readonly local = new CandidateGroup();
+
+  readonly remote = new CandidateGroup();
+
+  /** First-token delay of a request whose prompt weighs one unit. */
+  readonly firstToken = new LearntMean();
+
+  /** Time from the start of an attempt to its end, by route. */
+  private readonly serviceTimes = new Map<string, LearntMean>();
+
+  readonly beliefs = new PrefixBeliefs();
+
+  get groups(): readonly CandidateGroup[] {
+    return [this.local, this.remote];
+  }
+
+  /** True if any backend server takes new work or will once its ejection is over. */
+  get hasServers(): boolean {
+    return this.groups.some((group) => group.candidates.length + group.ejected.size > 0);
+  }
+
+  /** The group whose servers do the usual work of this entry. */
+  get home(): CandidateGroup {
+    return this.local.candidates.length > 0 ? this.local : this.remote;
+  }
+
+  groupOf(server: BackendServerState): CandidateGroup {
+    return this.remote.has(server) || this.remote.ejected.has(server) ? this.remote : this.local;
+  }
+
+  /** Sets a server's adaptive limit and keeps its group's sum right. */
+  changeLimit(server: BackendServerState, limit: number): void {
+    const { balance } = server;
+    if (balance.candidateIndex !== undefined) {
+      this.groupOf(server).limitSum += limit - balance.limit;
+    }
+    balance.limit = limit;
+  }
+
+  serviceTime(route: string, now: MonotonicMilliseconds): Milliseconds {
+    return this.serviceTimes.get(route)?.value(now) ?? SERVICE_PRIOR_MILLISECONDS;
+  }
+
+  learnServiceTime(route: string, sample: Milliseconds, now: MonotonicMilliseconds): void {
+    const known = this.serviceTimes.get(route) ?? new LearntMean();
+    known.learn(sample, now);
+    this.serviceTimes.set(route, known);
+  }
+}
--- /dev/null
+++ b/packages/entry-core/src/backendServers/ServerBalance.ts
@@ -0,0 +1,78 @@
+/** What an entry has learnt of one backend server from its own attempts and from load reports. */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+
+/** One attempt of this entry that has ended, kept until a load report is younger than it. */
+export interface EndedAttempt {
+  readonly startedAt: MonotonicMilliseconds;
+  readonly endedAt: MonotonicMilliseconds;
+}
+
+export interface ServerBalance {
+  /** Requests that its class runs at full speed; the adaptive limit never goes above. */
+  fullLimit: number;
+  /** Adaptive limit of requests in progress, of all entries together. */
+  limit: number;
+  limitLoweredAt: MonotonicMilliseconds;
+  /** When slow start began, or undefined for a server that was there before this entry. */
+  slowStartAt: MonotonicMilliseconds | undefined;
+  /** Requests of other entries in progress when load was measured last. */
+  othersInProgress: number;
+  /** When load was measured last, by the clock of this entry. */
+  measuredAt: MonotonicMilliseconds | undefined;
+  /** Own attempts that ended lately, oldest first. */
+  readonly endedAttempts: EndedAttempt[];
+  /** Its first-token delay relative to what is usual in its pool. */
+  slowness: number;
+  consecutiveFailures: number;
+  /** Outcomes that still count, halved now and then so that old ones fade. */
+  successes: number;
+  failures: number;
+  ejectedUntil: MonotonicMilliseconds | undefined;
+  /** Ejections in a row; each one lasts longer. */
+  ejections: number;
+  /** Highest sequence of cache events taken in. */
+  cacheSequence: number | undefined;
+  /** Beliefs about its cache count only if they were made in this generation. */
+  cacheGeneration: number;
+  /** Its place in the candidates of its pool, or undefined if it is not among them. */
+  candidateIndex: number | undefined;
+}
+
+export function makeServerBalance(
+  fullLimit: number,
+  slowStartAt: MonotonicMilliseconds | undefined,
+): ServerBalance {
+  return {
+    fullLimit,
+    limit: fullLimit,
+    limitLoweredAt: Number.NEGATIVE_INFINITY,
+    slowStartAt,
+    othersInProgress: 0,
+    measuredAt: undefined,
+    endedAttempts: [],
+    slowness: 1,
+    consecutiveFailures: 0,
+    successes: 0,
+    failures: 0,
+    ejectedUntil: undefined,
+    ejections: 0,
+    cacheSequence: undefined,
+    cacheGeneration: 0,
+    candidateIndex: undefined,
+  };
+}
+
+const SLOW_START_MILLISECONDS: Milliseconds = 10_000;
+const SLOW_START_LEAST_SHARE = 0.2;
+
+/**
+ * Requests that may be in progress there now. A server that has just come up has cold caches and
+ * may still be loading: without slow start it looks idle, draws the whole rush in one moment and
+ * is late for all of it. Ten seconds let its own delays show before it gets its full share.
+ */
+export function limitNow(balance: ServerBalance, now: MonotonicMilliseconds): number {
+  const { slowStartAt, limit } = balance;
+  if (slowStartAt === undefined) return limit;
+  const share = Math.min(1, Math.max(0, now - slowStartAt) / SLOW_START_MILLISECONDS);
+  return Math.max(1, limit * (SLOW_START_LEAST_SHARE + (1 - SLOW_START_LEAST_SHARE) * share));
+}
--- /dev/null
+++ b/packages/entry-core/src/backendServers/adaptConcurrency.ts
@@ -0,0 +1,54 @@
+/**
+ * Adapts how many requests a backend server may have in progress to the first-token delays that
+ * this entry sees itself, at once and without waiting for a load report: additive increase while
+ * delays are usual, multiplicative decrease when one is far above. An engine that is slower than
+ * its class says would otherwise keep a queue of its own, where neither deadlines nor fair shares
+ * hold.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { BackendServerState } from './BackendServerState.js';
+import type { PoolBalance } from './PoolBalance.js';
+
+const TOLERATED_SLOWNESS = 3;
+const DECREASE_FACTOR = 0.8;
+const LEAST_SHARE_OF_CLASS = 0.1;
+const SLOWNESS_SHARE = 0.2;
+
+/**
+ * Takes in one first-token delay.
+ *
+ * @param usual - What the pool's usual delay is for such a prompt.
+ */
+export function adaptConcurrency(
+  pool: PoolBalance,
+  server: BackendServerState,
+  delay: Milliseconds,
+  usual: Milliseconds,
+  now: MonotonicMilliseconds,
+): void {
+  const { balance } = server;
+  const slowness = delay / Math.max(1, usual);
+  balance.slowness += (Math.min(slowness, 10) - balance.slowness) * SLOWNESS_SHARE;
+  if (slowness <= TOLERATED_SLOWNESS) {
+    const raised = balance.limit + 1 / balance.limit;
+    pool.changeLimit(server, Math.min(balance.fullLimit, raised));
+    return;
+  }
+  // Delays of requests that were sent before the last decrease say nothing about its effect.
+  if (now - balance.limitLoweredAt < delay) return;
+  const least = Math.max(1, balance.fullLimit * LEAST_SHARE_OF_CLASS);
+  pool.changeLimit(server, Math.max(least, balance.limit * DECREASE_FACTOR));
+  balance.limitLoweredAt = now;
+}
+
+/** A server that says it is busy is full now, whatever its class allows. */
+export function lowerConcurrency(
+  pool: PoolBalance,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): void {
+  const { balance, attemptIds } = server;
+  const lowered = Math.min(balance.limit * DECREASE_FACTOR, attemptIds.size);
+  pool.changeLimit(server, Math.max(1, lowered));
+  balance.limitLoweredAt = now;
+}
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -1,25 +1,149 @@
 /**
- * Chooses the backend server for an attempt: among those of the pool that take new work and were
- * not tried yet, the one with the least work in progress, local data centre first.
+ * Chooses the backend server for an attempt. Few are looked at, however many there are: those
+ * believed to have the longest prefix of the prompt, and two at random, of which the better one
+ * wins (two random choices keep the fullest server near the mean, and entries that see the same
+ * old load reports do not all pick the same one). Own data centre first; others when it has
+ * nobody or would be late.
  */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
-import type { BackendServerState } from './BackendServerState.js';
+import { takesNewWork, type BackendServerState } from './BackendServerState.js';
+import { estimateInProgress } from './estimateInProgress.js';
+import type { CandidateGroup, PoolBalance } from './PoolBalance.js';
+import { poolBalanceOf } from './poolBalanceOf.js';
+import { predictFirstToken } from './predictFirstToken.js';
+import { limitNow } from './ServerBalance.js';
 
-function takesNewWork(server: BackendServerState): boolean {
-  return server.listed.state === 'live' && server.goneAt === undefined;
+/** Groups up to this size are looked at whole. */
+const WHOLE_GROUP_SIZE = 8;
+const RANDOM_CHOICES = 2;
+/** More samples, one at a time, while none with room was found. */
+const MORE_CHOICES = 14;
+
+/** When the request's next token is due. */
+export function nextTokenDueAt(accepted: RequestState): MonotonicMilliseconds {
+  return accepted.firstTokenAt === undefined ? accepted.firstTokenDueAt : accepted.wholeAnswerDueAt;
+}
+
+interface Choice {
+  readonly server: BackendServerState;
+  readonly firstTokenIn: Milliseconds;
+}
+
+/** One search for a backend server. */
+class ServerSearch {
+  best: Choice | undefined;
+
+  private readonly seen = new Set<BackendServerState>();
+
+  constructor(
+    private readonly state: EntryState,
+    private readonly pool: PoolBalance,
+    private readonly accepted: RequestState,
+    private readonly now: MonotonicMilliseconds,
+  ) {}
+
+  look(server: BackendServerState | undefined): void {
+    if (server === undefined || this.seen.has(server)) return;
+    this.seen.add(server);
+    if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
+    if (!this.hasRoom(server)) return;
+    const { request, route } = this.accepted;
+    const firstTokenIn = predictFirstToken(this.pool, server, request, route.name, this.now);
+    if (this.best === undefined || firstTokenIn < this.best.firstTokenIn) {
+      this.best = { server, firstTokenIn };
+    }
+  }
+
+  lookAtHolders(group: CandidateGroup): void {
+    for (const { server } of this.pool.beliefs.find(
+      this.accepted.request.prefixDigests,
+      this.now,
+    )) {
+      if (group.has(server)) this.look(server);
+    }
+  }
+
+  lookAround(group: CandidateGroup): void {
+    if (group.candidates.length <= WHOLE_GROUP_SIZE) {
+      for (const server of [...group.candidates]) this.look(server);
+      return;
+    }
+    for (let sample = 0; sample < RANDOM_CHOICES; sample += 1) this.lookAtRandom(group);
+    for (let more = 0; more < MORE_CHOICES && this.best === undefined; more += 1) {
+      this.lookAtRandom(group);
+    }
+  }
+
+  private lookAtRandom(group: CandidateGroup): void {
+    if (group.candidates.length === 0) return;
+    this.look(group.at(uniformInt(this.state.random, 0, group.candidates.length - 1)));
+  }
+
+  private hasRoom(server: BackendServerState): boolean {
+    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now)));
+    return estimateInProgress(server, this.now) < room;
+  }
 }
 
+/** How to look for a backend server. */
+export interface ChoiceOptions {
+  /** `remote`: only in other data centres. */
+  readonly where?: 'nearest' | 'remote';
+  /** A server that has just got room: at thousands of servers samples may miss it. */
+  readonly freed?: BackendServerState | undefined;
+}
+
+function search(
+  state: EntryState,
+  accepted: RequestState,
+  group: CandidateGroup,
+  freed: BackendServerState | undefined,
+): Choice | undefined {
+  const { now } = state.clocks;
+  const pool = poolBalanceOf(state, accepted.pool.name);
+  const one = new ServerSearch(state, pool, accepted, now);
+  if (freed !== undefined && group.has(freed)) one.look(freed);
+  one.lookAtHolders(group);
+  one.lookAround(group);
+  return one.best;
+}
+
+/**
+ * The backend server with room that promises the earliest first token, or undefined if none has
+ * room now. Other data centres are looked at when the own one has no candidate or would be late;
+ * whether a request that could wait at home should rather go there now is up to admission.
+ */
 export function chooseBackendServer(
   state: EntryState,
-  request: RequestState,
+  accepted: RequestState,
+  { where = 'nearest', freed }: ChoiceOptions = {},
 ): BackendServerState | undefined {
-  const rank = (server: BackendServerState) =>
-    (server.listed.dataCentre === state.identity.dataCentre ? 0 : 1_000_000) +
-    server.attemptIds.size;
-  return [...state.backendServers.values()]
-    .filter((server) => server.listed.pool === request.pool.name)
-    .filter(takesNewWork)
-    .filter((server) => !request.triedInstances.has(server.listed.instance))
-    .sort((a, b) => rank(a) - rank(b) || a.listed.instance.localeCompare(b.listed.instance))[0];
+  const { local, remote } = poolBalanceOf(state, accepted.pool.name);
+  if (where === 'remote') return search(state, accepted, remote, freed)?.server;
+  const near = search(state, accepted, local, freed);
+  if (near === undefined && hasUntriedIn(local, accepted)) return undefined;
+  const dueIn = nextTokenDueAt(accepted) - state.clocks.now;
+  if (near !== undefined && near.firstTokenIn <= dueIn) return near.server;
+  const far = search(state, accepted, remote, freed);
+  if (near === undefined) return far?.server;
+  return far !== undefined && far.firstTokenIn <= dueIn ? far.server : near.server;
+}
+
+function hasUntriedIn(group: CandidateGroup, { triedInstances }: RequestState): boolean {
+  return group.candidates.some(
+    (server) => takesNewWork(server) && !triedInstances.has(server.listed.instance),
+  );
+}
+
+/** True if some backend server that was not tried yet can take the request, now or later. */
+export function hasUntried(state: EntryState, accepted: RequestState): boolean {
+  const pool = poolBalanceOf(state, accepted.pool.name);
+  const untried = (server: BackendServerState) =>
+    takesNewWork(server) && !accepted.triedInstances.has(server.listed.instance);
+  return pool.groups.some(
+    (group) => group.candidates.some(untried) || [...group.ejected].some(untried),
+  );
 }
--- /dev/null
+++ b/packages/entry-core/src/backendServers/estimateInProgress.ts
@@ -0,0 +1,65 @@
+/**
+ * Estimates what a backend server has in progress from a load report that lags. The report is
+ * split into own and other work at the moment it was measured; own work is then counted exactly,
+ * so that what this entry has sent since is added and what has ended since is taken off. Without
+ * it, all entries see the same idle server until its next report and all send to it.
+ */
+import type { EpochMilliseconds, LoadReport, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+import type { BackendServerState } from './BackendServerState.js';
+import type { EndedAttempt } from './ServerBalance.js';
+
+/** Own attempts of the last seconds that are remembered for one server; older ones are let go. */
+const MOST_ENDED_ATTEMPTS = 512;
+
+/** A load report that says nothing about now. */
+const STALE_LOAD_MILLISECONDS = 15_000;
+
+export function rememberEnded(server: BackendServerState, ended: EndedAttempt): void {
+  const { endedAttempts } = server.balance;
+  endedAttempts.push(ended);
+  if (endedAttempts.length > MOST_ENDED_ATTEMPTS) {
+    endedAttempts.splice(0, MOST_ENDED_ATTEMPTS / 2);
+  }
+}
+
+function countOwnAt(
+  state: EntryState,
+  server: BackendServerState,
+  measuredAt: MonotonicMilliseconds,
+): number {
+  let own = server.balance.endedAttempts.filter((ended) => ended.startedAt <= measuredAt).length;
+  for (const attemptId of server.attemptIds) {
+    const attempt = state.attempts.get(attemptId);
+    if (attempt !== undefined && attempt.startedAt <= measuredAt) own += 1;
+  }
+  return own;
+}
+
+/** Takes in a load report; one older than what is known already is passed over. */
+export function receiveLoadReport(
+  state: EntryState,
+  report: LoadReport,
+  now: MonotonicMilliseconds,
+  wallNow: EpochMilliseconds,
+): void {
+  const server = state.backendServers.get(report.instance);
+  if (server === undefined) return;
+  const measuredAt = now - Math.max(0, wallNow - report.measuredAt);
+  const { balance } = server;
+  if (balance.measuredAt !== undefined && measuredAt < balance.measuredAt) return;
+  server.load = report;
+  server.loadReceivedAt = now;
+  balance.measuredAt = measuredAt;
+  const kept = balance.endedAttempts.filter((ended) => ended.endedAt > measuredAt);
+  balance.endedAttempts.splice(0, balance.endedAttempts.length, ...kept);
+  const own = countOwnAt(state, server, measuredAt);
+  balance.othersInProgress = Math.max(0, report.running + report.queued - own);
+}
+
+/** Requests in progress at the server now, of this entry and of others, as far as is known. */
+export function estimateInProgress(server: BackendServerState, now: MonotonicMilliseconds): number {
+  const { measuredAt, othersInProgress } = server.balance;
+  const believed = measuredAt !== undefined && now - measuredAt <= STALE_LOAD_MILLISECONDS;
+  return server.attemptIds.size + (believed ? othersInProgress : 0);
+}
--- a/packages/entry-core/src/backendServers/listInstances.ts
+++ b/packages/entry-core/src/backendServers/listInstances.ts
@@ -2,23 +2,64 @@
  * Takes in the platform's list of instances. The list lags: a notice that came another way stays
  * in force although the list still shows the instance as live.
  */
-import type { PlatformInstance } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds, PlatformInstance } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
+import { routeIndexOf } from '../routing/routeIndexOf.js';
+import { indexCandidates } from './indexCandidates.js';
+import { makeServerBalance } from './ServerBalance.js';
 
-export function listInstances(state: EntryState, instances: readonly PlatformInstance[]): void {
+/** For an instance whose class the pools table does not name (yet). */
+const DEFAULT_CONCURRENCY = 8;
+
+function concurrencyOf(state: EntryState, instance: PlatformInstance): number {
+  const classes = routeIndexOf(state).pool(instance.pool)?.instanceClasses;
+  const found = classes?.find((instanceClass) => instanceClass.name === instance.instanceClass);
+  return found?.concurrency ?? DEFAULT_CONCURRENCY;
+}
+
+function addInstance(
+  state: EntryState,
+  listed: PlatformInstance,
+  slowStartAt: MonotonicMilliseconds | undefined,
+): void {
+  state.backendServers.set(listed.instance, {
+    listed,
+    goneAt: listed.goneAt,
+    attemptIds: new Set(),
+    load: undefined,
+    loadReceivedAt: undefined,
+    balance: makeServerBalance(concurrencyOf(state, listed), slowStartAt),
+  });
+}
+
+/** Takes the concurrency of the classes anew, when the list or the configuration has changed. */
+export function refreshLimits(state: EntryState): void {
+  for (const { balance, listed } of state.backendServers.values()) {
+    const fullLimit = concurrencyOf(state, listed);
+    if (fullLimit === balance.fullLimit) continue;
+    balance.limit = Math.max(1, (balance.limit * fullLimit) / balance.fullLimit);
+    balance.fullLimit = fullLimit;
+  }
+}
+
+export function listInstances(
+  state: EntryState,
+  instances: readonly PlatformInstance[],
+  now: MonotonicMilliseconds,
+): void {
+  // Servers in an entry's first list were there before it: slow start would only hold back work
+  // that they can take.
+  const isFirstList = state.backendServers.size === 0;
   const listed = new Set(instances.map((instance) => instance.instance));
   instances.forEach((instance) => {
     const known = state.backendServers.get(instance.instance);
     if (known === undefined) {
-      state.backendServers.set(instance.instance, {
-        listed: instance,
-        goneAt: instance.goneAt,
-        attemptIds: new Set(),
-        load: undefined,
-        loadReceivedAt: undefined,
-      });
+      addInstance(state, instance, isFirstList ? undefined : now);
       return;
     }
+    if (known.listed.state === 'starting' && instance.state === 'live') {
+      known.balance.slowStartAt = now;
+    }
     known.listed = instance;
     known.goneAt ??= instance.goneAt;
   });
@@ -27,4 +68,6 @@
       state.backendServers.delete(instance);
     }
   });
+  refreshLimits(state);
+  indexCandidates(state);
 }
--- /dev/null
+++ b/packages/entry-core/src/backendServers/poolBalanceOf.ts
@@ -0,0 +1,11 @@
+/** The balance of a pool, made when it is first asked for. */
+import type { EntryState } from '../EntryState.js';
+import { PoolBalance } from './PoolBalance.js';
+
+export function poolBalanceOf(state: EntryState, pool: string): PoolBalance {
+  const known = state.poolBalances.get(pool);
+  if (known !== undefined) return known;
+  const made = new PoolBalance();
+  state.poolBalances.set(pool, made);
+  return made;
+}
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -4,3 +4,4 @@
 export * from './reduceEntry.js';
 export * from './routing/deadlineAt.js';
 export * from './routing/findRoute.js';
+export * from './routing/RouteIndex.js';
--- /dev/null
+++ b/packages/entry-core/src/limits/limitOf.ts
@@ -0,0 +1,10 @@
+/** The limit of one workspace on one route, and the key that both are counted under. */
+import type { Route } from '@hornbeampond/schema';
+
+export function limitKey(route: string, workspace: string): string {
+  return `${route}/${workspace}`;
+}
+
+export function limitOf({ limits }: Route, workspace: string): number {
+  return limits.workspaces[workspace] ?? limits.inProgressPerWorkspace;
+}
--- /dev/null
+++ b/packages/entry-core/src/limits/receiveEntryReport.ts
@@ -0,0 +1,13 @@
+/** Takes in what another entry has in progress; only those of the own data centre share limits. */
+import type { EntryReport, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+
+export function receiveEntryReport(
+  state: EntryState,
+  report: EntryReport,
+  now: MonotonicMilliseconds,
+): void {
+  const { dataCentre, instance } = state.identity;
+  if (report.dataCentre !== dataCentre || report.instance === instance) return;
+  state.limits.ledger.receive(report, now);
+}
--- /dev/null
+++ b/packages/entry-core/src/limits/releaseEnded.ts
@@ -0,0 +1,45 @@
+/**
+ * Gives back the limits of requests that have ended. Requests end in many parts of the reducer;
+ * rather than have each of them remember this, one place compares with the requests that are
+ * still there: at once for the request an event is about, and for all of them on each tick that
+ * is a second after the last one. A limit held for an ended request would otherwise be lost until
+ * the process restarts.
+ */
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { EntryEvent } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { limitKey } from './limitOf.js';
+
+const SWEEP_MILLISECONDS: Milliseconds = 1000;
+
+/** The request that an event is about, to be asked before the event is handled. */
+export function requestIdOf(state: EntryState, event: EntryEvent): string | undefined {
+  if ('requestId' in event) return event.requestId;
+  if ('attemptId' in event) return state.attempts.get(event.attemptId)?.requestId;
+  return undefined;
+}
+
+function release(state: EntryState, requestId: string): void {
+  const key = state.limits.keys.get(requestId);
+  if (key === undefined || state.requests.has(requestId)) return;
+  state.limits.keys.delete(requestId);
+  state.limits.ledger.release(key, requestId);
+}
+
+export function acquire(state: EntryState, requestId: string, route: string, workspace: string) {
+  const key = limitKey(route, workspace);
+  state.limits.keys.set(requestId, key);
+  state.limits.ledger.acquire(key, requestId);
+}
+
+export function releaseEnded(
+  state: EntryState,
+  event: EntryEvent,
+  requestId: string | undefined,
+): void {
+  if (requestId !== undefined) release(state, requestId);
+  if (event.type !== 'tick' || event.now - state.limits.sweptAt < SWEEP_MILLISECONDS) return;
+  state.limits.sweptAt = event.now;
+  for (const held of [...state.limits.keys.keys()]) release(state, held);
+  state.limits.ledger.forgetGonePeers(event.now);
+}
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -4,18 +4,32 @@
 import { assertNever } from '@hornbeampond/schema';
 import { admitRequest } from './admission/admitRequest.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
-import { listInstances } from './backendServers/listInstances.js';
+import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
+import { receiveLoadReport } from './backendServers/estimateInProgress.js';
+import { listInstances, refreshLimits } from './backendServers/listInstances.js';
+import { observeAttempt } from './backendServers/observeAttempt.js';
+import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
+import { receiveEntryReport } from './limits/receiveEntryReport.js';
 import { callerGone } from './requests/callerGone.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
+  state.clocks = { now: event.now, wallNow: event.wallNow };
+  const concerned = findConcerned(state, event);
+  const observed = observeAttempt(state, event);
+  const effects = reduceConcern(state, event);
+  return [...observed, ...effects, ...reduceAdmission(state, event, concerned)];
+}
+
+function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
   switch (event.type) {
     case 'configurationReceived': {
       const { configuration } = event;
       if (configuration.revision <= state.configuration.revision) return [];
       state.configuration = configuration;
+      refreshLimits(state);
       const { revision } = configuration;
       return [
         { type: 'configurationApplied', revision },
@@ -24,20 +38,22 @@
       ];
     }
     case 'instancesListed':
-      listInstances(state, event.instances);
+      listInstances(state, event.instances, event.now);
       return [];
     case 'reclaimNoticed': {
       const server = state.backendServers.get(event.instance);
       if (server !== undefined) server.goneAt ??= event.goneAt;
       return [];
     }
-    case 'loadReported': {
-      const server = state.backendServers.get(event.report.instance);
-      if (server === undefined) return [];
-      server.load = event.report;
-      server.loadReceivedAt = event.now;
+    case 'loadReported':
+      receiveLoadReport(state, event.report, event.now, event.wallNow);
+      return [];
+    case 'cacheEventsReceived':
+      receiveCacheEvents(state, event.events, event.now);
+      return [];
+    case 'entryReported':
+      receiveEntryReport(state, event.report, event.now);
       return [];
-    }
     case 'requestArrived':
       return admitRequest(state, event.request, event);
     case 'callerGone':
@@ -53,12 +69,10 @@
       return state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
     case 'tick':
       return state.shuttingDown && state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
-    case 'cacheEventsReceived':
     case 'probeAnswered':
     case 'cacheMoved':
     case 'claimAnswered':
     case 'quarantineReceived':
-    case 'entryReported':
       return [];
     default:
       return assertNever(event);
--- /dev/null
+++ b/packages/entry-core/src/routing/LocalClock.ts
@@ -0,0 +1,36 @@
+/**
+ * Local time of day by time zone, cheap enough for each request. Looking a zone up costs tens of
+ * microseconds; its offset from UTC changes only at quarter hours of UTC, so one look-up serves
+ * all requests of a quarter hour.
+ */
+import { DateTime } from 'luxon';
+import type { EpochMilliseconds } from '@hornbeampond/schema';
+
+const MINUTES_PER_DAY = 24 * 60;
+const MILLISECONDS_PER_MINUTE = 60_000;
+const QUARTER_HOUR_MILLISECONDS = 15 * MILLISECONDS_PER_MINUTE;
+
+interface KnownOffset {
+  readonly quarterHour: number;
+  readonly offsetMinutes: number;
+}
+
+export class LocalClock {
+  private readonly offsets = new Map<string, KnownOffset>();
+
+  /** Minutes since local midnight as the clock on the wall shows them. */
+  minuteOfDay(timeZone: string, wallNow: EpochMilliseconds): number {
+    const utcMinute = Math.floor(wallNow / MILLISECONDS_PER_MINUTE);
+    const local = (utcMinute + this.offsetMinutes(timeZone, wallNow)) % MINUTES_PER_DAY;
+    return (local + MINUTES_PER_DAY) % MINUTES_PER_DAY;
+  }
+
+  private offsetMinutes(timeZone: string, wallNow: EpochMilliseconds): number {
+    const quarterHour = Math.floor(wallNow / QUARTER_HOUR_MILLISECONDS);
+    const known = this.offsets.get(timeZone);
+    if (known?.quarterHour === quarterHour) return known.offsetMinutes;
+    const offsetMinutes = DateTime.fromMillis(wallNow, { zone: timeZone }).offset;
+    this.offsets.set(timeZone, { quarterHour, offsetMinutes });
+    return offsetMinutes;
+  }
+}
--- a/packages/entry-core/src/routing/deadlineAt.ts
+++ b/packages/entry-core/src/routing/deadlineAt.ts
@@ -1,8 +1,10 @@
 /**
- * The deadline that a route gives at a moment, by the local time of its zone.
+ * The deadline that a route gives at a moment, by the local time of its zone. A span names what
+ * the clock on the wall shows: an hour that daylight saving skips is never in force, and one that
+ * it repeats is in force twice.
  */
-import { DateTime } from 'luxon';
 import type { Deadline, DeadlineSpan, EpochMilliseconds, Route } from '@hornbeampond/schema';
+import { LocalClock } from './LocalClock.js';
 
 const MINUTES_PER_HOUR = 60;
 
@@ -18,8 +20,12 @@
   return from < to ? minute >= from && minute < to : minute >= from || minute < to;
 }
 
-export function deadlineAt(route: Route, wallNow: EpochMilliseconds): Deadline {
-  const local = DateTime.fromMillis(wallNow, { zone: route.timeZone });
-  const minute = local.hour * MINUTES_PER_HOUR + local.minute;
+export function deadlineAt(
+  route: Route,
+  wallNow: EpochMilliseconds,
+  clock = new LocalClock(),
+): Deadline {
+  if (route.deadlinesByHour.length === 0) return route.deadline;
+  const minute = clock.minuteOfDay(route.timeZone, wallNow);
   return route.deadlinesByHour.find((span) => holds(span, minute)) ?? route.deadline;
 }
--- a/packages/entry-core/src/routing/findRoute.ts
+++ b/packages/entry-core/src/routing/findRoute.ts
@@ -4,6 +4,7 @@
  */
 import type { Route } from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
+import type { RouteIndex } from './RouteIndex.js';
 
 /** The route, or why there is none for this workspace. */
 export type FoundRoute =
@@ -11,27 +12,12 @@
   | { readonly type: 'routeNotFound' }
   | { readonly type: 'forbidden' };
 
-function matches(route: Route, request: CallerRequest): boolean {
-  return (
-    request.path.startsWith(route.match.pathPrefix) &&
-    (route.match.model === undefined || route.match.model === request.model)
-  );
-}
-
-function allows(route: Route, workspace: string): boolean {
-  return route.match.workspaces.length === 0 || route.match.workspaces.includes(workspace);
-}
-
-function compareSpecificity(a: Route, b: Route): number {
-  return (
-    b.match.pathPrefix.length - a.match.pathPrefix.length ||
-    Number(b.match.model !== undefined) - Number(a.match.model !== undefined)
-  );
-}
-
-export function findRoute(routes: readonly Route[], request: CallerRequest): FoundRoute {
-  const matching = routes.filter((route) => matches(route, request)).sort(compareSpecificity);
-  const allowed = matching.find((route) => allows(route, request.workspace));
-  if (allowed !== undefined) return { type: 'found', route: allowed };
-  return { type: matching.length > 0 ? 'forbidden' : 'routeNotFound' };
+export function findRoute(index: RouteIndex, request: CallerRequest): FoundRoute {
+  let matched = false;
+  for (const group of index.groups(request.path, request.model)) {
+    matched = true;
+    const route = group.find(request.workspace);
+    if (route !== undefined) return { type: 'found', route };
+  }
+  return { type: matched ? 'forbidden' : 'routeNotFound' };
 }
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -10,4 +10,6 @@
   attemptFailed: define(2011, 'info', 'An attempt at a backend server failed'),
   callerGone: define(2020, 'debug', 'The caller closed its connection'),
   platformUnreachable: define(2030, 'warn', 'The list of instances could not be read'),
+  requestQueued: define(2100, 'debug', 'A request waits for a backend server'),
+  backendServerEjected: define(2101, 'warn', 'A backend server gets no new work for a while'),
 } as const;
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -4,6 +4,7 @@
  */
 import { errorKinds } from './errors/errorKinds.js';
 import {
+  ejectionReasons,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -89,6 +90,17 @@
     help: 'Bytes of frames between the processes of the system, by direction',
     label: { name: 'direction', values: ['in', 'out'] },
   },
+  queuedRequests: {
+    name: 'hornbeampond_queued_requests',
+    kind: 'gauge',
+    help: 'Accepted requests that wait for a backend server',
+  },
+  ejections: {
+    name: 'hornbeampond_ejections_total',
+    kind: 'counter',
+    help: 'Backend servers kept from new work as outliers, by the failure that tipped it',
+    label: { name: 'failure', values: ejectionReasons },
+  },
 } as const satisfies Record<string, MetricDefinition>;
 
 export type MetricName = keyof typeof metricDefinitions;
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -38,3 +38,13 @@
 /** Why a late answer or part of one was dropped. */
 export const lateAnswerReasons = ['attemptGivenUp', 'callerGone', 'duplicate'] as const;
 export type LateAnswerReason = (typeof lateAnswerReasons)[number];
+
+/** Failures for which a backend server is kept from new work for a while. */
+export const ejectionReasons = [
+  'connectFailed',
+  'serverError',
+  'connectionLost',
+  'silent',
+  'malformed',
+] as const;
+export type EjectionReason = (typeof ejectionReasons)[number];
