--- a/packages/entry-core/src/limits/LimitLedger.ts
+++ b/packages/entry-core/src/limits/LimitLedger.ts
@@ -117,7 +117,7 @@
       const age = now - heardAt;
       const isSilent = age > SILENT_MILLISECONDS && !report.leaving;
       if (age <= FORGOTTEN_MILLISECONDS) {
-        held += isSilent ? Math.max(said, Math.floor(limit / entries)) : said;
+        held += isSilent ? Math.max(said, limit / entries) : said;
       }
     }
     return held;
--- /dev/null
+++ b/packages/entry-core/src/testing/EntryHarness.ts
@@ -0,0 +1,245 @@
+/**
+ * Runs entries' reducers against engine models in virtual time: it carries out the few effects
+ * that admission and choice depend on, and keeps what each caller saw. Not a cluster simulator:
+ * no faults but those that a test brings itself.
+ */
+import type { EntryReport, ErrorKind, Milliseconds, Pool, Route } from '@hornbeampond/schema';
+import { EngineModel, VirtualTimeline, type EngineSpeed } from '@hornbeampond/testing';
+import type { EntryEffect } from '../entryEffects.js';
+import type { AttemptFailure, CallerRequest, EntryOccurrence } from '../entryEvents.js';
+import { makeEntryState, type EntryState } from '../EntryState.js';
+import { reduceEntry } from '../reduceEntry.js';
+
+/** What one caller saw. */
+export interface CallerOutcome {
+  readonly request: CallerRequest;
+  readonly arrivedAt: number;
+  firstTokenAt?: number;
+  finishedAt?: number;
+  problem?: {
+    readonly kind: ErrorKind;
+    readonly ran: string | undefined;
+    readonly at: number;
+    readonly retryAfterMilliseconds: Milliseconds | undefined;
+  };
+}
+
+export interface HarnessOptions {
+  readonly entries?: number;
+  readonly servers: number;
+  readonly speed: EngineSpeed;
+  readonly routes: readonly Route[];
+  readonly pool: Pool;
+  readonly queuedRequests?: number;
+  /** Age of a load report when it comes in; reports are made just as often. */
+  readonly loadLag?: Milliseconds;
+  /** Age of cache events when they come in. */
+  readonly cacheLag?: Milliseconds;
+  /** Times between reports of entries to each other; none by default. */
+  readonly reportInterval?: Milliseconds;
+  /** Data centre of the server with this number; `dc-a`, the entries' own, by default. */
+  readonly dataCentreOf?: (server: number) => string;
+  /** Kept from the reducer, so that it has no affinity to choose by. */
+  readonly hidePrefixes?: boolean;
+}
+
+const NETWORK_MILLISECONDS = 1;
+const TICK_MILLISECONDS = 50;
+const STARTED_AT = Date.UTC(2026, 0, 15, 11);
+
+export class EntryHarness {
+  readonly timeline = new VirtualTimeline();
+
+  readonly engines = new Map<string, EngineModel>();
+
+  readonly entries: EntryState[];
+
+  readonly outcomes = new Map<string, CallerOutcome>();
+
+  /** Instances that fail each attempt at once, and how. */
+  readonly failing = new Map<string, AttemptFailure>();
+
+  /** Effects of every kind, counted by type and metric label. */
+  readonly counted = new Map<string, number>();
+
+  private readonly answerTokens = new Map<string, number>();
+
+  private reportSequence = 0;
+
+  constructor(private readonly options: HarnessOptions) {
+    const everComputed = new Set<string>();
+    for (let number = 0; number < options.servers; number += 1) {
+      const instance = `engine-${number}`;
+      const engine = new EngineModel(instance, this.timeline, options.speed, everComputed);
+      this.engines.set(instance, engine);
+    }
+    this.entries = Array.from({ length: options.entries ?? 1 }, (_, number) =>
+      makeEntryState({
+        instance: `entry-${number}`,
+        dataCentre: 'dc-a',
+        incarnation: STARTED_AT,
+        queuedRequests: options.queuedRequests ?? 1000,
+      }),
+    );
+    this.configure();
+    this.startClocks();
+  }
+
+  /** Sends an event to one entry, or to all. */
+  send(event: EntryOccurrence, entry?: number): void {
+    this.entries.forEach((state, number) => {
+      if (entry !== undefined && entry !== number) return;
+      const { now } = this.timeline;
+      const effects = reduceEntry(state, { ...event, now, wallNow: STARTED_AT + now });
+      for (const effect of effects) this.carryOut(effect, number);
+    });
+  }
+
+  /** A caller's request arrives now. */
+  arrive(request: CallerRequest, answerTokens: number, entry = 0): CallerOutcome {
+    const outcome: CallerOutcome = { request, arrivedAt: this.timeline.now };
+    this.outcomes.set(request.requestId, outcome);
+    this.answerTokens.set(request.requestId, answerTokens);
+    const seen = this.options.hidePrefixes === true ? { ...request, prefixDigests: [] } : request;
+    this.send({ type: 'requestArrived', request: seen }, entry);
+    return outcome;
+  }
+
+  /** Puts the first so many engines on the platform's list. */
+  listEngines(count: number = this.options.servers): void {
+    const { pool, dataCentreOf = () => 'dc-a' } = this.options;
+    const instances = [...this.engines.keys()].slice(0, count).map((instance, number) => ({
+      instance,
+      dataCentre: dataCentreOf(number),
+      instanceClass: pool.instanceClasses[0]?.name ?? '',
+      pool: pool.name,
+      state: 'live' as const,
+      host: '192.0.2.1',
+      port: 8000,
+    }));
+    this.send({ type: 'instancesListed', instances });
+  }
+
+  private configure(): void {
+    const { routes, pool } = this.options;
+    const configuration = {
+      revision: 1,
+      routes: { revision: 1, rows: routes },
+      pools: { revision: 1, rows: [pool] },
+    };
+    this.send({ type: 'configurationReceived', configuration });
+    this.listEngines();
+  }
+
+  private startClocks(): void {
+    const { loadLag, cacheLag, reportInterval } = this.options;
+    this.timeline.every(TICK_MILLISECONDS, () => this.send({ type: 'tick' }));
+    if (loadLag !== undefined) this.timeline.every(loadLag, () => this.reportLoad(loadLag));
+    if (cacheLag !== undefined) this.timeline.every(cacheLag, () => this.reportCaches(cacheLag));
+    if (reportInterval !== undefined) {
+      this.timeline.every(reportInterval, () => this.reportEntries());
+    }
+  }
+
+  private reportLoad(lag: Milliseconds): void {
+    for (const [instance, { running, queued }] of this.engines) {
+      const report = { instance, running, queued, measuredAt: STARTED_AT + this.timeline.now };
+      this.timeline.after(lag, () => this.send({ type: 'loadReported', report }));
+    }
+  }
+
+  private reportCaches(lag: Milliseconds): void {
+    this.reportSequence += 1;
+    const sequence = this.reportSequence;
+    for (const [instance, engine] of this.engines) {
+      const prefixDigests = engine.newlyStored;
+      engine.newlyStored = [];
+      const event = { instance, sequence, change: 'stored' as const, prefixDigests };
+      this.timeline.after(lag, () => this.send({ type: 'cacheEventsReceived', events: [event] }));
+    }
+  }
+
+  private reportEntries(): void {
+    this.reportSequence += 1;
+    const sequence = this.reportSequence;
+    this.entries.forEach((state) => {
+      const report: EntryReport = {
+        type: 'entryReport',
+        ...state.identity,
+        sequence,
+        leaving: false,
+        revision: 1,
+        inProgress: state.limits.ledger.countAll(),
+        leavingBackendServers: {},
+        suspects: [],
+      };
+      this.timeline.after(NETWORK_MILLISECONDS, () => this.send({ type: 'entryReported', report }));
+    });
+  }
+
+  private carryOut(effect: EntryEffect, entry: number): void {
+    switch (effect.type) {
+      case 'startAttempt':
+        this.startAttempt(effect.requestId, effect.attemptId, effect.target.instance, entry);
+        break;
+      case 'finishAnswer':
+        this.change(effect.requestId, { finishedAt: this.timeline.now });
+        break;
+      case 'answerProblem': {
+        const { requestId, kind, ran, retryAfterMilliseconds } = effect;
+        const problem = { kind, ran, retryAfterMilliseconds, at: this.timeline.now };
+        this.change(requestId, { problem });
+        break;
+      }
+      case 'count': {
+        const key = `${effect.metric}/${effect.label ?? ''}`;
+        this.counted.set(key, (this.counted.get(key) ?? 0) + (effect.amount ?? 1));
+        break;
+      }
+      default:
+    }
+  }
+
+  private change(requestId: string, seen: Partial<CallerOutcome>): void {
+    const outcome = this.outcomes.get(requestId);
+    if (outcome !== undefined) Object.assign(outcome, seen);
+  }
+
+  private startAttempt(
+    requestId: string,
+    attemptId: string,
+    instance: string,
+    entry: number,
+  ): void {
+    const outcome = this.outcomes.get(requestId);
+    const engine = this.engines.get(instance);
+    if (outcome === undefined || engine === undefined) return;
+    const failure = this.failing.get(instance);
+    const send = (event: EntryOccurrence) => this.send(event, entry);
+    const submit = () => {
+      if (failure !== undefined) {
+        send({
+          type: 'attemptFailed',
+          attemptId,
+          failure,
+          sent: 'maybe',
+          tokens: 0,
+          answerStarted: false,
+        });
+        return;
+      }
+      const tokens = this.answerTokens.get(requestId) ?? 0;
+      engine.submit({
+        promptTokens: outcome.request.promptTokens,
+        prefixDigests: outcome.request.prefixDigests,
+        answerTokens: tokens,
+        firstToken: () => {
+          outcome.firstTokenAt ??= this.timeline.now;
+          send({ type: 'firstTokenReceived', attemptId });
+        },
+        finished: () => send({ type: 'attemptFinished', attemptId, tokens }),
+      });
+    };
+    this.timeline.after(NETWORK_MILLISECONDS, submit);
+  }
+}
--- /dev/null
+++ b/packages/entry-core/src/testing/examples.ts
@@ -0,0 +1,64 @@
+/** Rows and requests that tests and measurements start from. */
+import {
+  checkPools,
+  checkRoutes,
+  type Milliseconds,
+  type Pool,
+  type Route,
+} from '@hornbeampond/schema';
+import type { CallerRequest } from '../entryEvents.js';
+
+/** A routes row with every default of the table filled in. */
+export function exampleRoute(row: Record<string, unknown> = {}): Route {
+  const checked = checkRoutes([
+    {
+      name: 'appraisals',
+      match: { pathPrefix: '/v1/chat' },
+      pool: 'engines',
+      idempotent: true,
+      timeZone: 'Europe/Vienna',
+      deadline: { firstTokenMilliseconds: 1000, wholeAnswerMilliseconds: 30_000 },
+      ...row,
+    },
+  ]);
+  if (!checked.ok) throw new Error(JSON.stringify(checked.faults));
+  return checked.rows[0] as Route;
+}
+
+export function examplePool(concurrency: number): Pool {
+  const checked = checkPools([
+    {
+      name: 'engines',
+      kind: 'modelEngine',
+      dataCentres: ['dc-a', 'dc-b'],
+      instanceClasses: [{ name: 'large', eurosPerHour: 1, reclaimable: true, concurrency }],
+      least: 0,
+      most: 100_000,
+      model: 'appraiser',
+    },
+  ]);
+  if (!checked.ok) throw new Error(JSON.stringify(checked.faults));
+  return checked.rows[0] as Pool;
+}
+
+export function exampleRequest(
+  requestId: string,
+  request: Partial<CallerRequest> = {},
+): CallerRequest {
+  return {
+    requestId,
+    workspace: 'kartenwerk-a',
+    method: 'POST',
+    path: '/v1/chat/completions',
+    digest: requestId,
+    prefixDigests: [],
+    promptTokens: 100,
+    mostTokens: 100,
+    ...request,
+  };
+}
+
+/** A deadline for the first token, and a whole answer that is in no hurry. */
+export function firstTokenWithin(firstTokenMilliseconds: Milliseconds): Record<string, unknown> {
+  return { deadline: { firstTokenMilliseconds, wholeAnswerMilliseconds: 600_000 } };
+}
--- /dev/null
+++ b/packages/entry-core/src/testing/index.ts
@@ -0,0 +1,3 @@
+/** For tests and measurements only; the binaries never import it. */
+export * from './EntryHarness.js';
+export * from './examples.js';
--- /dev/null
+++ b/packages/testing/src/EngineModel.ts
@@ -0,0 +1,114 @@
+/**
+ * A small model of an engine that batches continuously: so many requests run at a time, the rest
+ * wait in order of arrival; prompts are computed one after the other; each running answer makes
+ * tokens, the slower the fuller the batch; prefixes are kept in a cache of limited size.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { VirtualTimeline } from './VirtualTimeline.js';
+
+export interface EngineSpeed {
+  readonly concurrency: number;
+  readonly prefillMillisecondsPerToken: Milliseconds;
+  /** For one token of one answer when nothing else runs; three times so with a full batch. */
+  readonly decodeMillisecondsPerToken: Milliseconds;
+  /** Prefixes that fit in the cache. */
+  readonly cachedPrefixes: number;
+}
+
+export interface EngineJob {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  readonly prefixDigests: readonly string[];
+  /** Called once the prompt is computed. */
+  firstToken(): void;
+  finished(): void;
+}
+
+const FULL_BATCH_SLOWDOWN = 2;
+
+export class EngineModel {
+  running = 0;
+
+  /** Prompt tokens that were computed although this or another engine had computed them before. */
+  recomputedTokens = 0;
+
+  /** Prefixes that were stored since this was last asked for. */
+  newlyStored: string[] = [];
+
+  private readonly queue: EngineJob[] = [];
+
+  private readonly cache = new Set<string>();
+
+  private prefillFreeAt: MonotonicMilliseconds = 0;
+
+  constructor(
+    readonly instance: string,
+    private readonly timeline: VirtualTimeline,
+    public speed: EngineSpeed,
+    /** Prefixes that some engine has computed; shared by all engines of a run. */
+    private readonly everComputed: Set<string>,
+  ) {}
+
+  get queued(): number {
+    return this.queue.length;
+  }
+
+  submit(job: EngineJob): void {
+    if (this.running < this.speed.concurrency) this.start(job);
+    else this.queue.push(job);
+  }
+
+  clearCache(): void {
+    this.cache.clear();
+  }
+
+  private start(job: EngineJob): void {
+    this.running += 1;
+    const cached = this.cachedShare(job);
+    const uncachedTokens = job.promptTokens * (1 - cached);
+    this.recomputedTokens += this.countRecomputed(job, cached);
+    const { timeline, speed } = this;
+    const startedAt = Math.max(timeline.now, this.prefillFreeAt);
+    this.prefillFreeAt = startedAt + uncachedTokens * speed.prefillMillisecondsPerToken;
+    const crowding = 1 + (FULL_BATCH_SLOWDOWN * this.running) / speed.concurrency;
+    const decode = job.answerTokens * speed.decodeMillisecondsPerToken * crowding;
+    timeline.after(this.prefillFreeAt - timeline.now, () => {
+      this.store(job.prefixDigests);
+      job.firstToken();
+      timeline.after(decode, () => this.finish(job));
+    });
+  }
+
+  private finish(job: EngineJob): void {
+    this.running -= 1;
+    job.finished();
+    const next = this.queue.shift();
+    if (next !== undefined) this.start(next);
+  }
+
+  private cachedShare({ prefixDigests }: EngineJob): number {
+    let { length } = prefixDigests;
+    while (length > 0 && !this.cache.has(prefixDigests[length - 1] ?? '')) length -= 1;
+    return length === 0 ? 0 : length / prefixDigests.length;
+  }
+
+  private countRecomputed({ prefixDigests, promptTokens }: EngineJob, cached: number): number {
+    let known = prefixDigests.length;
+    while (known > 0 && !this.everComputed.has(prefixDigests[known - 1] ?? '')) known -= 1;
+    if (known === 0) return 0;
+    return Math.max(0, known / prefixDigests.length - cached) * promptTokens;
+  }
+
+  private store(digests: readonly string[]): void {
+    for (const digest of digests) {
+      this.everComputed.add(digest);
+      this.cache.delete(digest);
+      this.cache.add(digest);
+      this.newlyStored.push(digest);
+    }
+    for (const digest of this.cache) {
+      if (this.cache.size <= this.speed.cachedPrefixes) return;
+      this.cache.delete(digest);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/VirtualTimeline.ts
@@ -0,0 +1,83 @@
+/**
+ * Virtual time for runs of many thousands of events: a binary heap of what is due, in order of
+ * time and, within one moment, of being scheduled.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+
+interface Due {
+  readonly dueAt: MonotonicMilliseconds;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+function isBefore(a: Due, b: Due): boolean {
+  return a.dueAt < b.dueAt || (a.dueAt === b.dueAt && a.order < b.order);
+}
+
+export class VirtualTimeline {
+  now: MonotonicMilliseconds = 0;
+
+  private order = 0;
+
+  private readonly heap: Due[] = [];
+
+  after(delay: Milliseconds, run: () => void): void {
+    this.order += 1;
+    this.heap.push({ dueAt: this.now + delay, order: this.order, run });
+    this.siftUp(this.heap.length - 1);
+  }
+
+  /** Runs `run` now and then after each span, without end. */
+  every(span: Milliseconds, run: () => void): void {
+    this.after(span, () => {
+      run();
+      this.every(span, run);
+    });
+  }
+
+  /** Runs everything that is due up to `end`. */
+  runUntil(end: MonotonicMilliseconds): void {
+    for (let [next] = this.heap; next !== undefined && next.dueAt <= end; [next] = this.heap) {
+      this.removeFirst();
+      this.now = next.dueAt;
+      next.run();
+    }
+    this.now = end;
+  }
+
+  private removeFirst(): void {
+    const last = this.heap.pop();
+    if (last === undefined || this.heap.length === 0) return;
+    this.heap[0] = last;
+    this.siftDown();
+  }
+
+  private swapIfBefore(child: number, parent: number): boolean {
+    const lower = this.heap[child];
+    const upper = this.heap[parent];
+    if (lower === undefined || upper === undefined || !isBefore(lower, upper)) return false;
+    this.heap[child] = upper;
+    this.heap[parent] = lower;
+    return true;
+  }
+
+  private siftUp(start: number): void {
+    let place = start;
+    while (place > 0) {
+      const parent = Math.floor((place - 1) / 2);
+      if (!this.swapIfBefore(place, parent)) return;
+      place = parent;
+    }
+  }
+
+  private siftDown(): void {
+    let place = 0;
+    for (;;) {
+      const left = 2 * place + 1;
+      const [a, b] = [this.heap[left], this.heap[left + 1]];
+      const child = a !== undefined && b !== undefined && isBefore(b, a) ? left + 1 : left;
+      if (!this.swapIfBefore(child, place)) return;
+      place = child;
+    }
+  }
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,5 @@
 export * from './exploreStates.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
+export * from './EngineModel.js';
+export * from './VirtualTimeline.js';
--- a/packages/testing/src/matchSnapshot.ts
+++ b/packages/testing/src/matchSnapshot.ts
@@ -2,7 +2,6 @@
  * Snapshots under node:test. Each test file has one snapshot file beside its source; a missing or
  * different snapshot fails, unless `UPDATE_SNAPSHOTS=1` asks for it to be written.
  */
-import { after } from 'node:test';
 import { basename, dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { SnapshotClient } from '@vitest/snapshot';
@@ -35,8 +34,10 @@
     updateSnapshot: update ? 'all' : 'none',
     snapshotEnvironment: new SourceSnapshotEnvironment(),
   });
-  after(async () => {
-    await client.finish(file);
+  // Not a hook of node:test: one that is registered while a test runs belongs to that test, and
+  // the file's snapshots would be closed after the first of its tests.
+  process.once('beforeExit', () => {
+    void client.finish(file);
   });
 }
 
