--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -6,6 +6,7 @@
 import {
   drainReasons,
   fleetRetryReasons,
+  ejectionReasons,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -129,6 +130,17 @@
     help: 'Purchases, ends and orders that were sent again, by reason',
     label: { name: 'reason', values: fleetRetryReasons },
   },
+  queuedRequests: {
+    name: 'hornbeampond_queued_requests',
+    kind: 'gauge',
+    help: 'Accepted requests that wait for a backend server',
+  },
+  ejections: {
+    name: 'hornbeampond_ejections_total',
+    kind: 'counter',
+    help: 'Backend servers kept from new work as outliers, by the failure that tipped it',
+    label: { name: 'failure', values: ejectionReasons },
+  },
 } as const satisfies Record<string, MetricDefinition>;
 
 export type MetricName = keyof typeof metricDefinitions;
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -11,3 +11,5 @@
 export * from './fakes/generateToken.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
+export * from './EngineModel.js';
+export * from './VirtualTimeline.js';
