--- /dev/null
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -0,0 +1,30 @@
+/**
+ * Looks at everything that waits for time to pass. Deadlines go first, so that nothing is started
+ * for a request that is out of time; what was lost is judged before work is placed anew.
+ */
+import { advanceRetries } from './attempts/advanceRetries.js';
+import type { EntryEffect } from './entryEffects.js';
+import type { Timed } from './entryEvents.js';
+import type { EntryState } from './EntryState.js';
+import { markSilentPeers } from './membership/livePeers.js';
+import { advanceReports } from './membership/reportToEntries.js';
+import { advanceSuspects } from './quarantine/advanceSuspects.js';
+import { advanceLosses } from './quarantine/judgeLoss.js';
+import { advanceMoves } from './reclaims/moveCache.js';
+import { advanceReclaims } from './reclaims/noticeReclaim.js';
+import { enforceDeadlines } from './requests/enforceDeadlines.js';
+import { advanceShutdown } from './shutdown/advanceShutdown.js';
+
+export function advanceEntry(state: EntryState, timed: Timed): EntryEffect[] {
+  markSilentPeers(state, timed.now);
+  advanceSuspects(state, timed.now);
+  return [
+    ...enforceDeadlines(state, timed.now),
+    ...advanceLosses(state, timed),
+    ...advanceMoves(state, timed),
+    ...advanceReclaims(state, timed),
+    ...advanceRetries(state, timed.now),
+    ...advanceReports(state, timed),
+    ...advanceShutdown(state, timed),
+  ];
+}
--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -6,6 +6,14 @@
   readonly requestId: string;
   readonly instance: string;
   readonly startedAt: MonotonicMilliseconds;
+  /** Tokens of the whole answer that were there when the attempt began. */
+  readonly resumedFromTokens: number;
   /** True once a byte of the call may have reached the backend server. */
   sent: boolean;
+  firstTokenAt: MonotonicMilliseconds | undefined;
+  /** Tokens of the whole answer so far, by the newest edge. */
+  tokens: number;
+  tokensAt: MonotonicMilliseconds | undefined;
+  /** True for an attempt that fell silent; its whole answer may still come first. */
+  givenUp: boolean;
 }
--- /dev/null
+++ b/packages/entry-core/src/attempts/RetryState.ts
@@ -0,0 +1,64 @@
+/** What an entry keeps to bound its retries. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { MonotonicMilliseconds, RetryReason } from '@hornbeampond/schema';
+
+/** Retries that one route, or one backend server, may still cause. */
+export interface RetryBudget {
+  tokens: number;
+}
+
+/** A request between two attempts. */
+export interface WaitingRetry {
+  readonly requestId: string;
+  readonly reason: RetryReason;
+  readonly dueAt: MonotonicMilliseconds;
+}
+
+/** Switches that only measurements and mutation tests turn. */
+export interface RecoveryPolicy {
+  /** Retries are bounded by the budgets. */
+  readonly budgets: boolean;
+  /** Streams on notice may be moved with their cache. */
+  readonly moves: boolean;
+  /** Streams go on from their offset instead of from the start. */
+  readonly resume: boolean;
+  /** Suspects of a crash are kept apart. */
+  readonly suspectsApart: boolean;
+}
+
+export const fullRecoveryPolicy: RecoveryPolicy = {
+  budgets: true,
+  moves: true,
+  resume: true,
+  suspectsApart: true,
+};
+
+export interface RetryState {
+  policy: RecoveryPolicy;
+  readonly generator: RandomGenerator;
+  readonly byRoute: Map<string, RetryBudget>;
+  readonly byInstance: Map<string, RetryBudget>;
+  /** By request id. */
+  readonly waiting: Map<string, WaitingRetry>;
+}
+
+/** FNV-1a over the name, so that two entries never jitter in step. */
+function seedOf(name: string): number {
+  let hash = 0x811c9dc5;
+  for (let position = 0; position < name.length; position += 1) {
+    // eslint-disable-next-line no-bitwise
+    hash = Math.imul(hash ^ name.charCodeAt(position), 0x01000193);
+  }
+  return hash;
+}
+
+export function makeRetryState(seedName: string): RetryState {
+  return {
+    policy: fullRecoveryPolicy,
+    generator: xoroshiro128plus(seedOf(seedName)),
+    byRoute: new Map(),
+    byInstance: new Map(),
+    waiting: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/backOff.ts
@@ -0,0 +1,15 @@
+/**
+ * Full jitter: a wait drawn evenly between zero and a bound that doubles with each attempt. An
+ * equal wait for all would send the requests that failed together back together.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { RetryState } from './RetryState.js';
+
+const BASE_MILLISECONDS = 50;
+const MOST_MILLISECONDS = 2000;
+
+export function drawBackOff(retries: RetryState, attemptsStarted: number): Milliseconds {
+  const bound = Math.min(MOST_MILLISECONDS, BASE_MILLISECONDS * 2 ** attemptsStarted);
+  return uniformInt(retries.generator, 0, bound);
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -0,0 +1,49 @@
+/**
+ * Which backend server the next attempt of a request may go to, after what its earlier attempts and
+ * the losses seen here have ruled out.
+ */
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
+import type { EntryState } from '../EntryState.js';
+import { isSuspect, suspectHosts } from '../quarantine/suspects.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** Backend servers that are ruled out only for now. */
+function ruledOutForNow(state: EntryState, accepted: RequestState): Set<string> {
+  const ruledOut = new Set(state.quarantine.losses.keys());
+  const { digest, requestId } = accepted.request;
+  if (state.retries.policy.suspectsApart && isSuspect(state, digest)) {
+    suspectHosts(state, requestId).forEach((instance) => ruledOut.add(instance));
+  }
+  return ruledOut;
+}
+
+function chooseWithout(state: EntryState, accepted: RequestState, ruledOut: Set<string>) {
+  return chooseBackendServer(state, { ...accepted, triedInstances: ruledOut });
+}
+
+/** Prefers a backend server that was not tried; one that was tried is better than none. */
+export function chooseForAttempt(
+  state: EntryState,
+  accepted: RequestState,
+): BackendServerState | undefined {
+  const ruledOut = ruledOutForNow(state, accepted);
+  state.quarantine.down.forEach((_, instance) => ruledOut.add(instance));
+  const untried = new Set([...ruledOut, ...accepted.triedInstances]);
+  return (
+    chooseWithout(state, accepted, untried) ??
+    (accepted.attemptsStarted === 0 ? undefined : chooseWithout(state, accepted, ruledOut))
+  );
+}
+
+/** True if a backend server that cannot take the request now may do so soon. */
+export function isWorthWaiting(state: EntryState, accepted: RequestState): boolean {
+  const ruledOut = ruledOutForNow(state, accepted);
+  return [...state.backendServers.values()].some(
+    ({ listed, goneAt }) =>
+      listed.pool === accepted.pool.name &&
+      goneAt === undefined &&
+      (ruledOut.has(listed.instance) ||
+        (accepted.attemptsStarted > 0 && listed.state === 'starting')),
+  );
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -0,0 +1,123 @@
+/**
+ * What a failed attempt means for its request.
+ */
+import type { RecomputeReason, RetryReason } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { AttemptFailure, EntryEvent } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { noteLoss } from '../quarantine/noteLoss.js';
+import { failRequest } from '../requests/endRequest.js';
+import { ranOf } from '../requests/ranOf.js';
+import type { RequestState } from '../requests/RequestState.js';
+import type { AttemptState } from './AttemptState.js';
+import { forgetAttempt, forgetMove } from './releaseAttempts.js';
+import { refuseCutAnswer, retryRequest } from './retryRequest.js';
+
+export type AttemptFailed = Extract<EntryEvent, { type: 'attemptFailed' }>;
+
+/** Losses of one request that are made good without spending from the budget. */
+const MOST_FREE_RECOVERIES = 2;
+
+const retryReasonByFailure: Readonly<Record<AttemptFailure, RetryReason>> = {
+  connectFailed: 'connectFailed',
+  busy: 'backendServerBusy',
+  serverError: 'backendServerError',
+  clientError: 'backendServerError',
+  connectionLost: 'backendServerLost',
+  silent: 'connectionSilent',
+  malformed: 'backendServerError',
+};
+
+/** Failures after which tokens that the engine has computed are lost. */
+const recomputeByFailure: Readonly<Partial<Record<AttemptFailure, RecomputeReason>>> = {
+  serverError: 'lossResume',
+  malformed: 'lossResume',
+  connectionLost: 'lossResume',
+  silent: 'stallResume',
+};
+
+/**
+ * A stream that lost its backend server is made good without asking the budget, a few times.
+ * Otherwise the loss of one busy server would spend the budget of its route, and callers whose
+ * requests were accepted would be refused. It cannot become a storm: it needs a lost server or
+ * connection each time, and each request has a bound.
+ */
+function isFreeRecovery(accepted: RequestState, { failure, tokens }: AttemptFailed): boolean {
+  if (failure !== 'connectionLost' && failure !== 'silent') return false;
+  if (failure === 'silent' && tokens === 0) return false;
+  accepted.losses = (accepted.losses ?? 0) + 1;
+  return accepted.losses <= MOST_FREE_RECOVERIES;
+}
+
+/**
+ * A silent attempt that has given nothing yet may still bring the first whole answer, late; it is
+ * kept beside the next one. One that has given tokens is not: its answer is being spliced.
+ */
+function keepGivenUp(
+  state: EntryState,
+  accepted: RequestState,
+  attempt: AttemptState,
+  event: AttemptFailed,
+): void {
+  if (event.failure !== 'silent' || accepted.tokens > 0 || event.answerStarted) return;
+  if (!accepted.route.idempotent) return;
+  attempt.givenUp = true;
+  state.attempts.set(attempt.attemptId, attempt);
+  (accepted.givenUpAttemptIds ??= []).push(attempt.attemptId);
+}
+
+function unbind(accepted: RequestState, attempt: AttemptState, event: AttemptFailed): void {
+  accepted.attemptId = undefined;
+  accepted.tokens = Math.max(accepted.tokens, event.tokens);
+  if (event.sent === 'maybe' || attempt.sent) accepted.maybeSent = true;
+}
+
+function logFailure(attempt: AttemptState, event: AttemptFailed): EntryEffect {
+  const { requestId, instance, attemptId } = attempt;
+  const { failure, sent } = event;
+  return {
+    type: 'log',
+    event: 'attemptFailed',
+    fields: { requestId, attemptId, instance, failure, sent },
+  };
+}
+
+/** Goes on with a request whose attempt has just ended in failure. */
+function decide(
+  state: EntryState,
+  accepted: RequestState,
+  attempt: AttemptState,
+  event: AttemptFailed,
+): EntryEffect[] {
+  if (event.failure === 'clientError') {
+    const detail = 'The backend server refused the request';
+    return failRequest(state, accepted, 'backendServerFailed', detail, { ran: ranOf(accepted) });
+  }
+  if (event.answerStarted) return refuseCutAnswer(state, accepted);
+  keepGivenUp(state, accepted, attempt, event);
+  const cause = {
+    reason: retryReasonByFailure[event.failure],
+    instance: attempt.instance,
+    free: isFreeRecovery(accepted, event),
+    retryAfter: event.retryAfter,
+    recompute: accepted.maybeSent === true ? recomputeByFailure[event.failure] : undefined,
+  };
+  return retryRequest(state, accepted, cause, event.now);
+}
+
+export function failAttempt(
+  state: EntryState,
+  attempt: AttemptState,
+  event: AttemptFailed,
+): EntryEffect[] {
+  const accepted = state.requests.get(attempt.requestId);
+  if (accepted === undefined || accepted.attemptId !== attempt.attemptId) {
+    forgetAttempt(state, attempt);
+    return [];
+  }
+  const lossEffects = noteLoss(state, accepted, attempt, event);
+  forgetAttempt(state, attempt);
+  forgetMove(state, attempt.requestId);
+  unbind(accepted, attempt, event);
+  return [logFailure(attempt, event), ...lossEffects, ...decide(state, accepted, attempt, event)];
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -0,0 +1,87 @@
+/**
+ * Starts an attempt of a request at a given backend server.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { earnRetries } from './retryBudget.js';
+
+/** A stream that pauses for so long is taken for lost. */
+const SILENCE_TIMEOUT_MILLISECONDS = 5000;
+
+/** Least wait for a first byte. */
+const LEAST_FIRST_BYTE_MILLISECONDS = 1000;
+
+/** Share of the time to the first token's deadline that one attempt may stay silent. */
+const FIRST_BYTE_SHARE = 0.6;
+
+/**
+ * How long to wait for the first byte. A call that may not be repeated gains nothing from an early
+ * end; any other keeps time for a second attempt before its first token is due.
+ */
+function firstByteTimeout(accepted: RequestState, now: MonotonicMilliseconds): Milliseconds {
+  const wholeAnswer = Math.max(1, accepted.wholeAnswerDueAt - now);
+  if (!accepted.route.idempotent) return wholeAnswer;
+  const share = (accepted.firstTokenDueAt - now) * FIRST_BYTE_SHARE;
+  return Math.min(wholeAnswer, Math.max(LEAST_FIRST_BYTE_MILLISECONDS, share));
+}
+
+/** Counts what the engine has to compute again for this attempt. */
+function countRecomputed(accepted: RequestState): EntryEffect[] {
+  const { recompute } = accepted;
+  accepted.recompute = undefined;
+  if (recompute === undefined || recompute.tokens === 0) return [];
+  const { workspace } = accepted.request;
+  const { reason, tokens } = recompute;
+  return [
+    { type: 'count', metric: 'recomputedTokens', label: reason, amount: tokens },
+    { type: 'count', metric: 'recomputedTokensByWorkspace', label: workspace, amount: tokens },
+  ];
+}
+
+export function launchAttempt(
+  state: EntryState,
+  accepted: RequestState,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
+  const { requestId } = accepted.request;
+  const { instance, host, port } = server.listed;
+  if (accepted.attemptsStarted === 0) earnRetries(state.retries, accepted.route.name, instance);
+  accepted.attemptsStarted += 1;
+  const attemptId = `${requestId}.${accepted.attemptsStarted}`;
+  const resumeFromTokens = state.retries.policy.resume ? accepted.tokens : 0;
+  accepted.attemptId = attemptId;
+  accepted.triedInstances.add(instance);
+  state.retries.waiting.delete(requestId);
+  server.attemptIds.add(attemptId);
+  state.attempts.set(attemptId, {
+    attemptId,
+    requestId,
+    instance,
+    startedAt: now,
+    resumedFromTokens: resumeFromTokens,
+    sent: false,
+    firstTokenAt: undefined,
+    tokens: resumeFromTokens,
+    tokensAt: undefined,
+    givenUp: false,
+  });
+  return [
+    ...countRecomputed(accepted),
+    {
+      type: 'startAttempt',
+      requestId,
+      attemptId,
+      target: { instance, host, port, kind: accepted.pool.kind },
+      resumeFromTokens,
+      priority: accepted.route.priority,
+      sendOnce: !accepted.route.idempotent,
+      firstByteTimeout: firstByteTimeout(accepted, now),
+      silenceTimeout: SILENCE_TIMEOUT_MILLISECONDS,
+    },
+    { type: 'log', event: 'attemptStarted', fields: { requestId, attemptId, instance } },
+  ];
+}
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -1,94 +1,109 @@
 /**
- * What the edges of an attempt's stream mean for its request.
+ * What the edges of an attempt's stream mean for its request. Every edge names its attempt, and
+ * only the attempt that the request is bound to speaks for it. An answer that came by another
+ * would otherwise be given twice, or be spliced into the wrong place.
  */
-import { assertNever, type RetryReason } from '@hornbeampond/schema';
+import { assertNever } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
-import type { AttemptFailure, EntryEvent } from '../entryEvents.js';
+import type { EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import { failRequest, finishRequest } from '../requests/endRequest.js';
+import { finishRequest } from '../requests/endRequest.js';
+import type { RequestState } from '../requests/RequestState.js';
 import type { AttemptState } from './AttemptState.js';
-import { startAttempt } from './startAttempt.js';
+import { failAttempt } from './failAttempt.js';
+import { forgetAttempt } from './releaseAttempts.js';
 
-type AttemptEvent = Extract<EntryEvent, { attemptId: string }>;
-type AttemptFailed = Extract<EntryEvent, { type: 'attemptFailed' }>;
+export { forgetAttempt } from './releaseAttempts.js';
 
-const retryReasonByFailure: Readonly<Record<AttemptFailure, RetryReason>> = {
-  connectFailed: 'connectFailed',
-  busy: 'backendServerBusy',
-  serverError: 'backendServerError',
-  clientError: 'backendServerError',
-  connectionLost: 'backendServerLost',
-  silent: 'connectionSilent',
-  malformed: 'backendServerError',
-};
-
-/** Ends an attempt's own record. Its request goes on, or not, as the caller of this decides. */
-export function forgetAttempt(state: EntryState, attempt: AttemptState): void {
-  state.attempts.delete(attempt.attemptId);
-  state.backendServers.get(attempt.instance)?.attemptIds.delete(attempt.attemptId);
-}
+type AttemptEvent = Extract<
+  EntryEvent,
+  {
+    type:
+      | 'attemptSent'
+      | 'firstTokenReceived'
+      | 'attemptProgressed'
+      | 'attemptFinished'
+      | 'attemptFailed';
+  }
+>;
 
-/** Counts what came from an attempt that its request no longer waits for. */
+/** Counts an answer from an attempt that its request no longer waits for. */
 function dropLate(): EntryEffect[] {
   return [{ type: 'count', metric: 'lateAnswers', label: 'attemptGivenUp' }];
 }
 
-function failAttempt(state: EntryState, attempt: AttemptState, event: AttemptFailed) {
-  forgetAttempt(state, attempt);
-  const accepted = state.requests.get(attempt.requestId);
-  if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return dropLate();
-  accepted.attemptId = undefined;
-  accepted.tokens = Math.max(accepted.tokens, event.tokens);
-  const { failure, sent } = event;
-  const { requestId, instance, attemptId } = attempt;
-  const effects: EntryEffect[] = [
+function noteFirstToken(
+  accepted: RequestState,
+  attempt: AttemptState,
+  { now }: EntryEvent,
+): EntryEffect[] {
+  attempt.firstTokenAt ??= now;
+  if (accepted.firstTokenAt !== undefined) return [];
+  accepted.firstTokenAt = now;
+  return [
     {
-      type: 'log',
-      event: 'attemptFailed',
-      fields: { requestId, attemptId, instance, failure, sent },
+      type: 'observe',
+      metric: 'firstTokenSeconds',
+      value: (now - accepted.arrivedAt) / 1000,
+      label: accepted.route.name,
     },
   ];
-  if (failure === 'clientError') {
-    const detail = 'The backend server refused the request';
-    return [...effects, ...failRequest(state, accepted, 'backendServerFailed', detail)];
-  }
-  if (event.answerStarted) {
-    effects.push({ type: 'count', metric: 'retriesRefused', label: 'answerStarted' });
-    const detail = 'The backend server was lost in the middle of the answer';
-    return [...effects, ...failRequest(state, accepted, 'answerCut', detail)];
+}
+
+function noteProgress(
+  accepted: RequestState,
+  attempt: AttemptState,
+  event: Extract<EntryEvent, { type: 'attemptProgressed' }>,
+): void {
+  attempt.firstTokenAt ??= event.now;
+  attempt.tokens = Math.max(attempt.tokens, event.tokens);
+  attempt.tokensAt = event.now;
+  accepted.tokens = Math.max(accepted.tokens, event.tokens);
+}
+
+/**
+ * The whole answer of an attempt that fell silent has come after all. It is used if the caller has
+ * been given nothing yet: it is then the first whole answer, and the other attempt is cancelled.
+ */
+function finishGivenUp(
+  state: EntryState,
+  accepted: RequestState | undefined,
+  { attemptId }: AttemptState,
+): EntryEffect[] {
+  state.attempts.delete(attemptId);
+  if (accepted === undefined || accepted.firstTokenAt !== undefined || accepted.tokens > 0) {
+    return dropLate();
   }
-  effects.push({ type: 'count', metric: 'retries', label: retryReasonByFailure[failure] });
-  return [...effects, ...startAttempt(state, accepted, event.now)];
+  return finishRequest(state, accepted, attemptId);
+}
+
+function finishAttempt(state: EntryState, attempt: AttemptState): EntryEffect[] {
+  const accepted = state.requests.get(attempt.requestId);
+  if (attempt.givenUp) return finishGivenUp(state, accepted, attempt);
+  forgetAttempt(state, attempt);
+  if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return dropLate();
+  accepted.attemptId = undefined;
+  accepted.maybeSent = true;
+  return finishRequest(state, accepted, attempt.attemptId);
 }
 
 export function reduceAttempts(state: EntryState, event: AttemptEvent): EntryEffect[] {
   const attempt = state.attempts.get(event.attemptId);
-  if (attempt === undefined) return dropLate();
+  if (attempt === undefined) return event.type === 'attemptFinished' ? dropLate() : [];
+  if (event.type === 'attemptFinished') return finishAttempt(state, attempt);
+  if (event.type === 'attemptFailed') return failAttempt(state, attempt, event);
   const accepted = state.requests.get(attempt.requestId);
+  if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return [];
   switch (event.type) {
     case 'attemptSent':
       attempt.sent = true;
+      accepted.maybeSent = true;
       return [];
     case 'firstTokenReceived':
-      if (accepted === undefined || accepted.firstTokenAt !== undefined) return [];
-      accepted.firstTokenAt = event.now;
-      return [
-        {
-          type: 'observe',
-          metric: 'firstTokenSeconds',
-          value: (event.now - accepted.arrivedAt) / 1000,
-          label: accepted.route.name,
-        },
-      ];
+      return noteFirstToken(accepted, attempt, event);
     case 'attemptProgressed':
-      if (accepted !== undefined) accepted.tokens = Math.max(accepted.tokens, event.tokens);
+      noteProgress(accepted, attempt, event);
       return [];
-    case 'attemptFinished':
-      forgetAttempt(state, attempt);
-      if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return dropLate();
-      return finishRequest(state, accepted);
-    case 'attemptFailed':
-      return failAttempt(state, attempt, event);
     default:
       return assertNever(event);
   }
--- /dev/null
+++ b/packages/entry-core/src/attempts/releaseAttempts.ts
@@ -0,0 +1,53 @@
+/**
+ * Ends attempts from this side: their record is dropped at once, so that whatever still comes from
+ * them is late, and the shell is asked to cancel them.
+ */
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+import type { AttemptState } from './AttemptState.js';
+
+/** Ends an attempt's own record. Its request goes on, or not, as the caller of this decides. */
+export function forgetAttempt(state: EntryState, attempt: AttemptState): void {
+  state.attempts.delete(attempt.attemptId);
+  state.backendServers.get(attempt.instance)?.attemptIds.delete(attempt.attemptId);
+}
+
+/** Gives up the attempt that the request is bound to. It may have sent bytes, so it counts so. */
+export function cancelAttempt(state: EntryState, accepted: RequestState): EntryEffect[] {
+  const { attemptId } = accepted;
+  if (attemptId === undefined) return [];
+  const attempt = state.attempts.get(attemptId);
+  if (attempt !== undefined) forgetAttempt(state, attempt);
+  accepted.attemptId = undefined;
+  accepted.maybeSent = true;
+  return [{ type: 'cancelAttempt', attemptId }];
+}
+
+/** Ends a move of the request's KV cache, if one is under way, and frees its target's place. */
+export function forgetMove(state: EntryState, requestId: string): void {
+  const move = state.reclaims.moves.get(requestId);
+  if (move === undefined) return;
+  state.reclaims.moves.delete(requestId);
+  state.backendServers.get(move.to)?.attemptIds.delete(reservationOf(requestId));
+}
+
+/** Stands among a target's attempts for a stream on its way, so that no wave floods it. */
+export function reservationOf(requestId: string): string {
+  return `reserved:${requestId}`;
+}
+
+/**
+ * Lets go of all that a request holds when it ends. The attempt of a call that may not be
+ * repeated is left to run, for its outcome must still be learnt.
+ */
+export function releaseAttempts(state: EntryState, accepted: RequestState): EntryEffect[] {
+  const { requestId } = accepted.request;
+  state.retries.waiting.delete(requestId);
+  forgetMove(state, requestId);
+  const effects = accepted.route.idempotent ? cancelAttempt(state, accepted) : [];
+  accepted.givenUpAttemptIds?.forEach((attemptId) => {
+    if (state.attempts.delete(attemptId)) effects.push({ type: 'cancelAttempt', attemptId });
+  });
+  return effects;
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/retryBudget.ts
@@ -0,0 +1,40 @@
+/**
+ * Retry budgets. Each first attempt earns its route and its backend server a share of a retry;
+ * each retry spends one of both.
+ *
+ * Without a bound, failing backend servers turn every request into several, and the retries keep
+ * them failing after the cause is gone: a retry storm. With it, retries add at most the share, and
+ * once the burst is spent a failure is passed on at once.
+ */
+import type { RetryBudget, RetryState } from './RetryState.js';
+
+/** Retries earned by each first attempt. */
+export const RETRY_SHARE = 0.1;
+
+/** Retries that a route or a backend server may save up; also what each starts with. */
+export const MOST_SAVED_RETRIES = 10;
+
+function budgetOf(budgets: Map<string, RetryBudget>, name: string): RetryBudget {
+  const known = budgets.get(name);
+  if (known !== undefined) return known;
+  const made = { tokens: MOST_SAVED_RETRIES };
+  budgets.set(name, made);
+  return made;
+}
+
+export function earnRetries(retries: RetryState, route: string, instance: string): void {
+  [budgetOf(retries.byRoute, route), budgetOf(retries.byInstance, instance)].forEach((budget) => {
+    budget.tokens = Math.min(MOST_SAVED_RETRIES, budget.tokens + RETRY_SHARE);
+  });
+}
+
+/** Spends one retry caused by a failure at `instance`; false if one of the budgets is spent. */
+export function spendRetry(retries: RetryState, route: string, instance: string): boolean {
+  if (!retries.policy.budgets) return true;
+  const budgets = [budgetOf(retries.byRoute, route), budgetOf(retries.byInstance, instance)];
+  if (budgets.some((budget) => budget.tokens < 1)) return false;
+  budgets.forEach((budget) => {
+    budget.tokens -= 1;
+  });
+  return true;
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -0,0 +1,90 @@
+/**
+ * Decides whether a request whose attempt failed is tried again, and when. Each refusal is counted
+ * by its reason and ends the request at once.
+ */
+import type {
+  ErrorKind,
+  Milliseconds,
+  MonotonicMilliseconds,
+  RecomputeReason,
+  RetryReason,
+  RetryRefusalReason,
+} from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { failRequest } from '../requests/endRequest.js';
+import { ranOf } from '../requests/ranOf.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { drawBackOff } from './backOff.js';
+import { spendRetry } from './retryBudget.js';
+import { startAttempt, waitForAttempt } from './startAttempt.js';
+
+/** When to come back after a retry was refused for want of budget. */
+const REFUSED_RETRY_AFTER_MILLISECONDS = 1000;
+
+/** Why a request needs another attempt. */
+export interface RetryCause {
+  readonly reason: RetryReason;
+  /** Where the attempt failed. */
+  readonly instance: string;
+  /** True if the retry needs no budget and no wait: see `isFreeRecovery`. */
+  readonly free: boolean;
+  /** What the backend server asked to wait. */
+  readonly retryAfter?: Milliseconds;
+  /** Set if tokens were computed and are lost. */
+  readonly recompute?: RecomputeReason;
+}
+
+function refuseRetry(
+  state: EntryState,
+  accepted: RequestState,
+  reason: RetryRefusalReason,
+  kind: ErrorKind,
+  detail: string,
+): EntryEffect[] {
+  return [
+    { type: 'count', metric: 'retriesRefused', label: reason },
+    ...failRequest(state, accepted, kind, detail, {
+      ran: ranOf(accepted),
+      retryAfterMilliseconds: REFUSED_RETRY_AFTER_MILLISECONDS,
+    }),
+  ];
+}
+
+export function refuseCutAnswer(state: EntryState, accepted: RequestState): EntryEffect[] {
+  const detail = 'The backend server was lost in the middle of the answer';
+  return refuseRetry(state, accepted, 'answerStarted', 'answerCut', detail);
+}
+
+function noteRecompute(accepted: RequestState, cause: RetryCause): void {
+  if (cause.recompute === undefined) return;
+  const tokens = accepted.request.promptTokens + accepted.tokens;
+  accepted.recompute = { reason: cause.recompute, tokens };
+}
+
+export function retryRequest(
+  state: EntryState,
+  accepted: RequestState,
+  cause: RetryCause,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
+  if (!accepted.route.idempotent && accepted.maybeSent === true) {
+    const detail = 'The call may have run and is not sent again';
+    return refuseRetry(state, accepted, 'notIdempotent', 'outcomeUnknown', detail);
+  }
+  const backOff = cause.free ? 0 : drawBackOff(state.retries, accepted.attemptsStarted);
+  const delay = Math.max(backOff, cause.retryAfter ?? 0);
+  if (now + delay >= accepted.wholeAnswerDueAt) {
+    const detail = 'No attempt can be made before the deadline';
+    return refuseRetry(state, accepted, 'deadlineTooNear', 'deadlineExceeded', detail);
+  }
+  if (!cause.free && !spendRetry(state.retries, accepted.route.name, cause.instance)) {
+    const detail = 'The backend server failed and the retry budget is spent';
+    return refuseRetry(state, accepted, 'budgetSpent', 'backendServerFailed', detail);
+  }
+  noteRecompute(accepted, cause);
+  const counted: EntryEffect = { type: 'count', metric: 'retries', label: cause.reason };
+  if (delay === 0) return [counted, ...startAttempt(state, accepted, now)];
+  waitForAttempt(state, accepted, now, delay, cause.reason);
+  return [counted];
+}
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -1,47 +1,81 @@
 /**
- * Starts the next attempt of a request, or ends the request if there is nowhere to try it.
+ * Starts the next attempt of a request, lets it wait for a backend server, or ends it if there is
+ * nowhere to try it.
  */
-import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Milliseconds, MonotonicMilliseconds, RetryReason } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
-import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
+import { isHeld } from '../quarantine/suspects.js';
 import { failRequest } from '../requests/endRequest.js';
+import { ranOf } from '../requests/ranOf.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { chooseForAttempt, isWorthWaiting } from './chooseForAttempt.js';
+import { launchAttempt } from './launchAttempt.js';
 
-/** A stream that pauses for so long is taken for lost. */
-const SILENCE_TIMEOUT_MILLISECONDS = 5000;
+/** How soon a request that waits for a backend server looks again. */
+const WAIT_MILLISECONDS = 50;
+
+/** When to come back to a pool that has no backend server left. */
+const NO_SERVER_RETRY_AFTER_MILLISECONDS = 2000;
+
+function refuseQuarantined(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EntryEffect[] | undefined {
+  const quarantined = state.quarantine.quarantined.get(accepted.request.digest);
+  if (quarantined === undefined || quarantined.endsAt <= now) return undefined;
+  const detail = 'This request crashed backend servers and is kept from them for a while';
+  return [
+    ...(accepted.attemptsStarted === 0 ? [] : countRefusal('quarantined')),
+    ...failRequest(state, accepted, 'quarantined', detail, {
+      ran: ranOf(accepted),
+      retryAfterMilliseconds: quarantined.endsAt - now,
+    }),
+  ];
+}
+
+function countRefusal(label: string): EntryEffect[] {
+  return [{ type: 'count', metric: 'retriesRefused', label }];
+}
+
+function failWithoutServer(state: EntryState, accepted: RequestState): EntryEffect[] {
+  const detail = `Pool "${accepted.pool.name}" has no backend server left to try`;
+  return [
+    ...(accepted.attemptsStarted === 0 ? [] : countRefusal('noOtherBackendServer')),
+    ...failRequest(state, accepted, 'noBackendServer', detail, {
+      ran: ranOf(accepted),
+      retryAfterMilliseconds: NO_SERVER_RETRY_AFTER_MILLISECONDS,
+    }),
+  ];
+}
+
+/** Has a request wait, and be tried again by a later tick. */
+export function waitForAttempt(
+  state: EntryState,
+  { request }: RequestState,
+  now: MonotonicMilliseconds,
+  delay: Milliseconds = WAIT_MILLISECONDS,
+  reason: RetryReason = 'backendServerLost',
+): void {
+  const { requestId } = request;
+  state.retries.waiting.set(requestId, { requestId, reason, dueAt: now + delay });
+}
 
 export function startAttempt(
   state: EntryState,
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): EntryEffect[] {
-  const server = chooseBackendServer(state, accepted);
-  if (server === undefined) {
-    const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
-    const detail = `Pool "${accepted.pool.name}" has no backend server left to try`;
-    return failRequest(state, accepted, 'noBackendServer', detail, { ran });
+  const refused = refuseQuarantined(state, accepted, now);
+  if (refused !== undefined) return refused;
+  if (state.retries.policy.suspectsApart && isHeld(state, accepted.request.digest)) {
+    waitForAttempt(state, accepted, now);
+    return [];
   }
-  const { requestId } = accepted.request;
-  accepted.attemptsStarted += 1;
-  const attemptId = `${requestId}.${accepted.attemptsStarted}`;
-  const { instance, host, port } = server.listed;
-  accepted.attemptId = attemptId;
-  accepted.triedInstances.add(instance);
-  server.attemptIds.add(attemptId);
-  state.attempts.set(attemptId, { attemptId, requestId, instance, startedAt: now, sent: false });
-  return [
-    {
-      type: 'startAttempt',
-      requestId,
-      attemptId,
-      target: { instance, host, port, kind: accepted.pool.kind },
-      resumeFromTokens: accepted.tokens,
-      priority: accepted.route.priority,
-      sendOnce: !accepted.route.idempotent,
-      firstByteTimeout: Math.max(1, accepted.wholeAnswerDueAt - now),
-      silenceTimeout: SILENCE_TIMEOUT_MILLISECONDS,
-    },
-    { type: 'log', event: 'attemptStarted', fields: { requestId, attemptId, instance } },
-  ];
+  const server = chooseForAttempt(state, accepted);
+  if (server !== undefined) return launchAttempt(state, accepted, server, now);
+  if (!isWorthWaiting(state, accepted)) return failWithoutServer(state, accepted);
+  waitForAttempt(state, accepted, now);
+  return [];
 }
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -28,7 +28,11 @@
       readonly requestId: string;
       readonly attemptId: string;
       readonly target: AttemptTarget;
-      /** Tokens of the answer that are there already; the engine goes on after them. */
+      /**
+       * Tokens of the answer that are there already; the engine goes on after them. It is what
+       * the last edge told. The shell, which holds the text itself, goes on from what it has
+       * relayed by the time it carries this out, after the `cancelAttempt` before it.
+       */
       readonly resumeFromTokens: number;
       /** 0 is served first, 9 last. */
       readonly priority: number;
@@ -49,8 +53,8 @@
       readonly from: AttemptTarget;
       readonly to: AttemptTarget;
     }
-  /** The caller's answer is whole: the shell ends it. */
-  | { readonly type: 'finishAnswer'; readonly requestId: string }
+  /** The caller's answer is whole, as this attempt brought it: the shell ends it. */
+  | { readonly type: 'finishAnswer'; readonly requestId: string; readonly attemptId?: string }
   /** The caller's final answer is a problem document, or an error event in a started stream. */
   | {
       readonly type: 'answerProblem';
@@ -59,6 +63,11 @@
       readonly detail: string;
       readonly retryAfterMilliseconds?: Milliseconds;
       readonly ran?: Ran;
+      /**
+       * Tokens of the answer that the caller has; a resend that names them as its prefix goes on
+       * from there.
+       */
+      readonly tokensGiven?: number;
     }
   | { readonly type: 'replayAnswer'; readonly requestId: string; readonly answer: StoredAnswer }
   /** Proposes a claim command; answered by `claimAnswered` with the same request id. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -72,7 +72,13 @@
     }
   | { readonly type: 'loadReported'; readonly report: LoadReport }
   | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
-  | { readonly type: 'probeAnswered'; readonly instance: string; readonly answered: boolean }
+  | {
+      readonly type: 'probeAnswered';
+      readonly instance: string;
+      readonly answered: boolean;
+      /** What the backend server's process calls itself since its start, if its adapter tells. */
+      readonly incarnation?: string;
+    }
   | { readonly type: 'requestArrived'; readonly request: CallerRequest }
   | { readonly type: 'callerGone'; readonly requestId: string }
   /** From here on a byte of the call may have reached the backend server. */
@@ -94,10 +100,24 @@
       readonly answerStarted: boolean;
       readonly retryAfter?: Milliseconds;
     }
-  | { readonly type: 'cacheMoved'; readonly requestId: string; readonly moved: boolean }
+  | {
+      readonly type: 'cacheMoved';
+      readonly requestId: string;
+      readonly moved: boolean;
+      /** The attempt named by the `moveCache` that this answers. */
+      readonly attemptId?: string;
+      /** Tokens of the answer that the moved cache holds, if the engine tells. */
+      readonly tokens?: number;
+    }
   | { readonly type: 'claimAnswered'; readonly requestId: string; readonly answer: ClaimAnswer }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
-  | { readonly type: 'shutdownStarted' };
+  | {
+      readonly type: 'shutdownStarted';
+      /** Until when requests are still accepted: the balancer's delay. Missing means not at all. */
+      readonly acceptUntil?: MonotonicMilliseconds;
+      /** When the last requests are ended, a moment before the platform's limit. */
+      readonly endAt?: MonotonicMilliseconds;
+    };
 
 export type EntryEvent = EntryOccurrence & Timed;
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -4,3 +4,5 @@
 export * from './reduceEntry.js';
 export * from './routing/deadlineAt.js';
 export * from './routing/findRoute.js';
+export { fullRecoveryPolicy, type RecoveryPolicy } from './attempts/RetryState.js';
+export { livePeers } from './membership/livePeers.js';
--- /dev/null
+++ b/packages/entry-core/src/membership/receiveReport.ts
@@ -0,0 +1,27 @@
+/**
+ * Takes in a peer's report. Reports can be lost, repeated and overtake each other; only one that is
+ * newer by incarnation and sequence counts.
+ */
+import type { EntryReport } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { noticeReclaim } from '../reclaims/noticeReclaim.js';
+
+function isNewer(report: EntryReport, known: EntryReport | undefined): boolean {
+  if (known === undefined) return true;
+  return (
+    report.incarnation > known.incarnation ||
+    (report.incarnation === known.incarnation && report.sequence > known.sequence)
+  );
+}
+
+export function receiveReport(state: EntryState, report: EntryReport, timed: Timed): EntryEffect[] {
+  if (report.instance === state.identity.instance) return [];
+  const known = state.membership.peers.get(report.instance);
+  if (!isNewer(report, known?.report)) return [];
+  state.membership.peers.set(report.instance, { report, receivedAt: timed.now, live: true });
+  return Object.entries(report.leavingBackendServers).flatMap(([instance, goneAt]) =>
+    noticeReclaim(state, instance, goneAt, timed),
+  );
+}
--- /dev/null
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -0,0 +1,63 @@
+/**
+ * This entry's own report to its peers: once a second, and with the next tick when something
+ * that cannot wait was learnt here, such as a reclaim notice.
+ */
+import type { EntryReport, PeerSuspect } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+
+export const REPORT_MILLISECONDS = 1000;
+
+function countInProgress(state: EntryState): Record<string, number> {
+  const counts: Record<string, number> = {};
+  state.requests.forEach(({ route, request }) => {
+    const key = `${route.name}/${request.workspace}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  });
+  return counts;
+}
+
+function runningAt(state: EntryState, digest: string): string | undefined {
+  return [...state.attempts.values()].find(
+    ({ requestId, givenUp }) =>
+      !givenUp && state.requests.get(requestId)?.request.digest === digest,
+  )?.instance;
+}
+
+function listSuspects(state: EntryState): PeerSuspect[] {
+  return [...state.quarantine.suspects.values()].map(({ digest, crashIds }) => ({
+    digest,
+    crashes: crashIds.size,
+    crashIds: [...crashIds],
+    runningAt: runningAt(state, digest),
+  }));
+}
+
+function makeReport(state: EntryState): EntryReport {
+  const { instance, dataCentre, incarnation } = state.identity;
+  state.membership.sequence += 1;
+  return {
+    type: 'entryReport',
+    instance,
+    dataCentre,
+    incarnation,
+    sequence: state.membership.sequence,
+    leaving: state.shutdown.started,
+    revision: state.configuration.revision,
+    inProgress: countInProgress(state),
+    leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
+    suspects: listSuspects(state),
+  };
+}
+
+/** Has the next tick send a report instead of waiting for the second to pass. */
+export function reportSoon(state: EntryState): void {
+  state.membership.reportDueAt = 0;
+}
+
+export function advanceReports(state: EntryState, { now }: Timed): EntryEffect[] {
+  if (state.membership.reportDueAt > now) return [];
+  state.membership.reportDueAt = now + REPORT_MILLISECONDS;
+  return [{ type: 'reportToEntries', report: makeReport(state) }];
+}
--- /dev/null
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -0,0 +1,201 @@
+/**
+ * Decides what a loss was, once its probe is answered or has not been for too long: a lost
+ * connection, a mass loss of many backend servers, or a crash that one request may have caused.
+ *
+ * At a crash where exactly one request was a suspect already, that one is named: it was in progress
+ * at two crashes, and it is quarantined. Its neighbours there stay innocent, and so do all others of
+ * the first crash.
+ */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { failAttempt } from '../attempts/failAttempt.js';
+import { isMassLoss } from './isMassLoss.js';
+import { probeOf } from './probeOf.js';
+import { quarantineDigest } from './quarantineDigest.js';
+import type { Loss } from './QuarantineState.js';
+import { SUSPICION_MILLISECONDS } from './noteLoss.js';
+import { clearExplained, crashesOf } from './suspects.js';
+
+/** How long a probe may go unanswered before its backend server is taken for dead. */
+export const PROBE_TIMEOUT_MILLISECONDS = 1000;
+
+/** How often a backend server that is down is probed again. */
+const DOWN_PROBE_MILLISECONDS = 2000;
+
+/** Crashes without a name of their own are told apart by their time; see `crashIdOf`. */
+const CRASH_BUCKET_MILLISECONDS = 60_000;
+
+/** What a probe's answer says. */
+export interface ProbeResult {
+  readonly answered: boolean;
+  readonly incarnation?: string;
+}
+
+/**
+ * Names a crash the same way at every entry that sees it: the backend server and its incarnation.
+ * Without an incarnation the minute stands in; a crash seen on both sides of a minute by two
+ * entries then counts as two, and two within one minute as one.
+ */
+function crashIdOf(state: EntryState, instance: string, { wallNow }: Timed): string {
+  const incarnation =
+    state.quarantine.incarnations.get(instance) ??
+    `minute-${Math.floor(wallNow / CRASH_BUCKET_MILLISECONDS)}`;
+  return `${instance}/${incarnation}`;
+}
+
+/**
+ * A backend server that answers can still have crashed and been restarted within the probe. Its
+ * incarnation tells; without one, it is taken for restarted if every connection was reset at once,
+ * or if one that was reset carried a suspect of an earlier crash.
+ */
+function hasRestarted(state: EntryState, loss: Loss, { incarnation }: ProbeResult): boolean {
+  const before = state.quarantine.incarnations.get(loss.instance);
+  if (before !== undefined && incarnation !== undefined) return before !== incarnation;
+  if (loss.resets === 0) return false;
+  const allReset = loss.members.size > 1 && loss.resets >= loss.members.size;
+  return allReset || priorSuspects(state, loss).length > 0;
+}
+
+/** Members of the loss that were in progress at an earlier crash. */
+function priorSuspects(state: EntryState, loss: Loss): string[] {
+  return [...loss.members.keys()].filter((digest) => crashesOf(state, digest).size > 0);
+}
+
+/** True if a peer runs a suspect there: this entry alone cannot then name one. */
+function peerHasSuspectAt(state: EntryState, instance: string): boolean {
+  return [...state.membership.peers.values()].some(({ report }) =>
+    report.suspects.some(({ runningAt }) => runningAt === instance),
+  );
+}
+
+function clearProvisional(state: EntryState, instance: string): void {
+  state.quarantine.suspects.forEach((suspect, digest) => {
+    if (suspect.lossOf !== instance) return;
+    suspect.lossOf = undefined;
+    if (suspect.crashIds.size === 0) state.quarantine.suspects.delete(digest);
+  });
+}
+
+function suspectAll(state: EntryState, loss: Loss, digests: string[], crashId: string): void {
+  const until = loss.openedAt + SUSPICION_MILLISECONDS;
+  digests.forEach((digest) => {
+    const crashIds = crashesOf(state, digest).add(crashId);
+    const { exposure = 0, tokens = 0 } = loss.members.get(digest) ?? {};
+    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until };
+    state.quarantine.suspects.set(digest, suspect);
+  });
+}
+
+function reportCrash(loss: Loss, crashId: string, digests: readonly string[]): EntryEffect {
+  const { instance } = loss;
+  return {
+    type: 'proposeCommand',
+    command: { type: 'reportCrash', backendServer: instance, crashId, digests },
+  };
+}
+
+/** Draws what follows for the requests that were in progress at a crash. */
+function blame(state: EntryState, loss: Loss, crashId: string, timed: Timed): EntryEffect[] {
+  const prior = priorSuspects(state, loss);
+  clearProvisional(state, loss.instance);
+  const culprit = prior[0];
+  if (culprit === undefined) {
+    const digests = [...loss.members.keys()];
+    suspectAll(state, loss, digests, crashId);
+    return [reportCrash(loss, crashId, digests)];
+  }
+  if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
+    suspectAll(state, loss, prior, crashId);
+    return [];
+  }
+  const crashIds = crashesOf(state, culprit).add(crashId);
+  clearExplained(state, crashIds);
+  return [reportCrash(loss, crashId, [culprit]), ...quarantineDigest(state, culprit, timed)];
+}
+
+function markDown(state: EntryState, loss: Loss, crashId: string, now: MonotonicMilliseconds) {
+  const probeDueAt = now + DOWN_PROBE_MILLISECONDS;
+  const digests = new Set(loss.members.keys());
+  const since = loss.openedAt;
+  state.quarantine.down.set(loss.instance, { since, probeDueAt, digests, crashId });
+}
+
+/** Ends the attempts at a dead backend server without waiting for each of their connections. */
+function failAttemptsAt(state: EntryState, instance: string, timed: Timed): EntryEffect[] {
+  const attemptIds = [...(state.backendServers.get(instance)?.attemptIds ?? [])];
+  return attemptIds.flatMap((attemptId) => {
+    const attempt = state.attempts.get(attemptId);
+    if (attempt === undefined) return [];
+    const failed = {
+      type: 'attemptFailed',
+      attemptId,
+      failure: 'connectionLost',
+      sent: 'maybe',
+      tokens: attempt.tokens,
+      answerStarted: false,
+    } as const;
+    const { now, wallNow } = timed;
+    return [
+      { type: 'cancelAttempt', attemptId } as const,
+      ...failAttempt(state, attempt, { ...failed, now, wallNow }),
+    ];
+  });
+}
+
+export function judgeLoss(
+  state: EntryState,
+  loss: Loss,
+  result: ProbeResult,
+  timed: Timed,
+): EntryEffect[] {
+  const { instance } = loss;
+  state.quarantine.losses.delete(instance);
+  const restarted = result.answered && hasRestarted(state, loss, result);
+  if (result.answered && !restarted) {
+    clearProvisional(state, instance);
+    return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance } }];
+  }
+  const crashId = crashIdOf(state, instance, timed);
+  const mass = !result.answered && isMassLoss(state, loss);
+  if (!result.answered) markDown(state, loss, crashId, timed.now);
+  const blamed = mass ? [] : blame(state, loss, crashId, timed);
+  if (mass) clearProvisional(state, instance);
+  const members = loss.members.size;
+  return [
+    { type: 'log', event: 'backendServerCrashed', fields: { instance, crashId, members, mass } },
+    ...blamed,
+    ...failAttemptsAt(state, instance, timed),
+  ];
+}
+
+/** A probe has come back, for a loss or for a backend server that was down. */
+export function takeProbeAnswer(
+  state: EntryState,
+  instance: string,
+  result: ProbeResult,
+  timed: Timed,
+): EntryEffect[] {
+  const loss = state.quarantine.losses.get(instance);
+  const effects = loss === undefined ? [] : judgeLoss(state, loss, result, timed);
+  const { incarnation } = result;
+  if (incarnation !== undefined) state.quarantine.incarnations.set(instance, incarnation);
+  if (loss === undefined && result.answered) state.quarantine.down.delete(instance);
+  return effects;
+}
+
+/** Judges losses whose probe is overdue, and probes again what is down. */
+export function advanceLosses(state: EntryState, timed: Timed): EntryEffect[] {
+  const overdue = [...state.quarantine.losses.values()].filter(
+    ({ openedAt }) => openedAt + PROBE_TIMEOUT_MILLISECONDS <= timed.now,
+  );
+  const judged = overdue.flatMap((loss) => judgeLoss(state, loss, { answered: false }, timed));
+  const probes = [...state.quarantine.down].flatMap(([instance, down]) => {
+    if (!state.backendServers.has(instance)) state.quarantine.down.delete(instance);
+    if (down.probeDueAt > timed.now) return [];
+    down.probeDueAt = timed.now + DOWN_PROBE_MILLISECONDS;
+    return probeOf(state, instance);
+  });
+  return [...judged, ...probes];
+}
--- /dev/null
+++ b/packages/entry-core/src/quarantine/noteLoss.ts
@@ -0,0 +1,71 @@
+/**
+ * A connection to a backend server was lost or fell silent. What was lost, the connection or
+ * the backend server, is known only from a probe over a new connection. Until then the requests
+ * that lost theirs are taken for suspects, so that a request that crashes backend servers is not run
+ * again beside the others; if the probe is answered they are cleared at once.
+ */
+import type { AttemptState } from '../attempts/AttemptState.js';
+import type { AttemptFailed } from '../attempts/failAttempt.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { probeOf } from './probeOf.js';
+import type { Loss } from './QuarantineState.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** Suspicion ends after this, if the caller does not send the request again. */
+export const SUSPICION_MILLISECONDS = 600_000;
+
+function membersAt(state: EntryState, instance: string, event: AttemptFailed): Loss['members'] {
+  const members: Loss['members'] = new Map();
+  state.backendServers.get(instance)?.attemptIds.forEach((attemptId) => {
+    const attempt = state.attempts.get(attemptId);
+    const request = attempt && state.requests.get(attempt.requestId)?.request;
+    if (attempt === undefined || request === undefined) return;
+    const exposure = event.now - attempt.startedAt;
+    members.set(request.digest, { exposure, tokens: attempt.tokens });
+  });
+  return members;
+}
+
+function openLoss(state: EntryState, instance: string, event: AttemptFailed): Loss {
+  const loss = {
+    instance,
+    openedAt: event.now,
+    members: membersAt(state, instance, event),
+    resets: 0,
+  };
+  state.quarantine.losses.set(instance, loss);
+  return loss;
+}
+
+/** Suspects the request for the time of the probe. */
+function suspect(state: EntryState, { digest }: RequestState['request'], loss: Loss, now: number) {
+  const { suspects } = state.quarantine;
+  const known = suspects.get(digest);
+  if (known !== undefined) {
+    known.lossOf = loss.instance;
+    return;
+  }
+  const { exposure, tokens } = loss.members.get(digest) ?? { exposure: 0, tokens: 0 };
+  const until = now + SUSPICION_MILLISECONDS;
+  const lossOf = loss.instance;
+  suspects.set(digest, { digest, crashIds: new Set(), lossOf, exposure, tokens, until });
+}
+
+/** Call it before the attempt is forgotten, while it still counts among those in progress. */
+export function noteLoss(
+  state: EntryState,
+  accepted: RequestState,
+  attempt: AttemptState,
+  event: AttemptFailed,
+): EntryEffect[] {
+  if (event.failure !== 'connectionLost' && event.failure !== 'silent') return [];
+  const { instance } = attempt;
+  // Its end was announced: nothing to find out, and no request to suspect.
+  if (state.reclaims.leaving.has(instance) || state.quarantine.down.has(instance)) return [];
+  const known = state.quarantine.losses.get(instance);
+  const loss = known ?? openLoss(state, instance, event);
+  if (event.failure === 'connectionLost') loss.resets += 1;
+  suspect(state, accepted.request, loss, event.now);
+  return known === undefined ? probeOf(state, instance) : [];
+}
--- /dev/null
+++ b/packages/entry-core/src/quarantine/quarantineDigest.ts
@@ -0,0 +1,60 @@
+/**
+ * Keeps a request that crashed backend servers from all of them for a while, at every entry.
+ */
+import type { QuarantineEntry } from '@hornbeampond/schema';
+import { cancelAttempt } from '../attempts/releaseAttempts.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { failRequest } from '../requests/endRequest.js';
+import { ranOf } from '../requests/ranOf.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { clearExplained, crashesOf } from './suspects.js';
+
+/** Until the store's own word on it comes, this entry keeps the digest out for so long. */
+const OWN_QUARANTINE_MILLISECONDS = 600_000;
+
+/**
+ * Ends a request that is quarantined now. What runs is cancelled: it may take down its backend
+ * server at any moment.
+ */
+function endQuarantined(state: EntryState, accepted: RequestState, endsAt: number, { now }: Timed) {
+  const refusal = { type: 'count', metric: 'retriesRefused', label: 'quarantined' } as const;
+  const detail = 'This request crashed backend servers and is kept from them for a while';
+  const cancelled = accepted.route.idempotent ? cancelAttempt(state, accepted) : [];
+  const problem = { ran: ranOf(accepted), retryAfterMilliseconds: endsAt - now };
+  return [refusal, ...cancelled, ...failRequest(state, accepted, 'quarantined', detail, problem)];
+}
+
+function endAllOf(state: EntryState, digest: string, endsAt: number, timed: Timed): EntryEffect[] {
+  return [...state.requests.values()]
+    .filter(({ request }) => request.digest === digest)
+    .flatMap((accepted) => endQuarantined(state, accepted, endsAt, timed));
+}
+
+export function quarantineDigest(state: EntryState, digest: string, timed: Timed): EntryEffect[] {
+  const endsAt = timed.now + OWN_QUARANTINE_MILLISECONDS;
+  const until = timed.wallNow + OWN_QUARANTINE_MILLISECONDS;
+  state.quarantine.quarantined.set(digest, { until, endsAt });
+  state.quarantine.suspects.delete(digest);
+  return [
+    { type: 'log', event: 'requestQuarantined', fields: { digest, until } },
+    ...endAllOf(state, digest, endsAt, timed),
+  ];
+}
+
+/** Takes in the store's list. It only adds: what this entry found itself stays in force. */
+export function receiveQuarantine(
+  state: EntryState,
+  entries: readonly QuarantineEntry[],
+  timed: Timed,
+): EntryEffect[] {
+  return entries.flatMap(({ digest, until }) => {
+    const endsAt = timed.now + until - timed.wallNow;
+    const known = state.quarantine.quarantined.get(digest);
+    if (endsAt <= timed.now || (known !== undefined && known.endsAt >= endsAt)) return [];
+    state.quarantine.quarantined.set(digest, { until, endsAt });
+    clearExplained(state, crashesOf(state, digest));
+    return endAllOf(state, digest, endsAt, timed);
+  });
+}
--- /dev/null
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -0,0 +1,79 @@
+/**
+ * Requests that ran on a backend server when it was lost. One of them may have crashed it; until
+ * it is known which, they are run apart from each other, so that a second crash names one.
+ */
+import type { PeerSuspect } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+
+/** What peers suspect. A silent peer's suspicions stay; where it runs them it no longer tells. */
+function peerSuspects(state: EntryState): PeerSuspect[] {
+  return [...state.membership.peers.values()].flatMap(({ report, live }) =>
+    live
+      ? report.suspects
+      : report.suspects.map((suspect) => ({ ...suspect, runningAt: undefined })),
+  );
+}
+
+/** The crashes that a digest was in progress at, by what this entry and its peers saw. */
+export function crashesOf(state: EntryState, digest: string): Set<string> {
+  const crashes = new Set(state.quarantine.suspects.get(digest)?.crashIds);
+  peerSuspects(state)
+    .filter((suspect) => suspect.digest === digest && suspect.crashes > 0)
+    .forEach(({ crashIds = ['unnamed'] }) => crashIds.forEach((crashId) => crashes.add(crashId)));
+  return crashes;
+}
+
+export function isSuspect(state: EntryState, digest: string): boolean {
+  return (
+    state.quarantine.suspects.has(digest) ||
+    peerSuspects(state).some((suspect) => suspect.digest === digest)
+  );
+}
+
+/**
+ * True if a suspect must not run anywhere now: it was lost a second time and the probes are
+ * still out, or it runs already, here or at a peer. A bad request that its caller sends again
+ * in this window would otherwise take down a third backend server before it is named.
+ */
+export function isHeld(state: EntryState, digest: string): boolean {
+  if (!isSuspect(state, digest)) return false;
+  const openLosses = [...state.quarantine.losses.values()].filter(({ members }) =>
+    members.has(digest),
+  ).length;
+  if (openLosses > 0 && openLosses + crashesOf(state, digest).size > 1) return true;
+  const runsHere = [...state.attempts.values()].some(
+    ({ requestId, givenUp }) =>
+      !givenUp && state.requests.get(requestId)?.request.digest === digest,
+  );
+  const runsAtPeer = peerSuspects(state).some(
+    (suspect) => suspect.digest === digest && suspect.runningAt !== undefined,
+  );
+  return runsHere || runsAtPeer;
+}
+
+/** Where suspects other than this request run now, here and by the peers' reports. */
+export function suspectHosts(state: EntryState, exceptRequestId: string): Set<string> {
+  const hosts = new Set<string>();
+  state.attempts.forEach(({ requestId, instance }) => {
+    const digest = state.requests.get(requestId)?.request.digest;
+    if (digest === undefined || requestId === exceptRequestId) return;
+    if (isSuspect(state, digest)) hosts.add(instance);
+  });
+  peerSuspects(state).forEach(({ runningAt }) => {
+    if (runningAt !== undefined) hosts.add(runningAt);
+  });
+  return hosts;
+}
+
+/** A suspect that ran whole is none any more. */
+export function clearSuspect(state: EntryState, digest: string): void {
+  state.quarantine.suspects.delete(digest);
+}
+
+/** Once a crash has its culprit, all others that were in it, and in no other, are cleared. */
+export function clearExplained(state: EntryState, crashIds: ReadonlySet<string>): void {
+  state.quarantine.suspects.forEach((suspect, digest) => {
+    const explained = [...suspect.crashIds].every((crashId) => crashIds.has(crashId));
+    if (suspect.crashIds.size > 0 && explained) state.quarantine.suspects.delete(digest);
+  });
+}
--- /dev/null
+++ b/packages/entry-core/src/reclaims/costs.ts
@@ -0,0 +1,61 @@
+/**
+ * Stated rates from which moves and resumes are costed. They are deliberately low: a move that is
+ * wrongly believed to fit costs its stream the rest of the notice.
+ */
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { AttemptState } from '../attempts/AttemptState.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/**
+ * Tokens of KV cache that an engine exports over its link in a millisecond: about 128 KiB a token
+ * over 10 Gbit/s.
+ */
+export const MOVED_TOKENS_PER_MILLISECOND = 8;
+
+/** What a move takes besides its bytes. */
+const MOVE_OVERHEAD_MILLISECONDS: Milliseconds = 50;
+
+/** Prompt tokens that an engine computes in a millisecond. */
+export const PREFILL_TOKENS_PER_MILLISECOND = 4;
+
+/** A stream is let finish only if it would do so this many times over. */
+const FINISH_SAFETY = 1.25;
+
+/** Kept free at the end of a notice: the platform's clock and the wires are not exact. */
+export const NOTICE_MARGIN_MILLISECONDS: Milliseconds = 500;
+
+/** Least span over which a stream's rate is believed. */
+const LEAST_MEASURED_MILLISECONDS: Milliseconds = 200;
+
+/** Tokens that an engine would have to compute again if the stream were redone elsewhere. */
+export function redoTokens(accepted: RequestState): number {
+  return accepted.request.promptTokens + accepted.tokens;
+}
+
+export function moveDuration(accepted: RequestState): Milliseconds {
+  return MOVE_OVERHEAD_MILLISECONDS + redoTokens(accepted) / MOVED_TOKENS_PER_MILLISECOND;
+}
+
+export function prefillDuration(accepted: RequestState): Milliseconds {
+  return redoTokens(accepted) / PREFILL_TOKENS_PER_MILLISECOND;
+}
+
+/** Tokens a millisecond that this attempt has given so far; undefined while not measured. */
+function measuredRate({ firstTokenAt, tokens, tokensAt, resumedFromTokens }: AttemptState) {
+  if (firstTokenAt === undefined || tokensAt === undefined) return undefined;
+  const span = tokensAt - firstTokenAt;
+  if (span < LEAST_MEASURED_MILLISECONDS) return undefined;
+  return (tokens - resumedFromTokens) / span;
+}
+
+/** True if even the longest answer that the caller allows ends within `left`. */
+export function fitsNotice(
+  accepted: RequestState,
+  attempt: AttemptState,
+  left: Milliseconds,
+): boolean {
+  const rate = measuredRate(attempt);
+  if (rate === undefined || rate <= 0 || accepted.request.mostTokens <= 0) return false;
+  const remaining = Math.max(0, accepted.request.mostTokens - accepted.tokens);
+  return (remaining / rate) * FINISH_SAFETY + NOTICE_MARGIN_MILLISECONDS <= left;
+}
--- /dev/null
+++ b/packages/entry-core/src/reclaims/handOnStreams.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides, again and again until the end of a notice, what becomes of each stream on a backend
+ * server that is leaving:
+ *
+ * - one that provably ends within the notice at its measured rate is let finish;
+ * - of the others, those whose redo would cost most are moved with their KV cache, one after the
+ *   other over the server's link, as long as the notice has room;
+ * - those for which it has none run on for as long as they can be resumed in time (they may end by
+ *   themselves), and are then resumed elsewhere from their offset.
+ *
+ * Nothing is planned ahead: each look starts from what runs now. A move that failed, a target that
+ * was lost, or a notice that became shorter is then not a special case.
+ */
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { AttemptState } from '../attempts/AttemptState.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+import {
+  fitsNotice,
+  moveDuration,
+  NOTICE_MARGIN_MILLISECONDS,
+  prefillDuration,
+  redoTokens,
+} from './costs.js';
+import { startMove } from './moveCache.js';
+import { resumeElsewhere } from './resumeElsewhere.js';
+
+interface Stream {
+  readonly accepted: RequestState;
+  readonly attempt: AttemptState;
+}
+
+/** Streams of this entry that run there and can still be handed on. */
+function streamsAt(state: EntryState, instance: string): Stream[] {
+  const attemptIds = state.backendServers.get(instance)?.attemptIds ?? [];
+  return [...attemptIds].flatMap((attemptId) => {
+    const attempt = state.attempts.get(attemptId);
+    const accepted = attempt && state.requests.get(attempt.requestId);
+    if (attempt === undefined || accepted === undefined) return [];
+    return canBeHandedOn(accepted, attempt) ? [{ accepted, attempt }] : [];
+  });
+}
+
+/**
+ * A call that may not be repeated stays where it is, and so does a plain service's answer once it
+ * has begun: neither can go on elsewhere.
+ */
+function canBeHandedOn(accepted: RequestState, attempt: AttemptState): boolean {
+  if (!accepted.route.idempotent || accepted.attemptId !== attempt.attemptId) return false;
+  return accepted.pool.kind === 'modelEngine' || attempt.firstTokenAt === undefined;
+}
+
+/** Streams that run on have to be resumed by then, one prefill after the other. */
+function resumeReserve(streams: readonly Stream[], targets: number): Milliseconds {
+  const prefill = streams.reduce((sum, { accepted }) => sum + prefillDuration(accepted), 0);
+  return 2 * NOTICE_MARGIN_MILLISECONDS + prefill / Math.max(1, targets);
+}
+
+function countTargets(state: EntryState, { accepted }: Stream): number {
+  return [...state.backendServers.values()].filter(
+    ({ listed, goneAt }) =>
+      listed.pool === accepted.pool.name && listed.state === 'live' && goneAt === undefined,
+  ).length;
+}
+
+/** Parts the streams into those that the link can move within `left`, dearest redo first. */
+function fillLink(streams: readonly Stream[], left: Milliseconds) {
+  const byCost = [...streams].sort((a, b) => redoTokens(b.accepted) - redoTokens(a.accepted));
+  let room = left - 2 * NOTICE_MARGIN_MILLISECONDS;
+  const moved: Stream[] = [];
+  const resumed: Stream[] = [];
+  byCost.forEach((stream) => {
+    const duration = moveDuration(stream.accepted);
+    if (duration > room) {
+      resumed.push(stream);
+      return;
+    }
+    room -= duration;
+    moved.push(stream);
+  });
+  return { moved, resumed };
+}
+
+function hasMoveFrom(state: EntryState, instance: string): boolean {
+  return [...state.reclaims.moves.values()].some(({ from }) => from === instance);
+}
+
+/** Resumes streams that run on until their turn: the one with most left to do goes first. */
+function resumeDue(state: EntryState, streams: Stream[], left: Milliseconds, timed: Timed) {
+  const first = streams[0];
+  if (first === undefined) return [];
+  const targets = countTargets(state, first);
+  const remaining = ({ accepted }: Stream) => accepted.request.mostTokens - accepted.tokens;
+  const ordered = streams.sort((a, b) => remaining(b) - remaining(a));
+  return ordered.flatMap(({ accepted }, position) => {
+    if (left > resumeReserve(ordered.slice(position), targets)) return [];
+    return resumeElsewhere(state, accepted, 'reclaimNotice', timed);
+  });
+}
+
+/** A stream without a first token has nothing to move yet and restarts at once elsewhere. */
+function partByProgress(streams: readonly Stream[]) {
+  const engine = streams.filter(({ accepted }) => accepted.pool.kind === 'modelEngine');
+  return {
+    unbegun: engine.filter(({ attempt }) => attempt.firstTokenAt === undefined),
+    begun: engine.filter(({ attempt }) => attempt.firstTokenAt !== undefined),
+    plain: streams.filter(({ accepted }) => accepted.pool.kind !== 'modelEngine'),
+  };
+}
+
+export function handOnStreams(state: EntryState, instance: string, timed: Timed): EntryEffect[] {
+  const left = (state.reclaims.leaving.get(instance) ?? Infinity) - timed.wallNow;
+  const streams = streamsAt(state, instance).filter(
+    ({ accepted, attempt }) =>
+      !fitsNotice(accepted, attempt, left) && !state.reclaims.moves.has(accepted.request.requestId),
+  );
+  if (streams.length === 0) return [];
+  const { unbegun, begun, plain } = partByProgress(streams);
+  const { moved, resumed } = state.retries.policy.moves
+    ? fillLink(begun, left)
+    : { moved: [], resumed: begun };
+  const next = hasMoveFrom(state, instance) ? undefined : moved[0];
+  return [
+    ...unbegun.flatMap(({ accepted }) => resumeElsewhere(state, accepted, 'reclaimNotice', timed)),
+    ...(next === undefined ? [] : startMove(state, next.accepted, next.attempt, timed)),
+    ...resumeDue(state, [...resumed, ...plain], left, timed),
+  ];
+}
--- /dev/null
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -0,0 +1,104 @@
+/**
+ * Moves of a running stream's KV cache to another backend server. The stream runs on at its source
+ * until the cache is there; it then goes on at the target, where only the tokens that came after
+ * the export are computed again.
+ *
+ * A place is reserved at the target from the start. Without it, each stream of a wave would find
+ * the same server the least loaded, and that one would be flooded.
+ */
+import type { CacheMoveOutcome } from '@hornbeampond/schema';
+import type { AttemptState } from '../attempts/AttemptState.js';
+import { chooseForAttempt } from '../attempts/chooseForAttempt.js';
+import { forgetMove, reservationOf } from '../attempts/releaseAttempts.js';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import type { AttemptTarget, EntryEffect } from '../entryEffects.js';
+import type { EntryEvent, Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { moveDuration } from './costs.js';
+import { handOnTo, resumeElsewhere } from './resumeElsewhere.js';
+import type { CacheMove } from './ReclaimState.js';
+
+/** A move that takes this many times its costed span is taken for failed. */
+const OVERDUE_FACTOR = 2;
+
+/** Fewest milliseconds that a move is waited for. */
+const LEAST_WAIT_MILLISECONDS = 250;
+
+type CacheMoved = Extract<EntryEvent, { type: 'cacheMoved' }>;
+
+function countMove(outcome: CacheMoveOutcome): EntryEffect {
+  return { type: 'count', metric: 'cacheMoves', label: outcome };
+}
+
+function targetOf({ listed }: BackendServerState, { pool }: RequestState): AttemptTarget {
+  const { instance, host, port } = listed;
+  return { instance, host, port, kind: pool.kind };
+}
+
+export function startMove(
+  state: EntryState,
+  accepted: RequestState,
+  { attemptId, instance }: AttemptState,
+  { now }: Timed,
+): EntryEffect[] {
+  const { requestId } = accepted.request;
+  const source = state.backendServers.get(instance);
+  const target = chooseForAttempt(state, accepted);
+  if (source === undefined || target === undefined) return [];
+  const wait = Math.max(LEAST_WAIT_MILLISECONDS, moveDuration(accepted) * OVERDUE_FACTOR);
+  const to = target.listed.instance;
+  const { tokens } = accepted;
+  const move: CacheMove = { requestId, attemptId, from: instance, to, tokens, dueAt: now + wait };
+  state.reclaims.moves.set(requestId, move);
+  target.attemptIds.add(reservationOf(requestId));
+  const from = targetOf(source, accepted);
+  return [{ type: 'moveCache', requestId, attemptId, from, to: targetOf(target, accepted) }];
+}
+
+function isUsable(state: EntryState, instance: string): BackendServerState | undefined {
+  const server = state.backendServers.get(instance);
+  const { down, losses } = state.quarantine;
+  const usable = server?.goneAt === undefined && !down.has(instance) && !losses.has(instance);
+  return usable ? server : undefined;
+}
+
+/** Ends a move without a cache at the target: the stream is resumed by its offset. */
+function abandonMove(
+  state: EntryState,
+  move: CacheMove,
+  outcome: CacheMoveOutcome,
+  timed: Timed,
+): EntryEffect[] {
+  const accepted = state.requests.get(move.requestId);
+  forgetMove(state, move.requestId);
+  if (accepted === undefined) return [];
+  return [countMove(outcome), ...resumeElsewhere(state, accepted, 'reclaimNotice', timed)];
+}
+
+/** An answer to a move that was abandoned meanwhile finds none, or another, and is dropped. */
+export function finishMove(state: EntryState, event: CacheMoved): EntryEffect[] {
+  const move = state.reclaims.moves.get(event.requestId);
+  const accepted = state.requests.get(event.requestId);
+  if (move === undefined || accepted === undefined) return [];
+  if (event.attemptId !== undefined && event.attemptId !== move.attemptId) return [];
+  if (!event.moved) return abandonMove(state, move, 'failed', event);
+  const target = isUsable(state, move.to);
+  if (target === undefined) return abandonMove(state, move, 'targetLost', event);
+  const since = Math.max(0, accepted.tokens - (event.tokens ?? move.tokens));
+  return [
+    { type: 'count', metric: 'retries', label: 'reclaimNotice' },
+    countMove('moved'),
+    ...handOnTo(state, accepted, target, since, event.now),
+  ];
+}
+
+/** Abandons moves that are overdue, or whose target is leaving or lost. */
+export function advanceMoves(state: EntryState, timed: Timed): EntryEffect[] {
+  return [...state.reclaims.moves.values()].flatMap((move) => {
+    if (isUsable(state, move.to) === undefined) {
+      return abandonMove(state, move, 'targetLost', timed);
+    }
+    return move.dueAt > timed.now ? [] : abandonMove(state, move, 'failed', timed);
+  });
+}
--- /dev/null
+++ b/packages/entry-core/src/reclaims/noticeReclaim.ts
@@ -0,0 +1,71 @@
+/**
+ * A backend server is known to be leaving, from the platform's list, a notice, or a peer. From here
+ * on it gets no new work; the earliest time that any source names is taken.
+ */
+import type { EpochMilliseconds, PlatformInstance } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { reportSoon } from '../membership/reportToEntries.js';
+import { handOnStreams } from './handOnStreams.js';
+
+/** What is known of a backend server's end is forgotten this long after it. */
+const FORGOTTEN_MILLISECONDS = 60_000;
+
+/** True if this moved the known end to an earlier time. */
+function noteLeaving(state: EntryState, instance: string, goneAt: EpochMilliseconds): boolean {
+  const known = state.reclaims.leaving.get(instance) ?? Number.POSITIVE_INFINITY;
+  const earliest = Math.min(known, goneAt);
+  state.reclaims.leaving.set(instance, earliest);
+  const server = state.backendServers.get(instance);
+  if (server !== undefined) server.goneAt = earliest;
+  return earliest < known;
+}
+
+export function noticeReclaim(
+  state: EntryState,
+  instance: string,
+  goneAt: EpochMilliseconds,
+  timed: Timed,
+): EntryEffect[] {
+  if (goneAt + FORGOTTEN_MILLISECONDS <= timed.wallNow) return [];
+  if (!noteLeaving(state, instance, goneAt)) return [];
+  reportSoon(state);
+  const notice = goneAt - timed.wallNow;
+  return [
+    { type: 'log', event: 'reclaimNoticed', fields: { instance, goneAt, notice } },
+    ...handOnStreams(state, instance, timed),
+  ];
+}
+
+/**
+ * Takes the notices out of the platform's list. A backend server that is listed only after its
+ * notice came another way is on notice from its first listing on.
+ */
+export function noticeListed(
+  state: EntryState,
+  instances: readonly PlatformInstance[],
+  timed: Timed,
+): EntryEffect[] {
+  // All of a wave is noted before any stream is handed on, or streams would be sent into it.
+  const fresh = instances.flatMap(({ instance, goneAt }) => {
+    const earliest = Math.min(goneAt ?? Infinity, state.reclaims.leaving.get(instance) ?? Infinity);
+    return Number.isFinite(earliest) && noteLeaving(state, instance, earliest) ? [instance] : [];
+  });
+  if (fresh.length > 0) reportSoon(state);
+  return fresh.flatMap((instance) => [
+    { type: 'log', event: 'reclaimNoticed', fields: { instance } } as const,
+    ...handOnStreams(state, instance, timed),
+  ]);
+}
+
+/** Hands on what still runs on backend servers on notice, as time and the link allow. */
+export function advanceReclaims(state: EntryState, timed: Timed): EntryEffect[] {
+  return [...state.reclaims.leaving].flatMap(([instance, goneAt]) => {
+    if (goneAt + FORGOTTEN_MILLISECONDS > timed.wallNow) {
+      return handOnStreams(state, instance, timed);
+    }
+    state.reclaims.leaving.delete(instance);
+    return [];
+  });
+}
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -2,13 +2,20 @@
  * The one reducer of an entry: it hands each event to the part whose concern it is.
  */
 import { assertNever } from '@hornbeampond/schema';
+import { advanceEntry } from './advanceEntry.js';
 import { admitRequest } from './admission/admitRequest.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
 import { listInstances } from './backendServers/listInstances.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
+import { receiveReport } from './membership/receiveReport.js';
+import { takeProbeAnswer } from './quarantine/judgeLoss.js';
+import { receiveQuarantine } from './quarantine/quarantineDigest.js';
+import { finishMove } from './reclaims/moveCache.js';
+import { noticeListed, noticeReclaim } from './reclaims/noticeReclaim.js';
 import { callerGone } from './requests/callerGone.js';
+import { startShutdown } from './shutdown/advanceShutdown.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
   switch (event.type) {
@@ -25,12 +32,9 @@
     }
     case 'instancesListed':
       listInstances(state, event.instances);
-      return [];
-    case 'reclaimNoticed': {
-      const server = state.backendServers.get(event.instance);
-      if (server !== undefined) server.goneAt ??= event.goneAt;
-      return [];
-    }
+      return noticeListed(state, event.instances, event);
+    case 'reclaimNoticed':
+      return noticeReclaim(state, event.instance, event.goneAt, event);
     case 'loadReported': {
       const server = state.backendServers.get(event.report.instance);
       if (server === undefined) return [];
@@ -48,17 +52,20 @@
     case 'attemptFinished':
     case 'attemptFailed':
       return reduceAttempts(state, event);
+    case 'cacheMoved':
+      return finishMove(state, event);
+    case 'probeAnswered':
+      return takeProbeAnswer(state, event.instance, event, event);
+    case 'quarantineReceived':
+      return receiveQuarantine(state, event.quarantine, event);
+    case 'entryReported':
+      return receiveReport(state, event.report, event);
     case 'shutdownStarted':
-      state.shuttingDown = true;
-      return state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
+      return startShutdown(state, event);
     case 'tick':
-      return state.shuttingDown && state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
+      return advanceEntry(state, event);
     case 'cacheEventsReceived':
-    case 'probeAnswered':
-    case 'cacheMoved':
     case 'claimAnswered':
-    case 'quarantineReceived':
-    case 'entryReported':
       return [];
     default:
       return assertNever(event);
--- a/packages/entry-core/src/requests/RequestState.ts
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -1,5 +1,5 @@
 /** One accepted request until its final answer. */
-import type { MonotonicMilliseconds, Pool, Route } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds, Pool, RecomputeReason, Route } from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
 
 export interface RequestState {
@@ -17,4 +17,12 @@
   /** Tokens of the answer that are there already. */
   tokens: number;
   firstTokenAt: MonotonicMilliseconds | undefined;
+  /** True once an attempt may have sent a byte; see `ranOf`. */
+  maybeSent?: boolean;
+  /** Times that this request lost its backend server or its connection. */
+  losses?: number;
+  /** Attempts that fell silent and may still bring the first whole answer. */
+  givenUpAttemptIds?: string[];
+  /** What the next attempt has to compute again. */
+  recompute?: { readonly reason: RecomputeReason; readonly tokens: number };
 }
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -2,9 +2,11 @@
  * The ways a request gets its final answer. Each is given at the moment it is decided.
  */
 import type { ErrorKind, Milliseconds, Ran } from '@hornbeampond/schema';
+import { releaseAttempts } from '../attempts/releaseAttempts.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { clearSuspect } from '../quarantine/suspects.js';
 import type { RequestState } from './RequestState.js';
 
 /** What a final answer adds to its error kind. */
@@ -31,26 +33,41 @@
 /** Ends an accepted request with a problem. */
 export function failRequest(
   state: EntryState,
-  { request }: RequestState,
+  accepted: RequestState,
   kind: ErrorKind,
   detail: string,
   problem: FinalProblem = {},
 ): EntryEffect[] {
-  const { requestId, workspace } = request;
+  const { requestId, workspace } = accepted.request;
+  const { tokens } = accepted;
   state.requests.delete(requestId);
   return [
-    { type: 'answerProblem', requestId, kind, detail, ...problem },
+    ...releaseAttempts(state, accepted),
+    {
+      type: 'answerProblem',
+      requestId,
+      kind,
+      detail,
+      ...problem,
+      ...(tokens > 0 ? { tokensGiven: tokens } : {}),
+    },
     { type: 'count', metric: 'refusals', label: kind },
     { type: 'log', event: 'requestFailed', fields: { requestId, workspace, kind, detail } },
   ];
 }
 
-/** Ends an accepted request whose whole answer is there. */
-export function finishRequest(state: EntryState, { request }: RequestState): EntryEffect[] {
-  const { requestId } = request;
+/** Ends an accepted request whose whole answer is there, as `attemptId` brought it. */
+export function finishRequest(
+  state: EntryState,
+  accepted: RequestState,
+  attemptId?: string,
+): EntryEffect[] {
+  const { requestId, digest } = accepted.request;
   state.requests.delete(requestId);
+  clearSuspect(state, digest);
   return [
-    { type: 'finishAnswer', requestId },
+    ...releaseAttempts(state, accepted),
+    { type: 'finishAnswer', requestId, attemptId },
     { type: 'log', event: 'requestFinished', fields: { requestId } },
   ];
 }
--- /dev/null
+++ b/packages/entry-core/src/requests/enforceDeadlines.ts
@@ -0,0 +1,23 @@
+/**
+ * Ends the requests whose deadline for the whole answer has passed, at that moment.
+ */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { failRequest } from './endRequest.js';
+import { ranOf } from './ranOf.js';
+
+/** When a caller whose deadline has passed may come back. */
+const RETRY_AFTER_MILLISECONDS = 1000;
+
+export function enforceDeadlines(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  const overdue = [...state.requests.values()].filter(
+    ({ wholeAnswerDueAt }) => wholeAnswerDueAt <= now,
+  );
+  return overdue.flatMap((accepted) =>
+    failRequest(state, accepted, 'deadlineExceeded', 'The whole answer did not come in time', {
+      ran: ranOf(accepted),
+      retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+    }),
+  );
+}
--- /dev/null
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -0,0 +1,54 @@
+/**
+ * Graceful stop. From its start the entry tells its peers that it leaves. Until `acceptUntil` it
+ * still serves what the balancer sends, which has not seen the change of readiness yet: refusing
+ * there would show callers a planned stop as an outage. Streams then run to their end; what is still
+ * in progress shortly before the platform's limit gets a final answer that tells where to go on.
+ */
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryEvent, Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { reportSoon } from '../membership/reportToEntries.js';
+import { failRequest } from '../requests/endRequest.js';
+import { ranOf } from '../requests/ranOf.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** A caller cut off by the limit may come back at once: another entry serves it. */
+const RETRY_AFTER_MILLISECONDS = 100;
+
+export function startShutdown(
+  state: EntryState,
+  event: Extract<EntryEvent, { type: 'shutdownStarted' }>,
+): EntryEffect[] {
+  state.shutdown.started = true;
+  state.shutdown.acceptUntil = event.acceptUntil ?? event.now;
+  state.shutdown.endAt = event.endAt ?? Number.POSITIVE_INFINITY;
+  reportSoon(state);
+  return advanceShutdown(state, event);
+}
+
+function endAtLimit(state: EntryState, accepted: RequestState): EntryEffect[] {
+  const ran = ranOf(accepted);
+  const detail = 'This instance has to stop now; send the request again to go on';
+  const kind = ran === 'no' ? 'draining' : 'answerCut';
+  const problem = { ran, retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+  return failRequest(state, accepted, kind, detail, problem);
+}
+
+function endAllAtLimit(state: EntryState): EntryEffect[] {
+  const requests = [...state.requests.values()];
+  if (requests.length === 0) return [];
+  return [
+    { type: 'log', event: 'shutdownLimitReached', fields: { requests: requests.length } },
+    ...requests.flatMap((accepted) => endAtLimit(state, accepted)),
+  ];
+}
+
+export function advanceShutdown(state: EntryState, { now }: Timed): EntryEffect[] {
+  const { shutdown } = state;
+  if (!shutdown.started) return [];
+  state.shuttingDown = shutdown.acceptUntil <= now;
+  const effects = shutdown.endAt <= now ? endAllAtLimit(state) : [];
+  if (!state.shuttingDown || state.requests.size > 0 || shutdown.readyGiven) return effects;
+  shutdown.readyGiven = true;
+  return [...effects, { type: 'shutdownReady' }];
+}
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -4,6 +4,16 @@
  */
 import type { EpochMilliseconds } from '../units.js';
 
+/** A request that was in progress at crashes of backend servers, as one entry saw it. */
+export interface PeerSuspect {
+  readonly digest: string;
+  readonly crashes: number;
+  /** Names of these crashes. */
+  readonly crashIds?: readonly string[];
+  /** Backend server on which it runs again now, so that no other suspect is put there. */
+  readonly runningAt?: string;
+}
+
 /** One entry's word on itself and on what it has seen first. */
 export interface EntryReport {
   readonly type: 'entryReport';
@@ -19,5 +29,5 @@
   /** Backend servers on notice, with the time they will be gone. */
   readonly leavingBackendServers: Readonly<Record<string, EpochMilliseconds>>;
   /** Crashes seen, so that a resend through another entry is not run beside others. */
-  readonly suspects: readonly { readonly digest: string; readonly crashes: number }[];
+  readonly suspects: readonly PeerSuspect[];
 }
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -4,6 +4,7 @@
  */
 import { errorKinds } from './errors/errorKinds.js';
 import {
+  cacheMoveOutcomes,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -54,6 +55,18 @@
     help: 'Tokens that engines computed again, by reason',
     label: { name: 'reason', values: recomputeReasons },
   },
+  recomputedTokensByWorkspace: {
+    name: 'hornbeampond_recomputed_tokens_by_workspace_total',
+    kind: 'counter',
+    help: 'Tokens that engines computed again, by workspace',
+    label: { name: 'workspace' },
+  },
+  cacheMoves: {
+    name: 'hornbeampond_cache_moves_total',
+    kind: 'counter',
+    help: 'Moves of KV cache off backend servers on notice, by outcome',
+    label: { name: 'outcome', values: cacheMoveOutcomes },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -38,3 +38,7 @@
 /** Why a late answer or part of one was dropped. */
 export const lateAnswerReasons = ['attemptGivenUp', 'callerGone', 'duplicate'] as const;
 export type LateAnswerReason = (typeof lateAnswerReasons)[number];
+
+/** How a move of a stream's KV cache ended. */
+export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
+export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
