Test losses, late answers, retry storms and crashing requests in virtual time

Tried first: suspects re-run at once, before the probe was answered, and entries placing theirs independently. With three entries an innocent request was named: two entries had put a suspect each on the same engine, and each saw one of its own there. Now suspects wait for the probe, and entries take turns at backend servers by slots of the wall clock.

--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -16,6 +16,7 @@
 import { advanceShutdown } from './shutdown/advanceShutdown.js';
 
 export function advanceEntry(state: EntryState, timed: Timed): EntryEffect[] {
+  state.membership.wallOffset = timed.wallNow - timed.now;
   markSilentPeers(state, timed.now);
   advanceSuspects(state, timed.now);
   return [
--- a/packages/entry-core/src/attempts/chooseForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -2,18 +2,25 @@
  * Which backend server the next attempt of a request may go to, after what its earlier attempts and
  * the losses seen here have ruled out.
  */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
 import type { EntryState } from '../EntryState.js';
 import { isSuspect, suspectHosts } from '../quarantine/suspects.js';
+import { outOfTurn } from '../quarantine/suspectTurns.js';
 import type { RequestState } from '../requests/RequestState.js';
 
 /** Backend servers that are ruled out only for now. */
-function ruledOutForNow(state: EntryState, accepted: RequestState): Set<string> {
+function ruledOutForNow(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): Set<string> {
   const ruledOut = new Set(state.quarantine.losses.keys());
   const { digest, requestId } = accepted.request;
   if (state.retries.policy.suspectsApart && isSuspect(state, digest)) {
     suspectHosts(state, requestId).forEach((instance) => ruledOut.add(instance));
+    outOfTurn(state, now).forEach((instance) => ruledOut.add(instance));
   }
   return ruledOut;
 }
@@ -26,8 +33,9 @@
 export function chooseForAttempt(
   state: EntryState,
   accepted: RequestState,
+  now: MonotonicMilliseconds,
 ): BackendServerState | undefined {
-  const ruledOut = ruledOutForNow(state, accepted);
+  const ruledOut = ruledOutForNow(state, accepted, now);
   state.quarantine.down.forEach((_, instance) => ruledOut.add(instance));
   const untried = new Set([...ruledOut, ...accepted.triedInstances]);
   return (
@@ -37,8 +45,12 @@
 }
 
 /** True if a backend server that cannot take the request now may do so soon. */
-export function isWorthWaiting(state: EntryState, accepted: RequestState): boolean {
-  const ruledOut = ruledOutForNow(state, accepted);
+export function isWorthWaiting(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): boolean {
+  const ruledOut = ruledOutForNow(state, accepted, now);
   return [...state.backendServers.values()].some(
     ({ listed, goneAt }) =>
       listed.pool === accepted.pool.name &&
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -5,6 +5,8 @@
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
+import { reportSoon } from '../membership/reportToEntries.js';
+import { isSuspect } from '../quarantine/suspects.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { earnRetries } from './retryBudget.js';
 
@@ -54,6 +56,8 @@
   const attemptId = `${requestId}.${accepted.attemptsStarted}`;
   const resumeFromTokens = state.retries.policy.resume ? accepted.tokens : 0;
   accepted.attemptId = attemptId;
+  // Peers must know where a suspect runs before they place their own.
+  if (isSuspect(state, accepted.request.digest)) reportSoon(state);
   accepted.triedInstances.add(instance);
   state.retries.waiting.delete(requestId);
   server.attemptIds.add(attemptId);
--- /dev/null
+++ b/packages/entry-core/src/attempts/loss.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { makeRequest, wholeAnswer, World } from '../driver/index.js';
+
+const engines = { 'wien-a': 2, 'wien-b': 2 };
+
+/** Where the one request of a world runs now. */
+function hostOf(world: World): string {
+  const attempt = [...world.entry.state.attempts.values()][0];
+  assert.ok(attempt !== undefined);
+  return attempt.instance;
+}
+
+// The caller sees one whole answer, with a short pause. Its engine dies at the first, a middle or
+// the last token; the entry resumes the stream at another engine from the tokens that were
+// relayed. Nothing is given twice, for the engine goes on after the generated text.
+for (const [place, tokens] of Object.entries({ first: 1, middle: 100, last: 199 })) {
+  test(`an engine dies at the ${place} token`, () => {
+    const world = new World({ engines });
+    const caller = world.entry.arrive(makeRequest('one'));
+    while (caller.tokens.length < tokens) world.advance(10);
+    world.engine(hostOf(world)).die();
+    world.settle();
+    assert.deepEqual(world.violations(), []);
+    assert.equal(caller.finals[0]?.type, 'whole');
+    assert.equal(world.entry.count('retries/backendServerLost'), 1);
+    assert.equal(world.entry.count('recomputedTokens/lossResume') >= 400, true);
+    assert.equal(world.entry.count('recomputedTokensByWorkspace/wien-shops') >= 400, true);
+  });
+}
+
+// The caller sees a whole answer after a pause. Its connection goes silent while new ones work; the
+// entry times the stream out, and a probe over a new connection is answered. So the engine is kept,
+// nobody is suspected, and the answer goes on by offset, here at the very same engine, the only one.
+test('a connection goes silent and the backend server is kept', () => {
+  const world = new World({ engines: { 'wien-a': 1 } });
+  const caller = world.entry.arrive(makeRequest('one'));
+  while (caller.tokens.length < 50) world.advance(10);
+  world.engine('wien-a-engine-1').streams.forEach((stream) => {
+    stream.silent = true;
+  });
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(caller.finals[0]?.type, 'whole');
+  assert.equal(world.entry.count('retries/connectionSilent'), 1);
+  assert.equal(world.entry.state.quarantine.suspects.size, 0);
+  assert.equal(world.entry.state.quarantine.down.size, 0);
+  assert.equal(
+    world.entry.log.some((line) => line.includes('connectionOnlyLost')),
+    true,
+  );
+});
+
+// The caller sees its whole answer although its engine vanished without a word: no reset, and no
+// answer to the probe either. The silence starts the probe; the second that it may take is the bound.
+test('an engine vanishes without a word', () => {
+  const world = new World({ engines });
+  const callers = ['one', 'two', 'three', 'four', 'five', 'six', 'seven', 'eight'].map((name) =>
+    world.entry.arrive(makeRequest(name)),
+  );
+  world.advance(1000);
+  const engine = world.engine('wien-a-engine-1');
+  engine.unreachable = true;
+  engine.streams.forEach((stream) => {
+    stream.silent = true;
+  });
+  engine.die();
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(
+    callers.every(({ finals }) => finals[0]?.type === 'whole'),
+    true,
+  );
+  assert.equal(world.entry.state.quarantine.down.has('wien-a-engine-1'), true);
+});
+
+// The caller sees the first whole answer, once. Its first attempt gives nothing for so long that a
+// second is started; then the first one's answer comes whole after all, before the second has given
+// a token. It is used, and the second attempt is cancelled.
+test('a late whole answer that comes first is used', () => {
+  const world = new World({ engines });
+  const { entry } = world;
+  const caller = entry.arrive(makeRequest('one', { mostTokens: 0 }));
+  entry.send({ type: 'attemptSent', attemptId: 'one.1' });
+  const failed = { type: 'attemptFailed', attemptId: 'one.1', failure: 'silent' } as const;
+  entry.send({ ...failed, sent: 'maybe', tokens: 0, answerStarted: false });
+  world.engines.forEach((engine) => engine.streams.clear());
+  entry.send({ type: 'attemptFinished', attemptId: 'one.1', tokens: 0 });
+  assert.equal(caller.finals.length, 1);
+  assert.equal(caller.finals[0]?.type, 'whole');
+  assert.equal(entry.state.attempts.size, 0);
+  assert.equal(entry.state.retries.waiting.size, 0);
+});
+
+// The caller sees the answer of its second attempt only. The first one's whole answer comes when
+// the second has already given tokens; using it would mix the two, so it is dropped and counted.
+test('a late answer after a retry is dropped and counted', () => {
+  const world = new World({ engines });
+  const { entry } = world;
+  const request = makeRequest('one');
+  const caller = entry.arrive(request);
+  entry.send({ type: 'attemptSent', attemptId: 'one.1' });
+  const failed = { type: 'attemptFailed', attemptId: 'one.1', failure: 'silent' } as const;
+  entry.send({ ...failed, sent: 'maybe', tokens: 0, answerStarted: false });
+  while (caller.tokens.length < 5) world.advance(10);
+  entry.send({ type: 'attemptFinished', attemptId: 'one.1', tokens: 200 });
+  assert.equal(caller.finals.length, 0);
+  assert.equal(entry.count('lateAnswers/attemptGivenUp'), 1);
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(caller.tokens.join(''), wholeAnswer(request));
+});
--- /dev/null
+++ b/packages/entry-core/src/attempts/retryStorm.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { fullRecoveryPolicy } from '../index.js';
+import { makeRequest, World } from '../driver/index.js';
+
+const FIRST_ATTEMPTS = 300;
+
+/** Sends requests at a steady pace to engines that are all busy, and returns the retries made. */
+function storm(budgets: boolean): World {
+  const world = new World({ engines: { 'wien-a': 3, 'wien-b': 3 } });
+  world.entry.state.retries.policy = { ...fullRecoveryPolicy, budgets };
+  world.engines.forEach((engine) => {
+    engine.busy = true;
+  });
+  for (let number = 1; number <= FIRST_ATTEMPTS; number += 1) {
+    world.entry.arrive(makeRequest(`request-${number}`));
+    world.advance(20);
+  }
+  world.settle();
+  return world;
+}
+
+// Callers see a refusal at once, with when to come back, instead of a slow one. Every engine is
+// busy, so each retry only adds to the load that keeps them so. The budget lets a share of
+// the first attempts and one burst through and refuses the rest by reason.
+test('a retry storm is bounded by the budget', () => {
+  const world = storm(true);
+  const retries = world.entry.count('retries/backendServerBusy');
+  assert.deepEqual(world.violations(), []);
+  assert.equal(retries <= 10 + FIRST_ATTEMPTS * 0.1, true, `${retries} retries`);
+  assert.equal(world.entry.count('retriesRefused/budgetSpent') > FIRST_ATTEMPTS / 2, true);
+  world.callers().forEach(({ finals }) => {
+    const final = finals[0];
+    assert.equal(final?.type === 'problem' && final.retryAfterMilliseconds !== undefined, true);
+  });
+});
+
+// Shows that the check above can fail: without the budget each request is retried until its deadline.
+test('without a budget the same storm multiplies', () => {
+  const retries = storm(false).entry.count('retries/backendServerBusy');
+  assert.equal(retries > 3 * FIRST_ATTEMPTS, true, `${retries} retries`);
+});
+
+// The caller gets its final answer at the deadline, not after it, and is told `ran: unknown`, as the
+// engine had the request. No retry is started that could not end in time.
+test('a deadline that passes gives the final answer at that moment', () => {
+  const world = new World({ engines: { 'wien-a': 1 }, wholeAnswerMilliseconds: 2000 });
+  const caller = world.entry.arrive(makeRequest('one'));
+  world.settle();
+  assert.deepEqual(
+    caller.finals.map(({ at, ...rest }) => ({ ...rest, late: at - 2000 })),
+    [
+      {
+        type: 'problem',
+        kind: 'deadlineExceeded',
+        ran: 'unknown',
+        retryAfterMilliseconds: 1000,
+        late: 0,
+      },
+    ],
+  );
+});
+
+// The caller is told `ran: no`, and it is true: every engine refused the connection, so
+// not one byte of the call was sent.
+test('a request that no engine took did not run', () => {
+  const world = new World({ engines: { 'wien-a': 2 }, wholeAnswerMilliseconds: 3000 });
+  world.engines.forEach((engine) => engine.die());
+  const caller = world.entry.arrive(makeRequest('one'));
+  world.settle();
+  const final = caller.finals[0];
+  assert.equal(final?.type === 'problem' && final.ran, 'no');
+  assert.deepEqual(world.violations(), []);
+});
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -73,9 +73,9 @@
     waitForAttempt(state, accepted, now);
     return [];
   }
-  const server = chooseForAttempt(state, accepted);
+  const server = chooseForAttempt(state, accepted, now);
   if (server !== undefined) return launchAttempt(state, accepted, server, now);
-  if (!isWorthWaiting(state, accepted)) return failWithoutServer(state, accepted);
+  if (!isWorthWaiting(state, accepted, now)) return failWithoutServer(state, accepted);
   waitForAttempt(state, accepted, now);
   return [];
 }
--- /dev/null
+++ b/packages/entry-core/src/driver/EntryShell.ts
@@ -0,0 +1,290 @@
+/**
+ * Plays the shell of one entry before fake engines: it carries out the reducer's effects and turns
+ * what the engines do into edges.
+ */
+import type { ReportCrashCommand } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { CallerRequest, EntryOccurrence, Timed } from '../entryEvents.js';
+import { makeEntryState, type EntryState } from '../EntryState.js';
+import { reduceEntry } from '../reduceEntry.js';
+import type { EngineListener } from './FakeEngine.js';
+import type { World } from './World.js';
+
+type Effect<Type extends EntryEffect['type']> = Extract<EntryEffect, { type: Type }>;
+
+/** How a request ended for its caller. */
+export type Final =
+  | { readonly type: 'whole'; readonly at: number; readonly text: string }
+  | {
+      readonly type: 'problem';
+      readonly at: number;
+      readonly kind: string;
+      readonly ran?: string;
+      readonly retryAfterMilliseconds?: number;
+    };
+
+/** What one caller has seen. */
+export interface Caller {
+  readonly request: CallerRequest;
+  readonly arrivedAt: number;
+  readonly tokens: string[];
+  readonly finals: Final[];
+  firstTokenAt?: number;
+}
+
+interface Connection {
+  readonly attemptId: string;
+  readonly caller: Caller;
+  readonly instance: string;
+  /** The answer as this attempt alone has brought it. */
+  readonly own: string[];
+  heardAt: number;
+  timeout: number;
+  readonly silenceTimeout: number;
+  firstHeard: boolean;
+  progressAt: number;
+  gaveUp: boolean;
+}
+
+const PROGRESS_MILLISECONDS = 100;
+
+export class EntryShell {
+  readonly state: EntryState;
+
+  readonly callers = new Map<string, Caller>();
+
+  /** Sums of `count` effects, keyed `metric/label`. */
+  readonly counts = new Map<string, number>();
+
+  readonly log: string[] = [];
+
+  /** False cuts it off from its peers and ends its process. */
+  alive = true;
+
+  private readonly connections = new Map<string, Connection>();
+
+  /** The attempt whose tokens are relayed, by request. */
+  private readonly current = new Map<string, string>();
+
+  /** Tokens of context whose cache was moved, keyed by request and instance. */
+  private readonly movedCache = new Map<string, number>();
+
+  constructor(
+    private readonly world: World,
+    readonly instance: string,
+    dataCentre: string,
+  ) {
+    const incarnation = world.clock().wallNow;
+    this.state = makeEntryState({ instance, dataCentre, incarnation, queuedRequests: 1000 });
+  }
+
+  send(occurrence: EntryOccurrence): void {
+    if (!this.alive) return;
+    const timed: Timed = this.world.clock();
+    reduceEntry(this.state, { ...occurrence, ...timed }).forEach((effect) => this.perform(effect));
+  }
+
+  arrive(request: CallerRequest): Caller {
+    const caller = { request, arrivedAt: this.world.clock().now, tokens: [], finals: [] };
+    this.callers.set(request.requestId, caller);
+    this.send({ type: 'requestArrived', request });
+    return caller;
+  }
+
+  /** Fails connections that have been silent for too long. */
+  checkSilence(): void {
+    const { now } = this.world.clock();
+    [...this.connections.values()]
+      .filter(({ gaveUp, heardAt, timeout }) => !gaveUp && now - heardAt >= timeout)
+      .forEach((connection) => {
+        connection.gaveUp = true;
+        this.fail(connection, 'silent', 'maybe');
+      });
+  }
+
+  count(key: string): number {
+    return this.counts.get(key) ?? 0;
+  }
+
+  private perform(effect: EntryEffect): void {
+    switch (effect.type) {
+      case 'startAttempt':
+        this.startAttempt(effect);
+        return;
+      case 'cancelAttempt':
+        this.drop(effect.attemptId);
+        return;
+      case 'moveCache':
+        this.moveCache(effect);
+        return;
+      case 'finishAnswer':
+        this.finish(effect);
+        return;
+      case 'answerProblem':
+        this.answerProblem(effect);
+        return;
+      case 'probe':
+        this.probe(effect.target.instance);
+        return;
+      case 'reportToEntries':
+        this.world.deliverReport(this, effect.report);
+        return;
+      case 'proposeCommand':
+        this.world.propose(effect.command as ReportCrashCommand);
+        return;
+      case 'count':
+        this.addCount(effect);
+        return;
+      case 'log':
+        this.log.push(`${this.world.clock().now} ${effect.event} ${JSON.stringify(effect.fields)}`);
+        return;
+      default:
+        this.passOver(effect);
+    }
+  }
+
+  /** Effects that these tests do not look at. */
+  private passOver(effect: { type: string }): void {
+    if (effect.type === 'shutdownReady') this.log.push(`${this.world.clock().now} shutdownReady`);
+  }
+
+  private addCount({ metric, label = '', amount = 1 }: Effect<'count'>): void {
+    const key = `${metric}/${label}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + amount);
+  }
+
+  private startAttempt(effect: Effect<'startAttempt'>): void {
+    const caller = this.callers.get(effect.requestId);
+    if (caller === undefined) throw new Error(`no caller for ${effect.requestId}`);
+    const { instance } = effect.target;
+    const connection: Connection = {
+      attemptId: effect.attemptId,
+      caller,
+      instance,
+      own: [],
+      heardAt: this.world.clock().now,
+      timeout: effect.firstByteTimeout,
+      silenceTimeout: effect.silenceTimeout,
+      firstHeard: false,
+      progressAt: 0,
+      gaveUp: false,
+    };
+    this.connections.set(effect.attemptId, connection);
+    this.current.set(effect.requestId, effect.attemptId);
+    this.world.later(1, () => this.connect(connection, effect));
+  }
+
+  private connect(connection: Connection, effect: Effect<'startAttempt'>): void {
+    const { attemptId, caller } = connection;
+    if (this.connections.get(attemptId) !== connection) return;
+    const engine = this.world.engines.get(connection.instance);
+    if (engine === undefined || !engine.alive) {
+      this.fail(connection, 'connectFailed', 'nothing');
+      return;
+    }
+    this.send({ type: 'attemptSent', attemptId });
+    if (engine.busy) {
+      this.fail(connection, 'busy', 'maybe');
+      return;
+    }
+    const { request } = caller;
+    const resumes = effect.resumeFromTokens > 0;
+    const position = resumes ? caller.tokens.length : 0;
+    const cached = this.movedCache.get(`${request.requestId}@${connection.instance}`) ?? 0;
+    const listener = this.listen(connection);
+    const base = { attemptId, request, listener, position, prefillLeft: 0, fraction: 0 };
+    engine.open({ ...base, silent: false }, cached);
+  }
+
+  private listen(connection: Connection): EngineListener {
+    return {
+      token: (position, token) => this.takeToken(connection, position, token),
+      finished: () => this.takeEnd(connection),
+      lost: () => this.world.later(1, () => this.fail(connection, 'connectionLost', 'maybe')),
+    };
+  }
+
+  private takeToken(connection: Connection, position: number, token: string): void {
+    const { attemptId, caller } = connection;
+    const { now } = this.world.clock();
+    if (this.connections.get(attemptId) !== connection) return;
+    connection.heardAt = now;
+    connection.timeout = connection.silenceTimeout;
+    connection.own.push(token);
+    if (this.current.get(caller.request.requestId) !== attemptId) return;
+    if (!connection.firstHeard) {
+      connection.firstHeard = true;
+      caller.firstTokenAt ??= now;
+      this.send({ type: 'firstTokenReceived', attemptId });
+    }
+    if (position >= caller.tokens.length && caller.finals.length === 0) caller.tokens.push(token);
+    if (now - connection.progressAt < PROGRESS_MILLISECONDS) return;
+    connection.progressAt = now;
+    this.send({ type: 'attemptProgressed', attemptId, tokens: caller.tokens.length });
+  }
+
+  private takeEnd(connection: Connection): void {
+    const { attemptId, caller } = connection;
+    if (this.connections.get(attemptId) !== connection) return;
+    this.send({ type: 'attemptFinished', attemptId, tokens: caller.tokens.length });
+    this.connections.delete(attemptId);
+  }
+
+  private fail(
+    connection: Connection,
+    failure: 'connectFailed' | 'connectionLost' | 'silent' | 'busy',
+    sent: 'nothing' | 'maybe',
+  ): void {
+    const { attemptId, caller } = connection;
+    if (this.connections.get(attemptId) !== connection) return;
+    const tokens = caller.tokens.length;
+    const mayStillAnswer = failure === 'silent' && tokens === 0;
+    if (!mayStillAnswer) this.drop(attemptId);
+    this.send({ type: 'attemptFailed', attemptId, failure, sent, tokens, answerStarted: false });
+  }
+
+  private drop(attemptId: string): void {
+    const connection = this.connections.get(attemptId);
+    if (connection === undefined) return;
+    this.connections.delete(attemptId);
+    const { streams } = this.world.engines.get(connection.instance) ?? {};
+    // A cancel does not reach the engine over a connection that has lost track of its ends.
+    if (streams?.get(attemptId)?.silent !== true) streams?.delete(attemptId);
+  }
+
+  private moveCache({ requestId, attemptId, from, to }: Effect<'moveCache'>): void {
+    const caller = this.callers.get(requestId);
+    if (caller === undefined) return;
+    const tokens = caller.tokens.length;
+    const held = caller.request.promptTokens + tokens;
+    this.world.later(this.world.moveDuration(held), () => {
+      const alive = (instance: string) => this.world.engines.get(instance)?.alive === true;
+      const moved = !this.world.movesFail && alive(from.instance) && alive(to.instance);
+      if (moved) this.movedCache.set(`${requestId}@${to.instance}`, held);
+      this.send({ type: 'cacheMoved', requestId, attemptId, moved, tokens });
+    });
+  }
+
+  private probe(instance: string): void {
+    const engine = this.world.engines.get(instance);
+    if (engine !== undefined && !engine.alive && engine.unreachable) return;
+    this.world.later(2, () => {
+      this.send({ type: 'probeAnswered', instance, answered: engine?.alive === true });
+    });
+  }
+
+  private finish({ requestId, attemptId = '' }: Effect<'finishAnswer'>): void {
+    const caller = this.callers.get(requestId);
+    if (caller === undefined) throw new Error(`no caller for ${requestId}`);
+    const isCurrent = this.current.get(requestId) === attemptId;
+    const tokens = isCurrent ? caller.tokens : (this.connections.get(attemptId)?.own ?? []);
+    caller.finals.push({ type: 'whole', at: this.world.clock().now, text: tokens.join('') });
+  }
+
+  private answerProblem(effect: Effect<'answerProblem'>): void {
+    const { kind, ran, retryAfterMilliseconds } = effect;
+    const at = this.world.clock().now;
+    const final = { type: 'problem', at, kind, ran, retryAfterMilliseconds } as const;
+    this.callers.get(effect.requestId)?.finals.push(final);
+  }
+}
--- /dev/null
+++ b/packages/entry-core/src/driver/FakeEngine.ts
@@ -0,0 +1,118 @@
+/**
+ * A model engine in virtual time. What it generates depends only on the request's digest and the
+ * position, so that a spliced answer can be compared with an uninterrupted one.
+ */
+import type { CallerRequest } from '../entryEvents.js';
+
+/** What an engine says on one of its connections. */
+export interface EngineListener {
+  token(position: number, token: string): void;
+  finished(): void;
+  lost(): void;
+}
+
+export interface EngineStream {
+  readonly attemptId: string;
+  readonly request: CallerRequest;
+  readonly listener: EngineListener;
+  position: number;
+  prefillLeft: number;
+  /** Part of the next token that is done already. */
+  fraction: number;
+  /** True if the way back has lost track of the connection. */
+  silent: boolean;
+}
+
+export interface EngineRates {
+  readonly tokensPerMillisecond: number;
+  readonly prefillTokensPerMillisecond: number;
+  /** Streams that run at full speed together. */
+  readonly concurrency: number;
+}
+
+/** When a request crashes the engine that runs it: at this token of its answer. */
+export type Poison = ReadonlyMap<string, number>;
+
+export function answerLength({ mostTokens, digest }: CallerRequest): number {
+  const early = digest.endsWith('early') ? 2 : 1;
+  return Math.ceil(mostTokens / early);
+}
+
+export function tokenAt(digest: string, position: number): string {
+  return `${digest}#${position} `;
+}
+
+export function wholeAnswer(request: CallerRequest): string {
+  return Array.from({ length: answerLength(request) }, (_, position) =>
+    tokenAt(request.digest, position),
+  ).join('');
+}
+
+export class FakeEngine {
+  alive = true;
+
+  /** Refuses all new work with "busy". */
+  busy = false;
+
+  /** True if a dead host does not even refuse connections. */
+  unreachable = false;
+
+  readonly streams = new Map<string, EngineStream>();
+
+  readonly received = new Set<string>();
+
+  decodedTokens = 0;
+
+  prefilledTokens = 0;
+
+  constructor(
+    readonly instance: string,
+    readonly dataCentre: string,
+    private readonly rates: EngineRates,
+    private readonly poison: Poison,
+  ) {}
+
+  /** `cachedTokens` of prompt and answer are in the KV cache already. */
+  open(stream: EngineStream, cachedTokens: number): void {
+    const context = stream.request.promptTokens + stream.position;
+    const prefill = Math.max(0, context - cachedTokens);
+    this.prefilledTokens += prefill;
+    stream.prefillLeft = prefill / this.rates.prefillTokensPerMillisecond;
+    this.received.add(stream.request.requestId);
+    this.streams.set(stream.attemptId, stream);
+  }
+
+  die(): void {
+    this.alive = false;
+    const lost = [...this.streams.values()];
+    this.streams.clear();
+    lost.filter(({ silent }) => !silent).forEach(({ listener }) => listener.lost());
+  }
+
+  advance(span: number): void {
+    const load = Math.max(1, this.streams.size / this.rates.concurrency);
+    [...this.streams.values()].forEach((stream) => {
+      if (!this.alive) return;
+      if (stream.prefillLeft > 0) stream.prefillLeft -= span / load;
+      else this.decode(stream, (span * this.rates.tokensPerMillisecond) / load);
+    });
+  }
+
+  private decode(stream: EngineStream, tokens: number): void {
+    const { request, listener } = stream;
+    stream.fraction += tokens;
+    while (stream.fraction >= 1 && stream.position < answerLength(request)) {
+      if (stream.position >= (this.poison.get(request.digest) ?? Infinity)) {
+        this.die();
+        return;
+      }
+      stream.fraction -= 1;
+      this.decodedTokens += 1;
+      if (!stream.silent) listener.token(stream.position, tokenAt(request.digest, stream.position));
+      stream.position += 1;
+    }
+    if (stream.position < answerLength(request)) return;
+    this.streams.delete(stream.attemptId);
+    if (!stream.silent) listener.finished();
+  }
+}
--- /dev/null
+++ b/packages/entry-core/src/driver/World.ts
@@ -0,0 +1,214 @@
+/**
+ * Entries and fake engines together in virtual time. Time goes in equal steps; what is due within
+ * a step runs in the order in which it was asked for, so that each run is the same.
+ */
+import type { EntryReport, PlatformInstance, ReportCrashCommand } from '@hornbeampond/schema';
+import type { CallerRequest, Timed } from '../entryEvents.js';
+import { EntryShell, type Caller } from './EntryShell.js';
+import { FakeEngine, wholeAnswer, type EngineRates, type Poison } from './FakeEngine.js';
+import { makeConfiguration, standardRates } from './fixtures.js';
+
+const STEP_MILLISECONDS = 10;
+const TICK_MILLISECONDS = 50;
+
+export interface WorldOptions {
+  /** Engines by data centre. */
+  readonly engines: Readonly<Record<string, number>>;
+  readonly entries?: number;
+  readonly poison?: Poison;
+  readonly rates?: Partial<EngineRates>;
+  readonly wholeAnswerMilliseconds?: number;
+}
+
+interface Task {
+  readonly dueAt: number;
+  readonly run: () => void;
+}
+
+export class World {
+  readonly engines = new Map<string, FakeEngine>();
+
+  readonly entries: EntryShell[] = [];
+
+  movesFail = false;
+
+  private now = 0;
+
+  private readonly startedAt = Date.UTC(2026, 0, 15, 11);
+
+  private tasks: Task[] = [];
+
+  private listed: PlatformInstance[] = [];
+
+  private readonly crashes = new Map<string, Set<string>>();
+
+  constructor(options: WorldOptions) {
+    const rates = { ...standardRates, ...options.rates };
+    Object.entries(options.engines).forEach(([dataCentre, count]) => {
+      for (let number = 1; number <= count; number += 1) {
+        const instance = `${dataCentre}-engine-${number}`;
+        const engine = new FakeEngine(instance, dataCentre, rates, options.poison ?? new Map());
+        this.engines.set(instance, engine);
+        this.listed.push(this.list(engine));
+      }
+    });
+    const dataCentre = Object.keys(options.engines)[0] ?? '';
+    const configuration = makeConfiguration(options.wholeAnswerMilliseconds ?? 60_000);
+    for (let number = 1; number <= (options.entries ?? 1); number += 1) {
+      const entry = new EntryShell(this, `entry-${number}`, dataCentre);
+      this.entries.push(entry);
+      entry.send({ type: 'configurationReceived', configuration });
+      entry.send({ type: 'instancesListed', instances: this.listed });
+    }
+  }
+
+  get entry(): EntryShell {
+    return this.entryAt(0);
+  }
+
+  entryAt(position: number): EntryShell {
+    const entry = this.entries[position];
+    if (entry === undefined) throw new Error(`no entry ${position}`);
+    return entry;
+  }
+
+  engine(instance: string): FakeEngine {
+    const engine = this.engines.get(instance);
+    if (engine === undefined) throw new Error(`no engine ${instance}`);
+    return engine;
+  }
+
+  clock(): Timed {
+    return { now: this.now, wallNow: this.startedAt + this.now };
+  }
+
+  later(delay: number, run: () => void): void {
+    this.tasks.push({ dueAt: this.now + delay, run });
+  }
+
+  advance(span: number): void {
+    const end = this.now + span;
+    while (this.now < end) this.step();
+  }
+
+  /** Runs until every caller has a final answer, or the time is up. */
+  settle(most = 120_000): void {
+    const end = this.now + most;
+    while (this.now < end && this.callers().some(({ finals }) => finals.length === 0)) this.step();
+    this.advance(STEP_MILLISECONDS);
+  }
+
+  callers(): Caller[] {
+    return this.entries.flatMap((entry) => [...entry.callers.values()]);
+  }
+
+  /** Gives notice to these engines at one entry; they die when it ends. */
+  reclaim(instances: readonly string[], notice: number, entry: EntryShell = this.entry): void {
+    const goneAt = this.clock().wallNow + notice;
+    instances.forEach((instance) => {
+      entry.send({ type: 'reclaimNoticed', instance, goneAt });
+      this.later(notice, () => this.engine(instance).die());
+    });
+  }
+
+  /** The platform's list says at once that these are leaving, as one wave. */
+  reclaimListed(instances: readonly string[], notice: number): void {
+    const goneAt = this.clock().wallNow + notice;
+    const leaving = new Set(instances);
+    this.listed = this.listed.map((listed) =>
+      leaving.has(listed.instance) ? { ...listed, state: 'leaving', goneAt } : listed,
+    );
+    this.entries.forEach((entry) =>
+      entry.send({ type: 'instancesListed', instances: this.listed }),
+    );
+    instances.forEach((instance) => this.later(notice, () => this.engine(instance).die()));
+  }
+
+  moveDuration(tokens: number): number {
+    return 50 + tokens / 8;
+  }
+
+  deliverReport(from: EntryShell, report: EntryReport): void {
+    this.entries
+      .filter((entry) => entry !== from)
+      .forEach((entry) => this.later(1, () => entry.send({ type: 'entryReported', report })));
+  }
+
+  /** A store that counts crashes by digest and quarantines at the second. */
+  propose({ crashId, digests }: ReportCrashCommand): void {
+    const until = this.clock().wallNow + 600_000;
+    const quarantine = digests
+      .filter((digest) => {
+        const known = this.crashes.get(digest) ?? new Set();
+        this.crashes.set(digest, known.add(crashId));
+        return known.size > 1;
+      })
+      .map((digest) => ({ digest, until }));
+    if (quarantine.length === 0) return;
+    this.entries.forEach((entry) =>
+      this.later(20, () => entry.send({ type: 'quarantineReceived', quarantine })),
+    );
+  }
+
+  /** What is wrong with what callers have seen; empty if nothing is. */
+  violations(): string[] {
+    return this.callers().flatMap((caller) => this.violationsOf(caller));
+  }
+
+  private violationsOf({ request, finals, tokens }: Caller): string[] {
+    const found: string[] = [];
+    const expected = wholeAnswer(request);
+    const name = request.requestId;
+    if (finals.length !== 1) found.push(`${name} got ${finals.length} final answers`);
+    if (!expected.startsWith(tokens.join(''))) found.push(`${name} got a mixed answer`);
+    finals.forEach((final) => {
+      if (final.type === 'whole' && final.text !== expected) {
+        found.push(`${name} got a wrong whole answer`);
+      }
+      const received = [...this.engines.values()].some((engine) => engine.received.has(name));
+      if (final.type === 'problem' && final.ran !== 'unknown' && received) {
+        found.push(`${name} ran although it was told that it did not`);
+      }
+    });
+    return found;
+  }
+
+  private list(engine: FakeEngine): PlatformInstance {
+    const { instance, dataCentre } = engine;
+    const base = { instance, dataCentre, instanceClass: 'gpu', pool: 'engines' } as const;
+    return { ...base, state: 'live', host: '127.0.0.1', port: 1 };
+  }
+
+  private step(): void {
+    this.now += STEP_MILLISECONDS;
+    this.runDue();
+    this.engines.forEach((engine) => engine.advance(STEP_MILLISECONDS));
+    this.entries.forEach((entry) => entry.checkSilence());
+    this.runDue();
+    if (this.now % TICK_MILLISECONDS !== 0) return;
+    this.entries.forEach((entry) => entry.send({ type: 'tick' }));
+  }
+
+  private runDue(): void {
+    for (;;) {
+      const due = this.tasks.filter(({ dueAt }) => dueAt <= this.now);
+      if (due.length === 0) return;
+      this.tasks = this.tasks.filter(({ dueAt }) => dueAt > this.now);
+      due.sort((a, b) => a.dueAt - b.dueAt).forEach(({ run }) => run());
+    }
+  }
+}
+
+export function makeRequest(name: string, fields: Partial<CallerRequest> = {}): CallerRequest {
+  return {
+    requestId: name,
+    workspace: 'wien-shops',
+    method: 'POST',
+    path: '/v1/chat/completions',
+    digest: `digest-${name}`,
+    prefixDigests: [],
+    promptTokens: 400,
+    mostTokens: 200,
+    ...fields,
+  };
+}
--- /dev/null
+++ b/packages/entry-core/src/driver/fixtures.ts
@@ -0,0 +1,42 @@
+/** The tables and rates that failure tests and measurements share. */
+import {
+  poolRowsSchema,
+  routeRowsSchema,
+  type Configuration,
+  type Milliseconds,
+} from '@hornbeampond/schema';
+import type { EngineRates } from './FakeEngine.js';
+
+export const standardRates: EngineRates = {
+  tokensPerMillisecond: 0.05,
+  prefillTokensPerMillisecond: 4,
+  concurrency: 32,
+};
+
+export function makeConfiguration(wholeAnswerMilliseconds: Milliseconds): Configuration {
+  const pools = poolRowsSchema.parse([
+    {
+      name: 'engines',
+      kind: 'modelEngine',
+      dataCentres: ['wien-a', 'wien-b'],
+      instanceClasses: [{ name: 'gpu', eurosPerHour: 1, reclaimable: true, concurrency: 32 }],
+      least: 1,
+      most: 100,
+    },
+  ]);
+  const routes = routeRowsSchema.parse([
+    {
+      name: 'chat',
+      match: { pathPrefix: '/v1/chat' },
+      pool: 'engines',
+      idempotent: true,
+      timeZone: 'Europe/Vienna',
+      deadline: { firstTokenMilliseconds: 5000, wholeAnswerMilliseconds },
+    },
+  ]);
+  return {
+    revision: 1,
+    routes: { revision: 1, rows: routes },
+    pools: { revision: 1, rows: pools },
+  };
+}
--- /dev/null
+++ b/packages/entry-core/src/driver/index.ts
@@ -0,0 +1,3 @@
+export * from './EntryShell.js';
+export * from './FakeEngine.js';
+export * from './World.js';
--- a/packages/entry-core/src/membership/MembershipState.ts
+++ b/packages/entry-core/src/membership/MembershipState.ts
@@ -1,5 +1,5 @@
 /** What an entry knows of the other entries. */
-import type { EntryReport, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryReport, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 
 /** The newest report of one other entry. */
 export interface PeerState {
@@ -16,8 +16,10 @@
   sequence: number;
   /** When the next report is due; 0 asks for one with the next tick. */
   reportDueAt: MonotonicMilliseconds;
+  /** Wall clock less monotonic clock, as of the last tick. */
+  wallOffset: Milliseconds;
 }
 
 export function makeMembershipState(): MembershipState {
-  return { peers: new Map(), sequence: 0, reportDueAt: 0 };
+  return { peers: new Map(), sequence: 0, reportDueAt: 0, wallOffset: 0 };
 }
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -10,7 +10,9 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { advanceRetries } from '../attempts/advanceRetries.js';
 import { failAttempt } from '../attempts/failAttempt.js';
+import { reportSoon } from '../membership/reportToEntries.js';
 import { isMassLoss } from './isMassLoss.js';
 import { probeOf } from './probeOf.js';
 import { quarantineDigest } from './quarantineDigest.js';
@@ -101,6 +103,8 @@
   const prior = priorSuspects(state, loss);
   clearProvisional(state, loss.instance);
   const culprit = prior[0];
+  // A peer's suspect ran there: the crash is that one's, as the peer will find.
+  if (culprit === undefined && peerHasSuspectAt(state, loss.instance)) return [];
   if (culprit === undefined) {
     const digests = [...loss.members.keys()];
     suspectAll(state, loss, digests, crashId);
@@ -152,6 +156,7 @@
 ): EntryEffect[] {
   const { instance } = loss;
   state.quarantine.losses.delete(instance);
+  reportSoon(state);
   const restarted = result.answered && hasRestarted(state, loss, result);
   if (result.answered && !restarted) {
     clearProvisional(state, instance);
@@ -182,7 +187,7 @@
   const { incarnation } = result;
   if (incarnation !== undefined) state.quarantine.incarnations.set(instance, incarnation);
   if (loss === undefined && result.answered) state.quarantine.down.delete(instance);
-  return effects;
+  return loss === undefined ? effects : [...effects, ...advanceRetries(state, timed.now)];
 }
 
 /** Judges losses whose probe is overdue, and probes again what is down. */
--- /dev/null
+++ b/packages/entry-core/src/quarantine/poison.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { fullRecoveryPolicy } from '../index.js';
+import { makeRequest, World, type Caller } from '../driver/index.js';
+
+const BATCH = 30;
+const BAD = 'digest-bad';
+
+interface Outcome {
+  readonly world: World;
+  readonly lost: number;
+  readonly refused: readonly Caller[];
+}
+
+function outcomeOf(world: World): Outcome {
+  const engines = [...world.engines.values()];
+  const refused = world
+    .callers()
+    .filter(({ request }) => request.digest !== BAD)
+    .filter(({ finals }) => finals[0]?.type !== 'whole');
+  return { world, lost: engines.filter(({ alive }) => !alive).length, refused };
+}
+
+/** Runs 29 innocent requests and a bad one that crashes its engine at `crashAt` tokens. */
+function runBatch(
+  crashAt: number,
+  suspectsApart = true,
+  unreachable = false,
+  engines = 6,
+): Outcome {
+  const poison = new Map([[BAD, crashAt]]);
+  const world = new World({ engines: { 'wien-a': engines }, poison });
+  world.engines.forEach((engine) => {
+    engine.unreachable = unreachable;
+  });
+  world.entry.state.retries.policy = { ...fullRecoveryPolicy, suspectsApart };
+  for (let number = 1; number < BATCH; number += 1) {
+    world.entry.arrive(makeRequest(`request-${number}`));
+    world.advance(50);
+  }
+  world.entry.arrive(makeRequest('bad', { digest: BAD }));
+  world.settle();
+  return outcomeOf(world);
+}
+
+// The 29 innocent callers see their whole answers; the caller of the bad request is told that it is
+// quarantined. The bad request crashes its engine, and all that ran there become suspects, which are
+// run apart from each other. Its second crash therefore names it alone, and it is run no more.
+for (const crashAt of [0, 40, 150]) {
+  for (const unreachable of [false, true]) {
+    const how = unreachable ? 'vanishes' : 'refuses connections';
+    test(`a bad request crashes at token ${crashAt} and the engine ${how}`, () => {
+      const { world, lost, refused } = runBatch(crashAt, true, unreachable);
+      assert.deepEqual(world.violations(), []);
+      assert.equal(lost, 2);
+      assert.deepEqual(refused, []);
+      const bad = world.callers().find(({ request }) => request.digest === BAD);
+      const final = bad?.finals[0];
+      assert.equal(
+        final?.type === 'problem' && `${final.kind} ${final.ran}`,
+        'quarantined unknown',
+      );
+    });
+  }
+}
+
+// Shows that the checks above can fail: when suspects are run together, the second crash has many
+// of them, none can be named, and more engines are lost.
+test('without keeping suspects apart, a third engine is lost', () => {
+  const apart = runBatch(40, true, false, 3);
+  assert.deepEqual([apart.lost, apart.refused.length], [2, 0]);
+  const together = runBatch(40, false, false, 3);
+  assert.equal(together.lost > 2 || together.refused.length > 0, true);
+});
+
+// The caller sends its request again after the first crash, and again after the second, through other
+// entries. These know of the crashes from their peer's reports, keep it apart from other suspects,
+// never run it while it runs elsewhere, and honour the quarantine. No third engine is lost.
+test('a resend through another entry takes down no third engine', () => {
+  const poison = new Map([[BAD, 20]]);
+  const world = new World({ engines: { 'wien-a': 6 }, poison, entries: 3 });
+  const [first, second, third] = world.entries;
+  assert.ok(first !== undefined && second !== undefined && third !== undefined);
+  for (let number = 1; number < BATCH; number += 1) {
+    world.entryAt(number % 3).arrive(makeRequest(`request-${number}`));
+  }
+  first.arrive(makeRequest('bad', { digest: BAD }));
+  world.advance(600);
+  second.arrive(makeRequest('bad-again', { digest: BAD }));
+  world.advance(2000);
+  third.arrive(makeRequest('bad-once-more', { digest: BAD }));
+  world.settle();
+  const { lost, refused } = outcomeOf(world);
+  assert.deepEqual(world.violations(), []);
+  assert.equal(lost <= 2, true, `${lost} engines lost`);
+  assert.deepEqual(refused, []);
+});
+
+// Callers see whole answers. A data centre is cut off, so several engines stop answering together. One
+// request cannot have caused that, so none is suspected, and a second outage quarantines nobody.
+test('the loss of a whole data centre makes no suspects', () => {
+  const world = new World({ engines: { 'wien-a': 3, 'wien-b': 3 } });
+  for (let number = 1; number <= BATCH; number += 1) {
+    world.entry.arrive(makeRequest(`request-${number}`));
+  }
+  world.advance(1500);
+  ['wien-a-engine-1', 'wien-a-engine-2', 'wien-a-engine-3'].forEach((instance) => {
+    world.engine(instance).unreachable = true;
+    world.engine(instance).die();
+  });
+  world.advance(1500);
+  assert.equal(world.entry.state.quarantine.suspects.size, 0);
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(
+    world.callers().every(({ finals }) => finals[0]?.type === 'whole'),
+    true,
+  );
+});
--- /dev/null
+++ b/packages/entry-core/src/quarantine/suspectTurns.ts
@@ -0,0 +1,37 @@
+/**
+ * Turns by which several entries share out the backend servers for their suspects, without a
+ * message per request.
+ *
+ * All entries see the same crash at the same time, and all look for places for their suspects at
+ * once. Without turns two of them pick the same backend server; when it crashes, each finds exactly
+ * one suspect of its own there, and an innocent request is named. With turns each backend server
+ * belongs to one entry in each slot of wall-clock time, and an entry starts suspects only early in
+ * its slot. By the next slot its report has told the others where they run.
+ *
+ * It holds while wall clocks differ, and reports take, less than the quiet part of a slot together,
+ * and entries agree on who is live.
+ */
+import type { EpochMilliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+import { livePeers } from '../membership/livePeers.js';
+
+const SLOT_MILLISECONDS = 500;
+
+/** Part of a slot in which its owner may start suspects. */
+const START_MILLISECONDS = 250;
+
+function wallClock(state: EntryState, now: MonotonicMilliseconds): EpochMilliseconds {
+  return now + state.membership.wallOffset;
+}
+
+/** Backend servers at which this entry may not start a suspect now. */
+export function outOfTurn(state: EntryState, now: MonotonicMilliseconds): string[] {
+  const entries = [...livePeers(state).map(({ report }) => report.instance)];
+  if (entries.length === 0) return [];
+  entries.push(state.identity.instance);
+  const own = entries.sort().indexOf(state.identity.instance);
+  const slot = Math.floor(wallClock(state, now) / SLOT_MILLISECONDS);
+  const isEarly = wallClock(state, now) % SLOT_MILLISECONDS < START_MILLISECONDS;
+  const instances = [...state.backendServers.keys()].sort();
+  return instances.filter((_, rank) => !isEarly || (rank + slot) % entries.length !== own);
+}
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -31,16 +31,15 @@
 }
 
 /**
- * True if a suspect must not run anywhere now: it was lost a second time and the probes are
- * still out, or it runs already, here or at a peer. A bad request that its caller sends again
- * in this window would otherwise take down a third backend server before it is named.
+ * True if a suspect must not run anywhere now: the probe that tells whether its backend server
+ * crashed is still out, or it runs already, here or at a peer. A bad request would otherwise take down
+ * one backend server after the other before the first crash is judged, and one that its caller
+ * sends again would run beside itself.
  */
 export function isHeld(state: EntryState, digest: string): boolean {
   if (!isSuspect(state, digest)) return false;
-  const openLosses = [...state.quarantine.losses.values()].filter(({ members }) =>
-    members.has(digest),
-  ).length;
-  if (openLosses > 0 && openLosses + crashesOf(state, digest).size > 1) return true;
+  const { lossOf } = state.quarantine.suspects.get(digest) ?? {};
+  if (lossOf !== undefined && state.quarantine.losses.has(lossOf)) return true;
   const runsHere = [...state.attempts.values()].some(
     ({ requestId, givenUp }) =>
       !givenUp && state.requests.get(requestId)?.request.digest === digest,
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -44,7 +44,7 @@
 ): EntryEffect[] {
   const { requestId } = accepted.request;
   const source = state.backendServers.get(instance);
-  const target = chooseForAttempt(state, accepted);
+  const target = chooseForAttempt(state, accepted, now);
   if (source === undefined || target === undefined) return [];
   const wait = Math.max(LEAST_WAIT_MILLISECONDS, moveDuration(accepted) * OVERDUE_FACTOR);
   const to = target.listed.instance;
--- a/packages/entry-core/src/reclaims/resumeElsewhere.ts
+++ b/packages/entry-core/src/reclaims/resumeElsewhere.ts
@@ -39,7 +39,7 @@
   reason: RetryReason,
   { now }: Timed,
 ): EntryEffect[] {
-  const server = chooseForAttempt(state, accepted);
+  const server = chooseForAttempt(state, accepted, now);
   if (server === undefined) return [];
   return [
     { type: 'count', metric: 'retries', label: reason },
