--- a/packages/entry-core/src/attempts/chooseForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -29,7 +29,7 @@
   return chooseBackendServer(state, { ...accepted, triedInstances: ruledOut });
 }
 
-/** Prefers a backend server that was not tried; one that was tried is better than none. */
+/** Prefers a backend server that was not tried, then one other than the last that was. */
 export function chooseForAttempt(
   state: EntryState,
   accepted: RequestState,
@@ -37,11 +37,11 @@
 ): BackendServerState | undefined {
   const ruledOut = ruledOutForNow(state, accepted, now);
   state.quarantine.down.forEach((_, instance) => ruledOut.add(instance));
-  const untried = new Set([...ruledOut, ...accepted.triedInstances]);
-  return (
-    chooseWithout(state, accepted, untried) ??
-    (accepted.attemptsStarted === 0 ? undefined : chooseWithout(state, accepted, ruledOut))
-  );
+  const tried = [...accepted.triedInstances];
+  const untried = chooseWithout(state, accepted, new Set([...ruledOut, ...tried]));
+  if (untried !== undefined || accepted.attemptsStarted === 0) return untried;
+  const exceptLast = new Set([...ruledOut, ...tried.slice(-1)]);
+  return chooseWithout(state, accepted, exceptLast) ?? chooseWithout(state, accepted, ruledOut);
 }
 
 /** True if a backend server that cannot take the request now may do so soon. */
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -7,6 +7,7 @@
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/reportToEntries.js';
 import { isSuspect } from '../quarantine/suspects.js';
+import { prefillDuration } from '../reclaims/costs.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { earnRetries } from './retryBudget.js';
 
@@ -19,15 +20,20 @@
 /** Share of the time to the first token's deadline that one attempt may stay silent. */
 const FIRST_BYTE_SHARE = 0.6;
 
+/** An engine may be this many times slower at a prompt than the stated rate before it is given up. */
+const PREFILL_PATIENCE = 3;
+
 /**
  * How long to wait for the first byte. A call that may not be repeated gains nothing from an early
- * end; any other keeps time for a second attempt before its first token is due.
+ * end; any other keeps time for a second attempt before its first token is due. In any case the
+ * engine gets the time to compute the prompt, and on a resume the tokens generated so far.
  */
 function firstByteTimeout(accepted: RequestState, now: MonotonicMilliseconds): Milliseconds {
   const wholeAnswer = Math.max(1, accepted.wholeAnswerDueAt - now);
   if (!accepted.route.idempotent) return wholeAnswer;
   const share = (accepted.firstTokenDueAt - now) * FIRST_BYTE_SHARE;
-  return Math.min(wholeAnswer, Math.max(LEAST_FIRST_BYTE_MILLISECONDS, share));
+  const least = LEAST_FIRST_BYTE_MILLISECONDS + prefillDuration(accepted) * PREFILL_PATIENCE;
+  return Math.min(wholeAnswer, Math.max(least, share));
 }
 
 /** Counts what the engine has to compute again for this attempt. */
@@ -58,6 +64,8 @@
   accepted.attemptId = attemptId;
   // Peers must know where a suspect runs before they place their own.
   if (isSuspect(state, accepted.request.digest)) reportSoon(state);
+  // Kept in the order of trying, so that the last one tried is known.
+  accepted.triedInstances.delete(instance);
   accepted.triedInstances.add(instance);
   state.retries.waiting.delete(requestId);
   server.attemptIds.add(attemptId);
--- a/packages/entry-core/src/driver/EntryShell.ts
+++ b/packages/entry-core/src/driver/EntryShell.ts
@@ -15,6 +15,8 @@
 /** How a request ended for its caller. */
 export type Final =
   | { readonly type: 'whole'; readonly at: number; readonly text: string }
+  /** The caller closed its connection. */
+  | { readonly type: 'gone'; readonly at: number }
   | {
       readonly type: 'problem';
       readonly at: number;
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -124,6 +124,15 @@
     instances.forEach((instance) => this.later(notice, () => this.engine(instance).die()));
   }
 
+  /** The caller at this position among those still waiting closes its connection. */
+  callerGone(position: number): void {
+    const caller = this.callers().filter(({ finals }) => finals.length === 0)[position];
+    if (caller === undefined) return;
+    caller.finals.push({ type: 'gone', at: this.now });
+    const { requestId } = caller.request;
+    this.entries.forEach((entry) => entry.send({ type: 'callerGone', requestId }));
+  }
+
   moveDuration(tokens: number): number {
     return 50 + tokens / 8;
   }
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -108,7 +108,7 @@
   if (culprit === undefined) {
     const digests = [...loss.members.keys()];
     suspectAll(state, loss, digests, crashId);
-    return [reportCrash(loss, crashId, digests)];
+    return digests.length === 0 ? [] : [reportCrash(loss, crashId, digests)];
   }
   if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
     suspectAll(state, loss, prior, crashId);
--- a/packages/entry-core/src/quarantine/noteLoss.ts
+++ b/packages/entry-core/src/quarantine/noteLoss.ts
@@ -7,6 +7,7 @@
 import type { AttemptState } from '../attempts/AttemptState.js';
 import type { AttemptFailed } from '../attempts/failAttempt.js';
 import type { EntryEffect } from '../entryEffects.js';
+import type { AttemptFailure } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { probeOf } from './probeOf.js';
 import type { Loss } from './QuarantineState.js';
@@ -21,6 +22,7 @@
     const attempt = state.attempts.get(attemptId);
     const request = attempt && state.requests.get(attempt.requestId)?.request;
     if (attempt === undefined || request === undefined) return;
+    if (event.failure === 'connectFailed' && attemptId === event.attemptId) return;
     const exposure = event.now - attempt.startedAt;
     members.set(request.digest, { exposure, tokens: attempt.tokens });
   });
@@ -52,6 +54,14 @@
   suspects.set(digest, { digest, crashIds: new Set(), lossOf, exposure, tokens, until });
 }
 
+/**
+ * A refused connection is probed too: the backend server may be dead with no stream on it to
+ * tell, and every request would go on finding it the least loaded.
+ */
+function needsProbe(failure: AttemptFailure): boolean {
+  return failure === 'connectionLost' || failure === 'silent' || failure === 'connectFailed';
+}
+
 /** Call it before the attempt is forgotten, while it still counts among those in progress. */
 export function noteLoss(
   state: EntryState,
@@ -59,13 +69,14 @@
   attempt: AttemptState,
   event: AttemptFailed,
 ): EntryEffect[] {
-  if (event.failure !== 'connectionLost' && event.failure !== 'silent') return [];
+  if (!needsProbe(event.failure)) return [];
   const { instance } = attempt;
   // Its end was announced: nothing to find out, and no request to suspect.
   if (state.reclaims.leaving.has(instance) || state.quarantine.down.has(instance)) return [];
   const known = state.quarantine.losses.get(instance);
   const loss = known ?? openLoss(state, instance, event);
   if (event.failure === 'connectionLost') loss.resets += 1;
-  suspect(state, accepted.request, loss, event.now);
+  // A request of which nothing was sent cannot have caused anything.
+  if (event.failure !== 'connectFailed') suspect(state, accepted.request, loss, event.now);
   return known === undefined ? probeOf(state, instance) : [];
 }
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -73,6 +73,8 @@
   const accepted = state.requests.get(move.requestId);
   forgetMove(state, move.requestId);
   if (accepted === undefined) return [];
+  // The next place is sought elsewhere first: the target may be what failed.
+  accepted.triedInstances.add(move.to);
   return [countMove(outcome), ...resumeElsewhere(state, accepted, 'reclaimNotice', timed)];
 }
 
--- /dev/null
+++ b/packages/entry-core/src/reclaims/reclaims.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { makeRequest, World } from '../driver/index.js';
+
+const lunchRush = { 'wien-a': 3, 'wien-b': 3 };
+const wienA = ['wien-a-engine-1', 'wien-a-engine-2', 'wien-a-engine-3'];
+
+function rush(world: World, requests: number, spacing: number): void {
+  for (let number = 1; number <= requests; number += 1) {
+    world.entry.arrive(makeRequest(`request-${number}`));
+    world.advance(spacing);
+  }
+}
+
+function assertAllWhole(world: World): void {
+  assert.deepEqual(world.violations(), []);
+  const cut = world.callers().filter(({ finals }) => finals[0]?.type !== 'whole');
+  assert.deepEqual(
+    cut.map(({ request }) => request.requestId),
+    [],
+  );
+}
+
+// All callers see their whole answers. At noon the whole of wien-a gets two seconds of notice at
+// once. Streams that end in time are let finish, the others move to wien-b with their cache, the
+// dearest first, and nothing is placed on an engine of the same wave. When the engines go, none
+// of their streams is left.
+test('a whole data centre is reclaimed at the noon rush', () => {
+  const world = new World({ engines: lunchRush });
+  rush(world, 60, 50);
+  world.reclaimListed(wienA, 2000);
+  world.advance(1900);
+  wienA.forEach((instance) => assert.equal(world.engine(instance).streams.size, 0));
+  world.settle();
+  assertAllWhole(world);
+  assert.equal(world.entry.count('cacheMoves/moved') > 0, true);
+  assert.equal(world.entry.count('retries/backendServerLost'), 0);
+  assert.equal(world.entry.state.quarantine.suspects.size, 0);
+});
+
+// The wave's streams are spread over the engines that stay, because each move reserves its place
+// at the target before it starts.
+test('a wave does not flood one target', () => {
+  const world = new World({ engines: lunchRush });
+  rush(world, 60, 50);
+  world.reclaimListed(wienA, 2000);
+  world.advance(1900);
+  const sizes = [1, 2, 3].map((number) => world.engine(`wien-b-engine-${number}`).streams.size);
+  assert.equal(Math.max(...sizes) - Math.min(...sizes) <= 3, true, `${sizes}`);
+});
+
+// The caller sees its whole answer. Its engine gets notice and its cache is on the way; then the
+// target dies, the move comes to nothing, and the stream is resumed by its offset at a third engine
+// while its first one still runs.
+test('the target is lost in the middle of a move', () => {
+  const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1, stpoelten: 1 } });
+  const caller = world.entry.arrive(makeRequest('one', { promptTokens: 4000, mostTokens: 400 }));
+  world.advance(3000);
+  world.reclaim(['wien-a-engine-1'], 3000);
+  const move = [...world.entry.state.reclaims.moves.values()][0];
+  assert.ok(move !== undefined);
+  world.advance(100);
+  world.engine(move.to).die();
+  world.settle();
+  assertAllWhole(world);
+  assert.equal(caller.finals[0]?.type, 'whole');
+  assert.equal(world.entry.count('cacheMoves/failed'), 1);
+  assert.equal(world.entry.count('recomputedTokens/reclaimResume') >= 4000, true);
+});
+
+// The caller sees its whole answer. Its engine dies in the middle of the move, long before the time
+// that the notice named. The stream is resumed by its offset, and nobody is suspected: the end was
+// announced. The move's late answer finds no move and changes nothing.
+test('the source is lost in the middle of a move', () => {
+  const world = new World({ engines: { 'wien-a': 1, 'wien-b': 2 } });
+  world.entry.arrive(makeRequest('one', { promptTokens: 4000, mostTokens: 400 }));
+  world.advance(3000);
+  world.reclaim(['wien-a-engine-1'], 3000);
+  assert.equal(world.entry.state.reclaims.moves.size, 1);
+  world.advance(100);
+  world.engine('wien-a-engine-1').die();
+  world.settle();
+  assertAllWhole(world);
+  assert.equal(world.entry.state.quarantine.suspects.size, 0);
+  assert.equal(world.entry.state.reclaims.moves.size, 0);
+});
+
+// The caller sees its whole answer. Engines cannot move caches at all, so every move fails, and each
+// stream is resumed by its offset while its engine is still there.
+test('moves that all fail fall back to resumes', () => {
+  const world = new World({ engines: lunchRush });
+  world.movesFail = true;
+  rush(world, 30, 50);
+  world.reclaimListed(wienA, 2000);
+  world.settle();
+  assertAllWhole(world);
+  assert.equal(world.entry.count('cacheMoves/moved'), 0);
+  assert.equal(world.entry.count('retries/reclaimNotice') > 0, true);
+});
+
+// The caller sees its whole answer from the engine on notice: at its measured rate even the
+// longest answer it may get ends in time, so nothing is moved and nothing is computed again.
+test('a stream that fits the notice is let finish', () => {
+  const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1 } });
+  world.entry.arrive(makeRequest('one', { mostTokens: 100 }));
+  world.advance(1500);
+  world.reclaim(['wien-a-engine-1'], 2000);
+  world.settle();
+  assertAllWhole(world);
+  assert.equal(world.entry.state.retries.waiting.size, 0);
+  assert.equal(world.entry.count('retries/reclaimNotice'), 0);
+  assert.equal(world.entry.count('cacheMoves/moved'), 0);
+});
+
+// Callers see whole answers. The notice reaches one entry only; within two seconds the other sends
+// the leaving engine nothing more, because its peer's report told of it.
+test('a notice at one entry reaches the others', () => {
+  const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1 }, entries: 2 });
+  world.entryAt(1).arrive(makeRequest('before'));
+  world.advance(500);
+  world.reclaim(['wien-a-engine-1'], 20_000, world.entryAt(0));
+  world.advance(2000);
+  world.entryAt(1).arrive(makeRequest('after'));
+  world.advance(100);
+  assert.equal(world.engine('wien-a-engine-1').received.has('before'), true);
+  assert.equal(world.engine('wien-a-engine-1').received.has('after'), false);
+  world.settle();
+  assertAllWhole(world);
+});
