--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -78,7 +78,7 @@
 }
 
 export function observeAttempt(state: EntryState, event: EntryEvent): EntryEffect[] {
-  if (!('attemptId' in event)) return [];
+  if (!('attemptId' in event) || event.attemptId === undefined) return [];
   const edge = observed(state, event.attemptId, event.now);
   if (edge === undefined) return [];
   if (event.type === 'firstTokenReceived') observeFirstToken(edge);
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -7,3 +7,5 @@
 export * from './routing/RouteIndex.js';
 export * from './routing/deadlineAt.js';
 export * from './routing/findRoute.js';
+export { fullRecoveryPolicy, type RecoveryPolicy } from './attempts/RetryState.js';
+export { livePeers } from './membership/livePeers.js';
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -7,6 +7,7 @@
   drainReasons,
   fleetRetryReasons,
   ejectionReasons,
+  cacheMoveOutcomes,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -57,6 +58,18 @@
     help: 'Tokens that engines computed again, by reason',
     label: { name: 'reason', values: recomputeReasons },
   },
+  recomputedTokensByWorkspace: {
+    name: 'hornbeampond_recomputed_tokens_by_workspace_total',
+    kind: 'counter',
+    help: 'Tokens that engines computed again, by workspace',
+    label: { name: 'workspace' },
+  },
+  cacheMoves: {
+    name: 'hornbeampond_cache_moves_total',
+    kind: 'counter',
+    help: 'Moves of KV cache off backend servers on notice, by outcome',
+    label: { name: 'outcome', values: cacheMoveOutcomes },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -62,3 +62,6 @@
   'malformed',
 ] as const;
 export type EjectionReason = (typeof ejectionReasons)[number];
+/** How a move of a stream's KV cache ended. */
+export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
+export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
