Claim calls that may not be repeated before they are sent

The thin path sent them unclaimed. The claim of the store's machine and the attempts of the entry are now joined in followClaims: attempts work as for any call, and their outcome is read off the event and told to the log; a graceful stop waits for claims to settle.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -83,15 +83,16 @@
   }
 
   /** Moves the KV cache of an attempt from one engine to another. */
-  async moveCache({ requestId, attemptId, from, to }: MoveCache): Promise<void> {
+  async moveCache(move: MoveCache): Promise<void> {
     const { adapters, dispatch } = this.options;
+    const { requestId, attemptId, nextAttemptId, from, to } = move;
     const signal = AbortSignal.timeout(MOVE_MILLISECONDS);
     try {
       const cache = await adapters.engine(from).exportCache(attemptId, signal);
-      await adapters.engine(to).importCache(cache, signal);
-      dispatch({ type: 'cacheMoved', requestId, moved: true });
+      await adapters.engine(to).importCache({ ...cache, attemptId: nextAttemptId }, signal);
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
     } catch {
-      dispatch({ type: 'cacheMoved', requestId, moved: false });
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
     }
   }
 
@@ -129,7 +130,6 @@
     const { attemptId, target, priority, silenceTimeout } = attempt.start;
     const { dispatch, timers, adapters } = this.options;
     const { generatedText, generatedTokens } = answer;
-    dispatch({ type: 'attemptSent', attemptId });
     const stream = await adapters.engine(target).startCompletion({
       attemptId,
       body: exchange.completion ?? { messages: [] },
@@ -166,7 +166,6 @@
     const { attemptId, target, sendOnce, silenceTimeout } = attempt.start;
     const { dispatch, adapters } = this.options;
     const { method, path } = exchange.request;
-    dispatch({ type: 'attemptSent', attemptId });
     const received = await adapters.plainService(target).send({
       method,
       path,
@@ -184,7 +183,13 @@
       await answer.writeBytes(bytes);
       if (!attempt.cancelled) this.watch(attempt, silenceTimeout);
     }
-    dispatch({ type: 'attemptFinished', attemptId, tokens: 0 });
+    const { storedAnswer } = answer;
+    dispatch({
+      type: 'attemptFinished',
+      attemptId,
+      tokens: 0,
+      ...(storedAnswer === undefined ? {} : { storedAnswer }),
+    });
   }
 
   /** The caller's headers, without its key: a backend server has no business with it. */
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -5,6 +5,7 @@
 import {
   makeEntryState,
   reduceEntry,
+  type ClaimAnswer,
   type EntryEffect,
   type EntryEvent,
   type EntryOccurrence,
@@ -24,7 +25,6 @@
   assertNever,
   type ClaimResult,
   type EntrySettings,
-  type StoreCommand,
 } from '@hornbeampond/schema';
 import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
 import { AdapterDirectory } from './AdapterDirectory.js';
@@ -32,7 +32,6 @@
 import { BackendServerWatcher } from './BackendServerWatcher.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { EntryPeers } from './EntryPeers.js';
-import { PlainAnswer } from './PlainAnswer.js';
 import { TableApi } from './TableApi.js';
 
 /** How often the reducer looks at what waits for time to pass. */
@@ -46,9 +45,14 @@
 
 const PROBE_MILLISECONDS = 1000;
 
+/** The last answers need this long to reach their callers before the platform's limit. */
+const SHUTDOWN_MARGIN_MILLISECONDS = 500;
+
 /** A starting entry that no store tells a configuration within this span asks its peers. */
 const CUT_OFF_MILLISECONDS = 2000;
 
+type ProposeClaim = Extract<EntryEffect, { type: 'proposeClaim' }>;
+
 /** Ports that the process listens on, which matter where settings gave port 0. */
 export interface EntryPorts {
   readonly callers: number;
@@ -180,19 +184,21 @@
   }
 
   /**
-   * Ends without cutting off a request: the balancer is told first and given its delay, then no
-   * new connection is taken, then the reducer says when nothing is in progress any more.
+   * Ends without cutting off a request: the balancer is told first and served for its delay, then
+   * no new connection is taken, and the reducer says when nothing is in progress any more.
    */
   async shutDown(): Promise<void> {
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.ready = false;
     this.logger.write('shutdownStarted', {});
-    await this.timers.wait(balancerDelayMilliseconds);
-    this.callers.stopListening();
     const settled = new Promise<void>((resolve) => {
       this.onShutdownReady = resolve;
     });
-    this.dispatch({ type: 'shutdownStarted' });
+    const now = this.timers.monotonicNow();
+    const left = Math.max(0, shutdownMilliseconds - SHUTDOWN_MARGIN_MILLISECONDS);
+    const acceptUntil = now + Math.min(balancerDelayMilliseconds, left);
+    this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + left });
+    this.timers.after(acceptUntil - now, () => this.callers.stopListening());
     await Promise.race([settled, this.timers.wait(shutdownMilliseconds)]);
     await this.close();
     this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
@@ -276,7 +282,7 @@
         this.endExchange(effect.requestId, ({ answer }) => answer.replay(effect.answer));
         return;
       case 'proposeClaim':
-        void this.proposeClaim(effect.requestId, effect.command);
+        void this.proposeClaim(effect);
         return;
       case 'proposeCommand':
         void this.store.propose(effect.command, COMMAND_MILLISECONDS);
@@ -298,23 +304,13 @@
     }
   }
 
-  /** A settlement carries the answer, which only the shell has. */
-  private async proposeClaim(requestId: string, command: StoreCommand): Promise<void> {
-    const answer = this.exchanges.get(requestId)?.answer;
-    const stored = answer instanceof PlainAnswer ? answer.storedAnswer : undefined;
-    const whole: StoreCommand =
-      command.type === 'settleClaim' && command.outcome === 'done' && stored !== undefined
-        ? { ...command, answer: stored }
-        : command;
-    const outcome = await this.store.propose(whole, CLAIM_MILLISECONDS);
-    this.dispatch({
-      type: 'claimAnswered',
-      requestId,
-      answer:
-        outcome.type === 'result'
-          ? { type: 'result', result: outcome.result as ClaimResult }
-          : outcome,
-    });
+  private async proposeClaim({ requestId, command }: ProposeClaim): Promise<void> {
+    const outcome = await this.store.propose(command, CLAIM_MILLISECONDS);
+    const answer: ClaimAnswer =
+      outcome.type === 'result'
+        ? { type: 'result', result: outcome.result as ClaimResult }
+        : outcome;
+    this.dispatch({ type: 'claimAnswered', requestId, command: command.type, answer });
   }
 
   private async probe(target: Extract<EntryEffect, { type: 'probe' }>['target']): Promise<void> {
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -9,6 +9,7 @@
 import { makeRetryState, type RetryState } from './attempts/RetryState.js';
 import type { BackendServerState } from './backendServers/BackendServerState.js';
 import type { PoolBalance } from './backendServers/PoolBalance.js';
+import type { CallClaim } from './claims/CallClaim.js';
 import type { Timed } from './entryEvents.js';
 import { makeLimitState, type LimitState } from './limits/LimitState.js';
 import { RouteIndex } from './routing/RouteIndex.js';
@@ -37,6 +38,8 @@
   readonly requests: Map<string, RequestState>;
   /** Attempts without an end, by attempt id. */
   readonly attempts: Map<string, AttemptState>;
+  /** Claimed calls whose end is not in the log yet, by request id. */
+  readonly claims: Map<string, CallClaim>;
   readonly retries: RetryState;
   readonly quarantine: QuarantineState;
   readonly reclaims: ReclaimState;
@@ -72,6 +75,7 @@
     backendServers: new Map(),
     requests: new Map(),
     attempts: new Map(),
+    claims: new Map(),
     retries: makeRetryState(`${identity.instance}/${identity.incarnation}`),
     quarantine: makeQuarantineState(),
     reclaims: makeReclaimState(),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { startAttempt } from '../attempts/startAttempt.js';
+import { beginClaim } from '../claims/beginClaim.js';
 import { refuse } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
@@ -66,6 +67,8 @@
       event: 'requestAccepted',
       fields: { requestId: request.requestId, route: route.name, workspace: request.workspace },
     },
-    ...startAttempt(state, accepted, now, admission.server),
+    ...(route.idempotent
+      ? startAttempt(state, accepted, now, admission.server)
+      : beginClaim(state, accepted, { now, wallNow })),
   ];
 }
--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -17,3 +17,8 @@
   /** True for an attempt that fell silent; its whole answer may still come first. */
   givenUp: boolean;
 }
+
+/** Name of a request's attempt by its number, from 1; unique for all time as the request is. */
+export function attemptIdOf(requestId: string, number: number): string {
+  return `${requestId}.${number}`;
+}
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -6,6 +6,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/reportToEntries.js';
+import { attemptIdOf } from './AttemptState.js';
 import { isSuspect } from '../quarantine/suspects.js';
 import { prefillDuration } from '../reclaims/costs.js';
 import type { RequestState } from '../requests/RequestState.js';
@@ -59,7 +60,7 @@
   const { instance, host, port } = server.listed;
   if (accepted.attemptsStarted === 0) earnRetries(state.retries, accepted.route.name, instance);
   accepted.attemptsStarted += 1;
-  const attemptId = `${requestId}.${accepted.attemptsStarted}`;
+  const attemptId = attemptIdOf(requestId, accepted.attemptsStarted);
   const resumeFromTokens = state.retries.policy.resume ? accepted.tokens : 0;
   accepted.attemptId = attemptId;
   // Peers must know where a suspect runs before they place their own.
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -13,6 +13,7 @@
   StoreCommand,
   StoredAnswer,
 } from '@hornbeampond/schema';
+import type { ClaimCommand } from './claims/ClaimedCall.js';
 
 /** Where an attempt goes. */
 export interface AttemptTarget {
@@ -50,6 +51,8 @@
       readonly type: 'moveCache';
       readonly requestId: string;
       readonly attemptId: string;
+      /** The attempt that will go on with the moved cache; the target keeps it under this name. */
+      readonly nextAttemptId: string;
       readonly from: AttemptTarget;
       readonly to: AttemptTarget;
     }
@@ -71,7 +74,7 @@
     }
   | { readonly type: 'replayAnswer'; readonly requestId: string; readonly answer: StoredAnswer }
   /** Proposes a claim command; answered by `claimAnswered` with the same request id. */
-  | { readonly type: 'proposeClaim'; readonly requestId: string; readonly command: StoreCommand }
+  | { readonly type: 'proposeClaim'; readonly requestId: string; readonly command: ClaimCommand }
   /** Proposes a command whose result nobody waits for; the shell resends it until it is taken. */
   | { readonly type: 'proposeCommand'; readonly command: StoreCommand }
   /** Asks a backend server for a sign of life over a new connection. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -13,7 +13,9 @@
   MonotonicMilliseconds,
   PlatformInstance,
   QuarantineEntry,
+  StoredAnswer,
 } from '@hornbeampond/schema';
+import type { ClaimCommand } from './claims/ClaimedCall.js';
 
 /** A caller's request as far as decisions need it; its body stays in the shell. */
 export interface CallerRequest {
@@ -87,7 +89,13 @@
   /** Sent now and then while a stream runs. `tokens` counts the whole answer so far. */
   | { readonly type: 'attemptProgressed'; readonly attemptId: string; readonly tokens: number }
   /** The whole answer has come from the backend server. */
-  | { readonly type: 'attemptFinished'; readonly attemptId: string; readonly tokens: number }
+  | {
+      readonly type: 'attemptFinished';
+      readonly attemptId: string;
+      readonly tokens: number;
+      /** The answer of a call that may not be repeated, to be kept for its resends. */
+      readonly storedAnswer?: StoredAnswer;
+    }
   | {
       readonly type: 'attemptFailed';
       readonly attemptId: string;
@@ -109,7 +117,13 @@
       /** Tokens of the answer that the moved cache holds, if the engine tells. */
       readonly tokens?: number;
     }
-  | { readonly type: 'claimAnswered'; readonly requestId: string; readonly answer: ClaimAnswer }
+  | {
+      readonly type: 'claimAnswered';
+      readonly requestId: string;
+      /** Which command this is the fate of. */
+      readonly command: ClaimCommand['type'];
+      readonly answer: ClaimAnswer;
+    }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
   | {
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -7,7 +7,7 @@
  * the same server the least loaded, and that one would be flooded.
  */
 import type { CacheMoveOutcome } from '@hornbeampond/schema';
-import type { AttemptState } from '../attempts/AttemptState.js';
+import { attemptIdOf, type AttemptState } from '../attempts/AttemptState.js';
 import { chooseForAttempt } from '../attempts/chooseForAttempt.js';
 import { forgetMove, reservationOf } from '../attempts/releaseAttempts.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
@@ -53,7 +53,9 @@
   state.reclaims.moves.set(requestId, move);
   target.attemptIds.add(reservationOf(requestId));
   const from = targetOf(source, accepted);
-  return [{ type: 'moveCache', requestId, attemptId, from, to: targetOf(target, accepted) }];
+  const nextAttemptId = attemptIdOf(requestId, accepted.attemptsStarted + 1);
+  const toTarget = targetOf(target, accepted);
+  return [{ type: 'moveCache', requestId, attemptId, nextAttemptId, from, to: toTarget }];
 }
 
 function isUsable(state: EntryState, instance: string): BackendServerState | undefined {
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -10,6 +10,7 @@
 import { listInstances, refreshLimits } from './backendServers/listInstances.js';
 import { observeAttempt } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
+import { findEndingClaim, followClaims } from './claims/followClaims.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
@@ -26,8 +27,10 @@
   state.clocks = { now: event.now, wallNow: event.wallNow };
   const concerned = findConcerned(state, event);
   const observed = observeAttempt(state, event);
-  const effects = reduceConcern(state, event);
-  return [...observed, ...effects, ...reduceAdmission(state, event, concerned)];
+  const ending = findEndingClaim(state, event);
+  const effects = [...observed, ...reduceConcern(state, event)];
+  effects.push(...reduceAdmission(state, event, concerned));
+  return [...effects, ...followClaims(state, event, ending, effects)];
 }
 
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
--- a/packages/entry-core/src/shutdown/advanceShutdown.ts
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -48,7 +48,10 @@
   if (!shutdown.started) return [];
   state.shuttingDown = shutdown.acceptUntil <= now;
   const effects = shutdown.endAt <= now ? endAllAtLimit(state) : [];
-  if (!state.shuttingDown || state.requests.size > 0 || shutdown.readyGiven) return effects;
+  // A claim whose end is not in the log yet would read `unknown` to a caller that sends it again.
+  const claimsOpen = state.claims.size > 0 && now < shutdown.endAt;
+  const inProgress = state.requests.size > 0 || claimsOpen;
+  if (!state.shuttingDown || inProgress || shutdown.readyGiven) return effects;
   shutdown.readyGiven = true;
   return [...effects, { type: 'shutdownReady' }];
 }
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -9,6 +9,7 @@
   attemptStarted: define(2010, 'debug', 'A request was sent to a backend server'),
   attemptFailed: define(2011, 'info', 'An attempt at a backend server failed'),
   callerGone: define(2020, 'debug', 'The caller closed its connection'),
+  answerReplayed: define(2021, 'debug', 'A call sent again got the answer of its first run'),
   platformUnreachable: define(2030, 'warn', 'The list of instances could not be read'),
   requestQueued: define(2100, 'debug', 'A request waits for a backend server'),
   backendServerEjected: define(2101, 'warn', 'A backend server gets no new work for a while'),
