--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { HornbeampondError, type EntrySettings } from '@hornbeampond/schema';
+import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
 import { readBody, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import { digestPrefixes, splitPrompt, type CompletionBody } from '@hornbeampond/adapters';
@@ -41,6 +41,9 @@
 /** Used where a completion does not say how many tokens it wants. */
 const DEFAULT_MOST_TOKENS = 1024;
 
+/** How often connections that have become idle are looked for while closing. */
+const SWEEP_MILLISECONDS = 10;
+
 /** Longest `Idempotency-Key` in characters. */
 const MOST_KEY_CHARACTERS = 256;
 
@@ -82,11 +85,18 @@
     this.server.closeIdleConnections();
   }
 
-  async close(): Promise<void> {
-    await new Promise<void>((resolve) => {
+  /** Waits until the last answers are written, and no longer than `patience`. */
+  async close(patience: Milliseconds): Promise<void> {
+    const { timers } = this.options;
+    const stopSweep = timers.every(SWEEP_MILLISECONDS, () => this.server.closeIdleConnections());
+    const closed = new Promise<void>((resolve) => {
       this.server.close(() => resolve());
-      this.server.closeAllConnections();
     });
+    this.server.closeIdleConnections();
+    const cancel = timers.after(patience, () => this.server.closeAllConnections());
+    await closed;
+    cancel();
+    stopSweep();
   }
 
   private refuse(response: ServerResponse, error: unknown): void {
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -25,6 +25,7 @@
   assertNever,
   type ClaimResult,
   type EntrySettings,
+  type Milliseconds,
 } from '@hornbeampond/schema';
 import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
 import { AdapterDirectory } from './AdapterDirectory.js';
@@ -200,18 +201,18 @@
     this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + left });
     this.timers.after(acceptUntil - now, () => this.callers.stopListening());
     await Promise.race([settled, this.timers.wait(shutdownMilliseconds)]);
-    await this.close();
+    await this.close(SHUTDOWN_MARGIN_MILLISECONDS);
     this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
   }
 
-  /** Stops at once. */
-  async close(): Promise<void> {
+  /** Stops; answers that are being written get `patience` to reach their callers. */
+  async close(patience: Milliseconds = 0): Promise<void> {
     this.subscriptions.forEach((unsubscribe) => unsubscribe());
     this.store.close();
     await Promise.all([
       this.watcher.close(),
       this.peers.close(),
-      this.callers.close(),
+      this.callers.close(patience),
       this.operators.close(),
     ]);
     await this.adapters.close();
