Split event streams without a generator of their own

Each token passed through three nested async generators; the splitter is synchronous now, so two remain.

--- /dev/null
+++ b/packages/adapters/src/http/EventDataSplitter.ts
@@ -0,0 +1,34 @@
+/**
+ * Splits a byte stream of server-sent events into the values of their `data:` lines.
+ *
+ * Lines may be cut anywhere, also within a character. Comments and other fields are passed over.
+ * Each event of the engines has one `data:` line, so there is nothing to join. A last line without
+ * its end is not given out: it may have been cut.
+ */
+import { BackendServerFailure } from '../BackendServerFailure.js';
+
+/** Bound of one line. */
+export const MOST_LINE_CHARACTERS = 1024 * 1024;
+
+const DATA_PREFIX = 'data:';
+
+export class EventDataSplitter {
+  private readonly decoder = new TextDecoder();
+
+  private rest = '';
+
+  /** Takes the next bytes and gives the values that they complete. */
+  split(bytes: Uint8Array): string[] {
+    const lines = (this.rest + this.decoder.decode(bytes, { stream: true })).split('\n');
+    this.rest = lines.pop() ?? '';
+    if (this.rest.length > MOST_LINE_CHARACTERS) {
+      throw new BackendServerFailure('a line of the stream is too long', {
+        failure: 'malformed',
+        sent: 'maybe',
+      });
+    }
+    return lines
+      .filter((line) => line.startsWith(DATA_PREFIX))
+      .map((line) => line.slice(DATA_PREFIX.length).trim());
+  }
+}
--- a/packages/adapters/src/http/readCompletion.test.ts
+++ b/packages/adapters/src/http/readCompletion.test.ts
@@ -3,7 +3,7 @@
 import { BackendServerFailure } from '../BackendServerFailure.js';
 import type { CompletionChunk } from '../EngineAdapter.js';
 import { readCompletion } from './readCompletion.js';
-import { MOST_LINE_CHARACTERS } from './readEventData.js';
+import { MOST_LINE_CHARACTERS } from './EventDataSplitter.js';
 
 function encodeChunk(choice: object, rest: object = {}): string {
   return `data: ${JSON.stringify({ choices: [choice], ...rest })}\n\n`;
--- a/packages/adapters/src/http/readCompletion.ts
+++ b/packages/adapters/src/http/readCompletion.ts
@@ -7,48 +7,58 @@
 import type { z } from 'zod';
 import { BackendServerFailure } from '../BackendServerFailure.js';
 import type { CompletionChunk, CompletionUsage } from '../EngineAdapter.js';
+import { EventDataSplitter } from './EventDataSplitter.js';
 import { parseJson } from './readAnswer.js';
-import { readEventData } from './readEventData.js';
 import { completionChunkSchema } from './wireSchemas.js';
 
 const DONE = '[DONE]';
 
 type WireChunk = z.infer<typeof completionChunkSchema>;
 
-function readUsage(chunk: WireChunk): CompletionUsage | undefined {
-  if (chunk.usage === undefined || chunk.usage === null) return undefined;
-  return {
-    promptTokens: chunk.usage.prompt_tokens,
-    completionTokens: chunk.usage.completion_tokens,
-  };
+function readUsage({ usage }: WireChunk): CompletionUsage | undefined {
+  if (usage === undefined || usage === null) return undefined;
+  return { promptTokens: usage.prompt_tokens, completionTokens: usage.completion_tokens };
 }
 
-function makeEnd(finishReason: string | undefined, usage: CompletionUsage | undefined) {
-  if (finishReason === undefined) {
-    throw new BackendServerFailure('the stream ended with no finish reason', {
-      failure: 'malformed',
-      sent: 'maybe',
-    });
+/** Turns the events of one stream into chunks and remembers what its end will need. */
+class CompletionReader {
+  private finishReason: string | undefined;
+
+  private usage: CompletionUsage | undefined;
+
+  read(data: string): CompletionChunk | undefined {
+    if (data === DONE) return this.makeEnd();
+    const chunk = parseJson(completionChunkSchema, data);
+    const choice = chunk.choices[0];
+    this.finishReason = choice?.finish_reason ?? this.finishReason;
+    this.usage = readUsage(chunk) ?? this.usage;
+    const text = choice?.delta?.content ?? '';
+    return text === '' ? undefined : { type: 'token', text, tokens: chunk.tokens ?? 1 };
+  }
+
+  private makeEnd(): CompletionChunk {
+    const { finishReason, usage } = this;
+    if (finishReason === undefined) {
+      throw new BackendServerFailure('the stream ended with no finish reason', {
+        failure: 'malformed',
+        sent: 'maybe',
+      });
+    }
+    return { type: 'end', finishReason, ...(usage === undefined ? {} : { usage }) };
   }
-  return { type: 'end', finishReason, ...(usage === undefined ? {} : { usage }) } as const;
 }
 
 export async function* readCompletion(
   bytes: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<CompletionChunk> {
-  let finishReason: string | undefined;
-  let usage: CompletionUsage | undefined;
-  for await (const data of readEventData(bytes)) {
-    if (data === DONE) {
-      yield makeEnd(finishReason, usage);
-      return;
+  const splitter = new EventDataSplitter();
+  const reader = new CompletionReader();
+  for await (const part of bytes) {
+    for (const data of splitter.split(part)) {
+      const chunk = reader.read(data);
+      if (chunk !== undefined) yield chunk;
+      if (chunk?.type === 'end') return;
     }
-    const chunk = parseJson(completionChunkSchema, data);
-    const choice = chunk.choices[0];
-    const text = choice?.delta?.content ?? '';
-    if (text !== '') yield { type: 'token', text, tokens: chunk.tokens ?? 1 };
-    finishReason = choice?.finish_reason ?? finishReason;
-    usage = readUsage(chunk) ?? usage;
   }
   throw new BackendServerFailure('the stream ended before [DONE]', {
     failure: 'connectionLost',
