--- /dev/null
+++ b/apps/ctl/src/main.ts
@@ -0,0 +1,8 @@
+/** The binary `hornbeampondctl`. */
+import { runCommandLine } from './runCommandLine.js';
+
+process.exitCode = await runCommandLine(process.argv.slice(2), {
+  environment: process.env,
+  print: (line) => console.log(line),
+  printError: (line) => console.error(line),
+});
