Keep the connection of a finished stream, and find imported KV cache by its text

A reader leaves a stream at [DONE], before the body's own end; the adapter then dropped the connection as for a stream that is given up. It now lets the rest come, within a second.

Imported KV cache was looked up by attempt id, but the entry resumes under a new id; engines find it by the text that it is of. Fake streams no longer gather a listener for each token, and a full batch can be made slower.

--- a/packages/adapters/src/EngineAdapter.ts
+++ b/packages/adapters/src/EngineAdapter.ts
@@ -58,7 +58,7 @@
 
 /** The KV cache of one attempt, in the engine's own encoding. */
 export interface ExportedCache {
-  /** The attempt it was taken from, or on import the one that will use it. */
+  /** The attempt it was taken from. */
   readonly attemptId: string;
   /** Tokens of prompt and answer that the cache spares whoever imports it. */
   readonly tokens: number;
@@ -82,7 +82,7 @@
   /** Takes the KV cache of an attempt in progress or just cancelled. */
   abstract exportCache(attemptId: string, signal: AbortSignal): Promise<ExportedCache>;
 
-  /** Gives an engine a KV cache under the id of the attempt that will resume with it. */
+  /** Gives an engine a KV cache; whichever attempt then resumes the same text finds it there. */
   abstract importCache(cache: ExportedCache, signal: AbortSignal): Promise<void>;
 
   /** The engine's latest load report, which may lag; `measuredAt` says how much. */
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -25,6 +25,9 @@
 /** Without a bound, each call into a cut-off data centre would leave a socket for minutes. */
 const CONNECT_MILLISECONDS = 10_000;
 
+/** Time for a connection to come free after its answer's own end; then it is dropped. */
+const DRAIN_MILLISECONDS = 1000;
+
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
 /** An error out of the connector proves that the call had no connection to be written to. */
@@ -45,6 +48,11 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Read once. Throws `BackendServerFailure`; leaving it early drops the connection. */
   readonly body: AsyncIterable<Uint8Array>;
+  /**
+   * Says that the answer is whole by its own word, whatever is left of the body. Leaving the body
+   * then keeps the connection, once the rest has come.
+   */
+  markWhole(): void;
 }
 
 function describeError(error: unknown): string {
@@ -78,22 +86,43 @@
   return new BackendServerFailure(message, { failure: classify(cause), sent, cause });
 }
 
+type ResponseBody = Dispatcher.ResponseData['body'];
+
+/** Reads a body; `leave` decides what becomes of one that is not read to its end. */
 async function* readBody(
-  body: Dispatcher.ResponseData['body'],
+  body: ResponseBody,
   signal: AbortSignal,
+  leave: () => void,
 ): AsyncGenerator<Uint8Array> {
   try {
-    for await (const bytes of body) yield bytes as Uint8Array;
+    for await (const bytes of body.iterator({ destroyOnReturn: false })) yield bytes as Uint8Array;
   } catch (error) {
     throw toFailure(error, signal, 'maybe');
+  } finally {
+    if (!body.readableEnded) leave();
   }
 }
 
+/** Lets the rest of an answer come and go, so that its connection can be used again. */
+function drain(body: ResponseBody): void {
+  const signal = AbortSignal.timeout(DRAIN_MILLISECONDS);
+  body.dump({ limit: Infinity, signal }).catch(() => {});
+}
+
 function makeAnswer(data: Dispatcher.ResponseData, signal: AbortSignal): HttpAnswer {
+  const { statusCode: status, headers, body } = data;
   // A body that breaks before its reader comes would otherwise end the process; the reader
   // still gets the error.
-  data.body.on('error', () => {});
-  return { status: data.statusCode, headers: data.headers, body: readBody(data.body, signal) };
+  body.on('error', () => {});
+  let whole = false;
+  const leave = () => {
+    if (whole) drain(body);
+    else body.destroy();
+  };
+  const markWhole = () => {
+    whole = true;
+  };
+  return { status, headers, body: readBody(body, signal, leave), markWhole };
 }
 
 /** Wraps undici's connector; `onSocket` sees each socket before anything is written to it. */
--- a/packages/adapters/src/http/HttpEngineAdapter.ts
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -67,7 +67,7 @@
       signal: start.signal,
     });
     await requireSuccess(answer);
-    return readCompletion(answer.body);
+    return readCompletion(answer);
   }
 
   override async cancel(attemptId: string, signal: AbortSignal): Promise<void> {
--- a/packages/adapters/src/http/readCompletion.ts
+++ b/packages/adapters/src/http/readCompletion.ts
@@ -8,6 +8,7 @@
 import { BackendServerFailure } from '../BackendServerFailure.js';
 import type { CompletionChunk, CompletionUsage } from '../EngineAdapter.js';
 import { EventDataSplitter } from './EventDataSplitter.js';
+import type { HttpAnswer } from './HttpConnections.js';
 import { parseJson } from './readAnswer.js';
 import { completionChunkSchema } from './wireSchemas.js';
 
@@ -48,14 +49,17 @@
   }
 }
 
-export async function* readCompletion(
-  bytes: AsyncIterable<Uint8Array>,
-): AsyncGenerator<CompletionChunk> {
+/** Reads chunks to the end of the answer, which is marked whole so that its connection is kept. */
+export async function* readCompletion({
+  body,
+  markWhole,
+}: Pick<HttpAnswer, 'body' | 'markWhole'>): AsyncGenerator<CompletionChunk> {
   const splitter = new EventDataSplitter();
   const reader = new CompletionReader();
-  for await (const part of bytes) {
+  for await (const part of body) {
     for (const data of splitter.split(part)) {
       const chunk = reader.read(data);
+      if (chunk?.type === 'end') markWhole();
       if (chunk !== undefined) yield chunk;
       if (chunk?.type === 'end') return;
     }
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -34,6 +34,8 @@
   readonly mostQueued?: number;
   /** Time from one token to the next; 0, the default, needs no timer to move. */
   readonly tokenDelay?: Milliseconds;
+  /** Share by which each other stream in the batch makes a token take longer. */
+  readonly slowdown?: number;
   /** Time to compute one token of a prompt that is not cached. */
   readonly prefillDelay?: Milliseconds;
   /** Length of an answer whose request names no `max_tokens`. */
@@ -199,7 +201,7 @@
         this.exportCache(response, url.searchParams.get('attempt') ?? '');
         break;
       case 'PUT /engine/cache':
-        this.kvCaches.import(url.searchParams.get('attempt') ?? '', body);
+        this.kvCaches.import(body);
         answerJson(response, 200, {});
         break;
       case 'GET /engine/load':
@@ -273,7 +275,7 @@
       firstToken: body.resume?.generated_tokens ?? 0,
       lastToken: body.max_tokens ?? this.options.answerTokens ?? DEFAULT_ANSWER_TOKENS,
       model: body.model ?? this.loaded.model ?? '',
-      tokenDelay: this.options.tokenDelay ?? 0,
+      readTokenDelay: () => this.readTokenDelay(),
       timers: this.timers,
       onToken: () => {
         this.counts.generatedTokens += 1;
@@ -298,6 +300,11 @@
     }
   }
 
+  private readTokenDelay(): Milliseconds {
+    const { tokenDelay = 0, slowdown = 0 } = this.options;
+    return tokenDelay * (1 + slowdown * (this.batch.running - 1));
+  }
+
   private countRun(promptDigest: string): void {
     this.counts.runs += 1;
     this.runsByPrompt.set(promptDigest, (this.runsByPrompt.get(promptDigest) ?? 0) + 1);
@@ -308,7 +315,7 @@
   private prefill({ messages, resume }: WireCompletion, stream: FakeStream): number {
     const digests = digestPrefixes(messages);
     const cachedPrompt = this.prefixCache.countCached(digests) * TOKENS_PER_BLOCK;
-    const imported = this.kvCaches.countTokens(stream.attemptId, stream.promptDigest);
+    const imported = this.kvCaches.countImported(stream.promptDigest);
     const wanted = stream.promptTokens + (resume?.generated_tokens ?? 0);
     const computed = Math.max(0, wanted - Math.max(cachedPrompt, imported));
     this.prefixCache.store(digests);
--- a/packages/testing/src/fakes/FakeStream.ts
+++ b/packages/testing/src/fakes/FakeStream.ts
@@ -1,7 +1,7 @@
 /** One answer of a fake engine on its way to whoever asked for it. */
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import type { TimerService } from '@hornbeampond/runtime';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { Milliseconds } from '@hornbeampond/schema';
 import { generateToken } from './generateToken.js';
 
@@ -20,7 +20,7 @@
   /** Position after the last token. */
   readonly lastToken: number;
   readonly model: string;
-  readonly tokenDelay: Milliseconds;
+  readonly readTokenDelay: () => Milliseconds;
   readonly timers: TimerService;
   readonly onToken: () => void;
 }
@@ -78,19 +78,17 @@
   /** Resolves after `delay`, or at once when stopped. */
   async wait(delay: Milliseconds): Promise<void> {
     if (delay <= 0 || this.signal.aborted) return;
-    await new Promise<void>((resolve) => {
-      const cancel = this.options.timers.after(delay, resolve);
-      this.signal.addEventListener('abort', () => {
-        cancel();
-        resolve();
-      });
+    let cancel: Unsubscribe = () => {};
+    await this.untilStopped((resolve) => {
+      cancel = this.options.timers.after(delay, resolve);
     });
+    cancel();
   }
 
   /** Sends the tokens; true if the answer came to its end. */
   async generate(response: ServerResponse): Promise<boolean> {
     while (this.position < this.options.lastToken) {
-      await this.wait(this.options.tokenDelay);
+      await this.wait(this.options.readTokenDelay());
       await this.stall();
       if (this.cut(response) || this.signal.aborted) break;
       await this.sendToken(response);
@@ -109,13 +107,23 @@
 
   private async stall(): Promise<void> {
     while (!this.signal.aborted && this.sentTokens >= (this.limits.stallAfter ?? Infinity)) {
-      await new Promise<void>((resolve) => {
+      await this.untilStopped((resolve) => {
         this.limitsChanged = resolve;
-        this.signal.addEventListener('abort', () => resolve());
       });
     }
   }
 
+  /** Resolves when `begin` calls back or the stream is stopped, whichever is first. */
+  private async untilStopped(begin: (resolve: () => void) => void): Promise<void> {
+    let stopped: () => void = () => {};
+    await new Promise<void>((resolve) => {
+      stopped = resolve;
+      this.signal.addEventListener('abort', stopped);
+      begin(resolve);
+    });
+    this.signal.removeEventListener('abort', stopped);
+  }
+
   private cut(response: ServerResponse): boolean {
     if (this.sentTokens < (this.limits.cutAfter ?? Infinity)) return false;
     // What was written before still arrives, so the cut is exactly after that many tokens.
@@ -135,7 +143,8 @@
   private sendEnd(response: ServerResponse): void {
     const usage = { prompt_tokens: this.promptTokens, completion_tokens: this.position };
     this.sendChunk(response, [{ index: 0, delta: {}, finish_reason: 'stop' }], usage);
-    response.end('data: [DONE]\n\n');
+    // As many servers do: the body's own end comes in a packet after the last event.
+    response.write('data: [DONE]\n\n', () => response.end());
   }
 
   private sendChunk(response: ServerResponse, choices: object[], usage?: object): boolean {
