--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -21,6 +21,9 @@
 const wholeText = generateText(digestPrompt(body.messages), 0, 12);
 const { signal } = new AbortController();
 
+/** Makes a test fail, and not hang, where a call is swallowed that should not be. */
+const bounded = { timeout: 20_000 };
+
 async function meet(t: TestContext, options: FakeEngineOptions = {}) {
   const engine = await FakeEngine.start({ model: 'appraiser', ...options });
   const adapter = new HttpEngineAdapter(engine);
@@ -153,30 +156,34 @@
   assert.equal((await readAll(await adapter.startCompletion(start))).text, wholeText);
 });
 
-test('a silent connection ends by the caller, a probe over a new one tells that the engine lives', async (t) => {
-  // Something between the two ends loses track of the open connection in the middle of a stream.
-  // The reader sees neither token nor end. The probe answers, because it opens a connection of its
-  // own; so the caller aborts, which drops the old one, and resumes with what it has.
-  const { engine, adapter } = await meet(t);
-  engine.stallStreamsAfter(3);
-  const giveUp = new AbortController();
-  const start = { attemptId: 'a-1', body, priority: 5, signal: giveUp.signal };
-  const reading = readAll(await adapter.startCompletion(start));
-  await engine.waitFor(() => engine.counts.generatedTokens === 3);
-  await adapter.readLoad(signal);
-  engine.goSilent();
-  engine.stallStreamsAfter(undefined);
-  await adapter.probe(signal);
-  giveUp.abort();
-  const begun = await reading;
-  assertFailure(begun.failure, 'silent', 'maybe');
-  adapter.renewConnections();
-  const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
-  const rest = await readAll(
-    await adapter.startCompletion({ attemptId: 'a-2', body, resume, priority: 5, signal }),
-  );
-  assert.equal(begun.text + rest.text, wholeText);
-});
+test(
+  'a silent connection ends by the caller, a probe over a new one tells that the engine lives',
+  bounded,
+  async (t) => {
+    // Something between the two ends loses track of the open connection in the middle of a stream.
+    // The reader sees neither token nor end. The probe answers, because it opens a connection of its
+    // own; so the caller aborts, which drops the old one, and resumes with what it has.
+    const { engine, adapter } = await meet(t);
+    engine.stallStreamsAfter(3);
+    const giveUp = new AbortController();
+    const start = { attemptId: 'a-1', body, priority: 5, signal: giveUp.signal };
+    const reading = readAll(await adapter.startCompletion(start));
+    await engine.waitFor(() => engine.counts.generatedTokens === 3);
+    await adapter.readLoad(signal);
+    engine.goSilent();
+    engine.stallStreamsAfter(undefined);
+    await adapter.probe(signal);
+    giveUp.abort();
+    const begun = await reading;
+    assertFailure(begun.failure, 'silent', 'maybe');
+    adapter.renewConnections();
+    const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
+    const rest = await readAll(
+      await adapter.startCompletion({ attemptId: 'a-2', body, resume, priority: 5, signal }),
+    );
+    assert.equal(begun.text + rest.text, wholeText);
+  },
+);
 
 test('busy, wrong and broken answers are told apart', async (t) => {
   const { engine, adapter } = await meet(t);
--- a/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
@@ -9,6 +9,9 @@
 import { FakePlainService } from '../fakes/FakePlainService.js';
 
 const { signal } = new AbortController();
+
+/** Makes a test fail, and not hang, where a call is swallowed that should not be. */
+const bounded = { timeout: 20_000 };
 const offer: PlainServiceRequest = {
   method: 'POST',
   path: '/offers?shop=3',
@@ -61,22 +64,26 @@
   ]);
 });
 
-test('a fresh call never goes out on a kept connection, which may be dead unseen', async (t) => {
-  // Kept connections go silent while they are idle. A call on one is swallowed, and its caller can
-  // only give up without knowing the outcome. A call that may not be repeated must not get there:
-  // it opens a connection of its own and is answered, while the other still waits.
-  const { service, adapter } = await meet(t);
-  const lookup = { ...offer, method: 'GET', body: undefined, fresh: false };
-  const lookups = await Promise.all([1, 2, 3].map(() => adapter.send(lookup)));
-  for (const answer of lookups) await readText(answer);
-  service.goSilent();
-  const giveUp = new AbortController();
-  const swallowed = adapter.send({ ...lookup, signal: giveUp.signal });
-  assert.equal((await adapter.send(offer)).status, 200);
-  giveUp.abort();
-  await assert.rejects(swallowed, hasFailure('silent', 'maybe'));
-  assert.deepEqual([service.connectionCount, service.runs.length], [4, 4]);
-});
+test(
+  'a fresh call never goes out on a kept connection, which may be dead unseen',
+  bounded,
+  async (t) => {
+    // Kept connections go silent while they are idle. A call on one is swallowed, and its caller can
+    // only give up without knowing the outcome. A call that may not be repeated must not get there:
+    // it opens a connection of its own and is answered, while the other still waits.
+    const { service, adapter } = await meet(t);
+    const lookup = { ...offer, method: 'GET', body: undefined, fresh: false };
+    const lookups = await Promise.all([1, 2, 3].map(() => adapter.send(lookup)));
+    for (const answer of lookups) await readText(answer);
+    service.goSilent();
+    const giveUp = new AbortController();
+    const swallowed = adapter.send({ ...lookup, signal: giveUp.signal });
+    assert.equal((await adapter.send(offer)).status, 200);
+    giveUp.abort();
+    await assert.rejects(swallowed, hasFailure('silent', 'maybe'));
+    assert.deepEqual([service.connectionCount, service.runs.length], [4, 4]);
+  },
+);
 
 test('a fresh call that found no server has provably sent nothing', async (t) => {
   const { service, adapter } = await meet(t);
