--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -6,10 +6,14 @@
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { startAttempt } from '../attempts/startAttempt.js';
+import { beginClaim } from '../claims/beginClaim.js';
 import { refuse } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
 import { findRoute } from '../routing/findRoute.js';
+import { routeIndexOf } from '../routing/routeIndexOf.js';
+import { acquire } from '../limits/releaseEnded.js';
+import { decideAdmission } from './refuseEarly.js';
 
 export function admitRequest(
   state: EntryState,
@@ -19,7 +23,8 @@
   if (state.shuttingDown) {
     return refuse(request, 'draining', 'This instance is shutting down');
   }
-  const found = findRoute(state.configuration.routes.rows, request);
+  const index = routeIndexOf(state);
+  const found = findRoute(index, request);
   if (found.type === 'forbidden') {
     return refuse(request, 'forbidden', `Workspace "${request.workspace}" may not use this route`);
   }
@@ -27,14 +32,14 @@
     return refuse(request, 'routeNotFound', `No route matches ${request.path}`);
   }
   const { route } = found;
-  const pool = state.configuration.pools.rows.find((row) => row.name === route.pool);
+  const pool = index.pool(route.pool);
   if (pool === undefined) {
     return refuse(request, 'noBackendServer', `Pool "${route.pool}" is not there`);
   }
   if (!route.idempotent && request.idempotencyKey === undefined) {
     return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
   }
-  const deadline = deadlineAt(route, wallNow);
+  const deadline = deadlineAt(route, wallNow, index.clock);
   const accepted: RequestState = {
     request,
     route,
@@ -48,7 +53,13 @@
     tokens: 0,
     firstTokenAt: undefined,
   };
+  const admission = decideAdmission(state, accepted, now);
+  if (admission.type === 'refused') {
+    const { kind, detail, retryAfterMilliseconds } = admission.refusal;
+    return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds });
+  }
   state.requests.set(request.requestId, accepted);
+  acquire(state, request.requestId, route.name, request.workspace);
   return [
     { type: 'count', metric: 'requestsAccepted', label: route.name },
     {
@@ -56,6 +67,8 @@
       event: 'requestAccepted',
       fields: { requestId: request.requestId, route: route.name, workspace: request.workspace },
     },
-    ...startAttempt(state, accepted, now),
+    ...(route.idempotent
+      ? startAttempt(state, accepted, now, admission.server)
+      : beginClaim(state, accepted, { now, wallNow })),
   ];
 }
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -13,6 +13,7 @@
   StoreCommand,
   StoredAnswer,
 } from '@hornbeampond/schema';
+import type { ClaimCommand } from './claims/ClaimedCall.js';
 
 /** Where an attempt goes. */
 export interface AttemptTarget {
@@ -28,7 +29,11 @@
       readonly requestId: string;
       readonly attemptId: string;
       readonly target: AttemptTarget;
-      /** Tokens of the answer that are there already; the engine goes on after them. */
+      /**
+       * Tokens of the answer that are there already; the engine goes on after them. It is what
+       * the last edge told. The shell, which holds the text itself, goes on from what it has
+       * relayed by the time it carries this out, after the `cancelAttempt` before it.
+       */
       readonly resumeFromTokens: number;
       /** 0 is served first, 9 last. */
       readonly priority: number;
@@ -46,11 +51,13 @@
       readonly type: 'moveCache';
       readonly requestId: string;
       readonly attemptId: string;
+      /** The attempt that will go on with the moved cache; the target keeps it under this name. */
+      readonly nextAttemptId: string;
       readonly from: AttemptTarget;
       readonly to: AttemptTarget;
     }
-  /** The caller's answer is whole: the shell ends it. */
-  | { readonly type: 'finishAnswer'; readonly requestId: string }
+  /** The caller's answer is whole, as this attempt brought it: the shell ends it. */
+  | { readonly type: 'finishAnswer'; readonly requestId: string; readonly attemptId?: string }
   /** The caller's final answer is a problem document, or an error event in a started stream. */
   | {
       readonly type: 'answerProblem';
@@ -59,10 +66,15 @@
       readonly detail: string;
       readonly retryAfterMilliseconds?: Milliseconds;
       readonly ran?: Ran;
+      /**
+       * Tokens of the answer that the caller has; a resend that names them as its prefix goes on
+       * from there.
+       */
+      readonly tokensGiven?: number;
     }
   | { readonly type: 'replayAnswer'; readonly requestId: string; readonly answer: StoredAnswer }
   /** Proposes a claim command; answered by `claimAnswered` with the same request id. */
-  | { readonly type: 'proposeClaim'; readonly requestId: string; readonly command: StoreCommand }
+  | { readonly type: 'proposeClaim'; readonly requestId: string; readonly command: ClaimCommand }
   /** Proposes a command whose result nobody waits for; the shell resends it until it is taken. */
   | { readonly type: 'proposeCommand'; readonly command: StoreCommand }
   /** Asks a backend server for a sign of life over a new connection. */
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -2,20 +2,44 @@
  * The one reducer of an entry: it hands each event to the part whose concern it is.
  */
 import { assertNever } from '@hornbeampond/schema';
+import { advanceEntry } from './advanceEntry.js';
 import { admitRequest } from './admission/admitRequest.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
-import { listInstances } from './backendServers/listInstances.js';
+import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
+import { receiveLoadReport } from './backendServers/estimateInProgress.js';
+import { listInstances, refreshLimits } from './backendServers/listInstances.js';
+import { observeAttempt } from './backendServers/observeAttempt.js';
+import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
+import { findEndingClaim, followClaims } from './claims/followClaims.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
+import { receiveEntryReport } from './limits/receiveEntryReport.js';
+import { receiveReport } from './membership/receiveReport.js';
+import { takeProbeAnswer } from './quarantine/judgeLoss.js';
+import { receiveQuarantine } from './quarantine/quarantineDigest.js';
+import { finishMove } from './reclaims/moveCache.js';
+import { noticeListed, noticeReclaim } from './reclaims/noticeReclaim.js';
 import { callerGone } from './requests/callerGone.js';
+import { startShutdown } from './shutdown/advanceShutdown.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
+  state.clocks = { now: event.now, wallNow: event.wallNow };
+  const concerned = findConcerned(state, event);
+  const observed = observeAttempt(state, event);
+  const ending = findEndingClaim(state, event);
+  const effects = [...observed, ...reduceConcern(state, event)];
+  effects.push(...reduceAdmission(state, event, concerned));
+  return [...effects, ...followClaims(state, event, ending, effects)];
+}
+
+function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
   switch (event.type) {
     case 'configurationReceived': {
       const { configuration } = event;
       if (configuration.revision <= state.configuration.revision) return [];
       state.configuration = configuration;
+      refreshLimits(state);
       const { revision } = configuration;
       return [
         { type: 'configurationApplied', revision },
@@ -24,20 +48,16 @@
       ];
     }
     case 'instancesListed':
-      listInstances(state, event.instances);
+      listInstances(state, event.instances, event.now);
+      return noticeListed(state, event.instances, event);
+    case 'reclaimNoticed':
+      return noticeReclaim(state, event.instance, event.goneAt, event);
+    case 'loadReported':
+      receiveLoadReport(state, event.report, event.now, event.wallNow);
       return [];
-    case 'reclaimNoticed': {
-      const server = state.backendServers.get(event.instance);
-      if (server !== undefined) server.goneAt ??= event.goneAt;
-      return [];
-    }
-    case 'loadReported': {
-      const server = state.backendServers.get(event.report.instance);
-      if (server === undefined) return [];
-      server.load = event.report;
-      server.loadReceivedAt = event.now;
+    case 'cacheEventsReceived':
+      receiveCacheEvents(state, event.events, event.now);
       return [];
-    }
     case 'requestArrived':
       return admitRequest(state, event.request, event);
     case 'callerGone':
@@ -48,17 +68,20 @@
     case 'attemptFinished':
     case 'attemptFailed':
       return reduceAttempts(state, event);
-    case 'shutdownStarted':
-      state.shuttingDown = true;
-      return state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
-    case 'tick':
-      return state.shuttingDown && state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
-    case 'cacheEventsReceived':
-    case 'probeAnswered':
     case 'cacheMoved':
-    case 'claimAnswered':
+      return finishMove(state, event);
+    case 'probeAnswered':
+      return takeProbeAnswer(state, event.instance, event, event);
     case 'quarantineReceived':
+      return receiveQuarantine(state, event.quarantine, event);
     case 'entryReported':
+      receiveEntryReport(state, event.report, event.now);
+      return receiveReport(state, event.report, event);
+    case 'shutdownStarted':
+      return startShutdown(state, event);
+    case 'tick':
+      return advanceEntry(state, event);
+    case 'claimAnswered':
       return [];
     default:
       return assertNever(event);
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -6,6 +6,8 @@
 import {
   drainReasons,
   fleetRetryReasons,
+  ejectionReasons,
+  cacheMoveOutcomes,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -56,6 +58,18 @@
     help: 'Tokens that engines computed again, by reason',
     label: { name: 'reason', values: recomputeReasons },
   },
+  recomputedTokensByWorkspace: {
+    name: 'hornbeampond_recomputed_tokens_by_workspace_total',
+    kind: 'counter',
+    help: 'Tokens that engines computed again, by workspace',
+    label: { name: 'workspace' },
+  },
+  cacheMoves: {
+    name: 'hornbeampond_cache_moves_total',
+    kind: 'counter',
+    help: 'Moves of KV cache off backend servers on notice, by outcome',
+    label: { name: 'outcome', values: cacheMoveOutcomes },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
@@ -129,6 +143,17 @@
     help: 'Purchases, ends and orders that were sent again, by reason',
     label: { name: 'reason', values: fleetRetryReasons },
   },
+  queuedRequests: {
+    name: 'hornbeampond_queued_requests',
+    kind: 'gauge',
+    help: 'Accepted requests that wait for a backend server',
+  },
+  ejections: {
+    name: 'hornbeampond_ejections_total',
+    kind: 'counter',
+    help: 'Backend servers kept from new work as outliers, by the failure that tipped it',
+    label: { name: 'failure', values: ejectionReasons },
+  },
 } as const satisfies Record<string, MetricDefinition>;
 
 export type MetricName = keyof typeof metricDefinitions;
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -52,3 +52,16 @@
 /** Why an instance was taken out of service by a controller. */
 export const drainReasons = ['scaleIn', 'reload', 'stray'] as const;
 export type DrainReason = (typeof drainReasons)[number];
+
+/** Failures for which a backend server is kept from new work for a while. */
+export const ejectionReasons = [
+  'connectFailed',
+  'serverError',
+  'connectionLost',
+  'silent',
+  'malformed',
+] as const;
+export type EjectionReason = (typeof ejectionReasons)[number];
+/** How a move of a stream's KV cache ended. */
+export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
+export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
