--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -9,6 +9,7 @@
   type CompletionBody,
   type CompletionStream,
 } from '@hornbeampond/adapters';
+import type { Order } from '@hornbeampond/schema';
 import { ManualTimerService } from '../ManualTimerService.js';
 import { FakeEngine, type FakeEngineOptions } from '../fakes/FakeEngine.js';
 import { digestPrompt, generateText } from '../fakes/generateToken.js';
@@ -310,3 +311,19 @@
   );
   assert.equal(newestSequence, 2);
 });
+
+test('an order on its way when the engine dies has no effect', async (t) => {
+  // The controller's order has arrived when the engine dies. The answer is lost, and the restarted
+  // engine is as it was: an order that takes time must not reach into a later life of the engine.
+  const timers = new ManualTimerService();
+  const { engine, adapter } = await meet(t, { timers, orderDelay: 1000 });
+  const order: Order = { epoch: 1, sequence: 1, action: { type: 'changeRole', role: 'decode' } };
+  const lost = adapter.sendOrder(order, signal);
+  const refused = assert.rejects(lost, (error) => assertFailure(error, 'connectionLost', 'maybe'));
+  await engine.waitFor(() => engine.requestCounts.get('POST /engine/orders') === 1);
+  await engine.die();
+  await refused;
+  timers.advance(1000);
+  await engine.restart();
+  assert.deepEqual([engine.role, engine.orders], ['both', []]);
+});
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -10,10 +10,11 @@
   TOKENS_PER_BLOCK,
   type CompletionBody,
 } from '@hornbeampond/adapters';
-import type { LoadReport, Milliseconds, Order, OrderResult } from '@hornbeampond/schema';
+import type { LoadReport, Milliseconds, Order } from '@hornbeampond/schema';
 import { FakeBackendServer, type FakeBackendServerOptions } from './FakeBackendServer.js';
 import { FakeBatch } from './FakeBatch.js';
 import { FakeKvCaches } from './FakeKvCaches.js';
+import { FakeOrderDesk, type EngineRole } from './FakeOrderDesk.js';
 import { FakePrefixCache } from './FakePrefixCache.js';
 import { answerJson, readRequestBody } from './FakeServer.js';
 import { FakeStream, type FakeStreamLimits } from './FakeStream.js';
@@ -50,9 +51,6 @@
   readonly orderDelay?: Milliseconds;
 }
 
-/** Which parts of a completion an engine takes. */
-export type EngineRole = Extract<Order['action'], { type: 'changeRole' }>['role'];
-
 /** What the engine has done since it was made, deaths included. */
 export interface FakeEngineCounts {
   /** Completions that began to run. */
@@ -101,9 +99,6 @@
   /** Runs by prompt digest; `digestPrompt` names a prompt. */
   readonly runsByPrompt = new Map<string, number>();
 
-  /** Orders that were carried out, in that order. */
-  readonly orders: Order[] = [];
-
   readonly prefixCache: FakePrefixCache;
 
   private readonly streams = new Map<string, FakeStream>();
@@ -114,26 +109,23 @@
 
   private limits: FakeStreamLimits = {};
 
-  private loaded: { model?: string; adapter?: string; version?: string };
-
-  private checksFencing: boolean;
-
-  private newestOrder = { epoch: -1, sequence: -1 };
-
-  private ordersFail = false;
+  private readonly orderDesk: FakeOrderDesk;
 
   private unnamedAttempts = 0;
 
-  private currentRole: EngineRole = 'both';
-
   constructor(private readonly options: FakeEngineOptions = {}) {
     super(options, 'engine-1');
     const { cacheBlocks = DEFAULT_CACHE_BLOCKS } = options;
     this.prefixCache = new FakePrefixCache(this.instance, cacheBlocks, this.timers);
     this.kvCaches = new FakeKvCaches(options.cacheBytesPerToken ?? DEFAULT_CACHE_BYTES_PER_TOKEN);
     this.batch = this.makeBatch();
-    this.loaded = { model: options.model };
-    this.checksFencing = options.checksFencing ?? true;
+    this.orderDesk = new FakeOrderDesk({
+      timers: this.timers,
+      model: options.model,
+      checksFencing: options.checksFencing ?? true,
+      orderDelay: options.orderDelay ?? 0,
+      onChange: () => this.changed(),
+    });
   }
 
   static async start(options: FakeEngineOptions = {}): Promise<FakeEngine> {
@@ -151,7 +143,12 @@
   }
 
   get role(): EngineRole {
-    return this.currentRole;
+    return this.orderDesk.role;
+  }
+
+  /** Orders that were carried out, in that order. */
+  get orders(): readonly Order[] {
+    return this.orderDesk.orders;
   }
 
   /** Streams stop for good after this many tokens of their own; `undefined` lets them go on. */
@@ -167,11 +164,11 @@
   }
 
   setChecksFencing(checks: boolean): void {
-    this.checksFencing = checks;
+    this.orderDesk.checksFencing = checks;
   }
 
   setOrdersFail(fail: boolean): void {
-    this.ordersFail = fail;
+    this.orderDesk.ordersFail = fail;
   }
 
   protected override forget(): void {
@@ -181,7 +178,7 @@
     this.kvCaches.clear();
     this.prefixCache.clear();
     this.batch = this.makeBatch();
-    this.newestOrder = { epoch: -1, sequence: -1 };
+    this.orderDesk.forget();
   }
 
   protected override async handle(
@@ -211,7 +208,7 @@
         this.answerCacheEvents(response, Number(url.searchParams.get('after')));
         break;
       case 'POST /engine/orders':
-        await this.answerOrder(response, JSON.parse(body.toString()) as Order);
+        await this.answerOrder(response, JSON.parse(String(body)) as Order);
         break;
       case 'GET /health':
         answerJson(response, 200, {});
@@ -274,7 +271,7 @@
       promptTokens: splitPrompt(body.messages).length,
       firstToken: body.resume?.generated_tokens ?? 0,
       lastToken: body.max_tokens ?? this.options.answerTokens ?? DEFAULT_ANSWER_TOKENS,
-      model: body.model ?? this.loaded.model ?? '',
+      model: body.model ?? this.orderDesk.loaded.model ?? '',
       readTokenDelay: () => this.readTokenDelay(),
       timers: this.timers,
       onToken: () => {
@@ -366,7 +363,7 @@
     } = this.options;
     const tokensPerSecond = tokenDelay > 0 ? (report.running * 1000) / tokenDelay : undefined;
     const firstTokenDelay = (report.queued * answerTokens * tokenDelay) / concurrency;
-    return { ...report, ...this.loaded, tokensPerSecond, firstTokenDelay };
+    return { ...report, ...this.orderDesk.loaded, tokensPerSecond, firstTokenDelay };
   }
 
   private answerCacheEvents(response: ServerResponse, afterSequence: number): void {
@@ -374,33 +371,7 @@
   }
 
   private async answerOrder(response: ServerResponse, order: Order): Promise<void> {
-    const result = this.admitOrder(order);
-    if (result === 'done') {
-      if (this.options.orderDelay) await this.timers.wait(this.options.orderDelay);
-      // An order on its way when the engine dies has no effect.
-      if (response.destroyed) return;
-      this.carryOut(order);
-    }
-    answerJson(response, 200, { result });
-  }
-
-  private admitOrder(order: Order): OrderResult {
-    const { epoch, sequence } = this.newestOrder;
-    const old = order.epoch < epoch || (order.epoch === epoch && order.sequence < sequence);
-    if (old && this.checksFencing) return 'refusedAsOld';
-    if (this.ordersFail) return 'failed';
-    if (!old) this.newestOrder = { epoch: order.epoch, sequence: order.sequence };
-    return 'done';
-  }
-
-  private carryOut(order: Order): void {
-    this.orders.push(order);
-    if (order.action.type === 'load') {
-      const { model, adapter, version } = order.action;
-      this.loaded = { model, adapter, version };
-    } else {
-      this.currentRole = order.action.role;
-    }
-    this.changed();
+    const result = await this.orderDesk.take(order, () => response.destroyed);
+    if (!response.destroyed) answerJson(response, 200, { result });
   }
 }
