--- a/packages/adapters/src/http/readCompletion.test.ts
+++ b/packages/adapters/src/http/readCompletion.test.ts
@@ -3,7 +3,7 @@
 import { BackendServerFailure } from '../BackendServerFailure.js';
 import type { CompletionChunk } from '../EngineAdapter.js';
 import { readCompletion } from './readCompletion.js';
-import { MOST_LINE_CHARACTERS } from './readEventData.js';
+import { MOST_LINE_CHARACTERS } from './EventDataSplitter.js';
 
 function encodeChunk(choice: object, rest: object = {}): string {
   return `data: ${JSON.stringify({ choices: [choice], ...rest })}\n\n`;
@@ -17,7 +17,8 @@
 
 async function readAll(text: string, size = 7): Promise<CompletionChunk[]> {
   const chunks: CompletionChunk[] = [];
-  for await (const chunk of readCompletion(cutInto(text, size))) chunks.push(chunk);
+  const answer = { body: cutInto(text, size), markWhole: () => {} };
+  for await (const chunk of readCompletion(answer)) chunks.push(chunk);
   return chunks;
 }
 
