--- a/apps/dev/src/DevCluster.test.ts
+++ b/apps/dev/src/DevCluster.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { fetch, type Response } from 'undici';
 import { OperatorClient } from '@hornbeampond/ctl-app';
 import { digestPrompt, generateText } from '@hornbeampond/testing';
 import { DevCluster } from './DevCluster.js';
--- a/apps/entry/src/AdapterDirectory.ts
+++ b/apps/entry/src/AdapterDirectory.ts
@@ -42,16 +42,23 @@
     return found.adapter;
   }
 
-  /** Drops the adapters of backend servers that are gone. */
-  async keepOnly(targets: readonly AttemptTarget[]): Promise<void> {
+  /**
+   * Drops the adapters of backend servers that are no longer listed. The list lags and can miss
+   * one for a moment, so streams that still run there are left to end by themselves.
+   */
+  keepOnly(targets: readonly AttemptTarget[]): void {
     const kept = new Set(targets.map((target) => this.keyOf(target)));
-    const gone = [...this.adapters].filter(([key]) => !kept.has(key));
-    gone.forEach(([key]) => this.adapters.delete(key));
-    await Promise.all(gone.map(async ([, { adapter }]) => adapter.close()));
+    [...this.adapters].forEach(([key, { adapter }]) => {
+      if (kept.has(key)) return;
+      this.adapters.delete(key);
+      adapter.renewConnections();
+    });
   }
 
   async close(): Promise<void> {
-    await this.keepOnly([]);
+    const adapters = [...this.adapters.values()];
+    this.adapters.clear();
+    await Promise.all(adapters.map(async ({ adapter }) => adapter.close()));
   }
 
   private keyOf({ instance, kind, host, port }: AttemptTarget): string {
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -65,7 +65,7 @@
       notices.forEach(({ instance, goneAt }) => {
         dispatch({ type: 'reclaimNoticed', instance, goneAt });
       });
-      await adapters.keepOnly(instances.flatMap((instance) => this.targetOf(instance) ?? []));
+      adapters.keepOnly(instances.flatMap((instance) => this.targetOf(instance) ?? []));
     } catch (error) {
       this.reportUnreachable(error);
     }
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -192,15 +192,18 @@
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.ready = false;
     this.logger.write('shutdownStarted', {});
+    let cancelLimit: Unsubscribe = () => {};
     const settled = new Promise<void>((resolve) => {
       this.onShutdownReady = resolve;
+      cancelLimit = this.timers.after(shutdownMilliseconds, resolve);
     });
     const now = this.timers.monotonicNow();
     const left = Math.max(0, shutdownMilliseconds - SHUTDOWN_MARGIN_MILLISECONDS);
     const acceptUntil = now + Math.min(balancerDelayMilliseconds, left);
     this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + left });
     this.timers.after(acceptUntil - now, () => this.callers.stopListening());
-    await Promise.race([settled, this.timers.wait(shutdownMilliseconds)]);
+    await settled;
+    cancelLimit();
     await this.close(SHUTDOWN_MARGIN_MILLISECONDS);
     this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
   }
--- a/apps/entry/src/PlainAnswer.ts
+++ b/apps/entry/src/PlainAnswer.ts
@@ -15,12 +15,12 @@
 }
 
 /** Headers of a backend server's answer that speak of its connection, not of the answer. */
-const droppedHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
+const droppedHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding']);
 
 export class PlainAnswer extends CallerAnswer {
   private status = 200;
 
-  private headers: Record<string, string> = {};
+  private headers: Record<string, string | string[]> = {};
 
   private held: Uint8Array[] = [];
 
@@ -42,7 +42,7 @@
     this.headers = Object.fromEntries(
       Object.entries(headers)
         .filter(([name]) => !droppedHeaders.has(name))
-        .map(([name, value]) => [name, typeof value === 'string' ? value : value.join(', ')]),
+        .map(([name, value]) => [name, typeof value === 'string' ? value : [...value]]),
     );
   }
 
@@ -62,7 +62,13 @@
   /** The whole answer, if it was held. */
   get storedAnswer(): StoredAnswer | undefined {
     if (!this.shape.held) return undefined;
-    return { status: this.status, headers: this.headers, body: Buffer.concat(this.held) };
+    // A stored answer names each header once; only cookies cannot be joined, and are left out.
+    const headers = Object.fromEntries(
+      Object.entries(this.headers)
+        .filter(([name]) => name !== 'set-cookie')
+        .map(([name, value]) => [name, typeof value === 'string' ? value : value.join(', ')]),
+    );
+    return { status: this.status, headers, body: Buffer.concat(this.held) };
   }
 
   override finish(): void {
