--- /dev/null
+++ b/apps/ctl/src/commands/tables.ts
@@ -0,0 +1,160 @@
+/** The verbs on the two tables. */
+import { randomUUID } from 'node:crypto';
+import { stringify } from 'smol-toml';
+import { exitCodes } from '@hornbeampond/runtime';
+import { Command, UsageError, type CommandContext } from '../Command.js';
+import { ProblemError, type EntryStatus } from '../OperatorClient.js';
+import { describeDifference, printDifference } from '../describeDifference.js';
+import { readTableFile, readTableName } from '../readTableFile.js';
+
+/** A change lost the race against another. */
+export const EXIT_RACE_LOST = 3;
+
+/** Not everywhere in force within the time that was given. */
+export const EXIT_NOT_IN_FORCE = 4;
+
+const POLL_MILLISECONDS = 100;
+const DEFAULT_WAIT_SECONDS = 15;
+
+export class TablesGet extends Command {
+  override readonly name = 'tables get';
+
+  override readonly usage = 'routes|pools';
+
+  override readonly purpose = 'prints a table as TOML, as it is in force at the log';
+
+  override readonly example = 'hornbeampondctl tables get routes > routes.toml';
+
+  override async run({ client, words, json, print }: CommandContext): Promise<number> {
+    const table = readTableName(words[0]);
+    const reading = await client.getTable(table);
+    if (json) {
+      print(JSON.stringify(reading));
+      return exitCodes.done;
+    }
+    print(`# ${table} at revision ${reading.revision}`);
+    print(stringify({ [table]: reading.rows }));
+    return exitCodes.done;
+  }
+}
+
+export class TablesDiff extends Command {
+  override readonly name = 'tables diff';
+
+  override readonly usage = 'routes|pools FILE';
+
+  override readonly purpose = 'tells what putting the file would change';
+
+  override readonly example = 'hornbeampondctl tables diff routes routes.toml';
+
+  override async run({ client, words, json, print }: CommandContext): Promise<number> {
+    const table = readTableName(words[0]);
+    const rows = readTableFile(table, words[1]);
+    const reading = await client.getTable(table);
+    const differences = describeDifference(reading.rows, rows);
+    if (json) print(JSON.stringify({ revision: reading.revision, differences }));
+    else if (differences.length === 0) print(`no difference to revision ${reading.revision}`);
+    else differences.forEach((difference) => print(printDifference(difference)));
+    return exitCodes.done;
+  }
+}
+
+export class TablesPut extends Command {
+  override readonly name = 'tables put';
+
+  override readonly usage = 'routes|pools FILE';
+
+  override readonly purpose = 'replaces a table by the file and prints the new revision';
+
+  override readonly example = 'hornbeampondctl tables put routes routes.toml --revision 7';
+
+  override readonly options = {
+    revision: {
+      type: 'string',
+      purpose: 'the revision that the change was made from; without it the newest',
+    },
+    'change-id': { type: 'string', purpose: 'name of the change, to send it again later' },
+  } as const;
+
+  override async run({ client, words, options, json, print }: CommandContext): Promise<number> {
+    const table = readTableName(words[0]);
+    const rows = readTableFile(table, words[1]);
+    const baseRevision =
+      typeof options.revision === 'string'
+        ? Number(options.revision)
+        : (await client.getTable(table)).revision;
+    if (!Number.isInteger(baseRevision)) throw new UsageError(['--revision takes a whole number']);
+    const given = options['change-id'];
+    const changeId = typeof given === 'string' ? given : randomUUID();
+    try {
+      const revision = await client.putTable({ table, baseRevision, changeId, rows });
+      print(json ? JSON.stringify({ table, revision }) : `${table} is at revision ${revision}`);
+      return exitCodes.done;
+    } catch (error) {
+      if (!(error instanceof ProblemError)) throw error;
+      if (error.problem.kind !== 'revisionStale') {
+        print(`change id ${changeId}; send the same file again with --change-id ${changeId}`);
+        throw error;
+      }
+      print(`${table} was changed meanwhile: it is at revision ${error.problem.currentRevision}`);
+      print(`your file was made from revision ${baseRevision}; nothing was changed. To merge:`);
+      print(`  hornbeampondctl tables diff ${table} ${words[1]}`);
+      print(`  then put again with --revision ${error.problem.currentRevision}`);
+      return EXIT_RACE_LOST;
+    }
+  }
+}
+
+function namesBehind(status: EntryStatus, revision: number): string[] {
+  const reports = new Map(
+    status.stores.flatMap((store) => store.instances.map((report) => [report.instance, report])),
+  );
+  return [...reports.values()]
+    .filter((report) => report.role === 'entry' && report.revision < revision)
+    .map((report) => `${report.instance} (${report.dataCentre}) at ${report.revision}`);
+}
+
+export class TablesWait extends Command {
+  override readonly name = 'tables wait';
+
+  override readonly usage = 'REVISION';
+
+  override readonly purpose = 'waits until a revision is in force on every live instance';
+
+  override readonly example = 'hornbeampondctl tables wait 8 --seconds 15';
+
+  override readonly options = {
+    seconds: { type: 'string', purpose: `how long to wait (${DEFAULT_WAIT_SECONDS})` },
+  } as const;
+
+  override async run({ client, words, options, print }: CommandContext): Promise<number> {
+    const revision = Number(words[0]);
+    if (!Number.isInteger(revision)) throw new UsageError(['name a revision']);
+    const seconds = Number(options.seconds ?? DEFAULT_WAIT_SECONDS);
+    if (!(seconds > 0)) throw new UsageError(['--seconds takes a number above 0']);
+    const endsAt = Date.now() + seconds * 1000;
+    for (;;) {
+      const status = await client.getStatus();
+      const behind = namesBehind(status, revision);
+      if (behind.length === 0 && status.configurationRevision >= revision) {
+        print(`revision ${revision} is in force everywhere`);
+        return exitCodes.done;
+      }
+      if (Date.now() > endsAt) {
+        print(`revision ${revision} is not yet in force on:`);
+        behind.forEach((name) => print(`  ${name}`));
+        return EXIT_NOT_IN_FORCE;
+      }
+      await new Promise((resolve) => {
+        setTimeout(resolve, POLL_MILLISECONDS);
+      });
+    }
+  }
+}
+
+export const tableCommands: readonly Command[] = [
+  new TablesGet(),
+  new TablesDiff(),
+  new TablesPut(),
+  new TablesWait(),
+];
--- a/apps/ctl/src/index.ts
+++ b/apps/ctl/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './OperatorClient.js';
+export * from './runCommandLine.js';
--- /dev/null
+++ b/packages/entry-core/src/EntryState.ts
@@ -0,0 +1,92 @@
+/**
+ * All that an entry knows and decides from. The reducer changes it in place; nothing else does.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { emptyConfiguration, type Configuration } from '@hornbeampond/schema';
+import { makeAdmissionState, type AdmissionState } from './admission/AdmissionState.js';
+import type { AttemptState } from './attempts/AttemptState.js';
+import { makeRetryState, type RetryState } from './attempts/RetryState.js';
+import type { BackendServerState } from './backendServers/BackendServerState.js';
+import type { PoolBalance } from './backendServers/PoolBalance.js';
+import type { CallClaim } from './claims/CallClaim.js';
+import type { Timed } from './entryEvents.js';
+import { makeLimitState, type LimitState } from './limits/LimitState.js';
+import { RouteIndex } from './routing/RouteIndex.js';
+import { makeMembershipState, type MembershipState } from './membership/MembershipState.js';
+import { makeQuarantineState, type QuarantineState } from './quarantine/QuarantineState.js';
+import { makeReclaimState, type ReclaimState } from './reclaims/ReclaimState.js';
+import type { RequestState } from './requests/RequestState.js';
+import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
+
+/** What an entry is told at start. */
+export interface EntryIdentity {
+  readonly instance: string;
+  readonly dataCentre: string;
+  /** Wall clock at process start, in epoch milliseconds. */
+  readonly incarnation: number;
+  /** Most requests that may wait for a backend server. */
+  readonly queuedRequests: number;
+}
+
+export interface EntryState {
+  readonly identity: EntryIdentity;
+  configuration: Configuration;
+  /** By instance. */
+  readonly backendServers: Map<string, BackendServerState>;
+  /** Requests without a final answer, by request id. */
+  readonly requests: Map<string, RequestState>;
+  /** Attempts without an end, by attempt id. */
+  readonly attempts: Map<string, AttemptState>;
+  /** Claimed calls whose end is not in the log yet, by request id. */
+  readonly claims: Map<string, CallClaim>;
+  readonly retries: RetryState;
+  readonly quarantine: QuarantineState;
+  readonly reclaims: ReclaimState;
+  readonly membership: MembershipState;
+  readonly shutdown: ShutdownState;
+  /** True once no new request is accepted; see `shutdown`. */
+  shuttingDown: boolean;
+  /** The clocks at the event that is being handled. */
+  clocks: Timed;
+  /** Advances with each draw; two entries that start together draw differently. */
+  readonly random: RandomGenerator;
+  routeIndex: RouteIndex;
+  /** By pool. */
+  readonly poolBalances: Map<string, PoolBalance>;
+  readonly admission: AdmissionState;
+  readonly limits: LimitState;
+}
+
+const SEED_FACTOR = 31;
+
+function seedOf({ instance, incarnation }: EntryIdentity): number {
+  let seed = Math.trunc(incarnation);
+  for (const character of instance) {
+    seed = Math.imul(seed, SEED_FACTOR) + (character.codePointAt(0) ?? 0);
+  }
+  return seed;
+}
+
+export function makeEntryState(identity: EntryIdentity): EntryState {
+  return {
+    identity,
+    configuration: emptyConfiguration,
+    backendServers: new Map(),
+    requests: new Map(),
+    attempts: new Map(),
+    claims: new Map(),
+    retries: makeRetryState(`${identity.instance}/${identity.incarnation}`),
+    quarantine: makeQuarantineState(),
+    reclaims: makeReclaimState(),
+    membership: makeMembershipState(),
+    shutdown: makeShutdownState(),
+    shuttingDown: false,
+    clocks: { now: 0, wallNow: 0 },
+    random: xoroshiro128plus(seedOf(identity)),
+    routeIndex: new RouteIndex(emptyConfiguration),
+    poolBalances: new Map(),
+    admission: makeAdmissionState(),
+    limits: makeLimitState(),
+  };
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -0,0 +1,100 @@
+/**
+ * Starts an attempt of a request at a given backend server.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { reportSoon } from '../membership/reportToEntries.js';
+import { attemptIdOf } from './AttemptState.js';
+import { isSuspect } from '../quarantine/suspects.js';
+import { prefillDuration } from '../reclaims/costs.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { earnRetries } from './retryBudget.js';
+
+/** A stream that pauses for so long is taken for lost. */
+const SILENCE_TIMEOUT_MILLISECONDS = 5000;
+
+/** Least wait for a first byte. */
+const LEAST_FIRST_BYTE_MILLISECONDS = 1000;
+
+/** Share of the time to the first token's deadline that one attempt may stay silent. */
+const FIRST_BYTE_SHARE = 0.6;
+
+/** An engine may be this many times slower at a prompt than the stated rate before it is given up. */
+const PREFILL_PATIENCE = 3;
+
+/**
+ * How long to wait for the first byte. A call that may not be repeated gains nothing from an early
+ * end; any other keeps time for a second attempt before its first token is due. In any case the
+ * engine gets the time to compute the prompt, and on a resume the tokens generated so far.
+ */
+function firstByteTimeout(accepted: RequestState, now: MonotonicMilliseconds): Milliseconds {
+  const wholeAnswer = Math.max(1, accepted.wholeAnswerDueAt - now);
+  if (!accepted.route.idempotent) return wholeAnswer;
+  const share = (accepted.firstTokenDueAt - now) * FIRST_BYTE_SHARE;
+  const least = LEAST_FIRST_BYTE_MILLISECONDS + prefillDuration(accepted) * PREFILL_PATIENCE;
+  return Math.min(wholeAnswer, Math.max(least, share));
+}
+
+/** Counts what the engine has to compute again for this attempt. */
+function countRecomputed(accepted: RequestState): EntryEffect[] {
+  const { recompute } = accepted;
+  accepted.recompute = undefined;
+  if (recompute === undefined || recompute.tokens === 0) return [];
+  const { workspace } = accepted.request;
+  const { reason, tokens } = recompute;
+  return [
+    { type: 'count', metric: 'recomputedTokens', label: reason, amount: tokens },
+    { type: 'count', metric: 'recomputedTokensByWorkspace', label: workspace, amount: tokens },
+  ];
+}
+
+export function launchAttempt(
+  state: EntryState,
+  accepted: RequestState,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
+  const { requestId } = accepted.request;
+  const { instance, host, port } = server.listed;
+  if (accepted.attemptsStarted === 0) earnRetries(state.retries, accepted.route.name, instance);
+  accepted.attemptsStarted += 1;
+  const attemptId = attemptIdOf(requestId, accepted.attemptsStarted);
+  const resumeFromTokens = state.retries.policy.resume ? accepted.tokens : 0;
+  accepted.attemptId = attemptId;
+  // Peers must know where a suspect runs before they place their own.
+  if (isSuspect(state, accepted.request.digest)) reportSoon(state);
+  // Kept in the order of trying, so that the last one tried is known.
+  accepted.triedInstances.delete(instance);
+  accepted.triedInstances.add(instance);
+  state.retries.waiting.delete(requestId);
+  server.attemptIds.add(attemptId);
+  state.attempts.set(attemptId, {
+    attemptId,
+    requestId,
+    instance,
+    startedAt: now,
+    resumedFromTokens: resumeFromTokens,
+    sent: false,
+    firstTokenAt: undefined,
+    tokens: resumeFromTokens,
+    tokensAt: undefined,
+    givenUp: false,
+  });
+  return [
+    ...countRecomputed(accepted),
+    {
+      type: 'startAttempt',
+      requestId,
+      attemptId,
+      target: { instance, host, port, kind: accepted.pool.kind },
+      resumeFromTokens,
+      priority: accepted.route.priority,
+      sendOnce: !accepted.route.idempotent,
+      firstByteTimeout: firstByteTimeout(accepted, now),
+      silenceTimeout: SILENCE_TIMEOUT_MILLISECONDS,
+    },
+    { type: 'log', event: 'attemptStarted', fields: { requestId, attemptId, instance } },
+  ];
+}
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './EntryState.js';
+export * from './claims/index.js';
+export * from './configuration/index.js';
+export * from './entryEffects.js';
+export * from './entryEvents.js';
+export * from './reduceEntry.js';
+export * from './routing/RouteIndex.js';
+export * from './routing/deadlineAt.js';
+export * from './routing/findRoute.js';
+export { fullRecoveryPolicy, type RecoveryPolicy } from './attempts/RetryState.js';
+export { livePeers } from './membership/livePeers.js';
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -4,6 +4,10 @@
  */
 import { errorKinds } from './errors/errorKinds.js';
 import {
+  drainReasons,
+  fleetRetryReasons,
+  ejectionReasons,
+  cacheMoveOutcomes,
   lateAnswerReasons,
   recomputeReasons,
   retryReasons,
@@ -54,6 +58,18 @@
     help: 'Tokens that engines computed again, by reason',
     label: { name: 'reason', values: recomputeReasons },
   },
+  recomputedTokensByWorkspace: {
+    name: 'hornbeampond_recomputed_tokens_by_workspace_total',
+    kind: 'counter',
+    help: 'Tokens that engines computed again, by workspace',
+    label: { name: 'workspace' },
+  },
+  cacheMoves: {
+    name: 'hornbeampond_cache_moves_total',
+    kind: 'counter',
+    help: 'Moves of KV cache off backend servers on notice, by outcome',
+    label: { name: 'outcome', values: cacheMoveOutcomes },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
@@ -89,6 +105,55 @@
     help: 'Bytes of frames between the processes of the system, by direction',
     label: { name: 'direction', values: ['in', 'out'] },
   },
+  startsAsked: {
+    name: 'hornbeampond_starts_asked_total',
+    kind: 'counter',
+    help: 'Purchases of instances that were begun',
+  },
+  instancesBought: {
+    name: 'hornbeampond_instances_bought_total',
+    kind: 'counter',
+    help: 'Instances that were bought',
+  },
+  startsRefused: {
+    name: 'hornbeampond_starts_refused_total',
+    kind: 'counter',
+    help: 'Starts that the platform refused, by instance class',
+    label: { name: 'instance_class' },
+  },
+  instancesReclaimed: {
+    name: 'hornbeampond_instances_reclaimed_total',
+    kind: 'counter',
+    help: 'Instances in use that came under a reclaim notice',
+  },
+  instancesDrained: {
+    name: 'hornbeampond_instances_drained_total',
+    kind: 'counter',
+    help: 'Instances taken out of service by plan, by reason',
+    label: { name: 'reason', values: drainReasons },
+  },
+  ordersSent: {
+    name: 'hornbeampond_orders_sent_total',
+    kind: 'counter',
+    help: 'Orders sent to backend servers',
+  },
+  fleetRetries: {
+    name: 'hornbeampond_fleet_retries_total',
+    kind: 'counter',
+    help: 'Purchases, ends and orders that were sent again, by reason',
+    label: { name: 'reason', values: fleetRetryReasons },
+  },
+  queuedRequests: {
+    name: 'hornbeampond_queued_requests',
+    kind: 'gauge',
+    help: 'Accepted requests that wait for a backend server',
+  },
+  ejections: {
+    name: 'hornbeampond_ejections_total',
+    kind: 'counter',
+    help: 'Backend servers kept from new work as outliers, by the failure that tipped it',
+    label: { name: 'failure', values: ejectionReasons },
+  },
 } as const satisfies Record<string, MetricDefinition>;
 
 export type MetricName = keyof typeof metricDefinitions;
