--- a/packages/store-core/src/index.ts
+++ b/packages/store-core/src/index.ts
@@ -1,2 +1,3 @@
 export * from './consensus/index.js';
+export * from './log/index.js';
 export * from './machine/index.js';
--- /dev/null
+++ b/packages/store-core/src/log/FileSystem.ts
@@ -0,0 +1,116 @@
+/**
+ * The few file operations that the log needs. Tests put faults in here, such as a full disk or a
+ * crash that loses what was not synced.
+ */
+import { link, mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
+
+/** A file that is open for writing. */
+export abstract class OpenFile {
+  /** Writes all of `data` at `position`. */
+  abstract write(data: Uint8Array, position: number): Promise<void>;
+  /** Returns when the data, and the size needed to read it, are on disk. */
+  abstract sync(): Promise<void>;
+  abstract truncate(length: number): Promise<void>;
+  abstract close(): Promise<void>;
+}
+
+export abstract class FileSystem {
+  /** Opens a file for writing; it is made if it is missing. */
+  abstract open(path: string): Promise<OpenFile>;
+  abstract read(path: string): Promise<Uint8Array | undefined>;
+  abstract list(folder: string): Promise<readonly string[]>;
+  abstract makeFolder(folder: string): Promise<void>;
+  abstract rename(from: string, to: string): Promise<void>;
+  /** Gives a file a second name; returns false if that name is taken. */
+  abstract link(from: string, to: string): Promise<boolean>;
+  abstract remove(path: string): Promise<void>;
+  /** Makes names that were added to or taken from a folder last. */
+  abstract syncFolder(folder: string): Promise<void>;
+}
+
+function codeOf(error: unknown): string | undefined {
+  return error instanceof Error && 'code' in error ? String(error.code) : undefined;
+}
+
+class NodeFile extends OpenFile {
+  constructor(private readonly handle: Awaited<ReturnType<typeof open>>) {
+    super();
+  }
+
+  override async write(data: Uint8Array, position: number): Promise<void> {
+    let done = 0;
+    while (done < data.length) {
+      const left = data.length - done;
+      const { bytesWritten } = await this.handle.write(data, done, left, position + done);
+      done += bytesWritten;
+    }
+  }
+
+  override async sync(): Promise<void> {
+    await this.handle.datasync();
+  }
+
+  override async truncate(length: number): Promise<void> {
+    await this.handle.truncate(length);
+  }
+
+  override async close(): Promise<void> {
+    await this.handle.close();
+  }
+}
+
+/** The file system of the instance. */
+export class NodeFileSystem extends FileSystem {
+  override async open(path: string): Promise<OpenFile> {
+    try {
+      return new NodeFile(await open(path, 'r+'));
+    } catch (error) {
+      if (codeOf(error) !== 'ENOENT') throw error;
+      return new NodeFile(await open(path, 'w+'));
+    }
+  }
+
+  override async read(path: string): Promise<Uint8Array | undefined> {
+    try {
+      return await readFile(path);
+    } catch (error) {
+      if (codeOf(error) === 'ENOENT') return undefined;
+      throw error;
+    }
+  }
+
+  override async list(folder: string): Promise<readonly string[]> {
+    return readdir(folder);
+  }
+
+  override async makeFolder(folder: string): Promise<void> {
+    await mkdir(folder, { recursive: true });
+  }
+
+  override async rename(from: string, to: string): Promise<void> {
+    await rename(from, to);
+  }
+
+  override async link(from: string, to: string): Promise<boolean> {
+    try {
+      await link(from, to);
+      return true;
+    } catch (error) {
+      if (codeOf(error) === 'EEXIST') return false;
+      throw error;
+    }
+  }
+
+  override async remove(path: string): Promise<void> {
+    await rm(path, { force: true });
+  }
+
+  override async syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/store-core/src/log/FolderLock.ts
@@ -0,0 +1,105 @@
+/**
+ * Keeps two processes off one data folder. Each lock is a file of its own number that names its
+ * process; a process may only go on if no other lock belongs to a living one. Numbers are never
+ * taken over: a stale lock is passed over first and removed later, so that two processes that both
+ * find it stale can't remove each other's new lock.
+ */
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { FileSystem } from './FileSystem.js';
+import { decodeFrame, encodeFrame } from './frames.js';
+import { folderLocked } from './logErrors.js';
+
+interface Owner {
+  readonly pid: number;
+  /** When the process started, as the kernel counts; a reused pid has another. */
+  readonly startedAt: string;
+  readonly boot: string;
+}
+
+const LOCK_NAME = /^lock-(\d+)$/;
+const BOOT_FILE = '/proc/sys/kernel/random/boot_id';
+/** Position of the start time behind the process name in the kernel's status line. */
+const START_FIELD = 19;
+
+function readText(path: string): string {
+  try {
+    return readFileSync(path, 'utf8').trim();
+  } catch {
+    return '';
+  }
+}
+
+function startOf(pid: number): string {
+  const status = readText(`/proc/${pid}/stat`);
+  const fields = status.slice(status.lastIndexOf(')') + 2).split(' ');
+  return fields[START_FIELD] ?? '';
+}
+
+function isAlive({ pid, startedAt, boot }: Owner): boolean {
+  if (boot !== readText(BOOT_FILE)) return false;
+  try {
+    process.kill(pid, 0);
+  } catch (error) {
+    // Not ours to signal, but there.
+    return error instanceof Error && 'code' in error && error.code === 'EPERM';
+  }
+  return startedAt === startOf(pid);
+}
+
+interface FoundLock {
+  readonly name: string;
+  readonly number: number;
+  readonly owner: Owner;
+}
+
+async function findLocks(fileSystem: FileSystem, folder: string): Promise<FoundLock[]> {
+  const found: FoundLock[] = [];
+  for (const name of await fileSystem.list(folder)) {
+    const number = LOCK_NAME.exec(name)?.[1];
+    const content = number && (await fileSystem.read(join(folder, name)));
+    const frame = content ? decodeFrame(content, 0) : undefined;
+    // Locks appear whole, by a link; one that can't be read was cut off with its machine.
+    if (frame !== undefined) {
+      found.push({ name, number: Number(number), owner: frame.value as Owner });
+    }
+  }
+  return found;
+}
+
+export class FolderLock {
+  private constructor(
+    private readonly fileSystem: FileSystem,
+    private readonly path: string,
+  ) {}
+
+  /** Takes the lock, or throws if a living process has it. */
+  static async take(fileSystem: FileSystem, folder: string): Promise<FolderLock> {
+    const before = await findLocks(fileSystem, folder);
+    const holder = before.find((lock) => isAlive(lock.owner));
+    if (holder !== undefined) throw folderLocked(folder, holder.owner.pid);
+    const number = Math.max(0, ...before.map((lock) => lock.number)) + 1;
+    const name = `lock-${number}`;
+    const path = join(folder, name);
+    const { pid } = process;
+    const owner: Owner = { pid, startedAt: startOf(pid), boot: readText(BOOT_FILE) };
+    const temporary = join(folder, `taking-${pid}-${number}`);
+    const file = await fileSystem.open(temporary);
+    await file.write(encodeFrame(owner), 0);
+    await file.close();
+    const taken = await fileSystem.link(temporary, path);
+    await fileSystem.remove(temporary);
+    const others = (await findLocks(fileSystem, folder)).filter((lock) => lock.name !== name);
+    const rival = others.find((lock) => isAlive(lock.owner));
+    if (!taken || rival !== undefined) {
+      if (taken) await fileSystem.remove(path);
+      throw folderLocked(folder, rival?.owner.pid ?? 0);
+    }
+    for (const stale of others) await fileSystem.remove(join(folder, stale.name));
+    return new FolderLock(fileSystem, path);
+  }
+
+  async release(): Promise<void> {
+    await this.fileSystem.remove(this.path);
+  }
+}
--- /dev/null
+++ b/packages/store-core/src/log/LogStore.ts
@@ -0,0 +1,357 @@
+/**
+ * The log of one voter on its disk: segments of checksummed frames, a file for term and vote, and
+ * the newest snapshot. Nothing counts before it is synced, one sync covers a whole batch, and what
+ * can't be read back stops the store instead of being guessed.
+ *
+ * All files but `identity` carry the disk's identity in their names. A folder gets a new identity
+ * by replacing that one file; files of another identity are never read again.
+ */
+import { randomUUID } from 'node:crypto';
+import { join } from 'node:path';
+import type { HornbeampondError } from '@hornbeampond/schema';
+import type { RestoredState } from '../consensus/ConsensusState.js';
+import type { PersistEffect } from '../consensus/consensusEvents.js';
+import type { SnapshotHeader } from '../consensus/consensusTypes.js';
+import { NodeFileSystem, type FileSystem, type OpenFile } from './FileSystem.js';
+import { FolderLock } from './FolderLock.js';
+import { encodeFrame } from './frames.js';
+import { damagedLog, readOnlyLog } from './logErrors.js';
+import { readWholeFile, replaceFile } from './replaceFile.js';
+import {
+  entriesBehind,
+  highestIndexOf,
+  replaySegments,
+  type LogOperation,
+  type ReplayedSegment,
+} from './replaySegments.js';
+
+/** Something that the operator should read about; the shell logs it. */
+export type LogNotice =
+  | { readonly type: 'opened'; readonly entries: number; readonly snapshotIndex: number }
+  | {
+      readonly type: 'tornTailCut';
+      readonly file: string;
+      readonly offset: number;
+      readonly bytes: number;
+    }
+  | { readonly type: 'diskFull'; readonly reason: string };
+
+export interface LogStoreOptions {
+  /** The data folder; it holds nothing else. */
+  readonly folder: string;
+  readonly cluster: string;
+  readonly instance: string;
+  readonly onNotice: (notice: LogNotice) => void;
+  readonly fileSystem?: FileSystem;
+  /** A segment that has grown past this is closed, and the next one is begun. */
+  readonly segmentBytes?: number;
+}
+
+export interface SavedSnapshot {
+  readonly header: SnapshotHeader;
+  readonly data: Uint8Array;
+}
+
+interface Identity {
+  readonly cluster: string;
+  readonly identity: string;
+}
+
+/** Term and vote, and which segments there must be, so that a missing one is noticed. */
+interface DiskState {
+  readonly runs: number;
+  readonly term: number;
+  readonly votedFor?: string;
+  readonly firstSegment: number;
+  readonly lastSegment: number;
+}
+
+const IDENTITY_FILE = 'identity';
+const DEFAULT_SEGMENT_BYTES = 16 * 1024 * 1024;
+const SEGMENT_DIGITS = 8;
+
+const EMPTY_STATE: DiskState = { runs: 0, term: 0, firstSegment: 1, lastSegment: 0 };
+
+async function readIdentity(
+  fileSystem: FileSystem,
+  { folder, cluster }: LogStoreOptions,
+): Promise<string> {
+  const found = (await readWholeFile(fileSystem, folder, IDENTITY_FILE)) as Identity | undefined;
+  if (found !== undefined) {
+    if (found.cluster === cluster) return found.identity;
+    throw damagedLog(IDENTITY_FILE, 0, `it is of the cluster ${found.cluster}`);
+  }
+  // A new identity beside old files would hide that this disk has made promises.
+  const names = await fileSystem.list(folder);
+  const old = names.find((name) => /^(state|snapshot|log)-/.test(name));
+  if (old !== undefined) throw damagedLog(IDENTITY_FILE, 0, `it is missing beside ${old}`);
+  const identity = randomUUID();
+  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, identity });
+  return identity;
+}
+
+/**
+ * Gives a folder a new identity, after its disk was refused as older than its promises. Its files
+ * are left for inspection and are not read again. The folder must not be open.
+ */
+export async function renewIdentity(options: LogStoreOptions): Promise<void> {
+  const fileSystem = options.fileSystem ?? new NodeFileSystem();
+  const { folder, cluster } = options;
+  const lock = await FolderLock.take(fileSystem, folder);
+  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, identity: randomUUID() });
+  await lock.release();
+}
+
+export class LogStore {
+  private readonly fileSystem: FileSystem;
+
+  private readonly folder: string;
+
+  private readonly segmentBytes: number;
+
+  private readonly runToken = randomUUID();
+
+  private lock!: FolderLock;
+
+  private identity = '';
+
+  private state = EMPTY_STATE;
+
+  private segments: { name: string; number: number; length: number; highestIndex: number }[] = [];
+
+  private file: OpenFile | undefined;
+
+  private snapshot: SnapshotHeader | undefined;
+
+  private restoredState!: RestoredState;
+
+  private failure: HornbeampondError | undefined;
+
+  private constructor(private readonly options: LogStoreOptions) {
+    this.fileSystem = options.fileSystem ?? new NodeFileSystem();
+    this.folder = options.folder;
+    this.segmentBytes = options.segmentBytes ?? DEFAULT_SEGMENT_BYTES;
+  }
+
+  /** Locks the folder and reads all of it. */
+  static async open(options: LogStoreOptions): Promise<LogStore> {
+    const store = new LogStore(options);
+    await store.fileSystem.makeFolder(store.folder);
+    store.lock = await FolderLock.take(store.fileSystem, store.folder);
+    try {
+      await store.load();
+    } catch (error) {
+      await store.close();
+      throw error;
+    }
+    return store;
+  }
+
+  /** What a voter begins with; its run is already counted on disk. */
+  get restored(): RestoredState {
+    return this.restoredState;
+  }
+
+  get readOnly(): boolean {
+    return this.failure !== undefined;
+  }
+
+  /**
+   * Writes batches in their order with one sync for all their entries. When it returns, all of it
+   * is on disk. If it throws, the log takes no more and none of it may be acknowledged.
+   */
+  async write(batches: readonly PersistEffect[]): Promise<void> {
+    await this.guarded(async () => {
+      // Term and vote go first: an entry must not be there without the term it came in.
+      const vote = batches.findLast((batch) => batch.vote !== undefined)?.vote;
+      if (vote !== undefined)
+        await this.saveState({ ...this.state, ...vote, votedFor: vote.votedFor });
+      const operations: LogOperation[] = [];
+      for (const { snapshot, truncateFrom, entries } of batches) {
+        if (snapshot !== undefined) {
+          await this.appendFrame(operations.splice(0));
+          await this.storeSnapshot(snapshot);
+          operations.push({ reset: true, entries: [] });
+        }
+        if (truncateFrom !== undefined || entries.length > 0) {
+          operations.push({ truncateFrom, entries });
+        }
+      }
+      await this.appendFrame(operations);
+    });
+  }
+
+  /** Saves a snapshot of the state machine. */
+  async saveSnapshot(header: SnapshotHeader, data: Uint8Array): Promise<void> {
+    await this.guarded(() => this.storeSnapshot({ header, data }));
+  }
+
+  async readSnapshot(): Promise<SavedSnapshot | undefined> {
+    const name = this.nameOf('snapshot');
+    return (await readWholeFile(this.fileSystem, this.folder, name)) as SavedSnapshot | undefined;
+  }
+
+  /** Removes the segments that hold nothing above `index`. */
+  async discardThrough(index: number): Promise<void> {
+    const through = Math.min(index, this.snapshot?.index ?? 0);
+    const keepFrom = this.segments.findIndex(
+      (segment, position) =>
+        segment.highestIndex > through || position === this.segments.length - 1,
+    );
+    const [first] = this.segments.slice(Math.max(0, keepFrom));
+    if (first === undefined || keepFrom <= 0) return;
+    await this.guarded(async () => {
+      await this.saveState({ ...this.state, firstSegment: first.number });
+      for (const gone of this.segments.splice(0, keepFrom)) {
+        await this.fileSystem.remove(join(this.folder, gone.name));
+      }
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.file?.close();
+    this.file = undefined;
+    await this.lock.release();
+  }
+
+  private nameOf(kind: 'state' | 'snapshot'): string {
+    return `${kind}-${this.identity}`;
+  }
+
+  private segmentName(number: number): string {
+    return `log-${this.identity}-${String(number).padStart(SEGMENT_DIGITS, '0')}`;
+  }
+
+  private async load(): Promise<void> {
+    this.identity = await readIdentity(this.fileSystem, this.options);
+    const state = await readWholeFile(this.fileSystem, this.folder, this.nameOf('state'));
+    if (state === undefined) await this.mustBeNew();
+    else this.state = state as DiskState;
+    const saved = await this.readSnapshot();
+    this.snapshot = saved?.header;
+    const replayed = await this.readSegments();
+    const [last] = this.segments.slice(-1);
+    const entries = entriesBehind(this.snapshot, replayed.entries, last?.name ?? '');
+    if (replayed.entries.length > 0 && entries.length === 0) {
+      const lastIndex = replayed.entries.at(-1)?.index ?? 0;
+      // The snapshot stands for all of the log, or replaces it; what comes next follows it.
+      if (lastIndex !== this.snapshot?.index) {
+        await this.appendFrame([{ reset: true, entries: [] }]);
+      }
+    }
+    // Counted before the first message leaves, so that peers can tell this run from earlier ones.
+    await this.saveState({ ...this.state, runs: this.state.runs + 1 });
+    const { term, votedFor, runs } = this.state;
+    const run = { count: runs, token: this.runToken };
+    const self = { instance: this.options.instance, identity: this.identity, run };
+    this.restoredState = { self, term, votedFor, snapshot: this.snapshot, entries };
+    this.options.onNotice({
+      type: 'opened',
+      entries: entries.length,
+      snapshotIndex: this.snapshot?.index ?? 0,
+    });
+  }
+
+  private async mustBeNew(): Promise<void> {
+    const names = await this.fileSystem.list(this.folder);
+    const old = names.find((name) => /^(snapshot|log)-/.test(name) && name.includes(this.identity));
+    if (old === undefined) return;
+    throw damagedLog(this.nameOf('state'), 0, `it is missing beside ${old}`);
+  }
+
+  private async readSegments(): Promise<{ entries: RestoredState['entries'] }> {
+    const { firstSegment, lastSegment } = this.state;
+    const contents: { name: string; content: Uint8Array }[] = [];
+    for (let number = firstSegment; number <= lastSegment; number += 1) {
+      const name = this.segmentName(number);
+      const content = await this.fileSystem.read(join(this.folder, name));
+      if (content === undefined) throw damagedLog(name, 0, 'the file is missing');
+      contents.push({ name, content });
+    }
+    const replay = replaySegments(contents);
+    this.segments = replay.segments.map((segment: ReplayedSegment, position) => ({
+      ...segment,
+      number: firstSegment + position,
+    }));
+    const last = this.segments.at(-1);
+    if (last !== undefined) await this.cutTail(last, contents.at(-1)?.content.length ?? 0);
+    return replay;
+  }
+
+  /** Cuts off what an unfinished write has left, and keeps the last segment open. */
+  private async cutTail(last: { name: string; length: number }, fileLength: number): Promise<void> {
+    this.file = await this.fileSystem.open(join(this.folder, last.name));
+    if (fileLength === last.length) return;
+    await this.file.truncate(last.length);
+    await this.file.sync();
+    this.options.onNotice({
+      type: 'tornTailCut',
+      file: last.name,
+      offset: last.length,
+      bytes: fileLength - last.length,
+    });
+  }
+
+  private async saveState(state: DiskState): Promise<void> {
+    await replaceFile(this.fileSystem, this.folder, this.nameOf('state'), state);
+    this.state = state;
+  }
+
+  private async storeSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    await replaceFile(this.fileSystem, this.folder, this.nameOf('snapshot'), snapshot);
+    this.snapshot = snapshot.header;
+  }
+
+  /** Begins a segment. It is named in the state before anything in it is acknowledged. */
+  private async beginSegment(): Promise<void> {
+    const number = this.state.lastSegment + 1;
+    const name = this.segmentName(number);
+    const path = join(this.folder, name);
+    await this.file?.close();
+    this.file = undefined;
+    // A file of this name was begun by a run that crashed before naming it.
+    await this.fileSystem.remove(path);
+    this.file = await this.fileSystem.open(path);
+    await this.fileSystem.syncFolder(this.folder);
+    await this.saveState({ ...this.state, lastSegment: number });
+    this.segments.push({ name, number, length: 0, highestIndex: 0 });
+  }
+
+  private async appendFrame(operations: readonly LogOperation[]): Promise<void> {
+    if (operations.length === 0) return;
+    const current = this.segments.at(-1);
+    if (current === undefined || current.length >= this.segmentBytes) await this.beginSegment();
+    const segment = this.segments.at(-1);
+    if (segment === undefined || this.file === undefined) throw new Error('No segment is open');
+    const frame = encodeFrame(operations);
+    await this.file.write(frame, segment.length);
+    await this.file.sync();
+    segment.length += frame.length;
+    segment.highestIndex = Math.max(segment.highestIndex, highestIndexOf(operations));
+  }
+
+  /**
+   * Runs a write. After any failure the log takes no more: a sync that has failed once may report
+   * success later for data that is gone.
+   */
+  private async guarded(write: () => Promise<void>): Promise<void> {
+    if (this.failure !== undefined) throw this.failure;
+    try {
+      await write();
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.failure = readOnlyLog(reason, error);
+      await this.dropUnfinished();
+      this.options.onNotice({ type: 'diskFull', reason });
+      throw this.failure;
+    }
+  }
+
+  private async dropUnfinished(): Promise<void> {
+    try {
+      await this.file?.truncate(this.segments.at(-1)?.length ?? 0);
+    } catch {
+      // The next start cuts it off.
+    }
+  }
+}
--- /dev/null
+++ b/packages/store-core/src/log/frames.ts
@@ -0,0 +1,60 @@
+/**
+ * Checksummed frames, the unit of everything on disk. One frame holds one batch and is synced
+ * before the next is written, so only the last frame of a log can be unfinished. A bad frame with
+ * a good one behind it was good once: it is damage, not an unfinished write.
+ */
+import { Encoder } from 'cbor-x';
+import xxhash from 'xxhash-wasm';
+
+const MAGIC = 0x48504631;
+const LENGTH_OFFSET = 4;
+const CHECKSUM_OFFSET = 8;
+const HEADER_BYTES = 16;
+
+const codec = new Encoder({ useRecords: false });
+const { h64Raw } = await xxhash();
+
+/** The length goes into the checksum, so that a damaged length can't pass for a shorter frame. */
+function checksumOf(payload: Uint8Array): bigint {
+  return h64Raw(payload, BigInt(payload.length));
+}
+
+export function encodeFrame(value: unknown): Uint8Array {
+  const payload = codec.encode(value);
+  const frame = Buffer.alloc(HEADER_BYTES + payload.length);
+  frame.writeUInt32BE(MAGIC, 0);
+  frame.writeUInt32BE(payload.length, LENGTH_OFFSET);
+  frame.writeBigUInt64BE(checksumOf(payload), CHECKSUM_OFFSET);
+  frame.set(payload, HEADER_BYTES);
+  return frame;
+}
+
+export interface Frame {
+  readonly value: unknown;
+  /** Where the next frame begins. */
+  readonly end: number;
+}
+
+/** Reads the frame at `offset`, or returns undefined if there is no whole and sound one. */
+export function decodeFrame(file: Uint8Array, offset: number): Frame | undefined {
+  const bytes = Buffer.from(file.buffer, file.byteOffset, file.byteLength);
+  if (offset + HEADER_BYTES > bytes.length) return undefined;
+  if (bytes.readUInt32BE(offset) !== MAGIC) return undefined;
+  const start = offset + HEADER_BYTES;
+  const end = start + bytes.readUInt32BE(offset + LENGTH_OFFSET);
+  if (end > bytes.length) return undefined;
+  const payload = bytes.subarray(start, end);
+  if (bytes.readBigUInt64BE(offset + CHECKSUM_OFFSET) !== checksumOf(payload)) return undefined;
+  return { value: codec.decode(payload), end };
+}
+
+/** True if a sound frame begins anywhere from `offset` on. */
+export function hasFrameAfter(file: Uint8Array, offset: number): boolean {
+  const bytes = Buffer.from(file.buffer, file.byteOffset, file.byteLength);
+  const mark = Buffer.alloc(4);
+  mark.writeUInt32BE(MAGIC, 0);
+  for (let at = bytes.indexOf(mark, offset); at !== -1; at = bytes.indexOf(mark, at + 1)) {
+    if (decodeFrame(bytes, at) !== undefined) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/store-core/src/log/index.ts
@@ -0,0 +1,2 @@
+export * from './FileSystem.js';
+export * from './LogStore.js';
--- /dev/null
+++ b/packages/store-core/src/log/replaceFile.ts
@@ -0,0 +1,43 @@
+/**
+ * Replaces a small file as a whole: after a crash at any moment either the old or the new content
+ * is there. The name must be synced too, or the old content could come back.
+ */
+import { join } from 'node:path';
+import type { FileSystem } from './FileSystem.js';
+import { decodeFrame, encodeFrame } from './frames.js';
+import { damagedLog } from './logErrors.js';
+
+const TEMPORARY_SUFFIX = '.tmp';
+
+export async function replaceFile(
+  fileSystem: FileSystem,
+  folder: string,
+  name: string,
+  value: unknown,
+): Promise<void> {
+  const path = join(folder, name);
+  const temporary = `${path}${TEMPORARY_SUFFIX}`;
+  await fileSystem.remove(temporary);
+  const file = await fileSystem.open(temporary);
+  try {
+    await file.write(encodeFrame(value), 0);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await fileSystem.rename(temporary, path);
+  await fileSystem.syncFolder(folder);
+}
+
+/** Reads a file written by `replaceFile`, or returns undefined if there is none. */
+export async function readWholeFile(
+  fileSystem: FileSystem,
+  folder: string,
+  name: string,
+): Promise<unknown> {
+  const content = await fileSystem.read(join(folder, name));
+  if (content === undefined) return undefined;
+  const frame = decodeFrame(content, 0);
+  if (frame === undefined || frame.end !== content.length) throw damagedLog(name, 0);
+  return frame.value;
+}
--- /dev/null
+++ b/packages/store-core/src/log/replaySegments.ts
@@ -0,0 +1,102 @@
+/** Reads the segments of a log back into entries, and tells an unfinished write from damage. */
+import type { LogEntry, SnapshotHeader } from '../consensus/consensusTypes.js';
+import { decodeFrame, hasFrameAfter } from './frames.js';
+import { damagedLog } from './logErrors.js';
+
+/** One change of the log. */
+export interface LogOperation {
+  /** Drops all entries; what comes next follows a snapshot. */
+  readonly reset?: boolean;
+  /** Drops the entries from this index on. */
+  readonly truncateFrom?: number;
+  readonly entries: readonly LogEntry[];
+}
+
+export interface SegmentContent {
+  readonly name: string;
+  readonly content: Uint8Array;
+}
+
+export interface ReplayedSegment {
+  readonly name: string;
+  /** Bytes of sound frames. */
+  readonly length: number;
+  /** Highest index of any entry in it, also of dropped ones. */
+  readonly highestIndex: number;
+}
+
+export interface Replay {
+  readonly segments: readonly ReplayedSegment[];
+  readonly entries: readonly LogEntry[];
+}
+
+export function highestIndexOf(operations: readonly LogOperation[]): number {
+  return Math.max(0, ...operations.map(({ entries }) => entries.at(-1)?.index ?? 0));
+}
+
+function replayOperation(
+  entries: LogEntry[],
+  operation: LogOperation,
+  damaged: (reason: string) => Error,
+): void {
+  const { truncateFrom } = operation;
+  if (operation.reset) entries.length = 0;
+  const first = entries[0]?.index;
+  if (truncateFrom !== undefined && first !== undefined) {
+    entries.length = Math.min(entries.length, Math.max(0, truncateFrom - first));
+  }
+  operation.entries.forEach((entry) => {
+    const previous = entries.at(-1);
+    if (previous !== undefined && entry.index !== previous.index + 1) {
+      throw damaged(`entry ${entry.index} follows entry ${previous.index}`);
+    }
+    entries.push(entry);
+  });
+}
+
+/** Replays segments in order. Only the last may end in an unfinished frame. */
+export function replaySegments(contents: readonly SegmentContent[]): Replay {
+  const entries: LogEntry[] = [];
+  const segments = contents.map(({ name, content }, position) => {
+    let offset = 0;
+    let highestIndex = 0;
+    while (offset < content.length) {
+      const frame = decodeFrame(content, offset);
+      if (frame === undefined) break;
+      const operations = frame.value as readonly LogOperation[];
+      const start = offset;
+      operations.forEach((operation) =>
+        replayOperation(entries, operation, (reason) => damagedLog(name, start, reason)),
+      );
+      highestIndex = Math.max(highestIndex, highestIndexOf(operations));
+      offset = frame.end;
+    }
+    const isLast = position === contents.length - 1;
+    if (offset < content.length && (!isLast || hasFrameAfter(content, offset + 1))) {
+      throw damagedLog(name, offset);
+    }
+    return { name, length: offset, highestIndex };
+  });
+  return { segments, entries };
+}
+
+/**
+ * The entries behind a snapshot. If the log differs from the snapshot at its index, or ends before
+ * it, the snapshot replaces all of the log.
+ */
+export function entriesBehind(
+  header: SnapshotHeader | undefined,
+  entries: readonly LogEntry[],
+  lastSegment: string,
+): readonly LogEntry[] {
+  const index = header?.index ?? 0;
+  const first = entries[0];
+  if (first === undefined) return [];
+  if (first.index > index + 1) {
+    const reason = `the log begins at entry ${first.index}, the snapshot ends at ${index}`;
+    throw damagedLog(lastSegment, 0, reason);
+  }
+  if (first.index === index + 1) return entries;
+  const shared = entries[index - first.index];
+  return shared?.term === header?.term ? entries.slice(index - first.index + 1) : [];
+}
