Share one sync among waiting batches and answer each proposer after its entry

The shell hands in one batch at a time. The log now queues them and writes all that came in during a sync as one frame, so callers need not wait for each other. The reply of a proposal follows its own apply effect directly: the shell keeps only the result of the entry applied last, so replies after a run of applies would have been told unsure.

--- a/packages/store-core/src/consensus/commit.ts
+++ b/packages/store-core/src/consensus/commit.ts
@@ -5,6 +5,15 @@
 import { reply } from './roles.js';
 import type { StepContext } from './StepContext.js';
 
+/** Answers the proposer of an entry right after it was applied, while its result is at hand. */
+function answerRequest(context: StepContext, index: number): void {
+  const { state } = context;
+  const [first] = state.requests;
+  if (first?.index !== index) return;
+  state.requests.shift();
+  reply(context, first.requestId, { type: 'committed', index });
+}
+
 function applyEntries(context: StepContext): void {
   const { state, effects } = context;
   while (state.appliedIndex < state.commitIndex) {
@@ -13,21 +22,13 @@
     if (entry === undefined) throw new Error(`The committed entry at index ${index} is missing`);
     effects.push({ type: 'apply', index, entry });
     state.appliedIndex = index;
+    answerRequest(context, index);
     if (entry.body.type === 'membership') {
       effects.push({ type: 'membershipChanged', membership: entry.body.membership });
     }
   }
 }
 
-function answerRequests(context: StepContext): void {
-  const { state } = context;
-  const firstOpen = state.requests.findIndex(({ index }) => index > state.commitIndex);
-  const count = firstOpen === -1 ? state.requests.length : firstOpen;
-  state.requests.splice(0, count).forEach(({ index, requestId }) => {
-    reply(context, requestId, { type: 'committed', index });
-  });
-}
-
 /**
  * Asks for a snapshot when enough was applied, so that the log stays bounded. It is asked for
  * after the changes of the same event went to the disk: a snapshot that got there first could be
@@ -53,5 +54,4 @@
   if (index <= state.commitIndex) return;
   state.commitIndex = index;
   applyEntries(context);
-  answerRequests(context);
 }
--- a/packages/store-core/src/consensus/consensusEvents.ts
+++ b/packages/store-core/src/consensus/consensusEvents.ts
@@ -52,7 +52,7 @@
 
 /** The fate of a request. */
 export type RequestOutcome =
-  /** The entry is committed, and its `apply` effect has come before this reply. */
+  /** The entry is committed; its `apply` effect came right before this reply. */
   | { readonly type: 'committed'; readonly index: number }
   /** The state machine may be read now: it holds every write acknowledged before the read came. */
   | { readonly type: 'readable'; readonly index: number }
--- a/packages/store-core/src/log/LogStore.test.ts
+++ b/packages/store-core/src/log/LogStore.test.ts
@@ -43,12 +43,17 @@
   return store.restored.entries.map(({ index, term }) => `${index}.${term}`);
 }
 
+/** Writes batches that come together. */
+async function writeAll(store: LogStore, batches: readonly PersistEffect[]): Promise<void> {
+  await Promise.all(batches.map((one) => store.write(one)));
+}
+
 const DATA = new Uint8Array([1, 2, 3]);
 
 test('What was written is there again, and each run has a number of its own', async (context) => {
   const options = optionsFor(await temporaryFolder(context));
   const first = await LogStore.open(options);
-  await first.write([
+  await writeAll(first, [
     batch({ vote: { term: 1, votedFor: 'x' }, entries: entries(1, 5) }),
     batch({ truncateFrom: 4, entries: [entry(4, 2)] }),
   ]);
@@ -69,19 +74,22 @@
 test('Batches that come together share one sync', async () => {
   const fileSystem = new MemoryFileSystem();
   const store = await LogStore.open(optionsFor('/data', { fileSystem }));
-  await store.write([batch({ entries: [entry(1)] })]);
+  await writeAll(store, [batch({ entries: [entry(1)] })]);
   const before = fileSystem.syncs;
-  await store.write(entries(2, 50).map((one) => batch({ entries: [one] })));
+  await writeAll(
+    store,
+    entries(2, 50).map((one) => batch({ entries: [one] })),
+  );
   assert.equal(fileSystem.syncs - before, 1);
 });
 
 async function twoFrames(folder: string): Promise<{ path: string; firstEnd: number; end: number }> {
   const store = await LogStore.open(optionsFor(folder));
-  await store.write([batch({ entries: entries(1, 2) })]);
+  await writeAll(store, [batch({ entries: entries(1, 2) })]);
   const name = (await readdir(folder)).find((file) => file.startsWith('log-'));
   const path = join(folder, name ?? '');
   const firstEnd = (await readFile(path)).length;
-  await store.write([batch({ entries: entries(3, 4) })]);
+  await writeAll(store, [batch({ entries: entries(3, 4) })]);
   await store.close();
   return { path, firstEnd, end: (await readFile(path)).length };
 }
@@ -99,7 +107,7 @@
     const store = await LogStore.open(options);
     assert.deepEqual(namesOf(store), ['1.1', '2.1']);
     assert.equal(options.notices[0]?.type, 'tornTailCut');
-    await store.write([batch({ entries: [entry(3, 2)] })]);
+    await writeAll(store, [batch({ entries: [entry(3, 2)] })]);
     await store.close();
     const again = await LogStore.open(optionsFor(folder));
     assert.deepEqual(namesOf(again), ['1.1', '2.1', '3.2']);
@@ -127,13 +135,13 @@
   const fileSystem = new MemoryFileSystem();
   const options = optionsFor('/data', { fileSystem });
   const store = await LogStore.open(options);
-  await store.write([batch({ entries: entries(1, 3) })]);
+  await writeAll(store, [batch({ entries: entries(1, 3) })]);
   fileSystem.bytesLeft = 20;
-  await assert.rejects(store.write([batch({ entries: entries(4, 9) })]), /read-only: ENOSPC/);
+  await assert.rejects(writeAll(store, [batch({ entries: entries(4, 9) })]), /read-only: ENOSPC/);
   assert.equal(store.readOnly, true);
   assert.equal(options.notices.at(-1)?.type, 'diskFull');
   fileSystem.bytesLeft = Number.POSITIVE_INFINITY;
-  await assert.rejects(store.write([batch({ entries: entries(4, 9) })]), /read-only/);
+  await assert.rejects(writeAll(store, [batch({ entries: entries(4, 9) })]), /read-only/);
   await store.close();
   const again = await LogStore.open(options);
   assert.deepEqual(namesOf(again), ['1.1', '2.1', '3.1']);
@@ -144,13 +152,13 @@
   const options = optionsFor(folder, { segmentBytes: 200 });
   const store = await LogStore.open(options);
   for (let index = 1; index <= 60; index += 1) {
-    await store.write([batch({ entries: [entry(index)] })]);
+    await writeAll(store, [batch({ entries: [entry(index)] })]);
     if (index % 10 === 0) {
-      await store.saveSnapshot(header(index), DATA);
-      await store.discardThrough(index);
+      await store.saveSnapshot({ header: header(index), data: DATA });
+      await store.discardLog(index);
     }
   }
-  await store.write([batch({ entries: entries(61, 62) })]);
+  await writeAll(store, [batch({ entries: entries(61, 62) })]);
   await store.close();
   const segments = (await readdir(folder)).filter((name) => name.startsWith('log-'));
   assert.ok(segments.length <= 3, segments.join());
@@ -166,8 +174,8 @@
   // and count as a copy of what it no longer holds.
   const folder = await temporaryFolder(context);
   const store = await LogStore.open(optionsFor(folder));
-  await store.write([batch({ entries: entries(1, 3) })]);
-  await store.saveSnapshot(header(2), DATA);
+  await writeAll(store, [batch({ entries: entries(1, 3) })]);
+  await store.saveSnapshot({ header: header(2), data: DATA });
   await store.close();
   for (const kind of ['identity', 'state-', 'log-']) {
     const name = (await readdir(folder)).find((file) => file.startsWith(kind)) ?? '';
@@ -197,7 +205,7 @@
 test('A folder of another cluster is refused; a renewed one is empty', async (context) => {
   const folder = await temporaryFolder(context);
   const store = await LogStore.open(optionsFor(folder));
-  await store.write([batch({ vote: { term: 3 }, entries: entries(1, 3, 3) })]);
+  await writeAll(store, [batch({ vote: { term: 3 }, entries: entries(1, 3, 3) })]);
   await store.close();
   await assert.rejects(LogStore.open(optionsFor(folder, { cluster: 'other' })), /of the cluster/);
   await renewIdentity(optionsFor(folder));
@@ -216,22 +224,22 @@
 
 const script: readonly ScriptStep[] = [
   {
-    write: (store) => store.write([batch({ vote: { term: 1 }, entries: entries(1, 4) })]),
+    write: (store) => writeAll(store, [batch({ vote: { term: 1 }, entries: entries(1, 4) })]),
     after: [1, 0, ['1.1', '2.1', '3.1', '4.1']],
   },
   {
     write: (store) =>
-      store.write([batch({ truncateFrom: 3, entries: entries(3, 6, 2), vote: { term: 2 } })]),
+      writeAll(store, [batch({ truncateFrom: 3, entries: entries(3, 6, 2), vote: { term: 2 } })]),
     after: [2, 0, ['1.1', '2.1', '3.2', '4.2', '5.2', '6.2']],
   },
   {
-    write: (store) => store.saveSnapshot(header(4, 2), DATA),
+    write: (store) => store.saveSnapshot({ header: header(4, 2), data: DATA }),
     after: [2, 4, ['5.2', '6.2']],
   },
-  { write: (store) => store.discardThrough(4), after: [2, 4, ['5.2', '6.2']] },
+  { write: (store) => store.discardLog(4), after: [2, 4, ['5.2', '6.2']] },
   {
     write: (store) =>
-      store.write([
+      writeAll(store, [
         batch({ vote: { term: 5 }, snapshot: { header: header(20, 5), data: DATA } }),
         batch({ entries: entries(21, 22, 5) }),
       ]),
@@ -239,7 +247,10 @@
     after: [5, 20, ['21.5', '22.5']],
   },
   // A snapshot may be ahead of what this disk has of the log.
-  { write: (store) => store.saveSnapshot(header(30, 5), DATA), after: [5, 30, []] },
+  {
+    write: (store) => store.saveSnapshot({ header: header(30, 5), data: DATA }),
+    after: [5, 30, []],
+  },
 ];
 
 function stateOf(store: LogStore): readonly [number, number, readonly string[]] {
@@ -290,7 +301,7 @@
     assert.equal(findLoss(store, done), undefined, `power cut at operation ${failFrom}`);
     const { entries: kept, snapshot } = store.restored;
     const next = (kept.at(-1)?.index ?? snapshot?.index ?? 0) + 1;
-    await store.write([batch({ entries: [entry(next, 9)] })]);
+    await writeAll(store, [batch({ entries: [entry(next, 9)] })]);
     await store.close();
     const again = await LogStore.open(options);
     assert.deepEqual(namesOf(again), [...namesOf(store), `${next}.9`]);
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -52,6 +52,12 @@
   readonly data: Uint8Array;
 }
 
+interface WaitingWrite {
+  readonly batch: PersistEffect;
+  resolve(): void;
+  reject(reason: unknown): void;
+}
+
 interface Identity {
   readonly cluster: string;
   readonly identity: string;
@@ -127,6 +133,10 @@
 
   private failure: HornbeampondError | undefined;
 
+  private waiting: WaitingWrite[] = [];
+
+  private turn: Promise<void> = Promise.resolve();
+
   private constructor(private readonly options: LogStoreOptions) {
     this.fileSystem = options.fileSystem ?? new NodeFileSystem();
     this.folder = options.folder;
@@ -152,38 +162,31 @@
     return this.restoredState;
   }
 
+  /** True if this disk has never been part of a cluster. */
+  get isNew(): boolean {
+    const { term, snapshot, entries } = this.restoredState;
+    return term === 0 && snapshot === undefined && entries.length === 0;
+  }
+
   get readOnly(): boolean {
     return this.failure !== undefined;
   }
 
   /**
-   * Writes batches in their order with one sync for all their entries. When it returns, all of it
-   * is on disk. If it throws, the log takes no more and none of it may be acknowledged.
+   * Makes a batch durable. Batches are written in the order of the calls; those that come in while
+   * a sync is under way share the next one, so callers need not wait for each other. If it rejects,
+   * the log takes no more and the batch may not be acknowledged.
    */
-  async write(batches: readonly PersistEffect[]): Promise<void> {
-    await this.guarded(async () => {
-      // Term and vote go first: an entry must not be there without the term it came in.
-      const vote = batches.findLast((batch) => batch.vote !== undefined)?.vote;
-      if (vote !== undefined)
-        await this.saveState({ ...this.state, ...vote, votedFor: vote.votedFor });
-      const operations: LogOperation[] = [];
-      for (const { snapshot, truncateFrom, entries } of batches) {
-        if (snapshot !== undefined) {
-          await this.appendFrame(operations.splice(0));
-          await this.storeSnapshot(snapshot);
-          operations.push({ reset: true, entries: [] });
-        }
-        if (truncateFrom !== undefined || entries.length > 0) {
-          operations.push({ truncateFrom, entries });
-        }
-      }
-      await this.appendFrame(operations);
+  async write(batch: PersistEffect): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.waiting.push({ batch, resolve, reject });
+      if (this.waiting.length === 1) void this.inTurn(() => this.writeWaiting());
     });
   }
 
   /** Saves a snapshot of the state machine. */
-  async saveSnapshot(header: SnapshotHeader, data: Uint8Array): Promise<void> {
-    await this.guarded(() => this.storeSnapshot({ header, data }));
+  async saveSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    await this.inTurn(() => this.guarded(() => this.storeSnapshot(snapshot)));
   }
 
   async readSnapshot(): Promise<SavedSnapshot | undefined> {
@@ -191,15 +194,62 @@
     return (await readWholeFile(this.fileSystem, this.folder, name)) as SavedSnapshot | undefined;
   }
 
-  /** Removes the segments that hold nothing above `index`. */
-  async discardThrough(index: number): Promise<void> {
-    const through = Math.min(index, this.snapshot?.index ?? 0);
+  /** Removes the segments that hold nothing above `throughIndex`. */
+  async discardLog(throughIndex: number): Promise<void> {
+    await this.inTurn(() => this.discardSegments(throughIndex));
+  }
+
+  async close(): Promise<void> {
+    await this.turn;
+    await this.file?.close();
+    this.file = undefined;
+    await this.lock.release();
+  }
+
+  /** Runs one piece of work after another. */
+  private async inTurn(work: () => Promise<void>): Promise<void> {
+    const done = this.turn.then(work);
+    this.turn = done.catch(() => {});
+    return done;
+  }
+
+  private async writeWaiting(): Promise<void> {
+    const writes = this.waiting.splice(0);
+    try {
+      await this.guarded(() => this.writeBatches(writes.map(({ batch }) => batch)));
+      writes.forEach(({ resolve }) => resolve());
+    } catch (error) {
+      writes.forEach(({ reject }) => reject(error));
+    }
+  }
+
+  private async writeBatches(batches: readonly PersistEffect[]): Promise<void> {
+    // Term and vote go first: an entry must not be there without the term it came in.
+    const vote = batches.findLast((batch) => batch.vote !== undefined)?.vote;
+    if (vote !== undefined)
+      await this.saveState({ ...this.state, ...vote, votedFor: vote.votedFor });
+    const operations: LogOperation[] = [];
+    for (const { snapshot, truncateFrom, entries } of batches) {
+      if (snapshot !== undefined) {
+        await this.appendFrame(operations.splice(0));
+        await this.storeSnapshot(snapshot);
+        operations.push({ reset: true, entries: [] });
+      }
+      if (truncateFrom !== undefined || entries.length > 0) {
+        operations.push({ truncateFrom, entries });
+      }
+    }
+    await this.appendFrame(operations);
+  }
+
+  private async discardSegments(throughIndex: number): Promise<void> {
+    const through = Math.min(throughIndex, this.snapshot?.index ?? 0);
+    const last = this.segments.length - 1;
     const keepFrom = this.segments.findIndex(
-      (segment, position) =>
-        segment.highestIndex > through || position === this.segments.length - 1,
+      ({ highestIndex }, position) => highestIndex > through || position === last,
     );
-    const [first] = this.segments.slice(Math.max(0, keepFrom));
-    if (first === undefined || keepFrom <= 0) return;
+    const first = this.segments[keepFrom];
+    if (first === undefined || keepFrom === 0) return;
     await this.guarded(async () => {
       await this.saveState({ ...this.state, firstSegment: first.number });
       for (const gone of this.segments.splice(0, keepFrom)) {
@@ -208,12 +258,6 @@
     });
   }
 
-  async close(): Promise<void> {
-    await this.file?.close();
-    this.file = undefined;
-    await this.lock.release();
-  }
-
   private nameOf(kind: 'state' | 'snapshot'): string {
     return `${kind}-${this.identity}`;
   }
