--- a/packages/controller-core/src/demand/RouteDemand.ts
+++ b/packages/controller-core/src/demand/RouteDemand.ts
@@ -4,13 +4,13 @@
  * The shape is kept by quarter hour of the route's own time zone, so that a rush stays at the
  * same local time when daylight saving changes.
  */
-import { DateTime } from 'luxon';
 import type { EpochMilliseconds, MonotonicMilliseconds, Route } from '@hornbeampond/schema';
 import type { ControllerState } from '../state.js';
 import type { RouteDemandReport } from '../events.js';
+import { minuteOfDay } from './localTime.js';
 
 export const SLOTS_PER_DAY = 96;
-const SLOT_MILLISECONDS = (24 * 60 * 60 * 1000) / SLOTS_PER_DAY;
+const SLOT_MINUTES = (24 * 60) / SLOTS_PER_DAY;
 /** Time constant of the level; short against a rush, long against the noise of arrivals. */
 const LEVEL_MILLISECONDS = 60_000;
 /** Weight of the newest day in the learnt shape. */
@@ -44,9 +44,7 @@
 
 /** Position in the local day, in quarter hours with a fraction. */
 function positionInDay(route: Route, at: EpochMilliseconds): number {
-  const local = DateTime.fromMillis(at, { zone: route.timeZone });
-  const milliseconds = ((local.hour * 60 + local.minute) * 60 + local.second) * 1000;
-  return milliseconds / SLOT_MILLISECONDS;
+  return minuteOfDay(route.timeZone, at) / SLOT_MINUTES;
 }
 
 /** Takes in one source's report, smoothed. */
--- a/packages/controller-core/src/demand/reduceDemand.ts
+++ b/packages/controller-core/src/demand/reduceDemand.ts
@@ -37,7 +37,8 @@
 function takePeerReport(state: ControllerState, report: DataCentreReport): void {
   if (report.dataCentre === state.dataCentre) return;
   addReports(state, `dataCentre:${report.dataCentre}`, report.dataCentre, report.demand);
-  state.peers.set(report.dataCentre, { heardAt: state.now, closedOffers: report.closedOffers });
+  const { closedOffers, serving } = report;
+  state.peers.set(report.dataCentre, { heardAt: state.now, closedOffers, serving });
   Object.entries(report.shapes ?? {}).forEach(([route, shape]) => {
     const known = demandOf(state, route).shape;
     shape.forEach((value, slot) => {
--- a/packages/controller-core/src/events.ts
+++ b/packages/controller-core/src/events.ts
@@ -46,11 +46,20 @@
   readonly remaining: Milliseconds;
 }
 
+/** Places for requests at the instances of one pool and data centre that take requests now. */
+export interface ServingReport {
+  readonly pool: string;
+  readonly slots: number;
+  readonly reclaimableSlots: number;
+}
+
 /** What the active controllers tell one another about once a second. */
 export interface DataCentreReport {
   readonly dataCentre: string;
   readonly demand: readonly RouteDemandReport[];
   readonly closedOffers: readonly ClosedOffer[];
+  /** Only the own controller knows what the engines of a data centre have loaded. */
+  readonly serving: readonly ServingReport[];
   /** Requests a second by quarter hour of the day, for controllers that have learnt none yet. */
   readonly shapes?: Readonly<Record<string, readonly (number | null)[]>>;
 }
--- a/packages/controller-core/src/fleet/reduceFleet.ts
+++ b/packages/controller-core/src/fleet/reduceFleet.ts
@@ -52,10 +52,10 @@
 }
 
 function lose(state: ControllerState, instance: FleetInstance, reason: string): ControllerEffect[] {
-  forgetInstance(state, instance.instance);
   const { instance: name, pool, dataCentre, instanceClass, phase } = instance;
   const planned = phase === 'draining' || phase === 'leaving';
   if (!planned) recordReclaim(state, instance);
+  forgetInstance(state, name);
   const fields = { instance: name, pool, dataCentre, instanceClass, phase, reason };
   return [{ type: 'log', event: planned ? 'instanceGone' : 'instanceVanished', fields }];
 }
--- a/packages/controller-core/src/index.ts
+++ b/packages/controller-core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './explainPlan.js';
 export * from './makeReport.js';
 export * from './planning/queueing.js';
+export { patienceOf, slotsForAll } from './planning/wantedSlots.js';
 export * from './policy.js';
 export * from './reduceController.js';
 export { createControllerState, type ControllerOptions, type ControllerState } from './state.js';
--- a/packages/controller-core/src/makeReport.ts
+++ b/packages/controller-core/src/makeReport.ts
@@ -1,5 +1,6 @@
 /** What an active controller tells those of the other data centres about once a second. */
 import { ownClosedOffers } from './buying/closures.js';
+import { ownServing } from './planning/standing.js';
 import { ownDemand } from './demand/reduceDemand.js';
 import type { DataCentreReport } from './events.js';
 import type { ControllerState } from './state.js';
@@ -10,6 +11,7 @@
     dataCentre: state.dataCentre,
     demand: ownDemand(state),
     closedOffers: ownClosedOffers(state),
+    serving: ownServing(state),
   };
   if (!withShapes) return report;
   const shapes = [...state.demand].map(([route, { shape }]) => [route, shape] as const);
--- a/packages/controller-core/src/planning/PoolPlan.ts
+++ b/packages/controller-core/src/planning/PoolPlan.ts
@@ -1,5 +1,6 @@
 /** What a pool should have, and the figures that it was planned from. */
 import type { Euros, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Mix } from './chooseMix.js';
 
 /** Instances of one class in one data centre. */
 export interface PlannedPlace {
@@ -34,11 +35,13 @@
   readonly figures: NeedFigures;
   /** What was planned for: the highest need of the last while and of the time ahead. */
   readonly need: SlotNeed;
-  /** Slots of the largest wave that is remembered. */
-  readonly waveSlots: number;
+  /** Share of the reclaimable slots that the largest remembered wave took. */
+  readonly waveShare: number;
   /** Slots that the plan lacks because of `most` or because nothing more can be bought. */
   readonly missingSlots: number;
   readonly eurosPerHour: Euros;
+  /** What the mix was chosen for, and the choice: the same question is not searched again. */
+  readonly choice: { readonly question: string; readonly mix: Mix };
   /** Needs of the last minutes, one a minute; scaling in waits until all of them are lower. */
   readonly recentNeeds: readonly (SlotNeed & { readonly at: MonotonicMilliseconds })[];
 }
--- a/packages/controller-core/src/planning/chooseMix.ts
+++ b/packages/controller-core/src/planning/chooseMix.ts
@@ -28,7 +28,8 @@
 export interface MixRequest {
   readonly offers: readonly Offer[];
   readonly need: SlotNeed;
-  readonly waveSlots: number;
+  /** Share of all reclaimable slots that one wave may take. */
+  readonly waveShare: number;
   /** Fewest and most instances over all data centres. */
   readonly least: number;
   readonly most: number;
@@ -46,6 +47,9 @@
 /** At most this many amounts are tried of each kind; above it, they are spaced evenly. */
 const MOST_CANDIDATES = 48;
 
+/** Against a wave that takes everything, no number of reclaimable instances helps. */
+const LEAST_LEFT = 0.05;
+
 /** Units of one offer at one price. */
 interface Segment {
   readonly offer: Offer;
@@ -102,7 +106,7 @@
 export function measureMix(
   offers: readonly Offer[],
   counts: readonly number[],
-  waveSlots: number,
+  waveShare: number,
 ): { readonly total: number; readonly largestLoss: number } {
   const reclaimable = new Map<string, number>();
   let total = 0;
@@ -117,15 +121,19 @@
   const ofOneDataCentre = Math.max(0, ...reclaimable.values());
   return {
     total,
-    largestLoss: Math.max(ofOneDataCentre, Math.min(waveSlots, allReclaimable)),
+    largestLoss: Math.max(ofOneDataCentre, waveShare * allReclaimable),
   };
 }
 
+/**
+ * Slots lacking now and after the loss, added up: where the loss cannot be covered at all, as in a
+ * pool of one data centre, what is lacking now must still decide.
+ */
 function missingIn(request: MixRequest, counts: readonly number[]): number {
-  const { total, largestLoss } = measureMix(request.offers, counts, request.waveSlots);
-  const lackingNow = request.need.normal - total;
-  const lackingAfterLoss = request.need.afterLoss - (total - largestLoss);
-  return Math.max(0, lackingNow, lackingAfterLoss);
+  const { total, largestLoss } = measureMix(request.offers, counts, request.waveShare);
+  const lackingNow = Math.max(0, request.need.normal - total);
+  const lackingAfterLoss = Math.max(0, request.need.afterLoss - (total - largestLoss));
+  return lackingNow + lackingAfterLoss;
 }
 
 function costOf(request: MixRequest, counts: readonly number[]): Euros {
@@ -202,8 +210,10 @@
   const onDemand = segments.filter(({ offer }) => !offer.reclaimable);
   const reclaimable = segments.filter(({ offer }) => offer.reclaimable);
   const firm = fill(onDemand, counts, onDemandSlots, Infinity);
-  const loss = Math.max(bound, request.waveSlots);
-  const lacking = Math.max(request.need.afterLoss + loss, request.need.normal) - firm;
+  const { normal, afterLoss } = request.need;
+  // A wave of a share of all leaves the rest: so many are needed for the rest to be enough.
+  const underWave = Math.max(0, afterLoss - firm) / Math.max(1 - request.waveShare, LEAST_LEFT);
+  const lacking = Math.max(afterLoss - firm + bound, underWave, normal - firm);
   if (bound > 0) fill(reclaimable, counts, lacking, bound);
   trim(request, segments, counts);
   raiseToLeast(request, segments, counts);
--- a/packages/controller-core/src/planning/deadlines.ts
+++ b/packages/controller-core/src/planning/deadlines.ts
@@ -1,6 +1,6 @@
 /** Which deadline of a route is in force at a point in time. */
-import { DateTime } from 'luxon';
 import type { Deadline, EpochMilliseconds, Route } from '@hornbeampond/schema';
+import { minuteOfDay } from '../demand/localTime.js';
 
 function toMinutes(timeOfDay: string): number {
   const [hours = 0, minutes = 0] = timeOfDay.split(':').map(Number);
@@ -13,8 +13,7 @@
 
 /** The first span that holds the local time is in force, else the route's own deadline. */
 export function deadlineAt(route: Route, at: EpochMilliseconds): Deadline {
-  const local = DateTime.fromMillis(at, { zone: route.timeZone });
-  const minute = local.hour * 60 + local.minute;
+  const minute = minuteOfDay(route.timeZone, at);
   const span = route.deadlinesByHour.find(({ from, to }) =>
     holds(toMinutes(from), toMinutes(to), minute),
   );
--- a/packages/controller-core/src/planning/planPools.ts
+++ b/packages/controller-core/src/planning/planPools.ts
@@ -37,10 +37,16 @@
   };
 }
 
-/** Slots of the largest wave that is remembered for the pool. */
+/**
+ * Share of the pool's reclaimable slots that the largest remembered wave took. A wave inside one
+ * data centre can take no more than what is there, and that loss is planned for anyway; so only
+ * waves over several of them count.
+ */
 function largestWave(state: ControllerState, pool: Pool): number {
-  const sizes = state.waves.filter((wave) => wave.pool === pool.name).map((wave) => wave.slots);
-  return Math.max(0, ...sizes);
+  const shares = state.waves
+    .filter((wave) => wave.pool === pool.name && wave.dataCentres.size > 1)
+    .map((wave) => Math.min(1, wave.slots / Math.max(1, wave.slotsBefore)));
+  return Math.max(0, ...shares);
 }
 
 /**
@@ -73,16 +79,13 @@
   const before = state.plans.get(pool.name);
   const recentNeeds = remember(state, before?.recentNeeds ?? [], withExtra);
   const need = highestOf(recentNeeds);
-  const waveSlots = largestWave(state, pool);
+  const waveShare = largestWave(state, pool);
   const offers = listOffers(state, pool);
-  const mix = chooseMix({
-    offers,
-    need,
-    waveSlots,
-    least: pool.least,
-    most: pool.most,
-    stickiness: state.policy.stickiness,
-  });
+  const { least, most } = pool;
+  const { stickiness } = state.policy;
+  const request = { offers, need, waveShare, least, most, stickiness };
+  const question = JSON.stringify(request);
+  const mix = before?.choice.question === question ? before.choice.mix : chooseMix(request);
   const places = toPlaces(offers, mix);
   const eurosPerHour = places.reduce((sum, place) => sum + place.eurosPerHour * place.wanted, 0);
   return {
@@ -90,9 +93,10 @@
     places,
     figures,
     need,
-    waveSlots,
+    waveShare,
     missingSlots: mix.missingSlots,
     eurosPerHour,
+    choice: { question, mix },
     recentNeeds,
   };
 }
@@ -112,7 +116,7 @@
     wanted: wantedByPlace(plan),
     slotsNeeded: need.normal,
     slotsNeededAfterLoss: need.afterLoss,
-    waveSlots: plan.waveSlots,
+    waveShare: plan.waveShare,
     missingSlots: plan.missingSlots,
     requestsPerSecond: figures.requestsPerSecond,
     forecastPerSecond: figures.forecastPerSecond,
--- a/packages/controller-core/src/planning/standing.ts
+++ b/packages/controller-core/src/planning/standing.ts
@@ -1,27 +1,47 @@
-/** Whether a pool's deadlines still hold without certain instances. */
+/** What serves now, and whether a pool's deadlines still hold without certain instances. */
 import type { Pool } from '@hornbeampond/schema';
+import type { ServingReport } from '../events.js';
 import { classOf, instancesOf, isServing, type FleetInstance } from '../fleet/FleetInstance.js';
 import type { ControllerState } from '../state.js';
+import { isHeard } from './offers.js';
 
-/** Slots of the instances that take requests now. */
+/** What serves in the own data centre, but for one instance. */
+function servingHere(state: ControllerState, pool: Pool, without?: FleetInstance): ServingReport {
+  const classes = instancesOf(state, pool)
+    .filter(({ dataCentre }) => dataCentre === state.dataCentre)
+    .filter((instance) => instance !== without && isServing(pool, instance))
+    .map((instance) => classOf(pool, instance));
+  const slots = classes.reduce((sum, found) => sum + (found?.concurrency ?? 0), 0);
+  const firm = classes
+    .filter((found) => found?.reclaimable !== true)
+    .reduce((sum, found) => sum + (found?.concurrency ?? 0), 0);
+  return { pool: pool.name, slots, reclaimableSlots: slots - firm };
+}
+
+/** What serves in the own data centre, for the report to the other controllers. */
+export function ownServing(state: ControllerState): ServingReport[] {
+  return state.configuration.pools.rows.map((pool) => servingHere(state, pool));
+}
+
+/**
+ * Slots that serve in all data centres, and the most that the loss of one data centre's
+ * reclaimable instances would take. A data centre that is not heard counts for nothing: taking
+ * capacity out here must not depend on what may be cut off.
+ */
 export function servingSlots(
   state: ControllerState,
   pool: Pool,
   without?: FleetInstance,
 ): { readonly total: number; readonly largestLoss: number } {
-  const reclaimable = new Map<string, number>();
-  let total = 0;
-  instancesOf(state, pool)
-    .filter((instance) => instance !== without && isServing(pool, instance))
-    .forEach((instance) => {
-      const instanceClass = classOf(pool, instance);
-      const slots = instanceClass?.concurrency ?? 0;
-      total += slots;
-      if (instanceClass?.reclaimable !== true) return;
-      const { dataCentre } = instance;
-      reclaimable.set(dataCentre, (reclaimable.get(dataCentre) ?? 0) + slots);
-    });
-  return { total, largestLoss: Math.max(0, ...reclaimable.values()) };
+  const elsewhere = pool.dataCentres
+    .filter((dataCentre) => dataCentre !== state.dataCentre && isHeard(state, dataCentre))
+    .flatMap((dataCentre) => state.peers.get(dataCentre)?.serving ?? [])
+    .filter((serving) => serving.pool === pool.name);
+  const all = [servingHere(state, pool, without), ...elsewhere];
+  return {
+    total: all.reduce((sum, { slots }) => sum + slots, 0),
+    largestLoss: Math.max(...all.map(({ reclaimableSlots }) => reclaimableSlots)),
+  };
 }
 
 /**
--- a/packages/controller-core/src/planning/wantedSlots.ts
+++ b/packages/controller-core/src/planning/wantedSlots.ts
@@ -21,7 +21,11 @@
  * token and for the whole answer leaves less. The first token itself is taken to need a tenth of
  * the time that the whole answer takes.
  */
-function patienceOf(route: Route, at: EpochMilliseconds, serviceMilliseconds: number): number {
+export function patienceOf(
+  route: Route,
+  at: EpochMilliseconds,
+  serviceMilliseconds: number,
+): Milliseconds {
   const deadline = deadlineAt(route, at);
   const forFirst = deadline.firstTokenMilliseconds - serviceMilliseconds / 10;
   const forWhole = deadline.wholeAnswerMilliseconds - serviceMilliseconds * 1.5;
@@ -51,7 +55,7 @@
  * Engines serve the earliest deadline first, so a patient route's requests do not delay those of
  * an impatient one: each route needs places for itself and all that are less patient.
  */
-function slotsForAll(loads: readonly QueueLoad[], onTime: number): number {
+export function slotsForAll(loads: readonly QueueLoad[], onTime: number): number {
   const sorted = [...loads].sort((a, b) => a.patience - b.patience);
   let rate = 0;
   let busy = 0;
--- a/packages/controller-core/src/policy.ts
+++ b/packages/controller-core/src/policy.ts
@@ -63,7 +63,7 @@
   headroomWithoutShape: 0.25,
   stickiness: 0.1,
   waveHandicap: 0.05,
-  waveMemory: 6 * 60 * MINUTE,
+  waveMemory: 60 * MINUTE,
   reclaimCooldown: 15 * MINUTE,
   scaleInDelay: 5 * MINUTE,
   startDuration: 4 * MINUTE,
--- a/packages/controller-core/src/reclaims/reclaims.ts
+++ b/packages/controller-core/src/reclaims/reclaims.ts
@@ -9,18 +9,42 @@
 import type { EpochMilliseconds } from '@hornbeampond/schema';
 import { closeAfterReclaim } from '../buying/closures.js';
 import type { ControllerEffect } from '../effects.js';
-import { classOf, enterPhase, poolOf, type FleetInstance } from '../fleet/FleetInstance.js';
+import {
+  classOf,
+  enterPhase,
+  instancesOf,
+  isKept,
+  poolOf,
+  type FleetInstance,
+} from '../fleet/FleetInstance.js';
 import { placeOf, type ControllerState, type Wave } from '../state.js';
 
 /** Reclaims that come within this of a wave's first belong to it. */
 const WAVE_SPAN = 90_000;
 
+function reclaimableSlots(state: ControllerState, name: string): number {
+  const pool = poolOf(state, name);
+  if (pool === undefined) return 0;
+  return instancesOf(state, pool)
+    .filter((instance) => isKept(instance) || instance.goneAt === undefined)
+    .map((instance) => classOf(pool, instance))
+    .reduce((sum, found) => sum + (found?.reclaimable === true ? found.concurrency : 0), 0);
+}
+
 function waveFor(state: ControllerState, pool: string): Wave {
   const current = state.waves.find(
     (wave) => wave.pool === pool && state.now - wave.startedAt <= WAVE_SPAN,
   );
   if (current !== undefined) return current;
-  const wave = { startedAt: state.now, pool, places: new Set<string>(), slots: 0, instances: 0 };
+  const wave: Wave = {
+    startedAt: state.now,
+    pool,
+    places: new Set(),
+    dataCentres: new Set(),
+    slotsBefore: reclaimableSlots(state, pool),
+    slots: 0,
+    instances: 0,
+  };
   state.waves.push(wave);
   return wave;
 }
@@ -32,6 +56,7 @@
   if (instanceClass?.reclaimable !== true) return undefined;
   const wave = waveFor(state, instance.pool);
   wave.places.add(placeOf(instance.dataCentre, instance.instanceClass));
+  wave.dataCentres.add(instance.dataCentre);
   wave.slots += instanceClass.concurrency;
   wave.instances += 1;
   closeAfterReclaim(state, instance.dataCentre, instance.instanceClass);
@@ -46,10 +71,11 @@
 ): ControllerEffect[] {
   if (instance.goneAt !== undefined) return [];
   const wasKept = instance.phase !== 'draining';
+  // Recorded first: the wave's share is taken of what stood before it.
+  const wave = wasKept ? recordReclaim(state, instance) : undefined;
   instance.goneAt = goneAt;
   enterPhase(state, instance, 'leaving');
   if (!wasKept) return [];
-  const wave = recordReclaim(state, instance);
   const { instance: name, pool, dataCentre, instanceClass } = instance;
   return [
     {
--- a/packages/controller-core/src/state.ts
+++ b/packages/controller-core/src/state.ts
@@ -12,7 +12,7 @@
 import type { RouteDemand } from './demand/RouteDemand.js';
 import type { FleetInstance } from './fleet/FleetInstance.js';
 import type { PoolPlan } from './planning/PoolPlan.js';
-import type { ClosedOffer } from './events.js';
+import type { ClosedOffer, ServingReport } from './events.js';
 import { defaultPolicy, type ControllerPolicy } from './policy.js';
 
 export interface HeldLease {
@@ -46,6 +46,9 @@
   readonly startedAt: MonotonicMilliseconds;
   readonly pool: string;
   readonly places: Set<string>;
+  readonly dataCentres: Set<string>;
+  /** The pool's reclaimable slots when it began. */
+  readonly slotsBefore: number;
   slots: number;
   instances: number;
 }
@@ -53,6 +56,7 @@
 export interface PeerKnowledge {
   readonly heardAt: MonotonicMilliseconds;
   readonly closedOffers: readonly ClosedOffer[];
+  readonly serving: readonly ServingReport[];
 }
 
 export interface ControllerState {
