--- a/packages/controller-core/src/fleet/fleet.ts
+++ b/packages/controller-core/src/fleet/fleet.ts
@@ -17,7 +17,7 @@
     phaseSinceWall: state.wallNow,
     lastListedAt: state.now,
     loaded: {},
-    orderRetryAt: 0,
+    orderRetryAt: state.now,
     startMeasured: serves || row.state !== 'starting',
   };
   state.fleet.set(row.instance, instance);
--- a/packages/controller-core/src/policy.ts
+++ b/packages/controller-core/src/policy.ts
@@ -58,10 +58,10 @@
 
 export const defaultPolicy: ControllerPolicy = {
   onTimeShare: 0.998,
-  onTimeShareAfterLoss: 0.97,
-  headroom: 0.05,
+  onTimeShareAfterLoss: 0.9,
+  headroom: 0.02,
   headroomWithoutShape: 0.25,
-  stickiness: 0.1,
+  stickiness: 0.2,
   waveHandicap: 0.05,
   waveMemory: 60 * MINUTE,
   reclaimCooldown: 15 * MINUTE,
@@ -80,5 +80,5 @@
   orderTimeout: 5 * MINUTE,
   peerSilence: 30 * SECOND,
   entrySilence: 30 * SECOND,
-  loadsAtOnce: 2,
+  loadsAtOnce: 4,
 };
