Test the controller's failures in virtual time and mend what they showed

Cause: each safeguard needed a test that fails without it. Writing them showed four faults, mended here: - A rollout at just the needed capacity never began: the extra slots counted both as bought and as still to be kept. - An instance that was only starting was drained when the plan moved to a place that then refused again; the two took turns. - Scale-in could go below a pool's least size, which the plan then bought back. - Starts refused together doubled the back-off once each. Instances that never come to serve are drained now, as they would count as capacity to come for ever. Ruled out: counting only serving instances as capacity, which would buy again at each start.

--- a/packages/controller-core/src/buying/closures.ts
+++ b/packages/controller-core/src/buying/closures.ts
@@ -30,7 +30,9 @@
   const place = placeOf(state.dataCentre, instanceClass);
   const before = state.closures.get(place);
   const inRow = before !== undefined && state.now < before.until + ROW_GAP;
-  const refusals = (inRow ? before.refusals : 0) + 1;
+  // Starts that were asked together are refused together; they count as one refusal.
+  const together = before !== undefined && before.until > state.now && before.refusals > 0;
+  const refusals = (inRow ? before.refusals : 0) + (together ? 0 : 1);
   const until = Math.max(
     state.now + backoffAfter(state, refusals),
     before?.reason === 'reclaimed' ? before.until : 0,
--- /dev/null
+++ b/packages/controller-core/src/demand/demand.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { deadlineAt } from '../planning/deadlines.js';
+import { slotsFor } from '../planning/queueing.js';
+import { wantedSlots } from '../planning/wantedSlots.js';
+import { appraisalRoute, ControllerHarness } from '../testing/ControllerHarness.js';
+import { minuteOfDay } from './localTime.js';
+
+test('local time follows the daylight-saving change', () => {
+  const winter = Date.UTC(2026, 2, 28, 11);
+  const summer = Date.UTC(2026, 2, 29, 11);
+  assert.equal(minuteOfDay('Europe/Vienna', winter), 12 * 60);
+  assert.equal(minuteOfDay('Europe/Vienna', summer), 13 * 60);
+});
+
+test('a deadline span over midnight holds on both sides of it', () => {
+  const night = { firstTokenMilliseconds: 9000, wholeAnswerMilliseconds: 90_000 };
+  const route = { ...appraisalRoute, deadlinesByHour: [{ from: '22:00', to: '06:00', ...night }] };
+  const at = (hour: number) => deadlineAt(route, Date.UTC(2026, 0, 15, hour));
+  assert.equal(at(22).firstTokenMilliseconds, 9000);
+  assert.equal(at(4).firstTokenMilliseconds, 9000);
+  assert.equal(at(5).firstTokenMilliseconds, 2000);
+});
+
+test('less patience needs more places, and more load needs more', () => {
+  const load = { requestsPerSecond: 20, serviceMilliseconds: 1000, patience: 1000 };
+  const slots = slotsFor(load, 0.998);
+  assert.ok(slots > 20);
+  assert.ok(slotsFor({ ...load, patience: 100 }, 0.998) > slots);
+  assert.ok(slotsFor({ ...load, requestsPerSecond: 40 }, 0.998) > slots);
+});
+
+// A rush begins at noon every day. A start takes minutes, so capacity that is asked for when the
+// rush shows comes too late for its first callers. The learnt shape raises the need ahead of it.
+test('a known rush is planned for before it begins', () => {
+  const harness = new ControllerHarness();
+  const quiet = Array.from({ length: 96 }, (_, slot) => (slot >= 48 && slot < 56 ? 40 : 5));
+  const shapes = { appraisals: quiet };
+  const report = { dataCentre: 'wien-b', demand: [], closedOffers: [], serving: [], shapes };
+  harness.tell({ type: 'peerReported', report });
+  harness.rate = 5;
+  harness.hold();
+  const early = wantedSlots(harness.state, harness.pool);
+  harness.advance(52 * 60_000);
+  const { figures, ahead } = wantedSlots(harness.state, harness.pool);
+  assert.ok(early.ahead.normal < 15);
+  assert.ok(figures.normal < 15, 'demand itself has not risen yet');
+  assert.ok(ahead.normal >= 20, `planned for ${ahead.normal} slots`);
+});
--- a/packages/controller-core/src/events.ts
+++ b/packages/controller-core/src/events.ts
@@ -49,6 +49,7 @@
 /** Places for requests at the instances of one pool and data centre that take requests now. */
 export interface ServingReport {
   readonly pool: string;
+  readonly instances: number;
   readonly slots: number;
   readonly reclaimableSlots: number;
 }
--- /dev/null
+++ b/packages/controller-core/src/orders/orders.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ControllerEffect } from '../effects.js';
+import {
+  configure,
+  ControllerHarness,
+  logged,
+  modelPool,
+  pick,
+  row,
+} from '../testing/ControllerHarness.js';
+
+const oneDataCentre = { dataCentres: ['wien-a'], least: 4, most: 6 };
+const firm = { instanceClass: 'firm' };
+
+/** Four on-demand engines of one data centre with version 1, and demand for three of them. */
+function serving(least = 4): ControllerHarness {
+  const pool = { ...oneDataCentre, least, instanceClasses: modelPool.instanceClasses.slice(1) };
+  const harness = new ControllerHarness({ pool });
+  harness.rate = 8;
+  harness.rows = ['a', 'b', 'c', 'd'].map((name) => row(name, 'wien-a', firm));
+  harness.rows.forEach(({ instance }) => {
+    harness.loaded.set(instance, { model: 'appraiser', version: '1' });
+    harness.running.set(instance, 2);
+  });
+  harness.hold();
+  return harness;
+}
+
+function putVersion(harness: ControllerHarness, version: string): ControllerEffect[] {
+  const configuration = configure({ ...harness.pool, version }, 2);
+  return harness.tell({ type: 'configurationApplied', configuration });
+}
+
+// An operator puts a new version while callers' streams run on every engine. An engine is ordered
+// to load only after its entries have stopped sending and it has reported no running stream, so no
+// stream sees two versions; and only one at a time is out, so the deadline's capacity stays.
+test('a rollout reloads one idle engine after another and keeps the capacity', () => {
+  const harness = serving();
+  const outNow = new Set<string>();
+  const reloaded = new Set<string>();
+  const carryOut = (effect: ControllerEffect): void => {
+    if (effect.type === 'drainInstance') outNow.add(effect.instance);
+    if (effect.type === 'restoreInstance') outNow.delete(effect.instance);
+    assert.ok(outNow.size <= 1, `out of service: ${[...outNow].join()}`);
+    if (effect.type !== 'sendOrder') return;
+    assert.equal(harness.running.get(effect.instance), 0, 'a stream would see two versions');
+    harness.loaded.set(effect.instance, { model: 'appraiser', version: '2' });
+    reloaded.add(effect.instance);
+    harness.answerOrder(effect, { type: 'done' }).forEach(carryOut);
+  };
+  putVersion(harness, '2').forEach(carryOut);
+  for (let second = 1; second < 900 && reloaded.size < 4; second += 1) {
+    harness.advance(1000).forEach(carryOut);
+    // Streams of an engine that is out take up to ten more seconds to end.
+    if (second % 10 === 0) outNow.forEach((instance) => harness.running.set(instance, 0));
+  }
+  assert.equal(reloaded.size, 4);
+  assert.equal(outNow.size, 0);
+});
+
+// The engine carried the load out but its answer was lost. The controller does not guess: after
+// the timeout it takes the order for lost, and the engine's own report shows that it was done, so
+// nothing is sent again.
+test('a lost answer to a done order sends nothing twice', () => {
+  const harness = serving(5);
+  harness.rows?.push(row('fresh', 'wien-a', firm));
+  const [order] = pick(harness.advance(2000), 'sendOrder');
+  assert.equal(order?.instance, 'fresh');
+  harness.loaded.set('fresh', { model: 'appraiser', version: '1' });
+  const later = harness.advance(6 * 60_000);
+  assert.ok(logged(later).includes('orderFailed'));
+  assert.deepEqual(pick(later, 'sendOrder'), []);
+});
+
+// A holder drains an engine for a reload, orders the load and dies; the engine may have loaded or
+// not. Its successor has no memory of this. It puts every engine back into service (else this one
+// would stand idle for ever), sees what is loaded from reports, and goes on under its own epoch,
+// so that a late order of the dead holder is refused.
+test("a dead holder's half-done reload is finished under the next epoch", () => {
+  const first = serving();
+  const started = [...putVersion(first, '2'), ...first.advance(90_000)];
+  const drained = pick(started, 'drainInstance')[0]?.instance ?? '';
+  assert.notEqual(drained, '');
+
+  const next = serving();
+  putVersion(next, '2');
+  next.tell({ type: 'leaseLost' });
+  const taken = next.tell({ type: 'leaseHeld', epoch: 2, unfencedFrom: next.now });
+  const restored = pick(taken, 'restoreInstance').map(({ instance }) => instance);
+  assert.ok(restored.includes(drained));
+  next.rows?.forEach(({ instance }) => next.running.set(instance, 0));
+  const [order] = pick(next.advance(60_000), 'sendOrder');
+  assert.equal(order?.order.epoch, 2);
+});
+
+// Engines that ignore fencing numbers would also carry out the last holder's late orders. Until
+// the lease part says that the last of those must have arrived, they get no order at all.
+test('engines that check no fencing get no order before the wait is over', () => {
+  const pool = { ...oneDataCentre, checksFencing: false };
+  const harness = new ControllerHarness({ pool });
+  harness.rows = ['a', 'b', 'c', 'd'].map((name) => row(name));
+  const early = harness.hold(2, 30_000);
+  assert.deepEqual(pick([...early, ...harness.advance(19_000)], 'sendOrder'), []);
+  assert.ok(pick(harness.advance(3000), 'sendOrder').length > 0);
+});
+
+// A partition hid a change of holder from this controller, and an engine refuses its order as
+// old. Whatever it believes of its lease, another one acts: it sends nothing more at all.
+test('an order refused as old silences the controller', () => {
+  const harness = serving(5);
+  harness.rows?.push(row('fresh', 'wien-a', firm));
+  const [order] = pick(harness.advance(2000), 'sendOrder');
+  assert.ok(order !== undefined);
+  harness.answerOrder(order, { type: 'refusedAsOld' });
+  putVersion(harness, '2');
+  harness.rows = [];
+  const effects = harness.advance(10 * 60_000);
+  assert.deepEqual(
+    effects.filter(({ type }) => type !== 'log' && type !== 'count'),
+    [],
+  );
+});
+
+// Twelve engines start at once and the weight store allows eight loads a minute for one data
+// centre. More would queue there and all become slow; the loads are spread over the minutes.
+test('loads keep within the rate of the weight store', () => {
+  const pool = { dataCentres: ['wien-a'], least: 12, most: 12 };
+  const harness = new ControllerHarness({ pool, policy: { loadsAtOnce: 12 } });
+  harness.tell({ type: 'loadRateRead', loadsPerMinute: 8 });
+  harness.rows = Array.from({ length: 12 }, (_, number) => row(`engine-${number}`));
+  const first = [...harness.hold(), ...harness.advance(20_000)];
+  assert.equal(pick(first, 'sendOrder').length, 8);
+  assert.equal(pick(harness.advance(60_000), 'sendOrder').length, 4);
+});
+
+// The weight store refuses a load for now. The order was not sent; it is tried again after the
+// span that the store named, not before.
+test('a busy weight store is asked again when it says', () => {
+  const harness = serving(5);
+  harness.rows?.push(row('fresh', 'wien-a', firm));
+  const [order] = pick(harness.advance(2000), 'sendOrder');
+  assert.ok(order !== undefined);
+  harness.answerOrder(order, { type: 'weightStoreBusy', retryAfter: 20_000 });
+  assert.deepEqual(pick(harness.advance(19_000), 'sendOrder'), []);
+  assert.equal(pick(harness.advance(5000), 'sendOrder').length, 1);
+});
--- a/packages/controller-core/src/planning/PoolPlan.ts
+++ b/packages/controller-core/src/planning/PoolPlan.ts
@@ -35,6 +35,8 @@
   readonly figures: NeedFigures;
   /** What was planned for: the highest need of the last while and of the time ahead. */
   readonly need: SlotNeed;
+  /** Slots kept beyond the need while instances wait for another version. */
+  readonly rolloutSlots: number;
   /** Share of the reclaimable slots that the largest remembered wave took. */
   readonly waveShare: number;
   /** Slots that the plan lacks because of `most` or because nothing more can be bought. */
--- /dev/null
+++ b/packages/controller-core/src/planning/chooseMix.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { chooseMix, measureMix, type MixRequest, type Offer } from './chooseMix.js';
+
+/** Three data centres with a reclaimable class each, and one on-demand offer. */
+function randomRequest(seed: number): MixRequest {
+  const generator = xoroshiro128plus(seed);
+  const pick = (from: number, to: number) => uniformInt(generator, from, to);
+  const offers = ['a', 'b', 'c', 'd'].map((dataCentre, position): Offer => {
+    const reclaimable = position < 3;
+    const price = (reclaimable ? 100 : 300) + pick(0, 40);
+    return {
+      dataCentre: reclaimable ? dataCentre : 'a',
+      instanceClass: reclaimable ? 'spot' : 'firm',
+      reclaimable,
+      slotsEach: 4,
+      eurosPerHour: price,
+      comparedPrice: price,
+      kept: pick(0, 2),
+      closed: pick(0, 4) === 0,
+    };
+  });
+  const normal = pick(1, 20);
+  const need = { normal, afterLoss: pick(1, normal) };
+  return { offers, need, waveShare: pick(0, 3) === 0 ? 0.5 : 0, least: 0, most: 12, stickiness: 0 };
+}
+
+function missing(request: MixRequest, counts: readonly number[]): number {
+  const { total, largestLoss } = measureMix(request.offers, counts, request.waveShare);
+  const lackingAfterLoss = Math.max(0, request.need.afterLoss - (total - largestLoss));
+  return Math.max(0, request.need.normal - total) + lackingAfterLoss;
+}
+
+/** Cost of the cheapest mix that lacks the fewest slots, by trying all. */
+function cheapestByTrying(request: MixRequest): { readonly cost: number; readonly lacks: number } {
+  const highest = request.offers.map((offer) => (offer.closed ? offer.kept : 8));
+  let best = { cost: Infinity, lacks: Infinity };
+  const visit = (counts: readonly number[]): void => {
+    if (counts.length < highest.length) {
+      const most = highest[counts.length] ?? 0;
+      for (let count = 0; count <= most; count += 1) visit([...counts, count]);
+      return;
+    }
+    if (counts.reduce((sum, count) => sum + count, 0) > request.most) return;
+    const lacks = missing(request, counts);
+    const cost = request.offers.reduce(
+      (sum, offer, position) => sum + offer.comparedPrice * (counts[position] ?? 0),
+      0,
+    );
+    if (lacks < best.lacks || (lacks === best.lacks && cost < best.cost)) best = { cost, lacks };
+  };
+  visit([]);
+  return best;
+}
+
+test('the mix lacks as little as any, and is nearly always the cheapest of those', () => {
+  let dearer = 0;
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const request = randomRequest(seed);
+    const mix = chooseMix(request);
+    const best = cheapestByTrying(request);
+    assert.equal(mix.missingSlots, best.lacks, `seed ${seed} lacks slots`);
+    assert.ok(mix.comparedCost <= best.cost * 1.25, `seed ${seed}: ${mix.comparedCost}`);
+    if (mix.comparedCost > best.cost) dearer += 1;
+  }
+  assert.ok(dearer <= 6, `${dearer} of 60 were dearer than the best`);
+});
+
+test('an instance that is there is kept unless another place is much cheaper', () => {
+  const offer = (dataCentre: string, price: number, kept: number): Offer => ({
+    dataCentre,
+    instanceClass: 'firm',
+    reclaimable: false,
+    slotsEach: 4,
+    eurosPerHour: price,
+    comparedPrice: price,
+    kept,
+    closed: false,
+  });
+  const request = (price: number): MixRequest => ({
+    offers: [offer('a', 100, 1), offer('b', price, 0)],
+    need: { normal: 4, afterLoss: 4 },
+    waveShare: 0,
+    least: 1,
+    most: 4,
+    stickiness: 0.2,
+  });
+  assert.deepEqual(chooseMix(request(85)).counts, [1, 0]);
+  assert.deepEqual(chooseMix(request(75)).counts, [0, 1]);
+});
--- a/packages/controller-core/src/planning/planPools.ts
+++ b/packages/controller-core/src/planning/planPools.ts
@@ -74,16 +74,16 @@
 
 function planPool(state: ControllerState, pool: Pool): PoolPlan {
   const { figures, ahead } = wantedSlots(state, pool);
-  const extra = rolloutSlots(state, pool);
-  const withExtra = { normal: ahead.normal + extra, afterLoss: ahead.afterLoss + extra };
   const before = state.plans.get(pool.name);
-  const recentNeeds = remember(state, before?.recentNeeds ?? [], withExtra);
+  const recentNeeds = remember(state, before?.recentNeeds ?? [], ahead);
   const need = highestOf(recentNeeds);
   const waveShare = largestWave(state, pool);
   const offers = listOffers(state, pool);
   const { least, most } = pool;
   const { stickiness } = state.policy;
-  const request = { offers, need, waveShare, least, most, stickiness };
+  const extra = rolloutSlots(state, pool);
+  const needed = { normal: need.normal + extra, afterLoss: need.afterLoss + extra };
+  const request = { offers, need: needed, waveShare, least, most, stickiness };
   const question = JSON.stringify(request);
   const mix = before?.choice.question === question ? before.choice.mix : chooseMix(request);
   const places = toPlaces(offers, mix);
@@ -93,6 +93,7 @@
     places,
     figures,
     need,
+    rolloutSlots: extra,
     waveShare,
     missingSlots: mix.missingSlots,
     eurosPerHour,
@@ -116,6 +117,7 @@
     wanted: wantedByPlace(plan),
     slotsNeeded: need.normal,
     slotsNeededAfterLoss: need.afterLoss,
+    rolloutSlots: plan.rolloutSlots,
     waveShare: plan.waveShare,
     missingSlots: plan.missingSlots,
     requestsPerSecond: figures.requestsPerSecond,
--- a/packages/controller-core/src/planning/scaleIn.ts
+++ b/packages/controller-core/src/planning/scaleIn.ts
@@ -15,7 +15,7 @@
   type FleetInstance,
 } from '../fleet/FleetInstance.js';
 import { placeOf, type ControllerState } from '../state.js';
-import { canDoWithout } from './standing.js';
+import { canEndWithout } from './standing.js';
 import { isOwnTurn } from './turns.js';
 
 /** An end without an answer is resent after so long; ending what is gone already is no fault. */
@@ -76,8 +76,10 @@
     (instance) => instance.phase === 'draining' && instance.phaseSince >= turnStartedAt,
   );
   if (drainedThisTurn) return [];
-  const candidate = findSurplus(state, pool).find(
-    (instance) => !isServing(pool, instance) || canDoWithout(state, pool, instance),
+  // One that only starts must stay too while the pool lacks capacity: the plan may have moved to
+  // a place that refuses again, and draining here would buy and drain in turns.
+  const candidate = findSurplus(state, pool).find((instance) =>
+    canEndWithout(state, pool, instance),
   );
   if (candidate === undefined) return [];
   const plan = state.plans.get(pool.name);
@@ -144,9 +146,23 @@
     .flatMap((instance) => drain(state, instance, 'stray', {}));
 }
 
+/** Drains instances that never came to serve: they would count as capacity to come for ever. */
+function drainDuds(state: ControllerState): ControllerEffect[] {
+  return [...state.fleet.values()]
+    .filter(
+      (instance) =>
+        instance.dataCentre === state.dataCentre &&
+        !instance.startMeasured &&
+        isKept(instance) &&
+        state.now - instance.firstSeenAt > state.policy.neverServedAfter,
+    )
+    .flatMap((instance) => drain(state, instance, 'neverServed', {}));
+}
+
 export function scaleIn(state: ControllerState): ControllerEffect[] {
   return [
     ...drainStrays(state),
+    ...drainDuds(state),
     ...state.configuration.pools.rows.flatMap((pool) => scaleInPool(state, pool)),
     ...endDrained(state),
   ];
--- a/packages/controller-core/src/planning/standing.ts
+++ b/packages/controller-core/src/planning/standing.ts
@@ -15,7 +15,8 @@
   const firm = classes
     .filter((found) => found?.reclaimable !== true)
     .reduce((sum, found) => sum + (found?.concurrency ?? 0), 0);
-  return { pool: pool.name, slots, reclaimableSlots: slots - firm };
+  const instances = classes.length;
+  return { pool: pool.name, instances, slots, reclaimableSlots: slots - firm };
 }
 
 /** What serves in the own data centre, for the report to the other controllers. */
@@ -23,6 +24,13 @@
   return state.configuration.pools.rows.map((pool) => servingHere(state, pool));
 }
 
+/** What serves in all data centres together. */
+export interface Standing {
+  readonly instances: number;
+  readonly total: number;
+  readonly largestLoss: number;
+}
+
 /**
  * Slots that serve in all data centres, and the most that the loss of one data centre's
  * reclaimable instances would take. A data centre that is not heard counts for nothing: taking
@@ -32,13 +40,14 @@
   state: ControllerState,
   pool: Pool,
   without?: FleetInstance,
-): { readonly total: number; readonly largestLoss: number } {
+): Standing {
   const elsewhere = pool.dataCentres
     .filter((dataCentre) => dataCentre !== state.dataCentre && isHeard(state, dataCentre))
     .flatMap((dataCentre) => state.peers.get(dataCentre)?.serving ?? [])
     .filter((serving) => serving.pool === pool.name);
   const all = [servingHere(state, pool, without), ...elsewhere];
   return {
+    instances: all.reduce((sum, { instances }) => sum + instances, 0),
     total: all.reduce((sum, { slots }) => sum + slots, 0),
     largestLoss: Math.max(...all.map(({ reclaimableSlots }) => reclaimableSlots)),
   };
@@ -56,3 +65,13 @@
   const { total, largestLoss } = servingSlots(state, pool, instance);
   return total >= plan.need.normal && total - largestLoss >= plan.need.afterLoss;
 }
+
+/** True if the pool keeps its least size of serving instances, and its deadlines, without it. */
+export function canEndWithout(
+  state: ControllerState,
+  pool: Pool,
+  instance: FleetInstance,
+): boolean {
+  const { instances } = servingSlots(state, pool, instance);
+  return instances >= pool.least && canDoWithout(state, pool, instance);
+}
--- a/packages/controller-core/src/policy.ts
+++ b/packages/controller-core/src/policy.ts
@@ -39,6 +39,8 @@
   readonly takeoverPause: Milliseconds;
   /** An instance of no pool is drained after so long. */
   readonly strayGrace: Milliseconds;
+  /** An instance that has not served so long after its purchase is drained. */
+  readonly neverServedAfter: Milliseconds;
   /** After a drain, entries may send for so long. */
   readonly entriesStop: Milliseconds;
   /** Each data centre may take capacity out of service only in its own turn of this length. */
@@ -75,6 +77,7 @@
   longestBackoff: 10 * MINUTE,
   takeoverPause: 10 * SECOND,
   strayGrace: MINUTE,
+  neverServedAfter: 30 * MINUTE,
   entriesStop: 5 * SECOND,
   turnDuration: 20 * SECOND,
   orderTimeout: 5 * MINUTE,
--- /dev/null
+++ b/packages/controller-core/src/reduceController.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { matchSnapshot } from '@hornbeampond/testing';
+import { isFleetEffect } from './effects.js';
+import { explainPlan } from './explainPlan.js';
+import {
+  configure,
+  ControllerHarness,
+  modelPool,
+  pick,
+  placesOf,
+  row,
+} from './testing/ControllerHarness.js';
+
+// A partition cuts a controller off and its lease ends; a successor acts elsewhere. Whatever the
+// cut-off one still hears (demand, notices, tables, late answers) it must buy, drain and order
+// nothing, else two controllers would undo each other's work.
+test('a controller without the lease changes nothing, whatever it hears', () => {
+  const harness = new ControllerHarness();
+  harness.rate = 60;
+  harness.rows = [row('a'), row('b', 'wien-b'), row('stray', 'wien-a', { pool: 'gone' })];
+  const [start] = pick(harness.hold(), 'startInstance');
+  assert.ok(start !== undefined);
+  harness.tell({ type: 'leaseLost' });
+  const configuration = configure({ ...harness.pool, version: '2' }, 2);
+  const effects = [
+    ...harness.tell({ type: 'configurationApplied', configuration }),
+    ...harness.answerStart(start.startToken, { type: 'refused', reason: 'none left' }),
+    ...harness.tell({ type: 'reclaimNoticed', instance: 'a', goneAt: harness.wallNow + 30_000 }),
+    ...harness.advance(20 * 60_000),
+  ];
+  assert.deepEqual(effects.filter(isFleetEffect), []);
+});
+
+// Two data centres are heard by nobody for a while. Both their demand and their listed instances
+// stay in the plan, so the other controllers do not buy the whole fleet a second time; nothing
+// new is planned there, as nobody would buy it.
+test('a data centre that is not heard keeps its part of the plan', () => {
+  const harness = new ControllerHarness();
+  harness.rate = 20;
+  harness.furnish();
+  harness.peersHeard = false;
+  const effects = harness.advance(5 * 60_000);
+  assert.deepEqual(placesOf(effects), []);
+  assert.deepEqual(pick(effects, 'drainInstance'), []);
+});
+
+// All controllers plan for all data centres, each from its own state. Given the same figures
+// their plans are the same, so their purchases add up to it with no message about the split.
+test('the controllers of all data centres make the same plan and buy its parts', () => {
+  const harnesses = ['wien-a', 'wien-b', 'stpoelten', 'eisenstadt'].map(
+    (dataCentre, position) => new ControllerHarness({ dataCentre, seed: position }),
+  );
+  const bought = harnesses.flatMap((harness) => {
+    harness.rate = 20;
+    return placesOf(harness.hold());
+  });
+  const [plan] = harnesses.map((harness) => harness.state.plans.get('models'));
+  harnesses.forEach((harness) => {
+    assert.deepEqual(harness.state.plans.get('models')?.places, plan?.places);
+  });
+  const wanted = (plan?.places ?? []).flatMap((place) =>
+    Array.from({ length: place.wanted }, () => `${place.dataCentre}/${place.instanceClass}`),
+  );
+  assert.deepEqual(bought.sort(), wanted.sort());
+});
+
+// Demand falls. Instances leave by drain only, one data centre's turn after another, and are
+// ended once idle; none is drained on the strength of a short dip.
+test('scale-in waits, drains, and ends only what is idle', () => {
+  const instanceClasses = modelPool.instanceClasses.slice(1);
+  const pool = { dataCentres: ['wien-a'], instanceClasses, least: 1, most: 8 };
+  const harness = new ControllerHarness({ pool });
+  harness.rate = 20;
+  harness.furnish();
+  harness.rows?.forEach(({ instance }) => harness.running.set(instance, 1));
+  harness.advance(5 * 60_000);
+  harness.rate = 4;
+  assert.deepEqual(pick(harness.advance(4 * 60_000), 'drainInstance'), []);
+  const effects = harness.advance(10 * 60_000);
+  const drained = pick(effects, 'drainInstance');
+  assert.ok(drained.length > 0);
+  assert.deepEqual(pick(effects, 'endInstance'), []);
+  drained.forEach(({ instance }) => harness.running.set(instance, 0));
+  const ended = pick(harness.advance(20_000), 'endInstance').map(({ instance }) => instance);
+  assert.deepEqual(ended.sort(), drained.map(({ instance }) => instance).sort());
+});
+
+test('the plan explains itself in rows', async () => {
+  const harness = new ControllerHarness();
+  harness.rate = 12;
+  const effects = harness.hold();
+  await matchSnapshot(import.meta.url, 'rows of a plan', explainPlan(harness.state));
+  await matchSnapshot(import.meta.url, 'effects of a takeover', effects);
+});
--- a/packages/controller-core/src/testing/ControllerHarness.ts
+++ b/packages/controller-core/src/testing/ControllerHarness.ts
@@ -1,17 +1,17 @@
 /**
  * Drives one controller in virtual time for tests: a clock, the tables, and short ways to tell it
- * things. It answers nothing by itself, so each test decides what gets lost.
+ * things. It answers no purchase and no order by itself, so each test decides what gets lost.
  */
 import type {
   Configuration,
-  LoadReport,
   Milliseconds,
   PlatformInstance,
   Pool,
   Route,
 } from '@hornbeampond/schema';
-import type { ControllerEffect } from '../effects.js';
-import type { ControllerEvent } from '../events.js';
+import type { ControllerEffect, SendOrderEffect } from '../effects.js';
+import type { ControllerEvent, OrderOutcome, StartOutcome } from '../events.js';
+import type { LoadedModel } from '../fleet/FleetInstance.js';
 import type { ControllerPolicy } from '../policy.js';
 import { reduceController } from '../reduceController.js';
 import { createControllerState, type ControllerState } from '../state.js';
@@ -70,11 +70,23 @@
 
   readonly pool: Pool;
 
-  /** Every effect so far. */
-  readonly effects: ControllerEffect[] = [];
-
   now = 0;
 
+  /** Requests a second that the one entry reports. */
+  rate = 0;
+
+  /** What the platform lists; undefined while its list cannot be read. */
+  rows: PlatformInstance[] | undefined = [];
+
+  /** What engines of the own data centre report to have loaded; the others report nothing. */
+  readonly loaded = new Map<string, LoadedModel>();
+
+  /** Calls that run at an instance; one that is not named runs none. */
+  readonly running = new Map<string, number>();
+
+  /** False while the other data centres are cut off. */
+  peersHeard = true;
+
   constructor(options: HarnessOptions = {}) {
     const { dataCentre = 'wien-a', seed = 7, policy } = options;
     this.state = createControllerState({ dataCentre, seed, policy });
@@ -88,51 +100,92 @@
 
   tell(fields: EventFields<ControllerEvent>): ControllerEffect[] {
     const event = { ...fields, now: this.now, wallNow: this.wallNow } as ControllerEvent;
-    const effects = reduceController(this.state, event);
-    this.effects.push(...effects);
-    return effects;
+    return reduceController(this.state, event);
   }
 
-  /** Moves time on by whole seconds, with a tick in each. */
+  /** Moves time on by whole seconds; in each, everybody reports and then a tick comes. */
   advance(span: Milliseconds): ControllerEffect[] {
     const effects: ControllerEffect[] = [];
     for (const end = this.now + span; this.now < end;) {
       this.now += 1000;
-      effects.push(...this.tell({ type: 'tick' }));
+      effects.push(...this.hearAll(), ...this.tell({ type: 'tick' }));
     }
     return effects;
   }
 
-  /** Takes the lease and waits until a new holder may buy. */
-  hold(epoch = 1): void {
-    this.hearPeers();
-    this.tell({ type: 'leaseHeld', epoch, unfencedFrom: this.now });
-    this.now += this.state.policy.takeoverPause;
-    this.hearPeers();
+  /** Takes the lease and waits until a new holder may buy; returns what it did meanwhile. */
+  hold(epoch = 1, unfencedFrom = this.now): ControllerEffect[] {
+    this.hearAll();
+    const effects = this.tell({ type: 'leaseHeld', epoch, unfencedFrom });
+    return [...effects, ...this.advance(this.state.policy.takeoverPause)];
   }
 
-  /** The other data centres' controllers are heard; they have no demand of their own. */
-  hearPeers(): void {
-    this.pool.dataCentres.forEach((dataCentre) => {
-      const report = { dataCentre, demand: [], closedOffers: [], serving: [] };
-      this.tell({ type: 'peerReported', report });
+  /**
+   * Takes the lease and lets the platform list, live and loaded, just what the plan wants; the
+   * own purchases are answered.
+   */
+  furnish(): void {
+    this.hold();
+    const places = this.state.plans.get(this.pool.name)?.places ?? [];
+    this.rows = places.flatMap(({ dataCentre, instanceClass, wanted }) =>
+      Array.from({ length: wanted }, (_, number) =>
+        row(`${dataCentre}-${instanceClass}-${number}`, dataCentre, { instanceClass }),
+      ),
+    );
+    const { model, version } = this.pool;
+    this.rows.forEach(({ instance }) => this.loaded.set(instance, { model, version }));
+    const own = this.rows.filter(({ dataCentre }) => dataCentre === this.state.dataCentre);
+    [...this.state.pendingStarts.values()].forEach(({ startToken, instanceClass }) => {
+      const position = own.findIndex((listed) => listed.instanceClass === instanceClass);
+      const [instance] = position < 0 ? [] : own.splice(position, 1);
+      if (instance !== undefined) this.answerStart(startToken, { type: 'started', instance });
     });
+    this.advance(60_000);
   }
 
-  /** One entry reports demand; requests keep a place busy for a second. */
-  demand(requestsPerSecond: number): void {
-    const demand = [{ route: 'appraisals', requestsPerSecond, serviceMilliseconds: 1000 }];
-    this.tell({ type: 'demandReported', entry: 'entry-1', demand });
+  answerStart(startToken: string, outcome: StartOutcome): ControllerEffect[] {
+    return this.tell({ type: 'startAnswered', startToken, outcome });
   }
 
-  list(...instances: readonly PlatformInstance[]): ControllerEffect[] {
-    return this.tell({ type: 'platformListed', instances });
+  answerOrder(effect: SendOrderEffect, outcome: OrderOutcome): ControllerEffect[] {
+    const { epoch, sequence } = effect.order;
+    const { instance } = effect;
+    return this.tell({ type: 'orderAnswered', instance, epoch, sequence, outcome });
   }
 
-  report(instance: string, fields: Partial<LoadReport> = {}): ControllerEffect[] {
+  private hearAll(): ControllerEffect[] {
+    const demand = [
+      { route: 'appraisals', requestsPerSecond: this.rate, serviceMilliseconds: 1000 },
+    ];
+    if (this.rate > 0) this.tell({ type: 'demandReported', entry: 'entry-1', demand });
+    if (this.peersHeard) this.hearPeers();
+    const { rows } = this;
+    if (rows === undefined) return [];
+    const effects = this.tell({ type: 'platformListed', instances: rows });
+    rows
+      .filter(({ dataCentre }) => dataCentre === this.state.dataCentre)
+      .forEach(({ instance }) => this.report(instance));
+    return effects;
+  }
+
+  /** The other controllers report what the list shows as live; they have no demand of their own. */
+  private hearPeers(): void {
+    this.pool.dataCentres.forEach((dataCentre) => {
+      const instances = (this.rows ?? []).filter(
+        (listed) => listed.dataCentre === dataCentre && listed.state === 'live',
+      ).length;
+      const slots = 8 * instances;
+      const serving = [{ pool: this.pool.name, instances, slots, reclaimableSlots: slots }];
+      const report = { dataCentre, demand: [], closedOffers: [], serving };
+      this.tell({ type: 'peerReported', report });
+    });
+  }
+
+  private report(instance: string): void {
+    const running = this.running.get(instance) ?? 0;
     const measuredAt = this.wallNow;
-    const report = { instance, measuredAt, running: 0, queued: 0, ...fields };
-    return this.tell({ type: 'loadReported', report });
+    const report = { instance, measuredAt, running, queued: 0, ...this.loaded.get(instance) };
+    this.tell({ type: 'loadReported', report });
   }
 }
 
@@ -168,3 +221,10 @@
 export function logged(effects: readonly ControllerEffect[]): string[] {
   return pick(effects, 'log').map(({ event }) => event);
 }
+
+/** The start effects' places, such as `wien-a/spot`, sorted. */
+export function placesOf(effects: readonly ControllerEffect[]): string[] {
+  return pick(effects, 'startInstance')
+    .map(({ dataCentre, instanceClass }) => `${dataCentre}/${instanceClass}`)
+    .sort();
+}
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -50,5 +50,5 @@
 export type FleetRetryReason = (typeof fleetRetryReasons)[number];
 
 /** Why an instance was taken out of service by a controller. */
-export const drainReasons = ['scaleIn', 'reload', 'stray'] as const;
+export const drainReasons = ['scaleIn', 'reload', 'stray', 'neverServed'] as const;
 export type DrainReason = (typeof drainReasons)[number];
