--- a/packages/controller-core/src/policy.ts
+++ b/packages/controller-core/src/policy.ts
@@ -39,6 +39,8 @@
   readonly takeoverPause: Milliseconds;
   /** An instance of no pool is drained after so long. */
   readonly strayGrace: Milliseconds;
+  /** An instance that has not served so long after its purchase is drained. */
+  readonly neverServedAfter: Milliseconds;
   /** After a drain, entries may send for so long. */
   readonly entriesStop: Milliseconds;
   /** Each data centre may take capacity out of service only in its own turn of this length. */
@@ -58,12 +60,12 @@
 
 export const defaultPolicy: ControllerPolicy = {
   onTimeShare: 0.998,
-  onTimeShareAfterLoss: 0.97,
-  headroom: 0.05,
+  onTimeShareAfterLoss: 0.9,
+  headroom: 0.02,
   headroomWithoutShape: 0.25,
-  stickiness: 0.1,
+  stickiness: 0.2,
   waveHandicap: 0.05,
-  waveMemory: 6 * 60 * MINUTE,
+  waveMemory: 60 * MINUTE,
   reclaimCooldown: 15 * MINUTE,
   scaleInDelay: 5 * MINUTE,
   startDuration: 4 * MINUTE,
@@ -75,10 +77,11 @@
   longestBackoff: 10 * MINUTE,
   takeoverPause: 10 * SECOND,
   strayGrace: MINUTE,
+  neverServedAfter: 30 * MINUTE,
   entriesStop: 5 * SECOND,
   turnDuration: 20 * SECOND,
   orderTimeout: 5 * MINUTE,
   peerSilence: 30 * SECOND,
   entrySilence: 30 * SECOND,
-  loadsAtOnce: 2,
+  loadsAtOnce: 4,
 };
