Run the store on its disk and the controller as processes of their own

Controllers read demand from the entries of their data centre and tell all entries what they have drained, under the epoch of their lease; the newest epoch's word counts.

--- /dev/null
+++ b/apps/controller/src/ControllerProcess.ts
@@ -0,0 +1,316 @@
+/**
+ * One running controller: it feeds the reducer with events and carries out its effects. While it
+ * holds no lease the reducer asks for nothing that would change the fleet.
+ */
+import {
+  HttpPlatformAdapter,
+  HttpWeightStoreAdapter,
+  type PlatformAdapter,
+  type WeightStoreAdapter,
+} from '@hornbeampond/adapters';
+import {
+  createControllerState,
+  explainPlan,
+  makeReport,
+  reduceController,
+  type ControllerEffect,
+  type ControllerEvent,
+  type ControllerState,
+  type OrderOutcome,
+  type StartOutcome,
+} from '@hornbeampond/controller-core';
+import {
+  EventLoop,
+  Logger,
+  Metrics,
+  runCommonEffect,
+  type RunningProcess,
+  type TimerService,
+  type Unsubscribe,
+} from '@hornbeampond/runtime';
+import { assertNever, type Configuration, type ControllerSettings } from '@hornbeampond/schema';
+import { OperatorServer, StoreClient, writeJson, type PeerContext } from '@hornbeampond/transport';
+import { FleetExchange } from './FleetExchange.js';
+import { FleetWatcher } from './FleetWatcher.js';
+import { LeaseKeeper, LONGEST_ORDER_MILLISECONDS } from './LeaseKeeper.js';
+
+const TICK_MILLISECONDS = 250;
+
+/** The platform and the weight store are given up on after this long; a resend is harmless. */
+const PLATFORM_MILLISECONDS = 5000;
+
+/** Time for the release of the lease to reach the store. */
+const RELEASE_MILLISECONDS = 200;
+
+type Occurrence = ControllerEvent extends infer Event
+  ? Event extends { now: number; wallNow: number }
+    ? Omit<Event, 'now' | 'wallNow'>
+    : never
+  : never;
+
+type EffectOf<Type extends ControllerEffect['type']> = Extract<ControllerEffect, { type: Type }>;
+
+export interface ControllerPorts {
+  readonly operators: number;
+  readonly peers: number;
+}
+
+export class ControllerProcess implements RunningProcess {
+  private readonly logger: Logger;
+
+  private readonly metrics = new Metrics({ withProcessMetrics: true });
+
+  private readonly loop: EventLoop<ControllerState, ControllerEvent, ControllerEffect>;
+
+  private readonly store: StoreClient;
+
+  private readonly platform: PlatformAdapter;
+
+  private readonly weightStore: WeightStoreAdapter | undefined;
+
+  private readonly lease: LeaseKeeper;
+
+  private readonly watcher: FleetWatcher;
+
+  private readonly exchange: FleetExchange;
+
+  private readonly operators: OperatorServer;
+
+  private readonly drained = new Set<string>();
+
+  private stopTicks: Unsubscribe = () => {};
+
+  constructor(
+    private readonly settings: ControllerSettings,
+    private readonly timers: TimerService,
+  ) {
+    const { instance, dataCentre, cluster, clusterSecret, logLevel } = settings;
+    this.logger = new Logger({ process: 'hornbeampond-controller', instance }, logLevel);
+    this.loop = new EventLoop(
+      createControllerState({ dataCentre, seed: Math.trunc(timers.wallNow()) }),
+      reduceController,
+      (effect) => this.carryOut(effect),
+      (error, event) => this.reportError(error, event.type),
+    );
+    const context: PeerContext = {
+      identity: { cluster, instance, dataCentre, role: 'controller' },
+      secret: clusterSecret,
+      timers,
+      logger: this.logger,
+      metrics: this.metrics,
+    };
+    this.store = new StoreClient(
+      settings.stores,
+      context,
+      { onConfiguration: (configuration) => this.applyConfiguration(configuration) },
+      this.makeInstanceReport(0),
+    );
+    this.platform = new HttpPlatformAdapter(settings.platform.url);
+    this.weightStore =
+      settings.weightStore === undefined
+        ? undefined
+        : new HttpWeightStoreAdapter(settings.weightStore.url);
+    this.lease = new LeaseKeeper({
+      store: this.store,
+      timers,
+      logger: this.logger,
+      dataCentre,
+      holder: `${instance}/${timers.wallNow().toString(36)}`,
+      duration: settings.leaseMilliseconds,
+      onHeld: (epoch, unfencedFrom) => this.dispatch({ type: 'leaseHeld', epoch, unfencedFrom }),
+      onLost: () => this.loseLease(),
+    });
+    this.watcher = new FleetWatcher({
+      platform: this.platform,
+      weightStore: this.weightStore,
+      timers,
+      logger: this.logger,
+      dataCentre,
+      pollMilliseconds: settings.platform.pollMilliseconds,
+      readConfiguration: () => this.loop.state.configuration,
+      onListed: (instances) => this.dispatch({ type: 'platformListed', instances }),
+      onNotice: (noticed, goneAt) =>
+        this.dispatch({ type: 'reclaimNoticed', instance: noticed, goneAt }),
+      onLoad: (report) => this.dispatch({ type: 'loadReported', report }),
+      onLoadRate: (loadsPerMinute) => this.dispatch({ type: 'loadRateRead', loadsPerMinute }),
+    });
+    this.exchange = new FleetExchange({
+      settings,
+      context,
+      timers,
+      readDrains: () => this.readDrains(),
+      readReport: (withShapes) =>
+        this.lease.epoch === undefined ? undefined : makeReport(this.loop.state, withShapes),
+      onDemand: (entry, demand) => this.dispatch({ type: 'demandReported', entry, demand }),
+      onReport: (report) => this.dispatch({ type: 'peerReported', report }),
+    });
+    this.operators = new OperatorServer({
+      metrics: this.metrics,
+      isReady: () => this.loop.state.configuration.revision > 0,
+      readStatus: async () => this.readStatus(),
+      handle: async (request, response, url) => {
+        if (url.pathname !== '/plan') return false;
+        writeJson(response, 200, { rows: explainPlan(this.loop.state) });
+        return true;
+      },
+    });
+  }
+
+  async start(): Promise<ControllerPorts> {
+    const peers = await this.exchange.start();
+    const operators = await this.operators.listen(this.settings.operatorListen);
+    this.stopTicks = this.timers.every(TICK_MILLISECONDS, () => this.dispatch({ type: 'tick' }));
+    this.watcher.start();
+    this.lease.start();
+    this.logger.write('processReady', { operators, peers });
+    return { operators, peers };
+  }
+
+  /** Gives the lease back, so that the other controller of the data centre goes on at once. */
+  async shutDown(): Promise<void> {
+    this.logger.write('shutdownStarted', {});
+    this.stopTicks();
+    this.loseLease();
+    this.lease.stop();
+    await this.timers.wait(RELEASE_MILLISECONDS);
+    await this.close();
+    this.logger.write('shutdownFinished', {});
+  }
+
+  async close(): Promise<void> {
+    this.stopTicks();
+    this.store.close();
+    await Promise.all([this.watcher.close(), this.exchange.close(), this.operators.close()]);
+  }
+
+  private dispatch(occurrence: Occurrence): void {
+    const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
+    this.loop.dispatch({ ...occurrence, ...clocks });
+  }
+
+  private makeInstanceReport(revision: number) {
+    const { instance, dataCentre } = this.settings;
+    return { instance, dataCentre, role: 'controller' as const, revision, cutOff: false };
+  }
+
+  private applyConfiguration(configuration: Configuration): void {
+    const { revision } = configuration;
+    if (revision < this.loop.state.configuration.revision) {
+      this.logger.write('configurationIgnored', { revision });
+      return;
+    }
+    this.dispatch({ type: 'configurationApplied', configuration });
+    this.logger.write('configurationApplied', { revision });
+    this.metrics.setGauge('configurationRevision', revision);
+    this.store.updateReport(this.makeInstanceReport(revision));
+  }
+
+  private loseLease(): void {
+    this.drained.clear();
+    this.dispatch({ type: 'leaseLost' });
+  }
+
+  private readDrains() {
+    const { epoch } = this.lease;
+    if (epoch === undefined) return undefined;
+    return { dataCentre: this.settings.dataCentre, epoch, instances: [...this.drained] };
+  }
+
+  private carryOut(effect: ControllerEffect): void {
+    if (runCommonEffect(effect, this.logger, this.metrics)) return;
+    switch (effect.type) {
+      case 'startInstance':
+        void this.startInstance(effect);
+        return;
+      case 'drainInstance':
+        this.drained.add(effect.instance);
+        this.exchange.exchange();
+        return;
+      case 'restoreInstance':
+        this.drained.delete(effect.instance);
+        this.exchange.exchange();
+        return;
+      case 'endInstance':
+        void this.endInstance(effect.instance);
+        return;
+      case 'sendOrder':
+        void this.sendOrder(effect);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  private async startInstance(effect: EffectOf<'startInstance'>): Promise<void> {
+    const { type, ...start } = effect;
+    const { startToken } = start;
+    let outcome: StartOutcome;
+    try {
+      const signal = AbortSignal.timeout(PLATFORM_MILLISECONDS);
+      outcome = await this.platform.startInstance(start, signal);
+    } catch {
+      outcome = { type: 'lost' };
+    }
+    this.dispatch({ type: 'startAnswered', startToken, outcome });
+  }
+
+  private async endInstance(instance: string): Promise<void> {
+    let ok = true;
+    try {
+      await this.platform.endInstance(instance, AbortSignal.timeout(PLATFORM_MILLISECONDS));
+    } catch {
+      ok = false;
+    }
+    if (ok) this.drained.delete(instance);
+    this.dispatch({ type: 'endAnswered', instance, ok });
+  }
+
+  private async sendOrder({ instance, order }: EffectOf<'sendOrder'>): Promise<void> {
+    const outcome = await this.giveOrder(instance, order);
+    const { epoch, sequence } = order;
+    this.dispatch({ type: 'orderAnswered', instance, epoch, sequence, outcome });
+  }
+
+  private async giveOrder(
+    instance: string,
+    order: EffectOf<'sendOrder'>['order'],
+  ): Promise<OrderOutcome> {
+    try {
+      const { action } = order;
+      if (action.type === 'load' && this.weightStore !== undefined) {
+        const { model, adapter, version } = action;
+        const signal = AbortSignal.timeout(PLATFORM_MILLISECONDS);
+        const load = { instance, model, adapter, version };
+        const permission = await this.weightStore.requestLoad(load, signal);
+        if (permission.type === 'refused') {
+          return { type: 'weightStoreBusy', retryAfter: permission.retryAfter };
+        }
+      }
+      const engine = this.watcher.findEngine(instance);
+      // Asked at the last moment: the permission above may have taken longer than the lease.
+      const allowed = this.lease.mayGiveOrder(this.watcher.checksFencing(instance));
+      if (engine === undefined || !allowed) return { type: 'lost' };
+      const signal = AbortSignal.timeout(LONGEST_ORDER_MILLISECONDS);
+      return { type: await engine.sendOrder(order, signal) };
+    } catch {
+      return { type: 'lost' };
+    }
+  }
+
+  private readStatus(): unknown {
+    const { state } = this.loop;
+    return {
+      instance: this.settings.instance,
+      dataCentre: this.settings.dataCentre,
+      epoch: this.lease.epoch ?? null,
+      configurationRevision: state.configuration.revision,
+      drained: [...this.drained],
+      plan: explainPlan(state),
+    };
+  }
+
+  private reportError(error: unknown, at: string): void {
+    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.logger.write('unexpectedError', { at, reason });
+  }
+}
--- /dev/null
+++ b/apps/controller/src/FleetExchange.ts
@@ -0,0 +1,105 @@
+/**
+ * What a controller exchanges with others once a second: with entries demand against drains, and
+ * with the controllers of the other data centres its report.
+ */
+import type { DataCentreReport } from '@hornbeampond/controller-core';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type {
+  ControllerSettings,
+  EntryRequest,
+  EntryResponse,
+  FleetDrains,
+  RouteDemandReport,
+  StoreAddress,
+} from '@hornbeampond/schema';
+import { PeerClient, PeerServer, type PeerContext } from '@hornbeampond/transport';
+
+const INTERVAL_MILLISECONDS = 1000;
+const REQUEST_MILLISECONDS = 900;
+
+/** Learnt days change slowly; they go with one report out of so many. */
+const REPORTS_PER_SHAPES = 60;
+
+export interface FleetExchangeOptions {
+  readonly settings: ControllerSettings;
+  readonly context: PeerContext;
+  readonly timers: TimerService;
+  /** What entries are told, or nothing while no lease is held. */
+  readDrains(): FleetDrains | undefined;
+  /** What other controllers are told, or nothing while no lease is held. */
+  readReport(withShapes: boolean): DataCentreReport | undefined;
+  onDemand(entry: string, demand: readonly RouteDemandReport[]): void;
+  onReport(report: DataCentreReport): void;
+}
+
+interface Peer {
+  readonly address: StoreAddress;
+  readonly client: PeerClient;
+}
+
+export class FleetExchange {
+  private readonly server: PeerServer;
+
+  private readonly controllers: readonly Peer[];
+
+  private readonly entries: readonly Peer[];
+
+  private stopExchange: Unsubscribe = () => {};
+
+  private reports = 0;
+
+  constructor(private readonly options: FleetExchangeOptions) {
+    const { settings, context } = options;
+    this.server = new PeerServer(context, {
+      onPush: (session, body) => {
+        if (session.peer.role === 'controller') options.onReport(body as DataCentreReport);
+      },
+    });
+    const connect = (address: StoreAddress): Peer => ({
+      address,
+      client: new PeerClient(address, context),
+    });
+    this.controllers = settings.controllers
+      .filter(({ instance }) => instance !== settings.instance)
+      .map(connect);
+    this.entries = settings.entries.map(connect);
+  }
+
+  async start(): Promise<number> {
+    this.stopExchange = this.options.timers.every(INTERVAL_MILLISECONDS, () => this.exchange());
+    return this.server.listen(this.options.settings.peerListen);
+  }
+
+  async close(): Promise<void> {
+    this.stopExchange();
+    [...this.controllers, ...this.entries].forEach(({ client }) => client.close());
+    await this.server.close();
+  }
+
+  /** Tells entries of a drain at once, rather than at the next interval. */
+  exchange(): void {
+    const report = this.options.readReport(this.reports % REPORTS_PER_SHAPES === 0);
+    this.reports += 1;
+    if (report !== undefined) this.controllers.forEach(({ client }) => client.push(report));
+    this.entries.forEach((entry) => {
+      void this.askEntry(entry);
+    });
+  }
+
+  private async askEntry({ address, client }: Peer): Promise<void> {
+    if (!client.isOpen) return;
+    const { readDrains, onDemand, settings } = this.options;
+    const drains = readDrains();
+    const request: EntryRequest = {
+      type: 'exchangeFleet',
+      ...(drains === undefined ? {} : { drains }),
+    };
+    try {
+      const response = (await client.request(request, REQUEST_MILLISECONDS)) as EntryResponse;
+      if (response.type !== 'demand' || address.dataCentre !== settings.dataCentre) return;
+      onDemand(address.instance, response.demand);
+    } catch {
+      // The next exchange carries the same; demand that is not told ages in the reducer.
+    }
+  }
+}
--- /dev/null
+++ b/apps/controller/src/FleetWatcher.ts
@@ -0,0 +1,144 @@
+/**
+ * Reads, at steady intervals, what a controller decides from: the platform's list and notices,
+ * the load of its own data centre's backend servers, and the weight store's rate.
+ */
+import {
+  HttpEngineAdapter,
+  HttpPlainServiceAdapter,
+  type EngineAdapter,
+  type PlainServiceAdapter,
+  type PlatformAdapter,
+  type WeightStoreAdapter,
+} from '@hornbeampond/adapters';
+import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type {
+  Configuration,
+  EpochMilliseconds,
+  LoadReport,
+  Milliseconds,
+  PlatformInstance,
+} from '@hornbeampond/schema';
+
+export interface FleetWatcherOptions {
+  readonly platform: PlatformAdapter;
+  readonly weightStore: WeightStoreAdapter | undefined;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly dataCentre: string;
+  readonly pollMilliseconds: Milliseconds;
+  readConfiguration(): Configuration;
+  onListed(instances: readonly PlatformInstance[]): void;
+  onNotice(instance: string, goneAt: EpochMilliseconds): void;
+  onLoad(report: LoadReport): void;
+  onLoadRate(loadsPerMinute: number): void;
+}
+
+type Adapter = EngineAdapter | PlainServiceAdapter;
+
+export class FleetWatcher {
+  private readonly adapters = new Map<string, Adapter>();
+
+  private instances: readonly PlatformInstance[] = [];
+
+  private stopPolling: Unsubscribe = () => {};
+
+  private polling = false;
+
+  constructor(private readonly options: FleetWatcherOptions) {}
+
+  start(): void {
+    const { timers, pollMilliseconds } = this.options;
+    this.stopPolling = timers.every(pollMilliseconds, () => {
+      void this.poll();
+    });
+    void this.poll();
+  }
+
+  /** The adapter to a model engine of this data centre, if it is listed. */
+  findEngine(instance: string): EngineAdapter | undefined {
+    const listed = this.instances.find((row) => row.instance === instance);
+    if (listed === undefined) return undefined;
+    const adapter = this.adapterOf(listed);
+    return adapter !== undefined && 'sendOrder' in adapter ? adapter : undefined;
+  }
+
+  /** The pools table's word on whether a backend server refuses old fencing numbers. */
+  checksFencing(instance: string): boolean {
+    const pool = this.instances.find((row) => row.instance === instance)?.pool;
+    const { rows } = this.options.readConfiguration().pools;
+    return rows.find((row) => row.name === pool)?.checksFencing ?? false;
+  }
+
+  async close(): Promise<void> {
+    this.stopPolling();
+    await Promise.all([...this.adapters.values()].map(async (adapter) => adapter.close()));
+    await this.options.platform.close();
+    await this.options.weightStore?.close();
+  }
+
+  private async poll(): Promise<void> {
+    if (this.polling) return;
+    this.polling = true;
+    try {
+      await this.pollPlatform();
+      await Promise.all(this.instances.map(async (instance) => this.pollLoad(instance)));
+      await this.pollRate();
+    } finally {
+      this.polling = false;
+    }
+  }
+
+  private async pollPlatform(): Promise<void> {
+    const { platform, pollMilliseconds, onListed, onNotice, logger } = this.options;
+    const signal = AbortSignal.timeout(pollMilliseconds * 2);
+    try {
+      const [instances, notices] = await Promise.all([
+        platform.listInstances(signal),
+        platform.readNotices(signal),
+      ]);
+      this.instances = instances;
+      onListed(instances);
+      notices.forEach(({ instance, goneAt }) => onNotice(instance, goneAt));
+    } catch (error) {
+      logger.write('platformUnreachable', { reason: String(error) });
+    }
+  }
+
+  private async pollLoad(listed: PlatformInstance): Promise<void> {
+    const { dataCentre, pollMilliseconds, onLoad } = this.options;
+    if (listed.dataCentre !== dataCentre || listed.state === 'starting') return;
+    try {
+      const signal = AbortSignal.timeout(pollMilliseconds);
+      const report = await this.adapterOf(listed)?.readLoad(signal);
+      if (report !== undefined) onLoad({ ...report, instance: listed.instance });
+    } catch {
+      // An instance that does not answer keeps its last report, whose age says so.
+    }
+  }
+
+  private async pollRate(): Promise<void> {
+    const { weightStore, pollMilliseconds, onLoadRate } = this.options;
+    if (weightStore === undefined) return;
+    try {
+      const rate = await weightStore.readRate(AbortSignal.timeout(pollMilliseconds));
+      onLoadRate(rate.loadsPerMinute);
+    } catch {
+      // The last known rate stays in force.
+    }
+  }
+
+  private adapterOf({ pool, host, port }: PlatformInstance): Adapter | undefined {
+    const { rows } = this.options.readConfiguration().pools;
+    const kind = rows.find((row) => row.name === pool)?.kind;
+    if (kind === undefined) return undefined;
+    const key = `${kind} ${host} ${port}`;
+    const known = this.adapters.get(key);
+    if (known !== undefined) return known;
+    const made =
+      kind === 'modelEngine'
+        ? new HttpEngineAdapter({ host, port })
+        : new HttpPlainServiceAdapter({ host, port });
+    this.adapters.set(key, made);
+    return made;
+  }
+}
--- /dev/null
+++ b/apps/controller/src/LeaseKeeper.ts
@@ -0,0 +1,123 @@
+/**
+ * Keeps the lease of one data centre through the store, and tells when orders may be given.
+ */
+import {
+  CLOCK_DRIFT_BOUND,
+  makeLeaseHolder,
+  mayGiveOrder,
+  reduceLease,
+  type LeaseEffect,
+  type LeaseEvent,
+  type LeaseHolder,
+} from '@hornbeampond/controller-core';
+import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import { assertNever, type LeaseResult, type Milliseconds } from '@hornbeampond/schema';
+import type { StoreClient } from '@hornbeampond/transport';
+
+/** An order is given up after this long, also by an engine that took it in late. */
+export const LONGEST_ORDER_MILLISECONDS: Milliseconds = 5000;
+
+/** A third of the lease: two asks may be lost before it ends. */
+const RENEWALS_PER_LEASE = 3;
+
+export interface LeaseKeeperOptions {
+  readonly store: StoreClient;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly dataCentre: string;
+  /** Unique to this process start. */
+  readonly holder: string;
+  readonly duration: Milliseconds;
+  onHeld(epoch: number, unfencedFrom: number): void;
+  onLost(): void;
+}
+
+export class LeaseKeeper {
+  private readonly lease: LeaseHolder;
+
+  private cancelAsk: Unsubscribe = () => {};
+
+  private cancelEnd: Unsubscribe = () => {};
+
+  constructor(private readonly options: LeaseKeeperOptions) {
+    this.lease = makeLeaseHolder({
+      lease: `controller/${options.dataCentre}`,
+      holder: options.holder,
+      duration: options.duration,
+      renewEvery: options.duration / RENEWALS_PER_LEASE,
+      driftBound: CLOCK_DRIFT_BOUND,
+      longestOrder: LONGEST_ORDER_MILLISECONDS,
+    });
+  }
+
+  start(): void {
+    this.feed({ type: 'askDue', now: this.now });
+  }
+
+  /** True if an order may leave at this very moment. */
+  mayGiveOrder(checksFencing: boolean): boolean {
+    return mayGiveOrder(this.lease, this.now, checksFencing);
+  }
+
+  get epoch(): number | undefined {
+    return this.lease.active ? this.lease.epoch : undefined;
+  }
+
+  /** Gives the lease back, so that a planned replacement need not wait for its end. */
+  stop(): void {
+    this.cancelAsk();
+    this.cancelEnd();
+    this.feed({ type: 'stop' });
+  }
+
+  private get now(): number {
+    return this.options.timers.monotonicNow();
+  }
+
+  private feed(event: LeaseEvent): void {
+    reduceLease(this.lease, event).forEach((effect) => this.carryOut(effect));
+  }
+
+  private carryOut(effect: LeaseEffect): void {
+    const { timers, logger, onHeld, onLost } = this.options;
+    switch (effect.type) {
+      case 'propose':
+        void this.propose(effect);
+        return;
+      case 'startAskTimer':
+        this.cancelAsk();
+        this.cancelAsk = timers.after(effect.after, () =>
+          this.feed({ type: 'askDue', now: this.now }),
+        );
+        return;
+      case 'startEndTimer':
+        this.cancelEnd();
+        this.cancelEnd = timers.after(effect.after, () =>
+          this.feed({ type: 'endDue', now: this.now }),
+        );
+        return;
+      case 'leaseStarted':
+        logger.write('leaseTaken', { epoch: effect.epoch });
+        onHeld(effect.epoch, this.lease.unfencedFrom);
+        return;
+      case 'leaseEnded':
+        logger.write('leaseLost', { epoch: effect.epoch });
+        onLost();
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  private async propose({
+    ask,
+    command,
+  }: Extract<LeaseEffect, { type: 'propose' }>): Promise<void> {
+    const outcome = await this.options.store.propose(command, this.options.duration);
+    if (outcome.type !== 'result') return;
+    const result = outcome.result as LeaseResult;
+    if (result.type !== 'leaseHeld') return;
+    const { epoch, duration, previousDuration } = result;
+    this.feed({ type: 'leaseHeld', now: this.now, ask, epoch, duration, previousDuration });
+  }
+}
--- a/apps/controller/src/index.ts
+++ b/apps/controller/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './ControllerProcess.js';
--- a/apps/entry/src/EntryPeers.ts
+++ b/apps/entry/src/EntryPeers.ts
@@ -6,15 +6,20 @@
 import type {
   Configuration,
   EntryReport,
+  EntryRequest,
+  EntryResponse,
   EntrySettings,
-  StoreResponse,
+  FleetDrains,
+  RouteDemandReport,
 } from '@hornbeampond/schema';
 
 export interface EntryPeersOptions {
   readonly settings: EntrySettings;
   readonly context: PeerContext;
   readConfiguration(): Configuration;
+  readDemand(): readonly RouteDemandReport[];
   onReport(report: EntryReport): void;
+  onDrains(drains: FleetDrains): void;
 }
 
 const PEEK_MILLISECONDS = 500;
@@ -28,19 +33,21 @@
     const { context, settings } = options;
     this.server = new PeerServer(context, {
       onPush: (_session, body) => options.onReport(body as EntryReport),
-      onRequest: (_session, _body, respond) => {
-        const response: StoreResponse = {
-          type: 'configuration',
-          configuration: options.readConfiguration(),
-        };
-        respond(response);
-      },
+      onRequest: (_session, body, respond) => respond(this.answer(body as EntryRequest)),
     });
     this.clients = settings.entries
       .filter((entry) => entry.instance !== settings.instance)
       .map((entry) => new PeerClient(entry, context));
   }
 
+  private answer(request: EntryRequest): EntryResponse {
+    if (request.type === 'peekConfiguration') {
+      return { type: 'configuration', configuration: this.options.readConfiguration() };
+    }
+    if (request.drains !== undefined) this.options.onDrains(request.drains);
+    return { type: 'demand', demand: this.options.readDemand() };
+  }
+
   async listen(): Promise<number> {
     return this.server.listen(this.options.settings.peerListen);
   }
@@ -54,8 +61,8 @@
     const answers = await Promise.all(
       this.clients.map(async (client) => {
         try {
-          const request = { type: 'peekConfiguration' };
-          const response = (await client.request(request, PEEK_MILLISECONDS)) as StoreResponse;
+          const request: EntryRequest = { type: 'peekConfiguration' };
+          const response = (await client.request(request, PEEK_MILLISECONDS)) as EntryResponse;
           return response.type === 'configuration' ? [response.configuration] : [];
         } catch {
           return [];
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -5,6 +5,7 @@
 import {
   makeEntryState,
   reduceEntry,
+  reportDemand,
   type ClaimAnswer,
   type EntryEffect,
   type EntryEvent,
@@ -135,7 +136,9 @@
       settings,
       context,
       readConfiguration,
+      readDemand: () => reportDemand(this.loop.state, timers.monotonicNow()),
       onReport: (report) => dispatch({ type: 'entryReported', report }),
+      onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
       platform: new HttpPlatformAdapter(settings.platform.url),
--- /dev/null
+++ b/apps/store/src/FolderDisk.ts
@@ -0,0 +1,49 @@
+/** The disk of a store process: the data folder that its settings name. */
+
+import { LogStore, type LogNotice, type PersistEffect } from '@hornbeampond/store-core';
+import { StoreDisk, type DiskContents, type SavedSnapshot } from './StoreDisk.js';
+
+export interface FolderDiskOptions {
+  readonly folder: string;
+  readonly cluster: string;
+  onNotice(notice: LogNotice): void;
+}
+
+export class FolderDisk extends StoreDisk {
+  private log: LogStore | undefined;
+
+  constructor(private readonly options: FolderDiskOptions) {
+    super();
+  }
+
+  override async open(instance: string): Promise<DiskContents> {
+    this.log = await LogStore.open({ ...this.options, instance });
+    const { restored, isNew } = this.log;
+    return { restored, isNew, snapshot: await this.log.readSnapshot() };
+  }
+
+  override async write(batch: PersistEffect): Promise<void> {
+    await this.opened.write(batch);
+  }
+
+  override async saveSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    await this.opened.saveSnapshot(snapshot);
+  }
+
+  override async readSnapshot(): Promise<SavedSnapshot | undefined> {
+    return this.opened.readSnapshot();
+  }
+
+  override async discardLog(throughIndex: number): Promise<void> {
+    await this.opened.discardLog(throughIndex);
+  }
+
+  override async close(): Promise<void> {
+    await this.log?.close();
+  }
+
+  private get opened(): LogStore {
+    if (this.log === undefined) throw new TypeError('the disk is not open');
+    return this.log;
+  }
+}
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -288,18 +288,22 @@
 
   /** Runs disk work one after another, in the order in which it was asked for. */
   private onDisk(work: () => Promise<void>): void {
-    this.disk = this.disk.then(work).catch((error: unknown) => {
-      const reason = error instanceof Error ? error.message : String(error);
-      this.logger.write('diskFailed', { reason });
-      this.dispatch({ type: 'persistFailed', reason });
-    });
+    this.disk = this.disk.then(work).catch((error: unknown) => this.reportDiskFailure(error));
+  }
+
+  private reportDiskFailure(error: unknown): void {
+    const reason = error instanceof Error ? error.message : String(error);
+    this.logger.write('diskFailed', { reason });
+    this.dispatch({ type: 'persistFailed', reason });
   }
 
+  /** Writes are handed in at once: those that wait for a sync share the next one. */
   private persist(effect: PersistEffect): void {
-    this.onDisk(async () => {
-      await this.storage.write(effect);
-      this.dispatch({ type: 'persisted', batch: effect.batch });
-    });
+    const written = this.storage.write(effect).then(
+      () => this.dispatch({ type: 'persisted', batch: effect.batch }),
+      (error: unknown) => this.reportDiskFailure(error),
+    );
+    this.disk = Promise.all([this.disk, written]).then(() => {});
   }
 
   private saveSnapshot(header: SnapshotHeader): void {
--- a/apps/store/src/index.ts
+++ b/apps/store/src/index.ts
@@ -1,3 +1,4 @@
+export * from './FolderDisk.js';
 export * from './StoreDisk.js';
 export * from './StoreProcess.js';
 export * from './testing/MemoryDisk.js';
--- a/packages/controller-core/src/demand/RouteDemand.ts
+++ b/packages/controller-core/src/demand/RouteDemand.ts
@@ -4,9 +4,13 @@
  * The shape is kept by quarter hour of the route's own time zone, so that a rush stays at the
  * same local time when daylight saving changes.
  */
-import type { EpochMilliseconds, MonotonicMilliseconds, Route } from '@hornbeampond/schema';
+import type {
+  EpochMilliseconds,
+  MonotonicMilliseconds,
+  Route,
+  RouteDemandReport,
+} from '@hornbeampond/schema';
 import type { ControllerState } from '../state.js';
-import type { RouteDemandReport } from '../events.js';
 import { minuteOfDay } from './localTime.js';
 
 export const SLOTS_PER_DAY = 96;
--- a/packages/controller-core/src/demand/reduceDemand.ts
+++ b/packages/controller-core/src/demand/reduceDemand.ts
@@ -4,8 +4,9 @@
  *
  * Controllers send each other one report a second; nothing is sent per request.
  */
+import type { RouteDemandReport } from '@hornbeampond/schema';
 import type { ControllerEffect } from '../effects.js';
-import type { ControllerEvent, DataCentreReport, RouteDemandReport } from '../events.js';
+import type { ControllerEvent, DataCentreReport } from '../events.js';
 import type { ControllerState } from '../state.js';
 import {
   addReport,
--- a/packages/controller-core/src/events.ts
+++ b/packages/controller-core/src/events.ts
@@ -11,6 +11,7 @@
   MonotonicMilliseconds,
   OrderResult,
   PlatformInstance,
+  RouteDemandReport,
 } from '@hornbeampond/schema';
 
 interface EventBase {
@@ -30,15 +31,6 @@
   | { readonly type: 'lost' }
   | { readonly type: 'weightStoreBusy'; readonly retryAfter: Milliseconds };
 
-/** Requests of one route that one entry, or one whole data centre, has seen lately. */
-export interface RouteDemandReport {
-  readonly route: string;
-  /** All that arrived, refused ones too: they are demand that the fleet was too small for. */
-  readonly requestsPerSecond: number;
-  /** Mean time that one request keeps one place of a backend server busy. */
-  readonly serviceMilliseconds: number;
-}
-
 /** A data centre and instance class that the platform will not sell, or should not be asked for. */
 export interface ClosedOffer {
   readonly dataCentre: string;
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -3,13 +3,14 @@
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { emptyConfiguration, type Configuration } from '@hornbeampond/schema';
+import { emptyConfiguration, type Configuration, type FleetDrains } from '@hornbeampond/schema';
 import { makeAdmissionState, type AdmissionState } from './admission/AdmissionState.js';
 import type { AttemptState } from './attempts/AttemptState.js';
 import { makeRetryState, type RetryState } from './attempts/RetryState.js';
 import type { BackendServerState } from './backendServers/BackendServerState.js';
 import type { PoolBalance } from './backendServers/PoolBalance.js';
 import type { CallClaim } from './claims/CallClaim.js';
+import { DemandMeter } from './demand/DemandMeter.js';
 import type { Timed } from './entryEvents.js';
 import { makeLimitState, type LimitState } from './limits/LimitState.js';
 import { RouteIndex } from './routing/RouteIndex.js';
@@ -40,6 +41,9 @@
   readonly attempts: Map<string, AttemptState>;
   /** Claimed calls whose end is not in the log yet, by request id. */
   readonly claims: Map<string, CallClaim>;
+  readonly demand: DemandMeter;
+  /** By data centre. */
+  readonly drains: Map<string, FleetDrains>;
   readonly retries: RetryState;
   readonly quarantine: QuarantineState;
   readonly reclaims: ReclaimState;
@@ -76,6 +80,8 @@
     requests: new Map(),
     attempts: new Map(),
     claims: new Map(),
+    demand: new DemandMeter(),
+    drains: new Map(),
     retries: makeRetryState(`${identity.instance}/${identity.incarnation}`),
     quarantine: makeQuarantineState(),
     reclaims: makeReclaimState(),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -32,6 +32,7 @@
     return refuse(request, 'routeNotFound', `No route matches ${request.path}`);
   }
   const { route } = found;
+  state.demand.note(route.name, now);
   const pool = index.pool(route.pool);
   if (pool === undefined) {
     return refuse(request, 'noBackendServer', `Pool "${route.pool}" is not there`);
--- a/packages/entry-core/src/attempts/ruledOut.ts
+++ b/packages/entry-core/src/attempts/ruledOut.ts
@@ -23,7 +23,7 @@
   return instances;
 }
 
-/** Those, and the ones that are known to be down. */
+/** Those, and the ones that are known to be down or were taken out of service. */
 export function ruledOut(
   state: EntryState,
   accepted: RequestState,
@@ -31,5 +31,6 @@
 ): Set<string> {
   const instances = ruledOutForNow(state, accepted, now);
   state.quarantine.down.forEach((_, instance) => instances.add(instance));
+  state.drains.forEach((drains) => drains.instances.forEach((instance) => instances.add(instance)));
   return instances;
 }
--- /dev/null
+++ b/packages/entry-core/src/demand/reportDemand.ts
@@ -0,0 +1,18 @@
+/** What controllers are told of the demand at this entry. */
+import type { MonotonicMilliseconds, RouteDemandReport } from '@hornbeampond/schema';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import type { EntryState } from '../EntryState.js';
+import { routeIndexOf } from '../routing/routeIndexOf.js';
+
+export function reportDemand(state: EntryState, now: MonotonicMilliseconds): RouteDemandReport[] {
+  const poolByRoute = new Map(
+    state.configuration.routes.rows.map((route) => [route.name, route.pool]),
+  );
+  const index = routeIndexOf(state);
+  return [...state.demand.read(now)].flatMap(([route, requestsPerSecond]) => {
+    const pool = index.pool(poolByRoute.get(route) ?? '');
+    if (pool === undefined) return [];
+    const serviceMilliseconds = poolBalanceOf(state, pool.name).serviceTime(route, now);
+    return [{ route, requestsPerSecond, serviceMilliseconds }];
+  });
+}
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -8,6 +8,7 @@
   Configuration,
   EntryReport,
   EpochMilliseconds,
+  FleetDrains,
   LoadReport,
   Milliseconds,
   MonotonicMilliseconds,
@@ -73,6 +74,7 @@
       readonly goneAt: EpochMilliseconds;
     }
   | { readonly type: 'loadReported'; readonly report: LoadReport }
+  | { readonly type: 'drainsReceived'; readonly drains: FleetDrains }
   | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
   | {
       readonly type: 'probeAnswered';
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -11,6 +11,7 @@
 import { observeAttempt } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import { findEndingClaim, followClaims } from './claims/followClaims.js';
+import { receiveDrains } from './backendServers/receiveDrains.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
@@ -55,6 +56,9 @@
     case 'loadReported':
       receiveLoadReport(state, event.report, event.now, event.wallNow);
       return [];
+    case 'drainsReceived':
+      receiveDrains(state, event.drains);
+      return [];
     case 'cacheEventsReceived':
       receiveCacheEvents(state, event.events, event.now);
       return [];
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -2,6 +2,7 @@
  * What entries tell each other. Each entry sends its whole own state, numbered, on every
  * heartbeat; the newest number wins, so loss, repeats and reordering are harmless.
  */
+import type { Configuration } from '../tables/Configuration.js';
 import type { EpochMilliseconds } from '../units.js';
 
 /** A request that was in progress at crashes of backend servers, as one entry saw it. */
@@ -31,3 +32,29 @@
   /** Crashes seen, so that a resend through another entry is not run beside others. */
   readonly suspects: readonly PeerSuspect[];
 }
+
+/** Requests of one route that one entry, or one whole data centre, has seen lately. */
+export interface RouteDemandReport {
+  readonly route: string;
+  /** All that arrived, refused ones too: they are demand that the fleet was too small for. */
+  readonly requestsPerSecond: number;
+  /** Mean time that one request keeps one place of a backend server busy. */
+  readonly serviceMilliseconds: number;
+}
+
+/** The backend servers of one data centre that its controller has taken out of service. */
+export interface FleetDrains {
+  readonly dataCentre: string;
+  /** Of the controller's lease. */
+  readonly epoch: number;
+  readonly instances: readonly string[];
+}
+
+/** What entries and controllers ask an entry. */
+export type EntryRequest =
+  | { readonly type: 'peekConfiguration' }
+  | { readonly type: 'exchangeFleet'; readonly drains?: FleetDrains };
+
+export type EntryResponse =
+  | { readonly type: 'configuration'; readonly configuration: Configuration }
+  | { readonly type: 'demand'; readonly demand: readonly RouteDemandReport[] };
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -106,6 +106,13 @@
 
 export const controllerSettingsSchema = z.strictObject({
   ...commonShape,
+  /** Where the other controllers connect. */
+  peerListen: listenSchema,
+  /** The other controllers. */
+  controllers: z.array(storeAddressSchema).max(1000).default([]),
+  /** All entries, which tell of demand and are told of drains. */
+  entries: z.array(storeAddressSchema).max(1000).default([]),
+  weightStore: z.strictObject({ url: z.url({ protocol: /^https?$/ }) }).optional(),
   platform: platformSchema,
   leaseMilliseconds: milliseconds(500, 600_000).default(5000),
 });
