--- a/packages/entry-core/src/claims/ClaimedCall.ts
+++ b/packages/entry-core/src/claims/ClaimedCall.ts
@@ -30,7 +30,7 @@
 export type ClaimedCallPhase = 'opening' | 'sending' | 'settling' | 'releasing' | 'finished';
 
 /** What follows once a release is acknowledged. */
-export type AfterRelease = 'refuse' | 'tryElsewhere' | 'nothing';
+export type AfterRelease = 'refuseUnavailable' | 'refuseKeyReused' | 'tryElsewhere' | 'nothing';
 
 export interface ClaimedCall {
   readonly intent: ClaimIntent;
@@ -41,9 +41,8 @@
   phase: ClaimedCallPhase;
   /** The command that has to be acknowledged next; resent as it is. */
   pending: ClaimCommand | undefined;
+  /** Copies of the pending command that were sent. */
   tries: number;
-  /** True once a copy of `openClaim` may be on its way or in the log. */
-  openUnsure: boolean;
   /** True once the caller has its final answer from this attempt. */
   answered: boolean;
   afterRelease: AfterRelease;
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -42,7 +42,6 @@
     phase: 'opening',
     pending: undefined,
     tries: 0,
-    openUnsure: false,
     answered: false,
     afterRelease: 'nothing',
   };
@@ -133,9 +132,10 @@
       // The claim in the way may be released; a copy of our open still on its way must not take it.
       return [...refuse(call, 'claimRunning', 'unknown'), ...release(call, 'nothing')];
     case 'claimKeyReused':
-      return [...refuse(call, 'idempotencyKeyReused', 'no'), ...release(call, 'nothing')];
+      // Says `ran: no`, so a copy of our open still on its way is barred before.
+      return release(call, 'refuseKeyReused');
     default:
-      return release(call, 'refuse');
+      return release(call, 'refuseUnavailable');
   }
 }
 
@@ -144,7 +144,7 @@
  * by then, and past its retention the log would let another attempt open it.
  */
 function onOpened(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
-  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuse');
+  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuseUnavailable');
   call.phase = 'sending';
   call.pending = undefined;
   return [{ type: 'sendCall', attemptId: call.attemptId }];
@@ -169,24 +169,25 @@
     call.answered = true;
     return [{ type: 'tryElsewhere' }, ...finish(call)];
   }
-  return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
+  const kind = afterRelease === 'refuseKeyReused' ? 'idempotencyKeyReused' : 'claimsUnavailable';
+  return [...refuse(call, kind, 'no'), ...finish(call)];
 }
 
+/**
+ * Only the store's word that nothing was and will be done refuses at once. If an earlier copy of
+ * the same open was sent, it may still be run, and only the release makes sure.
+ */
 function onStoreFailed(call: ClaimedCall, event: EventOf<'storeFailed'>): ClaimedCallEffect[] {
-  if (call.phase !== 'opening' || event.command !== 'openClaim') return [];
-  if (!event.nothingDone) {
-    call.openUnsure = true;
-    return [];
-  }
-  // An earlier copy of the same open may still be run; only the release makes sure.
-  if (call.openUnsure || call.tries > 1) return [];
+  const isFirstOpen = call.phase === 'opening' && call.tries === 1;
+  if (!event.nothingDone || !isFirstOpen || event.command !== 'openClaim') return [];
   return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
 }
 
 function onResendDue(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
   const { pending } = call;
   if (pending === undefined) return [];
-  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES) return release(call, 'refuse');
+  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES)
+    return release(call, 'refuseUnavailable');
   if (now - call.startedAt >= resendSpan(call)) {
     return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
   }
