--- a/packages/store-core/src/machine/ConfigurationHistory.ts
+++ b/packages/store-core/src/machine/ConfigurationHistory.ts
@@ -9,7 +9,7 @@
   readonly name: string;
 }
 
-interface TouchedRows {
+export interface TouchedRows {
   readonly revision: number;
   readonly table: TableName;
   /** Names of rows that were added or replaced. */
@@ -45,35 +45,43 @@
   return after.some((row, position) => row.name !== expected[position]);
 }
 
-export class ConfigurationHistory {
-  private touched: TouchedRows[] = [];
+/** The latest changes, oldest first. */
+export type ConfigurationHistory = TouchedRows[];
 
-  /** Notes the change from one configuration to the next. */
-  record(table: TableName, before: Configuration, after: Configuration): void {
-    this.touched.push({
-      revision: after.revision,
-      table,
-      changed: changedNames(before[table].rows, after[table].rows),
-      removed: removedNames(before[table].rows, after[table].rows),
-      reordered: isReordered(before[table].rows, after[table].rows),
-    });
-    if (this.touched.length > MOST_CHANGES_IN_DELTA) this.touched.shift();
-  }
+/** Notes the change of one table from one configuration to the next. */
+export function recordChange(
+  history: ConfigurationHistory,
+  table: TableName,
+  before: Configuration,
+  after: Configuration,
+): void {
+  history.push({
+    revision: after.revision,
+    table,
+    changed: changedNames(before[table].rows, after[table].rows),
+    removed: removedNames(before[table].rows, after[table].rows),
+    reordered: isReordered(before[table].rows, after[table].rows),
+  });
+  if (history.length > MOST_CHANGES_IN_DELTA) history.shift();
+}
 
-  /** The delta from `fromRevision` to `current`, or undefined if only the whole will do. */
-  deltaTo(current: Configuration, fromRevision: number): ConfigurationDelta | undefined {
-    if (fromRevision > current.revision) return undefined;
-    const later = this.touched.filter((touched) => touched.revision > fromRevision);
-    if (later.length < current.revision - fromRevision) return undefined;
-    if (later.some((touched) => touched.reordered)) return undefined;
-    if (hasReturnedRow(later, current)) return undefined;
-    return {
-      fromRevision,
-      toRevision: current.revision,
-      routes: tableDelta(later, 'routes', current.routes),
-      pools: tableDelta(later, 'pools', current.pools),
-    };
-  }
+/** The delta from `fromRevision` to `current`, or undefined if only the whole will do. */
+export function deltaTo(
+  history: ConfigurationHistory,
+  current: Configuration,
+  fromRevision: number,
+): ConfigurationDelta | undefined {
+  if (fromRevision > current.revision) return undefined;
+  const later = history.filter((touched) => touched.revision > fromRevision);
+  const isKnown = later.length === current.revision - fromRevision;
+  if (!isKnown || later.some((touched) => touched.reordered)) return undefined;
+  if (hasReturnedRow(later, current)) return undefined;
+  return {
+    fromRevision,
+    toRevision: current.revision,
+    routes: tableDelta(later, 'routes', current.routes),
+    pools: tableDelta(later, 'pools', current.pools),
+  };
 }
 
 /**
--- a/packages/store-core/src/machine/MachineState.ts
+++ b/packages/store-core/src/machine/MachineState.ts
@@ -10,7 +10,7 @@
   type PutTableResult,
   type StoredAnswer,
 } from '@hornbeampond/schema';
-import { ConfigurationHistory } from './ConfigurationHistory.js';
+import type { ConfigurationHistory } from './ConfigurationHistory.js';
 
 /** The first answer to a change id. */
 export interface ChangeRecord {
@@ -80,5 +80,5 @@
   readonly crashes = new Map<string, CrashRecord>();
 
   /** Which rows the latest changes touched. It decides no result, so snapshots leave it out. */
-  readonly history = new ConfigurationHistory();
+  readonly history: ConfigurationHistory = [];
 }
--- a/packages/store-core/src/machine/tables.ts
+++ b/packages/store-core/src/machine/tables.ts
@@ -14,6 +14,7 @@
   type PutTableResult,
 } from '@hornbeampond/schema';
 import { CHANGE_RETENTION, MOST_CHANGES, MOST_FAULTS } from './constants.js';
+import { recordChange } from './ConfigurationHistory.js';
 import type { MachineState } from './MachineState.js';
 
 type Proposed =
@@ -61,7 +62,7 @@
   const proposed = propose(before, command);
   if (!proposed.ok) return { type: 'tableInvalid', faults: proposed.faults.slice(0, MOST_FAULTS) };
   state.configuration = proposed.configuration;
-  state.history.record(command.table, before, proposed.configuration);
+  recordChange(state.history, command.table, before, proposed.configuration);
   return { type: 'tableAccepted', revision: proposed.configuration.revision };
 }
 
