--- /dev/null
+++ b/apps/ctl/src/runCommandLine.ts
@@ -0,0 +1,130 @@
+/** The command line as a function, so that tests and the shell run the same. */
+import { parseArgs } from 'node:util';
+import { exitCodes, version } from '@hornbeampond/runtime';
+import { UsageError, type Command } from './Command.js';
+import { OperatorClient, ProblemError } from './OperatorClient.js';
+import { statusCommands } from './commands/status.js';
+import { storeCommands } from './commands/stores.js';
+import { tableCommands } from './commands/tables.js';
+
+export const commands: readonly Command[] = [...tableCommands, ...statusCommands, ...storeCommands];
+
+const DEFAULT_ENTRY = 'http://127.0.0.1:9080';
+
+const commonOptions = {
+  entry: { type: 'string', purpose: `operators’ port of an entry (${DEFAULT_ENTRY})` },
+  key: { type: 'string', purpose: 'operator key; else HORNBEAMPOND_OPERATOR_KEY is used' },
+  json: { type: 'boolean', purpose: 'prints JSON' },
+  help: { type: 'boolean', purpose: 'prints this text, or that of a verb' },
+  version: { type: 'boolean', purpose: 'prints the version' },
+} as const;
+
+export interface CommandLineIo {
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  print(line: string): void;
+  printError(line: string): void;
+}
+
+function describeOptions(options: Command['options']): string[] {
+  return Object.entries(options).map(
+    ([name, { type, purpose }]) =>
+      `  --${name}${type === 'string' ? ' VALUE' : ''}`.padEnd(22) + purpose,
+  );
+}
+
+function helpOf(command: Command): string[] {
+  return [
+    `hornbeampondctl ${command.name} ${command.usage}`.trimEnd(),
+    '',
+    `  ${command.purpose}`,
+    '',
+    ...describeOptions({ ...command.options, ...commonOptions }),
+    '',
+    `example: ${command.example}`,
+  ];
+}
+
+function helpOfAll(): string[] {
+  return [
+    'hornbeampondctl: edits the two tables and watches the outcomes',
+    '',
+    ...commands.map((command) => `  ${command.name} ${command.usage}`.padEnd(36) + command.purpose),
+    '',
+    ...describeOptions(commonOptions),
+    '',
+    'exit codes: 0 done, 1 failed, 2 bad input (nothing changed), 3 a race was lost,',
+    '            4 not in force in time',
+  ];
+}
+
+function findCommand(words: readonly string[]): Command | undefined {
+  return commands.find((command) =>
+    command.name.split(' ').every((word, position) => words[position] === word),
+  );
+}
+
+function reportError(error: unknown, { printError }: CommandLineIo): number {
+  if (error instanceof UsageError) {
+    error.lines.forEach(printError);
+    return exitCodes.badInput;
+  }
+  if (error instanceof ProblemError) {
+    printError(`${error.problem.kind}: ${error.message}`);
+    error.faults.forEach(({ where, reason }) => printError(`  ${where}: ${reason}`));
+    return error.problem.kind === 'tableInvalid' ? exitCodes.badInput : exitCodes.failed;
+  }
+  printError(error instanceof Error ? error.message : String(error));
+  return exitCodes.failed;
+}
+
+async function runCommand(command: Command, argumentsGiven: readonly string[], io: CommandLineIo) {
+  const { values, positionals } = parseArgs({
+    args: [...argumentsGiven],
+    options: { ...commonOptions, ...command.options },
+    allowPositionals: true,
+  });
+  const given: Readonly<Record<string, string | boolean | undefined>> = values;
+  if (given.help === true) {
+    helpOf(command).forEach(io.print);
+    return exitCodes.done;
+  }
+  const key = given.key ?? io.environment.HORNBEAMPOND_OPERATOR_KEY ?? '';
+  const entry = given.entry ?? io.environment.HORNBEAMPOND_ENTRY ?? DEFAULT_ENTRY;
+  const client = new OperatorClient(String(entry), String(key));
+  try {
+    return await command.run({
+      client,
+      options: given,
+      words: positionals.slice(command.name.split(' ').length),
+      json: given.json === true,
+      print: io.print,
+    });
+  } finally {
+    await client.close();
+  }
+}
+
+/** Runs one call of the command line and returns its exit code. */
+export async function runCommandLine(
+  argumentsGiven: readonly string[],
+  io: CommandLineIo,
+): Promise<number> {
+  const words = argumentsGiven.filter((word) => !word.startsWith('-'));
+  const command = findCommand(words);
+  try {
+    if (command !== undefined) return await runCommand(command, argumentsGiven, io);
+  } catch (error) {
+    const parseFailed = error instanceof TypeError && 'code' in error;
+    return reportError(parseFailed ? new UsageError([error.message]) : error, io);
+  }
+  if (argumentsGiven.includes('--version')) {
+    io.print(`hornbeampondctl ${version}`);
+    return exitCodes.done;
+  }
+  if (argumentsGiven.includes('--help') || argumentsGiven.length === 0) {
+    helpOfAll().forEach(io.print);
+    return argumentsGiven.length === 0 ? exitCodes.badInput : exitCodes.done;
+  }
+  io.printError(`there is no "${words.join(' ')}"; see "hornbeampondctl --help"`);
+  return exitCodes.badInput;
+}
--- /dev/null
+++ b/packages/entry-core/src/attempts/ruledOut.ts
@@ -0,0 +1,35 @@
+/**
+ * Backend servers that a request must not be sent to for now, whoever chooses: those lost or not
+ * yet judged, and for suspects of a crash those that would put two suspects together.
+ */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryState } from '../EntryState.js';
+import { isSuspect, suspectHosts } from '../quarantine/suspects.js';
+import { outOfTurn } from '../quarantine/suspectTurns.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** Those that may take the request again soon. */
+export function ruledOutForNow(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): Set<string> {
+  const instances = new Set(state.quarantine.losses.keys());
+  const { digest, requestId } = accepted.request;
+  if (state.retries.policy.suspectsApart && isSuspect(state, digest)) {
+    suspectHosts(state, requestId).forEach((instance) => instances.add(instance));
+    outOfTurn(state, now).forEach((instance) => instances.add(instance));
+  }
+  return instances;
+}
+
+/** Those, and the ones that are known to be down. */
+export function ruledOut(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): Set<string> {
+  const instances = ruledOutForNow(state, accepted, now);
+  state.quarantine.down.forEach((_, instance) => instances.add(instance));
+  return instances;
+}
--- /dev/null
+++ b/packages/entry-core/src/routing/deadlineAt.ts
@@ -0,0 +1,31 @@
+/**
+ * The deadline that a route gives at a moment, by the local time of its zone. A span names what
+ * the clock on the wall shows: an hour that daylight saving skips is never in force, and one that
+ * it repeats is in force twice.
+ */
+import type { Deadline, DeadlineSpan, EpochMilliseconds, Route } from '@hornbeampond/schema';
+import { LocalClock } from './LocalClock.js';
+
+const MINUTES_PER_HOUR = 60;
+
+function minuteOfDay(time: string): number {
+  const [hour = 0, minute = 0] = time.split(':').map(Number);
+  return hour * MINUTES_PER_HOUR + minute;
+}
+
+/** A span whose end is not after its start runs over midnight. */
+function holds(span: DeadlineSpan, minute: number): boolean {
+  const from = minuteOfDay(span.from);
+  const to = minuteOfDay(span.to);
+  return from < to ? minute >= from && minute < to : minute >= from || minute < to;
+}
+
+export function deadlineAt(
+  route: Route,
+  wallNow: EpochMilliseconds,
+  clock = new LocalClock(),
+): Deadline {
+  if (route.deadlinesByHour.length === 0) return route.deadline;
+  const minute = clock.minuteOfDay(route.timeZone, wallNow);
+  return route.deadlinesByHour.find((span) => holds(span, minute)) ?? route.deadline;
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakePrefixCache.ts
@@ -0,0 +1,78 @@
+/**
+ * A fake engine's prefix cache: blocks of prompts, the least recently used leave first. Its
+ * changes become events, which are published late, and some of which get lost.
+ */
+import type { TimerService } from '@hornbeampond/runtime';
+import type { CacheEvent, EpochMilliseconds, Milliseconds } from '@hornbeampond/schema';
+
+/** Events kept for readers; older ones are lost, which readers see as a gap. */
+const MOST_EVENTS = 1000;
+
+interface PublishedEvent {
+  readonly at: EpochMilliseconds;
+  readonly event: CacheEvent;
+  readonly lost: boolean;
+}
+
+export class FakePrefixCache {
+  /** Every so many events one is lost; 0 means none. */
+  loseEvery = 0;
+
+  /** How late events are published. */
+  eventLag: Milliseconds = 0;
+
+  private sequence = 0;
+
+  private readonly blocks = new Set<string>();
+
+  private events: PublishedEvent[] = [];
+
+  constructor(
+    private readonly instance: string,
+    private readonly mostBlocks: number,
+    private readonly timers: TimerService,
+  ) {}
+
+  /** Number of leading blocks that are cached, of a prompt with these prefix digests. */
+  countCached(prefixDigests: readonly string[]): number {
+    const missing = prefixDigests.findIndex((digest) => !this.blocks.has(digest));
+    return missing < 0 ? prefixDigests.length : missing;
+  }
+
+  /** Stores a prompt's blocks, or marks them as just used. */
+  store(prefixDigests: readonly string[]): void {
+    const added = prefixDigests.filter((digest) => !this.blocks.has(digest));
+    prefixDigests.forEach((digest) => {
+      this.blocks.delete(digest);
+      this.blocks.add(digest);
+    });
+    if (added.length > 0) this.note('stored', added);
+    const evicted = [...this.blocks].slice(0, Math.max(0, this.blocks.size - this.mostBlocks));
+    evicted.forEach((digest) => this.blocks.delete(digest));
+    if (evicted.length > 0) this.note('evicted', evicted);
+  }
+
+  clear(): void {
+    this.blocks.clear();
+    this.note('cleared', []);
+  }
+
+  /** Published events above a sequence, and the newest published sequence, lost or not. */
+  readEvents(afterSequence: number): { events: CacheEvent[]; newestSequence: number } {
+    const publishedUntil = this.timers.wallNow() - this.eventLag;
+    const published = this.events.filter(({ at }) => at <= publishedUntil);
+    const events = published
+      .filter(({ event, lost }) => !lost && event.sequence > afterSequence)
+      .map(({ event }) => event);
+    return { events, newestSequence: published.at(-1)?.event.sequence ?? 0 };
+  }
+
+  private note(change: CacheEvent['change'], prefixDigests: readonly string[]): void {
+    this.sequence += 1;
+    const { instance, sequence } = this;
+    const lost = this.loseEvery > 0 && sequence % this.loseEvery === 0;
+    const event = { instance, sequence, change, prefixDigests };
+    this.events.push({ at: this.timers.wallNow(), event, lost });
+    if (this.events.length > MOST_EVENTS) this.events.shift();
+  }
+}
