--- /dev/null
+++ b/packages/store-core/src/machine/replay.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Encoder } from 'cbor-x';
+import fc from 'fast-check';
+import {
+  applyDelta,
+  type StampedCommand,
+  type StoreCommand,
+  type StoredAnswer,
+} from '@hornbeampond/schema';
+import { applyCommand } from './applyCommand.js';
+import { configurationSince } from './configurationSince.js';
+import { MachineState } from './MachineState.js';
+import { restoreSnapshot, takeSnapshot } from './snapshot.js';
+
+const SEED = 20261203;
+const codec = new Encoder({ useRecords: false });
+
+const name = (...names: string[]) => fc.constantFrom(...names);
+const claim = {
+  workspace: name('laden', 'shop'),
+  key: name('k', 'l'),
+  attemptId: name('a', 'b', 'c'),
+};
+const answer = fc.constantFrom<StoredAnswer>(
+  { status: 201, headers: { x: 'y' }, body: new Uint8Array([1, 2]) },
+  { status: 200, headers: {} },
+);
+
+function poolRow(poolName: string, most: number): unknown {
+  const instanceClass = { name: 'small', eurosPerHour: 0.1, reclaimable: true, concurrency: 8 };
+  const instanceClasses = [instanceClass];
+  const dataCentres = ['wien-a'];
+  return { name: poolName, kind: 'plainService', dataCentres, instanceClasses, least: 0, most };
+}
+
+const poolRows = fc.uniqueArray(
+  fc.tuple(name('buylist', 'offers', 'lots', 'prices'), fc.integer({ min: 1, max: 3 })),
+  { selector: ([poolName]) => poolName, maxLength: 4 },
+);
+
+const command: fc.Arbitrary<StoreCommand> = fc.oneof(
+  fc.record({
+    ...claim,
+    type: fc.constant('openClaim' as const),
+    digest: name('lot', 'other'),
+    holder: name('entry-1'),
+    expiresAfter: fc.constant(60_000),
+  }),
+  fc.record({ ...claim, type: fc.constant('releaseClaim' as const) }),
+  fc.record({
+    ...claim,
+    type: fc.constant('settleClaim' as const),
+    outcome: fc.constantFrom('done' as const, 'unknown' as const),
+    answer,
+  }),
+  fc.record({
+    type: fc.constant('takeLease' as const),
+    lease: name('wien-a', 'wien-b'),
+    holder: name('x', 'y'),
+    duration: fc.constantFrom(1000, 90_000),
+  }),
+  fc.record({
+    type: fc.constant('reportCrash' as const),
+    backendServer: name('s'),
+    crashId: name('1', '2', '3', '4'),
+    digests: fc.subarray(['d', 'e', 'f']),
+  }),
+  fc.record({
+    type: fc.constant('putTable' as const),
+    table: fc.constant('pools' as const),
+    baseRevision: fc.nat(3),
+    changeId: name('p', 'q', 'r', 's'),
+    rows: poolRows.map((rows) => rows.map(([poolName, most]) => poolRow(poolName, most))),
+  }),
+);
+
+const DAY = 24 * 60 * 60 * 1000;
+
+/** Commands with times that mostly creep and now and then leap, or go back. */
+const log: fc.Arbitrary<StampedCommand[]> = fc
+  .array(fc.tuple(fc.constantFrom(1, 10, 61_000, 11 * 60_000, DAY, -5000), command), {
+    maxLength: 60,
+  })
+  .map((entries) => {
+    let at = 1_000_000;
+    return entries.map(([passed, each]) => {
+      at += passed;
+      return { at, command: each };
+    });
+  });
+
+// A store restarts in the middle of the log, or a laggard is sent a snapshot. Every later answer is
+// the one that a store which never restarted gives; otherwise a resend would get another answer
+// after a change of leader.
+test('machine: a restored snapshot answers and ends as the state it was taken from', () => {
+  fc.assert(
+    fc.property(log, fc.nat(60), (commands, cut) => {
+      const steady = new MachineState();
+      let restarted = new MachineState();
+      commands.forEach((stamped, position) => {
+        if (position === cut) {
+          restarted = restoreSnapshot(codec.decode(codec.encode(takeSnapshot(restarted))));
+        }
+        const expected: unknown = codec.decode(codec.encode(applyCommand(steady, stamped)));
+        const given: unknown = codec.decode(codec.encode(applyCommand(restarted, stamped)));
+        assert.deepEqual(given, expected);
+      });
+      const ends = [takeSnapshot(steady), takeSnapshot(restarted)];
+      const [first, second] = ends.map((end) => codec.encode(end).toString('hex'));
+      assert.equal(second, first);
+    }),
+    { seed: SEED, numRuns: 1500 },
+  );
+});
+
+test('machine: bounds on answers and maps hold after any commands', () => {
+  fc.assert(
+    fc.property(log, (commands) => {
+      const state = new MachineState();
+      commands.forEach((stamped) => applyCommand(state, stamped));
+      const kept = [...state.answers.values()].map(({ headers, body }) =>
+        JSON.stringify(headers) === '{}' ? (body?.byteLength ?? 0) : 4,
+      );
+      assert.equal(
+        state.answerBytes,
+        kept.reduce((sum, bytes) => sum + bytes, 0),
+      );
+      [...state.answers.keys()].forEach((key) =>
+        assert.equal(state.claims.get(key)?.phase, 'done'),
+      );
+    }),
+    { seed: SEED, numRuns: 1500 },
+  );
+});
+
+test('machine: a delta from any earlier revision gives the whole, in order', () => {
+  let deltas = 0;
+  fc.assert(
+    fc.property(fc.array(poolRows, { maxLength: 8 }), (changes) => {
+      const state = new MachineState();
+      const seen = [state.configuration];
+      changes.forEach((rows, position) => {
+        const { revision } = state.configuration.pools;
+        const put = { type: 'putTable', table: 'pools', baseRevision: revision } as const;
+        const tableRows = rows.map(([poolName, most]) => poolRow(poolName, most));
+        const each = { ...put, changeId: `c${position}`, rows: tableRows };
+        assert.equal(applyCommand(state, { at: 1, command: each }).type, 'tableAccepted');
+        seen.push(state.configuration);
+        seen.forEach((earlier) => {
+          const update = configurationSince(state, earlier.revision);
+          if (update.type === 'whole') return;
+          deltas += 1;
+          assert.deepEqual(applyDelta(earlier, update.delta), state.configuration);
+        });
+      });
+    }),
+    { seed: SEED, numRuns: 400 },
+  );
+  assert.ok(deltas > 2000, `only ${deltas} deltas were checked`);
+});
+
+test('machine: a subscriber too far behind gets everything', () => {
+  const state = new MachineState();
+  for (let change = 0; change < 300; change += 1) {
+    const rows = [poolRow('buylist', 1 + change)];
+    const put = { type: 'putTable', table: 'pools', baseRevision: change, rows } as const;
+    applyCommand(state, { at: 1, command: { ...put, changeId: `c${change}` } });
+  }
+  assert.equal(configurationSince(state, 43).type, 'whole');
+  assert.equal(configurationSince(state, 44).type, 'delta');
+});
+
+test('machine: a snapshot of another version is refused', () => {
+  const later = { ...takeSnapshot(new MachineState()), version: 2 };
+  assert.throws(() => restoreSnapshot(later), /snapshot version 2 is not the supported 1/);
+  assert.throws(() => restoreSnapshot(undefined), /snapshot version undefined/);
+});
