--- /dev/null
+++ b/packages/controller-core/src/lease/LeaseHolder.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { matchSnapshot } from '@hornbeampond/testing';
+import {
+  CLOCK_DRIFT_BOUND,
+  makeLeaseHolder,
+  mayGiveOrder,
+  nextOrderNumber,
+  reduceLease,
+  type LeaseEvent,
+  type LeaseHolder,
+} from './LeaseHolder.js';
+
+function makeHolder(): LeaseHolder {
+  return makeLeaseHolder({
+    lease: 'wien-a',
+    holder: 'controller-1 1700000000000',
+    duration: 10_000,
+    renewEvery: 3000,
+    driftBound: CLOCK_DRIFT_BOUND,
+    longestOrder: 5000,
+  });
+}
+
+function held(now: number, ask: number, epoch: number, previousDuration = 0): LeaseEvent {
+  return { type: 'leaseHeld', now, ask, epoch, duration: 10_000, previousDuration };
+}
+
+test('lease holder: a lease taken, renewed, lost and given back', async () => {
+  const holder = makeHolder();
+  const events: LeaseEvent[] = [
+    { type: 'askDue', now: 0 },
+    held(100, 1, 1),
+    { type: 'askDue', now: 3000 },
+    held(3100, 2, 1),
+    held(3200, 2, 1),
+    { type: 'endDue', now: 9900 },
+    { type: 'endDue', now: 12_900 },
+    { type: 'askDue', now: 20_000 },
+    held(20_100, 3, 3, 10_000),
+    { type: 'stop' },
+    { type: 'askDue', now: 23_000 },
+  ];
+  const lines = events.map((event) => {
+    const effects = reduceLease(holder, event).map((effect) => JSON.stringify(effect));
+    const until = `held until ${holder.heldUntil}, unfenced from ${holder.unfencedFrom}`;
+    return [`${JSON.stringify(event)} -> ${until}`, ...effects].join('\n  ');
+  });
+  await matchSnapshot(import.meta.url, 'life', lines.join('\n'));
+});
+
+// The controller before was cut off. Orders to engines that check fencing go out at once, as the
+// epoch outranks it; others wait out its lease and its last order.
+test('lease holder: a successor waits before unfenced backend servers only', () => {
+  const holder = makeHolder();
+  reduceLease(holder, { type: 'askDue', now: 0 });
+  reduceLease(holder, held(100, 1, 2, 10_000));
+  for (let ask = 2; ask <= 8; ask += 1) {
+    reduceLease(holder, { type: 'askDue', now: (ask - 1) * 3000 });
+    reduceLease(holder, held((ask - 1) * 3000 + 1, ask, 2, 10_000));
+  }
+  const waited = 100 + 15_000 * (1 + CLOCK_DRIFT_BOUND);
+  const may = [200, waited - 1, waited].map((now) => [
+    mayGiveOrder(holder, now, true),
+    mayGiveOrder(holder, now, false),
+  ]);
+  assert.deepEqual(may, [
+    [true, false],
+    [true, false],
+    [true, true],
+  ]);
+  assert.deepEqual(nextOrderNumber(holder), { epoch: 2, sequence: 1 });
+});
+
+// The grant took longer than the lease is: by now another may hold it, so no order may go out.
+test('lease holder: a grant older than its lease gives nothing', () => {
+  const holder = makeHolder();
+  reduceLease(holder, { type: 'askDue', now: 0 });
+  assert.deepEqual(reduceLease(holder, held(9900, 1, 1)), []);
+  assert.equal(mayGiveOrder(holder, 9900, true), false);
+});
--- /dev/null
+++ b/packages/entry-core/src/claims/reduceClaimedCall.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ClaimResult } from '@hornbeampond/schema';
+import { matchSnapshot } from '@hornbeampond/testing';
+import type { ClaimCommand, ClaimedCall, ClaimedCallEvent } from './ClaimedCall.js';
+import { reduceClaimedCall, startClaimedCall } from './reduceClaimedCall.js';
+
+const intent = { workspace: 'laden', key: 'offer-1', digest: 'lot', holder: 'entry-1' };
+const EXPIRES_AFTER = 60_000;
+const answer = { status: 201, headers: {}, body: new Uint8Array(2) };
+
+function begin(): ClaimedCall {
+  return startClaimedCall(intent, 'a', 0, EXPIRES_AFTER).call;
+}
+
+function told(type: ClaimResult['type'], command: ClaimCommand['type']): ClaimedCallEvent {
+  return { type: 'claimResult', now: 10, command, result: { type } as ClaimResult };
+}
+
+const opened = told('claimOpened', 'openClaim');
+const released = told('claimReleased', 'releaseClaim');
+const resendDue: ClaimedCallEvent = { type: 'resendDue', now: 300 };
+const unavailable: ClaimedCallEvent = {
+  type: 'storeFailed',
+  now: 5,
+  command: 'openClaim',
+  nothingDone: true,
+};
+
+/** Tells what each event makes the call do, and the phase it leaves it in. */
+function transcript(events: readonly ClaimedCallEvent[]): string {
+  const call = begin();
+  const lines = events.map((event) => {
+    const effects = reduceClaimedCall(call, event).map((effect) => JSON.stringify(effect));
+    return [`${JSON.stringify(event)} -> ${call.phase}`, ...effects].join('\n  ');
+  });
+  return lines.join('\n');
+}
+
+const answeredAtOnce: ClaimedCallEvent[] = [
+  opened,
+  { type: 'answered', answer },
+  resendDue,
+  told('claimSettled', 'settleClaim'),
+];
+const triedElsewhere: ClaimedCallEvent[] = [
+  opened,
+  { type: 'sendFailed', beforeFirstByte: true },
+  opened,
+  released,
+];
+const cutWhileSending: ClaimedCallEvent[] = [
+  opened,
+  { type: 'sendFailed', beforeFirstByte: false },
+  told('claimSettled', 'settleClaim'),
+];
+const lateAnswer: ClaimedCallEvent[] = [
+  opened,
+  { type: 'deadlineReached' },
+  { type: 'answered', answer },
+];
+const unsureOpen: ClaimedCallEvent[] = [
+  resendDue,
+  unavailable,
+  resendDue,
+  resendDue,
+  opened,
+  released,
+];
+const neverReleased: ClaimedCallEvent[] = [
+  resendDue,
+  resendDue,
+  resendDue,
+  { ...resendDue, now: EXPIRES_AFTER },
+];
+
+const cases: Record<string, ClaimedCallEvent[]> = {
+  'answered at once': answeredAtOnce,
+  'failed before the first byte': triedElsewhere,
+  'cut while sending': cutWhileSending,
+  'answer after the deadline': lateAnswer,
+  'unsure open': unsureOpen,
+  'a release that is never acknowledged': neverReleased,
+  'store unreachable': [unavailable],
+  'claim running': [told('claimRunning', 'openClaim'), released],
+  'key reused': [told('claimKeyReused', 'openClaim'), released],
+  'claims full': [told('claimsFull', 'openClaim'), released],
+  'outcome unknown': [told('claimUnknown', 'openClaim')],
+  'done, answer not kept': [told('claimDone', 'openClaim')],
+  'deadline before the grant': [{ type: 'deadlineReached' }, opened, released],
+};
+
+Object.entries(cases).forEach(([name, events]) => {
+  test(`claimed call: ${name}`, async () => {
+    await matchSnapshot(import.meta.url, name, transcript(events));
+  });
+});
+
+test('claimed call: a resend gets the stored answer', () => {
+  const result = { type: 'claimDone', answer } as const;
+  const effects = reduceClaimedCall(begin(), {
+    type: 'claimResult',
+    now: 1,
+    command: 'openClaim',
+    result,
+  });
+  assert.deepEqual(effects, [{ type: 'answer', answer, replayed: true }, { type: 'finished' }]);
+});
+
+test('claimed call: a grant as old as the claim is given back unsent', () => {
+  const call = begin();
+  const late = { ...opened, now: EXPIRES_AFTER } as ClaimedCallEvent;
+  const effects = reduceClaimedCall(call, late).map(({ type }) => type);
+  assert.deepEqual(effects, ['propose', 'startResendTimer']);
+  assert.equal(call.phase, 'releasing');
+});
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -13,11 +13,14 @@
   ClaimIntent,
 } from './ClaimedCall.js';
 
-/** Copies of `openClaim` that are sent before the attempt is given up. */
+/**
+ * Copies of `openClaim` that are sent before the attempt is given up: 2.8 seconds with the waits
+ * below, in which the stores can elect another leader.
+ */
 export const MOST_OPEN_TRIES = 3;
 
 /** Wait before the first resend; it doubles with each. */
-export const FIRST_RESEND_AFTER: Milliseconds = 200;
+export const FIRST_RESEND_AFTER: Milliseconds = 400;
 
 /** Longest wait between resends. */
 export const MOST_RESEND_AFTER: Milliseconds = 5000;
--- /dev/null
+++ b/packages/entry-core/src/configuration/configuration.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { emptyConfiguration, type Configuration } from '@hornbeampond/schema';
+import { offerConfiguration, offerDelta } from './ConfigurationApplier.js';
+import {
+  reduceConfigurationStart,
+  startConfiguration,
+  type ConfigurationStartEvent,
+} from './ConfigurationStart.js';
+
+function revision(number: number): Configuration {
+  return { ...emptyConfiguration, revision: number };
+}
+
+function start(events: readonly ConfigurationStartEvent[]): string[] {
+  const starting = startConfiguration(['store-1', 'entry-2', 'entry-3']);
+  return events.flatMap((event) =>
+    reduceConfigurationStart(starting, event).map(
+      ({ configuration, cutOff }) => `${configuration.revision}${cutOff ? ' cut off' : ''}`,
+    ),
+  );
+}
+
+const fromPeer = (peer: string, number: number): ConfigurationStartEvent => ({
+  type: 'peerAnswered',
+  peer,
+  configuration: revision(number),
+});
+
+test('configuration: only newer revisions are applied', () => {
+  const state = { configuration: revision(4) };
+  const applied = [3, 4, 6, 5].map((number) => offerConfiguration(state, revision(number)).length);
+  assert.deepEqual(applied, [0, 0, 1, 0]);
+  assert.equal(state.configuration.revision, 6);
+});
+
+test('configuration: a delta that does not fit asks for everything', () => {
+  const state = { configuration: revision(4) };
+  const effects = [
+    offerDelta(state, { fromRevision: 2, toRevision: 4 }),
+    offerDelta(state, { fromRevision: 5, toRevision: 6 }),
+    offerDelta(state, { fromRevision: 4, toRevision: 5 }),
+  ].map((each) => each.map(({ type }) => type).join());
+  assert.deepEqual(effects, ['', 'askWholeConfiguration', 'configurationInForce']);
+});
+
+test('configuration: a linearizable read starts the instance at once', () => {
+  const read = { type: 'quorumRead', configuration: revision(7) } as const;
+  assert.deepEqual(start([fromPeer('entry-2', 6), read, fromPeer('entry-3', 7)]), ['7']);
+});
+
+// The data centre is cut off and one of its entries restarts. The first peer to answer lags; were
+// its revision taken, prices that this data centre had left behind would be in force again.
+test('configuration: cut off, the newest of all peers that answer is taken', () => {
+  const events: ConfigurationStartEvent[] = [
+    fromPeer('entry-2', 5),
+    { type: 'quorumFailed' },
+    { type: 'peerFailed', peer: 'store-1' },
+    fromPeer('entry-3', 8),
+  ];
+  assert.deepEqual(start(events), ['8 cut off']);
+});
+
+test('configuration: a silent peer is waited for only so long', () => {
+  assert.deepEqual(start([fromPeer('entry-2', 5), { type: 'waitOver' }]), ['5 cut off']);
+});
+
+// No peer answers in time. Starting on empty tables would refuse every caller as unknown, so the
+// instance goes on asking, and the first answer then starts it.
+test('configuration: with no answer at all the instance does not start', () => {
+  const late = fromPeer('entry-3', 2);
+  assert.deepEqual(start([{ type: 'waitOver' }]), []);
+  assert.deepEqual(start([{ type: 'waitOver' }, late]), ['2 cut off']);
+});
