--- a/packages/store-core/src/machine/claims.ts
+++ b/packages/store-core/src/machine/claims.ts
@@ -108,10 +108,19 @@
   state.answerBytes -= sizeOf(answer);
 }
 
+/**
+ * Decoded bodies are views of the frame or snapshot that they came in, and one small answer kept
+ * would keep all of it in memory. A copy holds only its own bytes.
+ */
+export function copyAnswer(answer: StoredAnswer): StoredAnswer {
+  if (answer.body === undefined) return answer;
+  return { ...answer, body: new Uint8Array(answer.body) };
+}
+
 /** Keeps an answer for resends, within the bounds; a claim without one still reads `done`. */
 function keepAnswer(state: MachineState, name: string, answer: StoredAnswer | undefined): void {
   if (answer === undefined || sizeOf(answer) > MOST_ANSWER_BYTES) return;
-  state.answers.set(name, answer);
+  state.answers.set(name, copyAnswer(answer));
   state.answerBytes += sizeOf(answer);
   for (const oldest of state.answers.keys()) {
     if (state.answerBytes <= MOST_STORED_ANSWER_BYTES) return;
--- a/packages/store-core/src/machine/replay.test.ts
+++ b/packages/store-core/src/machine/replay.test.ts
@@ -176,3 +176,29 @@
   assert.throws(() => restoreSnapshot(later), /snapshot version 2 is not the supported 1/);
   assert.throws(() => restoreSnapshot(undefined), /snapshot version undefined/);
 });
+
+// Answers are decoded as views of what they came in. Were they kept so, each would keep a whole
+// batch of the log or a whole snapshot in memory, far past the bound on answers.
+test('machine: a kept answer keeps no more memory than its own', () => {
+  const state = new MachineState();
+  const frame = new Uint8Array(1024 * 1024);
+  const intent = { workspace: 'laden', key: 'k', attemptId: 'a' };
+  const opened = {
+    ...intent,
+    type: 'openClaim',
+    digest: 'd',
+    holder: 'e',
+    expiresAfter: 1,
+  } as const;
+  const kept = { status: 200, headers: {}, body: frame.subarray(0, 10) };
+  const settled = { ...intent, type: 'settleClaim', outcome: 'done', answer: kept } as const;
+  applyCommand(state, { at: 1, command: opened });
+  applyCommand(state, { at: 1, command: settled });
+  const restored = restoreSnapshot(codec.decode(codec.encode(takeSnapshot(state))));
+  [state, restored].forEach(({ answers }) => {
+    assert.deepEqual(
+      [...answers.values()].map(({ body }) => body?.buffer.byteLength),
+      [10],
+    );
+  });
+});
--- a/packages/store-core/src/machine/snapshot.ts
+++ b/packages/store-core/src/machine/snapshot.ts
@@ -5,6 +5,7 @@
  */
 import type { Configuration, EpochMilliseconds, StoredAnswer } from '@hornbeampond/schema';
 import { HornbeampondError } from '@hornbeampond/schema';
+import { copyAnswer } from './claims.js';
 import {
   MachineState,
   type ChangeRecord,
@@ -73,7 +74,7 @@
   state.answerBytes = snapshot.answerBytes;
   fill(state.changes, snapshot.changes);
   fill(state.claims, snapshot.claims);
-  fill(state.answers, snapshot.answers);
+  snapshot.answers.forEach(([name, answer]) => state.answers.set(name, copyAnswer(answer)));
   fill(state.barredAttempts, snapshot.barredAttempts);
   fill(state.leases, snapshot.leases);
   fill(state.crashes, snapshot.crashes);
