--- a/packages/controller-core/src/planning/standing.ts
+++ b/packages/controller-core/src/planning/standing.ts
@@ -1,27 +1,56 @@
-/** Whether a pool's deadlines still hold without certain instances. */
+/** What serves now, and whether a pool's deadlines still hold without certain instances. */
 import type { Pool } from '@hornbeampond/schema';
+import type { ServingReport } from '../events.js';
 import { classOf, instancesOf, isServing, type FleetInstance } from '../fleet/FleetInstance.js';
 import type { ControllerState } from '../state.js';
+import { isHeard } from './offers.js';
 
-/** Slots of the instances that take requests now. */
+/** What serves in the own data centre, but for one instance. */
+function servingHere(state: ControllerState, pool: Pool, without?: FleetInstance): ServingReport {
+  const classes = instancesOf(state, pool)
+    .filter(({ dataCentre }) => dataCentre === state.dataCentre)
+    .filter((instance) => instance !== without && isServing(pool, instance))
+    .map((instance) => classOf(pool, instance));
+  const slots = classes.reduce((sum, found) => sum + (found?.concurrency ?? 0), 0);
+  const firm = classes
+    .filter((found) => found?.reclaimable !== true)
+    .reduce((sum, found) => sum + (found?.concurrency ?? 0), 0);
+  const instances = classes.length;
+  return { pool: pool.name, instances, slots, reclaimableSlots: slots - firm };
+}
+
+/** What serves in the own data centre, for the report to the other controllers. */
+export function ownServing(state: ControllerState): ServingReport[] {
+  return state.configuration.pools.rows.map((pool) => servingHere(state, pool));
+}
+
+/** What serves in all data centres together. */
+export interface Standing {
+  readonly instances: number;
+  readonly total: number;
+  readonly largestLoss: number;
+}
+
+/**
+ * Slots that serve in all data centres, and the most that the loss of one data centre's
+ * reclaimable instances would take. A data centre that is not heard counts for nothing: taking
+ * capacity out here must not depend on what may be cut off.
+ */
 export function servingSlots(
   state: ControllerState,
   pool: Pool,
   without?: FleetInstance,
-): { readonly total: number; readonly largestLoss: number } {
-  const reclaimable = new Map<string, number>();
-  let total = 0;
-  instancesOf(state, pool)
-    .filter((instance) => instance !== without && isServing(pool, instance))
-    .forEach((instance) => {
-      const instanceClass = classOf(pool, instance);
-      const slots = instanceClass?.concurrency ?? 0;
-      total += slots;
-      if (instanceClass?.reclaimable !== true) return;
-      const { dataCentre } = instance;
-      reclaimable.set(dataCentre, (reclaimable.get(dataCentre) ?? 0) + slots);
-    });
-  return { total, largestLoss: Math.max(0, ...reclaimable.values()) };
+): Standing {
+  const elsewhere = pool.dataCentres
+    .filter((dataCentre) => dataCentre !== state.dataCentre && isHeard(state, dataCentre))
+    .flatMap((dataCentre) => state.peers.get(dataCentre)?.serving ?? [])
+    .filter((serving) => serving.pool === pool.name);
+  const all = [servingHere(state, pool, without), ...elsewhere];
+  return {
+    instances: all.reduce((sum, { instances }) => sum + instances, 0),
+    total: all.reduce((sum, { slots }) => sum + slots, 0),
+    largestLoss: Math.max(...all.map(({ reclaimableSlots }) => reclaimableSlots)),
+  };
 }
 
 /**
@@ -36,3 +65,13 @@
   const { total, largestLoss } = servingSlots(state, pool, instance);
   return total >= plan.need.normal && total - largestLoss >= plan.need.afterLoss;
 }
+
+/** True if the pool keeps its least size of serving instances, and its deadlines, without it. */
+export function canEndWithout(
+  state: ControllerState,
+  pool: Pool,
+  instance: FleetInstance,
+): boolean {
+  const { instances } = servingSlots(state, pool, instance);
+  return instances >= pool.least && canDoWithout(state, pool, instance);
+}
--- /dev/null
+++ b/packages/controller-core/src/testing/ControllerHarness.ts
@@ -0,0 +1,230 @@
+/**
+ * Drives one controller in virtual time for tests: a clock, the tables, and short ways to tell it
+ * things. It answers no purchase and no order by itself, so each test decides what gets lost.
+ */
+import type {
+  Configuration,
+  Milliseconds,
+  PlatformInstance,
+  Pool,
+  Route,
+} from '@hornbeampond/schema';
+import type { ControllerEffect, SendOrderEffect } from '../effects.js';
+import type { ControllerEvent, OrderOutcome, StartOutcome } from '../events.js';
+import type { LoadedModel } from '../fleet/FleetInstance.js';
+import type { ControllerPolicy } from '../policy.js';
+import { reduceController } from '../reduceController.js';
+import { createControllerState, type ControllerState } from '../state.js';
+
+type EventFields<Event> = Event extends ControllerEvent ? Omit<Event, 'now' | 'wallNow'> : never;
+
+/** 11:00 in Vienna, in winter. */
+const STARTED_AT = Date.UTC(2026, 0, 15, 10);
+
+export const dataCentres = ['wien-a', 'wien-b', 'stpoelten', 'eisenstadt'];
+
+export const appraisalRoute: Route = {
+  name: 'appraisals',
+  match: { pathPrefix: '/v1/chat/completions', workspaces: [] },
+  pool: 'models',
+  idempotent: true,
+  priority: 5,
+  limits: { inProgressPerWorkspace: 1000, workspaces: {} },
+  timeZone: 'Europe/Vienna',
+  deadline: { firstTokenMilliseconds: 2000, wholeAnswerMilliseconds: 20_000 },
+  deadlinesByHour: [],
+};
+
+export const modelPool: Pool = {
+  name: 'models',
+  kind: 'modelEngine',
+  dataCentres,
+  instanceClasses: [
+    { name: 'spot', eurosPerHour: 1, reclaimable: true, concurrency: 8 },
+    { name: 'firm', eurosPerHour: 3, reclaimable: false, concurrency: 8 },
+  ],
+  least: 1,
+  most: 20,
+  model: 'appraiser',
+  version: '1',
+  checksFencing: true,
+};
+
+export function configure(pool: Pool, revision = 1): Configuration {
+  return {
+    revision,
+    routes: { revision, rows: [appraisalRoute] },
+    pools: { revision, rows: [pool] },
+  };
+}
+
+export interface HarnessOptions {
+  readonly pool?: Partial<Pool>;
+  readonly policy?: Partial<ControllerPolicy>;
+  readonly dataCentre?: string;
+  readonly seed?: number;
+}
+
+export class ControllerHarness {
+  readonly state: ControllerState;
+
+  readonly pool: Pool;
+
+  now = 0;
+
+  /** Requests a second that the one entry reports. */
+  rate = 0;
+
+  /** What the platform lists; undefined while its list cannot be read. */
+  rows: PlatformInstance[] | undefined = [];
+
+  /** What engines of the own data centre report to have loaded; the others report nothing. */
+  readonly loaded = new Map<string, LoadedModel>();
+
+  /** Calls that run at an instance; one that is not named runs none. */
+  readonly running = new Map<string, number>();
+
+  /** False while the other data centres are cut off. */
+  peersHeard = true;
+
+  constructor(options: HarnessOptions = {}) {
+    const { dataCentre = 'wien-a', seed = 7, policy } = options;
+    this.state = createControllerState({ dataCentre, seed, policy });
+    this.pool = { ...modelPool, ...options.pool };
+    this.tell({ type: 'configurationApplied', configuration: configure(this.pool) });
+  }
+
+  get wallNow(): number {
+    return STARTED_AT + this.now;
+  }
+
+  tell(fields: EventFields<ControllerEvent>): ControllerEffect[] {
+    const event = { ...fields, now: this.now, wallNow: this.wallNow } as ControllerEvent;
+    return reduceController(this.state, event);
+  }
+
+  /** Moves time on by whole seconds; in each, everybody reports and then a tick comes. */
+  advance(span: Milliseconds): ControllerEffect[] {
+    const effects: ControllerEffect[] = [];
+    for (const end = this.now + span; this.now < end;) {
+      this.now += 1000;
+      effects.push(...this.hearAll(), ...this.tell({ type: 'tick' }));
+    }
+    return effects;
+  }
+
+  /** Takes the lease and waits until a new holder may buy; returns what it did meanwhile. */
+  hold(epoch = 1, unfencedFrom = this.now): ControllerEffect[] {
+    this.hearAll();
+    const effects = this.tell({ type: 'leaseHeld', epoch, unfencedFrom });
+    return [...effects, ...this.advance(this.state.policy.takeoverPause)];
+  }
+
+  /**
+   * Takes the lease and lets the platform list, live and loaded, just what the plan wants; the
+   * own purchases are answered.
+   */
+  furnish(): void {
+    this.hold();
+    const places = this.state.plans.get(this.pool.name)?.places ?? [];
+    this.rows = places.flatMap(({ dataCentre, instanceClass, wanted }) =>
+      Array.from({ length: wanted }, (_, number) =>
+        row(`${dataCentre}-${instanceClass}-${number}`, dataCentre, { instanceClass }),
+      ),
+    );
+    const { model, version } = this.pool;
+    this.rows.forEach(({ instance }) => this.loaded.set(instance, { model, version }));
+    const own = this.rows.filter(({ dataCentre }) => dataCentre === this.state.dataCentre);
+    [...this.state.pendingStarts.values()].forEach(({ startToken, instanceClass }) => {
+      const position = own.findIndex((listed) => listed.instanceClass === instanceClass);
+      const [instance] = position < 0 ? [] : own.splice(position, 1);
+      if (instance !== undefined) this.answerStart(startToken, { type: 'started', instance });
+    });
+    this.advance(60_000);
+  }
+
+  answerStart(startToken: string, outcome: StartOutcome): ControllerEffect[] {
+    return this.tell({ type: 'startAnswered', startToken, outcome });
+  }
+
+  answerOrder(effect: SendOrderEffect, outcome: OrderOutcome): ControllerEffect[] {
+    const { epoch, sequence } = effect.order;
+    const { instance } = effect;
+    return this.tell({ type: 'orderAnswered', instance, epoch, sequence, outcome });
+  }
+
+  private hearAll(): ControllerEffect[] {
+    const demand = [
+      { route: 'appraisals', requestsPerSecond: this.rate, serviceMilliseconds: 1000 },
+    ];
+    if (this.rate > 0) this.tell({ type: 'demandReported', entry: 'entry-1', demand });
+    if (this.peersHeard) this.hearPeers();
+    const { rows } = this;
+    if (rows === undefined) return [];
+    const effects = this.tell({ type: 'platformListed', instances: rows });
+    rows
+      .filter(({ dataCentre }) => dataCentre === this.state.dataCentre)
+      .forEach(({ instance }) => this.report(instance));
+    return effects;
+  }
+
+  /** The other controllers report what the list shows as live; they have no demand of their own. */
+  private hearPeers(): void {
+    this.pool.dataCentres.forEach((dataCentre) => {
+      const instances = (this.rows ?? []).filter(
+        (listed) => listed.dataCentre === dataCentre && listed.state === 'live',
+      ).length;
+      const slots = 8 * instances;
+      const serving = [{ pool: this.pool.name, instances, slots, reclaimableSlots: slots }];
+      const report = { dataCentre, demand: [], closedOffers: [], serving };
+      this.tell({ type: 'peerReported', report });
+    });
+  }
+
+  private report(instance: string): void {
+    const running = this.running.get(instance) ?? 0;
+    const measuredAt = this.wallNow;
+    const report = { instance, measuredAt, running, queued: 0, ...this.loaded.get(instance) };
+    this.tell({ type: 'loadReported', report });
+  }
+}
+
+/** A live row of the platform's list. */
+export function row(
+  instance: string,
+  dataCentre = 'wien-a',
+  fields: Partial<PlatformInstance> = {},
+): PlatformInstance {
+  return {
+    instance,
+    dataCentre,
+    instanceClass: 'spot',
+    pool: 'models',
+    state: 'live',
+    host: '10.0.0.1',
+    port: 8000,
+    ...fields,
+  };
+}
+
+/** The effects of one type. */
+export function pick<Type extends ControllerEffect['type']>(
+  effects: readonly ControllerEffect[],
+  type: Type,
+): (ControllerEffect & { readonly type: Type })[] {
+  return effects.filter(
+    (effect): effect is ControllerEffect & { readonly type: Type } => effect.type === type,
+  );
+}
+
+/** Names of the log events among the effects. */
+export function logged(effects: readonly ControllerEffect[]): string[] {
+  return pick(effects, 'log').map(({ event }) => event);
+}
+
+/** The start effects' places, such as `wien-a/spot`, sorted. */
+export function placesOf(effects: readonly ControllerEffect[]): string[] {
+  return pick(effects, 'startInstance')
+    .map(({ dataCentre, instanceClass }) => `${dataCentre}/${instanceClass}`)
+    .sort();
+}
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { allSafeguards } from './ConsensusState.js';
 import {
   addressOf,
   crash,
   currentLeader,
+  deliver,
   elapse,
   fireTimer,
   happen,
@@ -13,6 +15,7 @@
   read,
   restart,
   settle,
+  syncDisk,
   type ModelCluster,
 } from './testing/modelCluster.js';
 
@@ -99,19 +102,44 @@
   assert.equal(cluster.answeredReads, 0);
 });
 
-test('A disk that is older than its acknowledgements is turned away', () => {
-  // A voter acknowledged a write; its instance is then rebuilt from an older copy of the disk.
-  // Counted on, it could elect a leader without the write. The leader notices that the log has
-  // become shorter and refuses it.
-  let cluster = elected(makeCluster({ voters: TRIO }));
-  const old = structuredClone(cluster.voters.b?.disk);
-  cluster = settle(propose(cluster, 'a'));
+/** B acknowledged a write that c lacks; then b's disk is replaced by an older copy of itself. */
+function withOlderDisk(oldDiskRefused: boolean): ModelCluster {
+  const safeguards = { ...allSafeguards, oldDiskRefused };
+  let cluster = elected(makeCluster({ voters: TRIO, settings: { safeguards } }));
   cluster = settle(fireTimer(cluster, 'a'));
+  const { b } = cluster.voters;
+  assert.ok(b !== undefined);
+  const { disk } = b;
+  cluster = settle(crash(propose(crash(cluster, 'c'), 'a'), 'c'));
+  assert.equal(cluster.acknowledgedIndex, 2);
   cluster = crash(cluster, 'b');
-  assert.ok(cluster.voters.b !== undefined && old !== undefined);
-  cluster = { ...cluster, voters: { ...cluster.voters, b: { ...cluster.voters.b, disk: old } } };
-  cluster = settle(fireTimer(restart({ ...cluster, network: [] }, 'b'), 'a'));
+  cluster = { ...cluster, network: [], voters: { ...cluster.voters, b: { ...b, disk } } };
+  cluster = restart(restart(crash(cluster, 'b'), 'b'), 'c');
+  cluster = fireTimer(cluster, 'a');
+  const toB = cluster.network.filter(({ instance }) => instance === 'b');
+  return settle({ ...cluster, network: toB });
+}
+
+/** C, which lacks the write, stands for election once a has stopped. */
+function electWithout(cluster: ModelCluster): ModelCluster {
+  let next: ModelCluster = { ...crash(cluster, 'a'), network: [] };
+  next = settle(fireTimer(next, 'c'));
+  return settle(fireTimer(next, 'c'));
+}
+
+test('A disk that is older than its acknowledgements is turned away', () => {
+  // A caller's write was acknowledged with copies at a and b; b's instance is then rebuilt from an
+  // older copy of its disk. If it voted, c could lead without the write. The leader notices that
+  // b's log has become shorter, within the time that b waits before it votes, and refuses it.
+  const cluster = withOlderDisk(true);
   assert.equal(cluster.voters.b?.state?.diskRefused, true);
+  assert.equal(electWithout(cluster).violation, undefined);
+});
+
+test('A vote of an older disk would be noticed', () => {
+  // The same without the refusal: b votes, c leads without the write that a caller was promised.
+  const cluster = electWithout(withOlderDisk(false));
+  assert.match(cluster.violation ?? '', /lacks the committed index 2/);
 });
 
 test('A full disk ends the leadership; what was proposed is unsure and nothing is acknowledged', () => {
@@ -127,3 +155,28 @@
   assert.equal(cluster.acknowledgedIndex, 0);
   assert.equal(cluster.violation, undefined);
 });
+
+test('A run of large entries is parted into appends below the bound', () => {
+  // Tables of a few megabytes each are changed while a voter is away. One append with all of them
+  // would exceed the largest frame and be dropped each time, so the voter would never catch up.
+  const settings = { mostBytesPerAppend: 5000 };
+  let cluster = crash(elected(makeCluster({ voters: TRIO, settings })), 'c');
+  const proposals = Array.from({ length: 6 }, (_, number) => ({
+    requestId: `large-${number}`,
+    command: new Uint8Array(2000),
+  }));
+  cluster = settle(happen(cluster, 'a', { type: 'propose', proposals }));
+  cluster = fireTimer(restart({ ...cluster, network: [] }, 'c'), 'a');
+  const sizes: number[] = [];
+  while (cluster.network.length > 0) {
+    const [message] = cluster.network;
+    assert.ok(message !== undefined);
+    const { message: body } = message.envelope;
+    if (body.type === 'appendRequest') sizes.push(body.entries.length);
+    cluster = deliver(cluster, message);
+    cluster = TRIO.reduce((next, instance) => syncDisk(next, instance, 9), cluster);
+  }
+  assert.equal(Math.max(...sizes), 2);
+  assert.equal(cluster.voters.c?.applied.length, 7);
+  assert.equal(cluster.violation, undefined);
+});
