--- a/measure/src/machineModels/tables.test.ts
+++ b/measure/src/machineModels/tables.test.ts
@@ -1,5 +1,5 @@
 import { test } from 'node:test';
-import type { ConfigurationState } from '@hornbeampond/entry-core';
+import { reduceConfigurationStart, type ConfigurationState } from '@hornbeampond/entry-core';
 import type { Configuration, PutTableCommand } from '@hornbeampond/schema';
 import { takeSnapshot } from '@hornbeampond/store-core';
 import { expectCaught, expectHolds } from './expectModel.js';
@@ -44,6 +44,12 @@
   instances: 2,
   restarts: 0,
 };
+const cutOff: TablesBounds = {
+  changes: changes.slice(0, 3),
+  instances: 3,
+  restarts: 0,
+  cutOffStarts: 2,
+};
 const manyChanges: TablesBounds = {
   changes: [
     ...changes,
@@ -54,6 +60,7 @@
   ],
   instances: 3,
   restarts: 2,
+  cutOffStarts: 2,
 };
 
 test('tables: operators race and resend, the log restarts, one instance follows', (context) => {
@@ -64,6 +71,10 @@
   expectHolds(context, makeTablesModel(pushes));
 });
 
+test('tables: instances restart while cut off, and start with the newest of their peers', (context) => {
+  expectHolds(context, makeTablesModel(cutOff));
+});
+
 test('tables: random walks with twelve changes, three instances, two restarts', () => {
   walkModel(makeTablesModel(manyChanges), { walks: 400, mostSteps: 80, seed: 20261203 });
 });
@@ -94,3 +105,15 @@
   };
   expectCaught(context, makeTablesModel(race, parts), 'a revision in force went back');
 });
+
+// A cut-off data centre has a new price in force; one of its entries restarts, the first peer to
+// answer lags, and callers who reach the restarted entry are back at the old price.
+test('tables mutation: a cut-off instance starts with the first answer', (context) => {
+  const reduceStart: typeof reduceConfigurationStart = (start, event) => {
+    const started = reduceConfigurationStart(start, event);
+    if (event.type !== 'peerAnswered' || started.length > 0) return started;
+    return reduceConfigurationStart(start, { type: 'waitOver' });
+  };
+  const model = makeTablesModel(cutOff, { ...realTablesParts, reduceStart });
+  expectCaught(context, model, 'a cut-off instance starts behind a peer');
+});
--- a/measure/src/machineModels/tablesModel.ts
+++ b/measure/src/machineModels/tablesModel.ts
@@ -6,7 +6,13 @@
  * reach any instance at any time and any number of times; a loss is a push never delivered.
  */
 import { isDeepStrictEqual } from 'node:util';
-import { offerConfiguration, offerDelta, type ConfigurationState } from '@hornbeampond/entry-core';
+import {
+  offerConfiguration,
+  offerDelta,
+  reduceConfigurationStart,
+  startConfiguration,
+  type ConfigurationState,
+} from '@hornbeampond/entry-core';
 import {
   emptyConfiguration,
   type Configuration,
@@ -26,20 +32,28 @@
 export interface TablesParts {
   readonly takeSnapshot: typeof takeSnapshot;
   readonly offerConfiguration: typeof offerConfiguration;
+  readonly reduceStart: typeof reduceConfigurationStart;
 }
 
-export const realTablesParts: TablesParts = { takeSnapshot, offerConfiguration };
+export const realTablesParts: TablesParts = {
+  takeSnapshot,
+  offerConfiguration,
+  reduceStart: reduceConfigurationStart,
+};
 
 export interface TablesBounds {
   readonly changes: readonly PutTableCommand[];
   readonly instances: number;
   /** How often the log restarts from its snapshot. */
   readonly restarts: number;
+  /** How often an instance restarts while it is cut off from the stores. */
+  readonly cutOffStarts?: number;
 }
 
 export interface TablesState {
   machine: MachineState;
   restarts: number;
+  cutOffStarts: number;
   /** First result of each change, by its place in the bounds. */
   readonly results: Map<number, PutTableResult>;
   /** The accepted configurations in the log's order. */
@@ -105,6 +119,18 @@
   return copied;
 }
 
+function peersOf(state: TablesState, position: number): number[] {
+  return [...state.instances.keys()].filter((peer) => peer !== position);
+}
+
+/** Every order of every choice of peers, but for no peer at all. */
+function ordersOf(peers: readonly number[]): number[][] {
+  return peers.flatMap((first) => [
+    [first],
+    ...ordersOf(peers.filter((peer) => peer !== first)).map((rest) => [first, ...rest]),
+  ]);
+}
+
 /** Makes the model; `parts` replaces a real function by a mutation of it. */
 export function makeTablesModel(
   bounds: TablesBounds,
@@ -144,20 +170,54 @@
     );
   }
 
+  /** Restarts an instance that only these peers answer, in this order. */
+  function restartCutOff(next: TablesState, position: number, answering: readonly number[]): void {
+    const start = startConfiguration(peersOf(next, position).map(String));
+    next.cutOffStarts += 1;
+    parts.reduceStart(start, { type: 'quorumFailed' });
+    answering.forEach((peer) => {
+      const configuration = next.instances[peer] ?? emptyConfiguration;
+      parts.reduceStart(start, { type: 'peerAnswered', peer: `${peer}`, configuration });
+    });
+    parts.reduceStart(start, { type: 'waitOver' });
+    const newest = Math.max(...answering.map((peer) => next.instances[peer]?.revision ?? 0));
+    const started = start.newest ?? emptyConfiguration;
+    if (started.revision < newest) next.wrong = 'a cut-off instance starts behind a peer';
+    next.instances[position] = started;
+  }
+
+  function cutOffSteps(state: TablesState): Step<TablesState>[] {
+    if (state.cutOffStarts >= (bounds.cutOffStarts ?? 0)) return [];
+    return state.instances.flatMap((_configuration, position) =>
+      ordersOf(peersOf(state, position)).map((answering) =>
+        step(state, `instance ${position} restarts, ${answering.join(' then ')} answer`, (next) =>
+          restartCutOff(next, position, answering),
+        ),
+      ),
+    );
+  }
+
   return {
     initial: {
       machine: new MachineState(),
       restarts: 0,
+      cutOffStarts: 0,
       results: new Map(),
       accepted: [emptyConfiguration],
       pushes: new Map(),
       instances: Array.from({ length: bounds.instances }, () => emptyConfiguration),
       wrong: undefined,
     },
-    steps: (state) => [...changeSteps(state), ...restartSteps(state), ...pushSteps(state)],
+    steps: (state) => [
+      ...changeSteps(state),
+      ...restartSteps(state),
+      ...pushSteps(state),
+      ...cutOffSteps(state),
+    ],
     key: (state) =>
       JSON.stringify([
         state.restarts,
+        state.cutOffStarts,
         [...state.results],
         state.machine.configuration,
         [...state.machine.changes.keys()],
