Leave bodies above the bound out of settlements; walk crash reports in any order

Cause: a large answer went through the log to be dropped by the state machine. The bound is part of the contract now (LARGEST_STORED_ANSWER_BYTES in schema).

--- a/packages/entry-core/src/claims/reduceClaimedCall.test.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { ClaimResult } from '@hornbeampond/schema';
+import { LARGEST_STORED_ANSWER_BYTES, type ClaimResult } from '@hornbeampond/schema';
 import { matchSnapshot } from '@hornbeampond/testing';
 import type { ClaimCommand, ClaimedCall, ClaimedCallEvent } from './ClaimedCall.js';
 import { reduceClaimedCall, startClaimedCall } from './reduceClaimedCall.js';
@@ -114,3 +114,14 @@
   assert.deepEqual(effects, ['propose', 'startResendTimer']);
   assert.equal(call.phase, 'releasing');
 });
+
+test('claimed call: a body above the bound goes to the caller but not to the log', () => {
+  const call = begin();
+  reduceClaimedCall(call, opened);
+  const large = { ...answer, body: new Uint8Array(LARGEST_STORED_ANSWER_BYTES + 1) };
+  const [answering, settling] = reduceClaimedCall(call, { type: 'answered', answer: large });
+  assert.deepEqual(answering, { type: 'answer', answer: large, replayed: false });
+  const command = settling?.type === 'propose' ? settling.command : undefined;
+  const stored = command?.type === 'settleClaim' ? command.answer : undefined;
+  assert.deepEqual(stored, { status: 201, headers: {} });
+});
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -3,7 +3,14 @@
  * most once, `ran: no` is only said of a call that was not sent and cannot be, and an attempt given
  * up never stands in the way of the caller's resend.
  */
-import type { ErrorKind, Milliseconds, MonotonicMilliseconds, Ran } from '@hornbeampond/schema';
+import {
+  LARGEST_STORED_ANSWER_BYTES,
+  type ErrorKind,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type Ran,
+  type StoredAnswer,
+} from '@hornbeampond/schema';
 import type {
   AfterRelease,
   ClaimCommand,
@@ -153,10 +160,7 @@
   return [{ type: 'sendCall', attemptId: call.attemptId }];
 }
 
-function replay(
-  call: ClaimedCall,
-  answer: EventOf<'answered'>['answer'] | undefined,
-): ClaimedCallEffect[] {
+function replay(call: ClaimedCall, answer: StoredAnswer | undefined): ClaimedCallEffect[] {
   if (answer?.body === undefined) return refuse(call, 'answerTooLargeToReplay', 'unknown');
   if (call.answered) return [];
   call.answered = true;
@@ -215,10 +219,17 @@
   if (call.phase !== 'sending') return [];
   const isLate = call.answered;
   call.answered = true;
-  const settling = settle(call, { outcome: 'done', answer });
+  const settling = settle(call, { outcome: 'done', answer: storable(answer) });
   return isLate ? settling : [{ type: 'answer', answer, replayed: false }, ...settling];
 }
 
+/** Leaves a body out that the log would not keep; resends are then told that the call ran. */
+function storable(answer: StoredAnswer): StoredAnswer {
+  const bytes = answer.body?.byteLength ?? 0;
+  if (bytes <= LARGEST_STORED_ANSWER_BYTES) return answer;
+  return { status: answer.status, headers: answer.headers };
+}
+
 function settle(
   call: ClaimedCall,
   end: Pick<Extract<ClaimCommand, { type: 'settleClaim' }>, 'outcome' | 'answer'>,
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -16,6 +16,12 @@
   readonly rows: readonly unknown[];
 }
 
+/**
+ * Largest answer that is stored, headers and body together: an offer or a reservation is a few
+ * KiB. Proposers leave a larger body out, since the log would carry it for nothing.
+ */
+export const LARGEST_STORED_ANSWER_BYTES = 64 * 1024;
+
 /** An answer kept for callers who send a call that may not be repeated again. */
 export interface StoredAnswer {
   readonly status: number;
--- a/packages/store-core/src/machine/claims.ts
+++ b/packages/store-core/src/machine/claims.ts
@@ -2,19 +2,19 @@
  * Claims of calls that may run at most once. One attempt holds the open claim of a workspace's
  * key, and only that attempt may send the call, once.
  */
-import type {
-  ClaimResult,
-  EpochMilliseconds,
-  Milliseconds,
-  OpenClaimCommand,
-  ReleaseClaimCommand,
-  SettleClaimCommand,
-  StoredAnswer,
+import {
+  LARGEST_STORED_ANSWER_BYTES,
+  type ClaimResult,
+  type EpochMilliseconds,
+  type Milliseconds,
+  type OpenClaimCommand,
+  type ReleaseClaimCommand,
+  type SettleClaimCommand,
+  type StoredAnswer,
 } from '@hornbeampond/schema';
 import {
   BAR_RETENTION,
   CLAIM_RETENTION,
-  MOST_ANSWER_BYTES,
   MOST_CLAIM_EXPIRY,
   MOST_CLAIMS,
   MOST_STORED_ANSWER_BYTES,
@@ -119,7 +119,7 @@
 
 /** Keeps an answer for resends, within the bounds; a claim without one still reads `done`. */
 function keepAnswer(state: MachineState, name: string, answer: StoredAnswer | undefined): void {
-  if (answer === undefined || sizeOf(answer) > MOST_ANSWER_BYTES) return;
+  if (answer === undefined || sizeOf(answer) > LARGEST_STORED_ANSWER_BYTES) return;
   state.answers.set(name, copyAnswer(answer));
   state.answerBytes += sizeOf(answer);
   for (const oldest of state.answers.keys()) {
--- a/packages/store-core/src/machine/constants.ts
+++ b/packages/store-core/src/machine/constants.ts
@@ -35,9 +35,6 @@
  */
 export const MOST_CLAIMS = 400_000;
 
-/** Largest answer kept for one claim: an offer or a reservation is a few KiB. */
-export const MOST_ANSWER_BYTES = 64 * 1024;
-
 /** All kept answers together. Above it the oldest go first; their claims still read `done`. */
 export const MOST_STORED_ANSWER_BYTES = 64 * 1024 * 1024;
 
--- a/packages/store-core/src/machine/index.ts
+++ b/packages/store-core/src/machine/index.ts
@@ -1,5 +1,5 @@
 export { applyCommand } from './applyCommand.js';
-export { BAR_RETENTION, CLAIM_RETENTION, MOST_ANSWER_BYTES } from './constants.js';
+export { BAR_RETENTION, CLAIM_RETENTION } from './constants.js';
 export { configurationSince, type ConfigurationUpdate } from './configurationSince.js';
 export { MachineState } from './MachineState.js';
 export { quarantineAt } from './quarantine.js';
--- /dev/null
+++ b/packages/store-core/src/machine/quarantine.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { ReportCrashCommand } from '@hornbeampond/schema';
+import { applyCommand } from './applyCommand.js';
+import { MachineState } from './MachineState.js';
+import { quarantineAt } from './quarantine.js';
+
+/** Splits what ran at a crash among entries; each reports its own part. */
+function reportsOf(crashId: string, digests: readonly string[], owners: readonly number[]) {
+  const parts = new Map<number, string[]>();
+  digests.forEach((digest, position) => {
+    const owner = owners[position] ?? 0;
+    parts.set(owner, [...(parts.get(owner) ?? []), digest]);
+  });
+  return [...parts.values()].map((part): ReportCrashCommand => ({
+    type: 'reportCrash',
+    backendServer: 'buylist-1',
+    crashId,
+    digests: part,
+  }));
+}
+
+// A bad lot runs in a batch, then apart from all that ran there, beside lots that are new; and once
+// more before word has spread. Several entries report parts of each crash, late, twice and in any
+// order. Only the bad lot may ever be refused, and in the end it is.
+test('machine: with suspects run apart only the culprit is ever quarantined', () => {
+  const owners = fc.array(fc.nat(2), { minLength: 8, maxLength: 8 });
+  const batchSize = fc.integer({ min: 1, max: 6 });
+  const picks = fc.infiniteStream(fc.nat());
+  fc.assert(
+    fc.property(batchSize, owners, picks, (size, ownedBy, order) => {
+      const batch = Array.from({ length: size }, (_unused, position) => `lot-${position}`);
+      const reports = [
+        ...reportsOf('one', ['bad', ...batch], ownedBy),
+        ...reportsOf('two', ['new-1', 'bad', 'new-2'], ownedBy),
+        ...reportsOf('three', ['bad', 'new-3'], ownedBy),
+      ];
+      const state = new MachineState();
+      const late = [...reports, ...reports];
+      for (let at = 1; late.length > 0; at += 1) {
+        const pick = Number(order.next().value) % late.length;
+        const [command] = late.splice(pick, 1);
+        if (command !== undefined) applyCommand(state, { at, command });
+        const named = quarantineAt(state, at).map(({ digest }) => digest);
+        assert.ok(
+          named.every((digest) => digest === 'bad'),
+          `${named.join()} named`,
+        );
+      }
+      assert.deepEqual(
+        quarantineAt(state, 100).map(({ digest }) => digest),
+        ['bad'],
+      );
+    }),
+    { seed: 20261203, numRuns: 2000 },
+  );
+});
