--- a/packages/entry-core/src/admission/drainQueues.ts
+++ b/packages/entry-core/src/admission/drainQueues.ts
@@ -9,6 +9,7 @@
 import type { EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { countWaiting } from './AdmissionState.js';
+import { giveUp, isLateAfter } from './dropUnreachable.js';
 import type { Waiting } from './FairQueue.js';
 import { isLateAtHome } from './placeRequest.js';
 import type { PoolQueue } from './PoolQueue.js';
@@ -44,6 +45,11 @@
   const passed: Waiting[] = [];
   for (let next = queue.peek(); next !== undefined; next = queue.peek()) {
     const waits = stillWaits(state, next);
+    if (waits && isLateAfter(state, next, 0, now)) {
+      queue.remove(next);
+      effects.push(...giveUp(state, next, now));
+      continue;
+    }
     const server = waits ? findServer(state, next, freed, now) : undefined;
     if (server !== undefined) {
       queue.serve(next);
--- a/packages/entry-core/src/admission/dropUnreachable.ts
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -20,9 +20,9 @@
 const PREDICTION_TOLERANCE = 0.25;
 
 /** Places of backend servers of all data centres that this entry can count on. */
-function countAllPlaces(state: EntryState, pool: string, now: MonotonicMilliseconds): number {
+function countAllPlaces(state: EntryState, pool: string): number {
   const { local, remote } = poolBalanceOf(state, pool);
-  const entries = state.limits.ledger.countEntries(now);
+  const { entries } = state.limits.ledger;
   return Math.max(1, (local.limitSum + remote.limitSum) / entries);
 }
 
@@ -37,7 +37,7 @@
     pool: string,
     private readonly now: MonotonicMilliseconds,
   ) {
-    this.places = countAllPlaces(state, pool, now);
+    this.places = countAllPlaces(state, pool);
   }
 
   walk(queue: PoolQueue): void {
@@ -62,15 +62,29 @@
     }
   }
 
-  private isUnreachable({ accepted, dueAt }: Waiting, wait: Milliseconds): boolean {
-    const earliest = this.now + usualDelay(this.state, accepted, this.now);
-    return earliest + wait * (1 - PREDICTION_TOLERANCE) > dueAt;
+  private isUnreachable(waiting: Waiting, wait: Milliseconds): boolean {
+    return isLateAfter(this.state, waiting, wait * (1 - PREDICTION_TOLERANCE), this.now);
   }
 }
 
-function giveUp(state: EntryState, { accepted, cost }: Waiting, now: number): EntryEffect[] {
+/** True if the deadline is missed when the request is sent after so long. */
+export function isLateAfter(
+  state: EntryState,
+  { accepted, dueAt }: Waiting,
+  wait: Milliseconds,
+  now: MonotonicMilliseconds,
+): boolean {
+  return now + wait + usualDelay(state, accepted, now) > dueAt;
+}
+
+/** Ends a request that has left the queue because it would be late. */
+export function giveUp(
+  state: EntryState,
+  { accepted, cost }: Waiting,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
   const { pool, request } = accepted;
-  const interval = cost / countAllPlaces(state, pool.name, now);
+  const interval = cost / countAllPlaces(state, pool.name);
   const key = `queue/${pool.name}/${request.workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, interval, interval, now);
   const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
--- a/packages/entry-core/src/admission/placeRequest.ts
+++ b/packages/entry-core/src/admission/placeRequest.ts
@@ -35,7 +35,7 @@
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): boolean {
-  const wait = predictWait(state, makeWaiting(state, accepted, now), now);
+  const wait = predictWait(state, makeWaiting(state, accepted, now));
   const patience = nextTokenDueAt(accepted) - now - usualDelay(state, accepted, now);
   return wait > patience * HOME_PATIENCE_SHARE;
 }
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -13,9 +13,9 @@
 import type { Waiting } from './FairQueue.js';
 
 /** Places of backend servers that this entry can count on. */
-export function countPlaces(state: EntryState, pool: string, now: MonotonicMilliseconds): number {
+export function countPlaces(state: EntryState, pool: string): number {
   const { limitSum } = poolBalanceOf(state, pool).home;
-  return Math.max(1, limitSum / state.limits.ledger.countEntries(now));
+  return Math.max(1, limitSum / state.limits.ledger.entries);
 }
 
 export function makeWaiting(
@@ -28,14 +28,10 @@
 }
 
 /** Wait in the queue until a backend server can be given the request. */
-export function predictWait(
-  state: EntryState,
-  waiting: Waiting,
-  now: MonotonicMilliseconds,
-): Milliseconds {
+export function predictWait(state: EntryState, waiting: Waiting): Milliseconds {
   const pool = waiting.accepted.pool.name;
   const ahead = poolQueueOf(state, pool).workAhead(waiting);
-  return (ahead + waiting.cost) / countPlaces(state, pool, now);
+  return (ahead + waiting.cost) / countPlaces(state, pool);
 }
 
 /** Time from being sent to the first token, as is usual in the pool. */
--- a/packages/entry-core/src/admission/refuseEarly.ts
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -64,7 +64,7 @@
   if (excess <= 0) return undefined;
   const { cost } = makeWaiting(state, accepted, now);
   const workspaces = Math.max(1, queue.countWorkspaces());
-  const interval = (cost * workspaces) / countPlaces(state, accepted.pool.name, now);
+  const interval = (cost * workspaces) / countPlaces(state, accepted.pool.name);
   const key = `queue/${accepted.pool.name}/${workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, interval * excess, interval, now);
   return { kind: 'overloaded', detail: 'Too many requests wait', retryAfterMilliseconds };
@@ -76,12 +76,12 @@
   now: MonotonicMilliseconds,
 ): EarlyRefusal | undefined {
   const waiting = makeWaiting(state, accepted, now);
-  const predicted = predictWait(state, waiting, now) + usualDelay(state, accepted, now);
+  const predicted = predictWait(state, waiting) + usualDelay(state, accepted, now);
   const late = predicted - (waiting.dueAt - now);
   if (late <= 0) return undefined;
   const pool = accepted.pool.name;
   const workspaces = Math.max(1, poolQueueOf(state, pool).countWorkspaces());
-  const interval = (waiting.cost * workspaces) / countPlaces(state, pool, now);
+  const interval = (waiting.cost * workspaces) / countPlaces(state, pool);
   const key = `queue/${pool}/${accepted.request.workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, late + interval, interval, now);
   const detail = `The first token is predicted in ${Math.round(predicted)} ms`;
@@ -94,14 +94,14 @@
   server: BackendServerState,
   now: MonotonicMilliseconds,
 ): EarlyRefusal | undefined {
-  const { request, route, pool } = accepted;
+  const { request, pool } = accepted;
   const balance = poolBalanceOf(state, pool.name);
-  const predicted = predictFirstToken(balance, server, request, route.name, now);
+  const predicted = predictFirstToken(state, balance, server, accepted);
   const patience = nextTokenDueAt(accepted) - now;
   if (predicted <= patience || !isPredictionTrusted(balance, server, patience, now)) {
     return undefined;
   }
-  const interval = makeWaiting(state, accepted, now).cost / countPlaces(state, pool.name, now);
+  const interval = makeWaiting(state, accepted, now).cost / countPlaces(state, pool.name);
   const key = `server/${pool.name}/${request.workspace}`;
   const wait = predicted - patience;
   const retryAfterMilliseconds = promiseRetry(state, key, wait, interval, now);
--- a/packages/entry-core/src/backendServers/LearntMean.ts
+++ b/packages/entry-core/src/backendServers/LearntMean.ts
@@ -1,16 +1,22 @@
 /**
- * A moving mean of delays that falls faster than it rises, so that a rush is not taken for the
- * usual state of things. A mean without a young sample is not believed: otherwise one bad moment
+ * A moving mean of times. A mean without a young sample is not believed: otherwise one bad moment
  * could make every request be refused, and with none admitted the mean could never be corrected.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 
-const FALL_SHARE = 0.2;
-const RISE_SHARE = 0.05;
 const BELIEVED_MILLISECONDS: Milliseconds = 30_000;
 const YOUNG_MILLISECONDS: Milliseconds = 3000;
 
 export class LearntMean {
+  /**
+   * @param riseShare - Weight of a sample above the mean.
+   * @param fallShare - Weight of a sample below it.
+   */
+  constructor(
+    private readonly riseShare: number,
+    private readonly fallShare: number,
+  ) {}
+
   private mean: Milliseconds | undefined;
 
   private learntAt: MonotonicMilliseconds = 0;
@@ -26,7 +32,7 @@
 
   learn(sample: Milliseconds, now: MonotonicMilliseconds): void {
     const known = this.value(now) ?? sample;
-    this.mean = known + (sample - known) * (sample < known ? FALL_SHARE : RISE_SHARE);
+    this.mean = known + (sample - known) * (sample < known ? this.fallShare : this.riseShare);
     this.learntAt = now;
   }
 }
--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -57,14 +57,18 @@
 }
 
 const SERVICE_PRIOR_MILLISECONDS: Milliseconds = 1000;
+const SERVICE_TIME_SHARE = 0.1;
 
 export class PoolBalance {
   readonly local = new CandidateGroup();
 
   readonly remote = new CandidateGroup();
 
-  /** First-token delay of a request whose prompt weighs one unit. */
-  readonly firstToken = new LearntMean();
+  /**
+   * First-token delay of a request whose prompt weighs one unit. It falls faster than it rises, so
+   * that the delays of a rush are not taken for the usual ones.
+   */
+  readonly firstToken = new LearntMean(0.05, 0.2);
 
   /** Time from the start of an attempt to its end, by route. */
   private readonly serviceTimes = new Map<string, LearntMean>();
@@ -103,7 +107,8 @@
   }
 
   learnServiceTime(route: string, sample: Milliseconds, now: MonotonicMilliseconds): void {
-    const known = this.serviceTimes.get(route) ?? new LearntMean();
+    const known =
+      this.serviceTimes.get(route) ?? new LearntMean(SERVICE_TIME_SHARE, SERVICE_TIME_SHARE);
     known.learn(sample, now);
     this.serviceTimes.set(route, known);
   }
--- a/packages/entry-core/src/backendServers/ServerBalance.ts
+++ b/packages/entry-core/src/backendServers/ServerBalance.ts
@@ -17,6 +17,8 @@
   slowStartAt: MonotonicMilliseconds | undefined;
   /** Requests of other entries in progress when load was measured last. */
   othersInProgress: number;
+  /** Own requests in progress when load was measured last. */
+  ownAtMeasurement: number;
   /** When load was measured last, by the clock of this entry. */
   measuredAt: MonotonicMilliseconds | undefined;
   /** Own attempts that ended lately, oldest first. */
@@ -48,6 +50,7 @@
     limitLoweredAt: Number.NEGATIVE_INFINITY,
     slowStartAt,
     othersInProgress: 0,
+    ownAtMeasurement: 0,
     measuredAt: undefined,
     endedAttempts: [],
     slowness: 1,
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -50,8 +50,7 @@
     this.seen.add(server);
     if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
     if (!this.hasRoom(server)) return;
-    const { request, route } = this.accepted;
-    const firstTokenIn = predictFirstToken(this.pool, server, request, route.name, this.now);
+    const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
     if (this.best === undefined || firstTokenIn < this.best.firstTokenIn) {
       this.best = { server, firstTokenIn };
     }
@@ -84,7 +83,7 @@
 
   private hasRoom(server: BackendServerState): boolean {
     const room = Math.max(1, Math.floor(limitNow(server.balance, this.now)));
-    return estimateInProgress(server, this.now) < room;
+    return estimateInProgress(this.state, server) < room;
   }
 }
 
--- a/packages/entry-core/src/backendServers/estimateInProgress.ts
+++ b/packages/entry-core/src/backendServers/estimateInProgress.ts
@@ -54,12 +54,22 @@
   const kept = balance.endedAttempts.filter((ended) => ended.endedAt > measuredAt);
   balance.endedAttempts.splice(0, balance.endedAttempts.length, ...kept);
   const own = countOwnAt(state, server, measuredAt);
+  balance.ownAtMeasurement = own;
   balance.othersInProgress = Math.max(0, report.running + report.queued - own);
 }
 
-/** Requests in progress at the server now, of this entry and of others, as far as is known. */
-export function estimateInProgress(server: BackendServerState, now: MonotonicMilliseconds): number {
-  const { measuredAt, othersInProgress } = server.balance;
+/**
+ * Requests in progress at the server now, of this entry and of others. Other entries of the data
+ * centre are taken to have grown since the measurement as this one has, since the balancer gives
+ * all of them the same rush; a report that is seconds old would otherwise let each of them fill
+ * the server for itself.
+ */
+export function estimateInProgress(state: EntryState, server: BackendServerState): number {
+  const { measuredAt, othersInProgress, ownAtMeasurement } = server.balance;
+  const own = server.attemptIds.size;
+  const { now } = state.clocks;
   const believed = measuredAt !== undefined && now - measuredAt <= STALE_LOAD_MILLISECONDS;
-  return server.attemptIds.size + (believed ? othersInProgress : 0);
+  const ownGrowth = Math.max(0, own - (believed ? ownAtMeasurement : 0));
+  const peers = state.limits.ledger.entries - 1;
+  return own + (believed ? othersInProgress : 0) + peers * ownGrowth;
 }
--- a/packages/entry-core/src/backendServers/listInstances.ts
+++ b/packages/entry-core/src/backendServers/listInstances.ts
@@ -64,9 +64,10 @@
     known.goneAt ??= instance.goneAt;
   });
   state.backendServers.forEach((server, instance) => {
-    if (!listed.has(instance) && server.attemptIds.size === 0) {
-      state.backendServers.delete(instance);
-    }
+    if (listed.has(instance)) return;
+    if (server.attemptIds.size === 0) state.backendServers.delete(instance);
+    // Its answers in progress may still come, but an instance that is off the list is going.
+    else server.listed = { ...server.listed, state: 'leaving' };
   });
   refreshLimits(state);
   indexCandidates(state);
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -3,6 +3,8 @@
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
 import type { BackendServerState } from './BackendServerState.js';
 import { estimateInProgress } from './estimateInProgress.js';
 import type { PoolBalance } from './PoolBalance.js';
@@ -38,19 +40,19 @@
 }
 
 export function predictFirstToken(
+  state: EntryState,
   pool: PoolBalance,
   server: BackendServerState,
-  request: CallerRequest,
-  route: string,
-  now: MonotonicMilliseconds,
+  { request, route }: RequestState,
 ): Milliseconds {
+  const { now } = state.clocks;
   const share = pool.beliefs.shareAt(server, request.prefixDigests, now);
   const limit = limitNow(server.balance, now);
-  const inProgress = estimateInProgress(server, now);
+  const inProgress = estimateInProgress(state, server);
   const usual = usualFirstToken(pool, request, share, now) * server.balance.slowness;
   const crowded = usual * (1 + Math.min(1, inProgress / limit));
   const above = Math.max(0, inProgress + 1 - limit);
-  const queued = (above * pool.serviceTime(route, now)) / limit;
+  const queued = (above * pool.serviceTime(route.name, now)) / limit;
   return Math.max(crowded, reportedDelay(server, now)) + queued;
 }
 
--- a/packages/entry-core/src/limits/LimitLedger.ts
+++ b/packages/entry-core/src/limits/LimitLedger.ts
@@ -40,6 +40,8 @@
 
   private readonly peers = new Map<string, Peer>();
 
+  private stayingPeers = 0;
+
   private readonly heardInRound = new Set<string>();
 
   acquire(key: string, requestId: string): void {
@@ -74,24 +76,21 @@
     }
     this.peers.set(report.instance, { report, heardAt: now });
     this.heardInRound.add(report.instance);
+    this.countStaying();
     this.endRound(now);
   }
 
   /** Entries that share the limits: this one and its peers that are not leaving. */
-  countEntries(now: MonotonicMilliseconds): number {
-    let entries = 1;
-    for (const peer of this.peers.values()) {
-      if (!peer.report.leaving && now - peer.heardAt <= FORGOTTEN_MILLISECONDS) entries += 1;
-    }
-    return entries;
+  get entries(): number {
+    return 1 + this.stayingPeers;
   }
 
   /** True if one more request under this key is within this entry's part of the limit. */
   hasRoom(key: string, limit: number, now: MonotonicMilliseconds): boolean {
-    const entries = this.countEntries(now);
+    const { entries } = this;
     const own = this.own.get(key);
     const lowest = own?.lowest ?? 0;
-    const free = limit - this.heldByPeers(key, limit, entries, now) - lowest;
+    const free = limit - this.heldByPeers(key, limit, now) - lowest;
     return (own?.requestIds.size ?? 0) < lowest + Math.ceil(Math.max(0, free) / entries);
   }
 
@@ -102,23 +101,22 @@
         this.heardInRound.delete(instance);
       }
     }
+    this.countStaying();
     this.endRound(now);
   }
 
-  private heldByPeers(
-    key: string,
-    limit: number,
-    entries: number,
-    now: MonotonicMilliseconds,
-  ): number {
+  private countStaying(): void {
+    this.stayingPeers = 0;
+    for (const { report } of this.peers.values()) if (!report.leaving) this.stayingPeers += 1;
+  }
+
+  private heldByPeers(key: string, limit: number, now: MonotonicMilliseconds): number {
     let held = 0;
     for (const { report, heardAt } of this.peers.values()) {
       const said = report.inProgress[key] ?? 0;
       const age = now - heardAt;
       const isSilent = age > SILENT_MILLISECONDS && !report.leaving;
-      if (age <= FORGOTTEN_MILLISECONDS) {
-        held += isSilent ? Math.max(said, limit / entries) : said;
-      }
+      held += isSilent ? Math.max(said, limit / this.entries) : said;
     }
     return held;
   }
