Test the choice: outliers, floor, cache gaps, slow start, slow engines, even spread

Found by the tests: a slow engine was passed over for good, since nothing was learnt of it any more. Change: what is known of an engine's slowness fades with a half-life of ten seconds.

--- a/packages/entry-core/src/backendServers/ServerBalance.ts
+++ b/packages/entry-core/src/backendServers/ServerBalance.ts
@@ -25,6 +25,7 @@
   readonly endedAttempts: EndedAttempt[];
   /** Its first-token delay relative to what is usual in its pool. */
   slowness: number;
+  slownessLearntAt: MonotonicMilliseconds;
   consecutiveFailures: number;
   /** Outcomes that still count, halved now and then so that old ones fade. */
   successes: number;
@@ -54,6 +55,7 @@
     measuredAt: undefined,
     endedAttempts: [],
     slowness: 1,
+    slownessLearntAt: 0,
     consecutiveFailures: 0,
     successes: 0,
     failures: 0,
@@ -79,3 +81,14 @@
   const share = Math.min(1, Math.max(0, now - slowStartAt) / SLOW_START_MILLISECONDS);
   return Math.max(1, limit * (SLOW_START_LEAST_SHARE + (1 - SLOW_START_LEAST_SHARE) * share));
 }
+
+const SLOWNESS_HALF_LIFE_MILLISECONDS: Milliseconds = 10_000;
+
+/**
+ * First-token delay relative to the pool's, as far as it is still believed. It fades: a slow server
+ * is passed over, so nothing would ever show that it is well again.
+ */
+export function slownessNow(balance: ServerBalance, now: MonotonicMilliseconds): number {
+  const age = now - balance.slownessLearntAt;
+  return 1 + (balance.slowness - 1) * 0.5 ** (age / SLOWNESS_HALF_LIFE_MILLISECONDS);
+}
--- a/packages/entry-core/src/backendServers/adaptConcurrency.ts
+++ b/packages/entry-core/src/backendServers/adaptConcurrency.ts
@@ -8,11 +8,14 @@
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from './BackendServerState.js';
 import type { PoolBalance } from './PoolBalance.js';
+import { slownessNow } from './ServerBalance.js';
 
 const TOLERATED_SLOWNESS = 3;
 const DECREASE_FACTOR = 0.8;
 const LEAST_SHARE_OF_CLASS = 0.1;
 const SLOWNESS_SHARE = 0.2;
+/** One slow moment is not taken for more than this. */
+const MOST_SLOWNESS = 10;
 
 /**
  * Takes in one first-token delay.
@@ -28,7 +31,9 @@
 ): void {
   const { balance } = server;
   const slowness = delay / Math.max(1, usual);
-  balance.slowness += (Math.min(slowness, 10) - balance.slowness) * SLOWNESS_SHARE;
+  const known = slownessNow(balance, now);
+  balance.slowness = known + (Math.min(slowness, MOST_SLOWNESS) - known) * SLOWNESS_SHARE;
+  balance.slownessLearntAt = now;
   if (slowness <= TOLERATED_SLOWNESS) {
     const raised = balance.limit + 1 / balance.limit;
     pool.changeLimit(server, Math.min(balance.fullLimit, raised));
--- /dev/null
+++ b/packages/entry-core/src/backendServers/backendServers.test.ts
@@ -0,0 +1,271 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { AttemptFailure } from '../entryEvents.js';
+import { attemptFailures } from '../entryEvents.js';
+import { EntryHarness, type HarnessOptions } from '../testing/EntryHarness.js';
+import {
+  examplePool,
+  exampleRequest,
+  exampleRoute,
+  firstTokenWithin,
+} from '../testing/examples.js';
+import { chooseBackendServer } from './chooseBackendServer.js';
+import { noteFailure } from './ejectOutliers.js';
+import type { PoolBalance } from './PoolBalance.js';
+
+const CONCURRENCY = 8;
+const SECOND = 1000;
+
+const slowAnswers = {
+  concurrency: CONCURRENCY,
+  prefillMillisecondsPerToken: 0.2,
+  decodeMillisecondsPerToken: 100,
+  cachedPrefixes: 100,
+};
+
+function makeHarness(options: Partial<HarnessOptions> = {}): EntryHarness {
+  return new EntryHarness({
+    servers: 4,
+    speed: {
+      concurrency: CONCURRENCY,
+      prefillMillisecondsPerToken: 0.2,
+      decodeMillisecondsPerToken: 10,
+      cachedPrefixes: 100,
+    },
+    routes: [exampleRoute(firstTokenWithin(2000))],
+    pool: examplePool(CONCURRENCY),
+    ...options,
+  });
+}
+
+function poolOf(harness: EntryHarness): PoolBalance {
+  const pool = harness.entries[0]?.poolBalances.get('engines');
+  assert.ok(pool);
+  return pool;
+}
+
+/** Sends one request every so often. */
+function sendEvery(harness: EntryHarness, span: number, until: number): void {
+  let number = 0;
+  harness.timeline.every(span, () => {
+    if (harness.timeline.now > until) return;
+    number += 1;
+    harness.arrive(exampleRequest(`steady-${number}`), 20);
+  });
+}
+
+function inProgressAt(harness: EntryHarness, instance: string): number {
+  return harness.entries[0]?.backendServers.get(instance)?.attemptIds.size ?? 0;
+}
+
+function askFor(harness: EntryHarness, requestId: string, prefixDigests: string[]): string {
+  const [state] = harness.entries;
+  assert.ok(state);
+  harness.arrive(exampleRequest(requestId, { prefixDigests, promptTokens: 4000 }), 20);
+  const attempt = state.attempts.get(`${requestId}.1`);
+  assert.ok(attempt, `${requestId} was not sent`);
+  harness.timeline.runUntil(harness.timeline.now + 5 * SECOND);
+  return attempt.instance;
+}
+
+// One of four engines answers every request with an error at once, so it always looks idle.
+// Callers see their answers all the same, since each failed request is tried elsewhere; after
+// three failures in a row the engine is let rest, and is asked again only now and then.
+test('an outlier that fails fast does not draw the work', () => {
+  const harness = makeHarness();
+  harness.failing.set('engine-2', 'serverError');
+  sendEvery(harness, 50, 20 * SECOND);
+  harness.timeline.runUntil(30 * SECOND);
+  const outcomes = [...harness.outcomes.values()];
+  assert.ok(outcomes.every(({ finishedAt }) => finishedAt !== undefined));
+  const wasted = harness.counted.get('retries/backendServerError') ?? 0;
+  assert.ok(wasted <= 0.05 * outcomes.length, `${wasted} of ${outcomes.length} failed first`);
+  assert.ok(wasted > 3, 'it is asked again after a while');
+});
+
+// The outlier is mended after ten seconds. Its callers see nothing of it; it gets its share of
+// the work again once its rest is over.
+test('a mended outlier gets work again', () => {
+  const harness = makeHarness();
+  harness.failing.set('engine-2', 'connectFailed');
+  sendEvery(harness, 50, 60 * SECOND);
+  harness.timeline.runUntil(10 * SECOND);
+  assert.equal(poolOf(harness).local.ejected.size, 1);
+  harness.failing.clear();
+  harness.timeline.runUntil(59 * SECOND);
+  assert.equal(poolOf(harness).local.ejected.size, 0);
+  assert.ok(inProgressAt(harness, 'engine-2') > 0);
+});
+
+// Whatever fails and however often, callers never find a pool emptied by ejection: at least half
+// of the engines of each group of data centres stay in use, also when others leave meanwhile.
+test('ejection never goes below the floor', () => {
+  const failure = fc.record({
+    server: fc.nat({ max: 9 }),
+    failure: fc.constantFrom<AttemptFailure>(...attemptFailures),
+  });
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 10 }),
+      fc.array(failure, { maxLength: 120 }),
+      fc.integer({ min: 1, max: 10 }),
+      (servers, failures, left) => {
+        const harness = makeHarness({ servers });
+        const pool = poolOf(harness);
+        const checkFloor = (live: number) => {
+          const used = pool.local.candidates.length;
+          assert.ok(used >= Math.max(1, Math.ceil(live / 2)), `${used} of ${live} in use`);
+        };
+        for (const { server } of failures) {
+          const found = harness.entries[0]?.backendServers.get(`engine-${server % servers}`);
+          if (found !== undefined) noteFailure(pool, found, harness.timeline.now);
+          checkFloor(servers);
+        }
+        harness.listEngines(Math.min(left, servers));
+        checkFloor(Math.min(left, servers));
+      },
+    ),
+    { seed: 7, numRuns: 200 },
+  );
+});
+
+// A seller's long prompt has been computed on one engine, and later turns of it follow. They go to
+// the same engine while its cache events are whole. Then an event is lost: it may have said that
+// the prefix was evicted, so the next turn is placed as if nothing were known of that engine.
+test('a gap in the cache events drops what was believed of the engine', () => {
+  const harness = makeHarness();
+  const home = askFor(harness, 'turn-1', ['a', 'b']);
+  for (const turn of [2, 3, 4]) {
+    assert.equal(askFor(harness, `turn-${turn}`, ['a', 'b', `c${turn}`]), home);
+  }
+  const tell = (sequence: number, change: 'stored' | 'cleared') => {
+    const event = { instance: home, sequence, change, prefixDigests: ['x'] };
+    harness.send({ type: 'cacheEventsReceived', events: [event] });
+  };
+  const isBelieved = () =>
+    poolOf(harness).beliefs.find(['a', 'b'], harness.timeline.now).length > 0;
+  tell(1, 'stored');
+  tell(2, 'stored');
+  assert.ok(isBelieved(), 'events without a gap keep it');
+  tell(4, 'stored');
+  assert.ok(!isBelieved(), 'a gap drops it');
+  askFor(harness, 'turn-5', ['a', 'b']);
+  assert.ok(isBelieved());
+  tell(5, 'cleared');
+  assert.ok(!isBelieved(), 'a cleared cache drops it');
+});
+
+// A belief that nothing has confirmed for two minutes is let go, as an engine that reports nothing
+// will have evicted the prefix by then.
+test('a belief expires', () => {
+  const harness = makeHarness();
+  askFor(harness, 'turn-1', ['a']);
+  const believedAt = (now: number) => poolOf(harness).beliefs.find(['a'], now).length > 0;
+  assert.ok(believedAt(100 * SECOND));
+  assert.ok(!believedAt(130 * SECOND));
+});
+
+// An engine that believes in the prefix is full. The caller's next turn does not wait for it: it
+// goes to another engine and pays for the prompt again, which is cheaper than the wait.
+test('affinity gives way to a full engine', () => {
+  const harness = makeHarness({ servers: 2 });
+  const home = askFor(harness, 'turn-1', ['a']);
+  const other = home === 'engine-0' ? 'engine-1' : 'engine-0';
+  for (let number = 0; number < CONCURRENCY; number += 1) {
+    harness.arrive(exampleRequest(`full-${number}`, { prefixDigests: ['a'] }), 1000);
+  }
+  const placed = [inProgressAt(harness, home), inProgressAt(harness, other)];
+  assert.equal((placed[0] ?? 0) + (placed[1] ?? 0), CONCURRENCY);
+  for (let number = 0; inProgressAt(harness, home) < CONCURRENCY; number += 1) {
+    harness.arrive(exampleRequest(`more-${number}`, { prefixDigests: ['a'] }), 1000);
+  }
+  assert.equal(askFor(harness, 'turn-2', ['a']), other);
+});
+
+// A fifth engine comes up in a rush. It gets a little work at once and its full share after ten
+// seconds; callers of the rush are not all sent to an engine that is still warming up.
+test('a new engine starts slowly', () => {
+  const harness = makeHarness({ servers: 5, speed: slowAnswers });
+  harness.listEngines(4);
+  harness.timeline.runUntil(SECOND);
+  harness.listEngines(5);
+  for (let number = 0; number < 40; number += 1) {
+    harness.arrive(exampleRequest(`rush-${number}`), 1000);
+  }
+  assert.ok(inProgressAt(harness, 'engine-4') <= 2);
+  assert.ok(inProgressAt(harness, 'engine-4') >= 1);
+  harness.timeline.runUntil(11 * SECOND + 100);
+  for (let number = 40; number < 80; number += 1) {
+    harness.arrive(exampleRequest(`rush-${number}`), 1000);
+  }
+  assert.equal(inProgressAt(harness, 'engine-4'), CONCURRENCY);
+});
+
+// One engine computes prompts 25 times slower than its class says, in a rush that needs it. Its
+// first slow answers lower its limit, so later callers are not kept waiting inside it, where no
+// deadline is looked at; when it is well again it gets its share back.
+test('the concurrency of a slow engine is lowered and comes back', () => {
+  const harness = makeHarness();
+  const slow = harness.engines.get('engine-1');
+  assert.ok(slow);
+  const usual = slow.speed;
+  sendEvery(harness, 16, 60 * SECOND);
+  harness.timeline.runUntil(5 * SECOND);
+  slow.speed = { ...usual, prefillMillisecondsPerToken: 5 };
+  harness.timeline.runUntil(20 * SECOND);
+  const balance = harness.entries[0]?.backendServers.get('engine-1')?.balance;
+  assert.ok((balance?.limit ?? 0) < 0.5 * CONCURRENCY, `limit ${balance?.limit}`);
+  slow.speed = usual;
+  harness.timeline.runUntil(59 * SECOND);
+  assert.ok((balance?.limit ?? 0) > 0.9 * CONCURRENCY, `limit ${balance?.limit}`);
+});
+
+// One of four engines is slow while the others have room. After its first slow answers callers go
+// elsewhere; what is known of it fades, so once it is well it gets work again although nothing
+// forced anyone to ask it.
+test('a slow engine is passed over and then asked again', () => {
+  const harness = makeHarness();
+  const slow = harness.engines.get('engine-1');
+  assert.ok(slow);
+  const usual = slow.speed;
+  sendEvery(harness, 40, 60 * SECOND);
+  harness.timeline.runUntil(5 * SECOND);
+  slow.speed = { ...usual, prefillMillisecondsPerToken: 5 };
+  harness.timeline.runUntil(20 * SECOND);
+  const late = [...harness.outcomes.values()].filter(
+    ({ arrivedAt, firstTokenAt = 0 }) => firstTokenAt - arrivedAt > 400,
+  );
+  assert.ok(late.length <= 0.05 * 15 * 25, `${late.length} were slow`);
+  slow.speed = usual;
+  harness.timeline.runUntil(59 * SECOND);
+  assert.ok(slow.running > 0);
+});
+
+// Two entries choose among a thousand engines with the same old reports. Two random choices keep
+// the fullest engine near the mean, where one random choice would pile up several on one.
+test('two choices keep a thousand engines even', () => {
+  const harness = makeHarness({ servers: 1000 });
+  for (let number = 0; number < 2000; number += 1) {
+    harness.arrive(exampleRequest(`request-${number}`), 1000);
+  }
+  const loads = [...harness.engines.keys()].map((instance) => inProgressAt(harness, instance));
+  assert.ok(Math.max(...loads) <= 4, `${Math.max(...loads)} on one engine`);
+});
+
+// A reclaim notice has come another way and only the flag on the server is set. The next choice
+// must pass it over and take it out of the candidates, without waiting for the platform's list.
+test('a server on notice gets no new work', () => {
+  const harness = makeHarness({ servers: 20 });
+  const [state] = harness.entries;
+  assert.ok(state);
+  for (let server = 0; server < 19; server += 1) {
+    harness.send({ type: 'reclaimNoticed', instance: `engine-${server}`, goneAt: 1 });
+  }
+  harness.arrive(exampleRequest('one'), 20);
+  harness.timeline.runUntil(SECOND);
+  assert.ok(harness.outcomes.get('one')?.finishedAt !== undefined);
+  const [accepted] = state.requests.values();
+  assert.equal(accepted && chooseBackendServer(state, accepted), undefined);
+  assert.ok(poolOf(harness).local.candidates.length < 20);
+});
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -8,7 +8,7 @@
 import type { BackendServerState } from './BackendServerState.js';
 import { estimateInProgress } from './estimateInProgress.js';
 import type { PoolBalance } from './PoolBalance.js';
-import { limitNow } from './ServerBalance.js';
+import { limitNow, slownessNow } from './ServerBalance.js';
 
 /** Believed until the first delay has been seen. */
 const FIRST_TOKEN_PRIOR_MILLISECONDS: Milliseconds = 50;
@@ -49,7 +49,7 @@
   const share = pool.beliefs.shareAt(server, request.prefixDigests, now);
   const limit = limitNow(server.balance, now);
   const inProgress = estimateInProgress(state, server);
-  const usual = usualFirstToken(pool, request, share, now) * server.balance.slowness;
+  const usual = usualFirstToken(pool, request, share, now) * slownessNow(server.balance, now);
   const crowded = usual * (1 + Math.min(1, inProgress / limit));
   const above = Math.max(0, inProgress + 1 - limit);
   const queued = (above * pool.serviceTime(route.name, now)) / limit;
