--- a/packages/entry-core/src/testing/index.ts
+++ b/packages/entry-core/src/testing/index.ts
@@ -1,3 +1,4 @@
 /** For tests and measurements only; the binaries never import it. */
 export * from './EntryHarness.js';
 export * from './examples.js';
+export * from './makeArrivals.js';
--- /dev/null
+++ b/packages/entry-core/src/testing/makeArrivals.ts
@@ -0,0 +1,101 @@
+/**
+ * A seeded pattern of arrivals that measurements share: conversations whose prompts grow turn by
+ * turn, of a few large workspaces and some small ones, with a rush in the middle.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Milliseconds } from '@hornbeampond/schema';
+import type { CallerRequest } from '../entryEvents.js';
+import { exampleRequest } from './examples.js';
+
+export interface Arrival {
+  readonly at: Milliseconds;
+  readonly request: CallerRequest;
+  readonly answerTokens: number;
+}
+
+export interface ArrivalPattern {
+  readonly seed: number;
+  readonly span: Milliseconds;
+  readonly perSecond: number;
+  /** Between a third and two thirds of the span, so many times as much arrives. */
+  readonly rushFactor: number;
+  /** Workspaces and how often each is drawn. */
+  readonly workspaces: Readonly<Record<string, number>>;
+  /** Paths, drawn evenly. */
+  readonly paths: readonly string[];
+}
+
+const TOKENS_PER_TURN = 250;
+const MOST_TURNS = 12;
+const CONVERSATIONS_PER_WORKSPACE = 40;
+const LEAST_ANSWER_TOKENS = 20;
+const MOST_ANSWER_TOKENS = 120;
+const RESOLUTION = 1_000_000;
+
+class Conversations {
+  private readonly turns = new Map<string, { generation: number; turn: number }>();
+
+  /** Digests of the next turn of one of the workspace's conversations. */
+  next(workspace: string, random: RandomGenerator): string[] {
+    const number = uniformInt(random, 0, CONVERSATIONS_PER_WORKSPACE - 1);
+    const name = `${workspace}/${number}`;
+    const known = this.turns.get(name) ?? { generation: 0, turn: 0 };
+    known.turn += 1;
+    if (known.turn > MOST_TURNS) {
+      known.generation += 1;
+      known.turn = 1;
+    }
+    this.turns.set(name, known);
+    const turns = Array.from(
+      { length: known.turn },
+      (_, turn) => `${name}/${known.generation}/${turn}`,
+    );
+    return [workspace, ...turns];
+  }
+}
+
+function drawWorkspace(pattern: ArrivalPattern, random: RandomGenerator): string {
+  const weights = Object.entries(pattern.workspaces);
+  let left = uniformInt(
+    random,
+    1,
+    weights.reduce((sum, [, weight]) => sum + weight, 0),
+  );
+  for (const [workspace, weight] of weights) {
+    left -= weight;
+    if (left <= 0) return workspace;
+  }
+  return '';
+}
+
+function rateAt({ span, perSecond, rushFactor }: ArrivalPattern, at: Milliseconds): number {
+  const isRush = at >= span / 3 && at < (2 * span) / 3;
+  return (perSecond / 1000) * (isRush ? rushFactor : 1);
+}
+
+export function makeArrivals(pattern: ArrivalPattern): Arrival[] {
+  const random = xoroshiro128plus(pattern.seed);
+  const conversations = new Conversations();
+  const arrivals: Arrival[] = [];
+  let at = 0;
+  while (at < pattern.span) {
+    const uniform = uniformInt(random, 1, RESOLUTION) / RESOLUTION;
+    at += -Math.log(uniform) / rateAt(pattern, at);
+    const workspace = drawWorkspace(pattern, random);
+    const prefixDigests = conversations.next(workspace, random);
+    const path = pattern.paths[uniformInt(random, 0, pattern.paths.length - 1)] ?? '/';
+    const promptTokens = prefixDigests.length * TOKENS_PER_TURN;
+    const answerTokens = uniformInt(random, LEAST_ANSWER_TOKENS, MOST_ANSWER_TOKENS);
+    const request = exampleRequest(`request-${arrivals.length}`, {
+      workspace,
+      path,
+      prefixDigests,
+      promptTokens,
+      mostTokens: MOST_ANSWER_TOKENS,
+    });
+    arrivals.push({ at, request, answerTokens });
+  }
+  return arrivals;
+}
