Predict first tokens from pending prompts; serve waiting requests where their prefix is

Cause: in a rush engines were kept from work by their batch only, so prompts queued inside them in order of arrival; what a server was chosen by was noisy (one slow first token hid a cached prefix); a freed server got whatever was first in the queue. Change: the delay is a line over the uncached tokens pending at the server, drawn to a first belief while prompts are alike; a server whose pending prompts take over 200 ms gets no more (a holder of the prefix may wait longer by what it saves); places are own requests in progress; a request close behind the first whose prefix the freed server has may go first while the first can wait.

--- a/packages/entry-core/src/admission/FairQueue.ts
+++ b/packages/entry-core/src/admission/FairQueue.ts
@@ -96,18 +96,19 @@
 
   /** The request to be served next. */
   peek(): Waiting | undefined {
-    const leastServed = this.findLeastServed();
     let next: Waiting | undefined;
-    for (const { virtualTime, waiting } of this.workspaces.values()) {
+    for (const { waiting } of this.eligible()) {
       const [first] = waiting;
-      if (first === undefined) continue;
-      const ahead = virtualTime - leastServed;
-      if (ahead > QUANTUM_REQUESTS * first.cost) continue;
-      if (next === undefined || first.dueAt < next.dueAt) next = first;
+      if (first !== undefined && (next === undefined || first.dueAt < next.dueAt)) next = first;
     }
     return next;
   }
 
+  /** The first few requests of each workspace that may be served next. */
+  *peekFew(mostOfEach: number): Generator<Waiting> {
+    for (const { waiting } of this.eligible()) yield* waiting.slice(0, mostOfEach);
+  }
+
   /** Takes a request out as served and charges its workspace. */
   serve(waiting: Waiting): void {
     const queue = this.workspaces.get(waiting.accepted.request.workspace);
@@ -141,6 +142,15 @@
     return others;
   }
 
+  /** Workspaces that are not too far ahead of the least served one. */
+  private *eligible(): Generator<WorkspaceQueue> {
+    const leastServed = this.findLeastServed();
+    for (const queue of this.workspaces.values()) {
+      const quantum = QUANTUM_REQUESTS * (queue.waiting[0]?.cost ?? 0);
+      if (queue.virtualTime - leastServed <= quantum) yield queue;
+    }
+  }
+
   private findLeastServed(): Milliseconds {
     let least = Number.POSITIVE_INFINITY;
     for (const { virtualTime } of this.workspaces.values()) least = Math.min(least, virtualTime);
--- a/packages/entry-core/src/admission/PoolQueue.ts
+++ b/packages/entry-core/src/admission/PoolQueue.ts
@@ -34,6 +34,11 @@
     return this.levels.find((level) => !level.isEmpty)?.peek();
   }
 
+  /** The first few requests of each workspace that may be served next. */
+  peekFew(mostOfEach: number): Iterable<Waiting> {
+    return this.levels.find((level) => !level.isEmpty)?.peekFew(mostOfEach) ?? [];
+  }
+
   /** Requests of one workspace that wait, over all priorities. */
   countOf(workspace: string): number {
     let count = 0;
--- a/packages/entry-core/src/admission/drainQueues.ts
+++ b/packages/entry-core/src/admission/drainQueues.ts
@@ -5,6 +5,7 @@
 import { startAttempt } from '../attempts/startAttempt.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
+import { observeStarts } from '../backendServers/observeAttempt.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
@@ -12,6 +13,7 @@
 import { giveUp, isLateAfter } from './dropUnreachable.js';
 import type { Waiting } from './FairQueue.js';
 import { isLateAtHome } from './placeRequest.js';
+import { pickNext } from './pickNext.js';
 import type { PoolQueue } from './PoolQueue.js';
 
 /** Requests at the head that may be passed because every server with room has failed them. */
@@ -43,7 +45,8 @@
 ): EntryEffect[] {
   const effects: EntryEffect[] = [];
   const passed: Waiting[] = [];
-  for (let next = queue.peek(); next !== undefined; next = queue.peek()) {
+  const pick = () => pickNext(state, queue, freed, now);
+  for (let next = pick(); next !== undefined; next = pick()) {
     const waits = stillWaits(state, next);
     if (waits && isLateAfter(state, next, 0, now)) {
       queue.remove(next);
@@ -53,7 +56,10 @@
     const server = waits ? findServer(state, next, freed, now) : undefined;
     if (server !== undefined) {
       queue.serve(next);
-      effects.push(...startAttempt(state, next.accepted, now, server));
+      const started = startAttempt(state, next.accepted, now, server);
+      // At once, so that the next choice of this very event already counts it.
+      observeStarts(state, started, now);
+      effects.push(...started);
       continue;
     }
     const mayPass = next.accepted.triedInstances.size > 0 && passed.length < MOST_PASSED;
--- a/packages/entry-core/src/admission/dropUnreachable.ts
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -4,13 +4,12 @@
  * in the order they would be served; one that is given up no longer delays those behind it.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
-import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { failRequest } from '../requests/endRequest.js';
 import type { FairQueue, Waiting, WorkspaceQueue } from './FairQueue.js';
 import type { PoolQueue } from './PoolQueue.js';
-import { usualDelay } from './predictWait.js';
+import { countPlaces, usualDelay } from './predictWait.js';
 import { promiseRetry } from './retryAfter.js';
 
 /**
@@ -19,13 +18,6 @@
  */
 const PREDICTION_TOLERANCE = 0.25;
 
-/** Places of backend servers of all data centres that this entry can count on. */
-function countAllPlaces(state: EntryState, pool: string): number {
-  const { local, remote } = poolBalanceOf(state, pool);
-  const { entries } = state.limits.ledger;
-  return Math.max(1, (local.limitSum + remote.limitSum) / entries);
-}
-
 /** Walks the queue of one pool. */
 class UnreachableSearch {
   readonly found: Waiting[] = [];
@@ -37,7 +29,7 @@
     pool: string,
     private readonly now: MonotonicMilliseconds,
   ) {
-    this.places = countAllPlaces(state, pool);
+    this.places = countPlaces(state, pool);
   }
 
   walk(queue: PoolQueue): void {
@@ -74,7 +66,7 @@
   wait: Milliseconds,
   now: MonotonicMilliseconds,
 ): boolean {
-  return now + wait + usualDelay(state, accepted, now) > dueAt;
+  return now + wait + usualDelay(state, accepted) > dueAt;
 }
 
 /** Ends a request that has left the queue because it would be late. */
@@ -84,7 +76,7 @@
   now: MonotonicMilliseconds,
 ): EntryEffect[] {
   const { pool, request } = accepted;
-  const interval = cost / countAllPlaces(state, pool.name);
+  const interval = cost / countPlaces(state, pool.name);
   const key = `queue/${pool.name}/${request.workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, interval, interval, now);
   const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
--- a/packages/entry-core/src/admission/enqueue.ts
+++ b/packages/entry-core/src/admission/enqueue.ts
@@ -13,9 +13,15 @@
 ): EntryEffect[] {
   const queue = poolQueueOf(state, accepted.pool.name);
   const { requestId } = accepted.request;
-  if (!queue.waiting.has(requestId)) queue.add(makeWaiting(state, accepted, now));
+  const waiting = makeWaiting(state, accepted);
+  if (!queue.waiting.has(requestId)) queue.add(waiting);
+  const dueInMilliseconds = Math.round(waiting.dueAt - now);
   return [
     { type: 'setGauge', metric: 'queuedRequests', value: countWaiting(state) },
-    { type: 'log', event: 'requestQueued', fields: { requestId, pool: accepted.pool.name } },
+    {
+      type: 'log',
+      event: 'requestQueued',
+      fields: { requestId, pool: accepted.pool.name, dueInMilliseconds },
+    },
   ];
 }
--- a/packages/entry-core/src/admission/placeRequest.ts
+++ b/packages/entry-core/src/admission/placeRequest.ts
@@ -35,8 +35,8 @@
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): boolean {
-  const wait = predictWait(state, makeWaiting(state, accepted, now));
-  const patience = nextTokenDueAt(accepted) - now - usualDelay(state, accepted, now);
+  const wait = predictWait(state, makeWaiting(state, accepted));
+  const patience = nextTokenDueAt(accepted) - now - usualDelay(state, accepted);
   return wait > patience * HOME_PATIENCE_SHARE;
 }
 
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -1,29 +1,27 @@
 /**
  * Predicts how long a request waits in the queue: the work that is served before it, divided by
- * the places of backend servers that this entry can count on. Entries of a data centre share its
- * backend servers, so each counts on its equal part.
+ * the places of backend servers that serve this entry. As long as anything waits, all places that
+ * this entry can use are in use, so it need only count its own requests in progress; that holds
+ * whatever keeps the servers from taking more, be it their batch, their prompts or other entries.
  */
-import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Milliseconds } from '@hornbeampond/schema';
 import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
 import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
-import { usualFirstToken } from '../backendServers/predictFirstToken.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { poolQueueOf } from './AdmissionState.js';
 import type { Waiting } from './FairQueue.js';
 
-/** Places of backend servers that this entry can count on. */
+/** Places of backend servers that serve this entry while requests wait. */
 export function countPlaces(state: EntryState, pool: string): number {
-  const { limitSum } = poolBalanceOf(state, pool).home;
-  return Math.max(1, limitSum / state.limits.ledger.entries);
+  const { local, remote, attemptIds } = poolBalanceOf(state, pool);
+  // Attempts at servers that are lost but not yet known to be are no places any more.
+  const most = (local.limitSum + remote.limitSum) / state.limits.ledger.entries;
+  return Math.max(1, Math.min(attemptIds.size, most));
 }
 
-export function makeWaiting(
-  state: EntryState,
-  accepted: RequestState,
-  now: MonotonicMilliseconds,
-): Waiting {
-  const cost = poolBalanceOf(state, accepted.pool.name).serviceTime(accepted.route.name, now);
+export function makeWaiting(state: EntryState, accepted: RequestState): Waiting {
+  const cost = poolBalanceOf(state, accepted.pool.name).serviceTime(accepted.route.name);
   return { accepted, dueAt: nextTokenDueAt(accepted), cost };
 }
 
@@ -34,11 +32,7 @@
   return (ahead + waiting.cost) / countPlaces(state, pool);
 }
 
-/** Time from being sent to the first token, as is usual in the pool. */
-export function usualDelay(
-  state: EntryState,
-  { pool, request }: RequestState,
-  now: MonotonicMilliseconds,
-): Milliseconds {
-  return usualFirstToken(poolBalanceOf(state, pool.name), request, 0, now);
+/** Time from being sent to the first token when no other prompt is in front. */
+export function usualDelay(state: EntryState, { pool, request }: RequestState): Milliseconds {
+  return poolBalanceOf(state, pool.name).firstToken.predict(request.promptTokens);
 }
--- a/packages/entry-core/src/admission/refuseEarly.ts
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -37,7 +37,7 @@
   const { ledger } = state.limits;
   if (ledger.hasRoom(key, limit, now)) return undefined;
   const detail = `Workspace "${request.workspace}" has ${limit} requests in progress`;
-  const serviceTime = poolBalanceOf(state, pool.name).serviceTime(route.name, now);
+  const serviceTime = poolBalanceOf(state, pool.name).serviceTime(route.name);
   const interval =
     limit === 0
       ? LONGEST_RETRY_AFTER_MILLISECONDS
@@ -62,7 +62,7 @@
   const own = queue.countOf(workspace);
   const excess = own + 1 - Math.min(own + free, QUEUE_SHARE_FACTOR * free);
   if (excess <= 0) return undefined;
-  const { cost } = makeWaiting(state, accepted, now);
+  const { cost } = makeWaiting(state, accepted);
   const workspaces = Math.max(1, queue.countWorkspaces());
   const interval = (cost * workspaces) / countPlaces(state, accepted.pool.name);
   const key = `queue/${accepted.pool.name}/${workspace}`;
@@ -75,8 +75,8 @@
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): EarlyRefusal | undefined {
-  const waiting = makeWaiting(state, accepted, now);
-  const predicted = predictWait(state, waiting) + usualDelay(state, accepted, now);
+  const waiting = makeWaiting(state, accepted);
+  const predicted = predictWait(state, waiting) + usualDelay(state, accepted);
   const late = predicted - (waiting.dueAt - now);
   if (late <= 0) return undefined;
   const pool = accepted.pool.name;
@@ -101,7 +101,7 @@
   if (predicted <= patience || !isPredictionTrusted(balance, server, patience, now)) {
     return undefined;
   }
-  const interval = makeWaiting(state, accepted, now).cost / countPlaces(state, pool.name);
+  const interval = makeWaiting(state, accepted).cost / countPlaces(state, pool.name);
   const key = `server/${pool.name}/${request.workspace}`;
   const wait = predicted - patience;
   const retryAfterMilliseconds = promiseRetry(state, key, wait, interval, now);
--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -3,7 +3,8 @@
  * groups (own data centre and the others), each an array so that sampling costs the same at ten
  * servers and at ten thousand; and what all of them have taught about delays.
  */
-import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Milliseconds } from '@hornbeampond/schema';
+import { LearntLine } from './LearntLine.js';
 import { LearntMean } from './LearntMean.js';
 import { takesNewWork, type BackendServerState } from './BackendServerState.js';
 import { PrefixBeliefs } from './PrefixBeliefs.js';
@@ -56,23 +57,24 @@
   }
 }
 
-const SERVICE_PRIOR_MILLISECONDS: Milliseconds = 1000;
-const SERVICE_TIME_SHARE = 0.1;
+const SERVICE_PRIOR: Milliseconds = 1000;
+const FIRST_TOKEN_PRIOR: Milliseconds = 50;
+const FIRST_TOKEN_PRIOR_PER_TOKEN: Milliseconds = 0.1;
 
 export class PoolBalance {
   readonly local = new CandidateGroup();
 
   readonly remote = new CandidateGroup();
 
-  /**
-   * First-token delay of a request whose prompt weighs one unit. It falls faster than it rises, so
-   * that the delays of a rush are not taken for the usual ones.
-   */
-  readonly firstToken = new LearntMean(0.05, 0.2);
+  /** First-token delay by prompt tokens that are to be computed until then. */
+  readonly firstToken = new LearntLine(FIRST_TOKEN_PRIOR, FIRST_TOKEN_PRIOR_PER_TOKEN);
 
   /** Time from the start of an attempt to its end, by route. */
   private readonly serviceTimes = new Map<string, LearntMean>();
 
+  /** Attempts of this entry in progress at the pool's servers. */
+  readonly attemptIds = new Set<string>();
+
   readonly beliefs = new PrefixBeliefs();
 
   get groups(): readonly CandidateGroup[] {
@@ -102,14 +104,13 @@
     balance.limit = limit;
   }
 
-  serviceTime(route: string, now: MonotonicMilliseconds): Milliseconds {
-    return this.serviceTimes.get(route)?.value(now) ?? SERVICE_PRIOR_MILLISECONDS;
+  serviceTime(route: string): Milliseconds {
+    return this.serviceTimes.get(route)?.value ?? SERVICE_PRIOR;
   }
 
-  learnServiceTime(route: string, sample: Milliseconds, now: MonotonicMilliseconds): void {
-    const known =
-      this.serviceTimes.get(route) ?? new LearntMean(SERVICE_TIME_SHARE, SERVICE_TIME_SHARE);
-    known.learn(sample, now);
+  learnServiceTime(route: string, sample: Milliseconds): void {
+    const known = this.serviceTimes.get(route) ?? new LearntMean(SERVICE_PRIOR);
+    known.learn(sample);
     this.serviceTimes.set(route, known);
   }
 }
--- a/packages/entry-core/src/backendServers/ServerBalance.ts
+++ b/packages/entry-core/src/backendServers/ServerBalance.ts
@@ -7,6 +7,14 @@
   readonly endedAt: MonotonicMilliseconds;
 }
 
+/** One prompt that is waiting for its first token. */
+export interface PendingPrompt {
+  /** Its tokens that are believed not to be in the cache. */
+  readonly tokens: number;
+  /** These, and those of the prompts that were pending there when it was sent. */
+  readonly tokensUntilFirst: number;
+}
+
 export interface ServerBalance {
   /** Requests that its class runs at full speed; the adaptive limit never goes above. */
   fullLimit: number;
@@ -23,6 +31,8 @@
   measuredAt: MonotonicMilliseconds | undefined;
   /** Own attempts that ended lately, oldest first. */
   readonly endedAttempts: EndedAttempt[];
+  /** Prompts that this entry has sent there and that have no first token yet, by attempt id. */
+  readonly pendingPrompts: Map<string, PendingPrompt>;
   /** Its first-token delay relative to what is usual in its pool. */
   slowness: number;
   slownessLearntAt: MonotonicMilliseconds;
@@ -54,6 +64,7 @@
     ownAtMeasurement: 0,
     measuredAt: undefined,
     endedAttempts: [],
+    pendingPrompts: new Map(),
     slowness: 1,
     slownessLearntAt: 0,
     consecutiveFailures: 0,
--- a/packages/entry-core/src/backendServers/adaptConcurrency.ts
+++ b/packages/entry-core/src/backendServers/adaptConcurrency.ts
@@ -10,10 +10,11 @@
 import type { PoolBalance } from './PoolBalance.js';
 import { slownessNow } from './ServerBalance.js';
 
-const TOLERATED_SLOWNESS = 3;
+/** A delay above so many times the usual one shows a crowded or slow server. */
+export const TOLERATED_SLOWNESS = 3;
 const DECREASE_FACTOR = 0.8;
 const LEAST_SHARE_OF_CLASS = 0.1;
-const SLOWNESS_SHARE = 0.2;
+const SLOWNESS_SHARE = 0.1;
 /** One slow moment is not taken for more than this. */
 const MOST_SLOWNESS = 10;
 
@@ -21,6 +22,7 @@
  * Takes in one first-token delay.
  *
  * @param usual - What the pool's usual delay is for such a prompt.
+ * @returns False if the server was far slower than that.
  */
 export function adaptConcurrency(
   pool: PoolBalance,
@@ -28,7 +30,7 @@
   delay: Milliseconds,
   usual: Milliseconds,
   now: MonotonicMilliseconds,
-): void {
+): boolean {
   const { balance } = server;
   const slowness = delay / Math.max(1, usual);
   const known = slownessNow(balance, now);
@@ -37,13 +39,14 @@
   if (slowness <= TOLERATED_SLOWNESS) {
     const raised = balance.limit + 1 / balance.limit;
     pool.changeLimit(server, Math.min(balance.fullLimit, raised));
-    return;
+    return true;
   }
   // Delays of requests that were sent before the last decrease say nothing about its effect.
-  if (now - balance.limitLoweredAt < delay) return;
+  if (now - balance.limitLoweredAt < delay) return false;
   const least = Math.max(1, balance.fullLimit * LEAST_SHARE_OF_CLASS);
   pool.changeLimit(server, Math.max(least, balance.limit * DECREASE_FACTOR));
   balance.limitLoweredAt = now;
+  return false;
 }
 
 /** A server that says it is busy is full now, whatever its class allows. */
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -13,7 +13,7 @@
 import { estimateInProgress } from './estimateInProgress.js';
 import type { CandidateGroup, PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
-import { predictFirstToken } from './predictFirstToken.js';
+import { hasPromptsEnough, predictFirstToken, uncachedTokens } from './predictFirstToken.js';
 import { limitNow } from './ServerBalance.js';
 
 /** Groups up to this size are looked at whole. */
@@ -22,6 +22,12 @@
 /** More samples, one at a time, while none with room was found. */
 const MORE_CHOICES = 14;
 
+/**
+ * A server that has the prefix may go above its limit by this share: computing the prompt anew
+ * elsewhere costs more than the turn or two that the request then waits inside the engine.
+ */
+const HOLDER_ALLOWANCE = 1.25;
+
 /** When the request's next token is due. */
 export function nextTokenDueAt(accepted: RequestState): MonotonicMilliseconds {
   return accepted.firstTokenAt === undefined ? accepted.firstTokenDueAt : accepted.wholeAnswerDueAt;
@@ -30,6 +36,8 @@
 interface Choice {
   readonly server: BackendServerState;
   readonly firstTokenIn: Milliseconds;
+  /** What the choice goes by: the request's own wait, and what it makes others wait. */
+  readonly cost: Milliseconds;
 }
 
 /** One search for a backend server. */
@@ -45,23 +53,30 @@
     private readonly now: MonotonicMilliseconds,
   ) {}
 
-  look(server: BackendServerState | undefined): void {
+  look(server: BackendServerState | undefined, allowance = 1): void {
     if (server === undefined || this.seen.has(server)) return;
     this.seen.add(server);
     if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
-    if (!this.hasRoom(server)) return;
+    if (!this.hasRoom(server, allowance)) return;
     const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
-    if (this.best === undefined || firstTokenIn < this.best.firstTokenIn) {
-      this.best = { server, firstTokenIn };
+    const cost = firstTokenIn + this.delayOfOthers(server);
+    if (this.best === undefined || cost < this.best.cost) {
+      this.best = { server, firstTokenIn, cost };
     }
   }
 
+  /** What computing the prompt there adds to the wait of those that come after it. */
+  private delayOfOthers(server: BackendServerState): Milliseconds {
+    const uncached = uncachedTokens(this.pool, server, this.accepted.request, this.now);
+    return this.pool.firstToken.predictGrowth(uncached);
+  }
+
   lookAtHolders(group: CandidateGroup): void {
     for (const { server } of this.pool.beliefs.find(
       this.accepted.request.prefixDigests,
       this.now,
     )) {
-      if (group.has(server)) this.look(server);
+      if (group.has(server)) this.look(server, HOLDER_ALLOWANCE);
     }
   }
 
@@ -81,9 +96,10 @@
     this.look(group.at(uniformInt(this.state.random, 0, group.candidates.length - 1)));
   }
 
-  private hasRoom(server: BackendServerState): boolean {
-    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now)));
-    return estimateInProgress(this.state, server) < room;
+  private hasRoom(server: BackendServerState, allowance: number): boolean {
+    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now) * allowance));
+    if (estimateInProgress(this.state, server) >= room) return false;
+    return !hasPromptsEnough(this.state, this.pool, server, this.accepted);
   }
 }
 
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -2,18 +2,19 @@
  * Learns from the edges of this entry's own attempts, before the attempt's own part of the
  * reducer handles them: delays, service times, failures, and which prompt prefixes are now where.
  */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { AttemptFailure, EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import type { AttemptState } from '../attempts/AttemptState.js';
 import type { RequestState } from '../requests/RequestState.js';
-import { adaptConcurrency, lowerConcurrency } from './adaptConcurrency.js';
+import { adaptConcurrency, lowerConcurrency, TOLERATED_SLOWNESS } from './adaptConcurrency.js';
 import type { BackendServerState } from './BackendServerState.js';
 import { noteFailure, noteSuccess } from './ejectOutliers.js';
 import { rememberEnded } from './estimateInProgress.js';
 import type { PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
-import { promptUnits, usualFirstToken } from './predictFirstToken.js';
+import { pendingTokens, uncachedTokens } from './predictFirstToken.js';
 
 /** All that one edge of an attempt is about. */
 interface Observed {
@@ -21,7 +22,7 @@
   readonly accepted: RequestState;
   readonly server: BackendServerState;
   readonly pool: PoolBalance;
-  readonly now: number;
+  readonly now: MonotonicMilliseconds;
 }
 
 /** Failures that are the backend server's own, and neither the request's nor a full server's. */
@@ -33,7 +34,11 @@
   'malformed',
 ];
 
-function observed(state: EntryState, attemptId: string, now: number): Observed | undefined {
+function observed(
+  state: EntryState,
+  attemptId: string,
+  now: MonotonicMilliseconds,
+): Observed | undefined {
   const attempt = state.attempts.get(attemptId);
   const accepted = attempt && state.requests.get(attempt.requestId);
   const server = attempt && state.backendServers.get(attempt.instance);
@@ -41,18 +46,48 @@
   return { attempt, accepted, server, pool: poolBalanceOf(state, server.listed.pool), now };
 }
 
+/**
+ * Weight of a first-token delay that shows a crowded server rather than what is usual. It is not
+ * zero: when all servers of a pool have become slower, that is the usual then.
+ */
+const CROWDED_WEIGHT = 0.1;
+
 function observeFirstToken({ attempt, accepted, server, pool, now }: Observed): void {
-  const { request } = accepted;
+  const pending = server.balance.pendingPrompts.get(attempt.attemptId);
+  if (pending === undefined) return;
+  server.balance.pendingPrompts.delete(attempt.attemptId);
   const delay = now - attempt.startedAt;
-  const share = pool.beliefs.shareAt(server, request.prefixDigests, now);
-  adaptConcurrency(pool, server, delay, usualFirstToken(pool, request, share, now), now);
-  pool.firstToken.learn(delay / promptUnits(request, share), now);
+  const usual = pool.firstToken.predict(pending.tokensUntilFirst);
+  const isUsual = adaptConcurrency(pool, server, delay, usual, now);
+  const weight = isUsual ? 1 : CROWDED_WEIGHT;
+  const learnt = Math.min(delay, TOLERATED_SLOWNESS * usual);
+  pool.firstToken.learn(pending.tokensUntilFirst, learnt, now, weight);
   // The prompt has been computed here, so its prefixes are cached here; the engine's own event
   // will say so only later.
-  pool.beliefs.believe(server, request.prefixDigests, now);
+  pool.beliefs.believe(server, accepted.request.prefixDigests, now);
 }
 
-function observeEnd({ attempt, server, now }: Observed): void {
+function observeStart(state: EntryState, attemptId: string, now: MonotonicMilliseconds): void {
+  const edge = observed(state, attemptId, now);
+  if (edge === undefined || edge.server.balance.pendingPrompts.has(attemptId)) return;
+  const { accepted, server, pool } = edge;
+  forgetCancelled(server);
+  pool.attemptIds.add(attemptId);
+  const tokens = uncachedTokens(pool, server, accepted.request, now);
+  const tokensUntilFirst = pendingTokens(server) + tokens;
+  server.balance.pendingPrompts.set(attemptId, { tokens, tokensUntilFirst });
+}
+
+/** Forgets the pending prompts of attempts that were cancelled. */
+function forgetCancelled({ attemptIds, balance }: BackendServerState): void {
+  for (const attemptId of balance.pendingPrompts.keys()) {
+    if (!attemptIds.has(attemptId)) balance.pendingPrompts.delete(attemptId);
+  }
+}
+
+function observeEnd({ attempt, server, pool, now }: Observed): void {
+  pool.attemptIds.delete(attempt.attemptId);
+  server.balance.pendingPrompts.delete(attempt.attemptId);
   rememberEnded(server, { startedAt: attempt.startedAt, endedAt: now });
 }
 
@@ -60,7 +95,7 @@
   const { attempt, accepted, server, pool, now } = edge;
   observeEnd(edge);
   noteSuccess(server);
-  pool.learnServiceTime(accepted.route.name, now - attempt.startedAt, now);
+  pool.learnServiceTime(accepted.route.name, now - attempt.startedAt);
 }
 
 function observeFailure(edge: Observed, failure: AttemptFailure): EntryEffect[] {
@@ -86,3 +121,23 @@
   if (event.type === 'attemptFailed') return observeFailure(edge, event.failure);
   return [];
 }
+
+/** Takes note of the attempts that the reducer has just started. */
+export function observeStarts(
+  state: EntryState,
+  effects: readonly EntryEffect[],
+  now: MonotonicMilliseconds,
+): void {
+  for (const effect of effects) {
+    if (effect.type === 'startAttempt') observeStart(state, effect.attemptId, now);
+  }
+}
+
+/** Lets go of attempts that ended without an edge of their own, as when they were cancelled. */
+export function forgetEnded(state: EntryState): void {
+  for (const pool of state.poolBalances.values()) {
+    for (const attemptId of pool.attemptIds) {
+      if (!state.attempts.has(attemptId)) pool.attemptIds.delete(attemptId);
+    }
+  }
+}
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -1,5 +1,7 @@
 /**
- * Predicts the time from sending a request to its first token at one backend server.
+ * Predicts the time from sending a request to its first token at one backend server: prompts are
+ * computed one after the other, so what counts is the tokens of this prompt and of those that were
+ * sent there and have no first token yet, less what the prefix cache is believed to hold.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
@@ -10,26 +12,49 @@
 import type { PoolBalance } from './PoolBalance.js';
 import { limitNow, slownessNow } from './ServerBalance.js';
 
-/** Believed until the first delay has been seen. */
-const FIRST_TOKEN_PRIOR_MILLISECONDS: Milliseconds = 50;
+/** How much later a first token is on a full server than on an idle one. */
+const FULL_SLOWDOWN = 0.5;
 
-/** Prompt tokens whose prefill weighs as much as all that does not depend on the prompt. */
-const TOKENS_PER_UNIT = 256;
+/** Tokens of the prompt that the server is believed to have to compute. */
+export function uncachedTokens(
+  pool: PoolBalance,
+  server: BackendServerState,
+  { promptTokens, prefixDigests }: CallerRequest,
+  now: MonotonicMilliseconds,
+): number {
+  return promptTokens * (1 - pool.beliefs.shareAt(server, prefixDigests, now));
+}
 
-/** Work before the first token, in units, when a share of the prompt is in the cache. */
-export function promptUnits(request: CallerRequest, cachedShare: number): number {
-  return 1 + (request.promptTokens * (1 - cachedShare)) / TOKENS_PER_UNIT;
+/** Tokens of prompts that were sent there and have no first token yet. */
+export function pendingTokens({ balance }: BackendServerState): number {
+  let tokens = 0;
+  for (const pending of balance.pendingPrompts.values()) tokens += pending.tokens;
+  return tokens;
 }
 
-/** What is usual in the pool for such a prompt, without any wait. */
-export function usualFirstToken(
+/**
+ * Prompts that wait for each other inside an engine, by how long, before it counts as full. What
+ * is sent early waits there in order of arrival, whatever its deadline and workspace; what is kept
+ * here waits in the right order. All entries of the data centre together keep to it.
+ */
+const LONGEST_PENDING_MILLISECONDS: Milliseconds = 200;
+
+/**
+ * True if the prompts that are pending at the server leave no use for this one there. One whose
+ * prefix the server has may wait longer by as much as it saves.
+ */
+export function hasPromptsEnough(
+  state: EntryState,
   pool: PoolBalance,
-  request: CallerRequest,
-  cachedShare: number,
-  now: MonotonicMilliseconds,
-): Milliseconds {
-  const perUnit = pool.firstToken.value(now) ?? FIRST_TOKEN_PRIOR_MILLISECONDS;
-  return perUnit * promptUnits(request, cachedShare);
+  server: BackendServerState,
+  { request }: RequestState,
+): boolean {
+  if (server.balance.pendingPrompts.size === 0) return false;
+  const { entries } = state.limits.ledger;
+  const uncached = uncachedTokens(pool, server, request, state.clocks.now);
+  const saved = pool.firstToken.predictGrowth(request.promptTokens - uncached);
+  const pending = pool.firstToken.predictGrowth(pendingTokens(server));
+  return pending > LONGEST_PENDING_MILLISECONDS / entries + saved;
 }
 
 /** What is left of the wait that the server's last report predicted. */
@@ -46,13 +71,13 @@
   { request, route }: RequestState,
 ): Milliseconds {
   const { now } = state.clocks;
-  const share = pool.beliefs.shareAt(server, request.prefixDigests, now);
   const limit = limitNow(server.balance, now);
   const inProgress = estimateInProgress(state, server);
-  const usual = usualFirstToken(pool, request, share, now) * slownessNow(server.balance, now);
-  const crowded = usual * (1 + Math.min(1, inProgress / limit));
+  const tokens = pendingTokens(server) + uncachedTokens(pool, server, request, now);
+  const usual = pool.firstToken.predict(tokens) * slownessNow(server.balance, now);
+  const crowded = usual * (1 + FULL_SLOWDOWN * Math.min(1, inProgress / limit));
   const above = Math.max(0, inProgress + 1 - limit);
-  const queued = (above * pool.serviceTime(route.name, now)) / limit;
+  const queued = (above * pool.serviceTime(route.name)) / limit;
   return Math.max(crowded, reportedDelay(server, now)) + queued;
 }
 
--- a/packages/entry-core/src/limits/releaseEnded.ts
+++ b/packages/entry-core/src/limits/releaseEnded.ts
@@ -6,6 +6,7 @@
  * the process restarts.
  */
 import type { Milliseconds } from '@hornbeampond/schema';
+import { forgetEnded } from '../backendServers/observeAttempt.js';
 import type { EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { limitKey } from './limitOf.js';
@@ -41,5 +42,6 @@
   if (event.type !== 'tick' || event.now - state.limits.sweptAt < SWEEP_MILLISECONDS) return;
   state.limits.sweptAt = event.now;
   for (const held of [...state.limits.keys.keys()]) release(state, held);
+  forgetEnded(state);
   state.limits.ledger.forgetGonePeers(event.now);
 }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -7,7 +7,7 @@
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
 import { listInstances, refreshLimits } from './backendServers/listInstances.js';
-import { observeAttempt } from './backendServers/observeAttempt.js';
+import { observeAttempt, observeStarts } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
@@ -20,7 +20,9 @@
   const concerned = findConcerned(state, event);
   const observed = observeAttempt(state, event);
   const effects = reduceConcern(state, event);
-  return [...observed, ...effects, ...reduceAdmission(state, event, concerned)];
+  const all = [...observed, ...effects, ...reduceAdmission(state, event, concerned)];
+  observeStarts(state, all, event.now);
+  return all;
 }
 
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
--- a/packages/entry-core/src/testing/EntryHarness.ts
+++ b/packages/entry-core/src/testing/EntryHarness.ts
@@ -64,7 +64,9 @@
 
   private readonly answerTokens = new Map<string, number>();
 
-  private reportSequence = 0;
+  private entryReportSequence = 0;
+
+  private cacheSequence = 0;
 
   constructor(private readonly options: HarnessOptions) {
     const everComputed = new Set<string>();
@@ -149,8 +151,8 @@
   }
 
   private reportCaches(lag: Milliseconds): void {
-    this.reportSequence += 1;
-    const sequence = this.reportSequence;
+    this.cacheSequence += 1;
+    const sequence = this.cacheSequence;
     for (const [instance, engine] of this.engines) {
       const prefixDigests = engine.newlyStored;
       engine.newlyStored = [];
@@ -160,8 +162,8 @@
   }
 
   private reportEntries(): void {
-    this.reportSequence += 1;
-    const sequence = this.reportSequence;
+    this.entryReportSequence += 1;
+    const sequence = this.entryReportSequence;
     this.entries.forEach((state) => {
       const report: EntryReport = {
         type: 'entryReport',
