--- a/packages/entry-core/src/demand/reportDemand.ts
+++ b/packages/entry-core/src/demand/reportDemand.ts
@@ -12,7 +12,7 @@
   return [...state.demand.read(now)].flatMap(([route, requestsPerSecond]) => {
     const pool = index.pool(poolByRoute.get(route) ?? '');
     if (pool === undefined) return [];
-    const serviceMilliseconds = poolBalanceOf(state, pool.name).serviceTime(route, now);
+    const serviceMilliseconds = poolBalanceOf(state, pool.name).serviceTime(route);
     return [{ route, requestsPerSecond, serviceMilliseconds }];
   });
 }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -8,7 +8,7 @@
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
 import { listInstances, refreshLimits } from './backendServers/listInstances.js';
-import { observeAttempt } from './backendServers/observeAttempt.js';
+import { observeAttempt, observeStarts } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import { findEndingClaim, followClaims } from './claims/followClaims.js';
 import { receiveDrains } from './backendServers/receiveDrains.js';
@@ -31,7 +31,9 @@
   const ending = findEndingClaim(state, event);
   const effects = [...observed, ...reduceConcern(state, event)];
   effects.push(...reduceAdmission(state, event, concerned));
-  return [...effects, ...followClaims(state, event, ending, effects)];
+  effects.push(...followClaims(state, event, ending, effects));
+  observeStarts(state, effects, event.now);
+  return effects;
 }
 
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
--- a/packages/entry-core/src/testing/EntryHarness.ts
+++ b/packages/entry-core/src/testing/EntryHarness.ts
@@ -35,6 +35,8 @@
   readonly loadLag?: Milliseconds;
   /** Age of cache events when they come in. */
   readonly cacheLag?: Milliseconds;
+  /** True for numbers of cache events that get lost on the way. */
+  readonly losesCacheEvent?: (sequence: number) => boolean;
   /** Times between reports of entries to each other; none by default. */
   readonly reportInterval?: Milliseconds;
   /** Data centre of the server with this number; `dc-a`, the entries' own, by default. */
@@ -64,7 +66,9 @@
 
   private readonly answerTokens = new Map<string, number>();
 
-  private reportSequence = 0;
+  private entryReportSequence = 0;
+
+  private cacheSequence = 0;
 
   constructor(private readonly options: HarnessOptions) {
     const everComputed = new Set<string>();
@@ -149,19 +153,20 @@
   }
 
   private reportCaches(lag: Milliseconds): void {
-    this.reportSequence += 1;
-    const sequence = this.reportSequence;
+    this.cacheSequence += 1;
+    const sequence = this.cacheSequence;
     for (const [instance, engine] of this.engines) {
       const prefixDigests = engine.newlyStored;
       engine.newlyStored = [];
       const event = { instance, sequence, change: 'stored' as const, prefixDigests };
+      if (this.options.losesCacheEvent?.(sequence) === true) continue;
       this.timeline.after(lag, () => this.send({ type: 'cacheEventsReceived', events: [event] }));
     }
   }
 
   private reportEntries(): void {
-    this.reportSequence += 1;
-    const sequence = this.reportSequence;
+    this.entryReportSequence += 1;
+    const sequence = this.entryReportSequence;
     this.entries.forEach((state) => {
       const report: EntryReport = {
         type: 'entryReport',
