--- a/packages/entry-core/src/attempts/RetryState.ts
+++ b/packages/entry-core/src/attempts/RetryState.ts
@@ -19,6 +19,8 @@
 export interface RecoveryPolicy {
   /** Retries are bounded by the budgets. */
   readonly budgets: boolean;
+  /** Streams on notice are handed on before their backend server is gone. */
+  readonly handOn: boolean;
   /** Streams on notice may be moved with their cache. */
   readonly moves: boolean;
   /** Streams go on from their offset instead of from the start. */
@@ -29,6 +31,7 @@
 
 export const fullRecoveryPolicy: RecoveryPolicy = {
   budgets: true,
+  handOn: true,
   moves: true,
   resume: true,
   suspectsApart: true,
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -14,6 +14,7 @@
 export interface WorldOptions {
   /** Engines by data centre. */
   readonly engines: Readonly<Record<string, number>>;
+  /** Entries, one after the other in each data centre. */
   readonly entries?: number;
   readonly poison?: Poison;
   readonly rates?: Partial<EngineRates>;
@@ -35,6 +36,10 @@
   /** False cuts all entries off from the store. */
   storeReachable = true;
 
+  private readonly rates: EngineRates;
+
+  private readonly poison: Poison;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -46,18 +51,17 @@
   private readonly crashes = new Map<string, Set<string>>();
 
   constructor(options: WorldOptions) {
-    const rates = { ...standardRates, ...options.rates };
+    this.rates = { ...standardRates, ...options.rates };
+    this.poison = options.poison ?? new Map();
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
-        const instance = `${dataCentre}-engine-${number}`;
-        const engine = new FakeEngine(instance, dataCentre, rates, options.poison ?? new Map());
-        this.engines.set(instance, engine);
-        this.listed.push(this.list(engine));
+        this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
       }
     });
-    const dataCentre = Object.keys(options.engines)[0] ?? '';
+    const dataCentres = Object.keys(options.engines);
     const configuration = makeConfiguration(options.wholeAnswerMilliseconds ?? 60_000);
     for (let number = 1; number <= (options.entries ?? 1); number += 1) {
+      const dataCentre = dataCentres[(number - 1) % dataCentres.length] ?? '';
       const entry = new EntryShell(this, `entry-${number}`, dataCentre);
       this.entries.push(entry);
       entry.send({ type: 'configurationReceived', configuration });
@@ -65,6 +69,17 @@
     }
   }
 
+  /** A new engine; entries learn of it from the platform's list. */
+  addEngine(instance: string, dataCentre: string): void {
+    const engine = new FakeEngine(instance, dataCentre, this.rates, this.poison);
+    this.engines.set(instance, engine);
+    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
+    this.listed.push(this.list(engine));
+    this.entries.forEach((entry) =>
+      entry.send({ type: 'instancesListed', instances: this.listed }),
+    );
+  }
+
   get entry(): EntryShell {
     return this.entryAt(0);
   }
--- a/packages/entry-core/src/driver/index.ts
+++ b/packages/entry-core/src/driver/index.ts
@@ -1,3 +1,4 @@
 export * from './EntryShell.js';
 export * from './FakeEngine.js';
 export * from './World.js';
+export * from './waves.js';
--- a/packages/entry-core/src/reclaims/handOnStreams.ts
+++ b/packages/entry-core/src/reclaims/handOnStreams.ts
@@ -111,6 +111,7 @@
 }
 
 export function handOnStreams(state: EntryState, instance: string, timed: Timed): EntryEffect[] {
+  if (!state.retries.policy.handOn) return [];
   const left = (state.reclaims.leaving.get(instance) ?? Infinity) - timed.wallNow;
   const streams = streamsAt(state, instance).filter(
     ({ accepted, attempt }) =>
--- a/packages/entry-core/src/reclaims/reclaims.test.ts
+++ b/packages/entry-core/src/reclaims/reclaims.test.ts
@@ -129,11 +129,11 @@
 // the leaving engine nothing more, because its peer's report told of it.
 test('a notice at one entry reaches the others', () => {
   const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1 }, entries: 2 });
-  world.entryAt(1).arrive(makeRequest('before'));
+  world.entryAt(0).arrive(makeRequest('before'));
   world.advance(500);
-  world.reclaim(['wien-a-engine-1'], 20_000, world.entryAt(0));
+  world.reclaim(['wien-a-engine-1'], 20_000, world.entryAt(1));
   world.advance(2000);
-  world.entryAt(1).arrive(makeRequest('after'));
+  world.entryAt(0).arrive(makeRequest('after'));
   world.advance(100);
   assert.equal(world.engine('wien-a-engine-1').received.has('before'), true);
   assert.equal(world.engine('wien-a-engine-1').received.has('after'), false);
