Parole suspects that ran past their crash, so that chance names nobody

A suspect is now paroled once it has run 16 tokens and a bounded time past the first crash. Tried first and dropped: the longer probation of 1.5 times its exposure without a bound. A request that crashes later than its probation costs three backend servers instead of two; the module says so.

--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -6,6 +6,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import type { Suspect } from '../quarantine/QuarantineState.js';
 
 export const REPORT_MILLISECONDS = 1000;
 
@@ -37,8 +38,13 @@
   }));
 }
 
+function isUnderSuspicion({ paroled }: Suspect): boolean {
+  return paroled !== true;
+}
+
 function listSuspects(state: EntryState): PeerSuspect[] {
-  return [...state.quarantine.suspects.values()].map(({ digest, crashIds }) => ({
+  const suspects = [...state.quarantine.suspects.values()];
+  return suspects.filter(isUnderSuspicion).map(({ digest, crashIds }) => ({
     digest,
     crashes: crashIds.size,
     crashIds: [...crashIds],
--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -16,6 +16,8 @@
   until: MonotonicMilliseconds;
   /** Not run before this, so that peers can learn first that it is pending here. */
   readonly heldUntil?: MonotonicMilliseconds;
+  /** True once it has run past the point of its crash elsewhere; see `advanceSuspects`. */
+  paroled?: boolean;
 }
 
 /** The loss of a connection to a backend server, until a probe tells what was lost. */
--- a/packages/entry-core/src/quarantine/advanceSuspects.ts
+++ b/packages/entry-core/src/quarantine/advanceSuspects.ts
@@ -1,10 +1,14 @@
 /**
  * Lets suspicions and quarantines end.
  *
- * A suspect is cleared early once it has run on another backend server for clearly longer, and
- * further, than on the one that was lost: a request that crashes its engine at a point of its
- * work has passed that point. Otherwise a batch of long answers would be held apart until each has
- * ended, and callers would miss their deadlines. A suspect of two crashes has to run whole.
+ * A suspect is paroled once it has run on another backend server past the point at which the first
+ * was lost, and for a while: it need not be kept apart any more. Otherwise a batch of long answers
+ * would be held apart until each has ended, and callers would miss their deadlines; and a request
+ * that is by chance in progress at two unrelated losses would be quarantined. One that is lost again
+ * after all has to run whole, apart, to be cleared.
+ *
+ * The bound: a request that crashes again within its probation costs two backend servers, one that
+ * does so later costs three.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
@@ -13,16 +17,25 @@
 const PROBATION_FACTOR = 1.5;
 const PROBATION_MILLISECONDS = 1000;
 
+/** Most time on probation: a longer one catches more, and names more by chance. */
+const MOST_PROBATION_MILLISECONDS = 5000;
+
+/** Tokens that an engine may have computed at its crash beyond those that were relayed. */
+const TOKENS_UNSEEN = 16;
+
 function hasPassed(state: EntryState, suspect: Suspect, now: MonotonicMilliseconds): boolean {
   if (suspect.crashIds.size !== 1) return false;
-  const needed = suspect.exposure * PROBATION_FACTOR + PROBATION_MILLISECONDS;
+  const needed = Math.min(
+    MOST_PROBATION_MILLISECONDS,
+    suspect.exposure * PROBATION_FACTOR + PROBATION_MILLISECONDS,
+  );
   return [...state.attempts.values()].some((attempt) => {
     const accepted = state.requests.get(attempt.requestId);
     if (accepted?.request.digest !== suspect.digest) return false;
     return (
       attempt.firstTokenAt !== undefined &&
       now - attempt.startedAt > needed &&
-      attempt.tokens > suspect.tokens
+      attempt.tokens > suspect.tokens + TOKENS_UNSEEN
     );
   });
 }
@@ -30,7 +43,8 @@
 export function advanceSuspects(state: EntryState, now: MonotonicMilliseconds): void {
   const { suspects, quarantined, massLost } = state.quarantine;
   suspects.forEach((suspect, digest) => {
-    if (suspect.until <= now || hasPassed(state, suspect, now)) suspects.delete(digest);
+    if (suspect.until <= now) suspects.delete(digest);
+    else if (hasPassed(state, suspect, now)) suspect.paroled = true;
   });
   massLost.forEach((until, digest) => {
     if (until <= now) massLost.delete(digest);
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -20,6 +20,7 @@
 import {
   clearExplained,
   crashesOf,
+  isParoled,
   peerHasSuspectAt,
   priorSuspects,
   SUSPICION_MILLISECONDS,
@@ -100,8 +101,10 @@
   if (culprit === undefined && peerHasSuspectAt(state, loss.instance)) return [];
   if (culprit === undefined) {
     const digests = [...loss.members.keys()];
+    // The store quarantines at two crashes; one on parole may be in a second by chance.
+    const reported = digests.filter((digest) => !isParoled(state, digest));
     suspectAll(state, loss, digests, crashId);
-    return digests.length === 0 ? [] : [reportCrash(loss, crashId, digests)];
+    return reported.length === 0 ? [] : [reportCrash(loss, crashId, reported)];
   }
   if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
     suspectAll(state, loss, prior, crashId);
--- a/packages/entry-core/src/quarantine/poison.test.ts
+++ b/packages/entry-core/src/quarantine/poison.test.ts
@@ -111,6 +111,22 @@
   }
 }
 
+// The caller sees its whole answer, although two engines died under it: both deaths had other causes.
+// The answer had run well past the point of the first one, so the second does not name it.
+test('a request that is lost twice by chance is not refused', () => {
+  const world = new World({ engines: { 'wien-a': 6 } });
+  const caller = world.entry.arrive(makeRequest('unlucky', { mostTokens: 800 }));
+  [3000, 6000].forEach((span) => {
+    world.advance(span);
+    world.engines.forEach((engine) => {
+      if (engine.streams.size > 0) engine.die();
+    });
+  });
+  world.settle();
+  assert.equal(caller.finals[0]?.type, 'whole');
+  assert.deepEqual(world.violations(), []);
+});
+
 // The caller of the bad request is refused at every entry, also while no store can be reached: the
 // entry that named it keeps it out by itself, and its report tells the others.
 test('a quarantine holds at all entries without the store', () => {
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -32,8 +32,9 @@
 }
 
 export function isSuspect(state: EntryState, digest: string): boolean {
+  const own = state.quarantine.suspects.get(digest);
   return (
-    state.quarantine.suspects.has(digest) ||
+    (own !== undefined && (own.paroled !== true || own.lossOf !== undefined)) ||
     peerSuspects(state).some((suspect) => suspect.digest === digest)
   );
 }
@@ -117,9 +118,15 @@
   });
 }
 
+export function isParoled(state: EntryState, digest: string): boolean {
+  return state.quarantine.suspects.get(digest)?.paroled === true;
+}
+
 /** Members of the loss that were in progress at an earlier crash. */
 export function priorSuspects(state: EntryState, loss: Loss): string[] {
-  return [...loss.members.keys()].filter((digest) => crashesOf(state, digest).size > 0);
+  return [...loss.members.keys()].filter(
+    (digest) => !isParoled(state, digest) && crashesOf(state, digest).size > 0,
+  );
 }
 
 /** True if a peer runs a suspect there: this entry alone cannot then name one. */
