--- /dev/null
+++ b/measure/src/streams.ts
@@ -0,0 +1,103 @@
+/**
+ * What the recovery of streams is worth: the entry's policy against plain baselines, under the same
+ * seeded waves, in one run, in virtual time. See docs/design/streams-and-retries.md.
+ */
+import { fullRecoveryPolicy, type RecoveryPolicy } from '@hornbeampond/entry-core';
+import {
+  refusedInnocents,
+  runPoisonBatch,
+  runRetryStorm,
+  runWaves,
+  type WaveOutcome,
+} from '@hornbeampond/entry-core/driver';
+
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const STORM_REQUESTS = 300;
+
+/** One line of the comparison. */
+export interface StreamsRow {
+  readonly scenario: 'waves' | 'poison' | 'storm';
+  readonly policy: string;
+  readonly figures: Readonly<Record<string, number>>;
+}
+
+const wavePolicies: Readonly<Record<string, RecoveryPolicy>> = {
+  full: fullRecoveryPolicy,
+  'resume, no move': { ...fullRecoveryPolicy, moves: false },
+  'resume, notices ignored': { ...fullRecoveryPolicy, moves: false, handOn: false },
+  'redo from the start': { ...fullRecoveryPolicy, moves: false, handOn: false, resume: false },
+  'redo, no budget': {
+    budgets: false,
+    handOn: false,
+    moves: false,
+    resume: false,
+    suspectsApart: false,
+  },
+};
+
+function total(outcomes: readonly WaveOutcome[], of: (outcome: WaveOutcome) => number): number {
+  return outcomes.reduce((sum, outcome) => sum + of(outcome), 0);
+}
+
+function round(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
+
+function measureWaves(policy: string, recovery: RecoveryPolicy): StreamsRow {
+  const outcomes = SEEDS.map((seed) => runWaves(recovery, seed));
+  const requests = total(outcomes, (outcome) => outcome.requests);
+  const recomputed = total(outcomes, (outcome) => outcome.prefilledAgain + outcome.decodedAgain);
+  const shares = outcomes.map((outcome) => outcome.whole / outcome.requests);
+  return {
+    scenario: 'waves',
+    policy,
+    figures: {
+      requests,
+      wholeOnTimeShare: round(total(outcomes, (outcome) => outcome.whole) / requests),
+      worstSeedShare: round(Math.min(...shares)),
+      prefilledAgain: total(outcomes, (outcome) => outcome.prefilledAgain),
+      decodedAgain: total(outcomes, (outcome) => outcome.decodedAgain),
+      recomputedShare: round(recomputed / total(outcomes, (outcome) => outcome.needed)),
+      meanWholeMilliseconds: Math.round(
+        total(outcomes, (outcome) => outcome.meanWholeAnswer) / SEEDS.length,
+      ),
+      violations: total(outcomes, (outcome) => outcome.violations),
+    },
+  };
+}
+
+function measurePoison(engines: number, suspectsApart: boolean): StreamsRow {
+  const world = runPoisonBatch({ engines, suspectsApart });
+  return {
+    scenario: 'poison',
+    policy: `suspects ${suspectsApart ? 'apart' : 'together'}, ${engines} engines`,
+    figures: {
+      enginesLost: world.lostEngines(),
+      innocentsRefused: refusedInnocents(world).length,
+      violations: world.violations().length,
+    },
+  };
+}
+
+function measureStorm(budgets: boolean): StreamsRow {
+  const world = runRetryStorm(STORM_REQUESTS, budgets);
+  return {
+    scenario: 'storm',
+    policy: budgets ? 'budget' : 'no budget',
+    figures: {
+      requests: STORM_REQUESTS,
+      retries: world.entry.count('retries/backendServerBusy'),
+      refusedByBudget: world.entry.count('retriesRefused/budgetSpent'),
+    },
+  };
+}
+
+/** Runs every comparison; the same figures come out each time. */
+export async function measureStreams(): Promise<StreamsRow[]> {
+  return [
+    ...Object.entries(wavePolicies).map(([name, policy]) => measureWaves(name, policy)),
+    ...[3, 6].flatMap((engines) => [measurePoison(engines, true), measurePoison(engines, false)]),
+    measureStorm(true),
+    measureStorm(false),
+  ];
+}
--- a/packages/entry-core/src/attempts/retryStorm.test.ts
+++ b/packages/entry-core/src/attempts/retryStorm.test.ts
@@ -1,30 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { fullRecoveryPolicy } from '../index.js';
-import { makeRequest, World } from '../driver/index.js';
+import { makeRequest, runRetryStorm, World } from '../driver/index.js';
 
 const FIRST_ATTEMPTS = 300;
 
-/** Sends requests at a steady pace to engines that are all busy, and returns the retries made. */
-function storm(budgets: boolean): World {
-  const world = new World({ engines: { 'wien-a': 3, 'wien-b': 3 } });
-  world.entry.state.retries.policy = { ...fullRecoveryPolicy, budgets };
-  world.engines.forEach((engine) => {
-    engine.busy = true;
-  });
-  for (let number = 1; number <= FIRST_ATTEMPTS; number += 1) {
-    world.entry.arrive(makeRequest(`request-${number}`));
-    world.advance(20);
-  }
-  world.settle();
-  return world;
-}
-
 // Callers see a refusal at once, with when to come back, instead of a slow one. Every engine is
 // busy, so each retry only adds to the load that keeps them so. The budget lets a share of
 // the first attempts and one burst through and refuses the rest by reason.
 test('a retry storm is bounded by the budget', () => {
-  const world = storm(true);
+  const world = runRetryStorm(FIRST_ATTEMPTS, true);
   const retries = world.entry.count('retries/backendServerBusy');
   assert.deepEqual(world.violations(), []);
   assert.equal(retries <= 10 + FIRST_ATTEMPTS * 0.1, true, `${retries} retries`);
@@ -37,7 +21,7 @@
 
 // Shows that the check above can fail: without the budget each request is retried until its deadline.
 test('without a budget the same storm multiplies', () => {
-  const retries = storm(false).entry.count('retries/backendServerBusy');
+  const retries = runRetryStorm(FIRST_ATTEMPTS, false).entry.count('retries/backendServerBusy');
   assert.equal(retries > 3 * FIRST_ATTEMPTS, true, `${retries} retries`);
 });
 
--- a/packages/entry-core/src/quarantine/poison.test.ts
+++ b/packages/entry-core/src/quarantine/poison.test.ts
@@ -1,47 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { fullRecoveryPolicy } from '../index.js';
-import { makeRequest, World, type Caller } from '../driver/index.js';
+import {
+  BAD_DIGEST,
+  makeRequest,
+  refusedInnocents,
+  runPoisonBatch,
+  World,
+} from '../driver/index.js';
 
 const BATCH = 30;
-const BAD = 'digest-bad';
-
-interface Outcome {
-  readonly world: World;
-  readonly lost: number;
-  readonly refused: readonly Caller[];
-}
-
-function outcomeOf(world: World): Outcome {
-  const engines = [...world.engines.values()];
-  const refused = world
-    .callers()
-    .filter(({ request }) => request.digest !== BAD)
-    .filter(({ finals }) => finals[0]?.type !== 'whole');
-  return { world, lost: engines.filter(({ alive }) => !alive).length, refused };
-}
-
-/** Runs 29 innocent requests and a bad one that crashes its engine at `crashAt` tokens. */
-function runBatch(
-  crashAt: number,
-  suspectsApart = true,
-  unreachable = false,
-  engines = 6,
-): Outcome {
-  const poison = new Map([[BAD, crashAt]]);
-  const world = new World({ engines: { 'wien-a': engines }, poison });
-  world.engines.forEach((engine) => {
-    engine.unreachable = unreachable;
-  });
-  world.entry.state.retries.policy = { ...fullRecoveryPolicy, suspectsApart };
-  for (let number = 1; number < BATCH; number += 1) {
-    world.entry.arrive(makeRequest(`request-${number}`));
-    world.advance(50);
-  }
-  world.entry.arrive(makeRequest('bad', { digest: BAD }));
-  world.settle();
-  return outcomeOf(world);
-}
 
 // The 29 innocent callers see their whole answers; the caller of the bad request is told that it is
 // quarantined. The bad request crashes its engine, and all that ran there become suspects, which are
@@ -50,11 +17,11 @@
   for (const unreachable of [false, true]) {
     const how = unreachable ? 'vanishes' : 'refuses connections';
     test(`a bad request crashes at token ${crashAt} and the engine ${how}`, () => {
-      const { world, lost, refused } = runBatch(crashAt, true, unreachable);
+      const world = runPoisonBatch({ crashAt, unreachable });
       assert.deepEqual(world.violations(), []);
-      assert.equal(lost, 2);
-      assert.deepEqual(refused, []);
-      const bad = world.callers().find(({ request }) => request.digest === BAD);
+      assert.equal(world.lostEngines(), 2);
+      assert.deepEqual(refusedInnocents(world), []);
+      const bad = world.callers().find(({ request }) => request.digest === BAD_DIGEST);
       const final = bad?.finals[0];
       assert.equal(
         final?.type === 'problem' && `${final.kind} ${final.ran}`,
@@ -67,10 +34,10 @@
 // Shows that the checks above can fail: when suspects are run together, the second crash has many
 // of them, none can be named, and more engines are lost.
 test('without keeping suspects apart, a third engine is lost', () => {
-  const apart = runBatch(40, true, false, 3);
-  assert.deepEqual([apart.lost, apart.refused.length], [2, 0]);
-  const together = runBatch(40, false, false, 3);
-  assert.equal(together.lost > 2 || together.refused.length > 0, true);
+  const apart = runPoisonBatch({ engines: 3 });
+  assert.deepEqual([apart.lostEngines(), refusedInnocents(apart).length], [2, 0]);
+  const together = runPoisonBatch({ engines: 3, suspectsApart: false });
+  assert.equal(together.lostEngines() > 2 || refusedInnocents(together).length > 0, true);
 });
 
 interface Resends {
@@ -80,20 +47,20 @@
 }
 
 /** Three entries share 29 innocent requests and a bad one; its caller sends it again twice. */
-function runResends({ crashAt, firstAfter, secondAfter }: Resends): Outcome {
-  const poison = new Map([[BAD, crashAt]]);
+function runResends({ crashAt, firstAfter, secondAfter }: Resends): World {
+  const poison = new Map([[BAD_DIGEST, crashAt]]);
   const world = new World({ engines: { 'wien-a': 6 }, poison, entries: 3 });
   for (let number = 1; number < BATCH; number += 1) {
     world.entryAt(number % 3).arrive(makeRequest(`request-${number}`, { mostTokens: 400 }));
   }
-  world.entryAt(0).arrive(makeRequest('bad', { digest: BAD }));
+  world.entryAt(0).arrive(makeRequest('bad', { digest: BAD_DIGEST }));
   while (world.lostEngines() === 0) world.advance(10);
   world.advance(firstAfter);
-  world.entryAt(1).arrive(makeRequest('bad-again', { digest: BAD }));
+  world.entryAt(1).arrive(makeRequest('bad-again', { digest: BAD_DIGEST }));
   world.advance(secondAfter);
-  world.entryAt(2).arrive(makeRequest('bad-once-more', { digest: BAD }));
+  world.entryAt(2).arrive(makeRequest('bad-once-more', { digest: BAD_DIGEST }));
   world.settle();
-  return outcomeOf(world);
+  return world;
 }
 
 // The caller sends its request again after the first crash, and once more, through other entries.
@@ -103,10 +70,10 @@
 for (const crashAt of [0, 20, 100]) {
   for (const firstAfter of [200, 700, 1500]) {
     test(`resends ${firstAfter} ms after a crash at token ${crashAt} take no third engine`, () => {
-      const { world, lost, refused } = runResends({ crashAt, firstAfter, secondAfter: 400 });
+      const world = runResends({ crashAt, firstAfter, secondAfter: 400 });
       assert.deepEqual(world.violations(), []);
-      assert.equal(lost <= 2, true, `${lost} engines lost`);
-      assert.deepEqual(refused, []);
+      assert.equal(world.lostEngines() <= 2, true, `${world.lostEngines()} engines lost`);
+      assert.deepEqual(refusedInnocents(world), []);
     });
   }
 }
@@ -130,14 +97,14 @@
 // The caller of the bad request is refused at every entry, also while no store can be reached: the
 // entry that named it keeps it out by itself, and its report tells the others.
 test('a quarantine holds at all entries without the store', () => {
-  const poison = new Map([[BAD, 20]]);
+  const poison = new Map([[BAD_DIGEST, 20]]);
   const world = new World({ engines: { 'wien-a': 4 }, poison, entries: 2 });
   world.storeReachable = false;
-  world.entryAt(0).arrive(makeRequest('bad', { digest: BAD }));
+  world.entryAt(0).arrive(makeRequest('bad', { digest: BAD_DIGEST }));
   world.settle();
   world.advance(1000);
   [0, 1].forEach((position) => {
-    world.entryAt(position).arrive(makeRequest(`again-${position}`, { digest: BAD }));
+    world.entryAt(position).arrive(makeRequest(`again-${position}`, { digest: BAD_DIGEST }));
   });
   world.settle();
   assert.deepEqual(world.violations(), []);
