Shorten how long suspects wait, and resume from a notice later

Only entries with suspects of their own take turns now, and a probation ends after 2.5 s. Streams that cannot be moved run on to within half a second of the end, and the link is filled to the same point.

--- a/packages/entry-core/src/quarantine/advanceSuspects.ts
+++ b/packages/entry-core/src/quarantine/advanceSuspects.ts
@@ -18,7 +18,7 @@
 const PROBATION_MILLISECONDS = 1000;
 
 /** Most time on probation: a longer one catches more, and names more by chance. */
-const MOST_PROBATION_MILLISECONDS = 5000;
+const MOST_PROBATION_MILLISECONDS = 2500;
 
 /** Tokens that an engine may have computed at its crash beyond those that were relayed. */
 const TOKENS_UNSEEN = 16;
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -18,6 +18,7 @@
 import { quarantineDigest } from './quarantineDigest.js';
 import type { Loss } from './QuarantineState.js';
 import {
+  announceSpan,
   clearExplained,
   crashesOf,
   isParoled,
@@ -74,12 +75,19 @@
   });
 }
 
-function suspectAll(state: EntryState, loss: Loss, digests: string[], crashId: string): void {
+function suspectAll(
+  state: EntryState,
+  loss: Loss,
+  digests: string[],
+  crashId: string,
+  now: MonotonicMilliseconds,
+): void {
   const until = loss.openedAt + SUSPICION_MILLISECONDS;
+  const heldUntil = now + announceSpan(state);
   digests.forEach((digest) => {
     const crashIds = crashesOf(state, digest).add(crashId);
     const { exposure = 0, tokens = 0 } = loss.members.get(digest) ?? {};
-    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until };
+    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until, heldUntil };
     state.quarantine.suspects.set(digest, suspect);
   });
 }
@@ -103,11 +111,11 @@
     const digests = [...loss.members.keys()];
     // The store quarantines at two crashes; one on parole may be in a second by chance.
     const reported = digests.filter((digest) => !isParoled(state, digest));
-    suspectAll(state, loss, digests, crashId);
+    suspectAll(state, loss, digests, crashId, timed.now);
     return reported.length === 0 ? [] : [reportCrash(loss, crashId, reported)];
   }
   if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
-    suspectAll(state, loss, prior, crashId);
+    suspectAll(state, loss, prior, crashId, timed.now);
     return [];
   }
   const crashIds = crashesOf(state, culprit).add(crashId);
--- a/packages/entry-core/src/quarantine/suspectTurns.ts
+++ b/packages/entry-core/src/quarantine/suspectTurns.ts
@@ -8,8 +8,9 @@
  * belongs to one entry in each slot of wall-clock time, and an entry starts suspects only early in
  * its slot. By the next slot its report has told the others where they run.
  *
- * It holds while wall clocks differ, and reports take, less than the quiet part of a slot together,
- * and entries agree on who is live.
+ * Only entries that have reported suspects of their own take turns, so one that is alone need not
+ * wait; a new suspect is therefore reported before it is run. It holds while wall clocks differ, and
+ * reports take, less than the quiet part of a slot together, and entries hear each other.
  */
 import type { EpochMilliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
@@ -26,7 +27,9 @@
 
 /** Backend servers at which this entry may not start a suspect now. */
 export function outOfTurn(state: EntryState, now: MonotonicMilliseconds): string[] {
-  const entries = [...livePeers(state).map(({ report }) => report.instance)];
+  const entries = livePeers(state)
+    .filter(({ report }) => report.suspects.some(({ pending }) => pending === true))
+    .map(({ report }) => report.instance);
   if (entries.length === 0) return [];
   entries.push(state.identity.instance);
   const own = entries.sort().indexOf(state.identity.instance);
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -2,8 +2,9 @@
  * Requests that ran on a backend server when it was lost. One of them may have crashed it; until
  * it is known which, they are run apart from each other, so that a second crash names one.
  */
-import type { MonotonicMilliseconds, PeerSuspect } from '@hornbeampond/schema';
+import type { Milliseconds, MonotonicMilliseconds, PeerSuspect } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
+import { livePeers } from '../membership/livePeers.js';
 import { reportSoon } from '../membership/reportToEntries.js';
 import type { Loss, Suspect } from './QuarantineState.js';
 
@@ -13,6 +14,11 @@
 /** By then a report sent with the next tick has reached the peers. */
 const ANNOUNCE_MILLISECONDS = 250;
 
+/** How long a new suspect waits for peers to learn of it; not at all if there are none. */
+export function announceSpan(state: EntryState): Milliseconds {
+  return livePeers(state).length === 0 ? 0 : ANNOUNCE_MILLISECONDS;
+}
+
 /** What peers suspect. A silent peer's suspicions stay; where it runs them it no longer tells. */
 function peerSuspects(state: EntryState): PeerSuspect[] {
   return [...state.membership.peers.values()].flatMap(({ report, live }) =>
@@ -53,7 +59,7 @@
     exposure: 0,
     tokens: 0,
     until: now + SUSPICION_MILLISECONDS,
-    heldUntil: now + ANNOUNCE_MILLISECONDS,
+    heldUntil: now + announceSpan(state),
   };
   state.quarantine.suspects.set(digest, adopted);
   reportSoon(state);
--- a/packages/entry-core/src/reclaims/handOnStreams.ts
+++ b/packages/entry-core/src/reclaims/handOnStreams.ts
@@ -52,10 +52,16 @@
   return accepted.pool.kind === 'modelEngine' || attempt.firstTokenAt === undefined;
 }
 
-/** Streams that run on have to be resumed by then, one prefill after the other. */
+/** Share of their prefills by which resumes at the end of a notice are spread. */
+const SPREAD_SHARE = 0.25;
+
+/**
+ * How long before the end streams that run on have to be resumed. It is short, for what runs on may
+ * end by itself; the spread keeps a wave's prefills from reaching the targets all at once.
+ */
 function resumeReserve(streams: readonly Stream[], targets: number): Milliseconds {
   const prefill = streams.reduce((sum, { accepted }) => sum + prefillDuration(accepted), 0);
-  return 2 * NOTICE_MARGIN_MILLISECONDS + prefill / Math.max(1, targets);
+  return NOTICE_MARGIN_MILLISECONDS + (prefill * SPREAD_SHARE) / Math.max(1, targets);
 }
 
 function countTargets(state: EntryState, { accepted }: Stream): number {
@@ -68,7 +74,7 @@
 /** Parts the streams into those that the link can move within `left`, dearest redo first. */
 function fillLink(streams: readonly Stream[], left: Milliseconds) {
   const byCost = [...streams].sort((a, b) => redoTokens(b.accepted) - redoTokens(a.accepted));
-  let room = left - 2 * NOTICE_MARGIN_MILLISECONDS;
+  let room = left - NOTICE_MARGIN_MILLISECONDS;
   const moved: Stream[] = [];
   const resumed: Stream[] = [];
   byCost.forEach((stream) => {
