--- a/packages/entry-core/src/driver/EntryShell.ts
+++ b/packages/entry-core/src/driver/EntryShell.ts
@@ -38,6 +38,8 @@
   readonly attemptId: string;
   readonly caller: Caller;
   readonly instance: string;
+  /** True if what it has given cannot be resumed. */
+  readonly plain: boolean;
   /** The answer as this attempt alone has brought it. */
   readonly own: string[];
   heardAt: number;
@@ -134,6 +136,9 @@
       case 'proposeCommand':
         this.world.propose(effect.command as ReportCrashCommand);
         return;
+      case 'proposeClaim':
+        this.answerClaim(effect);
+        return;
       case 'count':
         this.addCount(effect);
         return;
@@ -150,6 +155,18 @@
     if (effect.type === 'shutdownReady') this.log.push(`${this.world.clock().now} shutdownReady`);
   }
 
+  /** A store that grants every claim. */
+  private answerClaim({ requestId, command }: Effect<'proposeClaim'>): void {
+    const types = {
+      openClaim: 'claimOpened',
+      releaseClaim: 'claimReleased',
+      settleClaim: 'claimSettled',
+    } as const;
+    const type = types[command.type as keyof typeof types];
+    const answer = { type: 'result', result: { type } } as const;
+    this.world.later(1, () => this.send({ type: 'claimAnswered', requestId, answer }));
+  }
+
   private addCount({ metric, label = '', amount = 1 }: Effect<'count'>): void {
     const key = `${metric}/${label}`;
     this.counts.set(key, (this.counts.get(key) ?? 0) + amount);
@@ -163,6 +180,7 @@
       attemptId: effect.attemptId,
       caller,
       instance,
+      plain: effect.target.kind === 'plainService',
       own: [],
       heardAt: this.world.clock().now,
       timeout: effect.firstByteTimeout,
@@ -242,7 +260,8 @@
     const tokens = caller.tokens.length;
     const mayStillAnswer = failure === 'silent' && tokens === 0;
     if (!mayStillAnswer) this.drop(attemptId);
-    this.send({ type: 'attemptFailed', attemptId, failure, sent, tokens, answerStarted: false });
+    const answerStarted = connection.plain && tokens > 0;
+    this.send({ type: 'attemptFailed', attemptId, failure, sent, tokens, answerStarted });
   }
 
   private drop(attemptId: string): void {
--- a/packages/entry-core/src/driver/FakeEngine.ts
+++ b/packages/entry-core/src/driver/FakeEngine.ts
@@ -59,7 +59,8 @@
 
   readonly streams = new Map<string, EngineStream>();
 
-  readonly received = new Set<string>();
+  /** How often each request was received, by request id. */
+  readonly received = new Map<string, number>();
 
   decodedTokens = 0;
 
@@ -78,7 +79,8 @@
     const prefill = Math.max(0, context - cachedTokens);
     this.prefilledTokens += prefill;
     stream.prefillLeft = prefill / this.rates.prefillTokensPerMillisecond;
-    this.received.add(stream.request.requestId);
+    const { requestId } = stream.request;
+    this.received.set(requestId, (this.received.get(requestId) ?? 0) + 1);
     this.streams.set(stream.attemptId, stream);
   }
 
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -19,6 +19,8 @@
   readonly poison?: Poison;
   readonly rates?: Partial<EngineRates>;
   readonly wholeAnswerMilliseconds?: number;
+  /** Pool that the engines belong to; those of `bookings` play plain services. */
+  readonly pool?: 'engines' | 'bookings';
 }
 
 interface Task {
@@ -40,6 +42,8 @@
 
   private readonly poison: Poison;
 
+  private readonly pool: string;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -53,6 +57,7 @@
   constructor(options: WorldOptions) {
     this.rates = { ...standardRates, ...options.rates };
     this.poison = options.poison ?? new Map();
+    this.pool = options.pool ?? 'engines';
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
         this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
@@ -207,7 +212,7 @@
 
   private list(engine: FakeEngine): PlatformInstance {
     const { instance, dataCentre } = engine;
-    const base = { instance, dataCentre, instanceClass: 'gpu', pool: 'engines' } as const;
+    const base = { instance, dataCentre, instanceClass: 'gpu', pool: this.pool };
     return { ...base, state: 'live', host: '127.0.0.1', port: 1 };
   }
 
--- a/packages/entry-core/src/driver/fixtures.ts
+++ b/packages/entry-core/src/driver/fixtures.ts
@@ -23,6 +23,14 @@
       least: 1,
       most: 100,
     },
+    {
+      name: 'bookings',
+      kind: 'plainService',
+      dataCentres: ['wien-a', 'wien-b'],
+      instanceClasses: [{ name: 'small', eurosPerHour: 1, reclaimable: true, concurrency: 32 }],
+      least: 1,
+      most: 100,
+    },
   ]);
   const routes = routeRowsSchema.parse([
     {
@@ -33,6 +41,14 @@
       timeZone: 'Europe/Vienna',
       deadline: { firstTokenMilliseconds: 5000, wholeAnswerMilliseconds },
     },
+    ...['reservations', 'lookups'].map((name) => ({
+      name,
+      match: { pathPrefix: `/${name}` },
+      pool: 'bookings',
+      idempotent: name === 'lookups',
+      timeZone: 'Africa/Dakar',
+      deadline: { firstTokenMilliseconds: 5000, wholeAnswerMilliseconds },
+    })),
   ]);
   return {
     revision: 1,
