Report only named requests to the store, and let started ones wait for a place

Cause: the store quarantines any digest at its second crash. Reporting all members of every crash would have had it quarantine an innocent request that is in two by chance, although this entry had paroled it. Now the named request is reported, with each of its crashes. An engine that restarts before its probe is told by all its connections being reset together (poison.test.ts: two crashes, none refused).

--- a/packages/entry-core/src/attempts/RetryState.ts
+++ b/packages/entry-core/src/attempts/RetryState.ts
@@ -1,17 +1,17 @@
 /** What an entry keeps to bound its retries. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import type { MonotonicMilliseconds, RetryReason } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 
 /** Retries that one route, or one backend server, may still cause. */
 export interface RetryBudget {
   tokens: number;
 }
 
-/** A request between two attempts. */
+/** A request between two attempts: it backs off, or waits for a backend server that it may go to. */
 export interface WaitingRetry {
   readonly requestId: string;
-  readonly reason: RetryReason;
+  readonly waitsFor: 'backOff' | 'backendServer';
   readonly dueAt: MonotonicMilliseconds;
 }
 
--- a/packages/entry-core/src/attempts/advanceRetries.ts
+++ b/packages/entry-core/src/attempts/advanceRetries.ts
@@ -15,7 +15,20 @@
 }
 
 export function advanceRetries(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
-  const due = [...state.retries.waiting.values()].filter(({ dueAt }) => dueAt <= now);
+  return startWaiting(state, now, ({ dueAt }) => dueAt <= now);
+}
+
+/** Looks again at once at all that wait for a backend server, as there may be one now. */
+export function hastenWaiting(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  return startWaiting(state, now, ({ waitsFor }) => waitsFor === 'backendServer');
+}
+
+function startWaiting(
+  state: EntryState,
+  now: MonotonicMilliseconds,
+  isDue: (waiting: WaitingRetry) => boolean,
+): EntryEffect[] {
+  const due = [...state.retries.waiting.values()].filter(isDue);
   due.sort((a, b) => exposureOf(state, a) - exposureOf(state, b) || a.dueAt - b.dueAt);
   return due.flatMap(({ requestId }) => {
     const accepted = state.requests.get(requestId);
--- a/packages/entry-core/src/attempts/chooseForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -44,7 +44,11 @@
   return chooseWithout(state, accepted, exceptLast) ?? chooseWithout(state, accepted, ruledOut);
 }
 
-/** True if a backend server that cannot take the request now may do so soon. */
+/**
+ * True if a backend server that cannot take the request now may do so before its deadline. One that
+ * was started waits for any that is full, starting, leaving or down: its place will be
+ * taken by another. To refuse it would lose an accepted request to a reclaim of its whole pool.
+ */
 export function isWorthWaiting(
   state: EntryState,
   accepted: RequestState,
@@ -54,8 +58,6 @@
   return [...state.backendServers.values()].some(
     ({ listed, goneAt }) =>
       listed.pool === accepted.pool.name &&
-      goneAt === undefined &&
-      (ruledOut.has(listed.instance) ||
-        (accepted.attemptsStarted > 0 && listed.state === 'starting')),
+      (accepted.attemptsStarted > 0 || (goneAt === undefined && ruledOut.has(listed.instance))),
   );
 }
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -17,7 +17,7 @@
 import type { RequestState } from '../requests/RequestState.js';
 import { drawBackOff } from './backOff.js';
 import { spendRetry } from './retryBudget.js';
-import { startAttempt, waitForAttempt } from './startAttempt.js';
+import { startAttempt } from './startAttempt.js';
 
 /** When to come back after a retry was refused for want of budget. */
 const REFUSED_RETRY_AFTER_MILLISECONDS = 1000;
@@ -85,6 +85,7 @@
   noteRecompute(accepted, cause);
   const counted: EntryEffect = { type: 'count', metric: 'retries', label: cause.reason };
   if (delay === 0) return [counted, ...startAttempt(state, accepted, now)];
-  waitForAttempt(state, accepted, now, delay, cause.reason);
+  const { requestId } = accepted.request;
+  state.retries.waiting.set(requestId, { requestId, waitsFor: 'backOff', dueAt: now + delay });
   return [counted];
 }
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -2,7 +2,7 @@
  * Starts the next attempt of a request, lets it wait for a backend server, or ends it if there is
  * nowhere to try it.
  */
-import type { Milliseconds, MonotonicMilliseconds, RetryReason } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { isHeld } from '../quarantine/suspects.js';
@@ -50,16 +50,15 @@
   ];
 }
 
-/** Has a request wait, and be tried again by a later tick. */
-export function waitForAttempt(
+/** Has a request try again with a later tick, or as soon as a loss has been judged. */
+function waitForBackendServer(
   state: EntryState,
   { request }: RequestState,
   now: MonotonicMilliseconds,
-  delay: Milliseconds = WAIT_MILLISECONDS,
-  reason: RetryReason = 'backendServerLost',
 ): void {
   const { requestId } = request;
-  state.retries.waiting.set(requestId, { requestId, reason, dueAt: now + delay });
+  const dueAt = now + WAIT_MILLISECONDS;
+  state.retries.waiting.set(requestId, { requestId, waitsFor: 'backendServer', dueAt });
 }
 
 export function startAttempt(
@@ -70,12 +69,12 @@
   const refused = refuseQuarantined(state, accepted, now);
   if (refused !== undefined) return refused;
   if (state.retries.policy.suspectsApart && isHeld(state, accepted.request.digest, now)) {
-    waitForAttempt(state, accepted, now);
+    waitForBackendServer(state, accepted, now);
     return [];
   }
   const server = chooseForAttempt(state, accepted, now);
   if (server !== undefined) return launchAttempt(state, accepted, server, now);
   if (!isWorthWaiting(state, accepted, now)) return failWithoutServer(state, accepted);
-  waitForAttempt(state, accepted, now);
+  waitForBackendServer(state, accepted, now);
   return [];
 }
--- a/packages/entry-core/src/driver/FakeEngine.ts
+++ b/packages/entry-core/src/driver/FakeEngine.ts
@@ -54,6 +54,11 @@
   /** Refuses all new work with "busy". */
   busy = false;
 
+  /** True if its process is started again at once when it dies. */
+  restarts = false;
+
+  deaths = 0;
+
   /** True if a dead host does not even refuse connections. */
   unreachable = false;
 
@@ -85,7 +90,8 @@
   }
 
   die(): void {
-    this.alive = false;
+    this.deaths += 1;
+    this.alive = this.restarts;
     const lost = [...this.streams.values()];
     this.streams.clear();
     lost.filter(({ silent }) => !silent).forEach(({ listener }) => listener.lost());
--- a/packages/entry-core/src/driver/batches.ts
+++ b/packages/entry-core/src/driver/batches.ts
@@ -17,6 +17,8 @@
   readonly suspectsApart: boolean;
   /** True if a dead host does not even refuse connections. */
   readonly unreachable: boolean;
+  /** True if a dead engine is started again at once, so that its probe is answered. */
+  readonly restarts: boolean;
 }
 
 export const standardBatch: PoisonBatch = {
@@ -25,6 +27,7 @@
   crashAt: 40,
   suspectsApart: true,
   unreachable: false,
+  restarts: false,
 };
 
 /** Runs a batch of innocent requests and a bad one until all have their final answers. */
@@ -34,6 +37,7 @@
   const world = new World({ engines: { 'wien-a': batch.engines }, poison });
   world.engines.forEach((engine) => {
     engine.unreachable = batch.unreachable;
+    engine.restarts = batch.restarts;
   });
   const { suspectsApart } = batch;
   world.entry.state.retries.policy = { ...fullRecoveryPolicy, suspectsApart };
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -10,7 +10,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import { advanceRetries } from '../attempts/advanceRetries.js';
+import { hastenWaiting } from '../attempts/advanceRetries.js';
 import { failAttempt } from '../attempts/failAttempt.js';
 import { reportSoon } from '../membership/reportToEntries.js';
 import { isMassLoss } from './isMassLoss.js';
@@ -21,7 +21,6 @@
   announceSpan,
   clearExplained,
   crashesOf,
-  isParoled,
   peerHasSuspectAt,
   priorSuspects,
   SUSPICION_MILLISECONDS,
@@ -92,12 +91,17 @@
   });
 }
 
-function reportCrash(loss: Loss, crashId: string, digests: readonly string[]): EntryEffect {
-  const { instance } = loss;
-  return {
-    type: 'proposeCommand',
-    command: { type: 'reportCrash', backendServer: instance, crashId, digests },
-  };
+/**
+ * Reports the named request with each of its crashes, and nobody else. The store quarantines any digest
+ * at its second crash; were all members of every crash reported, an innocent one that is in two by
+ * chance would be quarantined everywhere.
+ */
+function reportCulprit(digest: string, crashIds: ReadonlySet<string>): EntryEffect[] {
+  return [...crashIds].map((crashId) => {
+    const backendServer = crashId.slice(0, crashId.lastIndexOf('/'));
+    const command = { type: 'reportCrash', backendServer, crashId, digests: [digest] } as const;
+    return { type: 'proposeCommand', command };
+  });
 }
 
 /** Draws what follows for the requests that were in progress at a crash. */
@@ -108,11 +112,8 @@
   // A peer's suspect ran there: the crash is that one's, as the peer will find.
   if (culprit === undefined && peerHasSuspectAt(state, loss.instance)) return [];
   if (culprit === undefined) {
-    const digests = [...loss.members.keys()];
-    // The store quarantines at two crashes; one on parole may be in a second by chance.
-    const reported = digests.filter((digest) => !isParoled(state, digest));
-    suspectAll(state, loss, digests, crashId, timed.now);
-    return reported.length === 0 ? [] : [reportCrash(loss, crashId, reported)];
+    suspectAll(state, loss, [...loss.members.keys()], crashId, timed.now);
+    return [];
   }
   if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
     suspectAll(state, loss, prior, crashId, timed.now);
@@ -120,7 +121,7 @@
   }
   const crashIds = crashesOf(state, culprit).add(crashId);
   clearExplained(state, crashIds);
-  return [reportCrash(loss, crashId, [culprit]), ...quarantineDigest(state, culprit, timed)];
+  return [...reportCulprit(culprit, crashIds), ...quarantineDigest(state, culprit, timed)];
 }
 
 function markDown(state: EntryState, loss: Loss, crashId: string, now: MonotonicMilliseconds) {
@@ -191,7 +192,7 @@
   const { incarnation } = result;
   if (incarnation !== undefined) state.quarantine.incarnations.set(instance, incarnation);
   if (loss === undefined && result.answered) state.quarantine.down.delete(instance);
-  return loss === undefined ? effects : [...effects, ...advanceRetries(state, timed.now)];
+  return loss === undefined ? effects : [...effects, ...hastenWaiting(state, timed.now)];
 }
 
 /** Judges losses whose probe is overdue, and probes again what is down. */
--- a/packages/entry-core/src/quarantine/poison.test.ts
+++ b/packages/entry-core/src/quarantine/poison.test.ts
@@ -31,6 +31,18 @@
   }
 }
 
+// The same story, but the crashed engine is back before the probe, which is answered. All its connections
+// were reset together, so it is taken for restarted, and the second crash names the bad request.
+for (const crashAt of [0, 40]) {
+  test(`a bad request crashes engines at token ${crashAt} that restart at once`, () => {
+    const world = runPoisonBatch({ crashAt, restarts: true });
+    const deaths = [...world.engines.values()].reduce((sum, engine) => sum + engine.deaths, 0);
+    assert.deepEqual(world.violations(), []);
+    assert.equal(deaths, 2);
+    assert.deepEqual(refusedInnocents(world), []);
+  });
+}
+
 // Shows that the checks above can fail: when suspects are run together, the second crash has many
 // of them, none can be named, and more engines are lost.
 test('without keeping suspects apart, a third engine is lost', () => {
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -124,7 +124,7 @@
   });
 }
 
-export function isParoled(state: EntryState, digest: string): boolean {
+function isParoled(state: EntryState, digest: string): boolean {
   return state.quarantine.suspects.get(digest)?.paroled === true;
 }
 
--- a/packages/entry-core/src/reclaims/noticeReclaim.ts
+++ b/packages/entry-core/src/reclaims/noticeReclaim.ts
@@ -59,13 +59,20 @@
   ]);
 }
 
+/** A backend server that is still there, and listed as live, takes work again: it was not reclaimed. */
+function forgetNotice(state: EntryState, instance: string): void {
+  state.reclaims.leaving.delete(instance);
+  const server = state.backendServers.get(instance);
+  if (server?.listed.state === 'live') server.goneAt = server.listed.goneAt;
+}
+
 /** Hands on what still runs on backend servers on notice, as time and the link allow. */
 export function advanceReclaims(state: EntryState, timed: Timed): EntryEffect[] {
   return [...state.reclaims.leaving].flatMap(([instance, goneAt]) => {
     if (goneAt + FORGOTTEN_MILLISECONDS > timed.wallNow) {
       return handOnStreams(state, instance, timed);
     }
-    state.reclaims.leaving.delete(instance);
+    forgetNotice(state, instance);
     return [];
   });
 }
