Bound crashes by requests that are sent again while they are being judged

Now suspicions are shared while the probe is out, with how far the request had come, and a request whose connection is reset twice by servers that answer counts as a crash.

--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -18,6 +18,8 @@
   readonly heldUntil?: MonotonicMilliseconds;
   /** True once it has run past the point of its crash elsewhere; see `advanceSuspects`. */
   paroled?: boolean;
+  /** True if its connection was reset once before, at a backend server that answered its probe. */
+  resetBefore?: boolean;
 }
 
 /** The loss of a connection to a backend server, until a probe tells what was lost. */
@@ -26,8 +28,8 @@
   readonly openedAt: MonotonicMilliseconds;
   /** Digests in progress there when the loss was seen. */
   readonly members: Map<string, { readonly exposure: Milliseconds; readonly tokens: number }>;
-  /** How many of them have had their own connection reset. */
-  resets: number;
+  /** Those of them whose own connection was reset. */
+  readonly reset: Set<string>;
 }
 
 /** A backend server that did not answer its probe. */
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -56,14 +56,29 @@
 /**
  * A backend server that answers can still have crashed and been restarted within the probe. Its
  * incarnation tells; without one, it is taken for restarted if every connection was reset at once,
- * or if one that was reset carried a suspect of an earlier crash.
+ * or if one that was reset carried a suspect of an earlier crash, or was reset once before. A bad
+ * request that is alone on engines that restart at once costs one more of them for that.
  */
 function hasRestarted(state: EntryState, loss: Loss, { incarnation }: ProbeResult): boolean {
   const before = state.quarantine.incarnations.get(loss.instance);
   if (before !== undefined && incarnation !== undefined) return before !== incarnation;
-  if (loss.resets === 0) return false;
-  const allReset = loss.members.size > 1 && loss.resets >= loss.members.size;
-  return allReset || priorSuspects(state, loss).length > 0;
+  if (loss.reset.size === 0) return false;
+  const allReset = loss.members.size > 1 && loss.reset.size >= loss.members.size;
+  const again = [...loss.reset].some(
+    (digest) => state.quarantine.suspects.get(digest)?.resetBefore === true,
+  );
+  return allReset || again || priorSuspects(state, loss).length > 0;
+}
+
+/** Remembers whose connection was reset although the backend server answers. */
+function rememberReset(state: EntryState, loss: Loss): void {
+  loss.reset.forEach((digest) => {
+    const suspect = state.quarantine.suspects.get(digest);
+    if (suspect === undefined) return;
+    suspect.lossOf = undefined;
+    suspect.paroled = true;
+    suspect.resetBefore = true;
+  });
 }
 
 function clearProvisional(state: EntryState, instance: string): void {
@@ -164,6 +179,7 @@
   reportSoon(state);
   const restarted = result.answered && hasRestarted(state, loss, result);
   if (result.answered && !restarted) {
+    rememberReset(state, loss);
     clearProvisional(state, instance);
     return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance } }];
   }
--- a/packages/entry-core/src/quarantine/noteLoss.ts
+++ b/packages/entry-core/src/quarantine/noteLoss.ts
@@ -9,6 +9,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { AttemptFailure } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { reportSoon } from '../membership/reportToEntries.js';
 import { probeOf } from './probeOf.js';
 import { SUSPICION_MILLISECONDS } from './suspects.js';
 import type { Loss } from './QuarantineState.js';
@@ -32,7 +33,7 @@
     instance,
     openedAt: event.now,
     members: membersAt(state, instance, event),
-    resets: 0,
+    reset: new Set<string>(),
   };
   state.quarantine.losses.set(instance, loss);
   return loss;
@@ -73,8 +74,10 @@
   if (state.reclaims.leaving.has(instance) || state.quarantine.down.has(instance)) return [];
   const known = state.quarantine.losses.get(instance);
   const loss = known ?? openLoss(state, instance, event);
-  if (event.failure === 'connectionLost') loss.resets += 1;
+  if (event.failure === 'connectionLost') loss.reset.add(accepted.request.digest);
   // A request of which nothing was sent cannot have caused anything.
   if (event.failure !== 'connectFailed') suspect(state, accepted.request, loss, event.now);
+  // A resend through another entry must not run while the probe is out.
+  reportSoon(state);
   return known === undefined ? probeOf(state, instance) : [];
 }
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -52,12 +52,13 @@
 function adoptSuspect(state: EntryState, digest: string, now: MonotonicMilliseconds): Suspect {
   const known = state.quarantine.suspects.get(digest);
   if (known !== undefined) return known;
+  const told = peerSuspects(state).filter((suspect) => suspect.digest === digest);
   const adopted = {
     digest,
     crashIds: crashesOf(state, digest),
     lossOf: undefined,
-    exposure: 0,
-    tokens: 0,
+    exposure: Math.max(...told.map(({ exposure = 0 }) => exposure)),
+    tokens: Math.max(...told.map(({ tokens = 0 }) => tokens)),
     until: now + SUSPICION_MILLISECONDS,
     heldUntil: now + announceSpan(state),
   };
@@ -76,6 +77,14 @@
   );
 }
 
+/** True if a live peer lost this request and does not know yet whether it was a crash. */
+function isProbedByPeer(state: EntryState, digest: string): boolean {
+  return [...state.membership.peers.values()].some(
+    ({ live, report }) =>
+      live && report.suspects.some((suspect) => suspect.digest === digest && suspect.crashes === 0),
+  );
+}
+
 /**
  * True if a suspect must not run anywhere now: the probe that tells whether its backend server
  * crashed is still out, or it runs already, here or at a peer. A bad request would otherwise take down
@@ -87,6 +96,7 @@
   const { lossOf, heldUntil = 0 } = adoptSuspect(state, digest, now);
   if (lossOf !== undefined && state.quarantine.losses.has(lossOf)) return true;
   if (heldUntil > now || isPendingAtEarlierPeer(state, digest)) return true;
+  if (isProbedByPeer(state, digest)) return true;
   const runsHere = [...state.attempts.values()].some(
     ({ requestId, givenUp }) =>
       !givenUp && state.requests.get(requestId)?.request.digest === digest,
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -25,7 +25,7 @@
 /** Fewest milliseconds that a move is waited for. */
 const LEAST_WAIT_MILLISECONDS = 250;
 
-type CacheMoved = Extract<EntryEvent, { type: 'cacheMoved' }>;
+export type CacheMoved = Extract<EntryEvent, { type: 'cacheMoved' }>;
 
 function countMove(outcome: CacheMoveOutcome): EntryEffect {
   return { type: 'count', metric: 'cacheMoves', label: outcome };
--- /dev/null
+++ b/packages/entry-core/src/reclaims/receiveCacheMoved.ts
@@ -0,0 +1,14 @@
+/**
+ * The link of a backend server on notice is free again: its next stream follows at once, for what
+ * does not fit before the end has to be computed again elsewhere.
+ */
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { handOnStreams } from './handOnStreams.js';
+import { finishMove, type CacheMoved } from './moveCache.js';
+
+export function receiveCacheMoved(state: EntryState, event: CacheMoved): EntryEffect[] {
+  const from = state.reclaims.moves.get(event.requestId)?.from;
+  const finished = finishMove(state, event);
+  return from === undefined ? finished : [...finished, ...handOnStreams(state, from, event)];
+}
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -12,8 +12,8 @@
 import { receiveReport } from './membership/receiveReport.js';
 import { takeProbeAnswer } from './quarantine/judgeLoss.js';
 import { receiveQuarantine } from './quarantine/quarantineDigest.js';
-import { finishMove } from './reclaims/moveCache.js';
 import { noticeListed, noticeReclaim } from './reclaims/noticeReclaim.js';
+import { receiveCacheMoved } from './reclaims/receiveCacheMoved.js';
 import { callerGone } from './requests/callerGone.js';
 import { startShutdown } from './shutdown/advanceShutdown.js';
 
@@ -53,7 +53,7 @@
     case 'attemptFailed':
       return reduceAttempts(state, event);
     case 'cacheMoved':
-      return finishMove(state, event);
+      return receiveCacheMoved(state, event);
     case 'probeAnswered':
       return takeProbeAnswer(state, event.instance, event, event);
     case 'quarantineReceived':
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -2,7 +2,7 @@
  * What entries tell each other. Each entry sends its whole own state, numbered, on every
  * heartbeat; the newest number wins, so loss, repeats and reordering are harmless.
  */
-import type { EpochMilliseconds } from '../units.js';
+import type { EpochMilliseconds, Milliseconds } from '../units.js';
 
 /** A request that was in progress at crashes of backend servers, as one entry saw it. */
 export interface PeerSuspect {
@@ -14,6 +14,9 @@
   readonly runningAt?: string;
   /** True if a request of this digest is in progress at the reporting entry. */
   readonly pending?: boolean;
+  /** How long it ran before the crash, and how many tokens it had given: its probation's measure. */
+  readonly exposure?: Milliseconds;
+  readonly tokens?: number;
   /** Set if the digest is quarantined; entries honour it also where no store can be reached. */
   readonly quarantinedUntil?: EpochMilliseconds;
 }
