Share which suspects are still being judged

An entry whose name sorts earlier ran a resend while a peer's second crash of the same request was being probed.

--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -44,15 +44,18 @@
 
 function listSuspects(state: EntryState): PeerSuspect[] {
   const suspects = [...state.quarantine.suspects.values()];
-  return suspects.filter(isUnderSuspicion).map(({ digest, crashIds, exposure, tokens }) => ({
-    digest,
-    crashes: crashIds.size,
-    crashIds: [...crashIds],
-    exposure,
-    tokens,
-    runningAt: runningAt(state, digest),
-    pending: [...state.requests.values()].some(({ request }) => request.digest === digest),
-  }));
+  return suspects
+    .filter(isUnderSuspicion)
+    .map(({ digest, crashIds, exposure, tokens, lossOf }) => ({
+      digest,
+      crashes: crashIds.size,
+      crashIds: [...crashIds],
+      judging: lossOf !== undefined,
+      exposure,
+      tokens,
+      runningAt: runningAt(state, digest),
+      pending: [...state.requests.values()].some(({ request }) => request.digest === digest),
+    }));
 }
 
 function makeReport(state: EntryState): EntryReport {
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -81,7 +81,8 @@
 function isProbedByPeer(state: EntryState, digest: string): boolean {
   return [...state.membership.peers.values()].some(
     ({ live, report }) =>
-      live && report.suspects.some((suspect) => suspect.digest === digest && suspect.crashes === 0),
+      live &&
+      report.suspects.some((suspect) => suspect.digest === digest && suspect.judging === true),
   );
 }
 
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -14,6 +14,8 @@
   readonly runningAt?: string;
   /** True if a request of this digest is in progress at the reporting entry. */
   readonly pending?: boolean;
+  /** True while it is not known yet whether its last loss was a crash. */
+  readonly judging?: boolean;
   /** How long it ran before the crash, and how many tokens it had given: its probation's measure. */
   readonly exposure?: Milliseconds;
   readonly tokens?: number;
