--- a/packages/entry-core/src/attempts/RetryState.ts
+++ b/packages/entry-core/src/attempts/RetryState.ts
@@ -1,17 +1,17 @@
 /** What an entry keeps to bound its retries. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import type { MonotonicMilliseconds, RetryReason } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 
 /** Retries that one route, or one backend server, may still cause. */
 export interface RetryBudget {
   tokens: number;
 }
 
-/** A request between two attempts. */
+/** A request between two attempts: it backs off, or waits for a backend server that it may go to. */
 export interface WaitingRetry {
   readonly requestId: string;
-  readonly reason: RetryReason;
+  readonly waitsFor: 'backOff' | 'backendServer';
   readonly dueAt: MonotonicMilliseconds;
 }
 
@@ -19,6 +19,8 @@
 export interface RecoveryPolicy {
   /** Retries are bounded by the budgets. */
   readonly budgets: boolean;
+  /** Streams on notice are handed on before their backend server is gone. */
+  readonly handOn: boolean;
   /** Streams on notice may be moved with their cache. */
   readonly moves: boolean;
   /** Streams go on from their offset instead of from the start. */
@@ -29,6 +31,7 @@
 
 export const fullRecoveryPolicy: RecoveryPolicy = {
   budgets: true,
+  handOn: true,
   moves: true,
   resume: true,
   suspectsApart: true,
--- a/packages/entry-core/src/driver/FakeEngine.ts
+++ b/packages/entry-core/src/driver/FakeEngine.ts
@@ -54,12 +54,18 @@
   /** Refuses all new work with "busy". */
   busy = false;
 
+  /** True if its process is started again at once when it dies. */
+  restarts = false;
+
+  deaths = 0;
+
   /** True if a dead host does not even refuse connections. */
   unreachable = false;
 
   readonly streams = new Map<string, EngineStream>();
 
-  readonly received = new Set<string>();
+  /** How often each request was received, by request id. */
+  readonly received = new Map<string, number>();
 
   decodedTokens = 0;
 
@@ -78,12 +84,14 @@
     const prefill = Math.max(0, context - cachedTokens);
     this.prefilledTokens += prefill;
     stream.prefillLeft = prefill / this.rates.prefillTokensPerMillisecond;
-    this.received.add(stream.request.requestId);
+    const { requestId } = stream.request;
+    this.received.set(requestId, (this.received.get(requestId) ?? 0) + 1);
     this.streams.set(stream.attemptId, stream);
   }
 
   die(): void {
-    this.alive = false;
+    this.deaths += 1;
+    this.alive = this.restarts;
     const lost = [...this.streams.values()];
     this.streams.clear();
     lost.filter(({ silent }) => !silent).forEach(({ listener }) => listener.lost());
--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -14,6 +14,12 @@
   tokens: number;
   /** Forgotten after this. */
   until: MonotonicMilliseconds;
+  /** Not run before this, so that peers can learn first that it is pending here. */
+  readonly heldUntil?: MonotonicMilliseconds;
+  /** True once it has run past the point of its crash elsewhere; see `advanceSuspects`. */
+  paroled?: boolean;
+  /** True if its connection was reset once before, at a backend server that answered its probe. */
+  resetBefore?: boolean;
 }
 
 /** The loss of a connection to a backend server, until a probe tells what was lost. */
@@ -22,8 +28,8 @@
   readonly openedAt: MonotonicMilliseconds;
   /** Digests in progress there when the loss was seen. */
   readonly members: Map<string, { readonly exposure: Milliseconds; readonly tokens: number }>;
-  /** How many of them have had their own connection reset. */
-  resets: number;
+  /** Those of them whose own connection was reset. */
+  readonly reset: Set<string>;
 }
 
 /** A backend server that did not answer its probe. */
@@ -50,6 +56,8 @@
   readonly losses: Map<string, Loss>;
   /** Backend servers that did not answer a probe, by instance. */
   readonly down: Map<string, DownServer>;
+  /** Digests that were in a mass loss, until when that is remembered. */
+  readonly massLost: Map<string, MonotonicMilliseconds>;
   /** What backend servers last called themselves, where their probe tells. */
   readonly incarnations: Map<string, string>;
 }
@@ -60,6 +68,7 @@
     suspects: new Map(),
     losses: new Map(),
     down: new Map(),
+    massLost: new Map(),
     incarnations: new Map(),
   };
 }
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -10,15 +10,21 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import { advanceRetries } from '../attempts/advanceRetries.js';
+import { hastenWaiting } from '../attempts/advanceRetries.js';
 import { failAttempt } from '../attempts/failAttempt.js';
 import { reportSoon } from '../membership/reportToEntries.js';
 import { isMassLoss } from './isMassLoss.js';
 import { probeOf } from './probeOf.js';
 import { quarantineDigest } from './quarantineDigest.js';
 import type { Loss } from './QuarantineState.js';
-import { SUSPICION_MILLISECONDS } from './noteLoss.js';
-import { clearExplained, crashesOf } from './suspects.js';
+import {
+  announceSpan,
+  clearExplained,
+  crashesOf,
+  peerHasSuspectAt,
+  priorSuspects,
+  SUSPICION_MILLISECONDS,
+} from './suspects.js';
 
 /** How long a probe may go unanswered before its backend server is taken for dead. */
 export const PROBE_TIMEOUT_MILLISECONDS = 1000;
@@ -50,26 +56,29 @@
 /**
  * A backend server that answers can still have crashed and been restarted within the probe. Its
  * incarnation tells; without one, it is taken for restarted if every connection was reset at once,
- * or if one that was reset carried a suspect of an earlier crash.
+ * or if one that was reset carried a suspect of an earlier crash, or was reset once before. A bad
+ * request that is alone on engines that restart at once costs one more of them for that.
  */
 function hasRestarted(state: EntryState, loss: Loss, { incarnation }: ProbeResult): boolean {
   const before = state.quarantine.incarnations.get(loss.instance);
   if (before !== undefined && incarnation !== undefined) return before !== incarnation;
-  if (loss.resets === 0) return false;
-  const allReset = loss.members.size > 1 && loss.resets >= loss.members.size;
-  return allReset || priorSuspects(state, loss).length > 0;
-}
-
-/** Members of the loss that were in progress at an earlier crash. */
-function priorSuspects(state: EntryState, loss: Loss): string[] {
-  return [...loss.members.keys()].filter((digest) => crashesOf(state, digest).size > 0);
+  if (loss.reset.size === 0) return false;
+  const allReset = loss.members.size > 1 && loss.reset.size >= loss.members.size;
+  const again = [...loss.reset].some(
+    (digest) => state.quarantine.suspects.get(digest)?.resetBefore === true,
+  );
+  return allReset || again || priorSuspects(state, loss).length > 0;
 }
 
-/** True if a peer runs a suspect there: this entry alone cannot then name one. */
-function peerHasSuspectAt(state: EntryState, instance: string): boolean {
-  return [...state.membership.peers.values()].some(({ report }) =>
-    report.suspects.some(({ runningAt }) => runningAt === instance),
-  );
+/** Remembers whose connection was reset although the backend server answers. */
+function rememberReset(state: EntryState, loss: Loss): void {
+  loss.reset.forEach((digest) => {
+    const suspect = state.quarantine.suspects.get(digest);
+    if (suspect === undefined) return;
+    suspect.lossOf = undefined;
+    suspect.paroled = true;
+    suspect.resetBefore = true;
+  });
 }
 
 function clearProvisional(state: EntryState, instance: string): void {
@@ -80,22 +89,34 @@
   });
 }
 
-function suspectAll(state: EntryState, loss: Loss, digests: string[], crashId: string): void {
+function suspectAll(
+  state: EntryState,
+  loss: Loss,
+  digests: string[],
+  crashId: string,
+  now: MonotonicMilliseconds,
+): void {
   const until = loss.openedAt + SUSPICION_MILLISECONDS;
+  const heldUntil = now + announceSpan(state);
   digests.forEach((digest) => {
     const crashIds = crashesOf(state, digest).add(crashId);
     const { exposure = 0, tokens = 0 } = loss.members.get(digest) ?? {};
-    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until };
+    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until, heldUntil };
     state.quarantine.suspects.set(digest, suspect);
   });
 }
 
-function reportCrash(loss: Loss, crashId: string, digests: readonly string[]): EntryEffect {
-  const { instance } = loss;
-  return {
-    type: 'proposeCommand',
-    command: { type: 'reportCrash', backendServer: instance, crashId, digests },
-  };
+/**
+ * Reports the named request with each of its crashes, and nobody else. The store quarantines any digest
+ * at its second crash; were all members of every crash reported, an innocent one that is in two by
+ * chance would be quarantined everywhere.
+ */
+function reportCulprit(digest: string, crashIds: ReadonlySet<string>): EntryEffect[] {
+  return [...crashIds].map((crashId) => {
+    const backendServer = crashId.slice(0, crashId.lastIndexOf('/'));
+    const command = { type: 'reportCrash', backendServer, crashId, digests: [digest] } as const;
+    return { type: 'proposeCommand', command };
+  });
 }
 
 /** Draws what follows for the requests that were in progress at a crash. */
@@ -106,17 +127,16 @@
   // A peer's suspect ran there: the crash is that one's, as the peer will find.
   if (culprit === undefined && peerHasSuspectAt(state, loss.instance)) return [];
   if (culprit === undefined) {
-    const digests = [...loss.members.keys()];
-    suspectAll(state, loss, digests, crashId);
-    return digests.length === 0 ? [] : [reportCrash(loss, crashId, digests)];
+    suspectAll(state, loss, [...loss.members.keys()], crashId, timed.now);
+    return [];
   }
   if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
-    suspectAll(state, loss, prior, crashId);
+    suspectAll(state, loss, prior, crashId, timed.now);
     return [];
   }
   const crashIds = crashesOf(state, culprit).add(crashId);
   clearExplained(state, crashIds);
-  return [reportCrash(loss, crashId, [culprit]), ...quarantineDigest(state, culprit, timed)];
+  return [...reportCulprit(culprit, crashIds), ...quarantineDigest(state, culprit, timed)];
 }
 
 function markDown(state: EntryState, loss: Loss, crashId: string, now: MonotonicMilliseconds) {
@@ -159,6 +179,7 @@
   reportSoon(state);
   const restarted = result.answered && hasRestarted(state, loss, result);
   if (result.answered && !restarted) {
+    rememberReset(state, loss);
     clearProvisional(state, instance);
     return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance } }];
   }
@@ -187,7 +208,7 @@
   const { incarnation } = result;
   if (incarnation !== undefined) state.quarantine.incarnations.set(instance, incarnation);
   if (loss === undefined && result.answered) state.quarantine.down.delete(instance);
-  return loss === undefined ? effects : [...effects, ...advanceRetries(state, timed.now)];
+  return loss === undefined ? effects : [...effects, ...hastenWaiting(state, timed.now)];
 }
 
 /** Judges losses whose probe is overdue, and probes again what is down. */
--- a/packages/entry-core/src/reclaims/reclaims.test.ts
+++ b/packages/entry-core/src/reclaims/reclaims.test.ts
@@ -49,6 +49,19 @@
   assert.equal(Math.max(...sizes) - Math.min(...sizes) <= 3, true, `${sizes}`);
 });
 
+// Three engines get notice at the same moment, each with one stream, and three empty ones stay. No
+// move has begun when the next target is chosen, so only the reservations tell the targets apart.
+test('moves that start together go to different targets', () => {
+  const world = new World({ engines: lunchRush });
+  rush(world, 3, 10);
+  world.advance(1500);
+  world.reclaimListed(wienA, 1500);
+  const targets = [...world.entry.state.reclaims.moves.values()].map(({ to }) => to);
+  assert.equal(new Set(targets).size, 3, `moves to ${targets}`);
+  world.settle();
+  assertAllWhole(world);
+});
+
 // The caller sees its whole answer. Its engine gets notice and its cache is on the way; then the
 // target dies, the move comes to nothing, and the stream is resumed by its offset at a third engine
 // while its first one still runs.
@@ -116,11 +129,11 @@
 // the leaving engine nothing more, because its peer's report told of it.
 test('a notice at one entry reaches the others', () => {
   const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1 }, entries: 2 });
-  world.entryAt(1).arrive(makeRequest('before'));
+  world.entryAt(0).arrive(makeRequest('before'));
   world.advance(500);
-  world.reclaim(['wien-a-engine-1'], 20_000, world.entryAt(0));
+  world.reclaim(['wien-a-engine-1'], 20_000, world.entryAt(1));
   world.advance(2000);
-  world.entryAt(1).arrive(makeRequest('after'));
+  world.entryAt(0).arrive(makeRequest('after'));
   world.advance(100);
   assert.equal(world.engine('wien-a-engine-1').received.has('before'), true);
   assert.equal(world.engine('wien-a-engine-1').received.has('after'), false);
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -3,7 +3,7 @@
  * heartbeat; the newest number wins, so loss, repeats and reordering are harmless.
  */
 import type { Configuration } from '../tables/Configuration.js';
-import type { EpochMilliseconds } from '../units.js';
+import type { EpochMilliseconds, Milliseconds } from '../units.js';
 
 /** A request that was in progress at crashes of backend servers, as one entry saw it. */
 export interface PeerSuspect {
@@ -13,6 +13,15 @@
   readonly crashIds?: readonly string[];
   /** Backend server on which it runs again now, so that no other suspect is put there. */
   readonly runningAt?: string;
+  /** True if a request of this digest is in progress at the reporting entry. */
+  readonly pending?: boolean;
+  /** True while it is not known yet whether its last loss was a crash. */
+  readonly judging?: boolean;
+  /** How long it ran before the crash, and how many tokens it had given: its probation's measure. */
+  readonly exposure?: Milliseconds;
+  readonly tokens?: number;
+  /** Set if the digest is quarantined; entries honour it also where no store can be reached. */
+  readonly quarantinedUntil?: EpochMilliseconds;
 }
 
 /** One entry's word on itself and on what it has seen first. */
