Judge crashes by digest, so that a report does not stall the store

Change: crashes are looked up by digest, named digests are sets; 256 crashes of 256 digests at most.

--- a/packages/store-core/src/machine/constants.ts
+++ b/packages/store-core/src/machine/constants.ts
@@ -56,11 +56,17 @@
 /** Crashes at which a digest is named even if another shared each of them. */
 export const INSEPARABLE_CRASHES = 3;
 
-/** Crashes kept at most; a wave of reclaims is not reported as crashes. */
-export const MOST_CRASHES = 1000;
+/**
+ * Crashes kept at most, since each report judges all of them again; announced reclaims are not
+ * reported as crashes.
+ */
+export const MOST_CRASHES = 256;
 
-/** Digests kept for one crash: above the requests that one backend server runs at a time. */
-export const MOST_DIGESTS_PER_CRASH = 1024;
+/**
+ * Digests kept for one crash: several times the requests that one backend server runs at a time.
+ * With `MOST_CRASHES` it bounds the time that one report takes to judge.
+ */
+export const MOST_DIGESTS_PER_CRASH = 256;
 
 /** Changes from which deltas are made; a subscriber further behind gets the whole configuration. */
 export const MOST_CHANGES_IN_DELTA = 256;
--- a/packages/store-core/src/machine/quarantine.ts
+++ b/packages/store-core/src/machine/quarantine.ts
@@ -26,51 +26,65 @@
 /** A crash while it is judged: once a digest is named for it, its neighbours are cleared of it. */
 interface JudgedCrash {
   readonly crash: CrashRecord;
-  named: readonly string[];
+  readonly named: Set<string>;
 }
 
-/** Earlier crashes within the window that the digest has not been cleared of. */
-function crashesAgainst(
-  digest: string,
-  earlier: readonly JudgedCrash[],
-  at: EpochMilliseconds,
-): JudgedCrash[] {
-  return earlier.filter(
-    ({ crash, named }) =>
-      crash.at + CRASH_WINDOW > at &&
-      crash.digests.includes(digest) &&
-      (named.length === 0 || named.includes(digest)),
-  );
+/** What was judged so far, by each digest that was in progress. */
+type CrashesByDigest = Map<string, JudgedCrash[]>;
+
+interface Candidate {
+  readonly digest: string;
+  /** Earlier crashes within the window that the digest has not been cleared of. */
+  readonly against: readonly JudgedCrash[];
+}
+
+function findCandidates(crash: CrashRecord, earlier: CrashesByDigest): Candidate[] {
+  return crash.digests
+    .map((digest) => ({
+      digest,
+      against: (earlier.get(digest) ?? []).filter(
+        ({ crash: { at }, named }) =>
+          at + CRASH_WINDOW > crash.at && (named.size === 0 || named.has(digest)),
+      ),
+    }))
+    .filter(({ against }) => against.length > 0);
 }
 
-function nameDigests(crash: CrashRecord, earlier: readonly JudgedCrash[]): readonly string[] {
-  const counted = crash.digests.map((digest) => ({
-    digest,
-    against: crashesAgainst(digest, earlier, crash.at),
-  }));
-  const suspects = counted.filter(({ against }) => against.length > 0);
-  const known = suspects.filter(({ digest, against }) =>
-    against.some(({ named }) => named.includes(digest)),
+function nameDigests(candidates: readonly Candidate[]): string[] {
+  const known = candidates.filter(({ digest, against }) =>
+    against.some(({ named }) => named.has(digest)),
   );
-  const repeated = suspects.filter(({ against }) => against.length + 1 >= INSEPARABLE_CRASHES);
   if (known.length > 0) return known.map(({ digest }) => digest);
-  if (suspects.length === 1) return suspects.map(({ digest }) => digest);
+  if (candidates.length === 1) return candidates.map(({ digest }) => digest);
+  const repeated = candidates.filter(({ against }) => against.length + 1 >= INSEPARABLE_CRASHES);
   return repeated.map(({ digest }) => digest);
 }
 
+/** Clears the neighbours of the named digests in earlier crashes that nobody was named for. */
+function clearNeighbours(named: readonly string[], earlier: CrashesByDigest): void {
+  const crashesOf = (digest: string) => earlier.get(digest) ?? [];
+  const unnamed = new Set(named.flatMap(crashesOf).filter((judged) => judged.named.size === 0));
+  named.forEach((digest) => {
+    crashesOf(digest)
+      .filter((judged) => unnamed.has(judged))
+      .forEach((judged) => judged.named.add(digest));
+  });
+}
+
 /** Judges all crashes in the log's order. */
 function judge(crashes: Iterable<CrashRecord>): JudgedCrash[] {
-  const judged: JudgedCrash[] = [];
-  for (const crash of crashes) {
-    const named = nameDigests(crash, judged);
-    judged
-      .filter((earlier) => earlier.named.length === 0)
-      .forEach((earlier) => {
-        earlier.named = named.filter((digest) => earlier.crash.digests.includes(digest));
-      });
-    judged.push({ crash, named });
-  }
-  return judged;
+  const earlier: CrashesByDigest = new Map();
+  return [...crashes].map((crash) => {
+    const named = nameDigests(findCandidates(crash, earlier));
+    const judged = { crash, named: new Set(named) };
+    clearNeighbours(named, earlier);
+    crash.digests.forEach((digest) => {
+      const known = earlier.get(digest);
+      if (known === undefined) earlier.set(digest, [judged]);
+      else known.push(judged);
+    });
+    return judged;
+  });
 }
 
 /** The digests that are kept from backend servers at that time. */
