--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -8,9 +8,10 @@
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
 import { listInstances, refreshLimits } from './backendServers/listInstances.js';
-import { observeAttempt } from './backendServers/observeAttempt.js';
+import { observeAttempt, observeStarts } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import { findEndingClaim, followClaims } from './claims/followClaims.js';
+import { receiveDrains } from './backendServers/receiveDrains.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
@@ -30,7 +31,9 @@
   const ending = findEndingClaim(state, event);
   const effects = [...observed, ...reduceConcern(state, event)];
   effects.push(...reduceAdmission(state, event, concerned));
-  return [...effects, ...followClaims(state, event, ending, effects)];
+  effects.push(...followClaims(state, event, ending, effects));
+  observeStarts(state, effects, event.now);
+  return effects;
 }
 
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
@@ -55,6 +58,9 @@
     case 'loadReported':
       receiveLoadReport(state, event.report, event.now, event.wallNow);
       return [];
+    case 'drainsReceived':
+      receiveDrains(state, event.drains);
+      return [];
     case 'cacheEventsReceived':
       receiveCacheEvents(state, event.events, event.now);
       return [];
