Set the end timer of a lease again when it fires early

Cause: timers cut fractions of a millisecond off, an endDue a fraction early was passed over, and a controller whose store was away went on taking itself for the holder (its orders were barred by the clock all the same). Found by reading the shell.

--- a/packages/controller-core/src/lease/LeaseHolder.ts
+++ b/packages/controller-core/src/lease/LeaseHolder.ts
@@ -177,7 +177,10 @@
 }
 
 function onEndDue(holder: LeaseHolder, now: MonotonicMilliseconds): LeaseEffect[] {
-  if (!holder.active || now < holder.heldUntil) return [];
+  if (!holder.active) return [];
+  // Timers cut fractions of milliseconds off; one that fired too early has to be set again, or the
+  // end would never be told.
+  if (now < holder.heldUntil) return [{ type: 'startEndTimer', after: holder.heldUntil - now }];
   holder.active = false;
   return [{ type: 'leaseEnded', epoch: holder.epoch }];
 }
