--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -44,6 +44,8 @@
   readonly electionTimeout: Milliseconds;
   readonly heartbeatInterval: Milliseconds;
   readonly mostEntriesPerAppend: number;
+  /** Rough size of one append, well below the largest frame of the transport. */
+  readonly mostBytesPerAppend: number;
   /** Appends under way to one peer before its first answer. */
   readonly mostAppendsInFlight: number;
   /** Uncommitted entries above which proposals are refused. */
@@ -61,6 +63,7 @@
   electionTimeout: 1000,
   heartbeatInterval: 150,
   mostEntriesPerAppend: 256,
+  mostBytesPerAppend: 4 * 1024 * 1024,
   mostAppendsInFlight: 8,
   mostUncommittedEntries: 20_000,
   entriesPerSnapshot: 20_000,
--- a/packages/store-core/src/consensus/appends.ts
+++ b/packages/store-core/src/consensus/appends.ts
@@ -1,6 +1,7 @@
 /** The leader's appends to its peers: they run ahead of their answers, up to a bound. */
 import type { Member } from './consensusTypes.js';
 import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
+import { withinBytes } from './entryBytes.js';
 import { entriesFrom, lastIndexOf, termAt } from './memoryLog.js';
 import { otherMembers } from './membership.js';
 import { sendNow } from './persistence.js';
@@ -29,7 +30,8 @@
   most: number,
 ): number {
   const { state } = context;
-  const entries = most === 0 ? [] : entriesFrom(state, previousIndex + 1, most);
+  const { mostBytesPerAppend } = state.settings;
+  const entries = withinBytes(entriesFrom(state, previousIndex + 1, most), mostBytesPerAppend);
   const to = { instance: member.address.instance, identity: member.identity };
   sendNow(context, to, {
     type: 'appendRequest',
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -5,6 +5,7 @@
   addressOf,
   crash,
   currentLeader,
+  deliver,
   elapse,
   fireTimer,
   happen,
@@ -14,6 +15,7 @@
   read,
   restart,
   settle,
+  syncDisk,
   type ModelCluster,
 } from './testing/modelCluster.js';
 
@@ -153,3 +155,28 @@
   assert.equal(cluster.acknowledgedIndex, 0);
   assert.equal(cluster.violation, undefined);
 });
+
+test('A run of large entries is parted into appends below the bound', () => {
+  // Tables of a few megabytes each are changed while a voter is away. One append with all of them
+  // would exceed the largest frame and be dropped each time, so the voter would never catch up.
+  const settings = { mostBytesPerAppend: 5000 };
+  let cluster = crash(elected(makeCluster({ voters: TRIO, settings })), 'c');
+  const proposals = Array.from({ length: 6 }, (_, number) => ({
+    requestId: `large-${number}`,
+    command: new Uint8Array(2000),
+  }));
+  cluster = settle(happen(cluster, 'a', { type: 'propose', proposals }));
+  cluster = fireTimer(restart({ ...cluster, network: [] }, 'c'), 'a');
+  const sizes: number[] = [];
+  while (cluster.network.length > 0) {
+    const [message] = cluster.network;
+    assert.ok(message !== undefined);
+    const { message: body } = message.envelope;
+    if (body.type === 'appendRequest') sizes.push(body.entries.length);
+    cluster = deliver(cluster, message);
+    cluster = TRIO.reduce((next, instance) => syncDisk(next, instance, 9), cluster);
+  }
+  assert.equal(Math.max(...sizes), 2);
+  assert.equal(cluster.voters.c?.applied.length, 7);
+  assert.equal(cluster.violation, undefined);
+});
