--- a/packages/store-core/src/consensus/consensusSchedules.test.ts
+++ b/packages/store-core/src/consensus/consensusSchedules.test.ts
@@ -24,6 +24,7 @@
   committed: number;
   reads: number;
   leaders: number;
+  restores: number;
   live: number;
 }
 
@@ -31,6 +32,7 @@
   totals.runs += 1;
   totals.committed += cluster.committed.length;
   totals.reads += cluster.answeredReads;
+  totals.restores += cluster.restores;
   totals.leaders += Object.keys(cluster.leaders).length;
 }
 
@@ -40,7 +42,7 @@
   seed: number,
   numRuns: number,
 ): void {
-  const totals: Totals = { runs: 0, committed: 0, reads: 0, leaders: 0, live: 0 };
+  const totals: Totals = { runs: 0, committed: 0, reads: 0, leaders: 0, restores: 0, live: 0 };
   const property = fc.property(schedules, (picks) => {
     const schedule = runSchedule(makeCluster({ settings, ...options }), picks);
     assert.equal(schedule.cluster.violation, undefined);
--- a/packages/store-core/src/consensus/testing/modelCluster.ts
+++ b/packages/store-core/src/consensus/testing/modelCluster.ts
@@ -10,28 +10,22 @@
   type ConsensusState,
 } from '../ConsensusState.js';
 import type { ConsensusEffect, ConsensusEvent, PersistEffect } from '../consensusEvents.js';
-import type { Envelope, LogEntry, Member, SnapshotHeader } from '../consensusTypes.js';
+import type { Envelope, Member } from '../consensusTypes.js';
 import { entryAt } from '../memoryLog.js';
 import { votersOf } from '../membership.js';
 import { reduceConsensus } from '../reduceConsensus.js';
+import {
+  keepSnapshot,
+  newDisk,
+  writeBatch,
+  type ModelDisk,
+  type SavedSnapshot,
+} from './modelDisk.js';
 import { copyState, nameBatch, nameEntry, nameEnvelope, nameState } from './modelKeys.js';
 
 /** Faults of the shell that a test puts in to see the checks notice. */
 export type ShellMutation = 'acknowledgeBeforeSync' | 'voteForgotten' | 'lostDiskKeepsIdentity';
 
-interface SavedSnapshot {
-  readonly header: SnapshotHeader;
-  readonly data: Uint8Array;
-}
-
-export interface ModelDisk {
-  runs: number;
-  term: number;
-  votedFor?: string;
-  snapshot?: SavedSnapshot;
-  entries: LogEntry[];
-}
-
 type DiskJob =
   | { readonly type: 'batch'; readonly effect: PersistEffect }
   | { readonly type: 'snapshot'; readonly snapshot: SavedSnapshot };
@@ -67,6 +61,8 @@
   /** Reads under way, and the index that was acknowledged when they began. */
   readonly reads: Readonly<Record<string, number>>;
   readonly answeredReads: number;
+  /** Snapshots that voters have taken over from others. */
+  readonly restores: number;
   readonly requests: number;
   /** What each disk ever had synced at an index, by identity; it outlives the disk. */
   readonly everSynced: Readonly<Record<string, readonly string[]>>;
@@ -79,10 +75,6 @@
   return { instance, dataCentre: 'wien-a', host: '127.0.0.1', port: 1 };
 }
 
-function newDisk(): ModelDisk {
-  return { runs: 0, term: 0, entries: [] };
-}
-
 function copyVoter(voter: ModelVoter): ModelVoter {
   return {
     ...voter,
@@ -167,28 +159,6 @@
   cluster.everSynced = { ...cluster.everSynced, [voter.identity]: names };
 }
 
-function dropBelow(disk: ModelDisk, snapshot: SavedSnapshot): void {
-  const { index, term } = snapshot.header;
-  if (index <= (disk.snapshot?.header.index ?? 0)) return;
-  const joins = disk.entries.some((entry) => entry.index === index && entry.term === term);
-  disk.entries = joins ? disk.entries.filter((entry) => entry.index > index) : [];
-  disk.snapshot = snapshot;
-}
-
-function writeBatch(disk: ModelDisk, effect: PersistEffect): void {
-  const { vote, snapshot, truncateFrom, entries } = effect;
-  if (vote !== undefined) {
-    disk.term = vote.term;
-    disk.votedFor = vote.votedFor;
-  }
-  if (snapshot !== undefined) dropBelow(disk, snapshot);
-  if (truncateFrom !== undefined) {
-    disk.entries = disk.entries.filter((entry) => entry.index < truncateFrom);
-  }
-  const base = disk.snapshot?.header.index ?? 0;
-  disk.entries.push(...entries.filter((entry) => entry.index > base));
-}
-
 function carryOut(cluster: Changes, voter: ModelVoter, effect: ConsensusEffect): void {
   switch (effect.type) {
     case 'persist':
@@ -217,6 +187,7 @@
       break;
     }
     case 'restore': {
+      cluster.restores += 1;
       voter.applied = JSON.parse(Buffer.from(effect.data).toString()) as string[];
       if (voter.applied.length !== effect.header.index) violate(cluster, 'snapshot of other size');
       voter.applied.forEach((name, position) => noteCommitted(cluster, position + 1, name));
@@ -335,7 +306,7 @@
   const [next, voter] = changed(cluster, instance);
   voter.jobs.splice(0, count).forEach((job) => {
     if (job.type === 'batch') writeBatch(voter.disk, job.effect);
-    else dropBelow(voter.disk, job.snapshot);
+    else keepSnapshot(voter.disk, job.snapshot);
     noteSynced(next, voter);
     if (job.type === 'snapshot')
       handle(next, voter, { type: 'compacted', header: job.snapshot.header });
@@ -447,6 +418,7 @@
     acknowledgedIndex: 0,
     reads: {},
     answeredReads: 0,
+    restores: 0,
     requests: 0,
     everSynced: {},
   };
--- /dev/null
+++ b/packages/store-core/src/consensus/testing/modelDisk.ts
@@ -0,0 +1,43 @@
+/** What a disk holds, as the model and the tests of the real log see it. */
+import type { PersistEffect } from '../consensusEvents.js';
+import type { LogEntry, SnapshotHeader } from '../consensusTypes.js';
+
+export interface SavedSnapshot {
+  readonly header: SnapshotHeader;
+  readonly data: Uint8Array;
+}
+
+export interface ModelDisk {
+  runs: number;
+  term: number;
+  votedFor?: string;
+  snapshot?: SavedSnapshot;
+  entries: LogEntry[];
+}
+
+export function newDisk(): ModelDisk {
+  return { runs: 0, term: 0, entries: [] };
+}
+
+/** Keeps a snapshot, and of the log what follows it. */
+export function keepSnapshot(disk: ModelDisk, snapshot: SavedSnapshot): void {
+  const { index, term } = snapshot.header;
+  if (index <= (disk.snapshot?.header.index ?? 0)) return;
+  const joins = disk.entries.some((entry) => entry.index === index && entry.term === term);
+  disk.entries = joins ? disk.entries.filter((entry) => entry.index > index) : [];
+  disk.snapshot = snapshot;
+}
+
+export function writeBatch(disk: ModelDisk, effect: PersistEffect): void {
+  const { vote, snapshot, truncateFrom, entries } = effect;
+  if (vote !== undefined) {
+    disk.term = vote.term;
+    disk.votedFor = vote.votedFor;
+  }
+  if (snapshot !== undefined) keepSnapshot(disk, snapshot);
+  if (truncateFrom !== undefined) {
+    disk.entries = disk.entries.filter((entry) => entry.index < truncateFrom);
+  }
+  const base = disk.snapshot?.header.index ?? 0;
+  disk.entries.push(...entries.filter((entry) => entry.index > base));
+}
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -11,7 +11,7 @@
 import type { HornbeampondError } from '@hornbeampond/schema';
 import type { RestoredState } from '../consensus/ConsensusState.js';
 import type { PersistEffect } from '../consensus/consensusEvents.js';
-import type { SnapshotHeader } from '../consensus/consensusTypes.js';
+import type { LogEntry, SnapshotHeader } from '../consensus/consensusTypes.js';
 import { NodeFileSystem, type FileSystem, type OpenFile } from './FileSystem.js';
 import { FolderLock } from './FolderLock.js';
 import { encodeFrame } from './frames.js';
@@ -129,6 +129,9 @@
 
   private snapshot: SnapshotHeader | undefined;
 
+  /** Index of the last entry in the segments. */
+  private lastIndex = 0;
+
   private restoredState!: RestoredState;
 
   private failure: HornbeampondError | undefined;
@@ -186,7 +189,7 @@
 
   /** Saves a snapshot of the state machine. */
   async saveSnapshot(snapshot: SavedSnapshot): Promise<void> {
-    await this.inTurn(() => this.guarded(() => this.storeSnapshot(snapshot)));
+    await this.inTurn(() => this.guarded(() => this.storeOwnSnapshot(snapshot)));
   }
 
   async readSnapshot(): Promise<SavedSnapshot | undefined> {
@@ -275,14 +278,12 @@
     this.snapshot = saved?.header;
     const replayed = await this.readSegments();
     const [last] = this.segments.slice(-1);
+    this.lastIndex = replayed.entries.at(-1)?.index ?? this.snapshot?.index ?? 0;
     const entries = entriesBehind(this.snapshot, replayed.entries, last?.name ?? '');
-    if (replayed.entries.length > 0 && entries.length === 0) {
-      const lastIndex = replayed.entries.at(-1)?.index ?? 0;
-      // The snapshot stands for all of the log, or replaces it; what comes next follows it.
-      if (lastIndex !== this.snapshot?.index) {
-        await this.appendFrame([{ reset: true, entries: [] }]);
-      }
+    if (this.mustReset(replayed.entries.at(-1), entries)) {
+      await this.appendFrame([{ reset: true, entries: [] }]);
     }
+    await this.removeLeftovers();
     // Counted before the first message leaves, so that peers can tell this run from earlier ones.
     await this.saveState({ ...this.state, runs: this.state.runs + 1 });
     const { term, votedFor, runs } = this.state;
@@ -296,6 +297,26 @@
     });
   }
 
+  /**
+   * True if the snapshot has replaced what is in the segments. That must be written down before
+   * anything is added: entries behind the snapshot would be read back as following the old ones.
+   */
+  private mustReset(last: LogEntry | undefined, behind: readonly LogEntry[]): boolean {
+    if (last === undefined || behind.length > 0) return false;
+    return last.index !== this.snapshot?.index || last.term !== this.snapshot.term;
+  }
+
+  /** Removes segments whose removal, or whose beginning, a crash has interrupted. */
+  private async removeLeftovers(): Promise<void> {
+    const live = new Set(this.segments.map(({ name }) => name));
+    const names = await this.fileSystem.list(this.folder);
+    for (const name of names) {
+      if (name.startsWith(`log-${this.identity}-`) && !live.has(name)) {
+        await this.fileSystem.remove(join(this.folder, name));
+      }
+    }
+  }
+
   private async mustBeNew(): Promise<void> {
     const names = await this.fileSystem.list(this.folder);
     const old = names.find((name) => /^(snapshot|log)-/.test(name) && name.includes(this.identity));
@@ -342,10 +363,26 @@
   }
 
   private async storeSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    // One that was asked for before a newer one came in may be saved after it; the log below the
+    // newer one is gone.
+    if (snapshot.header.index <= (this.snapshot?.index ?? 0)) return;
     await replaceFile(this.fileSystem, this.folder, this.nameOf('snapshot'), snapshot);
     this.snapshot = snapshot.header;
   }
 
+  /** Saves a snapshot; where the log ends before it, what comes next follows the snapshot. */
+  private async storeOwnSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    await this.storeSnapshot(snapshot);
+    if (this.lastIndex >= snapshot.header.index) return;
+    await this.appendFrame([{ reset: true, entries: [] }]);
+  }
+
+  private noteLastIndex({ reset, truncateFrom, entries }: LogOperation): void {
+    if (reset) this.lastIndex = this.snapshot?.index ?? 0;
+    if (truncateFrom !== undefined) this.lastIndex = Math.min(this.lastIndex, truncateFrom - 1);
+    this.lastIndex = entries.at(-1)?.index ?? this.lastIndex;
+  }
+
   /** Begins a segment. It is named in the state before anything in it is acknowledged. */
   private async beginSegment(): Promise<void> {
     const number = this.state.lastSegment + 1;
@@ -371,6 +408,7 @@
     await this.file.write(frame, segment.length);
     await this.file.sync();
     segment.length += frame.length;
+    operations.forEach((operation) => this.noteLastIndex(operation));
     segment.highestIndex = Math.max(segment.highestIndex, highestIndexOf(operations));
   }
 
