--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -46,6 +46,8 @@
   readonly mostEntriesPerAppend: number;
   /** Rough size of one append, well below the largest frame of the transport. */
   readonly mostBytesPerAppend: number;
+  /** Size of the parts in which a snapshot is sent. */
+  readonly mostBytesPerSnapshotPart: number;
   /** Appends under way to one peer before its first answer. */
   readonly mostAppendsInFlight: number;
   /** Uncommitted entries above which proposals are refused. */
@@ -64,6 +66,7 @@
   heartbeatInterval: 150,
   mostEntriesPerAppend: 256,
   mostBytesPerAppend: 4 * 1024 * 1024,
+  mostBytesPerSnapshotPart: 4 * 1024 * 1024,
   mostAppendsInFlight: 8,
   mostUncommittedEntries: 20_000,
   entriesPerSnapshot: 20_000,
@@ -96,6 +99,9 @@
   round: number;
   lastHeardAt: MonotonicMilliseconds;
   snapshotSentAt: MonotonicMilliseconds;
+  /** The snapshot being sent, and how much of it was acknowledged. */
+  snapshotIndex: number;
+  snapshotBytes: number;
   run?: Sender['run'];
   /** True once its disk has shown to be older than what it acknowledged. */
   refused: boolean;
@@ -130,6 +136,15 @@
 
 export type LeaderState = Extract<RoleState, { type: 'leader' }>;
 
+/** A snapshot that is coming in, in parts that all come from one leader. */
+export interface IncomingSnapshot {
+  readonly sender: string;
+  readonly term: number;
+  readonly index: number;
+  parts: Uint8Array[];
+  bytes: number;
+}
+
 /** Changes not yet handed to the disk. */
 export interface DirtyState {
   vote: boolean;
@@ -149,6 +164,7 @@
   /** The newest snapshot on disk. */
   snapshot: SnapshotHeader;
   snapshotAsked: boolean;
+  incoming?: IncomingSnapshot;
   commitIndex: number;
   appliedIndex: number;
   /** Requests waiting for their entry, by index; only ours as the leader of this term. */
--- a/packages/store-core/src/consensus/appends.ts
+++ b/packages/store-core/src/consensus/appends.ts
@@ -17,6 +17,8 @@
     round: 0,
     lastHeardAt: now,
     snapshotSentAt: 0,
+    snapshotIndex: 0,
+    snapshotBytes: 0,
     refused: false,
   };
 }
--- a/packages/store-core/src/consensus/commit.ts
+++ b/packages/store-core/src/consensus/commit.ts
@@ -1,7 +1,5 @@
 /** Moves the commit index on, hands committed entries to the state machine, answers proposers. */
-import type { SnapshotHeader } from './consensusTypes.js';
 import { entryAt } from './memoryLog.js';
-import { membershipAt } from './membership.js';
 import { reply } from './roles.js';
 import type { StepContext } from './StepContext.js';
 
@@ -29,26 +27,6 @@
   }
 }
 
-/**
- * Asks for a snapshot when enough was applied, so that the log stays bounded. It is asked for
- * after the changes of the same event went to the disk: a snapshot that got there first could be
- * joined, after a crash, to entries which those changes were about to drop.
- */
-export function askForSnapshot({ state, effects }: StepContext): void {
-  if (state.snapshotAsked || state.readOnly) return;
-  if (state.appliedIndex - state.snapshot.index < state.settings.entriesPerSnapshot) return;
-  const entry = entryAt(state, state.appliedIndex);
-  if (entry === undefined) return;
-  const header: SnapshotHeader = {
-    index: entry.index,
-    term: entry.term,
-    at: entry.at,
-    membership: membershipAt(state, entry.index),
-  };
-  state.snapshotAsked = true;
-  effects.push({ type: 'takeSnapshot', header });
-}
-
 export function commitThrough(context: StepContext, index: number): void {
   const { state } = context;
   if (index <= state.commitIndex) return;
--- a/packages/store-core/src/consensus/consensusEvents.ts
+++ b/packages/store-core/src/consensus/consensusEvents.ts
@@ -84,6 +84,19 @@
   readonly entries: readonly LogEntry[];
 }
 
+/**
+ * Sends `envelope` with a part of the newest snapshot in it; `fillSnapshotPart` puts it there. The
+ * next part is asked for when this one was acknowledged.
+ */
+export interface SendSnapshotEffect {
+  readonly type: 'sendSnapshot';
+  readonly instance: string;
+  readonly header: SnapshotHeader;
+  readonly offset: number;
+  readonly mostBytes: number;
+  readonly envelope: Envelope;
+}
+
 export type ConsensusEffect =
   | PersistEffect
   | {
@@ -91,13 +104,7 @@
       readonly instance: string;
       readonly envelope: Envelope;
     }
-  /** Sends `envelope` with the data of the newest snapshot; its message names the header. */
-  | {
-      readonly type: 'sendSnapshot';
-      readonly instance: string;
-      readonly header: SnapshotHeader;
-      readonly envelope: Envelope;
-    }
+  | SendSnapshotEffect
   | { readonly type: 'apply'; readonly index: number; readonly entry: LogEntry }
   /** The state machine is to be replaced by this snapshot. */
   | { readonly type: 'restore'; readonly header: SnapshotHeader; readonly data: Uint8Array }
--- a/packages/store-core/src/consensus/consensusSchedules.test.ts
+++ b/packages/store-core/src/consensus/consensusSchedules.test.ts
@@ -15,6 +15,7 @@
   entriesPerSnapshot: 12,
   trailingEntries: 3,
   mostEntriesPerAppend: 3,
+  mostBytesPerSnapshotPart: 60,
 };
 
 const schedules = fc.array(fc.nat(), { minLength: STEPS, maxLength: STEPS, size: 'max' });
--- a/packages/store-core/src/consensus/consensusTypes.ts
+++ b/packages/store-core/src/consensus/consensusTypes.ts
@@ -103,14 +103,20 @@
         readonly conflictIndex: number;
         /** Term of the differing entry; missing if the log is too short. */
         readonly conflictTerm?: number;
-      };
+      }
+    /** A part of a snapshot is there; the next begins at `receivedBytes`. */
+    | { readonly type: 'partial'; readonly index: number; readonly receivedBytes: number };
 }
 
 export interface SnapshotRequest {
   readonly type: 'snapshotRequest';
   readonly term: number;
   readonly header: SnapshotHeader;
+  /** Where `data` begins in the snapshot. */
+  readonly offset: number;
   readonly data: Uint8Array;
+  /** True if the snapshot ends with `data`. */
+  readonly done: boolean;
   readonly round: number;
 }
 
--- a/packages/store-core/src/consensus/index.ts
+++ b/packages/store-core/src/consensus/index.ts
@@ -4,4 +4,5 @@
 export { currentMembership, votersOf } from './membership.js';
 export { lastIndexOf } from './memoryLog.js';
 export { reduceConsensus } from './reduceConsensus.js';
+export { fillSnapshotPart } from './snapshots.js';
 export { leaderHint, publicRole } from './roles.js';
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -180,3 +180,19 @@
   assert.equal(cluster.voters.c?.applied.length, 7);
   assert.equal(cluster.violation, undefined);
 });
+
+test('A large snapshot comes in parts, also after its receiver has restarted', () => {
+  // A voter is far behind and gets a snapshot that is larger than a frame. In the middle of it the
+  // voter restarts, and what it had taken in is gone. The leader begins again where the voter is,
+  // and meanwhile takes no new snapshot that would make it begin anew for ever.
+  const settings = { entriesPerSnapshot: 10, trailingEntries: 0, mostBytesPerSnapshotPart: 50 };
+  let cluster = crash(elected(makeCluster({ voters: TRIO, settings })), 'c');
+  for (let write = 0; write < 40; write += 1) cluster = settle(propose(cluster, 'a'));
+  cluster = settle(fireTimer(restart({ ...cluster, network: [] }, 'c'), 'a'), 12);
+  assert.ok((cluster.voters.c?.state?.incoming?.bytes ?? 0) > 0);
+  cluster = restart({ ...crash(cluster, 'c'), network: [] }, 'c');
+  for (let beat = 0; beat < 60; beat += 1) cluster = settle(elapse(cluster, 'a', 150));
+  assert.equal(cluster.voters.c?.applied.length, 41);
+  assert.equal(cluster.restores, 1);
+  assert.equal(cluster.violation, undefined);
+});
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -7,7 +7,6 @@
 import type { ConsensusEffect, ConsensusEvent } from './consensusEvents.js';
 import type { Envelope, Refusal } from './consensusTypes.js';
 import type { ConsensusState } from './ConsensusState.js';
-import { askForSnapshot } from './commit.js';
 import {
   becomeLeader,
   countOwnVote,
@@ -22,7 +21,7 @@
 import { beginRead } from './reads.js';
 import { advanceCommit, leaderTimerFired, receiveAppendResponse } from './replication.js';
 import { announceRole, becomeFollower, enterTerm, leaderOf, resetElectionTimer } from './roles.js';
-import { acceptCompacted, receiveSnapshot } from './snapshots.js';
+import { acceptCompacted, askForSnapshot, receiveSnapshot } from './snapshots.js';
 import type { StepContext } from './StepContext.js';
 
 function start(context: StepContext): void {
--- a/packages/store-core/src/consensus/replication.ts
+++ b/packages/store-core/src/consensus/replication.ts
@@ -21,6 +21,7 @@
 import { sendNow } from './persistence.js';
 import { confirmReads, startReadRound } from './reads.js';
 import { becomeFollower } from './roles.js';
+import { acceptPart } from './snapshots.js';
 import type { StepContext } from './StepContext.js';
 
 function promoteLearner(context: StepContext, leader: LeaderState): void {
@@ -151,11 +152,13 @@
   if (progress === undefined || refuseRun(context, progress, from, response.lastIndex)) return;
   progress.lastHeardAt = now;
   progress.round = Math.max(progress.round, response.round);
-  if (response.result.type === 'accepted') acceptMatch(state, progress, response.result.matchIndex);
-  else backOff(state, progress, response.result);
+  const { result } = response;
+  const member = memberOf(state, from.identity);
+  if (result.type === 'accepted') acceptMatch(state, progress, result.matchIndex);
+  else if (result.type === 'conflict') backOff(state, progress, result);
+  else if (member !== undefined) acceptPart(context, leader, member, result);
   advanceCommit(context, leader);
   confirmReads(context, leader);
-  const member = memberOf(state, from.identity);
   if (state.role === leader && member !== undefined) sendAppends(context, leader, member, false);
 }
 
--- a/packages/store-core/src/consensus/snapshots.ts
+++ b/packages/store-core/src/consensus/snapshots.ts
@@ -2,41 +2,135 @@
  * Snapshots bound the log and bring a laggard up in one step. The reducer names only headers; the
  * shell saves, loads and sends the data.
  */
-import type { Member, Sender, SnapshotHeader, SnapshotRequest } from './consensusTypes.js';
-import type { LeaderState, Progress } from './ConsensusState.js';
+import type {
+  Envelope,
+  Member,
+  Sender,
+  SnapshotHeader,
+  SnapshotRequest,
+} from './consensusTypes.js';
+import type { SendSnapshotEffect } from './consensusEvents.js';
+import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
 import { commitThrough } from './commit.js';
-import { compactLog, termAt } from './memoryLog.js';
+import { compactLog, entryAt, termAt } from './memoryLog.js';
+import { membershipAt } from './membership.js';
 import { makeEnvelope } from './persistence.js';
 import { respondToAppend } from './following.js';
 import type { StepContext } from './StepContext.js';
 
-/** Election timeouts after which a snapshot that wasn't acknowledged is sent again. */
+/** Election timeouts after which a part that wasn't acknowledged is sent again. */
 const RESEND_AFTER_TIMEOUTS = 4;
 
 const NO_DATA = new Uint8Array(0);
 
-/** Asks the shell to send the newest snapshot, unless that was asked for a short time ago. */
+function awaitsAnswer({ state, now }: StepContext, progress: Progress): boolean {
+  if (progress.mode !== 'snapshot' || progress.snapshotIndex !== state.snapshot.index) return false;
+  const patience = RESEND_AFTER_TIMEOUTS * state.settings.electionTimeout;
+  return now - progress.snapshotSentAt < patience;
+}
+
+/** Asks the shell to send a part of the newest snapshot, unless one is under way. */
 export function sendSnapshot(
   context: StepContext,
   leader: LeaderState,
   member: Member,
   progress: Progress,
+): void {
+  if (!awaitsAnswer(context, progress)) sendPart(context, leader, member, progress);
+}
+
+function sendPart(
+  context: StepContext,
+  leader: LeaderState,
+  member: Member,
+  progress: Progress,
 ): void {
   const { state, now, effects } = context;
-  const patience = RESEND_AFTER_TIMEOUTS * state.settings.electionTimeout;
-  if (progress.mode === 'snapshot' && now - progress.snapshotSentAt < patience) return;
+  const header = state.snapshot;
+  if (progress.snapshotIndex !== header.index) progress.snapshotBytes = 0;
   progress.mode = 'snapshot';
   progress.inFlight = [];
+  progress.snapshotIndex = header.index;
   progress.snapshotSentAt = now;
-  const header = state.snapshot;
+  const offset = progress.snapshotBytes;
   const envelope = makeEnvelope(context, member.identity, {
     type: 'snapshotRequest',
     term: state.term,
     header,
+    offset,
     data: NO_DATA,
+    done: true,
     round: leader.round,
   });
-  effects.push({ type: 'sendSnapshot', instance: member.address.instance, header, envelope });
+  const mostBytes = state.settings.mostBytesPerSnapshotPart;
+  const { instance } = member.address;
+  effects.push({ type: 'sendSnapshot', instance, header, offset, mostBytes, envelope });
+}
+
+/**
+ * Puts the part that is asked for into the envelope. Returns undefined if the snapshot at hand is
+ * another one by now; the leader asks again.
+ */
+export function fillSnapshotPart(
+  { header, offset, mostBytes, envelope }: SendSnapshotEffect,
+  saved: { readonly header: SnapshotHeader; readonly data: Uint8Array },
+): Envelope | undefined {
+  const { message } = envelope;
+  if (saved.header.index !== header.index || message.type !== 'snapshotRequest') return undefined;
+  const data = saved.data.subarray(offset, offset + mostBytes);
+  const done = offset + data.length >= saved.data.length;
+  return { ...envelope, message: { ...message, data, done } };
+}
+
+/** Sends the next part. An answer that is not news sends nothing, or each copy of it would. */
+export function acceptPart(
+  context: StepContext,
+  leader: LeaderState,
+  member: Member,
+  part: { readonly index: number; readonly receivedBytes: number },
+): void {
+  const progress = leader.progress[member.identity];
+  if (progress?.mode !== 'snapshot' || progress.snapshotIndex !== part.index) return;
+  const isNews = part.receivedBytes > progress.snapshotBytes;
+  // It may also be less: the peer has restarted. The next resend begins there.
+  progress.snapshotBytes = part.receivedBytes;
+  if (isNews) sendPart(context, leader, member, progress);
+}
+
+/**
+ * True while a peer takes in a snapshot; a new one now would make it begin anew. A peer that has
+ * gone silent doesn't count, or the log would grow for as long as it is away.
+ */
+function isSendingSnapshot({ state, now }: StepContext): boolean {
+  const { role } = state;
+  if (role.type !== 'leader') return false;
+  return Object.values(role.progress).some(
+    ({ mode, snapshotBytes, lastHeardAt }) =>
+      mode === 'snapshot' &&
+      snapshotBytes > 0 &&
+      now - lastHeardAt <= state.settings.electionTimeout,
+  );
+}
+
+/**
+ * Asks for a snapshot when enough was applied, so that the log stays bounded. It is asked for
+ * after the changes of the same event went to the disk: a snapshot that got there first could be
+ * joined, after a crash, to entries which those changes were about to drop.
+ */
+export function askForSnapshot(context: StepContext): void {
+  const { state, effects } = context;
+  if (state.snapshotAsked || state.readOnly || isSendingSnapshot(context)) return;
+  if (state.appliedIndex - state.snapshot.index < state.settings.entriesPerSnapshot) return;
+  const entry = entryAt(state, state.appliedIndex);
+  if (entry === undefined) return;
+  const header: SnapshotHeader = {
+    index: entry.index,
+    term: entry.term,
+    at: entry.at,
+    membership: membershipAt(state, entry.index),
+  };
+  state.snapshotAsked = true;
+  effects.push({ type: 'takeSnapshot', header });
 }
 
 /** Takes note of a snapshot that is on disk, and lets go of the log below it. */
@@ -53,8 +147,37 @@
   effects.push({ type: 'discardLog', throughIndex: header.index });
 }
 
-function installSnapshot(context: StepContext, { header, data }: SnapshotRequest): void {
+/** Adds a part to the snapshot that is coming in; returns all of it once it is whole. */
+function collectParts(
+  state: ConsensusState,
+  from: Sender,
+  { term, header, offset, data, done }: SnapshotRequest,
+): Uint8Array | undefined {
+  const { index } = header;
+  const known = state.incoming;
+  const fits = known?.sender === from.identity && known.term === term && known.index === index;
+  // Parts of two leaders may not be mixed: each encodes its own state machine.
+  const incoming = fits ? known : { sender: from.identity, term, index, parts: [], bytes: 0 };
+  state.incoming = incoming;
+  if (offset !== incoming.bytes) return undefined;
+  incoming.parts.push(data);
+  incoming.bytes += data.length;
+  return done ? joinParts(incoming.parts, incoming.bytes) : undefined;
+}
+
+function joinParts(parts: readonly Uint8Array[], bytes: number): Uint8Array {
+  const whole = new Uint8Array(bytes);
+  let offset = 0;
+  parts.forEach((part) => {
+    whole.set(part, offset);
+    offset += part.length;
+  });
+  return whole;
+}
+
+function installSnapshot(context: StepContext, header: SnapshotHeader, data: Uint8Array): void {
   const { state, effects } = context;
+  state.incoming = undefined;
   state.log = {
     base: { index: header.index, term: header.term, at: header.at },
     entries: [],
@@ -82,7 +205,19 @@
   // Entries that we hold and that agree are kept: some behind the snapshot may be acknowledged,
   // and dropping them would take back a copy that the leader has counted.
   if (termAt(state, header.index) === header.term) commitThrough(context, header.index);
-  else if (header.index > state.commitIndex) installSnapshot(context, request);
+  else if (header.index > state.commitIndex) {
+    const data = collectParts(state, from, request);
+    if (data === undefined) {
+      const receivedBytes = state.incoming?.bytes ?? 0;
+      respondToAppend(context, from, request.round, {
+        type: 'partial',
+        index: header.index,
+        receivedBytes,
+      });
+      return;
+    }
+    installSnapshot(context, header, data);
+  }
   respondToAppend(context, from, request.round, {
     type: 'accepted',
     matchIndex: Math.max(header.index, state.commitIndex),
--- a/packages/store-core/src/consensus/testing/modelCluster.ts
+++ b/packages/store-core/src/consensus/testing/modelCluster.ts
@@ -13,6 +13,7 @@
 import type { Envelope, Member } from '../consensusTypes.js';
 import { entryAt } from '../memoryLog.js';
 import { votersOf } from '../membership.js';
+import { fillSnapshotPart } from '../snapshots.js';
 import { reduceConsensus } from '../reduceConsensus.js';
 import {
   keepSnapshot,
@@ -171,10 +172,9 @@
       send(cluster, effect.instance, effect.envelope);
       break;
     case 'sendSnapshot': {
-      const data = voter.disk.snapshot?.data ?? new Uint8Array(0);
-      const { message } = effect.envelope;
-      if (message.type !== 'snapshotRequest') break;
-      send(cluster, effect.instance, { ...effect.envelope, message: { ...message, data } });
+      const { snapshot } = voter.disk;
+      const envelope = snapshot && fillSnapshotPart(effect, snapshot);
+      if (envelope !== undefined) send(cluster, effect.instance, envelope);
       break;
     }
     case 'apply': {
--- a/packages/store-core/src/consensus/testing/modelKeys.ts
+++ b/packages/store-core/src/consensus/testing/modelKeys.ts
@@ -34,7 +34,8 @@
     return `${who} append ${numbers} ${nameEntries(entries)}`;
   }
   if (message.type === 'snapshotRequest') {
-    return `${who} snapshot ${message.term} ${message.round} ${nameHeader(message.header)}`;
+    const { term, round, offset, header } = message;
+    return `${who} snapshot ${term} ${round} ${offset} ${nameHeader(header)}`;
   }
   return `${who} ${JSON.stringify(message)}`;
 }
@@ -49,8 +50,9 @@
   if (role.type === 'follower') return `follower ${role.leader}`;
   if (role.type === 'candidate') return `candidate ${role.preVote} ${role.votes.join()}`;
   const peers = Object.entries(role.progress).map(([identity, progress]) => {
-    const { matchIndex, nextIndex, mode, inFlight, round, run, refused } = progress;
-    return [identity, matchIndex, nextIndex, mode, inFlight.join(), round, run?.count, refused];
+    const { matchIndex, nextIndex, mode, inFlight, round, run, refused, snapshotBytes } = progress;
+    const numbers = [matchIndex, nextIndex, round, run?.count, snapshotBytes];
+    return [identity, mode, inFlight.join(), refused, ...numbers];
   });
   return `leader ${role.round} ${role.firstIndex} ${peers.join(';')} ${JSON.stringify(role.reads)}`;
 }
@@ -69,6 +71,8 @@
     state.readOnly,
     state.diskRefused,
     state.log.base.index,
+    state.incoming?.index,
+    state.incoming?.bytes,
   ];
   const held = state.held.map(({ batch, envelope }) => `${batch} ${nameEnvelope(envelope)}`);
   const unsynced = state.unsynced.map(({ batch, lastIndex }) => `${batch}.${lastIndex}`);
@@ -100,5 +104,6 @@
     dirty: { ...state.dirty },
     unsynced: state.unsynced.map((write) => ({ ...write })),
     held: [...state.held],
+    incoming: state.incoming && { ...state.incoming, parts: [...state.incoming.parts] },
   };
 }
