--- a/packages/store-core/src/consensus/consensusExploration.test.ts
+++ b/packages/store-core/src/consensus/consensusExploration.test.ts
@@ -2,7 +2,7 @@
 import { test, type TestContext } from 'node:test';
 import { exploreStates, type Exploration } from '@hornbeampond/testing';
 import { allSafeguards, type ConsensusSettings, type Safeguards } from './ConsensusState.js';
-import { clusterModel, type Budget } from './testing/clusterModel.js';
+import { clusterModel, type BoundedCluster, type Budget } from './testing/clusterModel.js';
 import {
   addressOf,
   crash,
@@ -175,6 +175,9 @@
   for (let write = 0; write < 3; write += 1) {
     cluster = settleWithout(propose(cluster, 'a'), ['c']);
   }
+  // The leader learns how far c is behind, and sends the first part.
+  cluster = deliverAll(fireTimer(cluster, 'a'), (message) => message.instance === 'c');
+  cluster = deliverAll(cluster, (message) => message.envelope.from.instance === 'c');
   return cluster;
 }
 
@@ -225,38 +228,54 @@
     name: 'a new learner',
     prepare: newLearner,
     budget: { timeouts: { b: 1, c: 1 }, crashes: 1 },
-    mostSteps: 12,
+    mostSteps: 16,
     faults: [{ off: 'promoteWhenCaughtUp' }],
   },
   {
     name: 'a laggard behind a snapshot',
     prepare: laggardBehindSnapshot,
-    budget: { timeouts: { b: 2, c: 1 }, crashes: 1, duplicates: 1 },
+    budget: { timeouts: { b: 1 }, crashes: 1, duplicates: 1 },
     mostSteps: 10,
     faults: [],
   },
 ];
 
-function explore(scenario: Scenario, fault: Fault): Exploration {
-  const model = clusterModel(scenario.prepare(fault), scenario.budget);
-  return exploreStates(model, { mostStates: 400_000, mostSteps: scenario.mostSteps });
+/** The furthest that any state has come, to show that an exploration meets what it is about. */
+interface Reached {
+  committed: number;
+  leaders: number;
+  restores: number;
+  reads: number;
 }
 
-function report(context: TestContext, { states, depth, exhaustive }: Exploration): void {
+function explore(context: TestContext, scenario: Scenario, fault: Fault): Exploration {
+  const reached: Reached = { committed: 0, leaders: 0, restores: 0, reads: 0 };
+  const model = clusterModel(scenario.prepare(fault), scenario.budget);
+  const check = (bounded: BoundedCluster) => {
+    const { committed, leaders, restores, answeredReads } = bounded.cluster;
+    reached.committed = Math.max(reached.committed, committed.length);
+    reached.leaders = Math.max(reached.leaders, Object.keys(leaders).length);
+    reached.restores = Math.max(reached.restores, restores);
+    reached.reads = Math.max(reached.reads, answeredReads);
+    return model.check(bounded);
+  };
+  const bounds = { mostStates: 400_000, mostSteps: scenario.mostSteps };
+  const exploration = exploreStates({ ...model, check }, bounds);
+  const { states, depth, exhaustive } = exploration;
   context.diagnostic(`${states} states, ${depth} steps deep, exhaustive: ${exhaustive}`);
+  context.diagnostic(`reached: ${JSON.stringify(reached)}`);
+  return exploration;
 }
 
 scenarios.forEach((scenario) => {
   test(`Nothing goes wrong in ${scenario.name}`, (context) => {
-    const exploration = explore(scenario, {});
-    report(context, exploration);
+    const exploration = explore(context, scenario, {});
     assert.equal(exploration.violation, undefined);
     assert.equal(exploration.exhaustive, true);
   });
   scenario.faults.forEach((fault) => {
     test(`${fault.off ?? fault.mutation} is caught in ${scenario.name}`, (context) => {
-      const exploration = explore(scenario, fault);
-      report(context, exploration);
+      const exploration = explore(context, scenario, fault);
       assert.ok(exploration.violation !== undefined);
       context.diagnostic(exploration.violation.reason);
       context.diagnostic(exploration.violation.trace.join('; '));
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { matchSnapshot } from '@hornbeampond/testing';
 import { allSafeguards } from './ConsensusState.js';
+import type { ConsensusMessage } from './consensusTypes.js';
+import { reduceConsensus } from './reduceConsensus.js';
 import {
   addressOf,
   crash,
@@ -196,3 +199,52 @@
   assert.equal(cluster.restores, 1);
   assert.equal(cluster.violation, undefined);
 });
+
+test('A stranger, another cluster and a message for a lost disk are refused', async () => {
+  // A message reaches a store that it isn't meant for: from another cluster, or for the disk that
+  // the instance had before. It changes nothing, and the sender of the latter is told.
+  const { state } = makeCluster({ voters: TRIO }).voters.a ?? {};
+  assert.ok(state !== undefined);
+  const from = { instance: 'b', identity: 'b1', run: { count: 1, token: 'b1-1' } };
+  const message: ConsensusMessage = {
+    type: 'appendRequest',
+    term: 7,
+    previousIndex: 0,
+    previousTerm: 0,
+    entries: [],
+    commitIndex: 0,
+    round: 0,
+  };
+  const receive = (cluster: string, to: string) => {
+    const envelope = { cluster, from, to, message };
+    return reduceConsensus(state, { type: 'received', now: 1, wallNow: 1, envelope });
+  };
+  const effects = { otherCluster: receive('other', 'a1'), otherIdentity: receive('test', 'a0') };
+  assert.equal(state.term, 0);
+  await matchSnapshot(import.meta.url, 'refused messages', JSON.stringify(effects, undefined, 2));
+});
+
+test('The steps of an election and a write', async () => {
+  // What the shell sees from the first timer to the reply, with the order of its effects.
+  let cluster = makeCluster({ voters: TRIO });
+  const seen: string[] = [];
+  const note = (title: string) => {
+    const { role, term, commitIndex } = cluster.voters.a?.state ?? {};
+    const sent = cluster.network.map(({ key }) => key).join('; ');
+    seen.push(`${title}: ${role?.type}, term ${term}, commit ${commitIndex}; under way: ${sent}`);
+  };
+  const deliverTo = (instance: string) => {
+    cluster = cluster.network
+      .filter((message) => message.instance === instance)
+      .reduce((next, message) => deliver(next, message), cluster);
+    cluster = syncDisk(cluster, instance, 9);
+    note(`${instance} has received and synced`);
+  };
+  cluster = fireTimer(cluster, 'a');
+  note('the timer of a has fired');
+  ['b', 'a', 'b', 'a', 'b', 'a'].forEach(deliverTo);
+  cluster = syncDisk(propose(cluster, 'a'), 'a', 9);
+  note('a has proposed and synced');
+  ['b', 'a'].forEach(deliverTo);
+  await matchSnapshot(import.meta.url, 'election and write', seen.join('\n'));
+});
