--- a/apps/store/src/FolderDisk.ts
+++ b/apps/store/src/FolderDisk.ts
@@ -1,11 +1,17 @@
 /** The disk of a store process: the data folder that its settings name. */
 
-import { LogStore, type LogNotice, type PersistEffect } from '@hornbeampond/store-core';
+import {
+  LogStore,
+  renewIdentity,
+  type LogNotice,
+  type PersistEffect,
+} from '@hornbeampond/store-core';
 import { StoreDisk, type DiskContents, type SavedSnapshot } from './StoreDisk.js';
 
 export interface FolderDiskOptions {
   readonly folder: string;
   readonly cluster: string;
+  readonly instance: string;
   onNotice(notice: LogNotice): void;
 }
 
@@ -16,8 +22,8 @@
     super();
   }
 
-  override async open(instance: string): Promise<DiskContents> {
-    this.log = await LogStore.open({ ...this.options, instance });
+  override async open(): Promise<DiskContents> {
+    this.log = await LogStore.open(this.options);
     const { restored, isNew } = this.log;
     return { restored, isNew, snapshot: await this.log.readSnapshot() };
   }
@@ -38,6 +44,11 @@
     await this.opened.discardLog(throughIndex);
   }
 
+  /** Gives the folder a new identity, as that of an empty disk. It must be closed. */
+  async renew(): Promise<void> {
+    await renewIdentity(this.options);
+  }
+
   override async close(): Promise<void> {
     await this.log?.close();
   }
