--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -1,6 +1,6 @@
 /**
- * The connections from this store to the others, opened as they are needed: by the settings at
- * first, and by the members of the log later on.
+ * The connections from this store to the others: those of the settings, and those that the log has
+ * taken in since.
  */
 import type { StoreAddress } from '@hornbeampond/schema';
 import type { Envelope } from '@hornbeampond/store-core';
@@ -9,20 +9,34 @@
 export class StorePeers {
   private readonly clients = new Map<string, PeerClient>();
 
+  private readonly configured: ReadonlySet<string>;
+
+  /**
+   * @param configured - Stores of the settings. Their addresses hold, whatever the log says: how
+   *   another store is reached from here is for this instance's operator to know.
+   */
   constructor(
     private readonly self: string,
     private readonly context: PeerContext,
-  ) {}
+    configured: readonly StoreAddress[],
+  ) {
+    this.configured = new Set(configured.map(({ instance }) => instance));
+    configured.forEach((address) => this.connect(address));
+  }
 
-  /** Keeps a connection to each of these stores; one that has moved is connected anew. */
+  /** Keeps a connection to each member of the log; one that has moved is connected anew. */
   keep(addresses: readonly StoreAddress[]): void {
-    addresses.forEach((address) => {
-      if (address.instance === this.self) return;
-      const known = this.clients.get(address.instance);
-      if (known?.address.host === address.host && known.address.port === address.port) return;
-      known?.close();
-      this.clients.set(address.instance, new PeerClient(address, this.context));
-    });
+    addresses
+      .filter(({ instance }) => !this.configured.has(instance))
+      .forEach((address) => this.connect(address));
+  }
+
+  private connect(address: StoreAddress): void {
+    if (address.instance === this.self) return;
+    const known = this.clients.get(address.instance);
+    if (known?.address.host === address.host && known.address.port === address.port) return;
+    known?.close();
+    this.clients.set(address.instance, new PeerClient(address, this.context));
   }
 
   /** Sends if connected; what is lost, the agreement sends again. */
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -129,7 +129,7 @@
       logger: this.logger,
       metrics: this.metrics,
     };
-    this.peers = new StorePeers(instance, context);
+    this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
       timers,
       peers: this.peers,
@@ -162,7 +162,6 @@
     const peers = await this.server.listen(this.settings.listen);
     this.address = { ...this.address, port: peers };
     const operators = await this.operators.listen(this.settings.operatorListen);
-    this.peers.keep(this.settings.stores);
     this.peers.keep(this.memberAddresses());
     this.dispatch({ type: 'started' });
     if (contents.isNew) this.joining.start();
--- a/measure/src/processes/ProcessCluster.ts
+++ b/measure/src/processes/ProcessCluster.ts
@@ -13,6 +13,7 @@
 import { stringify } from 'smol-toml';
 import { request as httpRequest } from 'undici';
 import { ChildProcess } from './ChildProcess.js';
+import { DataCentreLinks } from './DataCentreLinks.js';
 import { findFreePort } from './findFreePorts.js';
 
 const HOST = '127.0.0.1';
@@ -41,6 +42,8 @@
   readonly pools: readonly Pool[];
   readonly routes: readonly Route[];
   readonly workspaces?: readonly string[];
+  /** True: connections between data centres pass through forwarders, which `cut` can stop. */
+  readonly forwarded?: boolean;
 }
 
 interface EntryPorts extends StoreAddress {
@@ -83,6 +86,8 @@
 
   private fakes: FakeAddresses | undefined;
 
+  private readonly links = new DataCentreLinks();
+
   private constructor(private readonly options: ProcessClusterOptions) {}
 
   /** Starts everything and puts the tables; resolves once they are in force on every entry. */
@@ -145,9 +150,15 @@
     return join(this.folder, `${name}.log`);
   }
 
+  /** Cuts a data centre off from all others, silently, or heals the cut. */
+  setCut(dataCentre: string, cut: boolean): void {
+    this.links.setCut(dataCentre, cut);
+  }
+
   /** Ends every process that is still there, and removes the folder. */
   async stop(): Promise<void> {
     await Promise.all([...this.processes.values()].map(async (child) => child.kill()));
+    await this.links.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
@@ -178,7 +189,21 @@
     this.fakes = JSON.parse(child.output[0] ?? '{}') as FakeAddresses;
   }
 
-  private commonSettings({ instance, dataCentre }: StoreAddress, operatorsPort: number) {
+  /** Addresses as a process of one data centre has to use them. */
+  private async seenFrom(
+    dataCentre: string,
+    addresses: readonly StoreAddress[],
+  ): Promise<StoreAddress[]> {
+    return Promise.all(
+      addresses.map(async (address) =>
+        this.options.forwarded === true && address.dataCentre !== dataCentre
+          ? this.links.forward(dataCentre, address)
+          : address,
+      ),
+    );
+  }
+
+  private async commonSettings({ instance, dataCentre }: StoreAddress, operatorsPort: number) {
     this.operatorPorts.set(instance, operatorsPort);
     return {
       instance,
@@ -188,14 +213,14 @@
       logLevel: 'info',
       operatorListen: { host: HOST, port: operatorsPort },
       operatorKeys: [{ name: 'operator', keySha256: sha256(clusterKeys.operator) }],
-      stores: this.stores,
+      stores: await this.seenFrom(dataCentre, this.stores),
     };
   }
 
   private async startStore(address: StoreAddress): Promise<void> {
     const { instance, port } = address;
     this.writeSettings(instance, {
-      ...this.commonSettings(address, await findFreePort()),
+      ...(await this.commonSettings(address, await findFreePort())),
       listen: { host: HOST, port },
       dataFolder: join(this.folder, `${instance}-data`),
       electionTimeoutMilliseconds: 400,
@@ -223,10 +248,10 @@
     const { callersPort, operatorsPort, port, ...rest } = address;
     const workspaces = this.options.workspaces ?? ['first'];
     this.writeSettings(rest.instance, {
-      ...this.commonSettings(address, operatorsPort),
+      ...(await this.commonSettings(address, operatorsPort)),
       listen: { host: HOST, port: callersPort },
       peerListen: { host: HOST, port },
-      entries: this.entryAddresses(),
+      entries: await this.seenFrom(rest.dataCentre, this.entryAddresses()),
       workspaces: workspaces.map((name, position) => ({
         name,
         keySha256: sha256(position === 0 ? clusterKeys.workspace : `${name}-key`),
@@ -251,10 +276,10 @@
   private async startController(address: StoreAddress): Promise<void> {
     const { instance, port } = address;
     this.writeSettings(instance, {
-      ...this.commonSettings(address, await findFreePort()),
+      ...(await this.commonSettings(address, await findFreePort())),
       peerListen: { host: HOST, port },
-      controllers: this.controllers,
-      entries: this.entryAddresses(),
+      controllers: await this.seenFrom(address.dataCentre, this.controllers),
+      entries: await this.seenFrom(address.dataCentre, this.entryAddresses()),
       platform: { url: this.fakes?.platform, pollMilliseconds: 200 },
       weightStore: { url: this.fakes?.weightStore },
       leaseMilliseconds: 2000,
