Bind an identity to its instance; part the explorations into two files

A data folder copied to another instance would let one identity vote twice in a term. The identity file now names its instance and another one is refused.

--- /dev/null
+++ b/packages/store-core/src/consensus/diskExploration.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { allSafeguards } from './ConsensusState.js';
+import {
+  addressOf,
+  fireTimer,
+  happen,
+  makeCluster,
+  propose,
+  type ModelCluster,
+} from './testing/modelCluster.js';
+import {
+  deliverAll,
+  explore,
+  lead,
+  settleWithout,
+  trio,
+  type Fault,
+  type Scenario,
+} from './testing/scenario.js';
+
+/** A write is acknowledged with copies at a and b alone. */
+function writeWithoutC(fault: Fault): ModelCluster {
+  return settleWithout(propose(lead(trio(fault), 'a'), 'a'), ['c']);
+}
+
+/** The leader is asked to remove both others at once. */
+function twoRemovals(fault: Fault): ModelCluster {
+  return ['b1', 'c1'].reduce(
+    (cluster, identity) =>
+      happen(cluster, 'a', {
+        type: 'changeMembership',
+        requestId: identity,
+        change: { type: 'removeMember', identity },
+      }),
+    lead(trio(fault), 'a'),
+  );
+}
+
+/** A new disk has just been named a learner; nothing was sent to it yet. */
+function newLearner(fault: Fault): ModelCluster {
+  const safeguards =
+    fault.off === undefined ? allSafeguards : { ...allSafeguards, [fault.off]: false };
+  const cluster = lead(
+    makeCluster({
+      voters: ['a', 'b'],
+      spares: ['c'],
+      settings: { announceCommits: false, safeguards },
+    }),
+    'a',
+  );
+  const member = { identity: 'c1', address: addressOf('c') };
+  const change = { type: 'addLearner', member } as const;
+  return happen(cluster, 'a', { type: 'changeMembership', requestId: 'add', change });
+}
+
+/** C lacks what a and b have compacted away. */
+function laggardBehindSnapshot(fault: Fault): ModelCluster {
+  let cluster = lead(
+    trio(fault, { entriesPerSnapshot: 2, trailingEntries: 0, mostBytesPerSnapshotPart: 40 }),
+    'a',
+  );
+  for (let write = 0; write < 3; write += 1) {
+    cluster = settleWithout(propose(cluster, 'a'), ['c']);
+  }
+  // The leader learns how far c is behind, and sends the first part.
+  cluster = deliverAll(fireTimer(cluster, 'a'), (message) => message.instance === 'c');
+  cluster = deliverAll(cluster, (message) => message.envelope.from.instance === 'c');
+  return cluster;
+}
+
+const scenarios: readonly Scenario[] = [
+  {
+    name: 'a lost disk',
+    prepare: writeWithoutC,
+    budget: { timeouts: { b: 1, c: 1 }, crashes: 2, lostDisks: 2, duplicates: 1 },
+    mostSteps: 10,
+    faults: [{ mutation: 'lostDiskKeepsIdentity' }, { off: 'voteForNewerLog' }],
+  },
+  {
+    name: 'two removals asked for at once',
+    prepare: twoRemovals,
+    budget: { timeouts: { b: 1, c: 1 }, proposals: 1, crashes: 1 },
+    mostSteps: 10,
+    faults: [{ off: 'oneChangeAtATime' }],
+  },
+  {
+    name: 'a new learner',
+    prepare: newLearner,
+    budget: { timeouts: { b: 1, c: 1 }, crashes: 1 },
+    mostSteps: 16,
+    faults: [{ off: 'promoteWhenCaughtUp' }],
+  },
+  {
+    name: 'a laggard behind a snapshot',
+    prepare: laggardBehindSnapshot,
+    budget: { timeouts: { b: 1 }, crashes: 1, duplicates: 1 },
+    mostSteps: 10,
+    faults: [],
+  },
+];
+
+scenarios.forEach((scenario) => {
+  test(`Nothing goes wrong in ${scenario.name}`, (context) => {
+    const exploration = explore(context, scenario, {});
+    assert.equal(exploration.violation, undefined);
+    assert.equal(exploration.exhaustive, true);
+  });
+  scenario.faults.forEach((fault) => {
+    test(`${fault.off ?? fault.mutation} is caught in ${scenario.name}`, (context) => {
+      const exploration = explore(context, scenario, fault);
+      assert.ok(exploration.violation !== undefined);
+      context.diagnostic(exploration.violation.reason);
+      context.diagnostic(exploration.violation.trace.join('; '));
+    });
+  });
+});
--- /dev/null
+++ b/packages/store-core/src/consensus/testing/scenario.ts
@@ -0,0 +1,126 @@
+/**
+ * What explorations share: a situation is prepared by hand, then everything that can happen within
+ * its bounds is tried. Each names the faults that it must notice.
+ */
+import assert from 'node:assert/strict';
+import type { TestContext } from 'node:test';
+import { exploreStates, type Exploration } from '@hornbeampond/testing';
+import { allSafeguards, type ConsensusSettings, type Safeguards } from '../ConsensusState.js';
+import { clusterModel, type BoundedCluster, type Budget } from './clusterModel.js';
+import {
+  currentLeader,
+  deliver,
+  fireTimer,
+  makeCluster,
+  syncDisk,
+  type ModelCluster,
+  type ModelMessage,
+  type ShellMutation,
+} from './modelCluster.js';
+
+export interface Fault {
+  readonly off?: keyof Safeguards;
+  readonly mutation?: ShellMutation;
+}
+
+export interface Scenario {
+  readonly name: string;
+  prepare(fault: Fault): ModelCluster;
+  readonly budget: Partial<Budget>;
+  readonly mostSteps: number;
+  /** What the exploration must catch when it is put in. */
+  readonly faults: readonly Fault[];
+}
+
+export const TRIO = ['a', 'b', 'c'];
+
+export function trio(fault: Fault, settings: Partial<ConsensusSettings> = {}): ModelCluster {
+  const safeguards =
+    fault.off === undefined ? allSafeguards : { ...allSafeguards, [fault.off]: false };
+  return makeCluster({
+    voters: TRIO,
+    settings: { announceCommits: false, safeguards, ...settings },
+    mutation: fault.mutation,
+  });
+}
+
+/** Everything runs without faults, but for these instances, which hear and say nothing. */
+export function settleWithout(start: ModelCluster, cutOff: readonly string[]): ModelCluster {
+  let cluster = start;
+  for (;;) {
+    const kept = cluster.network.filter(
+      ({ instance, envelope }) =>
+        !cutOff.includes(instance) && !cutOff.includes(envelope.from.instance),
+    );
+    cluster = { ...cluster, network: kept };
+    const waiting = Object.values(cluster.voters).find(
+      ({ instance, jobs, state }) =>
+        state !== undefined && jobs.length > 0 && !cutOff.includes(instance),
+    );
+    const [message] = kept;
+    if (waiting !== undefined) cluster = syncDisk(cluster, waiting.instance, 1);
+    else if (message !== undefined) cluster = deliver(cluster, message);
+    else return cluster;
+  }
+}
+
+export function lead(cluster: ModelCluster, instance: string, cutOff: readonly string[] = []) {
+  const next = settleWithout(fireTimer(cluster, instance), cutOff);
+  assert.equal(currentLeader(next)?.instance, instance);
+  return next;
+}
+
+/** Delivers the messages of now that are meant. */
+export function deliverAll(
+  start: ModelCluster,
+  isMeant: (message: ModelMessage) => boolean,
+): ModelCluster {
+  return start.network
+    .filter(isMeant)
+    .reduce((cluster, message) => deliver(cluster, message), start);
+}
+
+/** Hands on what is meant for these instances, and syncs their disks, until `done`. */
+export function runAmong(
+  start: ModelCluster,
+  instances: readonly string[],
+  done: (cluster: ModelCluster) => boolean,
+): ModelCluster {
+  let cluster = start;
+  while (!done(cluster)) {
+    const { voters, network } = cluster;
+    const waiting = instances.find((instance) => voters[instance]?.jobs.length);
+    const message = network.find(({ instance }) => instances.includes(instance));
+    if (waiting !== undefined) cluster = syncDisk(cluster, waiting, 1);
+    else if (message !== undefined) cluster = deliver(cluster, message);
+    else break;
+  }
+  return cluster;
+}
+
+/** The furthest that any state has come, to show that an exploration meets what it is about. */
+interface Reached {
+  committed: number;
+  leaders: number;
+  restores: number;
+  reads: number;
+}
+
+export function explore(context: TestContext, scenario: Scenario, fault: Fault): Exploration {
+  const reached: Reached = { committed: 0, leaders: 0, restores: 0, reads: 0 };
+  const model = clusterModel(scenario.prepare(fault), scenario.budget);
+  const check = (bounded: BoundedCluster) => {
+    const { committed, leaders, restores, answeredReads } = bounded.cluster;
+    reached.committed = Math.max(reached.committed, committed.length);
+    reached.leaders = Math.max(reached.leaders, Object.keys(leaders).length);
+    reached.restores = Math.max(reached.restores, restores);
+    reached.reads = Math.max(reached.reads, answeredReads);
+    return model.check(bounded);
+  };
+  const bounds = { mostStates: 400_000, mostSteps: scenario.mostSteps };
+  const exploration = exploreStates({ ...model, check }, bounds);
+  const { states, depth, exhaustive } = exploration;
+  context.diagnostic(`${states} states, ${depth} steps deep, exhaustive: ${exhaustive}`);
+  context.diagnostic(`reached: ${JSON.stringify(reached)}`);
+  return exploration;
+}
--- a/packages/store-core/src/log/LogStore.test.ts
+++ b/packages/store-core/src/log/LogStore.test.ts
@@ -169,6 +169,22 @@
   await again.close();
 });
 
+test('A snapshot of our own does not replace a newer one that came in', async () => {
+  // A snapshot is asked for, and before it is saved a newer one comes in from the leader. Saved
+  // last, the older one would stand before a log that begins after the newer one.
+  const fileSystem = new MemoryFileSystem();
+  const options = optionsFor('/data', { fileSystem });
+  const store = await LogStore.open(options);
+  const newer = { header: header(20, 5), data: DATA };
+  await writeAll(store, [batch({ snapshot: newer }), batch({ entries: entries(21, 22, 5) })]);
+  await store.saveSnapshot({ header: header(10), data: DATA });
+  await store.close();
+  const again = await LogStore.open(options);
+  assert.deepEqual(again.restored.snapshot, header(20, 5));
+  assert.deepEqual(namesOf(again), ['21.5', '22.5']);
+  await again.close();
+});
+
 test('A file that is gone stops the store', async (context) => {
   // Someone has removed a file. Without it the store would start with less than it has promised,
   // and count as a copy of what it no longer holds.
@@ -202,12 +218,16 @@
   );
 });
 
-test('A folder of another cluster is refused; a renewed one is empty', async (context) => {
+test('A folder of another cluster or instance is refused; a renewed one is empty', async (context) => {
   const folder = await temporaryFolder(context);
   const store = await LogStore.open(optionsFor(folder));
   await writeAll(store, [batch({ vote: { term: 3 }, entries: entries(1, 3, 3) })]);
   await store.close();
-  await assert.rejects(LogStore.open(optionsFor(folder, { cluster: 'other' })), /of the cluster/);
+  await assert.rejects(
+    LogStore.open(optionsFor(folder, { cluster: 'other' })),
+    /in the cluster test/,
+  );
+  await assert.rejects(LogStore.open(optionsFor(folder, { instance: 'b' })), /it is of a in/);
   await renewIdentity(optionsFor(folder));
   const renewed = await LogStore.open(optionsFor(folder));
   assert.notEqual(renewed.restored.self.identity, store.restored.self.identity);
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -60,6 +60,8 @@
 
 interface Identity {
   readonly cluster: string;
+  /** A copy of the folder on another instance would vote a second time under one identity. */
+  readonly instance: string;
   readonly identity: string;
 }
 
@@ -80,19 +82,20 @@
 
 async function readIdentity(
   fileSystem: FileSystem,
-  { folder, cluster }: LogStoreOptions,
+  { folder, cluster, instance }: LogStoreOptions,
 ): Promise<string> {
   const found = (await readWholeFile(fileSystem, folder, IDENTITY_FILE)) as Identity | undefined;
   if (found !== undefined) {
-    if (found.cluster === cluster) return found.identity;
-    throw damagedLog(IDENTITY_FILE, 0, `it is of the cluster ${found.cluster}`);
+    const { cluster: itsCluster, instance: itsInstance, identity } = found;
+    if (itsCluster === cluster && itsInstance === instance) return identity;
+    throw damagedLog(IDENTITY_FILE, 0, `it is of ${itsInstance} in the cluster ${itsCluster}`);
   }
   // A new identity beside old files would hide that this disk has made promises.
   const names = await fileSystem.list(folder);
   const old = names.find((name) => /^(state|snapshot|log)-/.test(name));
   if (old !== undefined) throw damagedLog(IDENTITY_FILE, 0, `it is missing beside ${old}`);
   const identity = randomUUID();
-  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, identity });
+  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, instance, identity });
   return identity;
 }
 
@@ -102,9 +105,10 @@
  */
 export async function renewIdentity(options: LogStoreOptions): Promise<void> {
   const fileSystem = options.fileSystem ?? new NodeFileSystem();
-  const { folder, cluster } = options;
+  const { folder, cluster, instance } = options;
   const lock = await FolderLock.take(fileSystem, folder);
-  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, identity: randomUUID() });
+  const identity = randomUUID();
+  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, instance, identity });
   await lock.release();
 }
 
