--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -5,6 +5,7 @@
 import {
   makeEntryState,
   reduceEntry,
+  reportDemand,
   type ClaimAnswer,
   type EntryEffect,
   type EntryEvent,
@@ -25,6 +26,7 @@
   assertNever,
   type ClaimResult,
   type EntrySettings,
+  type Milliseconds,
 } from '@hornbeampond/schema';
 import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
 import { AdapterDirectory } from './AdapterDirectory.js';
@@ -134,7 +136,9 @@
       settings,
       context,
       readConfiguration,
+      readDemand: () => reportDemand(this.loop.state, timers.monotonicNow()),
       onReport: (report) => dispatch({ type: 'entryReported', report }),
+      onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
       platform: new HttpPlatformAdapter(settings.platform.url),
@@ -191,27 +195,30 @@
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.ready = false;
     this.logger.write('shutdownStarted', {});
+    let cancelLimit: Unsubscribe = () => {};
     const settled = new Promise<void>((resolve) => {
       this.onShutdownReady = resolve;
+      cancelLimit = this.timers.after(shutdownMilliseconds, resolve);
     });
     const now = this.timers.monotonicNow();
     const left = Math.max(0, shutdownMilliseconds - SHUTDOWN_MARGIN_MILLISECONDS);
     const acceptUntil = now + Math.min(balancerDelayMilliseconds, left);
     this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + left });
     this.timers.after(acceptUntil - now, () => this.callers.stopListening());
-    await Promise.race([settled, this.timers.wait(shutdownMilliseconds)]);
-    await this.close();
+    await settled;
+    cancelLimit();
+    await this.close(SHUTDOWN_MARGIN_MILLISECONDS);
     this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
   }
 
-  /** Stops at once. */
-  async close(): Promise<void> {
+  /** Stops; answers that are being written get `patience` to reach their callers. */
+  async close(patience: Milliseconds = 0): Promise<void> {
     this.subscriptions.forEach((unsubscribe) => unsubscribe());
     this.store.close();
     await Promise.all([
       this.watcher.close(),
       this.peers.close(),
-      this.callers.close(),
+      this.callers.close(patience),
       this.operators.close(),
     ]);
     await this.adapters.close();
--- a/packages/adapters/src/http/readCompletion.ts
+++ b/packages/adapters/src/http/readCompletion.ts
@@ -7,48 +7,62 @@
 import type { z } from 'zod';
 import { BackendServerFailure } from '../BackendServerFailure.js';
 import type { CompletionChunk, CompletionUsage } from '../EngineAdapter.js';
+import { EventDataSplitter } from './EventDataSplitter.js';
+import type { HttpAnswer } from './HttpConnections.js';
 import { parseJson } from './readAnswer.js';
-import { readEventData } from './readEventData.js';
 import { completionChunkSchema } from './wireSchemas.js';
 
 const DONE = '[DONE]';
 
 type WireChunk = z.infer<typeof completionChunkSchema>;
 
-function readUsage(chunk: WireChunk): CompletionUsage | undefined {
-  if (chunk.usage === undefined || chunk.usage === null) return undefined;
-  return {
-    promptTokens: chunk.usage.prompt_tokens,
-    completionTokens: chunk.usage.completion_tokens,
-  };
+function readUsage({ usage }: WireChunk): CompletionUsage | undefined {
+  if (usage === undefined || usage === null) return undefined;
+  return { promptTokens: usage.prompt_tokens, completionTokens: usage.completion_tokens };
 }
 
-function makeEnd(finishReason: string | undefined, usage: CompletionUsage | undefined) {
-  if (finishReason === undefined) {
-    throw new BackendServerFailure('the stream ended with no finish reason', {
-      failure: 'malformed',
-      sent: 'maybe',
-    });
-  }
-  return { type: 'end', finishReason, ...(usage === undefined ? {} : { usage }) } as const;
-}
+/** Turns the events of one stream into chunks and remembers what its end will need. */
+class CompletionReader {
+  private finishReason: string | undefined;
 
-export async function* readCompletion(
-  bytes: AsyncIterable<Uint8Array>,
-): AsyncGenerator<CompletionChunk> {
-  let finishReason: string | undefined;
-  let usage: CompletionUsage | undefined;
-  for await (const data of readEventData(bytes)) {
-    if (data === DONE) {
-      yield makeEnd(finishReason, usage);
-      return;
-    }
+  private usage: CompletionUsage | undefined;
+
+  read(data: string): CompletionChunk | undefined {
+    if (data === DONE) return this.makeEnd();
     const chunk = parseJson(completionChunkSchema, data);
     const choice = chunk.choices[0];
+    this.finishReason = choice?.finish_reason ?? this.finishReason;
+    this.usage = readUsage(chunk) ?? this.usage;
     const text = choice?.delta?.content ?? '';
-    if (text !== '') yield { type: 'token', text, tokens: chunk.tokens ?? 1 };
-    finishReason = choice?.finish_reason ?? finishReason;
-    usage = readUsage(chunk) ?? usage;
+    return text === '' ? undefined : { type: 'token', text, tokens: chunk.tokens ?? 1 };
+  }
+
+  private makeEnd(): CompletionChunk {
+    const { finishReason, usage } = this;
+    if (finishReason === undefined) {
+      throw new BackendServerFailure('the stream ended with no finish reason', {
+        failure: 'malformed',
+        sent: 'maybe',
+      });
+    }
+    return { type: 'end', finishReason, ...(usage === undefined ? {} : { usage }) };
+  }
+}
+
+/** Reads chunks to the end of the answer, which is marked whole so that its connection is kept. */
+export async function* readCompletion({
+  body,
+  markWhole,
+}: Pick<HttpAnswer, 'body' | 'markWhole'>): AsyncGenerator<CompletionChunk> {
+  const splitter = new EventDataSplitter();
+  const reader = new CompletionReader();
+  for await (const part of body) {
+    for (const data of splitter.split(part)) {
+      const chunk = reader.read(data);
+      if (chunk?.type === 'end') markWhole();
+      if (chunk !== undefined) yield chunk;
+      if (chunk?.type === 'end') return;
+    }
   }
   throw new BackendServerFailure('the stream ended before [DONE]', {
     failure: 'connectionLost',
--- a/packages/controller-core/src/demand/reduceDemand.ts
+++ b/packages/controller-core/src/demand/reduceDemand.ts
@@ -4,8 +4,9 @@
  *
  * Controllers send each other one report a second; nothing is sent per request.
  */
+import type { RouteDemandReport } from '@hornbeampond/schema';
 import type { ControllerEffect } from '../effects.js';
-import type { ControllerEvent, DataCentreReport, RouteDemandReport } from '../events.js';
+import type { ControllerEvent, DataCentreReport } from '../events.js';
 import type { ControllerState } from '../state.js';
 import {
   addReport,
@@ -37,7 +38,8 @@
 function takePeerReport(state: ControllerState, report: DataCentreReport): void {
   if (report.dataCentre === state.dataCentre) return;
   addReports(state, `dataCentre:${report.dataCentre}`, report.dataCentre, report.demand);
-  state.peers.set(report.dataCentre, { heardAt: state.now, closedOffers: report.closedOffers });
+  const { closedOffers, serving } = report;
+  state.peers.set(report.dataCentre, { heardAt: state.now, closedOffers, serving });
   Object.entries(report.shapes ?? {}).forEach(([route, shape]) => {
     const known = demandOf(state, route).shape;
     shape.forEach((value, slot) => {
--- a/packages/controller-core/src/events.ts
+++ b/packages/controller-core/src/events.ts
@@ -11,6 +11,7 @@
   MonotonicMilliseconds,
   OrderResult,
   PlatformInstance,
+  RouteDemandReport,
 } from '@hornbeampond/schema';
 
 interface EventBase {
@@ -30,15 +31,6 @@
   | { readonly type: 'lost' }
   | { readonly type: 'weightStoreBusy'; readonly retryAfter: Milliseconds };
 
-/** Requests of one route that one entry, or one whole data centre, has seen lately. */
-export interface RouteDemandReport {
-  readonly route: string;
-  /** All that arrived, refused ones too: they are demand that the fleet was too small for. */
-  readonly requestsPerSecond: number;
-  /** Mean time that one request keeps one place of a backend server busy. */
-  readonly serviceMilliseconds: number;
-}
-
 /** A data centre and instance class that the platform will not sell, or should not be asked for. */
 export interface ClosedOffer {
   readonly dataCentre: string;
@@ -46,11 +38,21 @@
   readonly remaining: Milliseconds;
 }
 
+/** Places for requests at the instances of one pool and data centre that take requests now. */
+export interface ServingReport {
+  readonly pool: string;
+  readonly instances: number;
+  readonly slots: number;
+  readonly reclaimableSlots: number;
+}
+
 /** What the active controllers tell one another about once a second. */
 export interface DataCentreReport {
   readonly dataCentre: string;
   readonly demand: readonly RouteDemandReport[];
   readonly closedOffers: readonly ClosedOffer[];
+  /** Only the own controller knows what the engines of a data centre have loaded. */
+  readonly serving: readonly ServingReport[];
   /** Requests a second by quarter hour of the day, for controllers that have learnt none yet. */
   readonly shapes?: Readonly<Record<string, readonly (number | null)[]>>;
 }
--- a/packages/entry-core/src/admission/dropUnreachable.ts
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -4,13 +4,12 @@
  * in the order they would be served; one that is given up no longer delays those behind it.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
-import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { failRequest } from '../requests/endRequest.js';
 import type { FairQueue, Waiting, WorkspaceQueue } from './FairQueue.js';
 import type { PoolQueue } from './PoolQueue.js';
-import { usualDelay } from './predictWait.js';
+import { countPlaces, usualDelay } from './predictWait.js';
 import { promiseRetry } from './retryAfter.js';
 
 /**
@@ -19,13 +18,6 @@
  */
 const PREDICTION_TOLERANCE = 0.25;
 
-/** Places of backend servers of all data centres that this entry can count on. */
-function countAllPlaces(state: EntryState, pool: string, now: MonotonicMilliseconds): number {
-  const { local, remote } = poolBalanceOf(state, pool);
-  const entries = state.limits.ledger.countEntries(now);
-  return Math.max(1, (local.limitSum + remote.limitSum) / entries);
-}
-
 /** Walks the queue of one pool. */
 class UnreachableSearch {
   readonly found: Waiting[] = [];
@@ -37,7 +29,7 @@
     pool: string,
     private readonly now: MonotonicMilliseconds,
   ) {
-    this.places = countAllPlaces(state, pool, now);
+    this.places = countPlaces(state, pool);
   }
 
   walk(queue: PoolQueue): void {
@@ -62,15 +54,29 @@
     }
   }
 
-  private isUnreachable({ accepted, dueAt }: Waiting, wait: Milliseconds): boolean {
-    const earliest = this.now + usualDelay(this.state, accepted, this.now);
-    return earliest + wait * (1 - PREDICTION_TOLERANCE) > dueAt;
+  private isUnreachable(waiting: Waiting, wait: Milliseconds): boolean {
+    return isLateAfter(this.state, waiting, wait * (1 - PREDICTION_TOLERANCE), this.now);
   }
 }
 
-function giveUp(state: EntryState, { accepted, cost }: Waiting, now: number): EntryEffect[] {
+/** True if the deadline is missed when the request is sent after so long. */
+export function isLateAfter(
+  state: EntryState,
+  { accepted, dueAt }: Waiting,
+  wait: Milliseconds,
+  now: MonotonicMilliseconds,
+): boolean {
+  return now + wait + usualDelay(state, accepted) > dueAt;
+}
+
+/** Ends a request that has left the queue because it would be late. */
+export function giveUp(
+  state: EntryState,
+  { accepted, cost }: Waiting,
+  now: MonotonicMilliseconds,
+): EntryEffect[] {
   const { pool, request } = accepted;
-  const interval = cost / countAllPlaces(state, pool.name, now);
+  const interval = cost / countPlaces(state, pool.name);
   const key = `queue/${pool.name}/${request.workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, interval, interval, now);
   const ran = accepted.attemptsStarted === 0 ? 'no' : 'unknown';
--- a/packages/entry-core/src/attempts/chooseForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -3,7 +3,7 @@
  * have ruled out.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
-import { takesNewWork, type BackendServerState } from '../backendServers/BackendServerState.js';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { chooseBackendServer, type ChoiceOptions } from '../backendServers/chooseBackendServer.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
@@ -23,20 +23,20 @@
   return except(tried.slice(-1)) ?? except([]);
 }
 
-/** True if a backend server that cannot take the request now may do so soon. */
+/**
+ * True if a backend server that cannot take the request now may do so before its deadline. One that
+ * was started waits for any that is full, starting, leaving or down: its place will be
+ * taken by another. To refuse it would lose an accepted request to a reclaim of its whole pool.
+ */
 export function isWorthWaiting(
   state: EntryState,
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): boolean {
   const ruledOut = ruledOutForNow(state, accepted, now);
-  const isRetry = accepted.attemptsStarted > 0;
-  return [...state.backendServers.values()].some((server) => {
-    const { listed, goneAt } = server;
-    if (listed.pool !== accepted.pool.name || goneAt !== undefined) return false;
-    if (ruledOut.has(listed.instance)) return true;
-    // One that was tried, and is only full now, may be tried again.
-    const mayHaveRoom = takesNewWork(server) && !state.quarantine.down.has(listed.instance);
-    return isRetry && (mayHaveRoom || listed.state === 'starting');
-  });
+  return [...state.backendServers.values()].some(
+    ({ listed, goneAt }) =>
+      listed.pool === accepted.pool.name &&
+      (accepted.attemptsStarted > 0 || (goneAt === undefined && ruledOut.has(listed.instance))),
+  );
 }
--- a/packages/entry-core/src/backendServers/ServerBalance.ts
+++ b/packages/entry-core/src/backendServers/ServerBalance.ts
@@ -7,6 +7,14 @@
   readonly endedAt: MonotonicMilliseconds;
 }
 
+/** One prompt that is waiting for its first token. */
+export interface PendingPrompt {
+  /** Its tokens that are believed not to be in the cache. */
+  readonly tokens: number;
+  /** These, and those of the prompts that were pending there when it was sent. */
+  readonly tokensUntilFirst: number;
+}
+
 export interface ServerBalance {
   /** Requests that its class runs at full speed; the adaptive limit never goes above. */
   fullLimit: number;
@@ -17,12 +25,17 @@
   slowStartAt: MonotonicMilliseconds | undefined;
   /** Requests of other entries in progress when load was measured last. */
   othersInProgress: number;
+  /** Own requests in progress when load was measured last. */
+  ownAtMeasurement: number;
   /** When load was measured last, by the clock of this entry. */
   measuredAt: MonotonicMilliseconds | undefined;
   /** Own attempts that ended lately, oldest first. */
   readonly endedAttempts: EndedAttempt[];
+  /** Prompts that this entry has sent there and that have no first token yet, by attempt id. */
+  readonly pendingPrompts: Map<string, PendingPrompt>;
   /** Its first-token delay relative to what is usual in its pool. */
   slowness: number;
+  slownessLearntAt: MonotonicMilliseconds;
   consecutiveFailures: number;
   /** Outcomes that still count, halved now and then so that old ones fade. */
   successes: number;
@@ -48,9 +61,12 @@
     limitLoweredAt: Number.NEGATIVE_INFINITY,
     slowStartAt,
     othersInProgress: 0,
+    ownAtMeasurement: 0,
     measuredAt: undefined,
     endedAttempts: [],
+    pendingPrompts: new Map(),
     slowness: 1,
+    slownessLearntAt: 0,
     consecutiveFailures: 0,
     successes: 0,
     failures: 0,
@@ -76,3 +92,14 @@
   const share = Math.min(1, Math.max(0, now - slowStartAt) / SLOW_START_MILLISECONDS);
   return Math.max(1, limit * (SLOW_START_LEAST_SHARE + (1 - SLOW_START_LEAST_SHARE) * share));
 }
+
+const SLOWNESS_HALF_LIFE_MILLISECONDS: Milliseconds = 10_000;
+
+/**
+ * First-token delay relative to the pool's, as far as it is still believed. It fades: a slow server
+ * is passed over, so nothing would ever show that it is well again.
+ */
+export function slownessNow(balance: ServerBalance, now: MonotonicMilliseconds): number {
+  const age = now - balance.slownessLearntAt;
+  return 1 + (balance.slowness - 1) * 0.5 ** (age / SLOWNESS_HALF_LIFE_MILLISECONDS);
+}
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -14,7 +14,7 @@
 import { estimateInProgress } from './estimateInProgress.js';
 import type { CandidateGroup, PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
-import { predictFirstToken } from './predictFirstToken.js';
+import { hasPromptsEnough, predictFirstToken, uncachedTokens } from './predictFirstToken.js';
 import { limitNow } from './ServerBalance.js';
 
 /** Groups up to this size are looked at whole. */
@@ -23,6 +23,12 @@
 /** More samples, one at a time, while none with room was found. */
 const MORE_CHOICES = 14;
 
+/**
+ * A server that has the prefix may go above its limit by this share: computing the prompt anew
+ * elsewhere costs more than the turn or two that the request then waits inside the engine.
+ */
+const HOLDER_ALLOWANCE = 1.25;
+
 /** When the request's next token is due. */
 export function nextTokenDueAt(accepted: RequestState): MonotonicMilliseconds {
   return accepted.firstTokenAt === undefined ? accepted.firstTokenDueAt : accepted.wholeAnswerDueAt;
@@ -31,7 +37,10 @@
 interface Choice {
   readonly server: BackendServerState;
   readonly firstTokenIn: Milliseconds;
-  /** What the choice is made by; the least wins. */
+  /**
+   * What the choice goes by, the least wins: the request's own wait and what it makes others wait,
+   * or for streams of a wave how full the server is.
+   */
   readonly rank: number;
 }
 
@@ -53,27 +62,31 @@
     this.ruledOut = ruledOut(state, accepted, now);
   }
 
-  look(server: BackendServerState | undefined): void {
+  look(server: BackendServerState | undefined, allowance = 1): void {
     if (server === undefined || this.seen.has(server)) return;
     this.seen.add(server);
     const { instance } = server.listed;
     if (this.accepted.triedInstances.has(instance) || this.ruledOut.has(instance)) return;
-    if (!takesNewWork(server)) return;
-    if (!this.hasRoom(server)) return;
-    const { request, route } = this.accepted;
-    const firstTokenIn = predictFirstToken(this.pool, server, request, route.name, this.now);
-    const rank = this.spread ? this.fullness(server) : firstTokenIn;
+    if (!takesNewWork(server) || !this.hasRoom(server, allowance)) return;
+    const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
+    const rank = this.spread ? this.fullness(server) : firstTokenIn + this.delayOfOthers(server);
     if (this.best === undefined || rank < this.best.rank) {
       this.best = { server, firstTokenIn, rank };
     }
   }
 
+  /** What computing the prompt there adds to the wait of those that come after it. */
+  private delayOfOthers(server: BackendServerState): Milliseconds {
+    const uncached = uncachedTokens(this.pool, server, this.accepted.request, this.now);
+    return this.pool.firstToken.predictGrowth(uncached);
+  }
+
   lookAtHolders(group: CandidateGroup): void {
     for (const { server } of this.pool.beliefs.find(
       this.accepted.request.prefixDigests,
       this.now,
     )) {
-      if (group.has(server)) this.look(server);
+      if (group.has(server)) this.look(server, HOLDER_ALLOWANCE);
     }
   }
 
@@ -94,12 +107,13 @@
   }
 
   private fullness(server: BackendServerState): number {
-    return estimateInProgress(server, this.now) / limitNow(server.balance, this.now);
+    return estimateInProgress(this.state, server) / limitNow(server.balance, this.now);
   }
 
-  private hasRoom(server: BackendServerState): boolean {
-    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now)));
-    return estimateInProgress(server, this.now) < room;
+  private hasRoom(server: BackendServerState, allowance: number): boolean {
+    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now) * allowance));
+    if (estimateInProgress(this.state, server) >= room) return false;
+    return !hasPromptsEnough(this.state, this.pool, server, this.accepted);
   }
 }
 
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -3,7 +3,14 @@
  * most once, `ran: no` is only said of a call that was not sent and cannot be, and an attempt given
  * up never stands in the way of the caller's resend.
  */
-import type { ErrorKind, Milliseconds, MonotonicMilliseconds, Ran } from '@hornbeampond/schema';
+import {
+  LARGEST_STORED_ANSWER_BYTES,
+  type ErrorKind,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type Ran,
+  type StoredAnswer,
+} from '@hornbeampond/schema';
 import type {
   AfterRelease,
   ClaimCommand,
@@ -13,11 +20,14 @@
   ClaimIntent,
 } from './ClaimedCall.js';
 
-/** Copies of `openClaim` that are sent before the attempt is given up. */
+/**
+ * Copies of `openClaim` that are sent before the attempt is given up: 2.8 seconds with the waits
+ * below, in which the stores can elect another leader.
+ */
 export const MOST_OPEN_TRIES = 3;
 
 /** Wait before the first resend; it doubles with each. */
-export const FIRST_RESEND_AFTER: Milliseconds = 200;
+export const FIRST_RESEND_AFTER: Milliseconds = 400;
 
 /** Longest wait between resends. */
 export const MOST_RESEND_AFTER: Milliseconds = 5000;
@@ -42,7 +52,6 @@
     phase: 'opening',
     pending: undefined,
     tries: 0,
-    openUnsure: false,
     answered: false,
     afterRelease: 'nothing',
   };
@@ -133,9 +142,10 @@
       // The claim in the way may be released; a copy of our open still on its way must not take it.
       return [...refuse(call, 'claimRunning', 'unknown'), ...release(call, 'nothing')];
     case 'claimKeyReused':
-      return [...refuse(call, 'idempotencyKeyReused', 'no'), ...release(call, 'nothing')];
+      // Says `ran: no`, so a copy of our open still on its way is barred before.
+      return release(call, 'refuseKeyReused');
     default:
-      return release(call, 'refuse');
+      return release(call, 'refuseUnavailable');
   }
 }
 
@@ -144,16 +154,13 @@
  * by then, and past its retention the log would let another attempt open it.
  */
 function onOpened(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
-  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuse');
+  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuseUnavailable');
   call.phase = 'sending';
   call.pending = undefined;
   return [{ type: 'sendCall', attemptId: call.attemptId }];
 }
 
-function replay(
-  call: ClaimedCall,
-  answer: EventOf<'answered'>['answer'] | undefined,
-): ClaimedCallEffect[] {
+function replay(call: ClaimedCall, answer: StoredAnswer | undefined): ClaimedCallEffect[] {
   if (answer?.body === undefined) return refuse(call, 'answerTooLargeToReplay', 'unknown');
   if (call.answered) return [];
   call.answered = true;
@@ -169,24 +176,25 @@
     call.answered = true;
     return [{ type: 'tryElsewhere' }, ...finish(call)];
   }
-  return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
+  const kind = afterRelease === 'refuseKeyReused' ? 'idempotencyKeyReused' : 'claimsUnavailable';
+  return [...refuse(call, kind, 'no'), ...finish(call)];
 }
 
+/**
+ * Only the store's word that nothing was and will be done refuses at once. If an earlier copy of
+ * the same open was sent, it may still be run, and only the release makes sure.
+ */
 function onStoreFailed(call: ClaimedCall, event: EventOf<'storeFailed'>): ClaimedCallEffect[] {
-  if (call.phase !== 'opening' || event.command !== 'openClaim') return [];
-  if (!event.nothingDone) {
-    call.openUnsure = true;
-    return [];
-  }
-  // An earlier copy of the same open may still be run; only the release makes sure.
-  if (call.openUnsure || call.tries > 1) return [];
+  const isFirstOpen = call.phase === 'opening' && call.tries === 1;
+  if (!event.nothingDone || !isFirstOpen || event.command !== 'openClaim') return [];
   return [...refuse(call, 'claimsUnavailable', 'no'), ...finish(call)];
 }
 
 function onResendDue(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
   const { pending } = call;
   if (pending === undefined) return [];
-  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES) return release(call, 'refuse');
+  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES)
+    return release(call, 'refuseUnavailable');
   if (now - call.startedAt >= resendSpan(call)) {
     return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
   }
@@ -211,10 +219,17 @@
   if (call.phase !== 'sending') return [];
   const isLate = call.answered;
   call.answered = true;
-  const settling = settle(call, { outcome: 'done', answer });
+  const settling = settle(call, { outcome: 'done', answer: storable(answer) });
   return isLate ? settling : [{ type: 'answer', answer, replayed: false }, ...settling];
 }
 
+/** Leaves a body out that the log would not keep; resends are then told that the call ran. */
+function storable(answer: StoredAnswer): StoredAnswer {
+  const bytes = answer.body?.byteLength ?? 0;
+  if (bytes <= LARGEST_STORED_ANSWER_BYTES) return answer;
+  return { status: answer.status, headers: answer.headers };
+}
+
 function settle(
   call: ClaimedCall,
   end: Pick<Extract<ClaimCommand, { type: 'settleClaim' }>, 'outcome' | 'answer'>,
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -14,10 +14,13 @@
 export interface WorldOptions {
   /** Engines by data centre. */
   readonly engines: Readonly<Record<string, number>>;
+  /** Entries, one after the other in each data centre. */
   readonly entries?: number;
   readonly poison?: Poison;
   readonly rates?: Partial<EngineRates>;
   readonly wholeAnswerMilliseconds?: number;
+  /** Pool that the engines belong to; those of `bookings` play plain services. */
+  readonly pool?: 'engines' | 'bookings';
 }
 
 interface Task {
@@ -32,6 +35,15 @@
 
   movesFail = false;
 
+  /** False cuts all entries off from the store. */
+  storeReachable = true;
+
+  private readonly rates: EngineRates;
+
+  private readonly poison: Poison;
+
+  private readonly pool: string;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -43,18 +55,18 @@
   private readonly crashes = new Map<string, Set<string>>();
 
   constructor(options: WorldOptions) {
-    const rates = { ...standardRates, ...options.rates };
+    this.rates = { ...standardRates, ...options.rates };
+    this.poison = options.poison ?? new Map();
+    this.pool = options.pool ?? 'engines';
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
-        const instance = `${dataCentre}-engine-${number}`;
-        const engine = new FakeEngine(instance, dataCentre, rates, options.poison ?? new Map());
-        this.engines.set(instance, engine);
-        this.listed.push(this.list(engine));
+        this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
       }
     });
-    const dataCentre = Object.keys(options.engines)[0] ?? '';
+    const dataCentres = Object.keys(options.engines);
     const configuration = makeConfiguration(options.wholeAnswerMilliseconds ?? 60_000);
     for (let number = 1; number <= (options.entries ?? 1); number += 1) {
+      const dataCentre = dataCentres[(number - 1) % dataCentres.length] ?? '';
       const entry = new EntryShell(this, `entry-${number}`, dataCentre);
       this.entries.push(entry);
       entry.send({ type: 'configurationReceived', configuration });
@@ -62,6 +74,17 @@
     }
   }
 
+  /** A new engine; entries learn of it from the platform's list. */
+  addEngine(instance: string, dataCentre: string): void {
+    const engine = new FakeEngine(instance, dataCentre, this.rates, this.poison);
+    this.engines.set(instance, engine);
+    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
+    this.listed.push(this.list(engine));
+    this.entries.forEach((entry) =>
+      entry.send({ type: 'instancesListed', instances: this.listed }),
+    );
+  }
+
   get entry(): EntryShell {
     return this.entryAt(0);
   }
@@ -124,6 +147,10 @@
     instances.forEach((instance) => this.later(notice, () => this.engine(instance).die()));
   }
 
+  lostEngines(): number {
+    return [...this.engines.values()].filter(({ alive }) => !alive).length;
+  }
+
   /** The caller at this position among those still waiting closes its connection. */
   callerGone(position: number): void {
     const caller = this.callers().filter(({ finals }) => finals.length === 0)[position];
@@ -145,6 +172,7 @@
 
   /** A store that counts crashes by digest and quarantines at the second. */
   propose({ crashId, digests }: ReportCrashCommand): void {
+    if (!this.storeReachable) return;
     const until = this.clock().wallNow + 600_000;
     const quarantine = digests
       .filter((digest) => {
@@ -184,7 +212,7 @@
 
   private list(engine: FakeEngine): PlatformInstance {
     const { instance, dataCentre } = engine;
-    const base = { instance, dataCentre, instanceClass: 'gpu', pool: 'engines' } as const;
+    const base = { instance, dataCentre, instanceClass: 'gpu', pool: this.pool };
     return { ...base, state: 'live', host: '127.0.0.1', port: 1 };
   }
 
--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -6,9 +6,13 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import type { Suspect } from '../quarantine/QuarantineState.js';
 
 export const REPORT_MILLISECONDS = 1000;
 
+/** A digest is quarantined at this many crashes. */
+const NAMED_CRASHES = 2;
+
 function countInProgress(state: EntryState): Record<string, number> {
   const counts: Record<string, number> = {};
   state.requests.forEach(({ route, request }) => {
@@ -25,15 +29,35 @@
   )?.instance;
 }
 
-function listSuspects(state: EntryState): PeerSuspect[] {
-  return [...state.quarantine.suspects.values()].map(({ digest, crashIds }) => ({
+function listQuarantined(state: EntryState): PeerSuspect[] {
+  return [...state.quarantine.quarantined].map(([digest, { until }]) => ({
     digest,
-    crashes: crashIds.size,
-    crashIds: [...crashIds],
-    runningAt: runningAt(state, digest),
+    crashes: NAMED_CRASHES,
+    crashIds: [],
+    quarantinedUntil: until,
   }));
 }
 
+function isUnderSuspicion({ paroled }: Suspect): boolean {
+  return paroled !== true;
+}
+
+function listSuspects(state: EntryState): PeerSuspect[] {
+  const suspects = [...state.quarantine.suspects.values()];
+  return suspects
+    .filter(isUnderSuspicion)
+    .map(({ digest, crashIds, exposure, tokens, lossOf }) => ({
+      digest,
+      crashes: crashIds.size,
+      crashIds: [...crashIds],
+      judging: lossOf !== undefined,
+      exposure,
+      tokens,
+      runningAt: runningAt(state, digest),
+      pending: [...state.requests.values()].some(({ request }) => request.digest === digest),
+    }));
+}
+
 function makeReport(state: EntryState): EntryReport {
   const { instance, dataCentre, incarnation } = state.identity;
   state.membership.sequence += 1;
@@ -47,7 +71,7 @@
     revision: state.configuration.revision,
     inProgress: countInProgress(state),
     leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
-    suspects: listSuspects(state),
+    suspects: [...listSuspects(state), ...listQuarantined(state)],
   };
 }
 
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -2,7 +2,8 @@
  * What entries tell each other. Each entry sends its whole own state, numbered, on every
  * heartbeat; the newest number wins, so loss, repeats and reordering are harmless.
  */
-import type { EpochMilliseconds } from '../units.js';
+import type { Configuration } from '../tables/Configuration.js';
+import type { EpochMilliseconds, Milliseconds } from '../units.js';
 
 /** A request that was in progress at crashes of backend servers, as one entry saw it. */
 export interface PeerSuspect {
@@ -12,6 +13,15 @@
   readonly crashIds?: readonly string[];
   /** Backend server on which it runs again now, so that no other suspect is put there. */
   readonly runningAt?: string;
+  /** True if a request of this digest is in progress at the reporting entry. */
+  readonly pending?: boolean;
+  /** True while it is not known yet whether its last loss was a crash. */
+  readonly judging?: boolean;
+  /** How long it ran before the crash, and how many tokens it had given: its probation's measure. */
+  readonly exposure?: Milliseconds;
+  readonly tokens?: number;
+  /** Set if the digest is quarantined; entries honour it also where no store can be reached. */
+  readonly quarantinedUntil?: EpochMilliseconds;
 }
 
 /** One entry's word on itself and on what it has seen first. */
@@ -31,3 +41,29 @@
   /** Crashes seen, so that a resend through another entry is not run beside others. */
   readonly suspects: readonly PeerSuspect[];
 }
+
+/** Requests of one route that one entry, or one whole data centre, has seen lately. */
+export interface RouteDemandReport {
+  readonly route: string;
+  /** All that arrived, refused ones too: they are demand that the fleet was too small for. */
+  readonly requestsPerSecond: number;
+  /** Mean time that one request keeps one place of a backend server busy. */
+  readonly serviceMilliseconds: number;
+}
+
+/** The backend servers of one data centre that its controller has taken out of service. */
+export interface FleetDrains {
+  readonly dataCentre: string;
+  /** Of the controller's lease. */
+  readonly epoch: number;
+  readonly instances: readonly string[];
+}
+
+/** What entries and controllers ask an entry. */
+export type EntryRequest =
+  | { readonly type: 'peekConfiguration' }
+  | { readonly type: 'exchangeFleet'; readonly drains?: FleetDrains };
+
+export type EntryResponse =
+  | { readonly type: 'configuration'; readonly configuration: Configuration }
+  | { readonly type: 'demand'; readonly demand: readonly RouteDemandReport[] };
--- a/packages/store-core/src/machine/constants.ts
+++ b/packages/store-core/src/machine/constants.ts
@@ -29,11 +29,11 @@
 /** Longest time that a claim may stay open; above the longest deadline that tables are run with. */
 export const MOST_CLAIM_EXPIRY: Milliseconds = HOUR;
 
-/** Claims kept at most, about 0.5 GB. New ones are refused then: dropping one would let it run twice. */
-export const MOST_CLAIMS = 1_000_000;
-
-/** Largest answer kept for one claim: an offer or a reservation is a few KiB. */
-export const MOST_ANSWER_BYTES = 64 * 1024;
+/**
+ * Claims kept at most: 4.6 new ones a second all day, in about 0.2 GB. Past it new ones are
+ * refused, since a claim that is dropped early would let its call run twice.
+ */
+export const MOST_CLAIMS = 400_000;
 
 /** All kept answers together. Above it the oldest go first; their claims still read `done`. */
 export const MOST_STORED_ANSWER_BYTES = 64 * 1024 * 1024;
@@ -56,11 +56,17 @@
 /** Crashes at which a digest is named even if another shared each of them. */
 export const INSEPARABLE_CRASHES = 3;
 
-/** Crashes kept at most; a wave of reclaims is not reported as crashes. */
-export const MOST_CRASHES = 1000;
+/**
+ * Crashes kept at most, since each report judges all of them again; announced reclaims are not
+ * reported as crashes.
+ */
+export const MOST_CRASHES = 256;
 
-/** Digests kept for one crash: above the requests that one backend server runs at a time. */
-export const MOST_DIGESTS_PER_CRASH = 1024;
+/**
+ * Digests kept for one crash: several times the requests that one backend server runs at a time.
+ * With `MOST_CRASHES` it bounds the time that one report takes to judge.
+ */
+export const MOST_DIGESTS_PER_CRASH = 256;
 
 /** Changes from which deltas are made; a subscriber further behind gets the whole configuration. */
 export const MOST_CHANGES_IN_DELTA = 256;
--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -1,4 +1,7 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import {
   BackendServerFailure,
@@ -6,6 +9,7 @@
   type CompletionBody,
   type CompletionStream,
 } from '@hornbeampond/adapters';
+import type { Order } from '@hornbeampond/schema';
 import { ManualTimerService } from '../ManualTimerService.js';
 import { FakeEngine, type FakeEngineOptions } from '../fakes/FakeEngine.js';
 import { digestPrompt, generateText } from '../fakes/generateToken.js';
@@ -18,6 +22,9 @@
 const wholeText = generateText(digestPrompt(body.messages), 0, 12);
 const { signal } = new AbortController();
 
+/** Makes a test fail, and not hang, where a call is swallowed that should not be. */
+const bounded = { timeout: 20_000 };
+
 async function meet(t: TestContext, options: FakeEngineOptions = {}) {
   const engine = await FakeEngine.start({ model: 'appraiser', ...options });
   const adapter = new HttpEngineAdapter(engine);
@@ -66,6 +73,36 @@
   assert.equal(engine.counts.finished, 1);
 });
 
+test('a connection is kept for the next answer', async (t) => {
+  // The reader leaves a stream at its `[DONE]`, before the body's own end has come; here the engine
+  // sends that end only after the reader has left. Dropping the connection there, as for a stream
+  // that is given up, would cost each answer a new one.
+  let connections = 0;
+  let endBody = () => {};
+  const stop = { choices: [{ finish_reason: 'stop' }] };
+  const server = createServer((request, response) => {
+    response.write(`data: ${JSON.stringify(stop)}\n\ndata: [DONE]\n\n`);
+    endBody = () => response.end();
+  });
+  server.on('connection', () => {
+    connections += 1;
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const adapter = new HttpEngineAdapter({ host: '127.0.0.1', port });
+  t.after(async () => {
+    await adapter.close();
+    server.close();
+  });
+  for (const attemptId of ['a-1', 'a-2', 'a-3', 'a-4', 'a-5', 'a-6']) {
+    await readAll(await adapter.startCompletion({ attemptId, body, priority: 5, signal }));
+    endBody();
+  }
+  // The next call can come before the last connection is free again, so there may be a few.
+  assert.ok(connections <= 3, `${connections} connections`);
+});
+
 test('a stream cut after 5 tokens is resumed on another engine byte for byte', async (t) => {
   // The caller is to see one answer. The first engine loses its connection after five tokens;
   // the second is given the text so far and generates the rest. Joined, the two parts are the
@@ -120,30 +157,34 @@
   assert.equal((await readAll(await adapter.startCompletion(start))).text, wholeText);
 });
 
-test('a silent connection ends by the caller, a probe over a new one tells that the engine lives', async (t) => {
-  // Something between the two ends loses track of the open connection in the middle of a stream.
-  // The reader sees neither token nor end. The probe answers, because it opens a connection of its
-  // own; so the caller aborts, which drops the old one, and resumes with what it has.
-  const { engine, adapter } = await meet(t);
-  engine.stallStreamsAfter(3);
-  const giveUp = new AbortController();
-  const start = { attemptId: 'a-1', body, priority: 5, signal: giveUp.signal };
-  const reading = readAll(await adapter.startCompletion(start));
-  await engine.waitFor(() => engine.counts.generatedTokens === 3);
-  await adapter.readLoad(signal);
-  engine.goSilent();
-  engine.stallStreamsAfter(undefined);
-  await adapter.probe(signal);
-  giveUp.abort();
-  const begun = await reading;
-  assertFailure(begun.failure, 'silent', 'maybe');
-  adapter.renewConnections();
-  const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
-  const rest = await readAll(
-    await adapter.startCompletion({ attemptId: 'a-2', body, resume, priority: 5, signal }),
-  );
-  assert.equal(begun.text + rest.text, wholeText);
-});
+test(
+  'a silent connection ends by the caller, a probe over a new one tells that the engine lives',
+  bounded,
+  async (t) => {
+    // Something between the two ends loses track of the open connection in the middle of a stream.
+    // The reader sees neither token nor end. The probe answers, because it opens a connection of its
+    // own; so the caller aborts, which drops the old one, and resumes with what it has.
+    const { engine, adapter } = await meet(t);
+    engine.stallStreamsAfter(3);
+    const giveUp = new AbortController();
+    const start = { attemptId: 'a-1', body, priority: 5, signal: giveUp.signal };
+    const reading = readAll(await adapter.startCompletion(start));
+    await engine.waitFor(() => engine.counts.generatedTokens === 3);
+    await adapter.readLoad(signal);
+    engine.goSilent();
+    engine.stallStreamsAfter(undefined);
+    await adapter.probe(signal);
+    giveUp.abort();
+    const begun = await reading;
+    assertFailure(begun.failure, 'silent', 'maybe');
+    adapter.renewConnections();
+    const resume = { generatedText: begun.text, generatedTokens: begun.tokens };
+    const rest = await readAll(
+      await adapter.startCompletion({ attemptId: 'a-2', body, resume, priority: 5, signal }),
+    );
+    assert.equal(begun.text + rest.text, wholeText);
+  },
+);
 
 test('busy, wrong and broken answers are told apart', async (t) => {
   const { engine, adapter } = await meet(t);
@@ -197,7 +238,7 @@
   const recomputed: number[] = [];
   for (const moved of [true, false]) {
     const { engine, adapter } = await meet(t);
-    if (moved) await adapter.importCache({ ...cache, attemptId: 'a-2' }, signal);
+    if (moved) await adapter.importCache(cache, signal);
     const start = { attemptId: 'a-2', body, resume, priority: 5, signal };
     const rest = await readAll(await adapter.startCompletion(start));
     assert.equal(begun.text + rest.text, wholeText);
@@ -270,3 +311,19 @@
   );
   assert.equal(newestSequence, 2);
 });
+
+test('an order on its way when the engine dies has no effect', async (t) => {
+  // The controller's order has arrived when the engine dies. The answer is lost, and the restarted
+  // engine is as it was: an order that takes time must not reach into a later life of the engine.
+  const timers = new ManualTimerService();
+  const { engine, adapter } = await meet(t, { timers, orderDelay: 1000 });
+  const order: Order = { epoch: 1, sequence: 1, action: { type: 'changeRole', role: 'decode' } };
+  const lost = adapter.sendOrder(order, signal);
+  const refused = assert.rejects(lost, (error) => assertFailure(error, 'connectionLost', 'maybe'));
+  await engine.waitFor(() => engine.requestCounts.get('POST /engine/orders') === 1);
+  await engine.die();
+  await refused;
+  timers.advance(1000);
+  await engine.restart();
+  assert.deepEqual([engine.role, engine.orders], ['both', []]);
+});
