Pass over all events after one that failed half-way

The shell's event loop logs an error of the reducer and goes on. After a throw the state may be half changed, and an acknowledgement of it would promise what is not there. The reducer now does nothing from then on; a test sends a conflicting committed entry. 56 tests of the agreement and the log pass.

--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -178,6 +178,8 @@
   durableIndex: number;
   held: HeldMessage[];
   readOnly: boolean;
+  /** True once an event has failed half-way; nothing is done or promised from then on. */
+  halted: boolean;
   /** True once a peer has shown that this disk is older than its promises. */
   diskRefused: boolean;
   electionDueAt: MonotonicMilliseconds;
@@ -235,6 +237,7 @@
     durableIndex: restored.entries.at(-1)?.index ?? snapshot.index,
     held: [],
     readOnly: false,
+    halted: false,
     diskRefused: false,
     electionDueAt: Number.MAX_SAFE_INTEGER,
     voteAfter: 0,
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -224,6 +224,31 @@
   await matchSnapshot(import.meta.url, 'refused messages', JSON.stringify(effects, undefined, 2));
 });
 
+test('A leader that would overwrite a committed entry stops the voter for good', () => {
+  // A leader sends another entry where one is committed: a disk or a voter has broken a promise.
+  // Taking it would give callers two histories. The voter throws, and acknowledges nothing more
+  // even if its shell goes on.
+  const cluster = settle(fireTimer(elected(makeCluster({ voters: TRIO })), 'a'));
+  const { state } = cluster.voters.b ?? {};
+  assert.ok(state?.commitIndex === 1);
+  const from = { instance: 'c', identity: 'c1', run: { count: 1, token: 'c1-1' } };
+  const request = (index: number, term: number): ConsensusMessage => ({
+    type: 'appendRequest',
+    term,
+    previousIndex: index - 1,
+    previousTerm: index - 1,
+    entries: [{ index, term, at: 0, body: { type: 'noOperation' } }],
+    commitIndex: 0,
+    round: 0,
+  });
+  const receive = (message: ConsensusMessage) => {
+    const envelope = { cluster: 'test', from, to: 'b1', message };
+    return reduceConsensus(state, { type: 'received', now: 1, wallNow: 1, envelope });
+  };
+  assert.throws(() => receive(request(1, 9)), /differs from the committed entry at index 1/);
+  assert.deepEqual(receive(request(2, 9)), []);
+});
+
 test('The steps of an election and a write', async () => {
   // What the shell sees from the first timer to the reply, with the order of its effects.
   let cluster = makeCluster({ voters: TRIO });
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -168,16 +168,24 @@
   effects.push({ type: 'wake', at });
 }
 
-/** Decides what one event means for this voter. */
+/**
+ * Decides what one event means for this voter.
+ *
+ * @throws If going on would give callers two histories. The state may be half changed then, so
+ * every later event is passed over, and the process must stop.
+ */
 export const reduceConsensus: Reducer<ConsensusState, ConsensusEvent, ConsensusEffect> = (
   state,
   event,
 ) => {
   const effects: ConsensusEffect[] = [];
+  if (state.halted) return effects;
   const context = { state, now: event.now, wallNow: event.wallNow, effects };
+  state.halted = true;
   dispatch(context, event);
   flushChanges(context);
   askForSnapshot(context);
   setTimer(context);
+  state.halted = false;
   return effects;
 };
