Ask for a lost wake again: a voter could stop standing for election for good

Found by the failure run with three stores (24 calls ended by their deadline): after a repair and a second loss both voters left stayed follower and candidate for ever. Cause: Node's timer fired a fraction of a millisecond before electionDueAt; the reducer did nothing, and asked for no new wake since the time was the same. Ruled out: vote rules (the logs were equal), the forwarders (it came without them). A timer that fires now uses up what was asked for. A store that another store connects to is connected to at once, so a repair no longer waits out a growing pause.

--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -44,6 +44,11 @@
     this.clients.get(instance)?.push(envelope);
   }
 
+  /** A store that has just connected to us can be connected to: a repair need not wait. */
+  greet(instance: string): void {
+    this.clients.get(instance)?.connectNow();
+  }
+
   /** Every connection, for requests to whichever store leads. */
   get all(): readonly PeerClient[] {
     return [...this.clients.values()];
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -137,6 +137,7 @@
       describe: () => ({ ...this.address, identity: this.loop.state.self.identity }),
     });
     this.server = new PeerServer(context, {
+      onOpen: ({ peer }) => this.peers.greet(peer.instance),
       onPush: (session, body) => this.receive(session, body as Envelope),
       onRequest: (session, body, respond) => this.answer(session, body as StoreRequest, respond),
       onClose: (session) => this.subscribers.remove(session),
--- a/packages/store-core/src/consensus/reduceConsensus.test.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.test.ts
@@ -273,3 +273,14 @@
   ['b', 'a'].forEach(deliverTo);
   await matchSnapshot(import.meta.url, 'election and write', seen.join('\n'));
 });
+
+// Callers find no leader for good: a machine's timer fires a fraction of a millisecond early, which
+// is too early to stand for election, and if no later wake is asked for then none ever comes.
+test('A timer that fires a moment early is asked for again', () => {
+  const cluster = makeCluster({ voters: TRIO });
+  const state = cluster.voters.a?.state;
+  assert.ok(state !== undefined);
+  const early = { now: state.electionDueAt - 0.4, wallNow: 0 };
+  const effects = reduceConsensus(state, { type: 'timerFired', ...early });
+  assert.deepEqual(effects, [{ type: 'wake', at: state.electionDueAt }]);
+});
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -48,6 +48,9 @@
 
 function timerFired(context: StepContext): void {
   const { state, now } = context;
+  // Timers may fire a moment early. What was asked for is used up either way; without a new wake an
+  // early one would be the last, and this voter would never stand for election again.
+  state.wakeAt = Number.MAX_SAFE_INTEGER;
   const leader = leaderOf(state);
   if (leader !== undefined) leaderTimerFired(context, leader);
   else if (now >= state.electionDueAt) startPreVote(context);
--- a/packages/transport/src/PeerClient.ts
+++ b/packages/transport/src/PeerClient.ts
@@ -41,6 +41,9 @@
 
   private stopped = false;
 
+  /** True between a lost connection and the next try. */
+  private waiting = false;
+
   private readonly failures = new Set<() => void>();
 
   constructor(
@@ -89,6 +92,13 @@
     return true;
   }
 
+  /** Connects at once if it waits to; for when the peer has shown in another way that it is back. */
+  connectNow(): void {
+    if (!this.waiting || this.stopped) return;
+    this.cancelReconnect();
+    this.connect();
+  }
+
   close(): void {
     this.stopped = true;
     this.cancelReconnect();
@@ -96,6 +106,7 @@
   }
 
   private connect(): void {
+    this.waiting = false;
     const socket = createConnection(this.address);
     const connection = new PeerConnection(socket, 'client', this.context, {
       onOpen: (peer) => {
@@ -121,6 +132,7 @@
     // Full jitter keeps the clients of a restarted process from coming back all at once.
     const delay = Math.random() * this.pause;
     this.pause = Math.min(this.pause * 2, LONGEST_PAUSE_MILLISECONDS);
+    this.waiting = true;
     this.cancelReconnect = this.context.timers.after(delay, () => {
       if (!this.stopped) this.connect();
     });
