Test the silent data centre and the turns of scaling in

Mutations of 22 safeguards, one at a time, showed two that no test failed without: the demand of a silent data centre, and the turns of scaling in. Now one does for each. The first test also showed that a silent data centre without instances of its own lost its demand, though its callers lean on the others the most; it is now dropped only if its instances vanished with it.

--- a/packages/controller-core/src/demand/reduceDemand.ts
+++ b/packages/controller-core/src/demand/reduceDemand.ts
@@ -52,10 +52,17 @@
   return [...state.fleet.values()].some((instance) => instance.dataCentre === dataCentre);
 }
 
+/** True if a silent data centre had instances when it was last heard and none is listed now. */
+function seemsCutOff(state: ControllerState, dataCentre: string): boolean {
+  const served = state.peers.get(dataCentre)?.serving.some(({ instances }) => instances > 0);
+  return served === true && !hasInstances(state, dataCentre);
+}
+
 /**
  * Drops sources that speak no longer. A silent entry's callers have gone to other entries. A
- * silent data centre may be cut off or may only have lost its controllers: as long as its
- * instances are listed, both its demand and its capacity are still there, so both keep counting.
+ * silent data centre may only have lost its controllers, and then its callers still need places
+ * here or there; so its demand keeps counting for a while, beside its listed instances, unless
+ * those have vanished with it.
  */
 function dropSilentSources(state: ControllerState): void {
   state.demand.forEach((demand) => {
@@ -64,7 +71,8 @@
       const own = source.dataCentre === state.dataCentre;
       const dropped = own
         ? silent > state.policy.entrySilence
-        : silent > state.policy.peerSilence && !hasInstances(state, source.dataCentre);
+        : silent > state.policy.silentDemandMemory ||
+          (silent > state.policy.peerSilence && seemsCutOff(state, source.dataCentre));
       if (dropped) demand.sources.delete(name);
     });
   });
--- a/packages/controller-core/src/policy.ts
+++ b/packages/controller-core/src/policy.ts
@@ -49,6 +49,8 @@
   readonly orderTimeout: Milliseconds;
   /** A data centre whose controller has been silent for so long is planned around. */
   readonly peerSilence: Milliseconds;
+  /** Demand of a silent data centre that seems not to be cut off counts for so long. */
+  readonly silentDemandMemory: Milliseconds;
   /** Demand of an entry that has been silent for so long counts no longer. */
   readonly entrySilence: Milliseconds;
   /** Loads that may run at a time in this data centre. */
@@ -82,6 +84,7 @@
   turnDuration: 20 * SECOND,
   orderTimeout: 5 * MINUTE,
   peerSilence: 30 * SECOND,
+  silentDemandMemory: 60 * MINUTE,
   entrySilence: 30 * SECOND,
   loadsAtOnce: 4,
 };
--- a/packages/controller-core/src/reduceController.test.ts
+++ b/packages/controller-core/src/reduceController.test.ts
@@ -32,17 +32,44 @@
   assert.deepEqual(effects.filter(isFleetEffect), []);
 });
 
-// Two data centres are heard by nobody for a while. Both their demand and their listed instances
-// stay in the plan, so the other controllers do not buy the whole fleet a second time; nothing
-// new is planned there, as nobody would buy it.
+// The other data centres are not heard for a while; they may be cut off, or only their controllers
+// may be dead. As long as their instances are listed, their demand and their capacity both stay
+// in the plan: this controller neither buys the whole fleet a second time nor drains its part.
 test('a data centre that is not heard keeps its part of the plan', () => {
   const harness = new ControllerHarness();
-  harness.rate = 20;
+  harness.rate = 5;
+  harness.peerRate = 5;
   harness.furnish();
+  const before = harness.state.plans.get('models');
   harness.peersHeard = false;
-  const effects = harness.advance(5 * 60_000);
+  const effects = harness.advance(15 * 60_000);
   assert.deepEqual(placesOf(effects), []);
   assert.deepEqual(pick(effects, 'drainInstance'), []);
+  const after = harness.state.plans.get('models');
+  const [expected = 0, counted = 0] = [before, after].map(
+    (plan) => plan?.figures.requestsPerSecond,
+  );
+  assert.ok(Math.abs(counted - expected) < 0.01, `${counted} requests a second`);
+});
+
+// Demand falls and each data centre has an instance too many. Were all to drain one at the same
+// moment, each trusting the others' capacity, the pool would fall below its need; so a controller
+// drains only in its data centre's turn by the wall clock.
+test('a controller scales in only in the turn of its data centre', () => {
+  const harness = new ControllerHarness();
+  harness.rate = 80;
+  harness.furnish();
+  harness.rate = 4;
+  const position = [...harness.pool.dataCentres].sort().indexOf(harness.state.dataCentre);
+  const { turnDuration } = harness.state.policy;
+  let drained = 0;
+  for (let second = 0; second < 1200; second += 1) {
+    const drains = pick(harness.advance(1000), 'drainInstance');
+    if (drains.length === 0) continue;
+    drained += drains.length;
+    assert.equal(Math.floor(harness.wallNow / turnDuration) % 4, position);
+  }
+  assert.ok(drained >= 2);
 });
 
 // All controllers plan for all data centres, each from its own state. Given the same figures
--- a/packages/controller-core/src/testing/ControllerHarness.ts
+++ b/packages/controller-core/src/testing/ControllerHarness.ts
@@ -75,6 +75,9 @@
   /** Requests a second that the one entry reports. */
   rate = 0;
 
+  /** Requests a second that each other data centre reports. */
+  peerRate = 0;
+
   /** What the platform lists; undefined while its list cannot be read. */
   rows: PlatformInstance[] | undefined = [];
 
@@ -168,7 +171,7 @@
     return effects;
   }
 
-  /** The other controllers report what the list shows as live; they have no demand of their own. */
+  /** The other controllers report their demand and what the list shows as live. */
   private hearPeers(): void {
     this.pool.dataCentres.forEach((dataCentre) => {
       const instances = (this.rows ?? []).filter(
@@ -176,7 +179,10 @@
       ).length;
       const slots = 8 * instances;
       const serving = [{ pool: this.pool.name, instances, slots, reclaimableSlots: slots }];
-      const report = { dataCentre, demand: [], closedOffers: [], serving };
+      const demand = [
+        { route: 'appraisals', requestsPerSecond: this.peerRate, serviceMilliseconds: 1000 },
+      ];
+      const report = { dataCentre, demand, closedOffers: [], serving };
       this.tell({ type: 'peerReported', report });
     });
   }
