--- a/measure/src/day/Platform.ts
+++ b/measure/src/day/Platform.ts
@@ -11,7 +11,6 @@
 
 export const TICK = 20_000;
 const HOUR = 3_600_000;
-const LIST_LAG = 1;
 
 /** All reclaimable instances, or a share of them, of one data centre are taken away. */
 export interface PlannedWave {
@@ -26,7 +25,6 @@
   readonly eurosPerHour: number;
   readonly slots: number;
   readonly reclaimable: boolean;
-  readonly boughtAt: Milliseconds;
   readonly bootedAt: Milliseconds;
   loadedAt: Milliseconds;
   loaded: boolean;
@@ -69,7 +67,10 @@
 
   private readonly sold = new Map<string, string>();
 
-  private readonly lists: PlatformInstance[][] = [];
+  private rows: PlatformInstance[] = [];
+
+  /** The list as it was a tick ago. */
+  list: readonly PlatformInstance[] = [];
 
   refused = 0;
 
@@ -121,7 +122,6 @@
       eurosPerHour: this.priceOf(pool, dataCentre, instanceClass),
       slots: found.concurrency,
       reclaimable: found.reclaimable,
-      boughtAt: now,
       bootedAt: now + boot,
       loadedAt: Infinity,
       loaded: pool.kind === 'plainService',
@@ -154,15 +154,11 @@
       this.machines.delete(machine.row.instance);
       onGone(machine);
     });
-    this.lists.push(this.listNow(now));
+    this.list = this.rows;
+    this.rows = this.listNow(now);
     return taken;
   }
 
-  /** The list as it was a tick ago. */
-  list(): readonly PlatformInstance[] {
-    return this.lists.at(-1 - LIST_LAG) ?? [];
-  }
-
   private listNow(now: Milliseconds): PlatformInstance[] {
     return [...this.machines.values()].map(({ row, bootedAt, goneAt }) => {
       if (goneAt !== Infinity) return { ...row, state: 'leaving', goneAt };
--- a/measure/src/day/deployments.ts
+++ b/measure/src/day/deployments.ts
@@ -63,8 +63,8 @@
     kind: engine ? 'modelEngine' : 'plainService',
     dataCentres,
     instanceClasses: [
-      { name: 'spot', eurosPerHour: euros * 0.32, reclaimable: true, concurrency },
-      { name: 'firm', eurosPerHour: euros, reclaimable: false, concurrency },
+      { name: `${name}-spot`, eurosPerHour: euros * 0.32, reclaimable: true, concurrency },
+      { name: `${name}-firm`, eurosPerHour: euros, reclaimable: false, concurrency },
     ],
     least: 2,
     most: 24,
--- a/measure/src/day/runDay.ts
+++ b/measure/src/day/runDay.ts
@@ -154,7 +154,7 @@
     const reports = this.controllers.map((controller) => makeReport(controller, false));
     this.controllers.forEach((controller) => {
       reports.forEach((report) => this.tell(controller, { type: 'peerReported', report }));
-      this.tell(controller, { type: 'platformListed', instances: this.platform.list() });
+      this.tell(controller, { type: 'platformListed', instances: this.platform.list });
       this.reportTo(controller, taken);
       this.tell(controller, { type: 'tick' });
     });
--- a/packages/controller-core/src/planning/chooseMix.ts
+++ b/packages/controller-core/src/planning/chooseMix.ts
@@ -45,7 +45,7 @@
 }
 
 /** At most this many amounts are tried of each kind; above it, they are spaced evenly. */
-const MOST_CANDIDATES = 48;
+const MOST_CANDIDATES = 24;
 
 /** Against a wave that takes everything, no number of reclaimable instances helps. */
 const LEAST_LEFT = 0.05;
