Order a load only where the engine itself has said that it is empty

Cause: a new holder lists engines before it has their load reports, and took those with nothing known to be loaded for empty; its load order could have changed the version under running streams. Found by reading, and now a test.

--- a/measure/src/day/runDay.ts
+++ b/measure/src/day/runDay.ts
@@ -180,10 +180,11 @@
     });
   }
 
-  /** A drained machine has finished its last call after two minutes. */
+  /** One without its weights runs nothing; a drained one has ended its last call in two minutes. */
   private loadOf(machine: Machine) {
     const pool = this.pools.find(({ name }) => name === machine.row.pool);
-    const idle = machine.drained && this.now - machine.drainedAt > 120_000;
+    const finished = machine.drained && this.now - machine.drainedAt > 120_000;
+    const idle = finished || !machine.loaded;
     return {
       instance: machine.row.instance,
       measuredAt: STARTED_AT + this.now,
--- a/packages/controller-core/src/orders/giveOrders.ts
+++ b/packages/controller-core/src/orders/giveOrders.ts
@@ -58,8 +58,11 @@
 
 function isLoadable(state: ControllerState, pool: Pool, instance: FleetInstance): boolean {
   if (instance.phase === 'reloading') return isIdle(state, instance);
-  // One with nothing loaded has no streams; one with another model may still have some.
-  return instance.phase === 'live' && instance.loaded.model === undefined;
+  // A new holder knows of an engine before it knows what runs there. An order sent on a guess could
+  // change the version under running streams, so the engine itself must have said that it is empty.
+  const { load } = instance;
+  if (instance.phase !== 'live' || load === undefined) return false;
+  return instance.loaded.model === undefined && load.running + load.queued === 0;
 }
 
 function compareUrgency(a: Waiting, b: Waiting): number {
--- a/packages/controller-core/src/orders/orders.test.ts
+++ b/packages/controller-core/src/orders/orders.test.ts
@@ -145,3 +145,24 @@
   assert.deepEqual(pick(harness.advance(19_000), 'sendOrder'), []);
   assert.equal(pick(harness.advance(5000), 'sendOrder').length, 1);
 });
+
+// A new holder hears of an engine from the platform's list before the engine's first load report.
+// Callers' streams of the old version may run there. It gets no order on the guess that it is
+// empty; once it has reported its version, it is drained first.
+test('an engine that has not reported yet gets no order', () => {
+  const harness = serving();
+  const next = new ControllerHarness({ pool: { ...harness.pool, version: '2' } });
+  next.rate = 8;
+  next.rows = harness.rows;
+  next.reporting = false;
+  const unknown = [...next.hold(2), ...next.advance(60_000)];
+  assert.deepEqual(pick(unknown, 'sendOrder'), []);
+  harness.loaded.forEach((loaded, instance) => {
+    next.loaded.set(instance, loaded);
+    next.running.set(instance, 2);
+  });
+  next.reporting = true;
+  const known = next.advance(90_000);
+  assert.deepEqual(pick(known, 'sendOrder'), []);
+  assert.equal(pick(known, 'drainInstance').length, 1);
+});
--- a/packages/controller-core/src/testing/ControllerHarness.ts
+++ b/packages/controller-core/src/testing/ControllerHarness.ts
@@ -87,6 +87,9 @@
   /** Calls that run at an instance; one that is not named runs none. */
   readonly running = new Map<string, number>();
 
+  /** False while no load report comes in. */
+  reporting = true;
+
   /** False while the other data centres are cut off. */
   peersHeard = true;
 
@@ -165,6 +168,7 @@
     const { rows } = this;
     if (rows === undefined) return [];
     const effects = this.tell({ type: 'platformListed', instances: rows });
+    if (!this.reporting) return effects;
     rows
       .filter(({ dataCentre }) => dataCentre === this.state.dataCentre)
       .forEach(({ instance }) => this.report(instance));
