--- a/packages/controller-core/src/planning/scaleIn.ts
+++ b/packages/controller-core/src/planning/scaleIn.ts
@@ -5,6 +5,7 @@
 import type { DrainReason, Pool } from '@hornbeampond/schema';
 import type { ControllerEffect } from '../effects.js';
 import {
+  classOf,
   enterPhase,
   instancesOf,
   isIdle,
@@ -128,20 +129,28 @@
   });
 }
 
+/** True if no row of the pools table allows for it. */
+function isStray(state: ControllerState, instance: FleetInstance): boolean {
+  const pool = poolOf(state, instance.pool);
+  if (pool === undefined) return true;
+  return !pool.dataCentres.includes(instance.dataCentre) || classOf(pool, instance) === undefined;
+}
+
 /**
  * Drains instances of the own data centre that belong to no row of the pools table. Before a
- * table has come in, none is a stray: a restarted controller would end the whole fleet.
+ * table has come in, none is a stray: a restarted controller would end the whole fleet. Where only
+ * a class or a data centre was taken out of a row, callers still depend on its instances, so each
+ * stays until the pool's other instances meet the need.
  */
 function drainStrays(state: ControllerState): ControllerEffect[] {
   if (state.configuration.pools.revision === 0) return [];
   return [...state.fleet.values()]
+    .filter((instance) => instance.dataCentre === state.dataCentre && isKept(instance))
+    .filter((instance) => state.now - instance.firstSeenAt >= state.policy.strayGrace)
+    .filter((instance) => isStray(state, instance))
     .filter((instance) => {
-      if (instance.dataCentre !== state.dataCentre || !isKept(instance)) return false;
       const pool = poolOf(state, instance.pool);
-      const belongs =
-        pool?.dataCentres.includes(instance.dataCentre) === true &&
-        pool.instanceClasses.some(({ name }) => name === instance.instanceClass);
-      return !belongs && state.now - instance.firstSeenAt >= state.policy.strayGrace;
+      return pool === undefined || canEndWithout(state, pool, instance);
     })
     .flatMap((instance) => drain(state, instance, 'stray', {}));
 }
--- a/packages/controller-core/src/reduceController.test.ts
+++ b/packages/controller-core/src/reduceController.test.ts
@@ -113,6 +113,32 @@
   assert.deepEqual(ended.sort(), drained.map(({ instance }) => instance).sort());
 });
 
+// An operator takes a class out of a pool's row while all its instances are of that class and
+// serve the rush. They stay until instances of the other class serve in their place; drained at
+// once, they would leave callers without any backend server for minutes.
+test('a class taken out of the table serves until it is replaced', () => {
+  const harness = new ControllerHarness({ pool: { dataCentres: ['wien-a'], least: 1, most: 12 } });
+  harness.rate = 20;
+  harness.furnish();
+  const instanceClasses = modelPool.instanceClasses.map((known) => ({ ...known, name: 'new' }));
+  const configuration = configure(
+    { ...harness.pool, instanceClasses: instanceClasses.slice(1) },
+    2,
+  );
+  const changed = harness.tell({ type: 'configurationApplied', configuration });
+  const waiting = [...changed, ...harness.advance(120_000)];
+  assert.deepEqual(pick(waiting, 'drainInstance'), []);
+  const old = harness.rows?.length ?? 0;
+  assert.ok(old > 0);
+  [...harness.state.pendingStarts.values()].forEach(({ startToken }) => {
+    const instance = row(startToken, 'wien-a', { instanceClass: 'new', startToken });
+    harness.rows?.push(instance);
+    harness.loaded.set(startToken, { model: 'appraiser', version: '1' });
+  });
+  const replaced = harness.advance(120_000);
+  assert.equal(pick(replaced, 'drainInstance').length, old);
+});
+
 test('the plan explains itself in rows', async () => {
   const harness = new ControllerHarness();
   harness.rate = 12;
