Trust no drain of an earlier epoch

Cause: the random faults test, made to let a holder in between restore every engine, found that a controller which got the lease back ended an instance on the strength of its old drain, while entries sent to it again. A new epoch now drains anew and waits for the entries anew, also where the old one's end was never heard. Ruled out: dropping the drain, as the platform may list the instance as leaving. Switched off, each of the two fails the test.

--- a/packages/controller-core/src/randomFaults.test.ts
+++ b/packages/controller-core/src/randomFaults.test.ts
@@ -64,7 +64,8 @@
   /** Nothing runs there, and no entry can send to it any more. */
   private assertStopped(instance: string): void {
     assert.equal(this.harness.running.get(instance) ?? 0, 0, 'calls are in progress');
-    const drainedFor = this.harness.now - (this.drainedAt.get(instance) ?? -Infinity);
+    if (this.harness.loaded.get(instance)?.model === undefined) return;
+    const drainedFor = this.harness.now - (this.drainedAt.get(instance) ?? Infinity);
     assert.ok(drainedFor >= 5000, `entries may send for ${5000 - drainedFor} ms more`);
   }
 
@@ -115,10 +116,18 @@
     if (this.once(150)) this.reclaimOne();
   }
 
+  /** Another holder acts meanwhile and puts everything back into service. */
   private loseLease(): void {
-    this.harness.tell({ type: 'leaseLost' }).forEach((effect) => this.carryOut(effect));
     this.answers.splice(0);
     this.drainedAt.clear();
+    if (this.once(3)) this.takeLease();
+    else this.tellAll(() => this.harness.tell({ type: 'leaseLost' }));
+  }
+
+  private takeLease(): void {
+    this.epoch += 1;
+    const { epoch, harness } = this;
+    this.tellAll(() => harness.tell({ type: 'leaseHeld', epoch, unfencedFrom: harness.now }));
   }
 
   private putVersion(): void {
@@ -142,11 +151,7 @@
 
   second(): void {
     const { harness } = this;
-    if (harness.state.lease === undefined && this.once(30)) {
-      this.epoch += 1;
-      const { epoch } = this;
-      this.tellAll(() => harness.tell({ type: 'leaseHeld', epoch, unfencedFrom: harness.now }));
-    }
+    if (harness.state.lease === undefined && this.once(30)) this.takeLease();
     this.disturb();
     this.sendCalls();
     if (this.once(3)) harness.rows = [...this.real.values()];
--- a/packages/controller-core/src/reduceLease.ts
+++ b/packages/controller-core/src/reduceLease.ts
@@ -17,18 +17,41 @@
     .map(({ instance }) => ({ type: 'restoreInstance', instance }));
 }
 
+/**
+ * A drain from before this lease may have been undone by a holder in between, and then calls run
+ * there again. It is told anew, and the wait until the entries have stopped begins anew; an end on
+ * the strength of the old drain would cut those calls.
+ */
+function drainAnew(state: ControllerState): ControllerEffect[] {
+  return [...state.fleet.values()]
+    .filter(({ dataCentre, phase }) => dataCentre === state.dataCentre && phase === 'draining')
+    .map((instance) => {
+      instance.phaseSince = state.now;
+      instance.phaseSinceWall = state.wallNow;
+      instance.endSentAt = undefined;
+      return { type: 'drainInstance', instance: instance.instance, reason: 'scaleIn' };
+    });
+}
+
 function takeLease(
   state: ControllerState,
   event: ControllerEvent & { readonly type: 'leaseHeld' },
 ): ControllerEffect[] {
   const { epoch, unfencedFrom } = event;
   if (state.lease?.epoch === epoch) return [];
+  // A new epoch without a word of the old one's end: somebody else may have acted in between.
+  const left = loseLease(state);
   state.lease = { epoch, unfencedFrom, since: state.now };
   state.newerEpochSeen = false;
   state.orderSequence = 0;
   state.startSequence = 0;
   const fields = { epoch, unfencedWaitMilliseconds: Math.max(0, unfencedFrom - state.now) };
-  return [{ type: 'log', event: 'fleetTakenOver', fields }, ...restoreAll(state)];
+  return [
+    ...left,
+    { type: 'log', event: 'fleetTakenOver', fields },
+    ...restoreAll(state),
+    ...drainAnew(state),
+  ];
 }
 
 /** Open answers belong to the old epoch: whoever holds the next one finds what they led to. */
