--- a/measure/src/day/runDay.ts
+++ b/measure/src/day/runDay.ts
@@ -154,7 +154,7 @@
     const reports = this.controllers.map((controller) => makeReport(controller, false));
     this.controllers.forEach((controller) => {
       reports.forEach((report) => this.tell(controller, { type: 'peerReported', report }));
-      this.tell(controller, { type: 'platformListed', instances: this.platform.list() });
+      this.tell(controller, { type: 'platformListed', instances: this.platform.list });
       this.reportTo(controller, taken);
       this.tell(controller, { type: 'tick' });
     });
@@ -180,10 +180,11 @@
     });
   }
 
-  /** A drained machine has finished its last call after two minutes. */
+  /** One without its weights runs nothing; a drained one has ended its last call in two minutes. */
   private loadOf(machine: Machine) {
     const pool = this.pools.find(({ name }) => name === machine.row.pool);
-    const idle = machine.drained && this.now - machine.drainedAt > 120_000;
+    const finished = machine.drained && this.now - machine.drainedAt > 120_000;
+    const idle = finished || !machine.loaded;
     return {
       instance: machine.row.instance,
       measuredAt: STARTED_AT + this.now,
--- a/packages/controller-core/src/testing/ControllerHarness.ts
+++ b/packages/controller-core/src/testing/ControllerHarness.ts
@@ -75,6 +75,9 @@
   /** Requests a second that the one entry reports. */
   rate = 0;
 
+  /** Requests a second that each other data centre reports. */
+  peerRate = 0;
+
   /** What the platform lists; undefined while its list cannot be read. */
   rows: PlatformInstance[] | undefined = [];
 
@@ -84,6 +87,12 @@
   /** Calls that run at an instance; one that is not named runs none. */
   readonly running = new Map<string, number>();
 
+  /** How far the clocks of the backend servers are ahead. */
+  clockAhead: Milliseconds = 0;
+
+  /** False while no load report comes in. */
+  reporting = true;
+
   /** False while the other data centres are cut off. */
   peersHeard = true;
 
@@ -162,13 +171,14 @@
     const { rows } = this;
     if (rows === undefined) return [];
     const effects = this.tell({ type: 'platformListed', instances: rows });
+    if (!this.reporting) return effects;
     rows
       .filter(({ dataCentre }) => dataCentre === this.state.dataCentre)
       .forEach(({ instance }) => this.report(instance));
     return effects;
   }
 
-  /** The other controllers report what the list shows as live; they have no demand of their own. */
+  /** The other controllers report their demand and what the list shows as live. */
   private hearPeers(): void {
     this.pool.dataCentres.forEach((dataCentre) => {
       const instances = (this.rows ?? []).filter(
@@ -176,14 +186,17 @@
       ).length;
       const slots = 8 * instances;
       const serving = [{ pool: this.pool.name, instances, slots, reclaimableSlots: slots }];
-      const report = { dataCentre, demand: [], closedOffers: [], serving };
+      const demand = [
+        { route: 'appraisals', requestsPerSecond: this.peerRate, serviceMilliseconds: 1000 },
+      ];
+      const report = { dataCentre, demand, closedOffers: [], serving };
       this.tell({ type: 'peerReported', report });
     });
   }
 
   private report(instance: string): void {
     const running = this.running.get(instance) ?? 0;
-    const measuredAt = this.wallNow;
+    const measuredAt = this.wallNow + this.clockAhead;
     const report = { instance, measuredAt, running, queued: 0, ...this.loaded.get(instance) };
     this.tell({ type: 'loadReported', report });
   }
