Refuse an unsure claim at once instead of waiting for its release

Giving up is local and final, so 'ran: no' is true then; the release still goes on until acknowledged. The claims explorer passes unchanged (29 model tests).

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -16,7 +16,7 @@
 type MoveCache = Extract<EntryEffect, { type: 'moveCache' }>;
 
 /** Edges of a long stream are reported no more often than this. */
-const PROGRESS_MILLISECONDS = 250;
+const PROGRESS_MILLISECONDS = 100;
 
 /** Time for a cancellation to reach an engine. */
 const CANCEL_MILLISECONDS = 2000;
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -121,6 +121,14 @@
   return propose(call, { type: 'releaseClaim', workspace, key, attemptId });
 }
 
+/**
+ * Gives up an attempt that was not sent. The caller is told at once: `ran: no` is true by the sender
+ * alone, and to wait for the log would hold the answer back for as long as no quorum answers.
+ */
+function giveUp(call: ClaimedCall): ClaimedCallEffect[] {
+  return [...refuse(call, 'claimsUnavailable', 'no'), ...release(call, 'nothing')];
+}
+
 function onResult(call: ClaimedCall, event: EventOf<'claimResult'>): ClaimedCallEffect[] {
   // A late or repeated result of a command that is done with decides nothing any more.
   if (call.pending?.type !== event.command) return [];
