Tell crashes of one backend server apart, and hold its place after a restart

Cause: one crash counted twice when a new connection was reset just after the judgement, and named an innocent request (found by random batches with engines that restart at once); two crashes of one engine within a minute had one name, so a bad request that kept returning to it was never named (up to 6 crashes). Crashes are now named by the second, resets within a second of a judged crash belong to it, and a crashed engine takes no work until its next probe, also if it is back.

--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -56,6 +56,11 @@
   readonly losses: Map<string, Loss>;
   /** Backend servers that did not answer a probe, by instance. */
   readonly down: Map<string, DownServer>;
+  /** The last crash of each backend server, by instance. */
+  readonly lastCrashes: Map<
+    string,
+    { readonly crashId: string; readonly judgedAt: MonotonicMilliseconds }
+  >;
   /** Digests that were in a mass loss, until when that is remembered. */
   readonly massLost: Map<string, MonotonicMilliseconds>;
   /** What backend servers last called themselves, where their probe tells. */
@@ -68,6 +73,7 @@
     suspects: new Map(),
     losses: new Map(),
     down: new Map(),
+    lastCrashes: new Map(),
     massLost: new Map(),
     incarnations: new Map(),
   };
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -33,7 +33,10 @@
 const DOWN_PROBE_MILLISECONDS = 2000;
 
 /** Crashes without a name of their own are told apart by their time; see `crashIdOf`. */
-const CRASH_BUCKET_MILLISECONDS = 60_000;
+const CRASH_SPAN_MILLISECONDS = 1000;
+
+/** Connections reset so soon after a crash was judged were lost in that same crash. */
+const SAME_CRASH_MILLISECONDS = 1000;
 
 /** What a probe's answer says. */
 export interface ProbeResult {
@@ -43,19 +46,27 @@
 
 /**
  * Names a crash the same way at every entry that sees it: the backend server and its incarnation.
- * Without an incarnation the minute stands in; a crash seen on both sides of a minute by two
- * entries then counts as two, and two within one minute as one.
+ * Without an incarnation the second in which the loss was seen stands in. A crash that two entries
+ * see on either side of its end has two names; its suspects are then cleared by their parole only.
  */
-function crashIdOf(state: EntryState, instance: string, { wallNow }: Timed): string {
+function crashIdOf(
+  state: EntryState,
+  { instance, openedAt }: Loss,
+  { now, wallNow }: Timed,
+): string {
+  const last = state.quarantine.lastCrashes.get(instance);
+  if (last !== undefined && openedAt - last.judgedAt <= SAME_CRASH_MILLISECONDS) {
+    return last.crashId;
+  }
   const incarnation =
     state.quarantine.incarnations.get(instance) ??
-    `minute-${Math.floor(wallNow / CRASH_BUCKET_MILLISECONDS)}`;
+    `second-${Math.floor((wallNow - now + openedAt) / CRASH_SPAN_MILLISECONDS)}`;
   return `${instance}/${incarnation}`;
 }
 
 /**
  * A backend server that answers can still have crashed and been restarted within the probe. Its
- * incarnation tells; without one, it is taken for restarted if every connection was reset at once,
+ * incarnation tells; without one, it is taken for restarted if most connections were reset at once,
  * or if one that was reset carried a suspect of an earlier crash, or was reset once before. A bad
  * request that is alone on engines that restart at once costs one more of them for that.
  */
@@ -63,11 +74,11 @@
   const before = state.quarantine.incarnations.get(loss.instance);
   if (before !== undefined && incarnation !== undefined) return before !== incarnation;
   if (loss.reset.size === 0) return false;
-  const allReset = loss.members.size > 1 && loss.reset.size >= loss.members.size;
+  const mostReset = loss.reset.size > 1 && loss.reset.size * 2 > loss.members.size;
   const again = [...loss.reset].some(
     (digest) => state.quarantine.suspects.get(digest)?.resetBefore === true,
   );
-  return allReset || again || priorSuspects(state, loss).length > 0;
+  return mostReset || again || priorSuspects(state, loss).length > 0;
 }
 
 /** Remembers whose connection was reset although the backend server answers. */
@@ -121,7 +132,7 @@
 
 /** Draws what follows for the requests that were in progress at a crash. */
 function blame(state: EntryState, loss: Loss, crashId: string, timed: Timed): EntryEffect[] {
-  const prior = priorSuspects(state, loss);
+  const prior = priorSuspects(state, loss, crashId);
   clearProvisional(state, loss.instance);
   const culprit = prior[0];
   // A peer's suspect ran there: the crash is that one's, as the peer will find.
@@ -183,9 +194,11 @@
     clearProvisional(state, instance);
     return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance } }];
   }
-  const crashId = crashIdOf(state, instance, timed);
+  const crashId = crashIdOf(state, loss, timed);
+  state.quarantine.lastCrashes.set(instance, { crashId, judgedAt: timed.now });
   const mass = !result.answered && isMassLoss(state, loss);
-  if (!result.answered) markDown(state, loss, crashId, timed.now);
+  // Also if it is back already: its suspects must not go there again before the next probe.
+  markDown(state, loss, crashId, timed.now);
   const blamed = mass ? [] : blame(state, loss, crashId, timed);
   if (mass) clearProvisional(state, instance);
   const members = loss.members.size;
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -139,10 +139,11 @@
   return state.quarantine.suspects.get(digest)?.paroled === true;
 }
 
-/** Members of the loss that were in progress at an earlier crash. */
-export function priorSuspects(state: EntryState, loss: Loss): string[] {
+/** Members of the loss that were in progress at an earlier crash, one other than `crashId`. */
+export function priorSuspects(state: EntryState, loss: Loss, crashId?: string): string[] {
+  const isOther = (other: string) => other !== crashId;
   return [...loss.members.keys()].filter(
-    (digest) => !isParoled(state, digest) && crashesOf(state, digest).size > 0,
+    (digest) => !isParoled(state, digest) && [...crashesOf(state, digest)].some(isOther),
   );
 }
 
