Let started requests outlast the reclaim of their whole pool

Cause: once the platform's list no longer showed a reclaimed pool's servers, what waited for one was refused at once. It now waits up to 30 s for a replacement, within its deadline, and is then refused with noOtherBackendServer counted. Also: a test that runs the waves under three policies.

--- a/packages/entry-core/src/attempts/chooseForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseForAttempt.ts
@@ -44,12 +44,18 @@
   return chooseWithout(state, accepted, exceptLast) ?? chooseWithout(state, accepted, ruledOut);
 }
 
-/**
- * True if a backend server that cannot take the request now may do so before its deadline. One that
- * was started waits for any that is full, starting, leaving or down: its place will be
- * taken by another. To refuse it would lose an accepted request to a reclaim of its whole pool.
- */
-export function isWorthWaiting(
+/** Longest wait of a started request for a backend server in a pool that has none at all. */
+const MOST_WAIT_MILLISECONDS = 30_000;
+
+/** True if the pool has a backend server that is not just gone or on its way out. */
+function hasAny(state: EntryState, accepted: RequestState): boolean {
+  return [...state.backendServers.values()].some(
+    ({ listed, goneAt }) => listed.pool === accepted.pool.name && goneAt === undefined,
+  );
+}
+
+/** True if one that is ruled out only for now could take the request. */
+function hasRuledOut(
   state: EntryState,
   accepted: RequestState,
   now: MonotonicMilliseconds,
@@ -57,7 +63,23 @@
   const ruledOut = ruledOutForNow(state, accepted, now);
   return [...state.backendServers.values()].some(
     ({ listed, goneAt }) =>
-      listed.pool === accepted.pool.name &&
-      (accepted.attemptsStarted > 0 || (goneAt === undefined && ruledOut.has(listed.instance))),
+      listed.pool === accepted.pool.name && goneAt === undefined && ruledOut.has(listed.instance),
   );
 }
+
+/**
+ * True if a backend server may take the request before its deadline although none can now. A request
+ * that was started waits for one that is full, starting or down, and for some time also in an empty pool,
+ * where a replacement may be on its way. To refuse it would lose an accepted request to the
+ * reclaim of its whole pool.
+ */
+export function isWorthWaiting(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): boolean {
+  if (hasRuledOut(state, accepted, now)) return true;
+  if (accepted.attemptsStarted === 0) return false;
+  accepted.waitsSince ??= now;
+  return hasAny(state, accepted) || now - accepted.waitsSince < MOST_WAIT_MILLISECONDS;
+}
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -62,6 +62,7 @@
   const attemptId = `${requestId}.${accepted.attemptsStarted}`;
   const resumeFromTokens = state.retries.policy.resume ? accepted.tokens : 0;
   accepted.attemptId = attemptId;
+  accepted.waitsSince = undefined;
   // Peers must know where a suspect runs before they place their own.
   if (isSuspect(state, accepted.request.digest)) reportSoon(state);
   // Kept in the order of trying, so that the last one tried is known.
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -78,8 +78,13 @@
   addEngine(instance: string, dataCentre: string): void {
     const engine = new FakeEngine(instance, dataCentre, this.rates, this.poison);
     this.engines.set(instance, engine);
-    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
     this.listed.push(this.list(engine));
+    this.listAlive();
+  }
+
+  /** The platform's list shows what is alive, and nothing else. */
+  listAlive(): void {
+    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
     this.entries.forEach((entry) =>
       entry.send({ type: 'instancesListed', instances: this.listed }),
     );
--- /dev/null
+++ b/packages/entry-core/src/driver/waves.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { fullRecoveryPolicy } from '../index.js';
+import { runWaves } from './waves.js';
+
+const SEED = 2;
+
+// Callers of 500 requests see a minute of reclaims, deaths and silence. Each policy gets the same requests
+// and the same faults, so the difference is the policy's: a stream that is resumed keeps its deadline where
+// one that is redone from the start misses it, and one that is moved is hardly computed again.
+test('the recovery of streams beats plain baselines under the same waves', () => {
+  const full = runWaves(fullRecoveryPolicy, SEED);
+  const unmoved = runWaves({ ...fullRecoveryPolicy, moves: false }, SEED);
+  const redone = { ...fullRecoveryPolicy, moves: false, handOn: false, resume: false };
+  const plain = runWaves(redone, SEED);
+  assert.equal(full.violations + unmoved.violations + plain.violations, 0);
+  assert.equal(full.whole >= full.requests * 0.99, true, `${full.whole} whole`);
+  assert.equal(plain.whole < full.whole, true, `${plain.whole} whole when redone`);
+  assert.equal(full.prefilledAgain < unmoved.prefilledAgain * 0.85, true);
+  assert.equal(full.decodedAgain < plain.decodedAgain * 0.5, true);
+});
--- a/packages/entry-core/src/reclaims/reclaims.test.ts
+++ b/packages/entry-core/src/reclaims/reclaims.test.ts
@@ -49,6 +49,36 @@
   assert.equal(Math.max(...sizes) - Math.min(...sizes) <= 3, true, `${sizes}`);
 });
 
+// Callers see whole answers after a pause. The whole pool is reclaimed and its list is empty for a while;
+// what was accepted waits, goes on by offset at the replacement, and is not refused in between.
+test('a whole pool is reclaimed and replaced', () => {
+  const world = new World({ engines: { 'wien-a': 2 } });
+  rush(world, 10, 50);
+  world.reclaimListed(['wien-a-engine-1', 'wien-a-engine-2'], 1000);
+  world.advance(2000);
+  world.listAlive();
+  assert.equal(world.entry.state.backendServers.size, 0);
+  world.advance(3000);
+  world.addEngine('wien-a-engine-3', 'wien-a');
+  world.settle();
+  assertAllWhole(world);
+});
+
+// Callers are refused once no replacement has come for thirty seconds, long before their deadline.
+test('a pool that stays empty ends what waits for it', () => {
+  const world = new World({ engines: { 'wien-a': 1 }, wholeAnswerMilliseconds: 600_000 });
+  const caller = world.entry.arrive(makeRequest('one', { mostTokens: 400 }));
+  world.advance(1000);
+  world.reclaimListed(['wien-a-engine-1'], 1000);
+  world.advance(2000);
+  world.listAlive();
+  world.settle();
+  const final = caller.finals[0];
+  assert.equal(final?.type === 'problem' && final.kind, 'noBackendServer');
+  assert.equal(final !== undefined && final.at < 33_000, true);
+  assert.equal(world.entry.count('retriesRefused/noOtherBackendServer'), 1);
+});
+
 // Three engines get notice at the same moment, each with one stream, and three empty ones stay. No
 // move has begun when the next target is chosen, so only the reservations tell the targets apart.
 test('moves that start together go to different targets', () => {
--- a/packages/entry-core/src/requests/RequestState.ts
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -23,6 +23,8 @@
   losses?: number;
   /** Attempts that fell silent and may still bring the first whole answer. */
   givenUpAttemptIds?: string[];
+  /** Since when it has found no backend server, if it waits for one. */
+  waitsSince?: MonotonicMilliseconds;
   /** What the next attempt has to compute again. */
   recompute?: { readonly reason: RecomputeReason; readonly tokens: number };
 }
