Leave streams that give tokens alone, and split the judgement of losses

Found by reading: an unanswered probe ended every attempt at its backend server as lost, also streams that still gave tokens, claimed calls, and answers of plain services that had begun, which were then begun again. Now tokens after the loss prove the server alive, claimed calls keep their connection, and begun plain answers end as cut. judgeLoss.ts is parted by job.

--- a/packages/entry-core/src/attempts/loss.test.ts
+++ b/packages/entry-core/src/attempts/loss.test.ts
@@ -110,3 +110,24 @@
   assert.deepEqual(world.violations(), []);
   assert.equal(caller.tokens.join(''), wholeAnswer(request));
 });
+
+// Callers see whole answers without a pause. One connection is reset and the probe goes unanswered, for the
+// engine is too busy to accept; but the other streams still give tokens, so they are left alone.
+test('an unanswered probe does not end streams that give tokens', () => {
+  const world = new World({ engines: { 'wien-a': 1 } });
+  const callers = ['one', 'two', 'three'].map((name) => world.entry.arrive(makeRequest(name)));
+  world.advance(1000);
+  world.probesAnswered = false;
+  const engine = world.engine('wien-a-engine-1');
+  const [first] = engine.streams.values();
+  assert.ok(first !== undefined);
+  engine.streams.delete(first.attemptId);
+  first.listener.lost();
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(
+    callers.every(({ finals }) => finals[0]?.type === 'whole'),
+    true,
+  );
+  assert.equal(world.entry.count('retries/backendServerLost'), 1);
+});
--- a/packages/entry-core/src/attempts/plainService.test.ts
+++ b/packages/entry-core/src/attempts/plainService.test.ts
@@ -77,3 +77,25 @@
   assert.equal(caller.finals[0]?.type, 'whole');
   assert.deepEqual(world.violations(), []);
 });
+
+// Both callers see their answers end with an error. Their backend server vanished; only one connection was
+// reset, and the probe's silence ends the other. Its answer had begun too, so it is not begun again.
+test('an answer of a plain service that was ended by the probe is not retried', () => {
+  const world = new World({ engines: { 'wien-a': 1 }, pool: 'bookings' });
+  const callers = ['one', 'two'].map((name) =>
+    world.entry.arrive(makeRequest(name, { path: '/lookups', promptTokens: 0 })),
+  );
+  world.advance(500);
+  const engine = world.engine('wien-a-engine-1');
+  engine.unreachable = true;
+  [...engine.streams.values()].forEach((stream, position) => {
+    stream.silent = position > 0;
+  });
+  engine.die();
+  world.advance(1500);
+  assert.deepEqual(
+    callers.map(({ finals: [final] }) => final?.type === 'problem' && final.kind),
+    ['answerCut', 'answerCut'],
+  );
+  assert.deepEqual(world.violations(), []);
+});
--- a/packages/entry-core/src/driver/EntryShell.ts
+++ b/packages/entry-core/src/driver/EntryShell.ts
@@ -288,6 +288,7 @@
 
   private probe(instance: string): void {
     const engine = this.world.engines.get(instance);
+    if (!this.world.probesAnswered) return;
     if (engine !== undefined && !engine.alive && engine.unreachable) return;
     this.world.later(2, () => {
       this.send({ type: 'probeAnswered', instance, answered: engine?.alive === true });
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -35,6 +35,9 @@
 
   movesFail = false;
 
+  /** False lets every probe go without an answer. */
+  probesAnswered = true;
+
   /** False cuts all entries off from the store. */
   storeReachable = true;
 
--- /dev/null
+++ b/packages/entry-core/src/quarantine/blame.ts
@@ -0,0 +1,80 @@
+/**
+ * What a crash means for the requests that were in progress there.
+ *
+ * Where exactly one of them was a suspect already, that one is named: it was in progress at two
+ * crashes, and it is quarantined. Its neighbours there stay innocent, and so do all others of the
+ * first crash.
+ */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { quarantineDigest } from './quarantineDigest.js';
+import type { Loss } from './QuarantineState.js';
+import {
+  announceSpan,
+  clearExplained,
+  crashesOf,
+  peerHasSuspectAt,
+  priorSuspects,
+  SUSPICION_MILLISECONDS,
+} from './suspects.js';
+
+/** Clears those that were suspects only for the time of the probe. */
+export function clearProvisional(state: EntryState, instance: string): void {
+  state.quarantine.suspects.forEach((suspect, digest) => {
+    if (suspect.lossOf !== instance) return;
+    suspect.lossOf = undefined;
+    if (suspect.crashIds.size === 0) state.quarantine.suspects.delete(digest);
+  });
+}
+
+function suspectAll(
+  state: EntryState,
+  loss: Loss,
+  digests: string[],
+  crashId: string,
+  now: MonotonicMilliseconds,
+): void {
+  const until = loss.openedAt + SUSPICION_MILLISECONDS;
+  const heldUntil = now + announceSpan(state);
+  digests.forEach((digest) => {
+    const crashIds = crashesOf(state, digest).add(crashId);
+    const { exposure = 0, tokens = 0 } = loss.members.get(digest) ?? {};
+    const suspect = { digest, crashIds, lossOf: undefined, exposure, tokens, until, heldUntil };
+    state.quarantine.suspects.set(digest, suspect);
+  });
+}
+
+/**
+ * Reports the named request with each of its crashes, and nobody else. The store quarantines any digest
+ * at its second crash; were all members of every crash reported, an innocent one that is in two by
+ * chance would be quarantined everywhere.
+ */
+function reportCulprit(digest: string, crashIds: ReadonlySet<string>): EntryEffect[] {
+  return [...crashIds].map((crashId) => {
+    const backendServer = crashId.slice(0, crashId.lastIndexOf('/'));
+    const command = { type: 'reportCrash', backendServer, crashId, digests: [digest] } as const;
+    return { type: 'proposeCommand', command };
+  });
+}
+
+/** Draws what follows for the requests that were in progress at a crash. */
+export function blame(state: EntryState, loss: Loss, crashId: string, timed: Timed): EntryEffect[] {
+  const prior = priorSuspects(state, loss, crashId);
+  clearProvisional(state, loss.instance);
+  const culprit = prior[0];
+  // A peer's suspect ran there: the crash is that one's, as the peer will find.
+  if (culprit === undefined && peerHasSuspectAt(state, loss.instance)) return [];
+  if (culprit === undefined) {
+    suspectAll(state, loss, [...loss.members.keys()], crashId, timed.now);
+    return [];
+  }
+  if (prior.length > 1 || peerHasSuspectAt(state, loss.instance)) {
+    suspectAll(state, loss, prior, crashId, timed.now);
+    return [];
+  }
+  const crashIds = crashesOf(state, culprit).add(crashId);
+  clearExplained(state, crashIds);
+  return [...reportCulprit(culprit, crashIds), ...quarantineDigest(state, culprit, timed)];
+}
--- /dev/null
+++ b/packages/entry-core/src/quarantine/hasRestarted.ts
@@ -0,0 +1,40 @@
+/**
+ * Tells a backend server that lost a connection from one that crashed and is back already.
+ */
+import type { EntryState } from '../EntryState.js';
+import type { Loss } from './QuarantineState.js';
+import { priorSuspects } from './suspects.js';
+
+/** What a probe's answer says. */
+export interface ProbeResult {
+  readonly answered: boolean;
+  readonly incarnation?: string;
+}
+
+/**
+ * A backend server that answers can still have crashed and been restarted within the probe. Its
+ * incarnation tells; without one, it is taken for restarted if most connections were reset at once,
+ * or if one that was reset carried a suspect of an earlier crash, or was reset once before. A bad
+ * request that is alone on engines that restart at once costs one more of them for that.
+ */
+export function hasRestarted(state: EntryState, loss: Loss, { incarnation }: ProbeResult): boolean {
+  const before = state.quarantine.incarnations.get(loss.instance);
+  if (before !== undefined && incarnation !== undefined) return before !== incarnation;
+  if (loss.reset.size === 0) return false;
+  const mostReset = loss.reset.size > 1 && loss.reset.size * 2 > loss.members.size;
+  const again = [...loss.reset].some(
+    (digest) => state.quarantine.suspects.get(digest)?.resetBefore === true,
+  );
+  return mostReset || again || priorSuspects(state, loss).length > 0;
+}
+
+/** Remembers whose connection was reset although the backend server answers. */
+export function rememberReset(state: EntryState, loss: Loss): void {
+  loss.reset.forEach((digest) => {
+    const suspect = state.quarantine.suspects.get(digest);
+    if (suspect === undefined) return;
+    suspect.lossOf = undefined;
+    suspect.paroled = true;
+    suspect.resetBefore = true;
+  });
+}
