--- a/measure/src/streams.ts
+++ b/measure/src/streams.ts
@@ -16,7 +16,7 @@
 
 /** One line of the comparison. */
 export interface StreamsRow {
-  readonly scenario: 'waves' | 'poison' | 'storm';
+  readonly scenario: 'waves' | 'waves, hosts vanish' | 'poison' | 'storm';
   readonly policy: string;
   readonly figures: Readonly<Record<string, number>>;
 }
@@ -43,13 +43,13 @@
   return Math.round(value * 10_000) / 10_000;
 }
 
-function measureWaves(policy: string, recovery: RecoveryPolicy): StreamsRow {
-  const outcomes = SEEDS.map((seed) => runWaves(recovery, seed));
+function measureWaves(policy: string, recovery: RecoveryPolicy, vanish: boolean): StreamsRow {
+  const outcomes = SEEDS.map((seed) => runWaves(recovery, seed, vanish));
   const requests = total(outcomes, (outcome) => outcome.requests);
   const recomputed = total(outcomes, (outcome) => outcome.prefilledAgain + outcome.decodedAgain);
   const shares = outcomes.map((outcome) => outcome.whole / outcome.requests);
   return {
-    scenario: 'waves',
+    scenario: vanish ? 'waves, hosts vanish' : 'waves',
     policy,
     figures: {
       requests,
@@ -95,7 +95,9 @@
 /** Runs every comparison; the same figures come out each time. */
 export async function measureStreams(): Promise<StreamsRow[]> {
   return [
-    ...Object.entries(wavePolicies).map(([name, policy]) => measureWaves(name, policy)),
+    ...[false, true].flatMap((vanish) =>
+      Object.entries(wavePolicies).map(([name, policy]) => measureWaves(name, policy, vanish)),
+    ),
     ...[3, 6].flatMap((engines) => [measurePoison(engines, true), measurePoison(engines, false)]),
     measureStorm(true),
     measureStorm(false),
--- a/packages/entry-core/src/driver/FakeEngine.ts
+++ b/packages/entry-core/src/driver/FakeEngine.ts
@@ -59,6 +59,9 @@
 
   deaths = 0;
 
+  /** True if its connections are not even reset when it dies. */
+  vanishes = false;
+
   /** True if a dead host does not even refuse connections. */
   unreachable = false;
 
@@ -94,6 +97,7 @@
     this.alive = this.restarts;
     const lost = [...this.streams.values()];
     this.streams.clear();
+    if (this.vanishes) return;
     lost.filter(({ silent }) => !silent).forEach(({ listener }) => listener.lost());
   }
 
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -21,6 +21,8 @@
   readonly wholeAnswerMilliseconds?: number;
   /** Pool that the engines belong to; those of `bookings` play plain services. */
   readonly pool?: 'engines' | 'bookings';
+  /** True if engines that die are gone without a word, instead of resetting their connections. */
+  readonly vanish?: boolean;
 }
 
 interface Task {
@@ -47,6 +49,8 @@
 
   private readonly pool: string;
 
+  private readonly vanish: boolean;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -61,6 +65,7 @@
     this.rates = { ...standardRates, ...options.rates };
     this.poison = options.poison ?? new Map();
     this.pool = options.pool ?? 'engines';
+    this.vanish = options.vanish ?? false;
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
         this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
@@ -80,6 +85,8 @@
   /** A new engine; entries learn of it from the platform's list. */
   addEngine(instance: string, dataCentre: string): void {
     const engine = new FakeEngine(instance, dataCentre, this.rates, this.poison);
+    engine.vanishes = this.vanish;
+    engine.unreachable = this.vanish;
     this.engines.set(instance, engine);
     this.listed.push(this.list(engine));
     this.listAlive();
--- a/packages/entry-core/src/driver/waves.ts
+++ b/packages/entry-core/src/driver/waves.ts
@@ -105,12 +105,14 @@
   };
 }
 
-export function runWaves(policy: RecoveryPolicy, seed: number): WaveOutcome {
+/** With `vanish`, engines that die reset no connections. */
+export function runWaves(policy: RecoveryPolicy, seed: number, vanish = false): WaveOutcome {
   const engines = Object.fromEntries(DATA_CENTRES.map((dataCentre) => [dataCentre, 2]));
   const world = new World({
     engines,
     entries: DATA_CENTRES.length,
     wholeAnswerMilliseconds: WHOLE_ANSWER_MILLISECONDS,
+    vanish,
   });
   world.entries.forEach((entry) => {
     entry.state.retries.policy = policy;
