Notice a vanished host by its stalled streams

A host that is gone without a word resets nothing, so its streams waited five seconds for their time-out and one more for the probe. Streams that give nothing for 1.5 s now have their server probed; an answer changes nothing.

--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -10,6 +10,7 @@
 import { advanceReports } from './membership/reportToEntries.js';
 import { advanceSuspects } from './quarantine/advanceSuspects.js';
 import { advanceLosses } from './quarantine/judgeLoss.js';
+import { probeStalled } from './quarantine/probeStalled.js';
 import { advanceMoves } from './reclaims/moveCache.js';
 import { advanceReclaims } from './reclaims/noticeReclaim.js';
 import { enforceDeadlines } from './requests/enforceDeadlines.js';
@@ -22,6 +23,7 @@
   return [
     ...enforceDeadlines(state, timed.now),
     ...advanceLosses(state, timed),
+    ...probeStalled(state, timed.now),
     ...advanceMoves(state, timed),
     ...advanceReclaims(state, timed),
     ...advanceRetries(state, timed.now),
--- a/packages/entry-core/src/attempts/loss.test.ts
+++ b/packages/entry-core/src/attempts/loss.test.ts
@@ -111,6 +111,23 @@
   assert.equal(caller.tokens.join(''), wholeAnswer(request));
 });
 
+// The callers wait about two and a half seconds, not six. The host is gone without a word: streams stall, which
+// is noticed by the progress that does not come, and the unanswered probe tells for all of them.
+test('a vanished host is noticed by its stalled streams', () => {
+  const world = new World({ engines: { 'wien-a': 1, 'wien-b': 1 }, vanish: true });
+  const callers = ['one', 'two'].map((name) => world.entry.arrive(makeRequest(name)));
+  world.advance(1000);
+  world.engine('wien-a-engine-1').die();
+  world.advance(2800);
+  assert.equal(world.entry.state.quarantine.down.has('wien-a-engine-1'), true);
+  world.settle();
+  assert.deepEqual(world.violations(), []);
+  assert.equal(
+    callers.every(({ finals }) => finals[0]?.type === 'whole'),
+    true,
+  );
+});
+
 // Callers see whole answers without a pause. One connection is reset and the probe goes unanswered, for the
 // engine is too busy to accept; but the other streams still give tokens, so they are left alone.
 test('an unanswered probe does not end streams that give tokens', () => {
--- a/packages/entry-core/src/quarantine/blame.ts
+++ b/packages/entry-core/src/quarantine/blame.ts
@@ -20,13 +20,15 @@
   SUSPICION_MILLISECONDS,
 } from './suspects.js';
 
-/** Clears those that were suspects only for the time of the probe. */
-export function clearProvisional(state: EntryState, instance: string): void {
-  state.quarantine.suspects.forEach((suspect, digest) => {
-    if (suspect.lossOf !== instance) return;
+/** Clears those that were suspects only for the time of the probe, and tells how many lost theirs. */
+export function clearProvisional(state: EntryState, instance: string): number {
+  const lost = [...state.quarantine.suspects.values()].filter(({ lossOf }) => lossOf === instance);
+  lost.forEach((suspect) => {
     suspect.lossOf = undefined;
-    if (suspect.crashIds.size === 0) state.quarantine.suspects.delete(digest);
+    const isKept = suspect.crashIds.size > 0 || suspect.resetBefore === true;
+    if (!isKept) state.quarantine.suspects.delete(suspect.digest);
   });
+  return lost.length;
 }
 
 function suspectAll(
--- a/packages/entry-core/src/quarantine/hasRestarted.ts
+++ b/packages/entry-core/src/quarantine/hasRestarted.ts
@@ -33,7 +33,6 @@
   loss.reset.forEach((digest) => {
     const suspect = state.quarantine.suspects.get(digest);
     if (suspect === undefined) return;
-    suspect.lossOf = undefined;
     suspect.paroled = true;
     suspect.resetBefore = true;
   });
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -51,8 +51,9 @@
   const alive = result.answered || givesTokens(state, loss);
   if (alive && !(result.answered && hasRestarted(state, loss, result))) {
     rememberReset(state, loss);
-    clearProvisional(state, instance);
-    return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance } }];
+    const lost = clearProvisional(state, instance);
+    if (lost === 0) return [];
+    return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance, lost } }];
   }
   const crashId = crashIdOf(state, loss, timed);
   state.quarantine.lastCrashes.set(instance, { crashId, judgedAt: timed.now });
--- a/packages/entry-core/src/quarantine/noteLoss.ts
+++ b/packages/entry-core/src/quarantine/noteLoss.ts
@@ -10,35 +10,12 @@
 import type { AttemptFailure } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/reportToEntries.js';
+import { openLoss } from './openLoss.js';
 import { probeOf } from './probeOf.js';
 import { SUSPICION_MILLISECONDS } from './suspects.js';
 import type { Loss } from './QuarantineState.js';
 import type { RequestState } from '../requests/RequestState.js';
 
-function membersAt(state: EntryState, instance: string, event: AttemptFailed): Loss['members'] {
-  const members: Loss['members'] = new Map();
-  state.backendServers.get(instance)?.attemptIds.forEach((attemptId) => {
-    const attempt = state.attempts.get(attemptId);
-    const request = attempt && state.requests.get(attempt.requestId)?.request;
-    if (attempt === undefined || request === undefined) return;
-    if (event.failure === 'connectFailed' && attemptId === event.attemptId) return;
-    const exposure = event.now - attempt.startedAt;
-    members.set(request.digest, { exposure, tokens: attempt.tokens });
-  });
-  return members;
-}
-
-function openLoss(state: EntryState, instance: string, event: AttemptFailed): Loss {
-  const loss = {
-    instance,
-    openedAt: event.now,
-    members: membersAt(state, instance, event),
-    reset: new Set<string>(),
-  };
-  state.quarantine.losses.set(instance, loss);
-  return loss;
-}
-
 /** Suspects the request for the time of the probe. */
 function suspect(state: EntryState, { digest }: RequestState['request'], loss: Loss, now: number) {
   const { suspects } = state.quarantine;
@@ -73,7 +50,9 @@
   // Its end was announced: nothing to find out, and no request to suspect.
   if (state.reclaims.leaving.has(instance) || state.quarantine.down.has(instance)) return [];
   const known = state.quarantine.losses.get(instance);
-  const loss = known ?? openLoss(state, instance, event);
+  // A refused connection names no member: nothing of its request was sent.
+  const except = event.failure === 'connectFailed' ? attempt.attemptId : undefined;
+  const loss = known ?? openLoss(state, instance, event.now, except);
   if (event.failure === 'connectionLost') loss.reset.add(accepted.request.digest);
   // A request of which nothing was sent cannot have caused anything.
   if (event.failure !== 'connectFailed') suspect(state, accepted.request, loss, event.now);
--- /dev/null
+++ b/packages/entry-core/src/quarantine/probeStalled.ts
@@ -0,0 +1,43 @@
+/**
+ * Probes backend servers whose streams have stalled.
+ *
+ * A host that vanishes resets nothing: its streams just stop, and each would wait for its whole
+ * silence time-out. The probe finds out sooner, and for all of them. An answer changes nothing: an engine
+ * may pause to compute a long prompt, and a connection that has lost track of its ends still has
+ * its own time-out.
+ */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { AttemptState } from '../attempts/AttemptState.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { openLoss } from './openLoss.js';
+import { probeOf } from './probeOf.js';
+
+/** A stream that has given nothing for so long has stalled. */
+const STALL_MILLISECONDS = 1500;
+
+function isStalled(attempt: AttemptState, now: MonotonicMilliseconds): boolean {
+  const { firstTokenAt, tokensAt = firstTokenAt, stallProbedAt = 0, givenUp } = attempt;
+  if (tokensAt === undefined || givenUp) return false;
+  return now - Math.max(tokensAt, stallProbedAt) >= STALL_MILLISECONDS;
+}
+
+/** Backend servers with a stalled stream, of which nothing is known yet. */
+function stalledInstances(state: EntryState, now: MonotonicMilliseconds): Set<string> {
+  const { losses, down } = state.quarantine;
+  const instances = new Set<string>();
+  state.attempts.forEach((attempt) => {
+    const { instance } = attempt;
+    if (!isStalled(attempt, now) || losses.has(instance) || down.has(instance)) return;
+    attempt.stallProbedAt = now;
+    if (!state.reclaims.leaving.has(instance)) instances.add(instance);
+  });
+  return instances;
+}
+
+export function probeStalled(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  return [...stalledInstances(state, now)].flatMap((instance) => {
+    openLoss(state, instance, now);
+    return probeOf(state, instance);
+  });
+}
