--- a/packages/entry-core/src/attempts/interleavings.test.ts
+++ b/packages/entry-core/src/attempts/interleavings.test.ts
@@ -9,7 +9,7 @@
 const actions = fc.array(
   fc.record({
     kind: fc.constantFrom(
-      ...(['arrive', 'arrive', 'arrive', 'die', 'revive', 'silence', 'reclaim'] as const),
+      ...(['arrive', 'arrive', 'arrive', 'die', 'vanish', 'revive', 'silence', 'reclaim'] as const),
       ...(['busy', 'free', 'gone', 'duplicate', 'failMoves', 'bad'] as const),
     ),
     engine: fc.constantFrom(...engineNames),
@@ -44,7 +44,14 @@
     case 'die':
       engine.die();
       return;
+    case 'vanish':
+      engine.vanishes = true;
+      engine.unreachable = true;
+      engine.die();
+      return;
     case 'revive':
+      engine.vanishes = false;
+      engine.unreachable = false;
       engine.alive = true;
       return;
     case 'silence':
