--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -21,6 +21,8 @@
   readonly wholeAnswerMilliseconds?: number;
   /** Pool that the engines belong to; those of `bookings` play plain services. */
   readonly pool?: 'engines' | 'bookings';
+  /** True if engines that die are gone without a word, instead of resetting their connections. */
+  readonly vanish?: boolean;
 }
 
 interface Task {
@@ -35,6 +37,9 @@
 
   movesFail = false;
 
+  /** False lets every probe go without an answer. */
+  probesAnswered = true;
+
   /** False cuts all entries off from the store. */
   storeReachable = true;
 
@@ -44,6 +49,8 @@
 
   private readonly pool: string;
 
+  private readonly vanish: boolean;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -58,6 +65,7 @@
     this.rates = { ...standardRates, ...options.rates };
     this.poison = options.poison ?? new Map();
     this.pool = options.pool ?? 'engines';
+    this.vanish = options.vanish ?? false;
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
         this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
@@ -77,9 +85,16 @@
   /** A new engine; entries learn of it from the platform's list. */
   addEngine(instance: string, dataCentre: string): void {
     const engine = new FakeEngine(instance, dataCentre, this.rates, this.poison);
+    engine.vanishes = this.vanish;
+    engine.unreachable = this.vanish;
     this.engines.set(instance, engine);
-    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
     this.listed.push(this.list(engine));
+    this.listAlive();
+  }
+
+  /** The platform's list shows what is alive, and nothing else. */
+  listAlive(): void {
+    this.listed = this.listed.filter((listed) => this.engines.get(listed.instance)?.alive);
     this.entries.forEach((entry) =>
       entry.send({ type: 'instancesListed', instances: this.listed }),
     );
