--- a/packages/entry-core/src/admission/drainQueues.ts
+++ b/packages/entry-core/src/admission/drainQueues.ts
@@ -13,12 +13,10 @@
 import { giveUp, isLateAfter } from './dropUnreachable.js';
 import type { Waiting } from './FairQueue.js';
 import { isLateAtHome } from './placeRequest.js';
-import { pickNext } from './pickNext.js';
+import { isWorthHolding } from './isWorthHolding.js';
+import { orderForServer } from './orderForServer.js';
 import type { PoolQueue } from './PoolQueue.js';
 
-/** Requests at the head that may be passed because every server with room has failed them. */
-const MOST_PASSED = 4;
-
 /** False for a request that has ended or is being served another way. */
 function stillWaits(state: EntryState, { accepted }: Waiting): boolean {
   return (
@@ -37,37 +35,53 @@
   return chooseBackendServer(state, accepted, { where: 'remote', freed });
 }
 
-function drainPool(
+function serve(
   state: EntryState,
   queue: PoolQueue,
-  freed: BackendServerState | undefined,
+  waiting: Waiting,
+  server: BackendServerState,
   now: number,
 ): EntryEffect[] {
-  const effects: EntryEffect[] = [];
-  const passed: Waiting[] = [];
-  const pick = () => pickNext(state, queue, freed, now);
-  for (let next = pick(); next !== undefined; next = pick()) {
-    const waits = stillWaits(state, next);
-    if (waits && isLateAfter(state, next, 0, now)) {
-      queue.remove(next);
-      effects.push(...giveUp(state, next, now));
-      continue;
+  queue.serve(waiting);
+  const started = startAttempt(state, waiting.accepted, now, server);
+  // At once, so that the next choice of this very event already counts it.
+  observeStarts(state, started, now);
+  return started;
+}
+
+/** Takes one request out of the queue, or returns undefined if none can leave it now. */
+function takeOne(
+  state: EntryState,
+  queue: PoolQueue,
+  freed: BackendServerState | undefined,
+  now: number,
+): EntryEffect[] | undefined {
+  for (const waiting of orderForServer(state, queue, freed, now)) {
+    if (!stillWaits(state, waiting)) {
+      queue.remove(waiting);
+      return [];
     }
-    const server = waits ? findServer(state, next, freed, now) : undefined;
-    if (server !== undefined) {
-      queue.serve(next);
-      const started = startAttempt(state, next.accepted, now, server);
-      // At once, so that the next choice of this very event already counts it.
-      observeStarts(state, started, now);
-      effects.push(...started);
-      continue;
+    if (isLateAfter(state, waiting, 0, now)) {
+      queue.remove(waiting);
+      return giveUp(state, waiting, now);
+    }
+    const server = findServer(state, waiting, freed, now);
+    if (server !== undefined && !isWorthHolding(state, waiting.accepted, server, now)) {
+      return serve(state, queue, waiting, server, now);
     }
-    const mayPass = next.accepted.triedInstances.size > 0 && passed.length < MOST_PASSED;
-    if (waits && !mayPass) break;
-    queue.remove(next);
-    if (waits) passed.push(next);
   }
-  passed.forEach((waiting) => queue.add(waiting));
+  return undefined;
+}
+
+function drainPool(
+  state: EntryState,
+  queue: PoolQueue,
+  freed: BackendServerState | undefined,
+  now: number,
+): EntryEffect[] {
+  const effects: EntryEffect[] = [];
+  const take = () => takeOne(state, queue, freed, now);
+  for (let taken = take(); taken !== undefined; taken = take()) effects.push(...taken);
   return effects;
 }
 
@@ -88,6 +102,7 @@
   'loadReported',
   'requestArrived',
   'callerGone',
+  'firstTokenReceived',
   'attemptFinished',
   'attemptFailed',
 ]);
--- /dev/null
+++ b/packages/entry-core/src/admission/isWorthHolding.ts
@@ -0,0 +1,38 @@
+/**
+ * Whether a request waits for a server that has its prefix although another has room. Sent
+ * elsewhere its prompt is computed anew, which costs what a few known prompts do; in a rush that
+ * makes queues longer, so more requests find their own server full, and so on until no cache is of
+ * use. Waiting is bounded by a share of the patience, so that it never costs a deadline.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import type { EntryState } from '../EntryState.js';
+import type { RequestState } from '../requests/RequestState.js';
+
+/** Computing less than this anew is not worth any wait. */
+const LEAST_SAVING_MILLISECONDS: Milliseconds = 20;
+/** Share of the patience that may be spent on waiting for a server with the prefix. */
+const HOLD_SHARE = 0.3;
+
+export function isWorthHolding(
+  state: EntryState,
+  accepted: RequestState,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): boolean {
+  const patience = nextTokenDueAt(accepted) - accepted.arrivedAt;
+  if (now - accepted.arrivedAt >= patience * HOLD_SHARE) return false;
+  const pool = poolBalanceOf(state, accepted.pool.name);
+  const { prefixDigests, promptTokens } = accepted.request;
+  const group = pool.groupOf(server);
+  const holder = pool.beliefs
+    .find(prefixDigests, now)
+    .find(
+      (held) => group.has(held.server) && !accepted.triedInstances.has(held.server.listed.instance),
+    );
+  if (holder === undefined) return false;
+  const more = holder.share - pool.beliefs.shareAt(server, prefixDigests, now);
+  return pool.firstToken.predictGrowth(more * promptTokens) >= LEAST_SAVING_MILLISECONDS;
+}
--- a/packages/entry-core/src/admission/pickNext.ts
+++ b/packages/entry-core/src/admission/orderForServer.ts
@@ -1,8 +1,9 @@
 /**
- * Picks the waiting request that is served next. In a rush a server that comes free would get
- * whatever is first, seldom with a prompt it knows, so caches are lost just when they are needed
- * most. While the first request can well wait one more turn, one close behind it whose prompt
- * prefix the free server has goes first; workspaces pay for it as for any other turn.
+ * The waiting requests that a server with room may be given, in the order they are tried. That is
+ * the queue's order, but for prompts whose prefix a server has that has just come free: in a rush
+ * it would otherwise get whatever is first, seldom with a prompt it knows, so caches are lost just
+ * when they are needed most. Those go first while the first in the queue can well wait one more
+ * turn; their workspaces pay for it as for any other turn.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
@@ -12,8 +13,9 @@
 import type { Waiting } from './FairQueue.js';
 import type { PoolQueue } from './PoolQueue.js';
 
-/** How many of each workspace are looked at. */
+/** How many of each workspace are looked at, and of all. */
 const MOST_OF_EACH = 8;
+const MOST_TRIED = 12;
 const LEAST_SHARE = 0.3;
 /** The first request may be passed while so much of its patience is left. */
 const PATIENCE_SHARE = 0.3;
@@ -23,23 +25,20 @@
   return !isLateAfter(state, first, patience * PATIENCE_SHARE, now);
 }
 
-export function pickNext(
+export function orderForServer(
   state: EntryState,
   queue: PoolQueue,
   freed: BackendServerState | undefined,
   now: MonotonicMilliseconds,
-): Waiting | undefined {
-  const first = queue.peek();
-  if (first === undefined || freed === undefined || !canWait(state, first, now)) return first;
-  const { beliefs } = poolBalanceOf(state, first.accepted.pool.name);
-  let best = first;
-  let bestShare = LEAST_SHARE;
-  for (const waiting of queue.peekFew(MOST_OF_EACH)) {
-    const share = beliefs.shareAt(freed, waiting.accepted.request.prefixDigests, now);
-    if (share > bestShare && !waiting.accepted.triedInstances.has(freed.listed.instance)) {
-      best = waiting;
-      bestShare = share;
-    }
+): readonly Waiting[] {
+  const waiting = [...queue.peekFew(MOST_OF_EACH)].sort((a, b) => a.dueAt - b.dueAt);
+  const [first] = waiting;
+  if (first === undefined || freed === undefined || !canWait(state, first, now)) {
+    return waiting.slice(0, MOST_TRIED);
   }
-  return best;
+  const { beliefs } = poolBalanceOf(state, first.accepted.pool.name);
+  const known = ({ accepted }: Waiting) =>
+    beliefs.shareAt(freed, accepted.request.prefixDigests, now) >= LEAST_SHARE;
+  const [fit, rest] = [waiting.filter(known), waiting.filter((one) => !known(one))];
+  return [...fit, ...rest].slice(0, MOST_TRIED);
 }
--- a/packages/entry-core/src/admission/placeRequest.ts
+++ b/packages/entry-core/src/admission/placeRequest.ts
@@ -14,6 +14,7 @@
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { poolQueueOf } from './AdmissionState.js';
+import { isWorthHolding } from './isWorthHolding.js';
 import { makeWaiting, predictWait, usualDelay } from './predictWait.js';
 
 export type Placement =
@@ -54,7 +55,10 @@
     return remote === undefined ? { type: 'wait' } : { type: 'start', server: remote };
   }
   const local = chooseBackendServer(state, accepted);
-  if (local !== undefined) return { type: 'start', server: local };
+  if (local !== undefined) {
+    const holds = isWorthHolding(state, accepted, local, now);
+    return holds ? { type: 'wait' } : { type: 'start', server: local };
+  }
   const remote = late() ? chooseBackendServer(state, accepted, { where: 'remote' }) : undefined;
   return remote === undefined ? { type: 'wait' } : { type: 'start', server: remote };
 }
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -1,8 +1,9 @@
 /**
  * Predicts how long a request waits in the queue: the work that is served before it, divided by
- * the places of backend servers that serve this entry. As long as anything waits, all places that
- * this entry can use are in use, so it need only count its own requests in progress; that holds
- * whatever keeps the servers from taking more, be it their batch, their prompts or other entries.
+ * the places of backend servers that serve this entry. In a rush all places that this entry can use
+ * are in use, so its own requests in progress count them, whatever keeps the servers from taking
+ * more, be it their batch, their prompts or other entries. Their late peak is taken, since a
+ * request may wait for one server while others have room.
  */
 import type { Milliseconds } from '@hornbeampond/schema';
 import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
@@ -14,10 +15,10 @@
 
 /** Places of backend servers that serve this entry while requests wait. */
 export function countPlaces(state: EntryState, pool: string): number {
-  const { local, remote, attemptIds } = poolBalanceOf(state, pool);
+  const { local, remote, peak } = poolBalanceOf(state, pool);
   // Attempts at servers that are lost but not yet known to be are no places any more.
   const most = (local.limitSum + remote.limitSum) / state.limits.ledger.entries;
-  return Math.max(1, Math.min(attemptIds.size, most));
+  return Math.max(1, Math.min(peak.value(state.clocks.now), most));
 }
 
 export function makeWaiting(state: EntryState, accepted: RequestState): Waiting {
--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -4,6 +4,7 @@
  * servers and at ten thousand; and what all of them have taught about delays.
  */
 import type { Milliseconds } from '@hornbeampond/schema';
+import { FadingPeak } from './FadingPeak.js';
 import { LearntLine } from './LearntLine.js';
 import { LearntMean } from './LearntMean.js';
 import { takesNewWork, type BackendServerState } from './BackendServerState.js';
@@ -75,6 +76,9 @@
   /** Attempts of this entry in progress at the pool's servers. */
   readonly attemptIds = new Set<string>();
 
+  /** Most attempts that were in progress lately. */
+  readonly peak = new FadingPeak();
+
   readonly beliefs = new PrefixBeliefs();
 
   get groups(): readonly CandidateGroup[] {
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -73,6 +73,7 @@
   const { accepted, server, pool } = edge;
   forgetCancelled(server);
   pool.attemptIds.add(attemptId);
+  pool.peak.see(pool.attemptIds.size, now);
   const tokens = uncachedTokens(pool, server, accepted.request, now);
   const tokensUntilFirst = pendingTokens(server) + tokens;
   server.balance.pendingPrompts.set(attemptId, { tokens, tokensUntilFirst });
