Hold requests for the server that has their prefix; spread new conversations

Cause, found by classing each recomputed prompt: in a rush most were sent elsewhere although their server was known, because a freed server was given whatever was first; and new conversations all followed their system prompt to a few servers, so that a rush began with half of the servers hot.

--- a/packages/entry-core/src/admission/dropUnreachable.ts
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -4,6 +4,7 @@
  * in the order they would be served; one that is given up no longer delays those behind it.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { chooseBackendServer } from '../backendServers/chooseBackendServer.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { failRequest } from '../requests/endRequest.js';
@@ -24,6 +25,9 @@
 
   private readonly places: number;
 
+  /** False while a server has room: what waits then waits for another one by choice. */
+  private isBlocked = false;
+
   constructor(
     private readonly state: EntryState,
     pool: string,
@@ -33,6 +37,9 @@
   }
 
   walk(queue: PoolQueue): void {
+    const first = queue.peek();
+    this.isBlocked =
+      first !== undefined && chooseBackendServer(this.state, first.accepted) === undefined;
     let higher = 0;
     for (const level of queue.levels) {
       for (const workspace of level.backlogged) this.walkWorkspace(level, workspace, higher);
@@ -55,7 +62,8 @@
   }
 
   private isUnreachable(waiting: Waiting, wait: Milliseconds): boolean {
-    return isLateAfter(this.state, waiting, wait * (1 - PREDICTION_TOLERANCE), this.now);
+    const predicted = this.isBlocked ? wait * (1 - PREDICTION_TOLERANCE) : 0;
+    return isLateAfter(this.state, waiting, predicted, this.now);
   }
 }
 
--- a/packages/entry-core/src/admission/isWorthHolding.ts
+++ b/packages/entry-core/src/admission/isWorthHolding.ts
@@ -7,7 +7,10 @@
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
+import { hasRoom } from '../backendServers/hasRoom.js';
+import type { PoolBalance } from '../backendServers/PoolBalance.js';
 import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import type { PrefixHolder } from '../backendServers/PrefixBeliefs.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 
@@ -26,13 +29,22 @@
   if (now - accepted.arrivedAt >= patience * HOLD_SHARE) return false;
   const pool = poolBalanceOf(state, accepted.pool.name);
   const { prefixDigests, promptTokens } = accepted.request;
-  const group = pool.groupOf(server);
-  const holder = pool.beliefs
-    .find(prefixDigests, now)
-    .find(
-      (held) => group.has(held.server) && !accepted.triedInstances.has(held.server.listed.instance),
-    );
-  if (holder === undefined) return false;
+  const holder = findHolder(state, pool, accepted, server);
+  // One that has room was not chosen for other reasons; waiting would not change them.
+  if (holder === undefined || hasRoom(state, pool, holder.server, accepted, true)) return false;
   const more = holder.share - pool.beliefs.shareAt(server, prefixDigests, now);
   return pool.firstToken.predictGrowth(more * promptTokens) >= LEAST_SAVING_MILLISECONDS;
 }
+
+/** The server near `server` that is believed to have the longest prefix. */
+function findHolder(
+  state: EntryState,
+  pool: PoolBalance,
+  { request, triedInstances }: RequestState,
+  server: BackendServerState,
+): PrefixHolder | undefined {
+  const group = pool.groupOf(server);
+  return pool.beliefs
+    .find(request.prefixDigests, state.clocks.now)
+    .find((held) => group.has(held.server) && !triedInstances.has(held.server.listed.instance));
+}
--- a/packages/entry-core/src/admission/placeRequest.ts
+++ b/packages/entry-core/src/admission/placeRequest.ts
@@ -1,7 +1,7 @@
 /**
  * Finds out whether a request can be sent to a backend server now, has to wait, or has nowhere to
  * go. Nobody passes those who wait: while there is a queue of its priority or a more urgent one,
- * a request joins it, unless it would be late there and another data centre has room.
+ * a request joins it, unless the own data centre is full and another one has room in time.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
@@ -10,7 +10,6 @@
   hasUntried,
   nextTokenDueAt,
 } from '../backendServers/chooseBackendServer.js';
-import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { poolQueueOf } from './AdmissionState.js';
@@ -19,7 +18,8 @@
 
 export type Placement =
   | { readonly type: 'start'; readonly server: BackendServerState }
-  | { readonly type: 'wait' }
+  /** `room`: a server that could take the request now, were it not for those that wait already. */
+  | { readonly type: 'wait'; readonly room: BackendServerState | undefined }
   | { readonly type: 'none' };
 
 /** Other data centres are used when the wait at home would take so much of the patience left. */
@@ -47,18 +47,15 @@
   now: MonotonicMilliseconds,
 ): Placement {
   if (!hasUntried(state, accepted)) return { type: 'none' };
-  const pool = poolBalanceOf(state, accepted.pool.name);
-  const late = () => isLateAtHome(state, accepted, now);
-  if (isQueueAhead(state, accepted)) {
-    if (pool.local.candidates.length === 0 || !late()) return { type: 'wait' };
-    const remote = chooseBackendServer(state, accepted, { where: 'remote' });
-    return remote === undefined ? { type: 'wait' } : { type: 'start', server: remote };
-  }
   const local = chooseBackendServer(state, accepted);
   if (local !== undefined) {
-    const holds = isWorthHolding(state, accepted, local, now);
-    return holds ? { type: 'wait' } : { type: 'start', server: local };
+    const waits = isQueueAhead(state, accepted) || isWorthHolding(state, accepted, local, now);
+    return waits ? { type: 'wait', room: local } : { type: 'start', server: local };
   }
-  const remote = late() ? chooseBackendServer(state, accepted, { where: 'remote' }) : undefined;
-  return remote === undefined ? { type: 'wait' } : { type: 'start', server: remote };
+  const remote = isLateAtHome(state, accepted, now)
+    ? chooseBackendServer(state, accepted, { where: 'remote' })
+    : undefined;
+  return remote === undefined
+    ? { type: 'wait', room: undefined }
+    : { type: 'start', server: remote };
 }
--- a/packages/entry-core/src/admission/refuseEarly.ts
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -138,5 +138,9 @@
     return toAdmission(refuseLateAt(state, accepted, server, now), server);
   }
   const overQueue = refuseOverQueue(state, accepted, now);
-  return toAdmission(overQueue ?? refuseLateInQueue(state, accepted, now));
+  if (overQueue !== undefined) return toAdmission(overQueue);
+  const { room } = placement;
+  // While a server has room, those that wait do so for another one by choice and not for long.
+  if (room !== undefined) return toAdmission(refuseLateAt(state, accepted, room, now));
+  return toAdmission(refuseLateInQueue(state, accepted, now));
 }
--- a/packages/entry-core/src/backendServers/adaptConcurrency.ts
+++ b/packages/entry-core/src/backendServers/adaptConcurrency.ts
@@ -12,6 +12,8 @@
 
 /** A delay above so many times the usual one shows a crowded or slow server. */
 export const TOLERATED_SLOWNESS = 3;
+/** Prompts of other entries that are computed before, and that nothing tells of, take so long. */
+const TOLERATED_DELAY: Milliseconds = 200;
 const DECREASE_FACTOR = 0.8;
 const LEAST_SHARE_OF_CLASS = 0.1;
 const SLOWNESS_SHARE = 0.1;
@@ -36,7 +38,7 @@
   const known = slownessNow(balance, now);
   balance.slowness = known + (Math.min(slowness, MOST_SLOWNESS) - known) * SLOWNESS_SHARE;
   balance.slownessLearntAt = now;
-  if (slowness <= TOLERATED_SLOWNESS) {
+  if (delay <= TOLERATED_SLOWNESS * usual + TOLERATED_DELAY) {
     const raised = balance.limit + 1 / balance.limit;
     pool.changeLimit(server, Math.min(balance.fullLimit, raised));
     return true;
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -11,9 +11,10 @@
 import type { RequestState } from '../requests/RequestState.js';
 import { takesNewWork, type BackendServerState } from './BackendServerState.js';
 import { estimateInProgress } from './estimateInProgress.js';
+import { hasRoom } from './hasRoom.js';
 import type { CandidateGroup, PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
-import { hasPromptsEnough, predictFirstToken, uncachedTokens } from './predictFirstToken.js';
+import { predictFirstToken, uncachedTokens } from './predictFirstToken.js';
 import { limitNow } from './ServerBalance.js';
 
 /** Groups up to this size are looked at whole. */
@@ -22,11 +23,8 @@
 /** More samples, one at a time, while none with room was found. */
 const MORE_CHOICES = 14;
 
-/**
- * A server that has the prefix may go above its limit by this share: computing the prompt anew
- * elsewhere costs more than the turn or two that the request then waits inside the engine.
- */
-const HOLDER_ALLOWANCE = 1.25;
+/** How much longer an answer is taken to last in a full batch than alone, as a share of it. */
+const CROWDING_SHARE = 0.2;
 
 /** When the request's next token is due. */
 export function nextTokenDueAt(accepted: RequestState): MonotonicMilliseconds {
@@ -53,18 +51,27 @@
     private readonly now: MonotonicMilliseconds,
   ) {}
 
-  look(server: BackendServerState | undefined, allowance = 1): void {
+  look(server: BackendServerState | undefined, isHolder = false): void {
     if (server === undefined || this.seen.has(server)) return;
     this.seen.add(server);
     if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
-    if (!this.hasRoom(server, allowance)) return;
+    if (!hasRoom(this.state, this.pool, server, this.accepted, isHolder)) return;
     const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
-    const cost = firstTokenIn + this.delayOfOthers(server);
+    const cost = firstTokenIn + this.delayOfOthers(server) + this.crowding(server);
     if (this.best === undefined || cost < this.best.cost) {
       this.best = { server, firstTokenIn, cost };
     }
   }
 
+  /**
+   * What a fuller batch costs, in time of the whole answer. Without it all new conversations of a
+   * workspace would follow its system prompt to one server, and the others be idle until the rush.
+   */
+  private crowding(server: BackendServerState): Milliseconds {
+    const fullness = estimateInProgress(this.state, server) / limitNow(server.balance, this.now);
+    return this.pool.serviceTime(this.accepted.route.name) * fullness * CROWDING_SHARE;
+  }
+
   /** What computing the prompt there adds to the wait of those that come after it. */
   private delayOfOthers(server: BackendServerState): Milliseconds {
     const uncached = uncachedTokens(this.pool, server, this.accepted.request, this.now);
@@ -76,7 +83,7 @@
       this.accepted.request.prefixDigests,
       this.now,
     )) {
-      if (group.has(server)) this.look(server, HOLDER_ALLOWANCE);
+      if (group.has(server)) this.look(server, true);
     }
   }
 
@@ -95,12 +102,6 @@
     if (group.candidates.length === 0) return;
     this.look(group.at(uniformInt(this.state.random, 0, group.candidates.length - 1)));
   }
-
-  private hasRoom(server: BackendServerState, allowance: number): boolean {
-    const room = Math.max(1, Math.floor(limitNow(server.balance, this.now) * allowance));
-    if (estimateInProgress(this.state, server) >= room) return false;
-    return !hasPromptsEnough(this.state, this.pool, server, this.accepted);
-  }
 }
 
 /** How to look for a backend server. */
