Let no request above an engine's limit, the prefix notwithstanding

Cause: the quarter above the limit that a known prefix was allowed filled the engines' own queues. Change: none is allowed; holding has taken its place.

--- a/packages/entry-core/src/admission/isWorthHolding.ts
+++ b/packages/entry-core/src/admission/isWorthHolding.ts
@@ -31,7 +31,7 @@
   const { prefixDigests, promptTokens } = accepted.request;
   const holder = findHolder(state, pool, accepted, server);
   // One that has room was not chosen for other reasons; waiting would not change them.
-  if (holder === undefined || hasRoom(state, pool, holder.server, accepted, true)) return false;
+  if (holder === undefined || hasRoom(state, pool, holder.server, accepted)) return false;
   const more = holder.share - pool.beliefs.shareAt(server, prefixDigests, now);
   return pool.firstToken.predictGrowth(more * promptTokens) >= LEAST_SAVING_MILLISECONDS;
 }
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -51,11 +51,11 @@
     private readonly now: MonotonicMilliseconds,
   ) {}
 
-  look(server: BackendServerState | undefined, isHolder = false): void {
+  look(server: BackendServerState | undefined): void {
     if (server === undefined || this.seen.has(server)) return;
     this.seen.add(server);
     if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
-    if (!hasRoom(this.state, this.pool, server, this.accepted, isHolder)) return;
+    if (!hasRoom(this.state, this.pool, server, this.accepted)) return;
     const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
     const cost = firstTokenIn + this.delayOfOthers(server) + this.crowding(server);
     if (this.best === undefined || cost < this.best.cost) {
@@ -83,7 +83,7 @@
       this.accepted.request.prefixDigests,
       this.now,
     )) {
-      if (group.has(server)) this.look(server, true);
+      if (group.has(server)) this.look(server);
     }
   }
 
