--- /dev/null
+++ b/apps/ctl/src/OperatorClient.ts
@@ -0,0 +1,128 @@
+/**
+ * Talks to the operators' port of one entry. Changes are resent under the same change id when
+ * their answer is lost, so that a change is never made twice.
+ */
+import { Client } from 'undici';
+import type { Fault, ProblemDocument, StoreStatus, TableName } from '@hornbeampond/schema';
+
+export interface TableReading {
+  readonly revision: number;
+  readonly configurationRevision: number;
+  readonly rows: readonly Readonly<Record<string, unknown>>[];
+}
+
+export interface EntryStatus {
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly ready: boolean;
+  readonly cutOff: boolean;
+  readonly configurationRevision: number;
+  readonly openStreams: number;
+  readonly backendServers: readonly {
+    readonly instance: string;
+    readonly pool: string;
+    readonly dataCentre: string;
+    readonly state: string;
+    readonly inProgress: number;
+  }[];
+  readonly stores: readonly StoreStatus[];
+}
+
+/** A problem that the server answered with. */
+export class ProblemError extends Error {
+  constructor(readonly problem: ProblemDocument) {
+    super(`${problem.title}: ${problem.detail}`);
+  }
+
+  get faults(): readonly Fault[] {
+    return this.problem.faults ?? [];
+  }
+}
+
+export interface PutTable {
+  readonly table: TableName;
+  readonly baseRevision: number;
+  readonly changeId: string;
+  readonly rows: readonly unknown[];
+}
+
+/** Times that a change is sent while its answer stays away. */
+const MOST_SENDS = 5;
+const REQUEST_MILLISECONDS = 10_000;
+const PAUSE_MILLISECONDS = 500;
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+}
+
+export class OperatorClient {
+  private readonly client: Client;
+
+  constructor(
+    url: string,
+    private readonly key: string,
+  ) {
+    this.client = new Client(url, { headersTimeout: REQUEST_MILLISECONDS });
+  }
+
+  async getTable(table: TableName): Promise<TableReading> {
+    return this.readJson(await this.send('GET', `/tables/${table}`)) as TableReading;
+  }
+
+  async getStatus(): Promise<EntryStatus> {
+    return this.readJson(await this.send('GET', '/status')) as EntryStatus;
+  }
+
+  /** Puts a table and returns its new revision. */
+  async putTable({ table, baseRevision, changeId, rows }: PutTable): Promise<number> {
+    const headers = { 'if-match': `"${baseRevision}"`, 'idempotency-key': changeId };
+    const body = JSON.stringify({ rows });
+    for (let sends = 1; ; sends += 1) {
+      try {
+        const answer = await this.send('PUT', `/tables/${table}`, headers, body);
+        return (this.readJson(answer) as { readonly revision: number }).revision;
+      } catch (error) {
+        if (sends >= MOST_SENDS || !this.mayResend(error)) throw error;
+        await new Promise((resolve) => {
+          setTimeout(resolve, PAUSE_MILLISECONDS);
+        });
+      }
+    }
+  }
+
+  async post(path: string, body: unknown): Promise<unknown> {
+    return this.readJson(await this.send('POST', path, {}, JSON.stringify(body)));
+  }
+
+  async close(): Promise<void> {
+    await this.client.close();
+  }
+
+  /** A lost connection or an unsure change: the same change id makes a resend harmless. */
+  private mayResend(error: unknown): boolean {
+    if (!(error instanceof ProblemError)) return true;
+    return error.problem.kind === 'changeUnsure' || error.problem.kind === 'storeUnavailable';
+  }
+
+  private readJson({ status, text }: Answer): unknown {
+    const value: unknown = JSON.parse(text);
+    if (status >= 400) throw new ProblemError(value as ProblemDocument);
+    return value;
+  }
+
+  private async send(
+    method: 'GET' | 'PUT' | 'POST',
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+    body?: string,
+  ): Promise<Answer> {
+    const response = await this.client.request({
+      method,
+      path,
+      headers: { authorization: `Bearer ${this.key}`, ...headers },
+      ...(body === undefined ? {} : { body }),
+    });
+    return { status: response.statusCode, text: await response.body.text() };
+  }
+}
--- /dev/null
+++ b/apps/ctl/src/printTable.ts
@@ -0,0 +1,18 @@
+/** Lays rows out in columns. */
+
+/** Column titles and rows of equal length. */
+export function printTable(
+  titles: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): string[] {
+  const lines = [titles, ...rows.map((row) => row.map(String))];
+  const widths = titles.map((_, column) =>
+    Math.max(...lines.map((line) => line[column]?.length ?? 0)),
+  );
+  return lines.map((line) =>
+    line
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+}
--- /dev/null
+++ b/apps/entry/src/EntryPeers.ts
@@ -0,0 +1,79 @@
+/**
+ * The connections between entries: each sends its whole report to all others, and tells a
+ * starting one which configuration it knows.
+ */
+import { PeerClient, PeerServer, type PeerContext } from '@hornbeampond/transport';
+import type {
+  Configuration,
+  EntryReport,
+  EntryRequest,
+  EntryResponse,
+  EntrySettings,
+  FleetDrains,
+  RouteDemandReport,
+} from '@hornbeampond/schema';
+
+export interface EntryPeersOptions {
+  readonly settings: EntrySettings;
+  readonly context: PeerContext;
+  readConfiguration(): Configuration;
+  readDemand(): readonly RouteDemandReport[];
+  onReport(report: EntryReport): void;
+  onDrains(drains: FleetDrains): void;
+}
+
+const PEEK_MILLISECONDS = 500;
+
+export class EntryPeers {
+  private readonly server: PeerServer;
+
+  private readonly clients: PeerClient[];
+
+  constructor(private readonly options: EntryPeersOptions) {
+    const { context, settings } = options;
+    this.server = new PeerServer(context, {
+      onPush: (_session, body) => options.onReport(body as EntryReport),
+      onRequest: (_session, body, respond) => respond(this.answer(body as EntryRequest)),
+    });
+    this.clients = settings.entries
+      .filter((entry) => entry.instance !== settings.instance)
+      .map((entry) => new PeerClient(entry, context));
+  }
+
+  private answer(request: EntryRequest): EntryResponse {
+    if (request.type === 'peekConfiguration') {
+      return { type: 'configuration', configuration: this.options.readConfiguration() };
+    }
+    if (request.drains !== undefined) this.options.onDrains(request.drains);
+    return { type: 'demand', demand: this.options.readDemand() };
+  }
+
+  async listen(): Promise<number> {
+    return this.server.listen(this.options.settings.peerListen);
+  }
+
+  report(report: EntryReport): void {
+    this.clients.forEach((client) => client.push(report));
+  }
+
+  /** The configurations that the reachable entries have in force. */
+  async peekConfigurations(): Promise<Configuration[]> {
+    const answers = await Promise.all(
+      this.clients.map(async (client) => {
+        try {
+          const request: EntryRequest = { type: 'peekConfiguration' };
+          const response = (await client.request(request, PEEK_MILLISECONDS)) as EntryResponse;
+          return response.type === 'configuration' ? [response.configuration] : [];
+        } catch {
+          return [];
+        }
+      }),
+    );
+    return answers.flat();
+  }
+
+  async close(): Promise<void> {
+    this.clients.forEach((client) => client.close());
+    await this.server.close();
+  }
+}
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -3,15 +3,22 @@
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { emptyConfiguration, type Configuration } from '@hornbeampond/schema';
+import { emptyConfiguration, type Configuration, type FleetDrains } from '@hornbeampond/schema';
 import { makeAdmissionState, type AdmissionState } from './admission/AdmissionState.js';
 import type { AttemptState } from './attempts/AttemptState.js';
+import { makeRetryState, type RetryState } from './attempts/RetryState.js';
 import type { BackendServerState } from './backendServers/BackendServerState.js';
 import type { PoolBalance } from './backendServers/PoolBalance.js';
+import type { CallClaim } from './claims/CallClaim.js';
+import { DemandMeter } from './demand/DemandMeter.js';
 import type { Timed } from './entryEvents.js';
 import { makeLimitState, type LimitState } from './limits/LimitState.js';
-import type { RequestState } from './requests/RequestState.js';
 import { RouteIndex } from './routing/RouteIndex.js';
+import { makeMembershipState, type MembershipState } from './membership/MembershipState.js';
+import { makeQuarantineState, type QuarantineState } from './quarantine/QuarantineState.js';
+import { makeReclaimState, type ReclaimState } from './reclaims/ReclaimState.js';
+import type { RequestState } from './requests/RequestState.js';
+import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
 
 /** What an entry is told at start. */
 export interface EntryIdentity {
@@ -32,6 +39,17 @@
   readonly requests: Map<string, RequestState>;
   /** Attempts without an end, by attempt id. */
   readonly attempts: Map<string, AttemptState>;
+  /** Claimed calls whose end is not in the log yet, by request id. */
+  readonly claims: Map<string, CallClaim>;
+  readonly demand: DemandMeter;
+  /** By data centre. */
+  readonly drains: Map<string, FleetDrains>;
+  readonly retries: RetryState;
+  readonly quarantine: QuarantineState;
+  readonly reclaims: ReclaimState;
+  readonly membership: MembershipState;
+  readonly shutdown: ShutdownState;
+  /** True once no new request is accepted; see `shutdown`. */
   shuttingDown: boolean;
   /** The clocks at the event that is being handled. */
   clocks: Timed;
@@ -61,6 +79,14 @@
     backendServers: new Map(),
     requests: new Map(),
     attempts: new Map(),
+    claims: new Map(),
+    demand: new DemandMeter(),
+    drains: new Map(),
+    retries: makeRetryState(`${identity.instance}/${identity.incarnation}`),
+    quarantine: makeQuarantineState(),
+    reclaims: makeReclaimState(),
+    membership: makeMembershipState(),
+    shutdown: makeShutdownState(),
     shuttingDown: false,
     clocks: { now: 0, wallNow: 0 },
     random: xoroshiro128plus(seedOf(identity)),
--- a/packages/entry-core/src/admission/isWorthHolding.ts
+++ b/packages/entry-core/src/admission/isWorthHolding.ts
@@ -5,7 +5,8 @@
  * use. Waiting is bounded by a share of the patience, so that it never costs a deadline.
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
-import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { ruledOut } from '../attempts/ruledOut.js';
+import { takesNewWork, type BackendServerState } from '../backendServers/BackendServerState.js';
 import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
 import { hasRoom } from '../backendServers/hasRoom.js';
 import type { PoolBalance } from '../backendServers/PoolBalance.js';
@@ -25,6 +26,8 @@
   server: BackendServerState,
   now: MonotonicMilliseconds,
 ): boolean {
+  // A stream that goes on elsewhere must not pause for a cache.
+  if (accepted.attemptsStarted > 0) return false;
   const patience = nextTokenDueAt(accepted) - accepted.arrivedAt;
   if (now - accepted.arrivedAt >= patience * HOLD_SHARE) return false;
   const pool = poolBalanceOf(state, accepted.pool.name);
@@ -40,11 +43,14 @@
 function findHolder(
   state: EntryState,
   pool: PoolBalance,
-  { request, triedInstances }: RequestState,
+  accepted: RequestState,
   server: BackendServerState,
 ): PrefixHolder | undefined {
+  const { now } = state.clocks;
   const group = pool.groupOf(server);
+  const excluded = ruledOut(state, accepted, now);
   return pool.beliefs
-    .find(request.prefixDigests, state.clocks.now)
-    .find((held) => group.has(held.server) && !triedInstances.has(held.server.listed.instance));
+    .find(accepted.request.prefixDigests, now)
+    .filter((held) => group.has(held.server) && takesNewWork(held.server))
+    .find((held) => !excluded.has(held.server.listed.instance));
 }
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -7,6 +7,7 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { ruledOut } from '../attempts/ruledOut.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { takesNewWork, type BackendServerState } from './BackendServerState.js';
@@ -34,8 +35,11 @@
 interface Choice {
   readonly server: BackendServerState;
   readonly firstTokenIn: Milliseconds;
-  /** What the choice goes by: the request's own wait, and what it makes others wait. */
-  readonly cost: Milliseconds;
+  /**
+   * What the choice goes by, the least wins: the request's own wait and what it makes others wait,
+   * or for streams of a wave how full the server is.
+   */
+  readonly rank: number;
 }
 
 /** One search for a backend server. */
@@ -44,22 +48,30 @@
 
   private readonly seen = new Set<BackendServerState>();
 
+  private readonly ruledOut: ReadonlySet<string>;
+
   constructor(
     private readonly state: EntryState,
     private readonly pool: PoolBalance,
     private readonly accepted: RequestState,
     private readonly now: MonotonicMilliseconds,
-  ) {}
+    private readonly spread: boolean,
+  ) {
+    this.ruledOut = ruledOut(state, accepted, now);
+  }
 
   look(server: BackendServerState | undefined): void {
     if (server === undefined || this.seen.has(server)) return;
     this.seen.add(server);
-    if (this.accepted.triedInstances.has(server.listed.instance) || !takesNewWork(server)) return;
-    if (!hasRoom(this.state, this.pool, server, this.accepted)) return;
+    const { instance } = server.listed;
+    if (this.accepted.triedInstances.has(instance) || this.ruledOut.has(instance)) return;
+    if (!takesNewWork(server) || !hasRoom(this.state, this.pool, server, this.accepted)) return;
     const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
-    const cost = firstTokenIn + this.delayOfOthers(server) + this.crowding(server);
-    if (this.best === undefined || cost < this.best.cost) {
-      this.best = { server, firstTokenIn, cost };
+    const rank = this.spread
+      ? this.fullness(server)
+      : firstTokenIn + this.delayOfOthers(server) + this.crowding(server);
+    if (this.best === undefined || rank < this.best.rank) {
+      this.best = { server, firstTokenIn, rank };
     }
   }
 
@@ -68,8 +80,8 @@
    * workspace would follow its system prompt to one server, and the others be idle until the rush.
    */
   private crowding(server: BackendServerState): Milliseconds {
-    const fullness = estimateInProgress(this.state, server) / limitNow(server.balance, this.now);
-    return this.pool.serviceTime(this.accepted.route.name) * fullness * CROWDING_SHARE;
+    const serviceTime = this.pool.serviceTime(this.accepted.route.name);
+    return serviceTime * this.fullness(server) * CROWDING_SHARE;
   }
 
   /** What computing the prompt there adds to the wait of those that come after it. */
@@ -102,6 +114,10 @@
     if (group.candidates.length === 0) return;
     this.look(group.at(uniformInt(this.state.random, 0, group.candidates.length - 1)));
   }
+
+  private fullness(server: BackendServerState): number {
+    return estimateInProgress(this.state, server) / limitNow(server.balance, this.now);
+  }
 }
 
 /** How to look for a backend server. */
@@ -110,17 +126,22 @@
   readonly where?: 'nearest' | 'remote';
   /** A server that has just got room: at thousands of servers samples may miss it. */
   readonly freed?: BackendServerState | undefined;
+  /**
+   * For streams of a wave that are all placed at one moment: the emptiest server wins. Predictions
+   * come from first tokens seen before the wave, so all of it would go to the one that was fastest.
+   */
+  readonly spread?: boolean;
 }
 
 function search(
   state: EntryState,
   accepted: RequestState,
   group: CandidateGroup,
-  freed: BackendServerState | undefined,
+  { freed, spread = false }: ChoiceOptions,
 ): Choice | undefined {
   const { now } = state.clocks;
   const pool = poolBalanceOf(state, accepted.pool.name);
-  const one = new ServerSearch(state, pool, accepted, now);
+  const one = new ServerSearch(state, pool, accepted, now, spread);
   if (freed !== undefined && group.has(freed)) one.look(freed);
   one.lookAtHolders(group);
   one.lookAround(group);
@@ -135,31 +156,40 @@
 export function chooseBackendServer(
   state: EntryState,
   accepted: RequestState,
-  { where = 'nearest', freed }: ChoiceOptions = {},
+  options: ChoiceOptions = {},
 ): BackendServerState | undefined {
   const { local, remote } = poolBalanceOf(state, accepted.pool.name);
-  if (where === 'remote') return search(state, accepted, remote, freed)?.server;
-  const near = search(state, accepted, local, freed);
-  if (near === undefined && hasUntriedIn(local, accepted)) return undefined;
+  if (options.where === 'remote') return search(state, accepted, remote, options)?.server;
+  const near = search(state, accepted, local, options);
+  if (near === undefined && hasUntriedIn(state, local, accepted)) return undefined;
   const dueIn = nextTokenDueAt(accepted) - state.clocks.now;
   if (near !== undefined && near.firstTokenIn <= dueIn) return near.server;
-  const far = search(state, accepted, remote, freed);
+  const far = search(state, accepted, remote, options);
   if (near === undefined) return far?.server;
   return far !== undefined && far.firstTokenIn <= dueIn ? far.server : near.server;
 }
 
-function hasUntriedIn(group: CandidateGroup, { triedInstances }: RequestState): boolean {
-  return group.candidates.some(
-    (server) => takesNewWork(server) && !triedInstances.has(server.listed.instance),
-  );
+function hasUntriedIn(state: EntryState, group: CandidateGroup, accepted: RequestState): boolean {
+  const isFree = isFreeFor(state, accepted);
+  return group.candidates.some(isFree);
+}
+
+/** Tells of which backend servers the request can still be sent to, now or once they have room. */
+function isFreeFor(state: EntryState, accepted: RequestState) {
+  const excluded = ruledOut(state, accepted, state.clocks.now);
+  return (server: BackendServerState) => {
+    const { instance } = server.listed;
+    return (
+      takesNewWork(server) && !accepted.triedInstances.has(instance) && !excluded.has(instance)
+    );
+  };
 }
 
 /** True if some backend server that was not tried yet can take the request, now or later. */
 export function hasUntried(state: EntryState, accepted: RequestState): boolean {
   const pool = poolBalanceOf(state, accepted.pool.name);
-  const untried = (server: BackendServerState) =>
-    takesNewWork(server) && !accepted.triedInstances.has(server.listed.instance);
+  const isFree = isFreeFor(state, accepted);
   return pool.groups.some(
-    (group) => group.candidates.some(untried) || [...group.ejected].some(untried),
+    (group) => group.candidates.some(isFree) || [...group.ejected].some(isFree),
   );
 }
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -8,12 +8,15 @@
   Configuration,
   EntryReport,
   EpochMilliseconds,
+  FleetDrains,
   LoadReport,
   Milliseconds,
   MonotonicMilliseconds,
   PlatformInstance,
   QuarantineEntry,
+  StoredAnswer,
 } from '@hornbeampond/schema';
+import type { ClaimCommand } from './claims/ClaimedCall.js';
 
 /** A caller's request as far as decisions need it; its body stays in the shell. */
 export interface CallerRequest {
@@ -71,8 +74,15 @@
       readonly goneAt: EpochMilliseconds;
     }
   | { readonly type: 'loadReported'; readonly report: LoadReport }
+  | { readonly type: 'drainsReceived'; readonly drains: FleetDrains }
   | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
-  | { readonly type: 'probeAnswered'; readonly instance: string; readonly answered: boolean }
+  | {
+      readonly type: 'probeAnswered';
+      readonly instance: string;
+      readonly answered: boolean;
+      /** What the backend server's process calls itself since its start, if its adapter tells. */
+      readonly incarnation?: string;
+    }
   | { readonly type: 'requestArrived'; readonly request: CallerRequest }
   | { readonly type: 'callerGone'; readonly requestId: string }
   /** From here on a byte of the call may have reached the backend server. */
@@ -81,7 +91,13 @@
   /** Sent now and then while a stream runs. `tokens` counts the whole answer so far. */
   | { readonly type: 'attemptProgressed'; readonly attemptId: string; readonly tokens: number }
   /** The whole answer has come from the backend server. */
-  | { readonly type: 'attemptFinished'; readonly attemptId: string; readonly tokens: number }
+  | {
+      readonly type: 'attemptFinished';
+      readonly attemptId: string;
+      readonly tokens: number;
+      /** The answer of a call that may not be repeated, to be kept for its resends. */
+      readonly storedAnswer?: StoredAnswer;
+    }
   | {
       readonly type: 'attemptFailed';
       readonly attemptId: string;
@@ -94,10 +110,30 @@
       readonly answerStarted: boolean;
       readonly retryAfter?: Milliseconds;
     }
-  | { readonly type: 'cacheMoved'; readonly requestId: string; readonly moved: boolean }
-  | { readonly type: 'claimAnswered'; readonly requestId: string; readonly answer: ClaimAnswer }
+  | {
+      readonly type: 'cacheMoved';
+      readonly requestId: string;
+      readonly moved: boolean;
+      /** The attempt named by the `moveCache` that this answers. */
+      readonly attemptId?: string;
+      /** Tokens of the answer that the moved cache holds, if the engine tells. */
+      readonly tokens?: number;
+    }
+  | {
+      readonly type: 'claimAnswered';
+      readonly requestId: string;
+      /** Which command this is the fate of. */
+      readonly command: ClaimCommand['type'];
+      readonly answer: ClaimAnswer;
+    }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
-  | { readonly type: 'shutdownStarted' };
+  | {
+      readonly type: 'shutdownStarted';
+      /** Until when requests are still accepted: the balancer's delay. Missing means not at all. */
+      readonly acceptUntil?: MonotonicMilliseconds;
+      /** When the last requests are ended, a moment before the platform's limit. */
+      readonly endAt?: MonotonicMilliseconds;
+    };
 
 export type EntryEvent = EntryOccurrence & Timed;
--- /dev/null
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -0,0 +1,87 @@
+/**
+ * This entry's own report to its peers: once a second, and with the next tick when something
+ * that cannot wait was learnt here, such as a reclaim notice.
+ */
+import type { EntryReport, PeerSuspect } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import type { Suspect } from '../quarantine/QuarantineState.js';
+
+export const REPORT_MILLISECONDS = 1000;
+
+/** A digest is quarantined at this many crashes. */
+const NAMED_CRASHES = 2;
+
+function countInProgress(state: EntryState): Record<string, number> {
+  const counts: Record<string, number> = {};
+  state.requests.forEach(({ route, request }) => {
+    const key = `${route.name}/${request.workspace}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  });
+  return counts;
+}
+
+function runningAt(state: EntryState, digest: string): string | undefined {
+  return [...state.attempts.values()].find(
+    ({ requestId, givenUp }) =>
+      !givenUp && state.requests.get(requestId)?.request.digest === digest,
+  )?.instance;
+}
+
+function listQuarantined(state: EntryState): PeerSuspect[] {
+  return [...state.quarantine.quarantined].map(([digest, { until }]) => ({
+    digest,
+    crashes: NAMED_CRASHES,
+    crashIds: [],
+    quarantinedUntil: until,
+  }));
+}
+
+function isUnderSuspicion({ paroled }: Suspect): boolean {
+  return paroled !== true;
+}
+
+function listSuspects(state: EntryState): PeerSuspect[] {
+  const suspects = [...state.quarantine.suspects.values()];
+  return suspects
+    .filter(isUnderSuspicion)
+    .map(({ digest, crashIds, exposure, tokens, lossOf }) => ({
+      digest,
+      crashes: crashIds.size,
+      crashIds: [...crashIds],
+      judging: lossOf !== undefined,
+      exposure,
+      tokens,
+      runningAt: runningAt(state, digest),
+      pending: [...state.requests.values()].some(({ request }) => request.digest === digest),
+    }));
+}
+
+function makeReport(state: EntryState): EntryReport {
+  const { instance, dataCentre, incarnation } = state.identity;
+  state.membership.sequence += 1;
+  return {
+    type: 'entryReport',
+    instance,
+    dataCentre,
+    incarnation,
+    sequence: state.membership.sequence,
+    leaving: state.shutdown.started,
+    revision: state.configuration.revision,
+    inProgress: countInProgress(state),
+    leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
+    suspects: [...listSuspects(state), ...listQuarantined(state)],
+  };
+}
+
+/** Has the next tick send a report instead of waiting for the second to pass. */
+export function reportSoon(state: EntryState): void {
+  state.membership.reportDueAt = 0;
+}
+
+export function advanceReports(state: EntryState, { now }: Timed): EntryEffect[] {
+  if (state.membership.reportDueAt > now) return [];
+  state.membership.reportDueAt = now + REPORT_MILLISECONDS;
+  return [{ type: 'reportToEntries', report: makeReport(state) }];
+}
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -2,6 +2,7 @@
  * The one reducer of an entry: it hands each event to the part whose concern it is.
  */
 import { assertNever } from '@hornbeampond/schema';
+import { advanceEntry } from './advanceEntry.js';
 import { admitRequest } from './admission/admitRequest.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
@@ -9,20 +10,30 @@
 import { listInstances, refreshLimits } from './backendServers/listInstances.js';
 import { observeAttempt, observeStarts } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
+import { findEndingClaim, followClaims } from './claims/followClaims.js';
+import { receiveDrains } from './backendServers/receiveDrains.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
 import { receiveEntryReport } from './limits/receiveEntryReport.js';
+import { receiveReport } from './membership/receiveReport.js';
+import { takeProbeAnswer } from './quarantine/judgeLoss.js';
+import { receiveQuarantine } from './quarantine/quarantineDigest.js';
+import { noticeListed, noticeReclaim } from './reclaims/noticeReclaim.js';
+import { receiveCacheMoved } from './reclaims/receiveCacheMoved.js';
 import { callerGone } from './requests/callerGone.js';
+import { startShutdown } from './shutdown/advanceShutdown.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
   state.clocks = { now: event.now, wallNow: event.wallNow };
   const concerned = findConcerned(state, event);
   const observed = observeAttempt(state, event);
-  const effects = reduceConcern(state, event);
-  const all = [...observed, ...effects, ...reduceAdmission(state, event, concerned)];
-  observeStarts(state, all, event.now);
-  return all;
+  const ending = findEndingClaim(state, event);
+  const effects = [...observed, ...reduceConcern(state, event)];
+  effects.push(...reduceAdmission(state, event, concerned));
+  effects.push(...followClaims(state, event, ending, effects));
+  observeStarts(state, effects, event.now);
+  return effects;
 }
 
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
@@ -41,21 +52,18 @@
     }
     case 'instancesListed':
       listInstances(state, event.instances, event.now);
-      return [];
-    case 'reclaimNoticed': {
-      const server = state.backendServers.get(event.instance);
-      if (server !== undefined) server.goneAt ??= event.goneAt;
-      return [];
-    }
+      return noticeListed(state, event.instances, event);
+    case 'reclaimNoticed':
+      return noticeReclaim(state, event.instance, event.goneAt, event);
     case 'loadReported':
       receiveLoadReport(state, event.report, event.now, event.wallNow);
       return [];
+    case 'drainsReceived':
+      receiveDrains(state, event.drains);
+      return [];
     case 'cacheEventsReceived':
       receiveCacheEvents(state, event.events, event.now);
       return [];
-    case 'entryReported':
-      receiveEntryReport(state, event.report, event.now);
-      return [];
     case 'requestArrived':
       return admitRequest(state, event.request, event);
     case 'callerGone':
@@ -66,15 +74,20 @@
     case 'attemptFinished':
     case 'attemptFailed':
       return reduceAttempts(state, event);
+    case 'cacheMoved':
+      return receiveCacheMoved(state, event);
+    case 'probeAnswered':
+      return takeProbeAnswer(state, event.instance, event, event);
+    case 'quarantineReceived':
+      return receiveQuarantine(state, event.quarantine, event);
+    case 'entryReported':
+      receiveEntryReport(state, event.report, event.now);
+      return receiveReport(state, event.report, event);
     case 'shutdownStarted':
-      state.shuttingDown = true;
-      return state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
+      return startShutdown(state, event);
     case 'tick':
-      return state.shuttingDown && state.requests.size === 0 ? [{ type: 'shutdownReady' }] : [];
-    case 'probeAnswered':
-    case 'cacheMoved':
+      return advanceEntry(state, event);
     case 'claimAnswered':
-    case 'quarantineReceived':
       return [];
     default:
       return assertNever(event);
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -16,6 +16,12 @@
   readonly rows: readonly unknown[];
 }
 
+/**
+ * Largest answer that is stored, headers and body together: an offer or a reservation is a few
+ * KiB. Proposers leave a larger body out, since the log would carry it for nothing.
+ */
+export const LARGEST_STORED_ANSWER_BYTES = 64 * 1024;
+
 /** An answer kept for callers who send a call that may not be repeated again. */
 export interface StoredAnswer {
   readonly status: number;
@@ -117,11 +123,19 @@
   | { readonly type: 'claimBarred' }
   /** The attempt holds the claim no longer, or never did. */
   | { readonly type: 'claimNotHeld' }
+  /** The bound on claims is reached; nothing was opened. */
+  | { readonly type: 'claimsFull' }
   | { readonly type: 'claimReleased' }
   | { readonly type: 'claimSettled' };
 
 export type LeaseResult =
-  | { readonly type: 'leaseHeld'; readonly epoch: number; readonly duration: Milliseconds }
+  | {
+      readonly type: 'leaseHeld';
+      readonly epoch: number;
+      readonly duration: Milliseconds;
+      /** Longest duration granted under any earlier epoch; it may still be running out. */
+      readonly previousDuration: Milliseconds;
+    }
   | { readonly type: 'leaseRefused'; readonly holder: string; readonly remaining: Milliseconds }
   | { readonly type: 'leaseReleased' };
 
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,15 @@
 export * from './exploreStates.js';
+export * from './fakes/FakeBackendServer.js';
+export * from './fakes/FakeCluster.js';
+export * from './fakes/fakeClusterSettings.js';
+export * from './fakes/FakeControl.js';
+export * from './fakes/FakeEngine.js';
+export type { EngineRole, LoadedModel } from './fakes/FakeOrderDesk.js';
+export * from './fakes/FakePlainService.js';
+export * from './fakes/FakePlatform.js';
+export { FakeServer, type FakeServerOptions } from './fakes/FakeServer.js';
+export * from './fakes/FakeWeightStore.js';
+export * from './fakes/generateToken.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
 export * from './EngineModel.js';
