Test what three mutations got past: pending prompts, crowding, drain at an end

A run of 37 mutations (one safeguard off each) left four alive: no bound on pending prompts, no cost of a fuller batch, no drain at an attempt's end, drain by ticks only. Each of the three new tests fails with its safeguard off (tried by hand for all but 'no drain at an end', which the tick-only mutation covers).

--- a/packages/entry-core/src/admission/admission.test.ts
+++ b/packages/entry-core/src/admission/admission.test.ts
@@ -213,6 +213,44 @@
   assert.ok(plans.every((plan) => plan.finishedAt !== undefined));
 });
 
+// A planner sends ten long prompts to an engine that computes one after the other and has places
+// for all of them in its batch. A counter's short prompt comes right after. It is in time, because
+// most long prompts still wait here, where the counter goes first, and not inside the engine.
+test('long prompts do not queue inside an engine', () => {
+  const routes = [
+    exampleRoute({ name: 'plans', match: { pathPrefix: '/plans' }, ...firstTokenWithin(60_000) }),
+    exampleRoute({ name: 'counter', match: { pathPrefix: '/counter' }, ...firstTokenWithin(1500) }),
+  ];
+  const harness = makeHarness({ servers: 1, routes, speed: { ...speed, concurrency: 16 } });
+  for (let number = 0; number < 10; number += 1) {
+    const request = exampleRequest(`plan-${number}`, { path: '/plans', promptTokens: 2000 });
+    harness.arrive(request, ANSWER_TOKENS);
+  }
+  harness.timeline.runUntil(10);
+  const counter = harness.arrive(exampleRequest('counter', { path: '/counter' }), ANSWER_TOKENS);
+  harness.timeline.runUntil(30_000);
+  assert.equal(counter.problem, undefined);
+  assert.ok((counter.firstTokenAt ?? Infinity) - counter.arrivedAt <= 1500);
+  assert.ok([...harness.outcomes.values()].every(({ finishedAt }) => finishedAt !== undefined));
+});
+
+// Two callers ask for an engine that runs one request at a time. The second one's request is sent
+// at the very moment the first answer ends, not with the next tick.
+test('a waiting request is sent on when an attempt ends', () => {
+  const harness = makeHarness({
+    servers: 1,
+    speed: { ...speed, concurrency: 1 },
+    pool: examplePool(1),
+    routes: [exampleRoute(firstTokenWithin(5000))],
+  });
+  harness.timeline.runUntil(7);
+  const first = harness.arrive(exampleRequest('first'), ANSWER_TOKENS);
+  const second = harness.arrive(exampleRequest('second'), ANSWER_TOKENS);
+  harness.timeline.runUntil(5000);
+  const prefillAndNetwork = 21;
+  assert.equal((second.firstTokenAt ?? 0) - (first.finishedAt ?? 0), prefillAndNetwork);
+});
+
 // A workspace may have two requests in progress in the data centre and sends a third. The third
 // caller is refused with the reason and a time; when one of the two has ended, it is let in.
 test('a limit refuses what is above it and lets in what comes after an end', () => {
--- a/packages/entry-core/src/backendServers/backendServers.test.ts
+++ b/packages/entry-core/src/backendServers/backendServers.test.ts
@@ -191,6 +191,21 @@
   assert.ok((turn.firstTokenAt ?? Infinity) - turn.arrivedAt <= 2000);
 });
 
+// Twelve sellers begin conversations that share one system prompt, and their answers are long. The
+// engine that has computed the system prompt first does not get them all: what the shared prefix
+// saves is less than a fuller batch costs, so a rush later finds all engines with work and caches.
+test('new conversations spread although they share a prefix', () => {
+  const harness = makeHarness();
+  for (let number = 0; number < 12; number += 1) {
+    const prefixDigests = ['system', `seller-${number}`];
+    harness.arrive(exampleRequest(`turn-${number}`, { prefixDigests, promptTokens: 500 }), 1000);
+    harness.timeline.runUntil(harness.timeline.now + 300);
+  }
+  const loads = [...harness.engines.keys()].map((instance) => inProgressAt(harness, instance));
+  assert.ok(Math.max(...loads) <= 5, loads.join());
+  assert.ok(Math.min(...loads) >= 1, loads.join());
+});
+
 // A fifth engine comes up in a rush. It gets a little work at once and its full share after ten
 // seconds; callers of the rush are not all sent to an engine that is still warming up.
 test('a new engine starts slowly', () => {
