--- a/packages/entry-core/src/limits/LimitLedger.test.ts
+++ b/packages/entry-core/src/limits/LimitLedger.test.ts
@@ -54,6 +54,19 @@
     }
   }
 
+  /** One entry reports now; the report arrives when what is returned is called. */
+  reportLate(from: number): () => void {
+    this.sequence += 1;
+    const ledger = this.ledgers[from];
+    if (ledger === undefined) return () => {};
+    const report = this.makeReport(ledger, from);
+    return () => {
+      this.ledgers.forEach((to, entry) => {
+        if (entry !== from) to.receive(report, this.now);
+      });
+    };
+  }
+
   /** Every entry reports; `arrives` says which reports get through. */
   report(arrives: (from: number, to: number) => boolean = () => true): void {
     this.sequence += 1;
@@ -125,6 +138,30 @@
   assert.equal(greedy.countAt(0), 100);
 });
 
+// Entries report each at its own time, and every report arrives up to half a second late, after
+// others that were sent later. Callers may then be let in above the limit, as each entry acts on
+// what was true half a second ago; twice the limit is never passed, and the limit is well used.
+test('late and crossing reports stay within the stated bound', () => {
+  for (const entries of [2, 4, 8]) {
+    const limit = 100;
+    const greedy = new GreedyEntries(entries, limit);
+    const random = xoroshiro128plus(entries);
+    greedy.report();
+    for (let round = 0; round < 300; round += 1) {
+      const late: (() => void)[] = [];
+      for (let entry = 0; entry < entries; entry += 1) {
+        late.push(greedy.reportLate(entry));
+        greedy.end(entry, uniformInt(random, 0, limit / 4));
+        greedy.take(uniformInt(random, 0, entries - 1), limit);
+        greedy.pass(REPORT_INTERVAL / entries);
+      }
+      late.reverse().forEach((arrive) => arrive());
+    }
+    assert.ok(greedy.highestSum <= 2 * limit + entries, `${entries}: ${greedy.highestSum}`);
+    assert.ok(greedy.highestSum >= 0.8 * limit, `${entries}: only ${greedy.highestSum}`);
+  }
+});
+
 // One entry has borrowed everything when all reports stop, as when the network between entries
 // goes silent; peers go on. Callers may together get to twice the limit, since nobody sees the
 // borrower's requests end; peers stop at their equal part, and so does the borrower afterwards.
--- a/packages/entry-core/src/limits/LimitLedger.ts
+++ b/packages/entry-core/src/limits/LimitLedger.ts
@@ -15,7 +15,7 @@
  *   than its equal part of L, so that cut-off entries fall back to L / n each: the sum stays
  *   within 2 L + n, and within L + n once the requests of before the cut have ended;
  * - a peer not heard for FORGOTTEN_MILLISECONDS counts as gone. If it is not, each side of the
- *   cut has L for itself.
+ *   cut has L for itself; so has an entry that has just started, until it hears a peer.
  */
 import type { EntryReport, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 
