--- a/measure/src/logAppend.ts
+++ b/measure/src/logAppend.ts
@@ -17,7 +17,8 @@
   readonly p99Milliseconds: number;
 }
 
-function makeEntry(index: number, command: Uint8Array): LogEntry {
+function makeEntry(index: number): LogEntry {
+  const command = new Uint8Array(COMMAND_BYTES);
   return { index, term: 1, at: index, body: { type: 'command', command } };
 }
 
@@ -25,6 +26,14 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
 
+async function writeTogether(store: LogStore, first: number, count: number): Promise<void> {
+  const writes = Array.from({ length: count }, (_, offset) => {
+    const index = first + offset;
+    return store.write({ type: 'persist', batch: index, entries: [makeEntry(index)] });
+  });
+  await Promise.all(writes);
+}
+
 async function measureWrites(folder: string, entriesTogether: number): Promise<LogAppendFigure> {
   const store = await LogStore.open({
     folder,
@@ -32,17 +41,13 @@
     instance: 'a',
     onNotice: () => {},
   });
-  const command = new Uint8Array(COMMAND_BYTES);
   const latencies: number[] = [];
   const begin = performance.now();
   let index = 0;
   while (performance.now() - begin < SPAN_MILLISECONDS) {
     const asked = performance.now();
-    const writes = Array.from({ length: entriesTogether }, () => {
-      index += 1;
-      return store.write({ type: 'persist', batch: index, entries: [makeEntry(index, command)] });
-    });
-    await Promise.all(writes);
+    await writeTogether(store, index + 1, entriesTogether);
+    index += entriesTogether;
     latencies.push(performance.now() - asked);
   }
   const span = performance.now() - begin;
