Predict waits by what answers take in a full batch

Change: service times are learnt apart for well filled servers (0.8 of the limit); until one was seen, answers are taken to last twice as long there. A test: 300 callers at once, each returning as told.

--- a/packages/entry-core/src/admission/admission.test.ts
+++ b/packages/entry-core/src/admission/admission.test.ts
@@ -171,6 +171,31 @@
   assert.ok(isOnTime(again), JSON.stringify(again));
 });
 
+// Three hundred callers come in one moment after a quiet time, when answers were quick, to engines
+// that serve about 27 a second when full. Each refused one comes back when it was told to. Nine in
+// ten find a place then, since each was given a time of its own, and hardly any that were let in
+// are given up later, since waits are predicted by what answers take in a full batch.
+test('refused callers find a place when they come back as told', () => {
+  const harness = makeHarness();
+  sendSteadily(harness, 'quiet', 10, [0, 5000]);
+  harness.timeline.runUntil(6000);
+  let returned = 0;
+  let refusedAgain = 0;
+  const come = (caller: number, attempt: number) => {
+    const request = exampleRequest(`caller-${caller}-${attempt}`);
+    const { problem } = harness.arrive(request, ANSWER_TOKENS);
+    if (attempt > 0) returned += 1;
+    if (problem === undefined) return;
+    if (attempt > 0) refusedAgain += 1;
+    harness.timeline.after(problem.retryAfterMilliseconds ?? 0, () => come(caller, attempt + 1));
+  };
+  for (let caller = 0; caller < 300; caller += 1) come(caller, 0);
+  harness.timeline.runUntil(60_000);
+  assert.ok(refusedAgain <= 0.1 * returned, `${refusedAgain} of ${returned} refused again`);
+  const served = outcomesOf(harness, 'kartenwerk-a').filter(isOnTime);
+  assert.ok(served.length >= 0.95 * 300, `${served.length} of 300 in time`);
+});
+
 // Requests wait for two engines when one of them vanishes from the list. Those that can no longer
 // be in time are told within a tick, 800 ms and more before their deadline, so that their callers
 // can ask elsewhere; they were never sent, and the answer says so.
--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -58,6 +58,8 @@
   }
 }
 
+/** Until a filled server was seen, answers are taken to last so many times as long there. */
+const FILLED_SLOWDOWN = 2;
 const SERVICE_PRIOR: Milliseconds = 1000;
 const FIRST_TOKEN_PRIOR: Milliseconds = 50;
 const FIRST_TOKEN_PRIOR_PER_TOKEN: Milliseconds = 0.1;
@@ -70,9 +72,12 @@
   /** First-token delay by prompt tokens that are to be computed until then. */
   readonly firstToken = new LearntLine(FIRST_TOKEN_PRIOR, FIRST_TOKEN_PRIOR_PER_TOKEN);
 
-  /** Time from the start of an attempt to its end, by route. */
+  /** Time from the start of an attempt to its end at servers that were little filled, by route. */
   private readonly serviceTimes = new Map<string, LearntMean>();
 
+  /** The same at servers that were well filled. */
+  private readonly filledServiceTimes = new Map<string, LearntMean>();
+
   /** Attempts of this entry in progress at the pool's servers. */
   readonly attemptIds = new Set<string>();
 
@@ -108,13 +113,18 @@
     balance.limit = limit;
   }
 
+  /** How long an answer of the route lasts in a well filled batch, as there is in a rush. */
   serviceTime(route: string): Milliseconds {
-    return this.serviceTimes.get(route)?.value ?? SERVICE_PRIOR;
+    const filled = this.filledServiceTimes.get(route)?.value;
+    if (filled !== undefined) return filled;
+    const quiet = this.serviceTimes.get(route)?.value;
+    return quiet === undefined ? SERVICE_PRIOR : quiet * FILLED_SLOWDOWN;
   }
 
-  learnServiceTime(route: string, sample: Milliseconds): void {
-    const known = this.serviceTimes.get(route) ?? new LearntMean(SERVICE_PRIOR);
+  learnServiceTime(route: string, sample: Milliseconds, isFilled: boolean): void {
+    const means = isFilled ? this.filledServiceTimes : this.serviceTimes;
+    const known = means.get(route) ?? new LearntMean(SERVICE_PRIOR);
     known.learn(sample);
-    this.serviceTimes.set(route, known);
+    means.set(route, known);
   }
 }
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -11,10 +11,11 @@
 import { adaptConcurrency, lowerConcurrency, TOLERATED_SLOWNESS } from './adaptConcurrency.js';
 import type { BackendServerState } from './BackendServerState.js';
 import { noteFailure, noteSuccess } from './ejectOutliers.js';
-import { rememberEnded } from './estimateInProgress.js';
+import { estimateInProgress, rememberEnded } from './estimateInProgress.js';
 import type { PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
 import { pendingTokens, uncachedTokens } from './predictFirstToken.js';
+import { limitNow } from './ServerBalance.js';
 
 /** All that one edge of an attempt is about. */
 interface Observed {
@@ -92,11 +93,16 @@
   rememberEnded(server, { startedAt: attempt.startedAt, endedAt: now });
 }
 
-function observeFinish(edge: Observed): void {
+/** A server with this share of its limit in progress is nearly as slow as in a rush. */
+const FILLED_SHARE = 0.8;
+
+function observeFinish(state: EntryState, edge: Observed): void {
   const { attempt, accepted, server, pool, now } = edge;
   observeEnd(edge);
   noteSuccess(server);
-  pool.learnServiceTime(accepted.route.name, now - attempt.startedAt);
+  const fullness = estimateInProgress(state, server) / limitNow(server.balance, now);
+  const isFilled = fullness >= FILLED_SHARE;
+  pool.learnServiceTime(accepted.route.name, now - attempt.startedAt, isFilled);
 }
 
 function observeFailure(edge: Observed, failure: AttemptFailure): EntryEffect[] {
@@ -118,7 +124,7 @@
   const edge = observed(state, event.attemptId, event.now);
   if (edge === undefined) return [];
   if (event.type === 'firstTokenReceived') observeFirstToken(edge);
-  if (event.type === 'attemptFinished') observeFinish(edge);
+  if (event.type === 'attemptFinished') observeFinish(state, edge);
   if (event.type === 'attemptFailed') return observeFailure(edge, event.failure);
   return [];
 }
