--- a/packages/entry-core/src/testing/EntryHarness.ts
+++ b/packages/entry-core/src/testing/EntryHarness.ts
@@ -196,6 +196,13 @@
         this.change(requestId, { problem });
         break;
       }
+      case 'probe': {
+        // Engines that fail attempts still answer: what fails here is the work, not the host.
+        const { instance } = effect.target;
+        const answer = { type: 'probeAnswered', instance, answered: true } as const;
+        this.timeline.after(NETWORK_MILLISECONDS, () => this.send(answer, entry));
+        break;
+      }
       case 'count': {
         const key = `${effect.metric}/${effect.label ?? ''}`;
         this.counted.set(key, (this.counted.get(key) ?? 0) + (effect.amount ?? 1));
