Make the pages of logs, metrics, settings and errors from the code

Cause: operators and callers had no page of what the system logs, counts, takes and answers, and a page written by hand is wrong after the next change of the code. Ruled out: whole generated pages (the prose around the tables is the larger help) and reading doc comments out of the sources (needs the compiler in the generator). Change: docs/LOGS, METRICS, SETTINGS and CALLERS hold generated blocks between markers, written by 'npm run reference'; meanings of settings keys are a closed list that must match the schemas. Conclusion: neither side can drift without a red test.

--- /dev/null
+++ b/packages/schema/src/reference/describeErrors.ts
@@ -0,0 +1,12 @@
+/** The error table of docs/CALLERS.md. */
+import { errorAnswers, errorKinds } from '../errors/errorKinds.js';
+import { markdownTable } from './markdownTable.js';
+
+export function describeErrors(): Record<string, string> {
+  const rows = errorKinds.map((kind) => {
+    const { status, title, ran, retryHelps } = errorAnswers[kind];
+    return [`\`${kind}\``, `${status}`, `\`${ran}\``, retryHelps ? 'yes' : 'no', title];
+  });
+  const titles = ['kind', 'status', 'ran', '`Retry-After`', 'title'];
+  return { errors: markdownTable(titles, rows) };
+}
--- /dev/null
+++ b/packages/schema/src/reference/describeLogEvents.ts
@@ -0,0 +1,25 @@
+/** The tables of docs/LOGS.md. */
+import { logEvents } from '../logEvents/logEvents.js';
+import { markdownTable } from './markdownTable.js';
+import { describeNotRaised } from './notRaisedYet.js';
+
+/** Hundreds of numbers, by the process that writes them. */
+const ranges = {
+  'events of every process': [1000, 1999],
+  'events of entries': [2000, 2999],
+  'events of stores': [3000, 3999],
+  'events of controllers': [4000, 4999],
+} as const;
+
+export function describeLogEvents(): Record<string, string> {
+  const all = Object.entries(logEvents).sort(([, a], [, b]) => a.number - b.number);
+  const tables = Object.fromEntries(
+    Object.entries(ranges).map(([name, [first, last]]) => {
+      const rows = all
+        .filter(([, { number }]) => number >= first && number <= last)
+        .map(([event, { number, level, text }]) => [`${number}`, `\`${event}\``, level, text]);
+      return [name, markdownTable(['number', 'event', 'level', 'what happened'], rows)];
+    }),
+  );
+  return { ...tables, 'events not written yet': describeNotRaised(Object.keys(logEvents)) };
+}
--- /dev/null
+++ b/packages/schema/src/reference/describeSettings.ts
@@ -0,0 +1,116 @@
+/** The tables of docs/SETTINGS.md: each key with unit, default and bounds, read off the schemas. */
+import { z } from 'zod';
+import {
+  controllerSettingsSchema,
+  entrySettingsSchema,
+  storeSettingsSchema,
+} from '../settings/settings.js';
+import { markdownTable } from './markdownTable.js';
+import { controllerMeanings, entryMeanings, storeMeanings } from './settingMeanings.js';
+
+/** What is read of a JSON schema, as zod writes it. */
+interface SchemaNode {
+  readonly type?: string;
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+  readonly required?: readonly string[];
+  readonly items?: SchemaNode;
+  readonly anyOf?: readonly SchemaNode[];
+  readonly enum?: readonly string[];
+  readonly default?: unknown;
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly minLength?: number;
+  readonly maxLength?: number;
+  readonly minItems?: number;
+  readonly maxItems?: number;
+  readonly pattern?: string;
+  readonly format?: string;
+}
+
+/** A key that holds a value of its own, and its place in the schema. */
+interface SettingKey {
+  readonly path: string;
+  readonly node: SchemaNode;
+  readonly required: boolean;
+  /** Bounds on the lists that the key stands in. */
+  readonly listBounds: string;
+}
+
+function describeRange(least: number | undefined, most: number | undefined, what: string): string {
+  if (least === undefined && most === undefined) return '';
+  if (most === undefined) return `at least ${least} ${what}`.trim();
+  return `${least ?? 0} to ${most} ${what}`.trim();
+}
+
+function listKeys(node: SchemaNode, path = '', required = true, listBounds = ''): SettingKey[] {
+  if (node.properties !== undefined) {
+    return Object.entries(node.properties).flatMap(([name, child]) => {
+      const needed = required && (node.required ?? []).includes(name);
+      return listKeys(child, path === '' ? name : `${path}.${name}`, needed, listBounds);
+    });
+  }
+  if (node.items !== undefined) {
+    const bounds = describeRange(node.minItems, node.maxItems, 'rows');
+    return listKeys(node.items, `${path}[]`, required && node.default === undefined, bounds);
+  }
+  return [{ path, node, required, listBounds }];
+}
+
+function describeUnit(path: string): string {
+  if (path.endsWith('Milliseconds')) return 'ms';
+  return path.endsWith('Bytes') ? 'bytes' : '';
+}
+
+function describeDefault({ node, required, path }: SettingKey): string {
+  if (node.default !== undefined) return `\`${String(node.default)}\``;
+  if (required) return 'required';
+  return path.includes('[]') ? 'no rows' : 'none';
+}
+
+function describeBounds({ node, listBounds }: SettingKey): string {
+  const own = [
+    node.enum?.map((value) => `\`${value}\``).join(', ') ?? '',
+    describeRange(node.minimum, node.maximum, ''),
+    describeRange(node.minLength, node.maxLength, 'characters'),
+    node.anyOf?.map((choice) => choice.format ?? choice.type ?? '').join(' or ') ?? '',
+    node.format === 'uri' ? 'uri' : '',
+    node.pattern === undefined || node.anyOf !== undefined ? '' : `\`${node.pattern}\``,
+  ].filter((part) => part !== '');
+  return [...own, ...(listBounds === '' ? [] : [`(${listBounds})`])].join(' ');
+}
+
+function checkMeanings(keys: readonly SettingKey[], meanings: Readonly<Record<string, string>>) {
+  const paths = new Set(keys.map(({ path }) => path));
+  const unexplained = [...paths].filter((path) => meanings[path] === undefined);
+  const unknown = Object.keys(meanings).filter((path) => !paths.has(path));
+  if (unexplained.length > 0) throw new Error(`no meaning is given for ${unexplained.join(', ')}`);
+  if (unknown.length > 0) throw new Error(`no schema has ${unknown.join(', ')}`);
+}
+
+/** The table of one schema; throws if the meanings do not match its keys. */
+export function describeSchema(
+  schema: z.ZodType,
+  meanings: Readonly<Record<string, string>>,
+): string {
+  const keys = listKeys(z.toJSONSchema(schema, { io: 'input' }) as SchemaNode);
+  checkMeanings(keys, meanings);
+  const rows = keys.map((key) => [
+    `\`${key.path}\``,
+    describeUnit(key.path),
+    describeDefault(key),
+    describeBounds(key),
+    meanings[key.path] ?? '',
+  ]);
+  return markdownTable(['key', 'unit', 'default', 'bounds', 'meaning'], rows);
+}
+
+export function describeSettings(): Record<string, string> {
+  return {
+    'settings of hornbeampond-entry': describeSchema(entrySettingsSchema, entryMeanings),
+    'settings of hornbeampond-store': describeSchema(storeSettingsSchema, storeMeanings),
+    'settings of hornbeampond-controller': describeSchema(
+      controllerSettingsSchema,
+      controllerMeanings,
+    ),
+  };
+}
--- /dev/null
+++ b/packages/schema/src/reference/index.ts
@@ -0,0 +1,2 @@
+export * from './generatedBlocks.js';
+export * from './referencePages.js';
--- /dev/null
+++ b/packages/schema/src/reference/reference.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { readFileSync, readdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { z } from 'zod';
+import { errorKinds } from '../errors/errorKinds.js';
+import { logEvents } from '../logEvents/logEvents.js';
+import { metricDefinitions, type MetricDefinition } from '../metrics.js';
+import { describeSchema } from './describeSettings.js';
+import { fillBlocks } from './generatedBlocks.js';
+import { notRaisedYet } from './notRaisedYet.js';
+import { makeReferencePages } from './referencePages.js';
+
+const root = fileURLToPath(new URL('../../../../', import.meta.url));
+
+/** The sources of all packages and programs but the catalogues, the fakes and the tests. */
+function readSources(): string {
+  const folders = ['packages', 'apps'].flatMap((parent) =>
+    readdirSync(join(root, parent)).map((name) => join(root, parent, name, 'src')),
+  );
+  const files = folders
+    .filter((folder) => !/packages.(schema|testing)/.test(folder))
+    .flatMap((folder) =>
+      readdirSync(folder, { recursive: true, encoding: 'utf8' }).map((name) => join(folder, name)),
+    )
+    .filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'));
+  return files.map((file) => readFileSync(file, 'utf8')).join('\n');
+}
+
+// An operator looks up a number, key or reason and finds what an earlier version had: a change of
+// the code left the page behind. Each page is made again here and must be the committed one.
+Object.entries(makeReferencePages()).forEach(([name, blocks]) => {
+  test(`docs/${name} says what the code says`, () => {
+    const file = new URL(`../../../../docs/${name}`, import.meta.url);
+    const page = readFileSync(file, 'utf8');
+    assert.equal(page, fillBlocks(page, blocks), 'run "npm run reference"');
+  });
+});
+
+test('every log event and metric is on its page, once', () => {
+  const pages = makeReferencePages();
+  const logs = Object.values(pages['LOGS.md'] ?? {}).join('\n');
+  Object.entries(logEvents).forEach(([name, { number }]) => {
+    assert.equal(logs.split(`| ${number}   | \`${name}\``).length, 2, name);
+  });
+  const numbers = Object.values(logEvents).map(({ number }) => number);
+  assert.equal(new Set(numbers).size, numbers.length, 'a number stands for two events');
+  const metrics = pages['METRICS.md']?.metrics ?? '';
+  Object.values(metricDefinitions).forEach(({ name }) => {
+    assert.equal(metrics.split(`| \`${name}\``).length, 2, name);
+  });
+});
+
+test('a page that is out of date or has lost a marker is noticed', () => {
+  const page = '<!-- generated: a; "npm run reference" writes it -->\nold\n<!-- end of a -->\n';
+  assert.match(fillBlocks(page, { a: 'new' }), /\nnew\n/);
+  assert.throws(() => fillBlocks('nothing here', { a: 'new' }), /no markers of "a"/);
+});
+
+test('a settings key without a meaning is refused, and a meaning without a key', () => {
+  const schema = z.strictObject({ pauseMilliseconds: z.number().int().min(1).max(9).default(3) });
+  const table = describeSchema(schema, { pauseMilliseconds: 'a pause' });
+  assert.match(table, /\| `pauseMilliseconds` \| ms +\| `3` +\| 1 to 9 \| a pause \|/);
+  assert.throws(() => describeSchema(schema, {}), /no meaning is given for pauseMilliseconds/);
+  const tooMany = { pauseMilliseconds: 'a pause', gone: 'a key of yesterday' };
+  assert.throws(() => describeSchema(schema, tooMany), /no schema has gone/);
+});
+
+// An operator sets an alert on a counter that no code counts, and is never told. Names that are not
+// raised are listed on the pages; the list must be exactly the names that the sources do not have.
+test('what the catalogues name is raised, or is said not to be', () => {
+  const sources = readSources();
+  const metrics: readonly MetricDefinition[] = Object.values(metricDefinitions);
+  const names = [
+    ...errorKinds,
+    ...Object.keys(logEvents),
+    ...Object.keys(metricDefinitions),
+    ...metrics.flatMap(({ label }) => label?.values ?? []),
+  ];
+  const silent = [...new Set(names)].filter((name) => !sources.includes(`'${name}'`)).sort();
+  assert.deepEqual(silent, [...notRaisedYet], 'bring notRaisedYet.ts in line');
+});
--- /dev/null
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -0,0 +1,73 @@
+/**
+ * What each settings key is for, by its path. The generator refuses a key that has no line here
+ * and a line that has no key, so that the list cannot drift from the schemas.
+ */
+
+const sha256 = 'SHA-256 of the key, in lower-case hexadecimal digits; the key is kept nowhere';
+
+function addressMeanings(key: string, what: string): Record<string, string> {
+  return {
+    [`${key}[].instance`]: `name of ${what}`,
+    [`${key}[].dataCentre`]: 'its data centre',
+    [`${key}[].host`]: 'its IP number',
+    [`${key}[].port`]: 'its port for processes of the cluster',
+  };
+}
+
+function listenMeanings(key: string, who: string): Record<string, string> {
+  return {
+    [`${key}.host`]: `IP number on which ${who} connect`,
+    [`${key}.port`]: `port on which ${who} connect; 0 takes any free one`,
+  };
+}
+
+const commonMeanings = {
+  instance: 'name of this instance, unique in the cluster',
+  dataCentre: 'data centre of this instance',
+  cluster: 'name of the cluster; a peer of another is refused',
+  clusterSecret: 'secret that all processes of the cluster share',
+  logLevel: 'least level of the lines that are logged',
+  ...listenMeanings('operatorListen', 'operators'),
+  'operatorKeys[].name': 'name of an operator',
+  'operatorKeys[].keySha256': sha256,
+  ...addressMeanings('stores', 'a store that is known from the start'),
+};
+
+const platformMeanings = {
+  'platform.url': 'base address of the platform’s API',
+  'platform.pollMilliseconds': 'pause between two readings of the list of instances',
+};
+
+export const storeMeanings: Readonly<Record<string, string>> = {
+  ...commonMeanings,
+  ...listenMeanings('listen', 'stores, entries and controllers'),
+  dataFolder: 'the one folder that holds all files of this store',
+  electionTimeoutMilliseconds: 'a store that hears no leader for so long stands for election',
+  heartbeatMilliseconds: 'pause between two messages of an idle leader',
+};
+
+export const entryMeanings: Readonly<Record<string, string>> = {
+  ...commonMeanings,
+  ...listenMeanings('listen', 'callers'),
+  ...listenMeanings('peerListen', 'other entries'),
+  ...addressMeanings('entries', 'another entry'),
+  'workspaces[].name': 'name of a workspace, as the routes table has it',
+  'workspaces[].keySha256': sha256,
+  ...platformMeanings,
+  'limits.bodyBytes': 'largest body of a request',
+  'limits.headerBytes': 'largest head of a request',
+  'limits.answerBytes': 'largest answer that is held: generated text, or a claimed call’s answer',
+  'limits.queuedRequests': 'most accepted requests that wait for a backend server',
+  balancerDelayMilliseconds: 'how long new requests are still taken after `/readyz` has turned',
+  shutdownMilliseconds: 'the platform ends an instance this long after `SIGTERM`',
+};
+
+export const controllerMeanings: Readonly<Record<string, string>> = {
+  ...commonMeanings,
+  ...listenMeanings('peerListen', 'other controllers'),
+  ...addressMeanings('controllers', 'another controller'),
+  ...addressMeanings('entries', 'an entry, which tells of demand and is told of drains'),
+  'weightStore.url': 'base address of the weight store’s API',
+  ...platformMeanings,
+  leaseMilliseconds: 'how long the lease of a data centre lasts if it is not renewed',
+};
