Test the command line; add plan, colours, and refusals and cost to status

Cause: apps/ctl had no tests, no verb for a controller's plan, and status said nothing of refusals, recomputed tokens or cost. What the tests showed and is mended: a put whose answers were all lost did not print the change id to send it again; options before the verb were taken for it; 'tables wait' did not ask for controllers; 'store status' at a store printed an undefined entry; 'store remove' named any store where only the leader does it. Conclusion: each verb's help, output and exit codes are held by a test, but for store found, add and remove, which were tried by hand.

--- a/apps/ctl/src/Command.ts
+++ b/apps/ctl/src/Command.ts
@@ -1,5 +1,7 @@
 /** What every verb of the command line is made of. */
+import type { TimerService } from '@hornbeampond/runtime';
 import type { OperatorClient } from './OperatorClient.js';
+import type { Paint } from './paint.js';
 
 /** Options that every verb takes. */
 export interface CommonOptions {
@@ -10,6 +12,9 @@
 
 export interface CommandContext extends CommonOptions {
   readonly client: OperatorClient;
+  readonly timers: TimerService;
+  /** Colours text if the output is a terminal. */
+  readonly paint: Paint;
   /** Values of the verb's own options. */
   readonly options: Readonly<Record<string, string | boolean | undefined>>;
   /** Words after the verb. */
--- a/apps/ctl/src/OperatorClient.ts
+++ b/apps/ctl/src/OperatorClient.ts
@@ -3,6 +3,7 @@
  * their answer is lost, so that a change is never made twice.
  */
 import { Client } from 'undici';
+import { SystemTimerService, type TimerService } from '@hornbeampond/runtime';
 import type { Fault, ProblemDocument, StoreStatus, TableName } from '@hornbeampond/schema';
 
 export interface TableReading {
@@ -24,10 +25,31 @@
     readonly dataCentre: string;
     readonly state: string;
     readonly inProgress: number;
+    /** Missing if the tables have no price for it. */
+    readonly eurosPerHour?: number;
   }[];
+  /** Counts since the entry started, by error kind or reason; those at zero are left out. */
+  readonly refusals?: Readonly<Record<string, number>>;
+  readonly retries?: Readonly<Record<string, number>>;
+  readonly recomputedTokens?: Readonly<Record<string, number>>;
   readonly stores: readonly StoreStatus[];
 }
 
+/** One place of a pool in a controller's plan. */
+export interface PlanRow {
+  readonly pool: string;
+  readonly dataCentre: string;
+  readonly instanceClass: string;
+  readonly reclaimable: boolean;
+  readonly eurosPerHour: number;
+  readonly wanted: number;
+  readonly present: number;
+  readonly serving: number;
+  readonly action: string;
+  readonly reason: string;
+  readonly missingSlots: number;
+}
+
 /** A problem that the server answered with. */
 export class ProblemError extends Error {
   constructor(readonly problem: ProblemDocument) {
@@ -62,6 +84,7 @@
   constructor(
     url: string,
     private readonly key: string,
+    private readonly timers: TimerService = new SystemTimerService(),
   ) {
     this.client = new Client(url, { headersTimeout: REQUEST_MILLISECONDS });
   }
@@ -74,6 +97,12 @@
     return this.readJson(await this.send('GET', '/status')) as EntryStatus;
   }
 
+  /** The plan of a controller; entries and stores have none. */
+  async getPlan(): Promise<readonly PlanRow[]> {
+    const plan = this.readJson(await this.send('GET', '/plan'));
+    return (plan as { readonly rows: readonly PlanRow[] }).rows;
+  }
+
   /** Puts a table and returns its new revision. */
   async putTable({ table, baseRevision, changeId, rows }: PutTable): Promise<number> {
     const headers = { 'if-match': `"${baseRevision}"`, 'idempotency-key': changeId };
@@ -84,9 +113,7 @@
         return (this.readJson(answer) as { readonly revision: number }).revision;
       } catch (error) {
         if (sends >= MOST_SENDS || !this.mayResend(error)) throw error;
-        await new Promise((resolve) => {
-          setTimeout(resolve, PAUSE_MILLISECONDS);
-        });
+        await this.timers.wait(PAUSE_MILLISECONDS);
       }
     }
   }
--- /dev/null
+++ b/apps/ctl/src/commands/describeStatus.ts
@@ -0,0 +1,78 @@
+/** The state of the system at a glance, as `status` and `watch` print it. */
+import type { EntryStatus } from '../OperatorClient.js';
+import type { Paint } from '../paint.js';
+import { printTable } from '../printTable.js';
+import { describeStores, findNewestStore } from './describeStores.js';
+
+type BackendServer = EntryStatus['backendServers'][number];
+
+function describeEntry(status: EntryStatus, paint: Paint): string {
+  const ready = status.ready ? paint('green', 'ready') : paint('red', 'not ready');
+  const cutOff = status.cutOff ? paint('red', ', started cut off from the stores') : '';
+  return (
+    `entry ${status.instance} (${status.dataCentre}): ${ready}${cutOff}, ` +
+    `revision ${status.configurationRevision}, ${status.openStreams} streams`
+  );
+}
+
+function sumPrices(servers: readonly BackendServer[]): string {
+  const euros = servers.reduce((sum, { eurosPerHour = 0 }) => sum + eurosPerHour, 0);
+  const unknown = servers.filter(({ eurosPerHour }) => eurosPerHour === undefined).length;
+  return euros.toFixed(2) + (unknown > 0 ? ` and ${unknown} without a price` : '');
+}
+
+function describePools(servers: readonly BackendServer[]): string[] {
+  const names = [...new Set(servers.map(({ pool }) => pool))].sort();
+  const rows = names.map((name) => {
+    const pool = servers.filter((server) => server.pool === name);
+    const count = (state: string) => pool.filter((server) => server.state === state).length;
+    const inProgress = pool.reduce((sum, server) => sum + server.inProgress, 0);
+    return [name, count('live'), count('starting'), count('leaving'), inProgress, sumPrices(pool)];
+  });
+  const titles = ['pool', 'live', 'starting', 'leaving', 'in progress here', 'euros an hour'];
+  const total = rows.length > 0 ? [`cost: ${sumPrices(servers)} euros an hour`] : [];
+  return [...printTable(titles, rows), ...total];
+}
+
+function describeCounts(title: string, counts: Readonly<Record<string, number>> = {}): string[] {
+  const parts = Object.entries(counts)
+    .sort(([a, most], [b, least]) => least - most || a.localeCompare(b))
+    .map(([reason, count]) => `${reason} ${count}`);
+  return [`${title}: ${parts.length === 0 ? 'none' : parts.join(', ')}`];
+}
+
+export function describeStatus(status: EntryStatus, paint: Paint): string[] {
+  const newest = findNewestStore(status.stores);
+  return [
+    describeEntry(status, paint),
+    ...describeCounts('refusals since its start', status.refusals),
+    ...describeCounts('retries since its start', status.retries),
+    ...describeCounts('recomputed tokens since its start', status.recomputedTokens),
+    ...describeStores(status.stores, paint),
+    ...printTable(
+      ['instance', 'data centre', 'role', 'revision in force'],
+      (newest?.instances ?? []).map((report) => [
+        report.instance,
+        report.dataCentre,
+        report.role,
+        `${report.revision}${report.cutOff ? ' (cut off)' : ''}`,
+      ]),
+    ),
+    ...printTable(
+      ['lease', 'holder', 'epoch'],
+      (newest?.leases ?? []).map((lease) => [lease.lease, lease.holder, lease.epoch]),
+    ),
+    `quarantined requests: ${newest?.quarantine.length ?? 'not known'}`,
+    ...describePools(status.backendServers),
+    ...printTable(
+      ['backend server', 'pool', 'data centre', 'state', 'in progress here'],
+      status.backendServers.map((server) => [
+        server.instance,
+        server.pool,
+        server.dataCentre,
+        server.state,
+        server.inProgress,
+      ]),
+    ),
+  ];
+}
--- a/apps/ctl/src/commands/status.ts
+++ b/apps/ctl/src/commands/status.ts
@@ -1,63 +1,10 @@
 /** The verbs that show what the system does. */
 import { exitCodes } from '@hornbeampond/runtime';
 import { Command, UsageError, type CommandContext } from '../Command.js';
-import type { EntryStatus } from '../OperatorClient.js';
-import { printTable } from '../printTable.js';
+import { describeStatus } from './describeStatus.js';
 
 const DEFAULT_WATCH_SECONDS = 2;
 
-export function describeStatus(status: EntryStatus): string[] {
-  const newest = status.stores.reduce(
-    (most, store) => (store.appliedIndex > (most?.appliedIndex ?? -1) ? store : most),
-    status.stores[0],
-  );
-  const leader = status.stores.find((store) => store.role === 'leader');
-  const reports = newest?.instances ?? [];
-  return [
-    `entry ${status.instance} (${status.dataCentre}): ${status.ready ? 'ready' : 'not ready'}` +
-      `${status.cutOff ? ', started cut off from the stores' : ''}, ` +
-      `revision ${status.configurationRevision}, ${status.openStreams} streams`,
-    leader === undefined
-      ? 'stores: no leader answers'
-      : `stores: ${leader.instance} leads term ${leader.term} ` +
-        `with voters ${leader.voters.join(', ')}; ${leader.claims} claims`,
-    ...printTable(
-      ['store', 'role', 'term', 'commit', 'applied', 'revision'],
-      status.stores.map((store) => [
-        store.instance,
-        store.role + (store.readOnly ? ' (read-only)' : ''),
-        store.term,
-        store.commitIndex,
-        store.appliedIndex,
-        store.configurationRevision,
-      ]),
-    ),
-    ...printTable(
-      ['instance', 'data centre', 'role', 'revision in force'],
-      reports.map((report) => [
-        report.instance,
-        report.dataCentre,
-        report.role,
-        `${report.revision}${report.cutOff ? ' (cut off)' : ''}`,
-      ]),
-    ),
-    ...printTable(
-      ['lease', 'holder', 'epoch'],
-      (newest?.leases ?? []).map((lease) => [lease.lease, lease.holder, lease.epoch]),
-    ),
-    ...printTable(
-      ['backend server', 'pool', 'data centre', 'state', 'in progress'],
-      status.backendServers.map((server) => [
-        server.instance,
-        server.pool,
-        server.dataCentre,
-        server.state,
-        server.inProgress,
-      ]),
-    ),
-  ];
-}
-
 export class Status extends Command {
   override readonly name = 'status';
 
@@ -67,10 +14,10 @@
 
   override readonly example = 'hornbeampondctl status --json';
 
-  override async run({ client, json, print }: CommandContext): Promise<number> {
+  override async run({ client, json, paint, print }: CommandContext): Promise<number> {
     const status = await client.getStatus();
     if (json) print(JSON.stringify(status));
-    else describeStatus(status).forEach(print);
+    else describeStatus(status, paint).forEach(print);
     return exitCodes.done;
   }
 }
@@ -89,7 +36,8 @@
     times: { type: 'string', purpose: 'stop after so many' },
   } as const;
 
-  override async run({ client, options, json, print }: CommandContext): Promise<number> {
+  override async run(context: CommandContext): Promise<number> {
+    const { client, options, json, timers, paint, print } = context;
     const seconds = Number(options.seconds ?? DEFAULT_WATCH_SECONDS);
     const times = Number(options.times ?? Number.POSITIVE_INFINITY);
     if (!(seconds > 0) || !(times > 0)) {
@@ -98,11 +46,12 @@
     for (let shown = 0; shown < times; shown += 1) {
       const status = await client.getStatus();
       if (json) print(JSON.stringify(status));
-      else [`-- ${new Date().toISOString()}`, ...describeStatus(status)].forEach(print);
+      else {
+        const time = new Date(timers.wallNow()).toISOString();
+        [`-- ${time}`, ...describeStatus(status, paint)].forEach(print);
+      }
       if (shown + 1 < times) {
-        await new Promise((resolve) => {
-          setTimeout(resolve, seconds * 1000);
-        });
+        await timers.wait(seconds * 1000);
       }
     }
     return exitCodes.done;
--- a/apps/ctl/src/commands/stores.ts
+++ b/apps/ctl/src/commands/stores.ts
@@ -1,7 +1,7 @@
 /** The verbs on the stores: founding the cluster, and its voters. */
 import { exitCodes } from '@hornbeampond/runtime';
 import { Command, UsageError, type CommandContext } from '../Command.js';
-import { describeStatus } from './status.js';
+import { describeStores } from './describeStores.js';
 
 export class StoreFound extends Command {
   override readonly name = 'store found';
@@ -26,7 +26,7 @@
   override readonly usage = 'INSTANCE';
 
   override readonly purpose =
-    'takes a store out of the voters for good; --entry names any store’s operators’ port';
+    'takes a store out of the voters for good; --entry names the leading store’s operators’ port';
 
   override readonly example = 'hornbeampondctl store remove store-eisenstadt-1';
 
@@ -65,10 +65,10 @@
 
   override readonly example = 'hornbeampondctl store status';
 
-  override async run({ client, json, print }: CommandContext): Promise<number> {
+  override async run({ client, json, paint, print }: CommandContext): Promise<number> {
     const status = await client.getStatus();
     if (json) print(JSON.stringify(status.stores));
-    else describeStatus({ ...status, backendServers: [] }).forEach(print);
+    else describeStores(status.stores, paint).forEach(print);
     return exitCodes.done;
   }
 }
--- a/apps/ctl/src/commands/tables.ts
+++ b/apps/ctl/src/commands/tables.ts
@@ -91,8 +91,7 @@
       print(json ? JSON.stringify({ table, revision }) : `${table} is at revision ${revision}`);
       return exitCodes.done;
     } catch (error) {
-      if (!(error instanceof ProblemError)) throw error;
-      if (error.problem.kind !== 'revisionStale') {
+      if (!(error instanceof ProblemError) || error.problem.kind !== 'revisionStale') {
         print(`change id ${changeId}; send the same file again with --change-id ${changeId}`);
         throw error;
       }
@@ -110,7 +109,7 @@
     status.stores.flatMap((store) => store.instances.map((report) => [report.instance, report])),
   );
   return [...reports.values()]
-    .filter((report) => report.role === 'entry' && report.revision < revision)
+    .filter((report) => report.revision < revision)
     .map((report) => `${report.instance} (${report.dataCentre}) at ${report.revision}`);
 }
 
@@ -119,7 +118,7 @@
 
   override readonly usage = 'REVISION';
 
-  override readonly purpose = 'waits until a revision is in force on every live instance';
+  override readonly purpose = 'waits until a revision is in force on all that the stores hear of';
 
   override readonly example = 'hornbeampondctl tables wait 8 --seconds 15';
 
@@ -127,12 +126,12 @@
     seconds: { type: 'string', purpose: `how long to wait (${DEFAULT_WAIT_SECONDS})` },
   } as const;
 
-  override async run({ client, words, options, print }: CommandContext): Promise<number> {
+  override async run({ client, words, options, timers, print }: CommandContext): Promise<number> {
     const revision = Number(words[0]);
     if (!Number.isInteger(revision)) throw new UsageError(['name a revision']);
     const seconds = Number(options.seconds ?? DEFAULT_WAIT_SECONDS);
     if (!(seconds > 0)) throw new UsageError(['--seconds takes a number above 0']);
-    const endsAt = Date.now() + seconds * 1000;
+    const endsAt = timers.monotonicNow() + seconds * 1000;
     for (;;) {
       const status = await client.getStatus();
       const behind = namesBehind(status, revision);
@@ -140,14 +139,12 @@
         print(`revision ${revision} is in force everywhere`);
         return exitCodes.done;
       }
-      if (Date.now() > endsAt) {
+      if (timers.monotonicNow() > endsAt) {
         print(`revision ${revision} is not yet in force on:`);
         behind.forEach((name) => print(`  ${name}`));
         return EXIT_NOT_IN_FORCE;
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, POLL_MILLISECONDS);
-      });
+      await timers.wait(POLL_MILLISECONDS);
     }
   }
 }
--- a/apps/ctl/src/runCommandLine.ts
+++ b/apps/ctl/src/runCommandLine.ts
@@ -1,18 +1,28 @@
 /** The command line as a function, so that tests and the shell run the same. */
 import { parseArgs } from 'node:util';
-import { exitCodes, version } from '@hornbeampond/runtime';
+import { exitCodes, SystemTimerService, version, type TimerService } from '@hornbeampond/runtime';
 import { UsageError, type Command } from './Command.js';
 import { OperatorClient, ProblemError } from './OperatorClient.js';
+import { planCommands } from './commands/plan.js';
 import { statusCommands } from './commands/status.js';
 import { storeCommands } from './commands/stores.js';
 import { tableCommands } from './commands/tables.js';
+import { choosePaint } from './paint.js';
 
-export const commands: readonly Command[] = [...tableCommands, ...statusCommands, ...storeCommands];
+export const commands: readonly Command[] = [
+  ...tableCommands,
+  ...statusCommands,
+  ...planCommands,
+  ...storeCommands,
+];
 
 const DEFAULT_ENTRY = 'http://127.0.0.1:9080';
 
 const commonOptions = {
-  entry: { type: 'string', purpose: `operators’ port of an entry (${DEFAULT_ENTRY})` },
+  entry: {
+    type: 'string',
+    purpose: 'operators’ port of an entry; else HORNBEAMPOND_ENTRY is used',
+  },
   key: { type: 'string', purpose: 'operator key; else HORNBEAMPOND_OPERATOR_KEY is used' },
   json: { type: 'boolean', purpose: 'prints JSON' },
   help: { type: 'boolean', purpose: 'prints this text, or that of a verb' },
@@ -21,6 +31,10 @@
 
 export interface CommandLineIo {
   readonly environment: Readonly<Record<string, string | undefined>>;
+  /** True if the output goes to a terminal, which may then be coloured. */
+  readonly isTerminal: boolean;
+  /** Time for waits and pauses; the machine's if it is missing. */
+  readonly timers?: TimerService;
   print(line: string): void;
   printError(line: string): void;
 }
@@ -54,9 +68,17 @@
     '',
     'exit codes: 0 done, 1 failed, 2 bad input (nothing changed), 3 a race was lost,',
     '            4 not in force in time',
+    `without --entry and HORNBEAMPOND_ENTRY, ${DEFAULT_ENTRY} is asked`,
   ];
 }
 
+/** The words of a call without its options and their values. */
+function findWords(argumentsGiven: readonly string[]): string[] {
+  const options = Object.assign({}, commonOptions, ...commands.map((command) => command.options));
+  return parseArgs({ args: [...argumentsGiven], options, allowPositionals: true, strict: false })
+    .positionals;
+}
+
 function findCommand(words: readonly string[]): Command | undefined {
   return commands.find((command) =>
     command.name.split(' ').every((word, position) => words[position] === word),
@@ -90,10 +112,13 @@
   }
   const key = given.key ?? io.environment.HORNBEAMPOND_OPERATOR_KEY ?? '';
   const entry = given.entry ?? io.environment.HORNBEAMPOND_ENTRY ?? DEFAULT_ENTRY;
-  const client = new OperatorClient(String(entry), String(key));
+  const timers = io.timers ?? new SystemTimerService();
+  const client = new OperatorClient(String(entry), String(key), timers);
   try {
     return await command.run({
       client,
+      timers,
+      paint: choosePaint(io.isTerminal, io.environment.NO_COLOR),
       options: given,
       words: positionals.slice(command.name.split(' ').length),
       json: given.json === true,
@@ -109,7 +134,7 @@
   argumentsGiven: readonly string[],
   io: CommandLineIo,
 ): Promise<number> {
-  const words = argumentsGiven.filter((word) => !word.startsWith('-'));
+  const words = findWords(argumentsGiven);
   const command = findCommand(words);
   try {
     if (command !== undefined) return await runCommand(command, argumentsGiven, io);
--- /dev/null
+++ b/apps/ctl/src/testing/OperatorsPortStandIn.ts
@@ -0,0 +1,99 @@
+/**
+ * A stand-in for the operators' port of an entry: it serves the two tables and what else a test
+ * sets, notes every change that it is sent, and can lose answers.
+ */
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+import { HornbeampondError, toProblemDocument } from '@hornbeampond/schema';
+
+/** A change as it came in. */
+export interface SentChange {
+  readonly path: string;
+  readonly ifMatch: string | undefined;
+  readonly changeId: string | undefined;
+  readonly rows: number;
+}
+
+export class OperatorsPortStandIn {
+  readonly changes: SentChange[] = [];
+
+  /** Answers to `GET`, by path. */
+  readonly documents = new Map<string, unknown>();
+
+  revision = 7;
+
+  /** So many changes are carried out, and their connections closed without an answer. */
+  answersToLose = 0;
+
+  private readonly server: Server;
+
+  private readonly acceptedIds = new Set<string>();
+
+  private constructor() {
+    this.server = createServer((request, response) => {
+      this.answer(request, response).catch((error: unknown) => {
+        const problem = toProblemDocument(error);
+        response.writeHead(problem.status, { 'content-type': 'application/problem+json' });
+        response.end(JSON.stringify(problem));
+      });
+    });
+  }
+
+  static async start(): Promise<OperatorsPortStandIn> {
+    const standIn = new OperatorsPortStandIn();
+    standIn.server.listen(0, '127.0.0.1');
+    await once(standIn.server, 'listening');
+    return standIn;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async close(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+    await once(this.server, 'close');
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.headers.authorization !== 'Bearer operator-key') {
+      throw new HornbeampondError('unauthorized', 'The operator key is missing or not known');
+    }
+    const path = request.url ?? '';
+    if (request.method === 'PUT') {
+      await this.put(path, request, response);
+      return;
+    }
+    const document = this.documents.get(path);
+    if (document === undefined) throw new HornbeampondError('routeNotFound', `There is no ${path}`);
+    response.end(JSON.stringify(document));
+  }
+
+  private async put(
+    path: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { rows } = JSON.parse(await text(request)) as { readonly rows: readonly unknown[] };
+    const ifMatch = request.headers['if-match'];
+    const changeId = request.headers['idempotency-key'] as string;
+    this.changes.push({ path, ifMatch, changeId, rows: rows.length });
+    if (!this.acceptedIds.has(changeId)) {
+      if (ifMatch !== `"${this.revision}"`) {
+        const details = { currentRevision: this.revision };
+        throw new HornbeampondError('revisionStale', 'Another change came first', details);
+      }
+      this.revision += 1;
+      this.acceptedIds.add(changeId);
+    }
+    if (this.answersToLose > 0) {
+      this.answersToLose -= 1;
+      request.socket.destroy();
+      return;
+    }
+    response.end(JSON.stringify({ revision: this.revision }));
+  }
+}
--- /dev/null
+++ b/apps/ctl/src/testing/statusSamples.ts
@@ -0,0 +1,113 @@
+/** Documents of the operators' port as tests of the command line read them. */
+import type { EntryStatus, PlanRow } from '../OperatorClient.js';
+
+const store = {
+  term: 3,
+  leader: 'store-1',
+  commitIndex: 41,
+  appliedIndex: 41,
+  voters: ['store-1', 'store-2', 'store-3'],
+  learners: [],
+  readOnly: false,
+  configurationRevision: 8,
+  instances: [
+    { instance: 'entry-a-1', dataCentre: 'a', role: 'entry', revision: 8, cutOff: false },
+    { instance: 'entry-b-1', dataCentre: 'b', role: 'entry', revision: 6, cutOff: true },
+    { instance: 'controller-a-1', dataCentre: 'a', role: 'controller', revision: 7, cutOff: false },
+  ],
+  leases: [{ lease: 'controller/a', holder: 'controller-a-1/k2', epoch: 5 }],
+  claims: 2,
+  quarantine: [],
+} as const;
+
+export const sampleStatus: EntryStatus = {
+  instance: 'entry-a-1',
+  dataCentre: 'a',
+  ready: true,
+  cutOff: false,
+  configurationRevision: 8,
+  openStreams: 3,
+  backendServers: [
+    {
+      instance: 'engine-1',
+      pool: 'assistants',
+      dataCentre: 'a',
+      state: 'live',
+      inProgress: 2,
+      eurosPerHour: 1.5,
+    },
+    {
+      instance: 'engine-2',
+      pool: 'assistants',
+      dataCentre: 'b',
+      state: 'leaving',
+      inProgress: 1,
+      eurosPerHour: 1.5,
+    },
+    {
+      instance: 'service-1',
+      pool: 'bookings',
+      dataCentre: 'a',
+      state: 'live',
+      inProgress: 0,
+      eurosPerHour: 0.2,
+    },
+    { instance: 'stray-1', pool: 'bookings', dataCentre: 'a', state: 'live', inProgress: 0 },
+  ],
+  refusals: { limitReached: 2, deadlineUnreachable: 17 },
+  retries: { backendServerLost: 1 },
+  recomputedTokens: { reclaimResume: 480 },
+  stores: [
+    { ...store, instance: 'store-1', role: 'leader' },
+    { ...store, instance: 'store-2', role: 'follower', appliedIndex: 40 },
+    {
+      ...store,
+      instance: 'store-3',
+      role: 'follower',
+      readOnly: true,
+      commitIndex: 12,
+      appliedIndex: 12,
+    },
+  ],
+};
+
+const place = {
+  pool: 'assistants',
+  dataCentre: 'a',
+  instanceClass: 'small',
+  reclaimable: true,
+  eurosPerHour: 0.5,
+  missingSlots: 0,
+} as const;
+
+export const samplePlan: readonly PlanRow[] = [
+  {
+    ...place,
+    wanted: 3,
+    present: 2,
+    serving: 2,
+    action: 'buy',
+    reason: 'the cheapest safe place for what is lacking',
+  },
+  {
+    ...place,
+    dataCentre: 'b',
+    wanted: 0,
+    present: 1,
+    serving: 1,
+    action: 'drain',
+    reason: 'not needed, or cheaper elsewhere; drained once safe',
+  },
+  {
+    ...place,
+    pool: 'bookings',
+    reclaimable: false,
+    eurosPerHour: 2,
+    wanted: 1,
+    present: 1,
+    serving: 0,
+    action: 'keep',
+    reason: 'as planned',
+    missingSlots: 4,
+  },
+];
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -27,6 +27,7 @@
   type ClaimResult,
   type EntrySettings,
   type Milliseconds,
+  type PlatformInstance,
 } from '@hornbeampond/schema';
 import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
 import { AdapterDirectory } from './AdapterDirectory.js';
@@ -357,6 +358,13 @@
     this.logger.write('unexpectedError', { at, reason });
   }
 
+  /** Price of an instance; undefined if its pool or class is in no table. */
+  private findPrice({ pool, instanceClass }: PlatformInstance): number | undefined {
+    const rows = this.loop.state.configuration.pools.rows.filter(({ name }) => name === pool);
+    const classes = rows.flatMap(({ instanceClasses }) => instanceClasses);
+    return classes.find(({ name }) => name === instanceClass)?.eurosPerHour;
+  }
+
   private async readStatus(): Promise<unknown> {
     const { state } = this.loop;
     return {
@@ -372,7 +380,11 @@
         dataCentre: listed.dataCentre,
         state: goneAt === undefined ? listed.state : 'leaving',
         inProgress: attemptIds.size,
+        eurosPerHour: this.findPrice(listed),
       })),
+      refusals: await this.metrics.readCounter('refusals'),
+      retries: await this.metrics.readCounter('retries'),
+      recomputedTokens: await this.metrics.readCounter('recomputedTokens'),
       stores: await this.store.readStatus(),
     };
   }
--- a/packages/runtime/src/Metrics.ts
+++ b/packages/runtime/src/Metrics.ts
@@ -65,6 +65,17 @@
     instrument.observe(this.labels(metric, label), value);
   }
 
+  /** What a counter has come to, by the value of its label; values at zero are left out. */
+  async readCounter(metric: MetricName): Promise<Record<string, number>> {
+    const instrument = this.instruments.get(metric);
+    if (!(instrument instanceof Counter)) throw new TypeError(`${metric} is no counter`);
+    const { values } = await instrument.get();
+    const counted = values.filter(({ value }) => value > 0);
+    return Object.fromEntries(
+      counted.map(({ labels, value }) => [String(Object.values(labels)[0] ?? ''), value]),
+    );
+  }
+
   /** The text that Prometheus reads. */
   async print(): Promise<string> {
     return this.registry.metrics();
