--- a/packages/entry-core/src/claims/ClaimedCall.ts
+++ b/packages/entry-core/src/claims/ClaimedCall.ts
@@ -30,7 +30,7 @@
 export type ClaimedCallPhase = 'opening' | 'sending' | 'settling' | 'releasing' | 'finished';
 
 /** What follows once a release is acknowledged. */
-export type AfterRelease = 'refuseUnavailable' | 'refuseKeyReused' | 'tryElsewhere' | 'nothing';
+export type AfterRelease = 'tryElsewhere' | 'nothing';
 
 export interface ClaimedCall {
   readonly intent: ClaimIntent;
--- a/packages/entry-core/src/claims/beginClaim.ts
+++ b/packages/entry-core/src/claims/beginClaim.ts
@@ -7,6 +7,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { failRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 import type { CallClaim } from './CallClaim.js';
 import { carryOutClaim } from './carryOutClaim.js';
@@ -15,9 +16,26 @@
 /** Time past the deadline in which a late outcome is still learnt before the claim expires. */
 const EXPIRY_MARGIN: Milliseconds = 30_000;
 
+/** Releases that may wait for the log before new calls are refused without asking it. */
+const MOST_WAITING_RELEASES = 64;
+
+/**
+ * True if the log has not acknowledged releases for a while. In a data centre without a quorum each
+ * call would otherwise wait for its own opens to fail, and leave one more release to be resent.
+ */
+function isLogSilent({ claims }: EntryState): boolean {
+  if (claims.size < MOST_WAITING_RELEASES) return false;
+  const waiting = [...claims.values()].filter(({ call }) => call.phase === 'releasing');
+  return waiting.length >= MOST_WAITING_RELEASES;
+}
+
 export function beginClaim(state: EntryState, accepted: RequestState, timed: Timed): EntryEffect[] {
   const { requestId, workspace, idempotencyKey, digest } = accepted.request;
   if (idempotencyKey === undefined) throw new TypeError(`${requestId} has no key to claim`);
+  if (isLogSilent(state)) {
+    const detail = 'No quorum of stores answers, so the call was not sent';
+    return failRequest(state, accepted, 'claimsUnavailable', detail, { ran: 'no' });
+  }
   const holder = state.identity.instance;
   const intent = { workspace, key: idempotencyKey, digest, holder };
   const expiresAfter = accepted.wholeAnswerDueAt - timed.now + EXPIRY_MARGIN;
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -125,8 +125,8 @@
  * Gives up an attempt that was not sent. The caller is told at once: `ran: no` is true by the sender
  * alone, and to wait for the log would hold the answer back for as long as no quorum answers.
  */
-function giveUp(call: ClaimedCall): ClaimedCallEffect[] {
-  return [...refuse(call, 'claimsUnavailable', 'no'), ...release(call, 'nothing')];
+function giveUp(call: ClaimedCall, kind: ErrorKind): ClaimedCallEffect[] {
+  return [...refuse(call, kind, 'no'), ...release(call, 'nothing')];
 }
 
 function onResult(call: ClaimedCall, event: EventOf<'claimResult'>): ClaimedCallEffect[] {
@@ -150,10 +150,9 @@
       // The claim in the way may be released; a copy of our open still on its way must not take it.
       return [...refuse(call, 'claimRunning', 'unknown'), ...release(call, 'nothing')];
     case 'claimKeyReused':
-      // Says `ran: no`, so a copy of our open still on its way is barred before.
-      return release(call, 'refuseKeyReused');
+      return giveUp(call, 'idempotencyKeyReused');
     default:
-      return release(call, 'refuseUnavailable');
+      return giveUp(call, 'claimsUnavailable');
   }
 }
 
@@ -162,7 +161,7 @@
  * by then, and past its retention the log would let another attempt open it.
  */
 function onOpened(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
-  if (now - call.startedAt >= call.expiresAfter) return release(call, 'refuseUnavailable');
+  if (now - call.startedAt >= call.expiresAfter) return giveUp(call, 'claimsUnavailable');
   call.phase = 'sending';
   call.pending = undefined;
   return [{ type: 'sendCall', attemptId: call.attemptId }];
@@ -184,13 +183,12 @@
     call.answered = true;
     return [{ type: 'tryElsewhere' }, ...finish(call)];
   }
-  const kind = afterRelease === 'refuseKeyReused' ? 'idempotencyKeyReused' : 'claimsUnavailable';
-  return [...refuse(call, kind, 'no'), ...finish(call)];
+  return finish(call);
 }
 
 /**
- * Only the store's word that nothing was and will be done refuses at once. If an earlier copy of
- * the same open was sent, it may still be run, and only the release makes sure.
+ * Only the store's word that nothing was and will be done spares the release. If an earlier copy of
+ * the same open was sent, it may still be run.
  */
 function onStoreFailed(call: ClaimedCall, event: EventOf<'storeFailed'>): ClaimedCallEffect[] {
   const isFirstOpen = call.phase === 'opening' && call.tries === 1;
@@ -201,8 +199,9 @@
 function onResendDue(call: ClaimedCall, now: MonotonicMilliseconds): ClaimedCallEffect[] {
   const { pending } = call;
   if (pending === undefined) return [];
-  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES)
-    return release(call, 'refuseUnavailable');
+  if (pending.type === 'openClaim' && call.tries >= MOST_OPEN_TRIES) {
+    return giveUp(call, 'claimsUnavailable');
+  }
   if (now - call.startedAt >= resendSpan(call)) {
     return [...refuse(call, 'outcomeUnknown', 'unknown'), ...finish(call)];
   }
@@ -210,8 +209,12 @@
   return resend(call, pending);
 }
 
-/** Once the claim reads `unknown` by itself, a release has nothing left to bring about. */
+/**
+ * How long a command is sent again. A release goes on until it is acknowledged: its caller was told
+ * `ran: no`, and a copy of the open that the log runs late would stand against the caller's resends.
+ */
 function resendSpan(call: ClaimedCall): Milliseconds {
+  if (call.phase === 'releasing') return Number.POSITIVE_INFINITY;
   if (call.phase === 'settling') return call.expiresAfter + SETTLE_AFTER_EXPIRY;
   return call.expiresAfter;
 }
