--- a/measure/src/capacity/measurements.ts
+++ b/measure/src/capacity/measurements.ts
@@ -5,10 +5,14 @@
 import { measureLogAppend } from '../logAppend.js';
 import { measureStoreMachine } from '../storeMachine.js';
 import { measureStreams } from '../streams.js';
+import { ControlMeasurement } from './ControlMeasurement.js';
 import type { Measurement } from './Measurement.js';
+import { RelayMeasurement } from './RelayMeasurement.js';
 import { RowsMeasurement } from './RowsMeasurement.js';
 
 export const measurements: readonly Measurement[] = [
+  new RelayMeasurement(),
+  new ControlMeasurement(),
   new RowsMeasurement({
     name: 'admission',
     summary: 'share of callers on time and cost of a choice, by backend servers and routes',
--- a/measure/src/processes/ChildProcess.ts
+++ b/measure/src/processes/ChildProcess.ts
@@ -25,6 +25,10 @@
 
 const START_MILLISECONDS = 20_000;
 
+/** A measurement that fails or runs out of time must not leave its processes to others. */
+const running = new Set<NodeChildProcess>();
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 export class ChildProcess {
   /** Log lines that have come so far. */
   readonly lines: LogLine[] = [];
@@ -47,6 +51,8 @@
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
+    running.add(this.child);
+    this.child.once('exit', () => running.delete(this.child));
     this.exited = once(this.child, 'exit').then(([code]) => code as number | null);
     const { stdout, stderr } = this.child;
     if (stdout === null || stderr === null) throw new Error(`${name} has no output`);
--- a/measure/src/processes/ProcessCluster.ts
+++ b/measure/src/processes/ProcessCluster.ts
@@ -8,8 +8,10 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { OperatorClient } from '@hornbeampond/ctl-app';
+import { Logger, SystemTimerService } from '@hornbeampond/runtime';
 import type { Pool, Route, StoreAddress } from '@hornbeampond/schema';
 import type { FakeClusterInput } from '@hornbeampond/testing';
+import type { PeerContext } from '@hornbeampond/transport';
 import { stringify } from 'smol-toml';
 import { request as httpRequest } from 'undici';
 import { ChildProcess } from './ChildProcess.js';
@@ -17,6 +19,8 @@
 
 const HOST = '127.0.0.1';
 const SECRET = 'measured-cluster-secret';
+const CLUSTER = 'measured';
+const DEFAULT_POLL_MILLISECONDS = 200;
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..', '..');
 
 const binaries = {
@@ -41,6 +45,8 @@
   readonly pools: readonly Pool[];
   readonly routes: readonly Route[];
   readonly workspaces?: readonly string[];
+  /** How often entries and controllers read the platform's list and the load of servers. */
+  readonly pollMilliseconds?: number;
 }
 
 interface EntryPorts extends StoreAddress {
@@ -103,6 +109,20 @@
     return found;
   }
 
+  get storeAddresses(): readonly StoreAddress[] {
+    return this.stores;
+  }
+
+  /** What a client within this process needs to talk to the cluster's stores. */
+  makePeerContext(instance: string, dataCentre: string): PeerContext {
+    return {
+      identity: { cluster: CLUSTER, instance, dataCentre, role: 'entry' },
+      secret: SECRET,
+      timers: new SystemTimerService(),
+      logger: new Logger({ process: 'measure', instance }, 'error'),
+    };
+  }
+
   /** Where callers reach an entry, by number from 1. */
   callersUrl(entry: number): string {
     return `http://${HOST}:${this.entries[entry - 1]?.callersPort}`;
@@ -151,6 +171,10 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  private get pollMilliseconds(): number {
+    return this.options.pollMilliseconds ?? DEFAULT_POLL_MILLISECONDS;
+  }
+
   private async startAll(): Promise<void> {
     await this.startFakes();
     this.stores = await place('store', this.options.stores);
@@ -183,7 +207,7 @@
     return {
       instance,
       dataCentre,
-      cluster: 'measured',
+      cluster: CLUSTER,
       clusterSecret: SECRET,
       logLevel: 'info',
       operatorListen: { host: HOST, port: operatorsPort },
@@ -231,7 +255,7 @@
         name,
         keySha256: sha256(position === 0 ? clusterKeys.workspace : `${name}-key`),
       })),
-      platform: { url: this.fakes?.platform, pollMilliseconds: 200 },
+      platform: { url: this.fakes?.platform, pollMilliseconds: this.pollMilliseconds },
       balancerDelayMilliseconds: 300,
       shutdownMilliseconds: 15_000,
     });
@@ -255,7 +279,7 @@
       peerListen: { host: HOST, port },
       controllers: this.controllers,
       entries: this.entryAddresses(),
-      platform: { url: this.fakes?.platform, pollMilliseconds: 200 },
+      platform: { url: this.fakes?.platform, pollMilliseconds: this.pollMilliseconds },
       weightStore: { url: this.fakes?.weightStore },
       leaseMilliseconds: 2000,
     });
--- a/measure/src/run.ts
+++ b/measure/src/run.ts
@@ -6,6 +6,7 @@
 
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
+const EXIT_INTERRUPTED = 130;
 const DEFAULT_SEED = '1';
 
 function printHelp(): string {
@@ -63,4 +64,7 @@
   return measure(name, seed, values.json);
 }
 
-process.exitCode = await main();
+// Ends at once, so that whatever a measurement that ran out of time has started ends with it.
+process.once('SIGINT', () => process.exit(EXIT_INTERRUPTED));
+process.once('SIGTERM', () => process.exit(EXIT_INTERRUPTED));
+process.exit(await main());
