--- a/measure/src/capacity/measurements.ts
+++ b/measure/src/capacity/measurements.ts
@@ -5,14 +5,20 @@
 import { measureLogAppend } from '../logAppend.js';
 import { measureStoreMachine } from '../storeMachine.js';
 import { measureStreams } from '../streams.js';
+import { ClaimsMeasurement } from './ClaimsMeasurement.js';
+import { ConfigurationMeasurement } from './ConfigurationMeasurement.js';
 import { ControlMeasurement } from './ControlMeasurement.js';
 import type { Measurement } from './Measurement.js';
+import { RecoveryMeasurement } from './RecoveryMeasurement.js';
 import { RelayMeasurement } from './RelayMeasurement.js';
 import { RowsMeasurement } from './RowsMeasurement.js';
 
 export const measurements: readonly Measurement[] = [
   new RelayMeasurement(),
   new ControlMeasurement(),
+  new ConfigurationMeasurement(),
+  new ClaimsMeasurement(),
+  new RecoveryMeasurement(),
   new RowsMeasurement({
     name: 'admission',
     summary: 'share of callers on time and cost of a choice, by backend servers and routes',
