--- a/measure/src/capacity/RelayMeasurement.ts
+++ b/measure/src/capacity/RelayMeasurement.ts
@@ -180,12 +180,13 @@
 }
 
 async function measureBench(bench: Bench, progress: (text: string) => void) {
+  // First, for a process keeps the memory that later, larger loads make it take.
+  progress('memory by open streams');
+  const memory = await measureMemory(bench);
   progress('processor time by tokens');
   const tokens = await measureTokens(bench);
   progress('processor time by requests');
   const requests = await measureRequests(bench);
-  progress('memory by open streams');
-  const memory = await measureMemory(bench);
   progress('first token');
   const { direct, relayed } = await measureLatency(bench);
   if (bench.load.failures > 0) throw new Error(`${bench.load.failures} streams were not whole`);
