--- a/measure/src/capacity/measurements.ts
+++ b/measure/src/capacity/measurements.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import { measureAdmission } from '../admission.js';
 import { measureDay } from '../day/measureDay.js';
+import { FailuresMeasurement } from '../failures/FailuresMeasurement.js';
 import { measureLogAppend } from '../logAppend.js';
 import { measureStoreMachine } from '../storeMachine.js';
 import { measureStreams } from '../streams.js';
@@ -19,6 +20,7 @@
   new ConfigurationMeasurement(),
   new ClaimsMeasurement(),
   new RecoveryMeasurement(),
+  new FailuresMeasurement(),
   new RowsMeasurement({
     name: 'admission',
     summary: 'share of callers on time and cost of a choice, by backend servers and routes',
