Hold the callers' page to what a caller receives

Cause: the prose of docs/CALLERS.md on streams, replays and keys was not checked by a test. Conclusion: retention of 24 hours and the default of 1024 tokens on the page rest on reading alone.

--- /dev/null
+++ b/apps/dev/src/callersPage.test.ts
@@ -0,0 +1,57 @@
+/** What docs/CALLERS.md promises besides its error table, asked of a running system. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { after, before, test } from 'node:test';
+import { fetch } from 'undici';
+import { DevCluster } from './DevCluster.js';
+import { devKeys } from './devTables.js';
+
+const page = readFileSync(new URL('../../../docs/CALLERS.md', import.meta.url), 'utf8');
+let cluster: DevCluster;
+let callers: string;
+
+before(async () => {
+  cluster = new DevCluster({ callersPort: 0, operatorsPort: 0, logLevel: 'error' });
+  callers = `http://127.0.0.1:${(await cluster.start()).callers}`;
+});
+
+after(async () => {
+  await cluster.close();
+});
+
+async function reserve(key: string | undefined, body: string) {
+  const authorization = `Bearer ${devKeys.workspace}`;
+  const headers = { authorization, ...(key === undefined ? {} : { 'idempotency-key': key }) };
+  const response = await fetch(`${callers}/reservations`, { method: 'POST', headers, body });
+  const text = await response.text();
+  const problem = response.headers.get('content-type') === 'application/problem+json';
+  return {
+    headers: response.headers,
+    text,
+    kind: problem ? (JSON.parse(text) as { readonly kind: string }).kind : undefined,
+  };
+}
+
+test('the bound on Idempotency-Key is the one on the page', async () => {
+  const [, most] = /1 to (\d+) characters/.exec(page) ?? [];
+  assert.ok(most !== undefined);
+  assert.equal((await reserve('k'.repeat(Number(most)), 'seat 1')).kind, undefined);
+  assert.equal((await reserve('k'.repeat(Number(most) + 1), 'seat 1')).kind, 'badRequest');
+});
+
+test('a call without a key, or with another body under its key, is refused as the page says', async () => {
+  assert.equal((await reserve(undefined, 'seat 2')).kind, 'idempotencyKeyMissing');
+  assert.equal((await reserve('key-2', 'seat 2')).kind, undefined);
+  assert.equal((await reserve('key-2', 'seat 3')).kind, 'idempotencyKeyReused');
+});
+
+test('a resend gets the first answer, with the headers that the page names', async () => {
+  const first = await reserve('key-3', 'seat 3');
+  const again = await reserve('key-3', 'seat 3');
+  assert.equal(again.text, first.text);
+  ['x-request-id', 'idempotent-replay'].forEach((name) => {
+    assert.ok(page.includes(`\`${name}`), name);
+    assert.ok(again.headers.get(name) !== null, name);
+  });
+  assert.equal(first.headers.get('idempotent-replay'), null);
+});
--- /dev/null
+++ b/apps/entry/src/CallerAnswer.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, get, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+import { test, type TestContext } from 'node:test';
+import { HornbeampondError } from '@hornbeampond/schema';
+import { matchSnapshot } from '@hornbeampond/testing';
+import { CompletionAnswer } from './CompletionAnswer.js';
+import { PlainAnswer } from './PlainAnswer.js';
+
+/** Answers one request as `answer` does, and returns what its caller receives. */
+async function receive(
+  context: TestContext,
+  answer: (response: ServerResponse) => Promise<void>,
+): Promise<IncomingMessage> {
+  const server = createServer((_request, response) => {
+    void answer(response);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const request = get({ host: '127.0.0.1', port, agent: false });
+  const [response] = (await once(request, 'response')) as [IncomingMessage];
+  return response;
+}
+
+const shape = { model: 'm', streamed: true, created: 1, mostCharacters: 1000 };
+const lost = new HornbeampondError('answerCut', 'The backend server was lost');
+
+// The engine is lost after two tokens and no other can go on. The caller reads text that ends in the
+// middle; it must be able to tell that from an end, so an error event comes and [DONE] does not.
+test('a stream that is cut ends with an error event and without [DONE]', async (context) => {
+  const response = await receive(context, async (written) => {
+    const answer = new CompletionAnswer('request-1', written, shape);
+    await answer.writeToken('near ', 1);
+    await answer.writeToken('mint', 1);
+    answer.fail(lost);
+  });
+  const body = await text(response);
+  assert.equal(body.includes('[DONE]'), false);
+  await matchSnapshot(import.meta.url, 'cut stream', body);
+});
+
+test('a stream that is whole ends with a finish reason and [DONE]', async (context) => {
+  const response = await receive(context, async (written) => {
+    const answer = new CompletionAnswer('request-1', written, shape);
+    await answer.writeToken('mint', 1);
+    answer.end('stop', undefined);
+    answer.finish();
+  });
+  assert.equal(response.headers['x-request-id'], 'request-1');
+  await matchSnapshot(import.meta.url, 'whole stream', await text(response));
+});
+
+test('before the first byte a failure is a problem document', async (context) => {
+  const response = await receive(context, async (written) => {
+    new CompletionAnswer('request-1', written, shape).fail(lost);
+  });
+  const { statusCode, headers } = response;
+  assert.equal(statusCode, 502);
+  assert.equal(headers['content-type'], 'application/problem+json');
+  assert.equal(headers['retry-after'], '1');
+  await matchSnapshot(import.meta.url, 'problem document', await text(response));
+});
+
+// A plain service dies in the middle of a body without a length. Were the connection ended as usual,
+// half a ticket would look like a whole one; it is destroyed instead, and the read fails.
+test('a plain answer that is cut never looks whole', async (context) => {
+  let cut = () => {};
+  const response = await receive(context, async (written) => {
+    const answer = new PlainAnswer('request-1', written, { held: false, mostBytes: 100 });
+    cut = () => answer.fail(lost);
+    answer.begin(200, { 'content-type': 'text/plain' });
+    await answer.writeBytes(Buffer.from('half a tick'));
+  });
+  cut();
+  await assert.rejects(text(response), /aborted/);
+});
+
+test('an answer that was kept is marked as a replay', async (context) => {
+  const response = await receive(context, async (written) => {
+    const answer = new PlainAnswer('request-2', written, { held: true, mostBytes: 100 });
+    answer.replay({ status: 201, headers: { 'x-seat': '12' }, body: Buffer.from('seat 12') });
+  });
+  assert.equal(response.statusCode, 201);
+  assert.equal(response.headers['idempotent-replay'], 'true');
+  assert.equal(response.headers['x-seat'], '12');
+  assert.equal(await text(response), 'seat 12');
+});
