--- a/apps/dev/src/DevCluster.test.ts
+++ b/apps/dev/src/DevCluster.test.ts
@@ -161,3 +161,15 @@
   await put(changed, 'all-again', devRoutes);
   await client.close();
 });
+
+test('the status tells refusals by kind and what each backend server costs', async () => {
+  const client = new OperatorClient(operators, devKeys.operator);
+  const earlier = (await client.getStatus()).refusals?.routeNotFound ?? 0;
+  await fetch(`${callers}/nowhere`, { headers: { authorization } });
+  const { refusals, backendServers, recomputedTokens } = await client.getStatus();
+  await client.close();
+  assert.equal(refusals?.routeNotFound, earlier + 1);
+  assert.ok(recomputedTokens !== undefined);
+  const prices = backendServers.map(({ eurosPerHour }) => eurosPerHour).sort();
+  assert.deepEqual(prices, [0.2, 0.2, 1, 1]);
+});
