Bound what a stranger can make a process hold, and who may speak of drains

Frames are bounded to 4 KiB until the handshake is done, a handshake has five heartbeats, and roles are checked. Two tests fail before (each waits until its bound of 10 s) and pass after.

--- a/apps/entry/src/EntryPeers.ts
+++ b/apps/entry/src/EntryPeers.ts
@@ -2,7 +2,12 @@
  * The connections between entries: each sends its whole report to all others, and tells a
  * starting one which configuration it knows.
  */
-import { PeerClient, PeerServer, type PeerContext } from '@hornbeampond/transport';
+import {
+  PeerClient,
+  PeerServer,
+  type PeerContext,
+  type PeerIdentity,
+} from '@hornbeampond/transport';
 import type {
   Configuration,
   EntryReport,
@@ -32,19 +37,23 @@
   constructor(private readonly options: EntryPeersOptions) {
     const { context, settings } = options;
     this.server = new PeerServer(context, {
-      onPush: (_session, body) => options.onReport(body as EntryReport),
-      onRequest: (_session, body, respond) => respond(this.answer(body as EntryRequest)),
+      onPush: ({ peer }, body) => {
+        if (peer.role === 'entry') options.onReport(body as EntryReport);
+      },
+      onRequest: ({ peer }, body, respond) => respond(this.answer(body as EntryRequest, peer.role)),
     });
     this.clients = settings.entries
       .filter((entry) => entry.instance !== settings.instance)
       .map((entry) => new PeerClient(entry, context));
   }
 
-  private answer(request: EntryRequest): EntryResponse {
+  private answer(request: EntryRequest, role: PeerIdentity['role']): EntryResponse {
     if (request.type === 'peekConfiguration') {
       return { type: 'configuration', configuration: this.options.readConfiguration() };
     }
-    if (request.drains !== undefined) this.options.onDrains(request.drains);
+    if (request.drains !== undefined && role === 'controller') {
+      this.options.onDrains(request.drains);
+    }
     return { type: 'demand', demand: this.options.readDemand() };
   }
 
--- a/packages/transport/src/FrameCodec.ts
+++ b/packages/transport/src/FrameCodec.ts
@@ -34,21 +34,27 @@
 
   private buffered = 0;
 
-  constructor(private readonly mostFrameBytes = MOST_FRAME_BYTES) {}
+  constructor(private mostFrameBytes = MOST_FRAME_BYTES) {}
 
-  /** Takes in bytes and returns the bodies of all frames that are whole now. */
-  push(chunk: Buffer): unknown[] {
+  /** Bounds the frames from here on. */
+  allow(mostFrameBytes: number): void {
+    this.mostFrameBytes = mostFrameBytes;
+  }
+
+  /**
+   * Takes in bytes and gives the bodies of all frames that are whole now, one at a time: what one
+   * frame means may change the bound for the next.
+   */
+  *push(chunk: Buffer): Generator<unknown> {
     this.chunks.push(chunk);
     this.buffered += chunk.length;
-    const bodies: unknown[] = [];
     for (let length = this.wholeFrame(); length !== undefined; length = this.wholeFrame()) {
       const joined = this.join();
-      bodies.push(codec.decode(joined.subarray(LENGTH_BYTES, LENGTH_BYTES + length)));
       const rest = joined.subarray(LENGTH_BYTES + length);
       this.chunks = rest.length > 0 ? [rest] : [];
       this.buffered = rest.length;
+      yield codec.decode(joined.subarray(LENGTH_BYTES, LENGTH_BYTES + length));
     }
-    return bodies;
   }
 
   private wholeFrame(): number | undefined {
--- a/packages/transport/src/PeerConnection.test.ts
+++ b/packages/transport/src/PeerConnection.test.ts
@@ -215,7 +215,7 @@
   await ended;
   assert.ok(server.log.events.includes('frameRejected'));
   const decoder = new FrameDecoder(64);
-  assert.throws(() => decoder.push(encodeFrame('x'.repeat(65))), FrameTooLargeError);
+  assert.throws(() => [...decoder.push(encodeFrame('x'.repeat(65)))], FrameTooLargeError);
 });
 
 test('a first message that is no greeting is refused', bounded, async (context) => {
@@ -268,3 +268,41 @@
   assert.equal(client.isOpen, false);
   assert.ok(log.events.includes('peerRefused'));
 });
+
+/** Opens a connection that never proves the secret, and resolves when the server has dropped it. */
+async function dropStranger(port: number, act: (socket: Socket) => Promise<void>): Promise<void> {
+  const socket = createConnection(port, HOST);
+  await once(socket, 'connect');
+  const closed = once(socket, 'close');
+  socket.on('error', () => {});
+  socket.resume();
+  await act(socket);
+  await closed;
+}
+
+// A stranger connects and announces a large frame. Were it allowed what peers are, a few such
+// connections would fill the store's memory; it is dropped before the frame is there.
+test('a stranger may not announce a large frame', bounded, async (context) => {
+  const server = await startServer(context);
+  await dropStranger(server.port, async (socket) => {
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(1024 * 1024);
+    socket.write(length);
+  });
+  assert.ok(server.log.events.includes('frameRejected'));
+});
+
+// A stranger sends a byte now and then, so it never looks silent. A handshake takes milliseconds; a
+// connection that is not open after a few heartbeats is dropped, or such callers would pile up.
+test('a stranger that trickles bytes is dropped', bounded, async (context) => {
+  const server = await startServer(context);
+  await dropStranger(server.port, async (socket) => {
+    for (let beats = 0; beats < 6; beats += 1) {
+      socket.write(Buffer.from([0]).subarray(0, beats < 3 ? 1 : 0));
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      server.timers.advance(1000);
+    }
+  });
+});
--- a/packages/transport/src/PeerConnection.ts
+++ b/packages/transport/src/PeerConnection.ts
@@ -7,7 +7,7 @@
  */
 import type { Socket } from 'node:net';
 import type { Logger, Metrics, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import { FrameDecoder, encodeFrame } from './FrameCodec.js';
+import { FrameDecoder, MOST_FRAME_BYTES, encodeFrame } from './FrameCodec.js';
 import type {
   HandshakeMessage,
   PeerIdentity,
@@ -32,6 +32,12 @@
 /** A connection is dropped after so many heartbeats without a byte from the other end. */
 const SILENT_HEARTBEATS = 4;
 
+/** Frames of the handshake are small; a stranger must not make a process hold more. */
+const MOST_HANDSHAKE_BYTES = 4096;
+
+/** A connection that is not open after so many heartbeats is dropped, whatever trickles in. */
+const HANDSHAKE_HEARTBEATS = 5;
+
 /** Bytes that may wait for a slow peer before the connection is given up. */
 const MOST_WAITING_BYTES = 128 * 1024 * 1024;
 
@@ -46,7 +52,7 @@
 type Expecting = 'hello' | 'challenge' | 'proof' | 'welcome' | 'session';
 
 export class PeerConnection {
-  private readonly decoder = new FrameDecoder();
+  private readonly decoder = new FrameDecoder(MOST_HANDSHAKE_BYTES);
 
   private readonly nonce = makeNonce();
 
@@ -62,6 +68,8 @@
 
   private silentHeartbeats = 0;
 
+  private heartbeatsBeforeOpen = 0;
+
   private closed = false;
 
   private readonly stopHeartbeats: Unsubscribe;
@@ -133,7 +141,12 @@
       this.close();
       return;
     }
-    if (this.isOpen) this.write({ type: 'heartbeat' });
+    if (this.isOpen) {
+      this.write({ type: 'heartbeat' });
+      return;
+    }
+    this.heartbeatsBeforeOpen += 1;
+    if (this.heartbeatsBeforeOpen > HANDSHAKE_HEARTBEATS) this.refuse('no handshake in time');
   }
 
   private write(message: PeerMessage): void {
@@ -152,10 +165,11 @@
     this.silentHeartbeats = 0;
     this.context.metrics?.count({ metric: 'frameBytes', label: 'in', amount: chunk.length });
     try {
-      this.decoder.push(chunk).forEach((message) => {
+      for (const message of this.decoder.push(chunk)) {
         this.context.metrics?.count({ metric: 'frames', label: 'in' });
-        if (!this.closed) this.take(message as PeerMessage);
-      });
+        if (this.closed) return;
+        this.take(message as PeerMessage);
+      }
     } catch (error) {
       this.context.logger.write('frameRejected', { reason: String(error) });
       this.close();
@@ -258,6 +272,7 @@
 
   private open(): void {
     this.expecting = 'session';
+    this.decoder.allow(MOST_FRAME_BYTES);
     if (this.peerIdentity !== undefined) this.handlers.onOpen(this.peerIdentity);
   }
 
