--- a/packages/transport/src/FrameCodec.ts
+++ b/packages/transport/src/FrameCodec.ts
@@ -45,7 +45,7 @@
    * Takes in bytes and gives the bodies of all frames that are whole now, one at a time: what one
    * frame means may change the bound for the next.
    */
-  *push(chunk: Buffer): Generator<unknown> {
+  *push(chunk: Buffer): Generator {
     this.chunks.push(chunk);
     this.buffered += chunk.length;
     for (let length = this.wholeFrame(); length !== undefined; length = this.wholeFrame()) {
--- a/packages/transport/src/OperatorServer.ts
+++ b/packages/transport/src/OperatorServer.ts
@@ -28,6 +28,8 @@
   constructor(private readonly options: OperatorServerOptions) {
     this.server = createServer((request, response) => {
       this.answer(request, response).catch((error: unknown) => {
+        const kind = error instanceof HornbeampondError ? error.kind : 'internalError';
+        options.metrics.count({ metric: 'refusals', label: kind });
         if (response.headersSent) response.destroy();
         else writeProblem(response, error);
       });
