--- a/measure/src/capacity/ControlMeasurement.ts
+++ b/measure/src/capacity/ControlMeasurement.ts
@@ -57,13 +57,14 @@
   });
 }
 
-type Figure = 'framesPerSecond' | 'frameBytesPerSecond' | 'callBytesPerSecond' | 'corePercent';
+type Figure = keyof UsageRate;
 
 const figures: Readonly<Record<Figure, string>> = {
   framesPerSecond: 'frames/s',
   frameBytesPerSecond: 'frame bytes/s',
   callBytesPerSecond: 'bytes/s of all calls',
   corePercent: '% of a core',
+  residentMegabytes: 'MiB resident',
 };
 
 function fitRole(
--- a/measure/src/capacity/readUsage.ts
+++ b/measure/src/capacity/readUsage.ts
@@ -8,7 +8,10 @@
   readonly residentBytes: number;
   readonly frames: number;
   readonly frameBytes: number;
-  /** Read and written in system calls: framed connections, HTTP and log lines. */
+  /**
+   * Read and written in system calls: framed connections, HTTP and log lines, but also the wake-ups
+   * between a process's own threads, which add some KB/s while it is young.
+   */
   readonly callBytes: number;
 }
 
