Run the failure run by name, and end with 1 on a violation

Change: npm run measure -- failures; a result may carry a violation, on which the runner ends with 1.

--- a/measure/src/capacity/Measurement.ts
+++ b/measure/src/capacity/Measurement.ts
@@ -29,6 +29,8 @@
   readonly tables: readonly ResultTable[];
   readonly slopes: readonly Slope[];
   readonly comparisons: readonly Comparison[];
+  /** Set if the figures show something that must never be; the runner then ends with 1. */
+  readonly violation?: string;
 }
 
 export interface MeasurementContext {
--- a/measure/src/capacity/measurements.ts
+++ b/measure/src/capacity/measurements.ts
@@ -8,6 +8,7 @@
 import { ClaimsMeasurement } from './ClaimsMeasurement.js';
 import { ConfigurationMeasurement } from './ConfigurationMeasurement.js';
 import { ControlMeasurement } from './ControlMeasurement.js';
+import { FailuresMeasurement } from './FailuresMeasurement.js';
 import type { Measurement } from './Measurement.js';
 import { RecoveryMeasurement } from './RecoveryMeasurement.js';
 import { RelayMeasurement } from './RelayMeasurement.js';
@@ -19,6 +20,7 @@
   new ConfigurationMeasurement(),
   new ClaimsMeasurement(),
   new RecoveryMeasurement(),
+  new FailuresMeasurement(),
   new RowsMeasurement({
     name: 'admission',
     summary: 'share of callers on time and cost of a choice, by backend servers and routes',
--- a/measure/src/run.ts
+++ b/measure/src/run.ts
@@ -38,7 +38,9 @@
   try {
     const { run, result } = await runMeasurement(measurement, { seed, progress });
     console.log(json ? JSON.stringify({ run, ...result }, null, 2) : printResult(run, result));
-    return 0;
+    if (result.violation === undefined) return 0;
+    console.error(`${name}: ${result.violation}`);
+    return EXIT_FAILED;
   } catch (error) {
     console.error(`${name} failed: ${String(error)}`);
     return EXIT_FAILED;
