--- /dev/null
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -0,0 +1,205 @@
+/** Five stores on disks in memory, and clients of them, in one process over loopback. */
+import { Logger, SystemTimerService } from '@hornbeampond/runtime';
+import type { Configuration, InstanceReport, StoreAddress } from '@hornbeampond/schema';
+import { StoreClient, type PeerContext } from '@hornbeampond/transport';
+import type { StoreDisk } from '../StoreDisk.js';
+import { StoreProcess, type StoreFailure } from '../StoreProcess.js';
+import { MemoryDisk } from './MemoryDisk.js';
+import { LOOPBACK, StoreLinks } from './StoreLinks.js';
+
+const CLUSTER = 'tested';
+const SECRET = 'secret-of-the-tested-cluster';
+const PATIENCE_MILLISECONDS = 8000;
+const LOOK_MILLISECONDS = 10;
+
+/** Resolves once the condition gives a value; rejects when that takes too long. */
+export async function waitFor<Value>(
+  what: string,
+  look: () => Value | undefined | Promise<Value | undefined>,
+): Promise<Value> {
+  const endsAt = Date.now() + PATIENCE_MILLISECONDS;
+  while (Date.now() < endsAt) {
+    const value = await look();
+    if (value !== undefined) return value;
+    await new Promise((resolve) => {
+      setTimeout(resolve, LOOK_MILLISECONDS);
+    });
+  }
+  throw new Error(`${what}: not within ${PATIENCE_MILLISECONDS} ms`);
+}
+
+interface TestedStore {
+  readonly instance: string;
+  readonly dataCentre: string;
+  disk: StoreDisk;
+  process: StoreProcess | undefined;
+  /** 0 until its first start. */
+  port: number;
+}
+
+/** A client together with every revision that it was handed, in order. */
+export interface TestedClient {
+  readonly client: StoreClient;
+  readonly configurations: Configuration[];
+}
+
+export class StoreCluster {
+  readonly links = new StoreLinks();
+
+  readonly failures: StoreFailure[] = [];
+
+  private readonly timers = new SystemTimerService();
+
+  private readonly stores: TestedStore[];
+
+  private readonly clients: StoreClient[] = [];
+
+  private constructor(dataCentres: readonly string[]) {
+    this.stores = dataCentres.map((dataCentre, position) => ({
+      instance: `store-${position + 1}`,
+      dataCentre,
+      disk: new MemoryDisk(),
+      process: undefined,
+      port: 0,
+    }));
+  }
+
+  /** Starts one store for each place; resolves once all of them vote. */
+  static async start(dataCentres: readonly string[]): Promise<StoreCluster> {
+    const cluster = new StoreCluster(dataCentres);
+    for (const { instance } of cluster.stores) await cluster.open(instance);
+    cluster.find('store-1').process?.found();
+    await cluster.waitForVoters(dataCentres.length);
+    return cluster;
+  }
+
+  /** Starts a store on its disk, or on another. */
+  async open(instance: string, disk?: StoreDisk): Promise<void> {
+    const store = this.find(instance);
+    if (disk !== undefined) store.disk = disk;
+    const process = new StoreProcess(
+      {
+        instance,
+        dataCentre: store.dataCentre,
+        cluster: CLUSTER,
+        clusterSecret: SECRET,
+        logLevel: 'error',
+        operatorListen: { host: LOOPBACK, port: 0 },
+        operatorKeys: [],
+        stores: await this.addressesSeenFrom(instance),
+        listen: { host: LOOPBACK, port: store.port },
+        dataFolder: 'none',
+        electionTimeoutMilliseconds: 300,
+        heartbeatMilliseconds: 50,
+      },
+      this.timers,
+      store.disk,
+      (_, failure) => this.failures.push(failure),
+    );
+    store.port = (await process.start()).peers;
+    store.process = process;
+    this.links.setPort(instance, store.port);
+  }
+
+  async close(instance: string): Promise<void> {
+    const store = this.find(instance);
+    const { process } = store;
+    store.process = undefined;
+    await process?.close();
+  }
+
+  async stop(): Promise<void> {
+    this.clients.forEach((client) => client.close());
+    await Promise.all(this.stores.map(async ({ instance }) => this.close(instance)));
+    await this.links.close();
+  }
+
+  /** A client of all stores, or of some; it follows the configuration. */
+  connect(name: string, instances = this.stores.map(({ instance }) => instance)): TestedClient {
+    const configurations: Configuration[] = [];
+    const addresses = instances.map((instance) => this.addressOf(this.find(instance)));
+    const report: InstanceReport = {
+      instance: name,
+      dataCentre: 'wien-b',
+      role: 'entry',
+      revision: 0,
+      cutOff: false,
+    };
+    const handlers = {
+      onConfiguration: (configuration: Configuration) => configurations.push(configuration),
+    };
+    const client = new StoreClient(addresses, this.contextOf(name), handlers, report);
+    this.clients.push(client);
+    return { client, configurations };
+  }
+
+  /** The store that leads, as the one with the highest term says; others may not know yet. */
+  async waitForLeader(except?: string): Promise<string> {
+    return waitFor('a leader', async () => {
+      const leading = (await this.readStatus()).filter(({ role }) => role === 'leader');
+      const newest = leading.sort((a, b) => b.term - a.term)[0];
+      return newest?.instance === except ? undefined : newest?.instance;
+    });
+  }
+
+  async waitForVoters(count: number): Promise<void> {
+    await waitFor(`${count} voters`, async () => {
+      const statuses = await this.readStatus();
+      const all = statuses.every(
+        ({ voters, learners }) => voters.length + learners.length * 100 === count,
+      );
+      return statuses.length > 0 && all ? true : undefined;
+    });
+  }
+
+  private async readStatus() {
+    const running = this.stores.filter(({ process }) => process !== undefined);
+    const client = new StoreClient(
+      running.map((store) => this.addressOf(store)),
+      this.contextOf('watcher'),
+    );
+    try {
+      // Its connections open within a few milliseconds.
+      for (let tries = 0; tries < 100; tries += 1) {
+        const statuses = await client.readStatus();
+        if (statuses.length === running.length) return statuses;
+        await new Promise((resolve) => {
+          setTimeout(resolve, LOOK_MILLISECONDS);
+        });
+      }
+      throw new Error('a running store does not answer');
+    } finally {
+      client.close();
+    }
+  }
+
+  private find(instance: string): TestedStore {
+    const store = this.stores.find((known) => known.instance === instance);
+    if (store === undefined) throw new Error(`no store ${instance}`);
+    return store;
+  }
+
+  private addressOf({ instance, dataCentre, port }: TestedStore): StoreAddress {
+    return { instance, dataCentre, host: LOOPBACK, port };
+  }
+
+  private async addressesSeenFrom(instance: string): Promise<StoreAddress[]> {
+    const others = this.stores.filter((store) => store.instance !== instance);
+    return Promise.all(
+      others.map(async (store) => ({
+        ...this.addressOf(store),
+        port: await this.links.open(instance, store.instance),
+      })),
+    );
+  }
+
+  private contextOf(instance: string): PeerContext {
+    return {
+      identity: { cluster: CLUSTER, instance, dataCentre: 'wien-b', role: 'entry' },
+      secret: SECRET,
+      timers: this.timers,
+      logger: new Logger({ process: 'test', instance }, 'error'),
+      heartbeatMilliseconds: 200,
+    };
+  }
+}
--- /dev/null
+++ b/apps/store/src/testing/StoreLinks.ts
@@ -0,0 +1,92 @@
+/**
+ * Forwarders between the stores of a test, one for each direction of each pair. A store that is
+ * cut off is cut off silently: its connections stay open and carry nothing.
+ */
+import {
+  createConnection,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+export const LOOPBACK = '127.0.0.1';
+
+interface Link {
+  readonly between: readonly [string, string];
+  readonly server: Server;
+  readonly sockets: Set<Socket>;
+}
+
+export class StoreLinks {
+  private readonly links: Link[] = [];
+
+  private readonly cutOff = new Set<string>();
+
+  /** Where each store really listens; known once it has started. */
+  private readonly ports = new Map<string, number>();
+
+  /** The port under which `from` reaches `to`. */
+  async open(from: string, to: string): Promise<number> {
+    const server = createServer();
+    const link: Link = { between: [from, to], server, sockets: new Set() };
+    server.on('connection', (inner) => this.join(link, inner));
+    this.links.push(link);
+    await new Promise<void>((resolve) => {
+      server.listen(0, LOOPBACK, resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  setPort(store: string, port: number): void {
+    this.ports.set(store, port);
+  }
+
+  cut(store: string): void {
+    this.cutOff.add(store);
+  }
+
+  /** What was sent during the cut is lost, so the connections of that time are ended. */
+  heal(store: string): void {
+    this.cutOff.delete(store);
+    this.links
+      .filter(({ between }) => between.includes(store))
+      .forEach(({ sockets }) => sockets.forEach((socket) => socket.destroy()));
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(
+      this.links.map(async ({ server, sockets }) => {
+        sockets.forEach((socket) => socket.destroy());
+        await new Promise<void>((resolve) => {
+          server.close(() => resolve());
+        });
+      }),
+    );
+  }
+
+  private join(link: Link, inner: Socket): void {
+    const port = this.ports.get(link.between[1]);
+    if (port === undefined) {
+      inner.destroy();
+      return;
+    }
+    const outer = createConnection({ host: LOOPBACK, port });
+    const pair = [inner, outer];
+    pair.forEach((socket) => {
+      link.sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => {});
+      socket.on('close', () => {
+        link.sockets.delete(socket);
+        pair.forEach((either) => either.destroy());
+      });
+    });
+    inner.on('data', (bytes: Buffer) => this.pass(link, bytes, outer));
+    outer.on('data', (bytes: Buffer) => this.pass(link, bytes, inner));
+  }
+
+  private pass({ between }: Link, bytes: Buffer, to: Socket): void {
+    if (!between.some((store) => this.cutOff.has(store))) to.write(bytes);
+  }
+}
