--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -26,6 +26,7 @@
 import {
   MachineState,
   applyCommand,
+  configurationSince,
   createConsensusState,
   currentMembership,
   defaultConsensusSettings,
@@ -53,10 +54,11 @@
 } from '@hornbeampond/transport';
 import { JoinRequests } from './JoinRequests.js';
 import { RequestDesk, type Respond } from './RequestDesk.js';
+import { SnapshotCache } from './SnapshotCache.js';
 import { StoreOperations } from './StoreOperations.js';
 import { StorePeers } from './StorePeers.js';
 import { Subscribers } from './Subscribers.js';
-import type { DiskContents, StoreDisk } from './StoreDisk.js';
+import type { DiskContents, SavedSnapshot, StoreDisk } from './StoreDisk.js';
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
@@ -113,6 +115,11 @@
 
   private closed = false;
 
+  /** True once a step was not carried out to its end. */
+  private failed = false;
+
+  private readonly sending: SnapshotCache;
+
   constructor(
     private readonly settings: StoreSettings,
     private readonly timers: TimerService,
@@ -129,6 +136,7 @@
       logger: this.logger,
       metrics: this.metrics,
     };
+    this.sending = new SnapshotCache(timers);
     this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
       timers,
@@ -194,6 +202,7 @@
     this.closed = true;
     this.cancelWake();
     this.joining.stop();
+    this.sending.clear();
     this.peers.close();
     await Promise.all([this.server.close(), this.operators.close()]);
     await this.disk;
@@ -222,7 +231,7 @@
   }
 
   private dispatch(occurrence: Occurrence): void {
-    if (this.closed) return;
+    if (this.closed || this.failed) return;
     const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
     this.loop.dispatch({ ...occurrence, ...clocks });
   }
@@ -243,6 +252,9 @@
   }
 
   private carryOut(effect: ConsensusEffect): void {
+    // After an entry that was applied in part, replies to later ones would rest on a state that
+    // no other store has. The process ends; nothing more leaves it until then.
+    if (this.failed) return;
     switch (effect.type) {
       case 'persist':
         this.persist(effect);
@@ -256,10 +268,12 @@
       case 'apply':
         this.apply(effect.entry);
         return;
-      case 'restore':
+      case 'restore': {
+        const { revision } = this.machine.configuration;
         this.machine = restoreSnapshot(codec.decode(effect.data));
-        this.publishConfiguration();
+        this.publishConfiguration(revision);
         return;
+      }
       case 'takeSnapshot':
         this.saveSnapshot(effect.header);
         return;
@@ -326,31 +340,49 @@
   }
 
   private sendSnapshot(effect: SendSnapshotEffect): void {
+    const kept = this.sending.find(effect.header);
+    if (kept !== undefined) {
+      this.sendPart(effect, kept);
+      return;
+    }
     this.onDisk(async () => {
-      const snapshot = await this.storage.readSnapshot();
-      const envelope = snapshot === undefined ? undefined : fillSnapshotPart(effect, snapshot);
-      // Replaced meanwhile: the leader asks again for the newer one.
-      if (envelope !== undefined) this.peers.send(effect.instance, envelope);
+      // Loaded meanwhile for another part or peer.
+      const snapshot = this.sending.find(effect.header) ?? (await this.storage.readSnapshot());
+      if (snapshot === undefined || this.closed) return;
+      this.sending.keep(snapshot);
+      this.sendPart(effect, snapshot);
     });
   }
 
+  private sendPart(effect: SendSnapshotEffect, snapshot: SavedSnapshot): void {
+    const envelope = fillSnapshotPart(effect, snapshot);
+    // Replaced meanwhile: the leader asks again for the newer one.
+    if (envelope !== undefined) this.peers.send(effect.instance, envelope);
+  }
+
   private apply(entry: LogEntry): void {
     if (entry.body.type !== 'command') return;
     const stamped: StampedCommand = {
       at: entry.at,
       command: entry.body.command as StoreCommand,
     };
+    const { revision } = this.machine.configuration;
     const result = applyCommand(this.machine, stamped);
     this.results.clear();
     this.results.set(entry.index, result);
-    if (result.type === 'tableAccepted') this.publishConfiguration();
+    if (this.machine.configuration.revision > revision) this.publishConfiguration(revision);
     if (result.type === 'crashCounted') this.publishQuarantine();
   }
 
-  private publishConfiguration(): void {
-    const { configuration } = this.machine;
-    this.metrics.setGauge('configurationRevision', configuration.revision);
-    this.subscribers.push({ type: 'configuration', configuration });
+  /** Sends what has changed since `previousRevision`, which all subscribers were sent before. */
+  private publishConfiguration(previousRevision: number): void {
+    this.metrics.setGauge('configurationRevision', this.machine.configuration.revision);
+    const update = configurationSince(this.machine, previousRevision);
+    this.subscribers.push(
+      update.type === 'delta'
+        ? { type: 'configurationDelta', delta: update.delta }
+        : { type: 'configuration', configuration: update.configuration },
+    );
   }
 
   private publishQuarantine(): void {
@@ -487,6 +519,8 @@
   }
 
   private reportError(error: unknown, at: string): void {
+    if (this.failed) return;
+    this.failed = true;
     const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
     this.logger.write('unexpectedError', { at, reason });
     this.onFailure(this, 'unexpectedError');
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -3,6 +3,7 @@
  * They travel as bodies of the framed request-response protocol of `packages/transport`.
  */
 import type { Configuration } from '../tables/Configuration.js';
+import type { ConfigurationDelta } from '../tables/ConfigurationDelta.js';
 import type { EpochMilliseconds } from '../units.js';
 import type { CommandResult, StoreCommand } from './storeCommands.js';
 
@@ -92,5 +93,8 @@
 
 /** What a store pushes to subscribers. */
 export type StorePush =
+  /** What one change altered; a subscriber that it does not join to subscribes anew. */
+  | { readonly type: 'configurationDelta'; readonly delta: ConfigurationDelta }
+  /** All rows, where no delta can be made. */
   | { readonly type: 'configuration'; readonly configuration: Configuration }
   | { readonly type: 'quarantine'; readonly quarantine: readonly QuarantineEntry[] };
--- /dev/null
+++ b/packages/transport/src/ConfigurationFollower.ts
@@ -0,0 +1,37 @@
+/**
+ * Builds the newest configuration from what stores send: whole ones and deltas. It is the only
+ * judge of what is newer, so whoever listens sees revisions grow, whichever store sends them.
+ */
+import { applyDelta, type Configuration, type ConfigurationDelta } from '@hornbeampond/schema';
+
+/** `gap`: changes were missed, and a whole configuration has to be asked for. */
+export type FollowResult = 'newer' | 'old' | 'gap';
+
+export class ConfigurationFollower {
+  private held: Configuration | undefined;
+
+  get newest(): Configuration | undefined {
+    return this.held;
+  }
+
+  /**
+   * A store that has just come back may be behind; a client that moves to it would go back to
+   * tables that the operators have replaced. What is older is dropped, and the store sends what
+   * follows as soon as it has caught up. The same revision again is handed on: it says that
+   * stores can be reached.
+   */
+  takeWhole(configuration: Configuration): FollowResult {
+    if (this.held !== undefined && configuration.revision < this.held.revision) return 'old';
+    this.held = configuration;
+    return 'newer';
+  }
+
+  takeDelta(delta: ConfigurationDelta): FollowResult {
+    if (this.held === undefined) return 'gap';
+    if (delta.toRevision <= this.held.revision) return 'old';
+    const joined = applyDelta(this.held, delta);
+    if (joined === undefined) return 'gap';
+    this.held = joined;
+    return 'newer';
+  }
+}
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -16,6 +16,7 @@
   StoreResponse,
   StoreStatus,
 } from '@hornbeampond/schema';
+import { ConfigurationFollower, type FollowResult } from './ConfigurationFollower.js';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
 
@@ -42,6 +43,18 @@
   readonly client: PeerClient;
 }
 
+/** What one store is asked to send. */
+interface Subscription {
+  readonly store: StorePeer;
+  /** True once the store has answered with what it holds. */
+  isAnswered: boolean;
+  /**
+   * Pushes that came with the answer in one read of the socket and are seen before it. Taken at
+   * once they would not join to what is held.
+   */
+  readonly early: StorePush[];
+}
+
 export class StoreClient {
   private readonly stores: StorePeer[];
 
@@ -49,7 +62,9 @@
 
   private next = 0;
 
-  private subscribedTo: string | undefined;
+  private subscription: Subscription | undefined;
+
+  private readonly follower = new ConfigurationFollower();
 
   private stopped = false;
 
@@ -122,11 +137,14 @@
     return new PeerClient(address, this.context, {
       onOpen: () => this.subscribeIfNeeded(),
       onPush: (body) => {
-        if (address.instance === this.subscribedTo) this.take(body as StorePush);
+        const { subscription } = this;
+        if (subscription?.store.address !== address) return;
+        if (subscription.isAnswered) this.take(body as StorePush);
+        else subscription.early.push(body as StorePush);
       },
       onClose: () => {
-        if (this.subscribedTo !== address.instance) return;
-        this.subscribedTo = undefined;
+        if (this.subscription?.store.address !== address) return;
+        this.subscription = undefined;
         this.subscribeIfNeeded();
       },
     });
@@ -135,29 +153,58 @@
   /** A store of the own data centre is preferred: it stays reachable when others are cut off. */
   private subscribeIfNeeded(): void {
     const { report } = this;
-    if (report === undefined || this.stopped || this.subscribedTo !== undefined) return;
+    if (report === undefined || this.stopped || this.subscription !== undefined) return;
     const open = this.stores.filter(({ client }) => client.isOpen);
     const store = open.find(({ address }) => address.dataCentre === report.dataCentre) ?? open[0];
-    if (store === undefined) return;
-    this.subscribedTo = store.address.instance;
+    if (store !== undefined) this.subscribe(store, report);
+  }
+
+  private subscribe(store: StorePeer, report: InstanceReport): void {
+    const subscription: Subscription = { store, isAnswered: false, early: [] };
+    this.subscription = subscription;
     store.client.request({ type: 'subscribe', report }, ATTEMPT_MILLISECONDS).then(
       (response) => {
-        const subscribed = response as StoreResponse;
-        if (subscribed.type !== 'subscribed') return;
-        this.handlers.onConfiguration?.(subscribed.configuration);
-        this.handlers.onQuarantine?.(subscribed.quarantine);
+        if (this.subscription === subscription) {
+          this.acceptSubscription(subscription, response as StoreResponse);
+        }
       },
       () => {
-        if (this.subscribedTo !== store.address.instance) return;
-        this.subscribedTo = undefined;
+        if (this.subscription !== subscription) return;
+        this.subscription = undefined;
         this.context.timers.after(PAUSE_MILLISECONDS, () => this.subscribeIfNeeded());
       },
     );
   }
 
+  private acceptSubscription(subscription: Subscription, response: StoreResponse): void {
+    if (response.type !== 'subscribed') return;
+    subscription.isAnswered = true;
+    this.note(this.follower.takeWhole(response.configuration));
+    this.handlers.onQuarantine?.(response.quarantine);
+    subscription.early.forEach((push) => this.take(push));
+  }
+
   private take(push: StorePush): void {
-    if (push.type === 'configuration') this.handlers.onConfiguration?.(push.configuration);
-    else this.handlers.onQuarantine?.(push.quarantine);
+    switch (push.type) {
+      case 'configuration':
+        this.note(this.follower.takeWhole(push.configuration));
+        return;
+      case 'configurationDelta':
+        this.note(this.follower.takeDelta(push.delta));
+        return;
+      default:
+        this.handlers.onQuarantine?.(push.quarantine);
+    }
+  }
+
+  /** Hands on what is newer; after a gap it asks the same store for all of it. */
+  private note(result: FollowResult): void {
+    const { newest } = this.follower;
+    if (result === 'newer' && newest !== undefined) this.handlers.onConfiguration?.(newest);
+    const { report, subscription } = this;
+    if (result !== 'gap' || report === undefined || subscription === undefined) return;
+    // Pushes behind the gap wait for the answer.
+    if (subscription.isAnswered) this.subscribe(subscription.store, report);
   }
 
   private async ask(
