Connect to peers only once the store listens

Cause: StoreProcess opened its connections in its constructor, before the disk was read and the server listened. The leader, greeted by them, connected back at once, was refused, and waited out a pause of up to two seconds; a restarted store stayed behind that long and stood for election meanwhile (role changes in its log). Ruled out: the time to read the log (logOpened came 0.1 s after the connections).

Change: StorePeers.open, called behind listen.

--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -9,7 +9,7 @@
 export class StorePeers {
   private readonly clients = new Map<string, PeerClient>();
 
-  private readonly configured: ReadonlySet<string>;
+  private readonly configuredNames: ReadonlySet<string>;
 
   /**
    * @param configured - Stores of the settings. Their addresses hold, whatever the log says: how
@@ -18,16 +18,24 @@
   constructor(
     private readonly self: string,
     private readonly context: PeerContext,
-    configured: readonly StoreAddress[],
+    private readonly configured: readonly StoreAddress[],
   ) {
-    this.configured = new Set(configured.map(({ instance }) => instance));
-    configured.forEach((address) => this.connect(address));
+    this.configuredNames = new Set(configured.map(({ instance }) => instance));
+  }
+
+  /**
+   * Connects to the stores of the settings; to be called once this store listens. A peer that is
+   * greeted earlier connects back at once, is refused, and then waits out a pause that has grown
+   * while this store was away: for up to two seconds the leader could not reach it.
+   */
+  open(): void {
+    this.configured.forEach((address) => this.connect(address));
   }
 
   /** Keeps a connection to each member of the log; one that has moved is connected anew. */
   keep(addresses: readonly StoreAddress[]): void {
     addresses
-      .filter(({ instance }) => !this.configured.has(instance))
+      .filter(({ instance }) => !this.configuredNames.has(instance))
       .forEach((address) => this.connect(address));
   }
 
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -171,6 +171,7 @@
     const peers = await this.server.listen(this.settings.listen);
     this.address = { ...this.address, port: peers };
     const operators = await this.operators.listen(this.settings.operatorListen);
+    this.peers.open();
     this.peers.keep(this.memberAddresses());
     this.dispatch({ type: 'started' });
     if (contents.isNew) this.joining.start();
