--- /dev/null
+++ b/apps/store/src/StoreProcess.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { Logger, SystemTimerService } from '@hornbeampond/runtime';
+import type { StoreAddress, StoreSettings } from '@hornbeampond/schema';
+import type { PersistEffect } from '@hornbeampond/store-core';
+import { StoreClient, type PeerContext } from '@hornbeampond/transport';
+import type { DiskContents } from './StoreDisk.js';
+import { StoreProcess, type StoreFailure } from './StoreProcess.js';
+import { MemoryDisk } from './testing/MemoryDisk.js';
+import { LOOPBACK } from './testing/StoreLinks.js';
+
+function makeSettings(stores: StoreAddress[]): StoreSettings {
+  return {
+    instance: 'store-1',
+    dataCentre: 'wien-a',
+    cluster: 'tested',
+    clusterSecret: 'secret-of-the-tested-cluster',
+    logLevel: 'error',
+    operatorListen: { host: LOOPBACK, port: 0 },
+    operatorKeys: [],
+    stores,
+    listen: { host: LOOPBACK, port: 0 },
+    dataFolder: 'none',
+    electionTimeoutMilliseconds: 300,
+    heartbeatMilliseconds: 50,
+  };
+}
+
+/** Holds back what it holds until it is released. */
+class SlowDisk extends MemoryDisk {
+  release: () => void = () => {};
+
+  private readonly released = new Promise<void>((resolve) => {
+    this.release = resolve;
+  });
+
+  override async open(instance: string): Promise<DiskContents> {
+    await this.released;
+    return super.open(instance);
+  }
+}
+
+/** Throws in the middle of a step, as a fault of the program would. */
+class FaultyDisk extends MemoryDisk {
+  override write(batch: PersistEffect): Promise<void> {
+    throw new TypeError(`no batch ${batch.batch}`);
+  }
+}
+
+// A store is started again and reads its disk, which takes a while. If it greeted the leader now,
+// the leader would connect back at once, be refused, and come again only after a grown pause; the
+// store would be behind for that long. So the first connection comes once the disk is read.
+test('a store connects to its peers only once it listens', async () => {
+  const arrivals: Socket[] = [];
+  const peer = createServer((socket) => arrivals.push(socket));
+  peer.listen(0, LOOPBACK);
+  await once(peer, 'listening');
+  const { port } = peer.address() as AddressInfo;
+  const address = { instance: 'store-2', dataCentre: 'wien-b', host: LOOPBACK, port };
+  const disk = new SlowDisk();
+  const store = new StoreProcess(makeSettings([address]), new SystemTimerService(), disk);
+  const started = store.start();
+  // Connections arrive in order: one that the store had opened would be there before this one.
+  const own = createConnection(port, LOOPBACK);
+  await once(peer, 'connection');
+  assert.equal(arrivals.length, 1);
+  assert.equal(arrivals[0]?.remotePort, own.localPort);
+  const next = once(peer, 'connection');
+  disk.release();
+  await Promise.all([started, next]);
+  assert.equal(arrivals.length, 2);
+  await store.close();
+  own.destroy();
+  arrivals.forEach((socket) => socket.destroy());
+  peer.close();
+});
+
+// A step of the store throws half way. What it holds can't be trusted from there on, so it says so
+// once, to be ended by whoever runs it. Until then it answers nothing: an operator whose change
+// comes in is not told its fate by a store that may not know it, and sends it again elsewhere.
+test('a store that fails in a step says so once and answers nothing more', async () => {
+  const failures: StoreFailure[] = [];
+  const timers = new SystemTimerService();
+  const store = new StoreProcess(makeSettings([]), timers, new FaultyDisk(), (_, failure) =>
+    failures.push(failure),
+  );
+  const { peers: port } = await store.start();
+  store.found();
+  const logger = new Logger({ process: 'test', instance: 'entry-1' }, 'error');
+  const identity = { cluster: 'tested', instance: 'entry-1', dataCentre: 'wien-a', role: 'entry' };
+  const client = new StoreClient(
+    [{ instance: 'store-1', dataCentre: 'wien-a', host: LOOPBACK, port }],
+    { identity, secret: 'secret-of-the-tested-cluster', timers, logger } as PeerContext,
+  );
+  const command = {
+    type: 'putTable',
+    table: 'pools',
+    baseRevision: 0,
+    changeId: 'change-1',
+    rows: [],
+  } as const;
+  assert.deepEqual(await client.propose(command, 700), { type: 'unsure' });
+  assert.deepEqual(failures, ['unexpectedError']);
+  client.close();
+  await store.close();
+});
