Hold a controller and a weight store in the embedded default

Cause: the embedded default had no controller, so nothing replaced an engine that went.

Change: DevCluster starts a controller (or several) and a fake weight store, and the fake platform launches a fake for each bought instance. A controller that is closed asks for its lease no more: its lease timers kept the process alive (the tests of apps/dev hung until the runner's limit of 240 s) and would have renewed the lease of a controller that is gone.

Ruled out: engines that are listed with a model but no version. The controller drained and reloaded each, bought on-demand cover for the rollout and ended engine-2 (log of a 24 s run: 2 purchases, 2 drains). They are now loaded by an order of epoch 0, as an earlier controller would have left them; the same run shows no purchase, drain or order.

--- a/apps/controller/src/ControllerProcess.ts
+++ b/apps/controller/src/ControllerProcess.ts
@@ -15,6 +15,7 @@
   reduceController,
   type ControllerEffect,
   type ControllerEvent,
+  type ControllerPolicy,
   type ControllerState,
   type OrderOutcome,
   type StartOutcome,
@@ -83,11 +84,12 @@
   constructor(
     private readonly settings: ControllerSettings,
     private readonly timers: TimerService,
+    policy: Partial<ControllerPolicy> = {},
   ) {
     const { instance, dataCentre, cluster, clusterSecret, logLevel } = settings;
     this.logger = new Logger({ process: 'hornbeampond-controller', instance }, logLevel);
     this.loop = new EventLoop(
-      createControllerState({ dataCentre, seed: Math.trunc(timers.wallNow()) }),
+      createControllerState({ dataCentre, seed: Math.trunc(timers.wallNow()), policy }),
       reduceController,
       (effect) => this.carryOut(effect),
       (error, event) => this.reportError(error, event.type),
@@ -156,6 +158,11 @@
     });
   }
 
+  /** The epoch of the lease that is held, if any. */
+  get epoch(): number | undefined {
+    return this.lease.epoch;
+  }
+
   async start(): Promise<ControllerPorts> {
     const peers = await this.exchange.start();
     const operators = await this.operators.listen(this.settings.operatorListen);
@@ -177,8 +184,10 @@
     this.logger.write('shutdownFinished', {});
   }
 
+  /** Stops without a goodbye, as a killed process does: the lease runs out by itself. */
   async close(): Promise<void> {
     this.stopTicks();
+    this.lease.abandon();
     this.store.close();
     await Promise.all([this.watcher.close(), this.exchange.close(), this.operators.close()]);
   }
--- a/apps/controller/src/LeaseKeeper.ts
+++ b/apps/controller/src/LeaseKeeper.ts
@@ -39,6 +39,8 @@
 
   private cancelEnd: Unsubscribe = () => {};
 
+  private abandoned = false;
+
   constructor(private readonly options: LeaseKeeperOptions) {
     this.lease = makeLeaseHolder({
       lease: `controller/${options.dataCentre}`,
@@ -63,6 +65,17 @@
     return this.lease.active ? this.lease.epoch : undefined;
   }
 
+  /**
+   * Asks no more and tells nobody; the lease runs out by itself. Without this a closed controller
+   * would go on asking: its timers keep the process alive, and where the store still answers, the
+   * other controller never gets its turn. The flag also covers an ask whose answer is on its way.
+   */
+  abandon(): void {
+    this.abandoned = true;
+    this.cancelAsk();
+    this.cancelEnd();
+  }
+
   /** Gives the lease back, so that a planned replacement need not wait for its end. */
   stop(): void {
     this.cancelAsk();
@@ -75,6 +88,7 @@
   }
 
   private feed(event: LeaseEvent): void {
+    if (this.abandoned) return;
     reduceLease(this.lease, event).forEach((effect) => this.carryOut(effect));
   }
 
--- a/apps/dev/src/DevCluster.ts
+++ b/apps/dev/src/DevCluster.ts
@@ -3,12 +3,16 @@
  * for a first look and for tests; nothing it stores outlives it.
  */
 import { createHash } from 'node:crypto';
+import { HttpEngineAdapter, type InstanceStart } from '@hornbeampond/adapters';
+import { ControllerProcess, type ControllerPolicy } from '@hornbeampond/controller-app';
 import { EntryProcess, type EntryPorts } from '@hornbeampond/entry-app';
 import { SystemTimerService, checkSettings, type TimerService } from '@hornbeampond/runtime';
 import {
   HornbeampondError,
+  controllerSettingsSchema,
   entrySettingsSchema,
   storeSettingsSchema,
+  type EntrySettings,
   type LogLevel,
 } from '@hornbeampond/schema';
 import { MemoryDisk, StoreProcess } from '@hornbeampond/store-app';
@@ -16,7 +20,9 @@
   FakeEngine,
   FakePlainService,
   FakePlatform,
+  FakeWeightStore,
   type FakeBackendServer,
+  type FakeEngineOptions,
 } from '@hornbeampond/testing';
 import { OperatorClient } from '@hornbeampond/ctl-app';
 import type { z } from 'zod';
@@ -28,11 +34,29 @@
 const READY_MILLISECONDS = 10_000;
 const LOOK_MILLISECONDS = 20;
 
+/** Plenty for a handful of fakes, so that a first look never waits for the weight store. */
+const LOADS = { loadsPerMinute: 600, burst: 10 } as const;
+
 export interface DevOptions {
   /** 0 takes any free port. */
   readonly callersPort: number;
   readonly operatorsPort: number;
   readonly logLevel: LogLevel;
+  /** Changes how the fake model engines behave, the bought ones too. */
+  readonly engine?: Omit<FakeEngineOptions, 'instance' | 'model'>;
+  /** Number of controllers, of which one acts; 1 unless given. */
+  readonly controllers?: number;
+  readonly leaseMilliseconds?: number;
+  /** Changes what the controllers' decisions are steered by. */
+  readonly policy?: Partial<ControllerPolicy>;
+  /** Changes limits of the entry. */
+  readonly limits?: Partial<EntrySettings['limits']>;
+}
+
+/** What an instance that is bought or listed is called and what runs there. */
+interface Launching {
+  readonly instance: string;
+  readonly pool: string;
 }
 
 function sha256(key: string): string {
@@ -50,15 +74,39 @@
   });
 }
 
+/**
+ * Loads what the pools table says, as an earlier controller would have: an engine without the
+ * version would be drained and loaded anew right after the start. Epoch 0 is older than any lease.
+ */
+async function loadModel({ host, port }: FakeBackendServer): Promise<void> {
+  const { model = '', version } = devPools[0] ?? {};
+  const adapter = new HttpEngineAdapter({ host, port });
+  const action = { type: 'load', model, ...(version === undefined ? {} : { version }) } as const;
+  await adapter.sendOrder(
+    { epoch: 0, sequence: 0, action },
+    AbortSignal.timeout(READY_MILLISECONDS),
+  );
+  await adapter.close();
+}
+
 export class DevCluster {
   private readonly timers: TimerService = new SystemTimerService();
 
-  readonly platform = new FakePlatform();
+  readonly platform = new FakePlatform({
+    launch: async ({ pool }: InstanceStart, instance) => this.launch({ instance, pool }),
+  });
+
+  readonly weightStore = new FakeWeightStore(LOADS);
 
+  /** All that were started, in that order; those that are gone stay in the list. */
   readonly engines: FakeEngine[] = [];
 
   readonly services: FakePlainService[] = [];
 
+  readonly controllers: ControllerProcess[] = [];
+
+  private store: StoreProcess | undefined;
+
   private readonly closers: (() => Promise<void>)[] = [];
 
   constructor(private readonly options: DevOptions) {}
@@ -69,6 +117,10 @@
     const storePort = await this.startStore();
     const ports = await this.startEntry(storePort);
     await this.putTables(ports.operators);
+    const { controllers = 1 } = this.options;
+    for (let number = 1; number <= controllers; number += 1) {
+      await this.startController(`controller-${number}`, storePort, ports.peers);
+    }
     return ports;
   }
 
@@ -76,23 +128,41 @@
     for (const close of [...this.closers].reverse()) await close();
   }
 
+  /** Ends the only store, as its loss would; entries and controllers go on without. */
+  async closeStore(): Promise<void> {
+    await this.store?.close();
+    this.store = undefined;
+  }
+
   private async startOutside(): Promise<void> {
     await this.platform.restart();
     this.closers.push(async () => this.platform.close());
+    await this.weightStore.restart();
+    this.closers.push(async () => this.weightStore.close());
     for (const number of [1, 2]) {
-      const engine = await FakeEngine.start({
-        instance: `engine-${number}`,
-        model: 'dev-model',
-        tokenDelay: TOKEN_DELAY_MILLISECONDS,
-      });
-      this.engines.push(engine);
+      const engine = await this.launch({ instance: `engine-${number}`, pool: 'assistants' });
+      await loadModel(engine);
       this.list(engine, 'assistants', 'fake-engine');
-      const service = await FakePlainService.start({ instance: `service-${number}` });
-      this.services.push(service);
+      const service = await this.launch({ instance: `service-${number}`, pool: 'bookings' });
       this.list(service, 'bookings', 'fake-service');
     }
   }
 
+  private async launch({ instance, pool }: Launching): Promise<FakeBackendServer> {
+    if (devPools.find(({ name }) => name === pool)?.kind === 'plainService') {
+      const service = await FakePlainService.start({ instance });
+      this.services.push(service);
+      return service;
+    }
+    const engine = await FakeEngine.start({
+      tokenDelay: TOKEN_DELAY_MILLISECONDS,
+      ...this.options.engine,
+      instance,
+    });
+    this.engines.push(engine);
+    return engine;
+  }
+
   private list(server: FakeBackendServer, pool: string, instanceClass: string): void {
     const { instance, host, port } = server;
     const listed = { instance, dataCentre: DEV_DATA_CENTRE, instanceClass, pool, host, port };
@@ -120,7 +190,8 @@
     });
     const store = new StoreProcess(settings, this.timers, new MemoryDisk());
     const { peers } = await store.start();
-    this.closers.push(async () => store.close());
+    this.store = store;
+    this.closers.push(async () => this.closeStore());
     store.found();
     return peers;
   }
@@ -137,6 +208,7 @@
         pollMilliseconds: POLL_MILLISECONDS,
       },
       balancerDelayMilliseconds: 0,
+      limits: this.options.limits ?? {},
     });
     const entry = new EntryProcess(settings, this.timers);
     const ports = await entry.start();
@@ -144,6 +216,29 @@
     return ports;
   }
 
+  private async startController(
+    instance: string,
+    storePort: number,
+    entryPort: number,
+  ): Promise<void> {
+    const { leaseMilliseconds } = this.options;
+    const settings = requireSettings(controllerSettingsSchema, {
+      ...this.commonSettings(instance, storePort, 0),
+      peerListen: { host: HOST, port: 0 },
+      entries: [{ instance: 'entry-1', dataCentre: DEV_DATA_CENTRE, host: HOST, port: entryPort }],
+      weightStore: { url: this.weightStore.url },
+      platform: {
+        url: this.platform.url,
+        pollMilliseconds: POLL_MILLISECONDS,
+      },
+      ...(leaseMilliseconds === undefined ? {} : { leaseMilliseconds }),
+    });
+    const controller = new ControllerProcess(settings, this.timers, this.options.policy);
+    await controller.start();
+    this.controllers.push(controller);
+    this.closers.push(async () => controller.close());
+  }
+
   private async putTables(operatorsPort: number): Promise<void> {
     const client = new OperatorClient(`http://${HOST}:${operatorsPort}`, devKeys.operator);
     const put = async (table: 'pools' | 'routes', rows: readonly unknown[]) =>
