--- a/apps/dev/src/DevCluster.ts
+++ b/apps/dev/src/DevCluster.ts
@@ -49,6 +49,8 @@
   readonly leaseMilliseconds?: number;
   /** Changes what the controllers' decisions are steered by. */
   readonly policy?: Partial<ControllerPolicy>;
+  /** How long the entry may take to stop. */
+  readonly shutdownMilliseconds?: number;
   /** Changes limits of the entry. */
   readonly limits?: Partial<EntrySettings['limits']>;
 }
@@ -125,7 +127,7 @@
   }
 
   async close(): Promise<void> {
-    for (const close of [...this.closers].reverse()) await close();
+    for (const close of this.closers.splice(0).reverse()) await close();
   }
 
   /** Ends the only store, as its loss would; entries and controllers go on without. */
@@ -140,14 +142,19 @@
     await this.weightStore.restart();
     this.closers.push(async () => this.weightStore.close());
     for (const number of [1, 2]) {
-      const engine = await this.launch({ instance: `engine-${number}`, pool: 'assistants' });
-      await loadModel(engine);
-      this.list(engine, 'assistants', 'fake-engine');
+      await this.addEngine(`engine-${number}`);
       const service = await this.launch({ instance: `service-${number}`, pool: 'bookings' });
       this.list(service, 'bookings', 'fake-service');
     }
   }
 
+  /** Adds a loaded engine that nobody bought. */
+  async addEngine(instance: string): Promise<void> {
+    const engine = await this.launch({ instance, pool: 'assistants' });
+    await loadModel(engine);
+    this.list(engine, 'assistants', 'fake-engine');
+  }
+
   private async launch({ instance, pool }: Launching): Promise<FakeBackendServer> {
     if (devPools.find(({ name }) => name === pool)?.kind === 'plainService') {
       const service = await FakePlainService.start({ instance });
@@ -197,7 +204,7 @@
   }
 
   private async startEntry(storePort: number): Promise<EntryPorts> {
-    const { callersPort, operatorsPort } = this.options;
+    const { callersPort, operatorsPort, shutdownMilliseconds } = this.options;
     const settings = requireSettings(entrySettingsSchema, {
       ...this.commonSettings('entry-1', storePort, operatorsPort),
       listen: { host: HOST, port: callersPort },
@@ -209,6 +216,7 @@
       },
       balancerDelayMilliseconds: 0,
       limits: this.options.limits ?? {},
+      ...(shutdownMilliseconds === undefined ? {} : { shutdownMilliseconds }),
     });
     const entry = new EntryProcess(settings, this.timers);
     const ports = await entry.start();
