Test the data plane through a real entry; mend what it showed

Nine stories over HTTP, answers compared byte for byte with generateText: reclaim notice, silent connection, stall, slow caller, callers that leave (plain and claimed), bounds and malformed bodies, poison, and a stop that outlasts its limit.

Found and mended, each failing before and passing after: - Headers too large: the 431 had no body. A caller that asked for the answer whole has been given nothing, so it is told no number.

Ruled out: letting both engines die to get a cut answer.

--- /dev/null
+++ b/apps/dev/src/dataPlane.test.ts
@@ -0,0 +1,307 @@
+/**
+ * What callers see through a real entry, over HTTP, while backend servers and callers misbehave.
+ * Every answer is compared byte for byte with that of an undisturbed run.
+ */
+import assert from 'node:assert/strict';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { test, type TestContext } from 'node:test';
+import { fetch, type RequestInit, type Response } from 'undici';
+import { SystemTimerService } from '@hornbeampond/runtime';
+import { digestPrompt, generateText, type FakeEngine } from '@hornbeampond/testing';
+import { DevCluster, type DevOptions } from './DevCluster.js';
+import { devKeys } from './devTables.js';
+
+const LOOK_MILLISECONDS = 10;
+
+const timers = new SystemTimerService();
+const authorization = `Bearer ${devKeys.workspace}`;
+
+interface Serving {
+  readonly cluster: DevCluster;
+  readonly callers: string;
+}
+
+interface Problem {
+  readonly kind: string;
+  readonly ran: string;
+  readonly faults?: readonly { readonly where: string }[];
+}
+
+async function until(what: string, holds: () => boolean, limit = 10_000): Promise<void> {
+  const endsAt = timers.monotonicNow() + limit;
+  while (!holds()) {
+    assert.ok(timers.monotonicNow() < endsAt, `not within ${limit} ms: ${what}`);
+    await timers.wait(LOOK_MILLISECONDS);
+  }
+}
+
+async function startCluster(
+  context: TestContext,
+  more: Partial<DevOptions> = {},
+): Promise<Serving> {
+  const options = { callersPort: 0, operatorsPort: 0, logLevel: 'error' as const, ...more };
+  const cluster = new DevCluster(options);
+  context.after(async () => cluster.close());
+  const ports = await cluster.start();
+  return { cluster, callers: `http://127.0.0.1:${ports.callers}` };
+}
+
+function generateAnswer(content: string, tokens: number): string {
+  return generateText(digestPrompt([{ role: 'user', content }]), 0, tokens);
+}
+
+function formatBody(content: string, tokens: number): string {
+  const messages = [{ role: 'user', content }];
+  return JSON.stringify({ messages, max_tokens: tokens, stream: true });
+}
+
+async function ask(
+  callers: string,
+  content: string,
+  tokens: number,
+  init: RequestInit = {},
+): Promise<Response> {
+  return fetch(`${callers}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization },
+    body: formatBody(content, tokens),
+    ...init,
+  });
+}
+
+function readText(streamed: string): string {
+  const events = streamed.split('\n\n').filter((event) => event !== '');
+  assert.equal(events.at(-1), 'data: [DONE]', streamed.slice(-400));
+  return events
+    .slice(0, -1)
+    .map((event) => JSON.parse(event.slice('data: '.length)) as StreamedChunk)
+    .map((chunk) => chunk.choices[0]?.delta.content ?? '')
+    .join('');
+}
+
+interface StreamedChunk {
+  readonly choices: readonly { readonly delta: { readonly content?: string } }[];
+}
+
+async function assertWhole(response: Response, content: string, tokens: number): Promise<void> {
+  const body = await response.text();
+  assert.equal(response.status, 200, body);
+  assert.equal(readText(body), generateAnswer(content, tokens));
+}
+
+function findBusy(cluster: DevCluster): FakeEngine {
+  const busy = cluster.engines.find(({ running, counts }) => running > 0 && counts.runs > 0);
+  assert.ok(busy !== undefined);
+  return busy;
+}
+
+function sumOf(cluster: DevCluster, count: keyof FakeEngine['counts']): number {
+  return cluster.engines.reduce((sum, { counts }) => sum + counts[count], 0);
+}
+
+async function assertProblem(response: Response, status: number, kind: string): Promise<Problem> {
+  const body = await response.text();
+  assert.equal(response.status, status, body);
+  assert.match(response.headers.get('content-type') ?? '', /^application\/problem\+json/);
+  const problem = JSON.parse(body) as Problem;
+  assert.equal(problem.kind, kind);
+  return problem;
+}
+
+// Callers see whole answers. Both engines run streams when one gets a notice that is too short for
+// its streams; the entry moves their KV caches, or their text, to the other one and goes on there.
+// The other is told what the callers already have, and it checks it: a wrong splice is counted.
+test('a reclaim notice while streams run is not seen by callers', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  const questions = Array.from({ length: 6 }, (_, index) => `Which stop is number ${index}?`);
+  const responses = await Promise.all(questions.map((question) => ask(callers, question, 100)));
+  const leaving = findBusy(cluster);
+  await until('tokens', () => leaving.counts.generatedTokens > 10);
+  const runsBefore = sumOf(cluster, 'runs');
+  cluster.platform.giveNotice(leaving.instance, 800);
+  await Promise.all(
+    responses.map((response, index) => assertWhole(response, questions[index] ?? '', 100)),
+  );
+  assert.equal(sumOf(cluster, 'wrongResumes'), 0);
+  assert.ok(sumOf(cluster, 'runs') > runsBefore, 'streams went on in other runs');
+});
+
+// The caller waits a few seconds and then gets the rest. The connection stays open but carries
+// nothing more, as when something between has forgotten it; no error ever comes. Only the silence
+// tells, and a probe over a new connection shows that the engine itself is well.
+test('a connection that goes silent is given up and its stream resumed', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  const response = await ask(callers, 'Who can hear me?', 60);
+  const busy = findBusy(cluster);
+  await until('tokens', () => busy.counts.generatedTokens > 5);
+  busy.goSilent();
+  await assertWhole(response, 'Who can hear me?', 60);
+  assert.equal(sumOf(cluster, 'wrongResumes'), 0);
+  assert.equal(sumOf(cluster, 'runs'), 2);
+});
+
+// The caller waits a few seconds and then gets the rest from the other engine. The first one keeps
+// its connections and answers probes, but its streams make no progress any more.
+test('a stream that stalls goes on at the other engine', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  const response = await ask(callers, 'What holds the train?', 60);
+  const busy = findBusy(cluster);
+  busy.stallStreamsAfter(10);
+  await assertWhole(response, 'What holds the train?', 60);
+  assert.equal(sumOf(cluster, 'wrongResumes'), 0);
+  assert.ok(cluster.engines.some((engine) => engine !== busy && engine.counts.finished === 1));
+});
+
+// The caller does not read for longer than the silence an engine is allowed, then reads the rest.
+// Its socket fills, the entry stops reading the engine and the engine stops: what lies between them
+// is bounded by the sockets' buffers. The engine isn't to blame, so nothing is cut or run again.
+test('a caller that reads slowly holds back its engine and is not cut', async (context) => {
+  const { cluster, callers } = await startCluster(context, { engine: { tokenDelay: 0 } });
+  const tokens = 120_000;
+  const response = await new Promise<IncomingMessage>((resolve, reject) => {
+    const options = { method: 'POST', headers: { authorization }, agent: false } as const;
+    const sent = sendRequest(`${callers}/v1/chat/completions`, options, resolve);
+    sent.on('error', reject);
+    sent.end(formatBody('Who reads so slowly?', tokens));
+  });
+  assert.equal(response.statusCode, 200);
+  const quietFor = 5500;
+  let seen = -1;
+  let since = timers.monotonicNow();
+  await until(
+    'a pause of the engine',
+    () => {
+      const generated = sumOf(cluster, 'generatedTokens');
+      if (generated !== seen) since = timers.monotonicNow();
+      seen = generated;
+      return timers.monotonicNow() - since > quietFor;
+    },
+    20_000,
+  );
+  context.diagnostic(`tokens ahead of the caller: ${seen} of ${tokens}`);
+  assert.ok(seen < tokens, 'the engine was held back');
+  const parts: Buffer[] = [];
+  for await (const part of response) parts.push(part as Buffer);
+  const text = readText(Buffer.concat(parts).toString());
+  assert.ok(text === generateAnswer('Who reads so slowly?', tokens), 'the answer is whole');
+  assert.equal(sumOf(cluster, 'runs'), 1);
+});
+
+// The caller leaves. Nobody needs the rest, so the engine is told and has room for others at once.
+test('a caller that leaves cancels the work of its engine', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  const controller = new AbortController();
+  const response = await ask(callers, 'Never mind?', 2000, { signal: controller.signal });
+  const busy = findBusy(cluster);
+  controller.abort();
+  await assert.rejects(response.text());
+  await until('a stopped run', () => busy.counts.stopped === 1 && busy.running === 0);
+  // Whether the cancel or the end of the connection reaches the engine first is up to the sockets.
+  const countTold = () => busy.requestCounts.get('POST /engine/cancel') ?? 0;
+  await until('the cancel', () => countTold() === 1);
+  assert.equal(sumOf(cluster, 'runs'), 1);
+});
+
+// The caller of a reservation leaves before the answer and asks again. Its call was claimed and may
+// have booked a seat, so it was not cancelled: the resend gets the first run's answer.
+test('a claimed call whose caller leaves runs to its end', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  cluster.services.forEach((service) => service.setAnswerDelay(300));
+  const controller = new AbortController();
+  const init = { method: 'POST', headers: { authorization, 'idempotency-key': 'left' }, body: 'a' };
+  const first = fetch(`${callers}/reservations`, { ...init, signal: controller.signal });
+  const countSent = () =>
+    cluster.services.reduce(
+      (sum, { requestCounts }) => sum + (requestCounts.get('POST /reservations') ?? 0),
+      0,
+    );
+  await until('the send', () => countSent() === 1);
+  controller.abort();
+  await assert.rejects(first);
+  const countRuns = () =>
+    cluster.services.reduce((sum, service) => sum + service.countRuns('left'), 0);
+  await until('the run', () => countRuns() === 1);
+  const endsAt = timers.monotonicNow() + 5000;
+  let again = await fetch(`${callers}/reservations`, init);
+  while (again.status === 409 && timers.monotonicNow() < endsAt) {
+    await timers.wait(LOOK_MILLISECONDS);
+    again = await fetch(`${callers}/reservations`, init);
+  }
+  assert.equal(again.status, 200, await again.text());
+  assert.equal(again.headers.get('idempotent-replay'), 'true');
+  assert.equal(countRuns(), 1);
+});
+
+test('what is too large or malformed is refused with a problem document', async (context) => {
+  const limits = { bodyBytes: 4096, headerBytes: 4096 };
+  const { cluster, callers } = await startCluster(context, { limits });
+  const large = await ask(callers, 'x'.repeat(8192), 1);
+  assert.equal((await assertProblem(large, 413, 'bodyTooLarge')).ran, 'no');
+  const headers = { authorization, 'x-large': 'x'.repeat(8192) };
+  const wide = await ask(callers, 'x', 1, { headers });
+  assert.equal((await assertProblem(wide, 431, 'headersTooLarge')).ran, 'no');
+  const text = await ask(callers, 'x', 1, { body: 'not JSON' });
+  assert.equal((await assertProblem(text, 400, 'badRequest')).ran, 'no');
+  const messages = [{ role: 'user', content: 'x' }];
+  const tools = [{ type: 'function', function: { name: 'book' } }];
+  for (const asked of [{ n: 2 }, { tools }, { functions: [{ name: 'book' }] }]) {
+    const body = JSON.stringify({ messages, ...asked });
+    const answer = await ask(callers, 'x', 1, { body });
+    const problem = await assertProblem(answer, 400, 'badRequest');
+    assert.deepEqual(
+      problem.faults?.map(({ where }) => where),
+      Object.keys(asked),
+    );
+  }
+  assert.equal(sumOf(cluster, 'runs'), 0);
+});
+
+// The caller of the poison gets an error and sends it again and again; its neighbours in the batch
+// see whole answers. The first crash makes suspects of all that ran there, which are then run apart;
+// a second crash names the poison, and from then on it is refused before it reaches an engine.
+test('a poison request takes down two engines at most', async (context) => {
+  const { cluster, callers } = await startCluster(context);
+  await cluster.addEngine('engine-3');
+  await cluster.addEngine('engine-4');
+  cluster.engines.forEach((engine) => engine.setPoison('arsenic'));
+  const questions = Array.from({ length: 8 }, (_, index) => `What is for lunch on day ${index}?`);
+  const responses = await Promise.all(questions.map((question) => ask(callers, question, 80)));
+  const whole = responses.map((response, index) =>
+    assertWhole(response, questions[index] ?? '', 80),
+  );
+  const countCrashes = () => cluster.engines.reduce((sum, { crashCount }) => sum + crashCount, 0);
+  let refused: Response | undefined;
+  for (let send = 0; send < 6 && refused === undefined; send += 1) {
+    const answer = await ask(callers, 'Is there arsenic in it?', 10);
+    const body = await answer.clone().text();
+    if (body.includes('"quarantined"')) refused = answer;
+  }
+  await Promise.all(whole);
+  assert.ok(refused !== undefined, 'the poison was never refused');
+  assert.ok(Number(refused.headers.get('retry-after')) >= 1);
+  await assertProblem(refused, 503, 'quarantined');
+  const again = await ask(callers, 'Is there arsenic in it?', 10);
+  await assertProblem(again, 503, 'quarantined');
+  assert.ok(countCrashes() >= 1, 'the poison has run');
+  assert.ok(countCrashes() <= 2, `${countCrashes()} engines were taken down`);
+  assert.equal(sumOf(cluster, 'wrongResumes'), 0);
+});
+
+// The caller gets the start of its answer, then an error event that says how many tokens it has, so
+// that it can go on from there; never an end that looks whole. Its entry is told to stop, and the
+// answer is longer than the platform's limit lets it wait.
+test('an answer that outlasts the stop of its entry says how much was given', async (context) => {
+  const { cluster, callers } = await startCluster(context, { shutdownMilliseconds: 1000 });
+  const response = await ask(callers, 'Is there no one left?', 400);
+  const busy = findBusy(cluster);
+  await until('tokens', () => busy.counts.generatedTokens > 5);
+  const closing = cluster.close();
+  const streamed = await response.text();
+  await closing;
+  const [before = '', event = ''] = streamed.split('event: error\ndata: ');
+  assert.ok(!streamed.includes('[DONE]'));
+  const { error } = JSON.parse(event) as { error: Problem & { readonly tokensGiven?: number } };
+  const given = readText(`${before}data: [DONE]\n\n`);
+  assert.ok(given.length > 0);
+  assert.equal(given, generateAnswer('Is there no one left?', error.tokensGiven ?? 0));
+});
--- a/apps/entry/src/CallerAnswer.ts
+++ b/apps/entry/src/CallerAnswer.ts
@@ -22,6 +22,11 @@
     return this.response.destroyed || this.response.writableEnded;
   }
 
+  /** Tokens of a streamed answer that have been written to the caller, if there are any. */
+  get tokensGiven(): number | undefined {
+    return undefined;
+  }
+
   /** Ends the answer as whole. */
   abstract finish(): void;
 
--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -3,9 +3,20 @@
  * on sizes, and hands it to the reducer; everything after that is decided there.
  */
 import { createHash } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  STATUS_CODES,
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
+import {
+  HornbeampondError,
+  toProblemDocument,
+  type EntrySettings,
+  type Milliseconds,
+} from '@hornbeampond/schema';
 import { readBody, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import { digestPrefixes, splitPrompt, type CompletionBody } from '@hornbeampond/adapters';
@@ -47,6 +58,19 @@
 /** Longest `Idempotency-Key` in characters. */
 const MOST_KEY_CHARACTERS = 256;
 
+/** An answer for a request that Node could not read, so that there is no response to write to. */
+function formatRawProblem(error: HornbeampondError): string {
+  const problem = toProblemDocument(error);
+  const body = JSON.stringify(problem);
+  const lines = [
+    `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status] ?? ''}`,
+    'content-type: application/problem+json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
 export class CallerServer {
   private readonly server: Server;
 
@@ -64,9 +88,9 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
       const kind = tooLarge ? 'headersTooLarge' : 'badRequest';
-      options.onRefused(new HornbeampondError(kind, 'The request could not be read'));
-      const line = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-      if (socket.writable) socket.end(`HTTP/1.1 ${line}\r\nconnection: close\r\n\r\n`);
+      const problem = new HornbeampondError(kind, 'The request could not be read');
+      options.onRefused(problem);
+      if (socket.writable) socket.end(formatRawProblem(problem));
     });
   }
 
--- a/apps/entry/src/CompletionAnswer.ts
+++ b/apps/entry/src/CompletionAnswer.ts
@@ -41,6 +41,11 @@
     return this.tokens;
   }
 
+  /** Of an answer that is asked for whole the caller has nothing before its end. */
+  override get tokensGiven(): number | undefined {
+    return this.shape.streamed && this.tokens > 0 ? this.tokens : undefined;
+  }
+
   async writeToken(text: string, tokens: number): Promise<void> {
     if (this.text.length + text.length > this.shape.mostCharacters) {
       throw new HornbeampondError('answerCut', 'The answer is above the bound on its size');
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -281,9 +281,13 @@
         this.endExchange(effect.requestId, ({ answer }) => answer.finish());
         return;
       case 'answerProblem': {
-        const { kind, detail, retryAfterMilliseconds, ran } = effect;
-        const error = new HornbeampondError(kind, detail, { retryAfterMilliseconds, ran });
-        this.endExchange(effect.requestId, ({ answer }) => answer.fail(error));
+        const { kind, detail, requestId, retryAfterMilliseconds, ran } = effect;
+        this.endExchange(requestId, ({ answer }) => {
+          // The reducer's count is that of the last edge; the relay knows what the caller has.
+          const { tokensGiven } = answer;
+          const details = { retryAfterMilliseconds, ran, tokensGiven };
+          answer.fail(new HornbeampondError(kind, detail, details));
+        });
         return;
       }
       case 'replayAnswer':
--- a/packages/schema/src/errors/HornbeampondError.ts
+++ b/packages/schema/src/errors/HornbeampondError.ts
@@ -15,6 +15,8 @@
   readonly faults?: readonly { readonly where: string; readonly reason: string }[];
   /** The revision in force, with `revisionStale`. */
   readonly currentRevision?: number;
+  /** Tokens of the answer that the caller has already been given. */
+  readonly tokensGiven?: number;
 }
 
 class HornbeampondErrorBase extends ModernError {
@@ -59,6 +61,7 @@
   readonly retryAfterSeconds?: number;
   readonly requestId?: string;
   readonly currentRevision?: number;
+  readonly tokensGiven?: number;
   readonly faults?: readonly { readonly where: string; readonly reason: string }[];
 }
 
@@ -72,7 +75,7 @@
       ? error
       : new HornbeampondError('internalError', 'An unexpected error occurred', {}, error);
   const answer = errorAnswers[known.kind];
-  const { retryAfterMilliseconds, ran, faults, currentRevision } = known.details;
+  const { retryAfterMilliseconds, ran, faults, currentRevision, tokensGiven } = known.details;
   const retryAfterSeconds =
     retryAfterMilliseconds === undefined
       ? DEFAULT_RETRY_AFTER_SECONDS
@@ -87,6 +90,7 @@
     ...(answer.retryHelps ? { retryAfterSeconds } : {}),
     ...(requestId === undefined ? {} : { requestId }),
     ...(currentRevision === undefined ? {} : { currentRevision }),
+    ...(tokensGiven === undefined ? {} : { tokensGiven }),
     ...(faults === undefined ? {} : { faults }),
   };
 }
