Tell the reducer a probed server's incarnation

Cause: the reducer tells a crash from a lost connection by the incarnation, but no adapter told one, so that a restart within the probe was only guessed from the number of resets.

Change: probe resolves to a SignOfLife; the HTTP adapters read incarnation from the health answer's JSON. The fake engine names its start, the fake plain service tells nothing. An answer of another shape is a sign of life all the same: judged as a fault, a server without JSON would look dead.

Ruled out: a probe that fails on an unknown shape, for that reason.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -328,8 +328,9 @@
   private async probe(target: Extract<EntryEffect, { type: 'probe' }>['target']): Promise<void> {
     const { instance } = target;
     try {
-      await this.adapters.find(target).adapter.probe(AbortSignal.timeout(PROBE_MILLISECONDS));
-      this.dispatch({ type: 'probeAnswered', instance, answered: true });
+      const signal = AbortSignal.timeout(PROBE_MILLISECONDS);
+      const signOfLife = await this.adapters.find(target).adapter.probe(signal);
+      this.dispatch({ type: 'probeAnswered', instance, answered: true, ...signOfLife });
     } catch {
       this.dispatch({ type: 'probeAnswered', instance, answered: false });
     }
--- a/packages/adapters/src/EngineAdapter.ts
+++ b/packages/adapters/src/EngineAdapter.ts
@@ -7,6 +7,7 @@
  * `BackendServerFailure`.
  */
 import type { CacheEvent, LoadReport, Order, OrderResult } from '@hornbeampond/schema';
+import type { SignOfLife } from './SignOfLife.js';
 
 export interface ChatMessage {
   readonly role: string;
@@ -95,7 +96,7 @@
   abstract sendOrder(order: Order, signal: AbortSignal): Promise<OrderResult>;
 
   /** Asks for a sign of life over a new connection; rejects if there is none. */
-  abstract probe(signal: AbortSignal): Promise<void>;
+  abstract probe(signal: AbortSignal): Promise<SignOfLife>;
 
   /** Lets running calls finish on the connections they have; later calls open new ones. */
   abstract renewConnections(): void;
--- a/packages/adapters/src/PlainServiceAdapter.ts
+++ b/packages/adapters/src/PlainServiceAdapter.ts
@@ -5,6 +5,7 @@
  * failure is a `BackendServerFailure`. A status of 4xx or 5xx is an answer, not a failure.
  */
 import type { LoadReport } from '@hornbeampond/schema';
+import type { SignOfLife } from './SignOfLife.js';
 
 /** Headers with lower-case names. A header that came more than once has all its values. */
 export type HeaderFields = Readonly<Record<string, string | readonly string[]>>;
@@ -41,7 +42,7 @@
   abstract readLoad(signal: AbortSignal): Promise<LoadReport>;
 
   /** Asks for a sign of life over a new connection; rejects if there is none. */
-  abstract probe(signal: AbortSignal): Promise<void>;
+  abstract probe(signal: AbortSignal): Promise<SignOfLife>;
 
   /** Lets running calls finish on the connections they have; later calls open new ones. */
   abstract renewConnections(): void;
--- a/packages/adapters/src/http/HttpEngineAdapter.ts
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -23,6 +23,7 @@
   type ExportedCache,
 } from '../EngineAdapter.js';
 import { formatOrigin, HttpConnections, type HttpAnswer } from './HttpConnections.js';
+import type { SignOfLife } from '../SignOfLife.js';
 import { probeHealth } from './probeHealth.js';
 import { readBytes, readJson, readNothing, requireSuccess } from './readAnswer.js';
 import { readCompletion } from './readCompletion.js';
@@ -129,8 +130,8 @@
     return (await readJson(orderResultSchema, answer)).result;
   }
 
-  override async probe(signal: AbortSignal): Promise<void> {
-    await probeHealth(this.connections, signal);
+  override async probe(signal: AbortSignal): Promise<SignOfLife> {
+    return probeHealth(this.connections, signal);
   }
 
   override renewConnections(): void {
--- a/packages/adapters/src/http/HttpPlainServiceAdapter.ts
+++ b/packages/adapters/src/http/HttpPlainServiceAdapter.ts
@@ -11,6 +11,7 @@
   type PlainServiceRequest,
 } from '../PlainServiceAdapter.js';
 import { formatOrigin, HttpConnections, type HttpAnswer } from './HttpConnections.js';
+import type { SignOfLife } from '../SignOfLife.js';
 import { probeHealth } from './probeHealth.js';
 import { readJson } from './readAnswer.js';
 import { loadReportSchema } from './wireSchemas.js';
@@ -102,8 +103,8 @@
     return readJson(loadReportSchema, await this.connections.send(call));
   }
 
-  override async probe(signal: AbortSignal): Promise<void> {
-    await probeHealth(this.connections, signal);
+  override async probe(signal: AbortSignal): Promise<SignOfLife> {
+    return probeHealth(this.connections, signal);
   }
 
   override renewConnections(): void {
--- a/packages/adapters/src/http/probeHealth.ts
+++ b/packages/adapters/src/http/probeHealth.ts
@@ -3,11 +3,29 @@
  * be the very connection that went silent.
  */
 import type { HttpConnections } from './HttpConnections.js';
-import { readNothing } from './readAnswer.js';
+import type { SignOfLife } from '../SignOfLife.js';
+import { MOST_JSON_BYTES, readBytes, requireSuccess } from './readAnswer.js';
+
+/** Longest name of an incarnation that is taken; anything longer is no name. */
+const MOST_CHARACTERS = 200;
+
+/** A server that answers in another shape is alive all the same: it only tells no incarnation. */
+function readIncarnation(text: string): string | undefined {
+  try {
+    const value = (JSON.parse(text) as { readonly incarnation?: unknown } | null)?.incarnation;
+    const named = typeof value === 'string' && value !== '' && value.length <= MOST_CHARACTERS;
+    return named ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
 
 export async function probeHealth(
   connections: HttpConnections,
   signal: AbortSignal,
-): Promise<void> {
-  await readNothing(await connections.sendFresh({ method: 'GET', path: '/health', signal }));
+): Promise<SignOfLife> {
+  const answer = await connections.sendFresh({ method: 'GET', path: '/health', signal });
+  await requireSuccess(answer);
+  const incarnation = readIncarnation((await readBytes(answer, MOST_JSON_BYTES)).toString('utf8'));
+  return incarnation === undefined ? {} : { incarnation };
 }
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -3,6 +3,7 @@
 export * from './PlainServiceAdapter.js';
 export * from './PlatformAdapter.js';
 export * from './WeightStoreAdapter.js';
+export * from './SignOfLife.js';
 export { HttpEngineAdapter } from './http/HttpEngineAdapter.js';
 export { HttpPlainServiceAdapter } from './http/HttpPlainServiceAdapter.js';
 export { HttpPlatformAdapter } from './http/HttpPlatformAdapter.js';
--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -327,3 +327,15 @@
   await engine.restart();
   assert.deepEqual([engine.role, engine.orders], ['both', []]);
 });
+
+// An engine that answers can have crashed and be back already; only its name of itself tells.
+test('a probe tells the incarnation, which changes with a restart', async (t) => {
+  const { engine, adapter } = await meet(t);
+  const { incarnation } = await adapter.probe(signal);
+  assert.equal(incarnation, engine.incarnation);
+  assert.equal((await adapter.probe(signal)).incarnation, incarnation);
+  await engine.die();
+  await engine.restart();
+  const after = (await adapter.probe(signal)).incarnation;
+  assert.ok(after !== undefined && after !== incarnation);
+});
--- a/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
@@ -154,7 +154,8 @@
   const { service, adapter } = await meet(t);
   service.setBusy(true);
   assert.equal((await adapter.send(offer)).status, 503);
-  await adapter.probe(signal);
+  // It tells no incarnation, and is alive all the same.
+  assert.deepEqual(await adapter.probe(signal), {});
   assert.equal((await adapter.readLoad(signal)).instance, 'service-1');
   assert.equal(service.runs.length, 0);
 });
--- a/packages/testing/src/fakes/FakeEngine.ts
+++ b/packages/testing/src/fakes/FakeEngine.ts
@@ -211,7 +211,7 @@
         await this.answerOrder(response, JSON.parse(String(body)) as Order);
         break;
       case 'GET /health':
-        answerJson(response, 200, {});
+        answerJson(response, 200, { incarnation: this.incarnation });
         break;
       default:
         answerJson(response, 404, { error: 'not found' });
--- a/packages/testing/src/fakes/FakeServer.ts
+++ b/packages/testing/src/fakes/FakeServer.ts
@@ -31,6 +31,8 @@
 
   private server: Server | undefined;
 
+  private starts = 0;
+
   private readonly sockets = new Set<Socket>();
 
   private readonly silentSockets = new WeakSet<Socket>();
@@ -60,6 +62,11 @@
   /** Drops what a process loses when it dies. */
   protected abstract forget(): void;
 
+  /** What it calls itself since its start; another name after each `restart`. */
+  get incarnation(): string {
+    return `${this.port}-${this.starts}`;
+  }
+
   /** Begins to listen; after `die`, on the same port and with nothing remembered. */
   async restart(): Promise<void> {
     const server = createServer({ keepAliveTimeout: 0, requestTimeout: 0 }, (request, response) => {
@@ -72,6 +79,7 @@
     });
     this.listeningPort = (server.address() as AddressInfo).port;
     this.server = server;
+    this.starts += 1;
   }
 
   /** Ends at once, as a killed process does: connections break, later ones are refused. */
