Have subscribers leave a store that has lost touch with the others

A store without a known leader for four election timeouts says so, and its subscribers move to another within reach. Ruled out: polling other stores' revisions, which costs a message per entry and interval for a rare case.

--- a/apps/store/src/StoreCluster.test.ts
+++ b/apps/store/src/StoreCluster.test.ts
@@ -228,3 +228,18 @@
   assert.equal(again.type, 'claimDone');
   assert.equal(Buffer.from(again.answer?.body ?? []).toString(), 'sold');
 });
+
+// Entries stay connected to the store of their data centre while it is cut off from the other
+// stores. Without a word from it they would follow a store that hears of nothing any more, although
+// others are within reach; callers would meet old routes for as long as the cut lasts.
+test('subscribers leave a store that has lost touch with the others', async () => {
+  await runChanges(1, 2);
+  await waitForRevision(2);
+  const followed = await waitFor('a store that entry-1 follows', async () => {
+    const statuses = await clientAt(0).client.readStatus();
+    return statuses.find(({ instances }) => instances.some((it) => it.instance === 'entry-1'));
+  });
+  cluster.links.cut(followed.instance);
+  await runChanges(3, 5);
+  await waitForRevision(5);
+});
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -62,6 +62,9 @@
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
+/** Election timeouts without a known leader after which a store is out of touch. */
+const LEADERLESS_TIMEOUTS = 4;
+
 /** What happens to a store, without the clocks. */
 type Occurrence = ConsensusEvent extends infer Event
   ? Event extends { now: number; wallNow: number }
@@ -113,6 +116,10 @@
 
   private cancelWake: Unsubscribe = () => {};
 
+  private cancelOutOfTouch: Unsubscribe = () => {};
+
+  private isLeaderless = false;
+
   private closed = false;
 
   /** True once a step was not carried out to its end. */
@@ -202,6 +209,7 @@
   async close(): Promise<void> {
     this.closed = true;
     this.cancelWake();
+    this.cancelOutOfTouch();
     this.joining.stop();
     this.sending.clear();
     this.peers.close();
@@ -299,6 +307,7 @@
         return;
       case 'roleChanged':
         this.logger.write('storeRoleChanged', { ...effect });
+        this.watchLeader(effect.leader);
         return;
       case 'messageRefused':
         this.logger.write('storeMessageRefused', { from: effect.from, reason: effect.reason });
@@ -312,6 +321,23 @@
     }
   }
 
+  /**
+   * Tells subscribers when no leader has been known for a while. They would otherwise follow a
+   * store that hears of no change, while others are within their reach.
+   */
+  private watchLeader(leader: string | undefined): void {
+    const isLeaderless = leader === undefined;
+    // A store that stands for election again and again has been leaderless all the while.
+    if (isLeaderless === this.isLeaderless) return;
+    this.isLeaderless = isLeaderless;
+    this.cancelOutOfTouch();
+    if (!isLeaderless) return;
+    const patience = LEADERLESS_TIMEOUTS * this.settings.electionTimeoutMilliseconds;
+    this.cancelOutOfTouch = this.timers.after(patience, () => {
+      if (!this.closed) this.subscribers.push({ type: 'outOfTouch' });
+    });
+  }
+
   /** Runs disk work one after another, in the order in which it was asked for. */
   private onDisk(work: () => Promise<void>): void {
     this.disk = this.disk.then(work).catch((error: unknown) => this.reportDiskFailure(error));
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -199,7 +199,6 @@
       secret: SECRET,
       timers: this.timers,
       logger: new Logger({ process: 'test', instance }, 'error'),
-      heartbeatMilliseconds: 200,
     };
   }
 }
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -97,4 +97,6 @@
   | { readonly type: 'configurationDelta'; readonly delta: ConfigurationDelta }
   /** All rows, where no delta can be made. */
   | { readonly type: 'configuration'; readonly configuration: Configuration }
-  | { readonly type: 'quarantine'; readonly quarantine: readonly QuarantineEntry[] };
+  | { readonly type: 'quarantine'; readonly quarantine: readonly QuarantineEntry[] }
+  /** This store has known no leader for a while: what it holds may be old, and grows no newer. */
+  | { readonly type: 'outOfTouch' };
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -192,11 +192,26 @@
       case 'configurationDelta':
         this.note(this.follower.takeDelta(push.delta));
         return;
-      default:
+      case 'quarantine':
         this.handlers.onQuarantine?.(push.quarantine);
+        return;
+      default:
+        this.leaveOutOfTouch();
     }
   }
 
+  /** Moves to another store, if one is within reach; it may be out of touch as well, and say so. */
+  private leaveOutOfTouch(): void {
+    const { report, subscription } = this;
+    if (report === undefined || subscription === undefined) return;
+    const others = this.stores.filter(
+      (store) => store !== subscription.store && store.client.isOpen,
+    );
+    this.next += 1;
+    const store = others[this.next % Math.max(1, others.length)];
+    if (store !== undefined) this.subscribe(store, report);
+  }
+
   /** Hands on what is newer; after a gap it asks the same store for all of it. */
   private note(result: FollowResult): void {
     const { newest } = this.follower;
