Read engines' cache events, and tell a listed but dead instance as lost

Cause: the entry's shell never asked for cache events, so affinity worked in the reducer only; and nothing told the controller of an instance that the platform lists but that answers nothing, so it was never replaced. The controller probes one that has answered no poll for 30 s (ruled out: three polls, which would replace engines that only restart after a crash).

--- a/apps/controller/src/ControllerProcess.ts
+++ b/apps/controller/src/ControllerProcess.ts
@@ -134,6 +134,7 @@
       onNotice: (noticed, goneAt) =>
         this.dispatch({ type: 'reclaimNoticed', instance: noticed, goneAt }),
       onLoad: (report) => this.dispatch({ type: 'loadReported', report }),
+      onLost: (lost) => this.dispatch({ type: 'instanceLost', instance: lost }),
       onLoadRate: (loadsPerMinute) => this.dispatch({ type: 'loadRateRead', loadsPerMinute }),
     });
     this.exchange = new FleetExchange({
--- /dev/null
+++ b/apps/controller/src/FleetWatcher.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { HttpPlatformAdapter } from '@hornbeampond/adapters';
+import { Logger, SystemTimerService } from '@hornbeampond/runtime';
+import { emptyConfiguration, type Pool } from '@hornbeampond/schema';
+import { FakeEngine, FakePlatform } from '@hornbeampond/testing';
+import { FleetWatcher } from './FleetWatcher.js';
+
+const pool: Pool = {
+  name: 'appraisers',
+  kind: 'modelEngine',
+  dataCentres: ['wien-a'],
+  instanceClasses: [{ name: 'gpu', eurosPerHour: 1, reclaimable: true, concurrency: 8 }],
+  least: 1,
+  most: 1,
+  model: 'appraiser',
+  checksFencing: true,
+};
+
+async function startWatcher(context: TestContext) {
+  const engine = await FakeEngine.start({ instance: 'engine-1' });
+  const platform = await FakePlatform.start();
+  const { host, port } = engine;
+  const place = { dataCentre: 'wien-a', instanceClass: 'gpu', pool: pool.name };
+  platform.add({ instance: 'engine-1', ...place, state: 'live', host, port });
+  const lost = new Set<string>();
+  let polled: () => void = () => {};
+  const watcher = new FleetWatcher({
+    platform: new HttpPlatformAdapter(platform.url),
+    weightStore: undefined,
+    timers: new SystemTimerService(),
+    logger: new Logger({ process: 'test', instance: 'test' }, 'error'),
+    dataCentre: 'wien-a',
+    pollMilliseconds: 50,
+    lostMilliseconds: 200,
+    readConfiguration: () => ({ ...emptyConfiguration, pools: { revision: 1, rows: [pool] } }),
+    onListed: () => polled(),
+    onNotice: () => {},
+    onLoad: () => {},
+    onLost: (instance) => lost.add(instance),
+    onLoadRate: () => {},
+  });
+  watcher.start();
+  context.after(async () => Promise.all([watcher.close(), engine.close(), platform.close()]));
+  const nextPoll = async () =>
+    new Promise<void>((resolve) => {
+      polled = resolve;
+    });
+  return { engine, lost, nextPoll };
+}
+
+// Callers would be a server short for as long as the platform goes on listing a dead instance: its
+// list says live, nothing answers there, and nobody would replace it.
+test('an instance that is listed but dead is told as lost', async (context) => {
+  const { engine, lost, nextPoll } = await startWatcher(context);
+  await nextPoll();
+  await engine.die();
+  while (!lost.has('engine-1')) await nextPoll();
+});
+
+// An engine's connections went silent, and new ones work. Were it taken for lost, its streams' work
+// would be thrown away with it.
+test('an instance that answers new connections is not lost', async (context) => {
+  const { engine, lost, nextPoll } = await startWatcher(context);
+  await nextPoll();
+  engine.goSilent();
+  for (let polls = 0; polls < 12; polls += 1) await nextPoll();
+  assert.equal(lost.size, 0);
+});
--- a/apps/controller/src/FleetWatcher.ts
+++ b/apps/controller/src/FleetWatcher.ts
@@ -26,13 +26,25 @@
   readonly logger: Logger;
   readonly dataCentre: string;
   readonly pollMilliseconds: Milliseconds;
+  /** How long an instance may answer nothing; 30 s unless given. */
+  readonly lostMilliseconds?: Milliseconds;
   readConfiguration(): Configuration;
   onListed(instances: readonly PlatformInstance[]): void;
   onNotice(instance: string, goneAt: EpochMilliseconds): void;
   onLoad(report: LoadReport): void;
+  /** The instance is dead beyond doubt. */
+  onLost(instance: string): void;
   onLoadRate(loadsPerMinute: number): void;
 }
 
+/**
+ * An instance that has answered no poll for so long is probed. A server process that crashed and is
+ * started again on its instance is back before that, and must not be replaced.
+ */
+const LOST_MILLISECONDS = 30_000;
+
+const PROBE_MILLISECONDS = 2000;
+
 type Adapter = EngineAdapter | PlainServiceAdapter;
 
 export class FleetWatcher {
@@ -44,6 +56,9 @@
 
   private polling = false;
 
+  /** Since when an instance has answered no poll. */
+  private readonly unansweredSince = new Map<string, number>();
+
   constructor(private readonly options: FleetWatcherOptions) {}
 
   start(): void {
@@ -97,6 +112,7 @@
         platform.readNotices(signal),
       ]);
       this.instances = instances;
+      this.forgetUnlisted();
       onListed(instances);
       notices.forEach(({ instance, goneAt }) => onNotice(instance, goneAt));
     } catch (error) {
@@ -107,15 +123,41 @@
   private async pollLoad(listed: PlatformInstance): Promise<void> {
     const { dataCentre, pollMilliseconds, onLoad } = this.options;
     if (listed.dataCentre !== dataCentre || listed.state === 'starting') return;
+    const { instance } = listed;
     try {
       const signal = AbortSignal.timeout(pollMilliseconds);
       const report = await this.adapterOf(listed)?.readLoad(signal);
-      if (report !== undefined) onLoad({ ...report, instance: listed.instance });
+      if (report !== undefined) onLoad({ ...report, instance });
+      this.unansweredSince.delete(instance);
     } catch {
       // An instance that does not answer keeps its last report, whose age says so.
+      const now = this.options.timers.monotonicNow();
+      const since = this.unansweredSince.get(instance) ?? now;
+      this.unansweredSince.set(instance, since);
+      const patience = this.options.lostMilliseconds ?? LOST_MILLISECONDS;
+      if (now - since >= patience) await this.checkLost(listed);
     }
   }
 
+  /**
+   * The platform may list a dead instance for long, and it would never be replaced. It is taken for
+   * lost only if a new connection to it fails as well: one that is merely slow still answers that.
+   */
+  private async checkLost(listed: PlatformInstance): Promise<void> {
+    try {
+      await this.adapterOf(listed)?.probe(AbortSignal.timeout(PROBE_MILLISECONDS));
+    } catch {
+      this.options.onLost(listed.instance);
+    }
+  }
+
+  private forgetUnlisted(): void {
+    const listed = new Set(this.instances.map(({ instance }) => instance));
+    [...this.unansweredSince.keys()].forEach((instance) => {
+      if (!listed.has(instance)) this.unansweredSince.delete(instance);
+    });
+  }
+
   private async pollRate(): Promise<void> {
     const { weightStore, pollMilliseconds, onLoadRate } = this.options;
     if (weightStore === undefined) return;
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -1,11 +1,12 @@
 /**
- * Reads the platform's list of instances and their reclaim notices, and the load of each backend
- * server, at steady intervals.
+ * Reads the platform's list of instances and their reclaim notices, the load of each backend server
+ * and the cache events of each engine, at steady intervals.
  */
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import type { AttemptTarget, EntryOccurrence } from '@hornbeampond/entry-core';
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { Configuration, Milliseconds, PlatformInstance } from '@hornbeampond/schema';
+import { CacheEventReader } from './CacheEventReader.js';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 
 export interface BackendServerWatcherOptions {
@@ -25,6 +26,8 @@
 
   private polling = false;
 
+  private readonly cacheEvents = new CacheEventReader();
+
   constructor(private readonly options: BackendServerWatcherOptions) {}
 
   /** Polls once, then at every interval; resolves after the first poll. */
@@ -46,7 +49,7 @@
     this.polling = true;
     try {
       await this.pollPlatform();
-      await Promise.all(this.instances.map(async (instance) => this.pollLoad(instance)));
+      await Promise.all(this.instances.map(async (instance) => this.pollInstance(instance)));
     } finally {
       this.polling = false;
     }
@@ -61,6 +64,7 @@
         platform.readNotices(signal),
       ]);
       this.instances = instances;
+      this.cacheEvents.keepOnly(instances.map(({ instance }) => instance));
       dispatch({ type: 'instancesListed', instances });
       notices.forEach(({ instance, goneAt }) => {
         dispatch({ type: 'reclaimNoticed', instance, goneAt });
@@ -71,14 +75,18 @@
     }
   }
 
-  private async pollLoad(instance: PlatformInstance): Promise<void> {
+  private async pollInstance(instance: PlatformInstance): Promise<void> {
     const target = this.targetOf(instance);
     if (target === undefined || instance.state === 'starting') return;
     const { adapters, dispatch, pollMilliseconds } = this.options;
     try {
       const signal = AbortSignal.timeout(pollMilliseconds);
-      const report = await adapters.find(target).adapter.readLoad(signal);
+      const found = adapters.find(target);
+      const report = await found.adapter.readLoad(signal);
       dispatch({ type: 'loadReported', report: { ...report, instance: instance.instance } });
+      if (found.kind !== 'modelEngine') return;
+      const events = await this.cacheEvents.read(instance.instance, found.adapter, signal);
+      if (events.length > 0) dispatch({ type: 'cacheEventsReceived', events });
     } catch {
       // A missing report is told by its age; what reaches callers is told by their attempts.
     }
--- /dev/null
+++ b/apps/entry/src/CacheEventReader.ts
@@ -0,0 +1,36 @@
+/**
+ * Reads the cache events of model engines, each engine's from where the last reading ended. The
+ * events are late and have gaps; what they are worth is for the reducer to judge.
+ */
+import type { EngineAdapter } from '@hornbeampond/adapters';
+import type { CacheEvent } from '@hornbeampond/schema';
+
+export class CacheEventReader {
+  /** By instance, the newest sequence that was given out. */
+  private readonly newest = new Map<string, number>();
+
+  /** The events since the last reading, named after the instance as the platform knows it. */
+  async read(
+    instance: string,
+    engine: EngineAdapter,
+    signal: AbortSignal,
+  ): Promise<readonly CacheEvent[]> {
+    const after = this.newest.get(instance) ?? 0;
+    const batch = await engine.readCacheEvents(after, signal);
+    this.newest.set(instance, batch.newestSequence);
+    const events = batch.events.map((event) => ({ ...event, instance }));
+    if (batch.newestSequence >= after) return events;
+    // Sequences begin anew with an engine's process, whose cache is then empty.
+    this.newest.set(instance, 0);
+    const sequence = batch.newestSequence;
+    return [{ instance, sequence, change: 'cleared', prefixDigests: [] }];
+  }
+
+  /** Forgets engines that are no longer listed. */
+  keepOnly(instances: readonly string[]): void {
+    const kept = new Set(instances);
+    [...this.newest.keys()].forEach((instance) => {
+      if (!kept.has(instance)) this.newest.delete(instance);
+    });
+  }
+}
