Say 'is missing' where a key is not there, by one function for all checks

A newcomer's settings file named each missing key as 'Invalid input: expected string, received undefined'.

--- a/apps/entry/src/parseCompletion.ts
+++ b/apps/entry/src/parseCompletion.ts
@@ -1,5 +1,5 @@
 /** Checks the body of a chat completion as far as the system itself depends on it. */
-import { HornbeampondError } from '@hornbeampond/schema';
+import { describeIssue, HornbeampondError } from '@hornbeampond/schema';
 import type { CompletionBody } from '@hornbeampond/adapters';
 import { z } from 'zod';
 
@@ -31,7 +31,7 @@
   if (parsed.success) return parsed.data;
   const faults = parsed.error.issues.map((issue) => ({
     where: issue.path.join('.'),
-    reason: issue.message,
+    reason: describeIssue(issue),
   }));
   throw new HornbeampondError('badRequest', 'The body is not a chat completion', { faults });
 }
--- a/packages/runtime/src/readSettings.ts
+++ b/packages/runtime/src/readSettings.ts
@@ -3,7 +3,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
-import type { Fault } from '@hornbeampond/schema';
+import { describeIssue, type Fault } from '@hornbeampond/schema';
 import type { z } from 'zod';
 
 /** The settings, or every fault that was found. */
@@ -31,7 +31,7 @@
   if (parsed.success) return { ok: true, settings: parsed.data };
   const faults = parsed.error.issues.map((issue) => ({
     where: describeKey(issue.path),
-    reason: issue.message,
+    reason: describeIssue(issue),
   }));
   return { ok: false, faults };
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,4 +1,5 @@
 export * from './assertNever.js';
+export * from './describeIssue.js';
 export * from './errors/HornbeampondError.js';
 export * from './errors/errorKinds.js';
 export * from './logEvents/LogEventDefinition.js';
--- a/packages/schema/src/tables/checkTables.ts
+++ b/packages/schema/src/tables/checkTables.ts
@@ -4,6 +4,7 @@
  * valid everywhere.
  */
 import type { z } from 'zod';
+import { describeIssue } from '../describeIssue.js';
 import { poolRowsSchema, type Pool } from './pools.js';
 import { routeRowsSchema, type Route } from './routes.js';
 import type { TableName } from './Configuration.js';
@@ -35,7 +36,7 @@
 function toFaults(table: TableName, rows: unknown, error: z.ZodError): Fault[] {
   return error.issues.map((issue) => ({
     where: describePath(table, rows, issue.path),
-    reason: issue.message,
+    reason: describeIssue(issue),
   }));
 }
 
