--- a/apps/store/src/StoreCluster.test.ts
+++ b/apps/store/src/StoreCluster.test.ts
@@ -243,3 +243,20 @@
   await runChanges(3, 5);
   await waitForRevision(5);
 });
+
+// Nothing is to be seen by callers. An operator starts a second store under the name of one that
+// runs, on an empty folder. Were it taken for the same store with a lost disk, the one that runs would
+// lose its vote, and with it a copy of everything; it is turned away as long as the other is heard of.
+test('a second store under a name that is in use is not let in', async () => {
+  await runChanges(1, 2);
+  const leader = await cluster.waitForLeader();
+  const name = leader === 'store-4' ? 'store-3' : 'store-4';
+  const second = await cluster.openSecond(name);
+  await runChanges(3, 40);
+  await cluster.waitForVoters(5);
+  const statuses = await clientAt(0).client.readStatus();
+  assert.equal(statuses.find(({ instance }) => instance === name)?.role, 'follower');
+  await second.close();
+  await cluster.close(leader);
+  await runChanges(41, 42);
+});
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -19,7 +19,6 @@
   type StoreAddress,
   type StoreCommand,
   type StoreRequest,
-  type StoreResponse,
   type StoreSettings,
   type StoreStatus,
 } from '@hornbeampond/schema';
@@ -53,10 +52,11 @@
   type PeerSession,
 } from '@hornbeampond/transport';
 import { JoinRequests } from './JoinRequests.js';
-import { RequestDesk, type Respond } from './RequestDesk.js';
+import { RequestDesk } from './RequestDesk.js';
 import { SnapshotCache } from './SnapshotCache.js';
 import { StoreOperations } from './StoreOperations.js';
 import { StorePeers } from './StorePeers.js';
+import { StoreRequests } from './StoreRequests.js';
 import { Subscribers } from './Subscribers.js';
 import type { DiskContents, SavedSnapshot, StoreDisk } from './StoreDisk.js';
 
@@ -66,7 +66,7 @@
 const LEADERLESS_TIMEOUTS = 4;
 
 /** What happens to a store, without the clocks. */
-type Occurrence = ConsensusEvent extends infer Event
+export type StoreOccurrence = ConsensusEvent extends infer Event
   ? Event extends { now: number; wallNow: number }
     ? Omit<Event, 'now' | 'wallNow'>
     : never
@@ -108,10 +108,10 @@
 
   private disk: Promise<void> = Promise.resolve();
 
-  private proposals: { requestId: string; command: StoreCommand }[] = [];
-
   private readonly joining: JoinRequests;
 
+  private readonly requests: StoreRequests;
+
   private address: StoreAddress;
 
   private cancelWake: Unsubscribe = () => {};
@@ -151,17 +151,27 @@
       isMember: () => this.isMember(),
       describe: () => ({ ...this.address, identity: this.loop.state.self.identity }),
     });
+    this.requests = new StoreRequests({
+      timers,
+      desk: this.desk,
+      subscribers: this.subscribers,
+      readState: () => this.loop.state,
+      readMachine: () => this.machine,
+      readStatus: () => this.readStatus(),
+      dispatch: (occurrence) => this.dispatch(occurrence),
+    });
     this.server = new PeerServer(context, {
       onOpen: ({ peer }) => this.peers.greet(peer.instance),
       onPush: (session, body) => this.receive(session, body as Envelope),
-      onRequest: (session, body, respond) => this.answer(session, body as StoreRequest, respond),
+      onRequest: (session, body, respond) =>
+        this.requests.answer(session, body as StoreRequest, respond),
       onClose: (session) => this.subscribers.remove(session),
     });
     const operations = new StoreOperations({
       operatorKeys: settings.operatorKeys,
       found: () => this.found(),
       join: () => this.joining.start(),
-      remove: async (removed) => this.removeVoter(removed),
+      remove: async (removed) => this.requests.removeVoter(removed),
     });
     this.operators = new OperatorServer({
       metrics: this.metrics,
@@ -239,7 +249,7 @@
     );
   }
 
-  private dispatch(occurrence: Occurrence): void {
+  private dispatch(occurrence: StoreOccurrence): void {
     if (this.closed || this.failed) return;
     const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
     this.loop.dispatch({ ...occurrence, ...clocks });
@@ -417,106 +427,6 @@
     this.subscribers.push({ type: 'quarantine', quarantine });
   }
 
-  private answer(session: PeerSession, request: StoreRequest, respond: Respond): void {
-    switch (request.type) {
-      case 'propose':
-        this.propose(request.command, respond);
-        return;
-      case 'readConfiguration': {
-        const requestId = this.desk.add(respond, () => this.describeConfiguration());
-        this.dispatch({ type: 'read', requestId });
-        return;
-      }
-      case 'peekConfiguration':
-        respond(this.describeConfiguration());
-        return;
-      case 'subscribe':
-        this.subscribers.add(session, request.report);
-        respond({
-          type: 'subscribed',
-          configuration: this.machine.configuration,
-          quarantine: quarantineAt(this.machine, this.timers.wallNow()),
-        });
-        return;
-      case 'report':
-        this.subscribers.note(session, request.report);
-        respond({ type: 'accepted' });
-        return;
-      case 'readStatus':
-        respond({ type: 'status', status: this.readStatus() });
-        return;
-      case 'addVoter':
-        this.addVoter(request, respond);
-        return;
-      case 'removeVoter':
-        this.changeMembership(respond, request.instance);
-        return;
-      default:
-        assertNever(request);
-    }
-  }
-
-  /** Commands that come in within one turn of the process go into the log as one batch. */
-  private propose(command: StoreCommand, respond: Respond): void {
-    const requestId = this.desk.add(respond, (result) =>
-      result === undefined
-        ? { type: 'unsure', reason: 'the result is not there' }
-        : { type: 'result', result },
-    );
-    this.proposals.push({ requestId, command });
-    if (this.proposals.length > 1) return;
-    setImmediate(() => {
-      const { proposals } = this;
-      this.proposals = [];
-      this.dispatch({ type: 'propose', proposals });
-    });
-  }
-
-  /**
-   * A store whose disk is new asks to join. If the log still knows its instance by another disk,
-   * that disk is lost: its identity is removed first, so that it is never counted again.
-   */
-  private addVoter(request: Extract<StoreRequest, { type: 'addVoter' }>, respond: Respond): void {
-    const { identity, ...address } = request.voter;
-    const { members } = currentMembership(this.loop.state);
-    if (members.some((member) => member.identity === identity)) {
-      respond({ type: 'accepted' });
-      return;
-    }
-    const lost = members.find((member) => member.address.instance === address.instance);
-    const requestId = this.desk.add(respond, () => ({ type: 'accepted' }));
-    this.dispatch({
-      type: 'changeMembership',
-      requestId,
-      change:
-        lost === undefined
-          ? { type: 'addLearner', member: { identity, address } }
-          : { type: 'removeMember', identity: lost.identity },
-    });
-  }
-
-  private changeMembership(respond: Respond, instance: string): void {
-    const { members } = currentMembership(this.loop.state);
-    const member = members.find((known) => known.address.instance === instance);
-    if (member === undefined) {
-      respond({ type: 'unavailable', reason: `${instance} is no member` });
-      return;
-    }
-    const requestId = this.desk.add(respond, () => ({ type: 'accepted' }));
-    const change = { type: 'removeMember' as const, identity: member.identity };
-    this.dispatch({ type: 'changeMembership', requestId, change });
-  }
-
-  private async removeVoter(instance: string): Promise<StoreResponse> {
-    return new Promise((resolve) => {
-      this.changeMembership(resolve, instance);
-    });
-  }
-
-  private describeConfiguration(): StoreResponse {
-    return { type: 'configuration', configuration: this.machine.configuration };
-  }
-
   private readStatus(): StoreStatus {
     const { state } = this.loop;
     const { members } = currentMembership(state);
--- /dev/null
+++ b/apps/store/src/StoreRequests.ts
@@ -0,0 +1,161 @@
+/**
+ * Answers what entries, controllers, operators and joining stores ask of a store. What needs the
+ * log goes to the reducer and is answered when the reducer has decided its fate.
+ */
+import type { TimerService } from '@hornbeampond/runtime';
+import {
+  assertNever,
+  type StoreCommand,
+  type StoreRequest,
+  type StoreResponse,
+  type StoreStatus,
+} from '@hornbeampond/schema';
+import {
+  currentMembership,
+  quarantineAt,
+  type ConsensusState,
+  type MachineState,
+} from '@hornbeampond/store-core';
+import type { PeerSession } from '@hornbeampond/transport';
+import type { RequestDesk, Respond } from './RequestDesk.js';
+import type { StoreOccurrence } from './StoreProcess.js';
+import type { Subscribers } from './Subscribers.js';
+
+/** Election timeouts without a word from a member after which its disk may be taken for lost. */
+const LOST_TIMEOUTS = 4;
+
+export interface StoreRequestsOptions {
+  readonly timers: TimerService;
+  readonly desk: RequestDesk;
+  readonly subscribers: Subscribers;
+  readState(): ConsensusState;
+  readMachine(): MachineState;
+  readStatus(): StoreStatus;
+  dispatch(occurrence: StoreOccurrence): void;
+}
+
+export class StoreRequests {
+  private proposals: { requestId: string; command: StoreCommand }[] = [];
+
+  constructor(private readonly options: StoreRequestsOptions) {}
+
+  answer(session: PeerSession, request: StoreRequest, respond: Respond): void {
+    const { desk, dispatch, subscribers, readStatus } = this.options;
+    switch (request.type) {
+      case 'propose':
+        this.propose(request.command, respond);
+        return;
+      case 'readConfiguration': {
+        const requestId = desk.add(respond, () => this.describeConfiguration());
+        dispatch({ type: 'read', requestId });
+        return;
+      }
+      case 'peekConfiguration':
+        respond(this.describeConfiguration());
+        return;
+      case 'subscribe':
+        subscribers.add(session, request.report);
+        respond(this.describeSubscription());
+        return;
+      case 'report':
+        subscribers.note(session, request.report);
+        respond({ type: 'accepted' });
+        return;
+      case 'readStatus':
+        respond({ type: 'status', status: readStatus() });
+        return;
+      case 'addVoter':
+        this.addVoter(request, respond);
+        return;
+      case 'removeVoter':
+        this.removeByName(request.instance, respond);
+        return;
+      default:
+        assertNever(request);
+    }
+  }
+
+  async removeVoter(instance: string): Promise<StoreResponse> {
+    return new Promise((resolve) => {
+      this.removeByName(instance, resolve);
+    });
+  }
+
+  /** Commands that come in within one turn of the process go into the log as one batch. */
+  private propose(command: StoreCommand, respond: Respond): void {
+    const requestId = this.options.desk.add(respond, (result) =>
+      result === undefined
+        ? { type: 'unsure', reason: 'the result is not there' }
+        : { type: 'result', result },
+    );
+    this.proposals.push({ requestId, command });
+    if (this.proposals.length > 1) return;
+    setImmediate(() => {
+      const { proposals } = this;
+      this.proposals = [];
+      this.options.dispatch({ type: 'propose', proposals });
+    });
+  }
+
+  /**
+   * A store whose disk is new asks to join. If the log still knows its instance by another disk,
+   * that disk is lost: its identity is removed first, so that it is never counted again.
+   */
+  private addVoter(request: Extract<StoreRequest, { type: 'addVoter' }>, respond: Respond): void {
+    const { identity, ...address } = request.voter;
+    const { members } = currentMembership(this.options.readState());
+    if (members.some((member) => member.identity === identity)) {
+      respond({ type: 'accepted' });
+      return;
+    }
+    const lost = members.find((member) => member.address.instance === address.instance);
+    if (lost === undefined) {
+      this.change(respond, { type: 'addLearner', member: { identity, address } });
+    } else if (this.isHeardOf(lost.identity)) {
+      respond({ type: 'unavailable', reason: `another ${address.instance} is running` });
+    } else {
+      this.change(respond, { type: 'removeMember', identity: lost.identity });
+    }
+  }
+
+  /**
+   * True if this store leads and hears of the member. A second store started by mistake under its
+   * name, on an empty folder, would otherwise push it out of the cluster, copies and all.
+   */
+  private isHeardOf(identity: string): boolean {
+    const { role, settings, self } = this.options.readState();
+    if (role.type !== 'leader') return false;
+    if (identity === self.identity) return true;
+    const lastHeardAt = role.progress[identity]?.lastHeardAt;
+    const patience = LOST_TIMEOUTS * settings.electionTimeout;
+    return lastHeardAt !== undefined && this.options.timers.monotonicNow() - lastHeardAt < patience;
+  }
+
+  private removeByName(instance: string, respond: Respond): void {
+    const { members } = currentMembership(this.options.readState());
+    const member = members.find((known) => known.address.instance === instance);
+    if (member === undefined) {
+      respond({ type: 'unavailable', reason: `${instance} is no member` });
+      return;
+    }
+    this.change(respond, { type: 'removeMember', identity: member.identity });
+  }
+
+  private change(
+    respond: Respond,
+    change: Extract<StoreOccurrence, { type: 'changeMembership' }>['change'],
+  ): void {
+    const requestId = this.options.desk.add(respond, () => ({ type: 'accepted' }));
+    this.options.dispatch({ type: 'changeMembership', requestId, change });
+  }
+
+  private describeConfiguration(): StoreResponse {
+    return { type: 'configuration', configuration: this.options.readMachine().configuration };
+  }
+
+  private describeSubscription(): StoreResponse {
+    const machine = this.options.readMachine();
+    const quarantine = quarantineAt(machine, this.options.timers.wallNow());
+    return { type: 'subscribed', configuration: machine.configuration, quarantine };
+  }
+}
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -54,6 +54,8 @@
 
   private readonly clients: StoreClient[] = [];
 
+  private readonly seconds: StoreProcess[] = [];
+
   private constructor(dataCentres: readonly string[]) {
     this.stores = dataCentres.map((dataCentre, position) => ({
       instance: `store-${position + 1}`,
@@ -77,28 +79,44 @@
   async open(instance: string, disk?: StoreDisk): Promise<void> {
     const store = this.find(instance);
     if (disk !== undefined) store.disk = disk;
-    const process = new StoreProcess(
+    const process = await this.makeProcess(store, store.disk, store.port);
+    store.port = (await process.start()).peers;
+    store.process = process;
+    this.links.setPort(instance, store.port);
+  }
+
+  /** Starts a second process under the name of a store that runs, on an empty disk. */
+  async openSecond(instance: string): Promise<StoreProcess> {
+    const process = await this.makeProcess(this.find(instance), new MemoryDisk(), 0);
+    await process.start();
+    this.seconds.push(process);
+    return process;
+  }
+
+  private async makeProcess(
+    { instance, dataCentre }: TestedStore,
+    disk: StoreDisk,
+    port: number,
+  ): Promise<StoreProcess> {
+    return new StoreProcess(
       {
         instance,
-        dataCentre: store.dataCentre,
+        dataCentre,
         cluster: CLUSTER,
         clusterSecret: SECRET,
         logLevel: 'error',
         operatorListen: { host: LOOPBACK, port: 0 },
         operatorKeys: [],
         stores: await this.addressesSeenFrom(instance),
-        listen: { host: LOOPBACK, port: store.port },
+        listen: { host: LOOPBACK, port },
         dataFolder: 'none',
         electionTimeoutMilliseconds: 300,
         heartbeatMilliseconds: 50,
       },
       this.timers,
-      store.disk,
+      disk,
       (_, failure) => this.failures.push(failure),
     );
-    store.port = (await process.start()).peers;
-    store.process = process;
-    this.links.setPort(instance, store.port);
   }
 
   async close(instance: string): Promise<void> {
@@ -110,6 +128,7 @@
 
   async stop(): Promise<void> {
     this.clients.forEach((client) => client.close());
+    await Promise.all(this.seconds.map(async (process) => process.close()));
     await Promise.all(this.stores.map(async ({ instance }) => this.close(instance)));
     await this.links.close();
   }
