--- a/apps/store/src/StoreDisk.ts
+++ b/apps/store/src/StoreDisk.ts
@@ -2,12 +2,9 @@
  * What a store needs of its disk. Whatever resolves here is synced; nothing is acknowledged to
  * anyone before.
  */
-import type { PersistEffect, RestoredState, SnapshotHeader } from '@hornbeampond/store-core';
+import type { PersistEffect, RestoredState, SavedSnapshot } from '@hornbeampond/store-core';
 
-export interface SavedSnapshot {
-  readonly header: SnapshotHeader;
-  readonly data: Uint8Array;
-}
+export type { SavedSnapshot };
 
 /** What the disk holds at start. */
 export interface DiskContents {
--- a/measure/src/changes/measureChanges.ts
+++ b/measure/src/changes/measureChanges.ts
@@ -2,6 +2,7 @@
  * Table changes on real processes while one store and one entry are away: how fast they go, how
  * long the two need to catch up, and whether any change was lost, reverted or doubled.
  */
+import { setTimeout as wait } from 'node:timers/promises';
 import type { EntryStatus, OperatorClient } from '@hornbeampond/ctl-app';
 import { request } from 'undici';
 import { RevisionWatch } from '../failures/RevisionWatch.js';
@@ -162,9 +163,7 @@
     const endsAt = performance.now() + PATIENCE_MILLISECONDS;
     while (!(await look())) {
       if (performance.now() > endsAt) throw new Error(`not in time: ${what}`);
-      await new Promise((resolve) => {
-        setTimeout(resolve, LOOK_MILLISECONDS);
-      });
+      await wait(LOOK_MILLISECONDS);
     }
   }
 
--- a/measure/src/failures/Caller.ts
+++ b/measure/src/failures/Caller.ts
@@ -4,6 +4,7 @@
  * ends without an answer it sends the same request again through another entry, as the balancer
  * would have it.
  */
+import { setTimeout as wait } from 'node:timers/promises';
 import { digestPrompt, generateText } from '@hornbeampond/testing';
 import type { ProblemDocument } from '@hornbeampond/schema';
 import { request, type Dispatcher } from 'undici';
@@ -127,9 +128,7 @@
         tally.resent += 1;
         if (call.key !== undefined) tally.unsureKeys.add(call.key);
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, PAUSE_MILLISECONDS);
-      });
+      await wait(PAUSE_MILLISECONDS);
     }
   }
 
--- a/measure/src/failures/RevisionWatch.ts
+++ b/measure/src/failures/RevisionWatch.ts
@@ -1,4 +1,5 @@
 /** Looks at the revision in force on every entry, again and again, and notes any that went back. */
+import { setTimeout as wait } from 'node:timers/promises';
 import { request } from 'undici';
 import type { ProcessCluster } from '../processes/ProcessCluster.js';
 
@@ -21,9 +22,7 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       await Promise.all(this.entries.map(async (entry) => this.look(entry)));
-      await new Promise((resolve) => {
-        setTimeout(resolve, INTERVAL_MILLISECONDS);
-      });
+      await wait(INTERVAL_MILLISECONDS);
     }
   }
 
--- a/measure/src/failures/measureFailures.ts
+++ b/measure/src/failures/measureFailures.ts
@@ -2,6 +2,7 @@
  * The failure run: real processes on loopback, callers in closed loops, and one failure after the
  * other while the tables keep changing. It counts what must never happen.
  */
+import { setTimeout as wait } from 'node:timers/promises';
 import type { Route } from '@hornbeampond/schema';
 import { ProcessCluster } from '../processes/ProcessCluster.js';
 import { smallRoutes } from '../processes/smallCluster.js';
@@ -165,9 +166,7 @@
   }
 
   private async pause(milliseconds: number): Promise<void> {
-    await new Promise((resolve) => {
-      setTimeout(resolve, milliseconds);
-    });
+    await wait(milliseconds);
   }
 
   private async judge(watch: RevisionWatch): Promise<FailureRunResult> {
--- a/measure/src/processes/ProcessCluster.ts
+++ b/measure/src/processes/ProcessCluster.ts
@@ -2,6 +2,7 @@
  * A cluster of the real binaries on loopback, with the fakes in a process of their own. Tests and
  * measurements start it; the product starts no process.
  */
+import { setTimeout as wait } from 'node:timers/promises';
 import { createHash } from 'node:crypto';
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -206,9 +207,7 @@
     await this.launch('fakes', binaries.fakes);
     const child = this.find('fakes');
     while (child.output.length === 0) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 20);
-      });
+      await wait(20);
     }
     this.fakes = JSON.parse(child.output[0] ?? '{}') as FakeAddresses;
   }
@@ -261,9 +260,7 @@
     for (;;) {
       const { stores } = await client.getStatus();
       if (stores[0]?.voters.length === this.stores.length) break;
-      await new Promise((resolve) => {
-        setTimeout(resolve, 50);
-      });
+      await wait(50);
     }
     await client.close();
   }
@@ -336,9 +333,7 @@
           const status = await client.getStatus();
           const listed = status.backendServers.length > 0;
           if (status.configurationRevision >= revision && listed) break;
-          await new Promise((resolve) => {
-            setTimeout(resolve, 20);
-          });
+          await wait(20);
         }
         await client.close();
       }),
