Lock a store's folder where the file system has no links

A file system without links refused the lock, so no store started there. The lock is then written under a new name; numbers of locks that cannot be read count as taken, and a process writes its whole lock before it looks for others, so of two at least one finds the other. Ruled out: advisory locks, which some platforms grant without effect.

--- a/packages/store-core/src/log/FileSystem.ts
+++ b/packages/store-core/src/log/FileSystem.ts
@@ -2,7 +2,7 @@
  * The few file operations that the log needs. Tests put faults in here, such as a full disk or a
  * crash that loses what was not synced.
  */
-import { link, mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
+import { link, mkdir, open, readFile, readdir, rename, rm, writeFile } from 'node:fs/promises';
 
 /** A file that is open for writing. */
 export abstract class OpenFile {
@@ -60,6 +60,9 @@
 }
 
 /** The file system of the instance. */
+/** What a link fails with where the file system has none. */
+const withoutLinks = new Set<string | undefined>(['ENOSYS', 'EPERM', 'ENOTSUP', 'EOPNOTSUPP']);
+
 export class NodeFileSystem extends FileSystem {
   override async open(path: string): Promise<OpenFile> {
     try {
@@ -95,6 +98,19 @@
     try {
       await link(from, to);
       return true;
+    } catch (error) {
+      const code = codeOf(error);
+      if (code === 'EEXIST') return false;
+      if (!withoutLinks.has(code)) throw error;
+    }
+    return this.copyOnce(from, to);
+  }
+
+  /** Some file systems have no links; the content then appears in steps, but under a new name. */
+  private async copyOnce(from: string, to: string): Promise<boolean> {
+    try {
+      await writeFile(to, await readFile(from), { flag: 'wx' });
+      return true;
     } catch (error) {
       if (codeOf(error) === 'EEXIST') return false;
       throw error;
--- a/packages/store-core/src/log/FolderLock.ts
+++ b/packages/store-core/src/log/FolderLock.ts
@@ -3,6 +3,10 @@
  * process; a process may only go on if no other lock belongs to a living one. Numbers are never
  * taken over: a stale lock is passed over first and removed later, so that two processes that both
  * find it stale can't remove each other's new lock.
+ *
+ * A process writes its whole lock before it looks for others. Of two that start together at least
+ * one so finds the other, also where the file system has no links and a lock that is being written
+ * can be seen half.
  */
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
@@ -42,7 +46,8 @@
     process.kill(pid, 0);
   } catch (error) {
     // Not ours to signal, but there.
-    return error instanceof Error && 'code' in error && error.code === 'EPERM';
+    const isThere = error instanceof Error && 'code' in error && error.code === 'EPERM';
+    if (!isThere) return false;
   }
   return startedAt === startOf(pid);
 }
@@ -50,19 +55,22 @@
 interface FoundLock {
   readonly name: string;
   readonly number: number;
-  readonly owner: Owner;
+  /** Undefined for one that cannot be read: cut off with its machine, or still being written. */
+  readonly owner: Owner | undefined;
+}
+
+function findLiving(locks: readonly FoundLock[]): Owner | undefined {
+  return locks.flatMap(({ owner }) => owner ?? []).find(isAlive);
 }
 
 async function findLocks(fileSystem: FileSystem, folder: string): Promise<FoundLock[]> {
   const found: FoundLock[] = [];
   for (const name of await fileSystem.list(folder)) {
     const number = LOCK_NAME.exec(name)?.[1];
-    const content = number && (await fileSystem.read(join(folder, name)));
+    if (number === undefined) continue;
+    const content = await fileSystem.read(join(folder, name));
     const frame = content ? decodeFrame(content, 0) : undefined;
-    // Locks appear whole, by a link; one that can't be read was cut off with its machine.
-    if (frame !== undefined) {
-      found.push({ name, number: Number(number), owner: frame.value as Owner });
-    }
+    found.push({ name, number: Number(number), owner: frame?.value as Owner | undefined });
   }
   return found;
 }
@@ -76,8 +84,8 @@
   /** Takes the lock, or throws if a living process has it. */
   static async take(fileSystem: FileSystem, folder: string): Promise<FolderLock> {
     const before = await findLocks(fileSystem, folder);
-    const holder = before.find((lock) => isAlive(lock.owner));
-    if (holder !== undefined) throw folderLocked(folder, holder.owner.pid);
+    const holder = findLiving(before);
+    if (holder !== undefined) throw folderLocked(folder, holder.pid);
     const number = Math.max(0, ...before.map((lock) => lock.number)) + 1;
     const name = `lock-${number}`;
     const path = join(folder, name);
@@ -90,10 +98,10 @@
     const taken = await fileSystem.link(temporary, path);
     await fileSystem.remove(temporary);
     const others = (await findLocks(fileSystem, folder)).filter((lock) => lock.name !== name);
-    const rival = others.find((lock) => isAlive(lock.owner));
+    const rival = findLiving(others);
     if (!taken || rival !== undefined) {
       if (taken) await fileSystem.remove(path);
-      throw folderLocked(folder, rival?.owner.pid ?? 0);
+      throw folderLocked(folder, rival?.pid ?? 0);
     }
     for (const stale of others) await fileSystem.remove(join(folder, stale.name));
     return new FolderLock(fileSystem, path);
