--- a/apps/controller/src/LeaseKeeper.ts
+++ b/apps/controller/src/LeaseKeeper.ts
@@ -11,7 +11,12 @@
   type LeaseHolder,
 } from '@hornbeampond/controller-core';
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import { assertNever, type LeaseResult, type Milliseconds } from '@hornbeampond/schema';
+import {
+  assertNever,
+  type EpochMilliseconds,
+  type LeaseResult,
+  type Milliseconds,
+} from '@hornbeampond/schema';
 import type { StoreClient } from '@hornbeampond/transport';
 
 /** An order is given up after this long, also by an engine that took it in late. */
@@ -24,10 +29,13 @@
   readonly store: StoreClient;
   readonly timers: TimerService;
   readonly logger: Logger;
-  readonly dataCentre: string;
+  /** Name of the lease. */
+  readonly lease: string;
   /** Unique to this process start. */
   readonly holder: string;
   readonly duration: Milliseconds;
+  /** Longest time from the decision to give an order until it can act no more. */
+  readonly longestOrder: Milliseconds;
   onHeld(epoch: number, unfencedFrom: number): void;
   onLost(): void;
 }
@@ -41,14 +49,19 @@
 
   private abandoned = false;
 
+  /** When each open ask was made by the wall clock, and until when the lease is held by it. */
+  private readonly askedAtWall = new Map<number, EpochMilliseconds>();
+
+  private heldUntilWall = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: LeaseKeeperOptions) {
     this.lease = makeLeaseHolder({
-      lease: `controller/${options.dataCentre}`,
+      lease: options.lease,
       holder: options.holder,
       duration: options.duration,
       renewEvery: options.duration / RENEWALS_PER_LEASE,
       driftBound: CLOCK_DRIFT_BOUND,
-      longestOrder: LONGEST_ORDER_MILLISECONDS,
+      longestOrder: options.longestOrder,
     });
   }
 
@@ -56,8 +69,13 @@
     this.feed({ type: 'askDue', now: this.now });
   }
 
-  /** True if an order may leave at this very moment. */
+  /**
+   * True if an order may leave at this very moment. The wall clock is asked besides: the monotonic
+   * one of a suspended instance stands still, and a holder that wakes after its lease has ended
+   * would go on giving orders beside its successor.
+   */
   mayGiveOrder(checksFencing: boolean): boolean {
+    if (this.options.timers.wallNow() >= this.heldUntilWall) return false;
     return mayGiveOrder(this.lease, this.now, checksFencing);
   }
 
@@ -127,11 +145,16 @@
     ask,
     command,
   }: Extract<LeaseEffect, { type: 'propose' }>): Promise<void> {
-    const outcome = await this.options.store.propose(command, this.options.duration);
+    const { store, timers, duration: patience } = this.options;
+    this.askedAtWall.set(ask, timers.wallNow());
+    const outcome = await store.propose(command, patience);
+    const askedAtWall = this.askedAtWall.get(ask) ?? Number.NEGATIVE_INFINITY;
+    this.askedAtWall.delete(ask);
     if (outcome.type !== 'result') return;
     const result = outcome.result as LeaseResult;
     if (result.type !== 'leaseHeld') return;
     const { epoch, duration, previousDuration } = result;
+    this.heldUntilWall = Math.max(this.heldUntilWall, askedAtWall + duration);
     this.feed({ type: 'leaseHeld', now: this.now, ask, epoch, duration, previousDuration });
   }
 }
--- /dev/null
+++ b/apps/controller/src/SingletonProcess.ts
@@ -0,0 +1,195 @@
+/**
+ * The shell around the work of which one process in the whole cluster does all. It runs beside
+ * each store; the lease decides which of them acts.
+ */
+import type { PlatformAdapter, SingletonAdapter } from '@hornbeampond/adapters';
+import {
+  makeSingletonState,
+  reduceSingleton,
+  type SingletonEffect,
+  type SingletonEvent,
+  type SingletonOccurrence,
+  type SingletonOptions,
+  type SingletonState,
+} from '@hornbeampond/controller-core';
+import { EventLoop, type Logger, type TimerService, type Unsubscribe } from '@hornbeampond/runtime';
+import {
+  assertNever,
+  type InstanceReport,
+  type Milliseconds,
+  type StoreAddress,
+} from '@hornbeampond/schema';
+import { StoreClient, type PeerContext } from '@hornbeampond/transport';
+import { LeaseKeeper } from './LeaseKeeper.js';
+
+const LEASE = 'singleton';
+
+const TICK_MILLISECONDS: Milliseconds = 250;
+
+/** The list is read by the holder alone, and as often as the plan is made. */
+const LIST_MILLISECONDS: Milliseconds = 1000;
+
+/** A call that has not come back by then is given up; it acts no more after its connection ends. */
+const CALL_MILLISECONDS: Milliseconds = 900;
+
+const SETTLE_MILLISECONDS: Milliseconds = 2000;
+
+export interface SingletonProcessOptions extends SingletonOptions {
+  readonly stores: readonly StoreAddress[];
+  readonly context: PeerContext;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly platform: PlatformAdapter;
+  readonly adapter: SingletonAdapter;
+  /** Unique to this start of the process. */
+  readonly holder: string;
+  readonly leaseMilliseconds: Milliseconds;
+}
+
+export class SingletonProcess {
+  readonly store: StoreClient;
+
+  private readonly loop: EventLoop<SingletonState, SingletonEvent, SingletonEffect>;
+
+  private readonly lease: LeaseKeeper;
+
+  private subscriptions: Unsubscribe[] = [];
+
+  private isListing = false;
+
+  constructor(private readonly options: SingletonProcessOptions) {
+    const { stores, context, timers, logger, holder } = options;
+    this.loop = new EventLoop(
+      makeSingletonState(options),
+      reduceSingleton,
+      (effect) => this.carryOut(effect),
+      (error, event) => logger.write('unexpectedError', { at: event.type, reason: String(error) }),
+    );
+    this.store = new StoreClient(
+      stores,
+      context,
+      {
+        onConfiguration: (configuration) =>
+          this.dispatch({ type: 'configurationReceived', configuration }),
+        onEntryReport: (report) => this.dispatch({ type: 'entryReported', report }),
+      },
+      this.makeReport(),
+      true,
+    );
+    this.lease = new LeaseKeeper({
+      store: this.store,
+      timers,
+      logger,
+      lease: LEASE,
+      holder,
+      duration: options.leaseMilliseconds,
+      longestOrder: CALL_MILLISECONDS,
+      onHeld: (epoch) => this.dispatch({ type: 'leaseHeld', epoch }),
+      onLost: () => this.dispatch({ type: 'leaseLost' }),
+    });
+  }
+
+  start(): void {
+    const { timers } = this.options;
+    this.lease.start();
+    this.subscriptions = [
+      timers.every(TICK_MILLISECONDS, () => this.dispatch({ type: 'tick' })),
+      timers.every(LIST_MILLISECONDS, () => {
+        void this.list();
+      }),
+    ];
+  }
+
+  /** Acts no more and gives the lease back. */
+  async stop(): Promise<void> {
+    this.subscriptions.forEach((unsubscribe) => unsubscribe());
+    this.lease.stop();
+    await this.options.timers.wait(TICK_MILLISECONDS);
+    this.store.close();
+  }
+
+  private makeReport(): InstanceReport {
+    const { instance, dataCentre } = this.options.context.identity;
+    return { instance, dataCentre, role: 'controller', revision: 0, cutOff: false };
+  }
+
+  private dispatch(occurrence: SingletonOccurrence): void {
+    const { timers } = this.options;
+    const clocks = { now: timers.monotonicNow(), wallNow: timers.wallNow() };
+    this.loop.dispatch({ ...occurrence, ...clocks });
+  }
+
+  private carryOut(effect: SingletonEffect): void {
+    switch (effect.type) {
+      case 'log':
+        this.options.logger.write(effect.event, effect.fields);
+        return;
+      case 'settleUsage':
+        void this.settleUsage(effect.window, effect.counts);
+        return;
+      case 'reportUsage':
+        void this.reportUsage(effect);
+        return;
+      case 'orderSize':
+        void this.orderSize(effect);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  private async settleUsage(window: number, counts: Readonly<Record<string, number>>) {
+    const command = { type: 'settleUsage', window, counts } as const;
+    const outcome = await this.store.propose(command, SETTLE_MILLISECONDS);
+    if (outcome.type !== 'result' || outcome.result.type !== 'usageSettled') return;
+    this.dispatch({ type: 'usageSettled', window, counts: outcome.result.counts });
+  }
+
+  private async reportUsage({
+    window,
+    counts,
+    epoch,
+  }: Extract<SingletonEffect, { type: 'reportUsage' }>): Promise<void> {
+    if (!this.lease.mayGiveOrder(false)) return;
+    const { adapter, holder, logger } = this.options;
+    try {
+      const signal = AbortSignal.timeout(CALL_MILLISECONDS);
+      await adapter.reportUsage(window, counts, { holder, epoch }, signal);
+      logger.write('usageReported', { window, counts, epoch });
+      this.dispatch({ type: 'usageReported', window });
+    } catch (error) {
+      logger.write('platformCallFailed', { call: 'reportUsage', window, reason: String(error) });
+    }
+  }
+
+  private async orderSize({
+    order,
+    epoch,
+  }: Extract<SingletonEffect, { type: 'orderSize' }>): Promise<void> {
+    if (!this.lease.mayGiveOrder(false)) return;
+    const { adapter, holder, logger } = this.options;
+    try {
+      const signal = AbortSignal.timeout(CALL_MILLISECONDS);
+      const outcome = await adapter.orderSize(order, { holder, epoch }, signal);
+      this.dispatch({ type: 'sizeOrdered', order, outcome });
+    } catch (error) {
+      logger.write('platformCallFailed', { call: 'orderSize', ...order, reason: String(error) });
+      this.dispatch({ type: 'sizeOrdered', order, outcome: 'failed' });
+    }
+  }
+
+  private async list(): Promise<void> {
+    const { platform, logger, ordersInstances } = this.options;
+    if (!ordersInstances || this.isListing || this.lease.epoch === undefined) return;
+    this.isListing = true;
+    try {
+      const signal = AbortSignal.timeout(CALL_MILLISECONDS);
+      const instances = await platform.listInstances(signal);
+      this.dispatch({ type: 'instancesListed', instances });
+    } catch (error) {
+      logger.write('platformUnreachable', { reason: String(error) });
+    } finally {
+      this.isListing = false;
+    }
+  }
+}
--- a/apps/entry/src/AdapterDirectory.ts
+++ b/apps/entry/src/AdapterDirectory.ts
@@ -7,25 +7,36 @@
   HttpPlainServiceAdapter,
   type EngineAdapter,
   type PlainServiceAdapter,
+  type RelayAdapter,
 } from '@hornbeampond/adapters';
 import type { AttemptTarget } from '@hornbeampond/entry-core';
 
 export type BackendServerAdapter =
   | { readonly kind: 'modelEngine'; readonly adapter: EngineAdapter }
-  | { readonly kind: 'plainService'; readonly adapter: PlainServiceAdapter };
+  | { readonly kind: 'plainService'; readonly adapter: PlainServiceAdapter }
+  | { readonly kind: 'relay'; readonly adapter: RelayAdapter };
+
+/** Makes the adapter to a backend server. */
+export type MakeAdapter = (target: AttemptTarget) => BackendServerAdapter;
+
+/** Adapters to backend servers that speak the interface of this project. */
+export function makeHttpAdapter(target: AttemptTarget): BackendServerAdapter {
+  return target.kind === 'modelEngine'
+    ? { kind: 'modelEngine', adapter: new HttpEngineAdapter(target) }
+    : { kind: 'plainService', adapter: new HttpPlainServiceAdapter(target) };
+}
 
 export class AdapterDirectory {
   private readonly adapters = new Map<string, BackendServerAdapter>();
 
+  constructor(private readonly make: MakeAdapter = makeHttpAdapter) {}
+
   /** The adapter to a backend server; the same one while its address stays the same. */
   find(target: AttemptTarget): BackendServerAdapter {
     const key = this.keyOf(target);
     const known = this.adapters.get(key);
     if (known !== undefined) return known;
-    const made: BackendServerAdapter =
-      target.kind === 'modelEngine'
-        ? { kind: 'modelEngine', adapter: new HttpEngineAdapter(target) }
-        : { kind: 'plainService', adapter: new HttpPlainServiceAdapter(target) };
+    const made = this.make(target);
     this.adapters.set(key, made);
     return made;
   }
@@ -42,6 +53,12 @@
     return found.adapter;
   }
 
+  relay(target: AttemptTarget): RelayAdapter {
+    const found = this.find(target);
+    if (found.kind !== 'relay') throw new TypeError(`${target.instance} takes no opaque calls`);
+    return found.adapter;
+  }
+
   /**
    * Drops the adapters of backend servers that are no longer listed. The list lags and can miss
    * one for a moment, so streams that still run there are left to end by themselves.
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -3,14 +3,17 @@
  * reducer of their edges. Whatever comes from an attempt that was cancelled is dropped here, so
  * that no caller is ever given bytes of two attempts at once.
  */
-import { BackendServerFailure } from '@hornbeampond/adapters';
+import { BackendServerFailure, type RelayResponse } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryOccurrence } from '@hornbeampond/entry-core';
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { Milliseconds } from '@hornbeampond/schema';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 import type { CallerExchange } from './CallerServer.js';
+import type { CallerAnswer } from './CallerAnswer.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
+import { RelayAnswer } from './RelayAnswer.js';
+import { relayBody } from './relayBody.js';
 
 export type StartAttempt = Extract<EntryEffect, { type: 'startAttempt' }>;
 type MoveCache = Extract<EntryEffect, { type: 'moveCache' }>;
@@ -39,6 +42,16 @@
   dispatch(occurrence: EntryOccurrence): void;
 }
 
+function tokensOf(answer: CallerAnswer | undefined): number {
+  if (answer instanceof CompletionAnswer) return answer.generatedTokens;
+  return answer instanceof RelayAnswer ? answer.eventsGiven : 0;
+}
+
+function isPastRetry(answer: CallerAnswer | undefined): boolean {
+  if (answer instanceof RelayAnswer) return answer.started && answer.lastEventId === undefined;
+  return answer instanceof PlainAnswer && answer.started;
+}
+
 export class AttemptRunner {
   private readonly running = new Map<string, RunningAttempt>();
 
@@ -73,13 +86,10 @@
     attempt.cancelled = true;
     attempt.stopWatch();
     attempt.controller.abort();
-    const { target } = attempt.start;
-    if (target.kind !== 'modelEngine') return;
-    const signal = AbortSignal.timeout(CANCEL_MILLISECONDS);
-    this.options.adapters
-      .engine(target)
-      .cancel(attemptId, signal)
-      .catch(() => {});
+    const found = this.options.adapters.find(attempt.start.target);
+    // Closing the connection, as the abort does, is all that other backend servers understand.
+    if (found.kind !== 'modelEngine') return;
+    found.adapter.cancel(attemptId, AbortSignal.timeout(CANCEL_MILLISECONDS)).catch(() => {});
   }
 
   /** Moves the KV cache of an attempt from one engine to another. */
@@ -119,6 +129,8 @@
       await this.runCompletion(attempt, exchange, exchange.answer);
     } else if (exchange.answer instanceof PlainAnswer) {
       await this.runPlain(attempt, exchange, exchange.answer);
+    } else if (exchange.answer instanceof RelayAnswer) {
+      await this.runRelay(attempt, exchange, exchange.answer);
     }
   }
 
@@ -192,6 +204,54 @@
     });
   }
 
+  private async runRelay(
+    attempt: RunningAttempt,
+    exchange: CallerExchange,
+    answer: RelayAnswer,
+  ): Promise<void> {
+    const { attemptId, target, workspace, timeLeft, priority, silenceTimeout } = attempt.start;
+    const { dispatch, adapters, timers } = this.options;
+    const { method, path } = exchange.request;
+    const response = await adapters.relay(target).send({
+      method,
+      path,
+      headers: exchange.relayed ?? [],
+      body: exchange.body,
+      workspace,
+      timeLeft,
+      urgency: priority,
+      ...(answer.lastEventId === undefined ? {} : { resumeAfter: answer.lastEventId }),
+      signal: attempt.controller.signal,
+    });
+    if (attempt.cancelled) return;
+    this.noteLoad(target.instance, response);
+    let reportedAt = 0;
+    await relayBody(response, answer, {
+      isCancelled: () => attempt.cancelled,
+      onBytes: () => {
+        attempt.stopWatch();
+        const now = timers.monotonicNow();
+        if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
+        if (now - reportedAt <= PROGRESS_MILLISECONDS) return;
+        reportedAt = now;
+        dispatch({ type: 'attemptProgressed', attemptId, tokens: answer.eventsGiven });
+      },
+      onTaken: () => {
+        if (!attempt.cancelled) this.watch(attempt, silenceTimeout);
+      },
+    });
+    if (attempt.cancelled) return;
+    if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
+    dispatch({ type: 'attemptFinished', attemptId, tokens: answer.eventsGiven });
+  }
+
+  /** An answer tells of the load at the moment it was begun, which is fresher than any poll. */
+  private noteLoad(instance: string, { load }: RelayResponse): void {
+    if (load === undefined) return;
+    const measuredAt = this.options.timers.wallNow();
+    this.options.dispatch({ type: 'loadReported', report: { instance, measuredAt, ...load } });
+  }
+
   /** The caller's headers, without its key: a backend server has no business with it. */
   private forwardedHeaders({
     headers,
@@ -218,9 +278,9 @@
       attemptId,
       failure,
       sent: failed?.sent ?? 'maybe',
-      tokens: answer instanceof CompletionAnswer ? answer.generatedTokens : 0,
-      // A completion can be resumed by offset; what a plain service has begun cannot.
-      answerStarted: answer instanceof PlainAnswer && answer.started,
+      tokens: tokensOf(answer),
+      // A completion and a stream of events can be resumed; what else has begun cannot.
+      answerStarted: isPastRetry(answer),
       ...(failed?.retryAfter === undefined ? {} : { retryAfter: failed.retryAfter }),
     });
   }
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -82,6 +82,8 @@
     try {
       const signal = AbortSignal.timeout(pollMilliseconds);
       const found = adapters.find(target);
+      // Its load comes with its answers.
+      if (found.kind === 'relay') return;
       const report = await found.adapter.readLoad(signal);
       dispatch({ type: 'loadReported', report: { ...report, instance: instance.instance } });
       if (found.kind !== 'modelEngine') return;
--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -19,9 +19,15 @@
 } from '@hornbeampond/schema';
 import { readBody, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
-import { digestPrefixes, splitPrompt, type CompletionBody } from '@hornbeampond/adapters';
+import {
+  digestPrefixes,
+  splitPrompt,
+  type CompletionBody,
+  type HeaderLine,
+} from '@hornbeampond/adapters';
 import type { CallerRequest } from '@hornbeampond/entry-core';
 import type { CallerAnswer } from './CallerAnswer.js';
+import type { CallerListener } from './CallerListener.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { parseCompletion } from './parseCompletion.js';
@@ -31,6 +37,8 @@
   readonly request: CallerRequest;
   readonly headers: IncomingMessage['headers'];
   readonly body: Buffer;
+  /** Set if the call is opaque: what of its head is passed on. */
+  readonly relayed?: readonly HeaderLine[];
   /** Set if the call is a chat completion. */
   readonly completion: CompletionBody | undefined;
   readonly answer: CallerAnswer;
@@ -71,7 +79,7 @@
   return `${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
-export class CallerServer {
+export class CallerServer implements CallerListener {
   private readonly server: Server;
 
   private readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -1,7 +1,7 @@
 /**
  * One running entry: it feeds the reducer with events and carries out its effects.
  */
-import { HttpPlatformAdapter } from '@hornbeampond/adapters';
+import { HttpPlatformAdapter, type PlatformAdapter } from '@hornbeampond/adapters';
 import {
   makeEntryState,
   reduceEntry,
@@ -30,11 +30,14 @@
   type PlatformInstance,
 } from '@hornbeampond/schema';
 import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
-import { AdapterDirectory } from './AdapterDirectory.js';
+import { AdapterDirectory, type MakeAdapter } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
 import { BackendServerWatcher } from './BackendServerWatcher.js';
+import type { CallProtocol } from './CallProtocol.js';
+import type { CallerListener } from './CallerListener.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { EntryPeers } from './EntryPeers.js';
+import { RelayServer } from './RelayServer.js';
 import { TableApi } from './TableApi.js';
 
 /** How often the reducer looks at what waits for time to pass. */
@@ -63,12 +66,25 @@
   readonly peers: number;
 }
 
+/**
+ * What is outside an entry, and how it is spoken to. Without one it is this project's own
+ * interface, over HTTP at the addresses of the settings.
+ */
+export interface EntryBoundary {
+  readonly platform: PlatformAdapter;
+  readonly makeAdapter: MakeAdapter;
+  /** Speaks with callers whose calls are opaque. */
+  readonly protocol: CallProtocol;
+  /** Windows in which requests are counted for the usage report. */
+  readonly usageWindow: Milliseconds;
+}
+
 export class EntryProcess implements RunningProcess {
   private readonly logger: Logger;
 
   private readonly metrics = new Metrics({ withProcessMetrics: true });
 
-  private readonly adapters = new AdapterDirectory();
+  private readonly adapters: AdapterDirectory;
 
   private readonly exchanges = new Map<string, CallerExchange>();
 
@@ -78,7 +94,7 @@
 
   private readonly store: StoreClient;
 
-  private readonly callers: CallerServer;
+  private readonly callers: CallerListener;
 
   private readonly operators: OperatorServer;
 
@@ -101,17 +117,25 @@
   constructor(
     private readonly settings: EntrySettings,
     private readonly timers: TimerService,
+    private readonly boundary?: EntryBoundary,
   ) {
     const { instance, dataCentre } = settings;
     this.incarnation = timers.wallNow();
     this.logger = new Logger({ process: 'hornbeampond-entry', instance }, settings.logLevel);
     const { queuedRequests } = settings.limits;
     this.loop = new EventLoop(
-      makeEntryState({ instance, dataCentre, incarnation: this.incarnation, queuedRequests }),
+      makeEntryState({
+        instance,
+        dataCentre,
+        incarnation: this.incarnation,
+        queuedRequests,
+        usageWindow: boundary?.usageWindow,
+      }),
       reduceEntry,
       (effect) => this.carryOut(effect),
       (error, event) => this.reportError(error, event.type),
     );
+    this.adapters = new AdapterDirectory(boundary?.makeAdapter);
     const dispatch = (occurrence: EntryOccurrence) => this.dispatch(occurrence);
     const readConfiguration = () => this.loop.state.configuration;
     this.attempts = new AttemptRunner({
@@ -130,8 +154,10 @@
           dispatch({ type: 'configurationReceived', configuration });
         },
         onQuarantine: (quarantine) => dispatch({ type: 'quarantineReceived', quarantine }),
+        onEntryReport: (report) => dispatch({ type: 'entryReported', report }),
       },
       this.makeReport(0),
+      this.findsPeersByStores,
     );
     this.peers = new EntryPeers({
       settings,
@@ -142,7 +168,7 @@
       onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
-      platform: new HttpPlatformAdapter(settings.platform.url),
+      platform: boundary?.platform ?? new HttpPlatformAdapter(settings.platform.url),
       adapters: this.adapters,
       timers,
       logger: this.logger,
@@ -150,23 +176,48 @@
       readConfiguration,
       dispatch,
     });
-    this.callers = new CallerServer({
-      settings,
-      timers,
-      nameRequest: () => this.nameRequest(),
-      onRequest: (exchange) => this.takeRequest(exchange),
-      onGone: (requestId) => dispatch({ type: 'callerGone', requestId }),
-      onRefused: (error) => this.countRefusal(error),
-    });
+    this.callers = this.makeCallers();
     const tables = new TableApi(settings, this.store);
     this.operators = new OperatorServer({
       metrics: this.metrics,
-      isReady: () => this.ready,
+      isReady: () => this.isReady,
       readStatus: async () => this.readStatus(),
       handle: async (request, response, url) => tables.handle(request, response, url),
     });
   }
 
+  /**
+   * True while the balancer may send callers here. An entry that names its peers takes their
+   * configuration if no store is there, and then serves an empty one too; one that finds all
+   * through the stores has nothing to serve by before they have told it.
+   */
+  private get isReady(): boolean {
+    return this.ready && (this.revision > 0 || !this.findsPeersByStores);
+  }
+
+  private get findsPeersByStores(): boolean {
+    return this.settings.entries.length === 0;
+  }
+
+  private makeCallers(): CallerListener {
+    const { settings, timers, boundary } = this;
+    const shared = {
+      timers,
+      nameRequest: () => this.nameRequest(),
+      onRequest: (exchange: CallerExchange) => this.takeRequest(exchange),
+      onGone: (requestId: string) => this.dispatch({ type: 'callerGone', requestId }),
+      onRefused: (error: unknown) => this.countRefusal(error),
+    };
+    if (boundary === undefined) return new CallerServer({ ...shared, settings });
+    return new RelayServer({
+      ...shared,
+      listen: settings.listen,
+      protocol: boundary.protocol,
+      readBounds: () => this.loop.state.configuration.whole?.callerBounds,
+      isKnown: (requestId) => this.exchanges.has(requestId),
+    });
+  }
+
   /** Starts to serve; resolves once callers can connect. */
   async start(): Promise<EntryPorts> {
     this.logger.write('processStarted', { dataCentre: this.settings.dataCentre });
@@ -195,6 +246,7 @@
   async shutDown(): Promise<void> {
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.ready = false;
+    this.callers.startClosing?.();
     this.logger.write('shutdownStarted', {});
     let cancelLimit: Unsubscribe = () => {};
     const settled = new Promise<void>((resolve) => {
@@ -238,6 +290,7 @@
       timers: this.timers,
       logger: this.logger,
       metrics: this.metrics,
+      heartbeatMilliseconds: this.settings.peerHeartbeatMilliseconds,
     };
   }
 
@@ -303,9 +356,11 @@
         void this.probe(effect.target);
         return;
       case 'reportToEntries':
-        this.peers.report(effect.report);
+        if (this.findsPeersByStores) this.store.shareReport(effect.report);
+        else this.peers.report(effect.report);
         return;
       case 'configurationApplied':
+        this.callers.applyBounds?.();
         this.store.updateReport(this.makeReport(effect.revision));
         return;
       case 'shutdownReady':
@@ -375,7 +430,7 @@
     return {
       instance: this.settings.instance,
       dataCentre: this.settings.dataCentre,
-      ready: this.ready,
+      ready: this.isReady,
       cutOff: this.cutOff,
       configurationRevision: this.revision,
       openStreams: this.exchanges.size,
--- /dev/null
+++ b/apps/entry/src/RelayServer.ts
@@ -0,0 +1,184 @@
+/**
+ * Where callers of opaque calls connect. It reads requests within the bounds of the configuration
+ * in force and hands them to the reducer; everything after that is decided there.
+ */
+import { createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { TimerService } from '@hornbeampond/runtime';
+import {
+  HornbeampondError,
+  toProblemDocument,
+  type CallerBounds,
+  type ListenAddress,
+  type Milliseconds,
+} from '@hornbeampond/schema';
+import { readBody } from '@hornbeampond/transport';
+import type { CallerExchange } from './CallerServer.js';
+import type { CallerListener } from './CallerListener.js';
+import type { CallProtocol } from './CallProtocol.js';
+import { RelayAnswer } from './RelayAnswer.js';
+
+export interface RelayServerOptions {
+  readonly listen: ListenAddress;
+  readonly protocol: CallProtocol;
+  readonly timers: TimerService;
+  /** The bounds in force; undefined before a configuration names any. */
+  readBounds(): CallerBounds | undefined;
+  /** Names requests whose caller gave no name; unique for all time. */
+  nameRequest(): string;
+  /** True if a request of this name is in progress. */
+  isKnown(requestId: string): boolean;
+  onRequest(exchange: CallerExchange): void;
+  onGone(requestId: string): void;
+  /** Counts a refusal that the reducer does not see. */
+  onRefused(error: unknown): void;
+}
+
+/** Largest head that is read at all; the configuration's bound, checked after, is lower. */
+const MOST_HEAD_BYTES = 256 * 1024;
+
+/** In force until a configuration says more. */
+const DEFAULT_BOUNDS: CallerBounds = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerMilliseconds: 3000,
+  idleMilliseconds: 15_000,
+};
+
+/** A caller may use an idle connection until its bound; closing it then would cross a request. */
+const IDLE_MARGIN_MILLISECONDS = 1000;
+
+/** How often Node looks for heads that take too long. */
+const HEAD_CHECK_MILLISECONDS = 1000;
+
+/** How often connections that have become idle are looked for while closing. */
+const SWEEP_MILLISECONDS = 50;
+
+const statusLines = {
+  badRequest: '400 Bad Request',
+  headersTooLarge: '431 Request Header Fields Too Large',
+} as const;
+
+function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
+  // Each line has a colon, a space and an end of two bytes.
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, url.length);
+}
+
+export class RelayServer implements CallerListener {
+  private readonly server: Server;
+
+  private isClosing = false;
+
+  constructor(private readonly options: RelayServerOptions) {
+    this.server = createServer(
+      { maxHeaderSize: MOST_HEAD_BYTES, connectionsCheckingInterval: HEAD_CHECK_MILLISECONDS },
+      (request, response) => {
+        this.take(request, response).catch((error: unknown) => this.refuse(response, error));
+      },
+    );
+    this.server.requestTimeout = 0;
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+      this.refuseUnread(error, socket),
+    );
+    this.applyBounds();
+  }
+
+  /** Takes the bounds of the configuration in force. */
+  applyBounds(): void {
+    const { headerMilliseconds, idleMilliseconds } = this.bounds;
+    this.server.headersTimeout = headerMilliseconds;
+    this.server.keepAliveTimeout = idleMilliseconds + IDLE_MARGIN_MILLISECONDS;
+  }
+
+  async listen(): Promise<number> {
+    const { host, port } = this.options.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Asks callers to connect elsewhere next time, with each answer from now on. */
+  startClosing(): void {
+    this.isClosing = true;
+  }
+
+  stopListening(): void {
+    this.isClosing = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  async close(patience: Milliseconds): Promise<void> {
+    const { timers } = this.options;
+    const stopSweep = timers.every(SWEEP_MILLISECONDS, () => this.server.closeIdleConnections());
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeIdleConnections();
+    const cancel = timers.after(patience, () => this.server.closeAllConnections());
+    await closed;
+    cancel();
+    stopSweep();
+  }
+
+  private get bounds(): CallerBounds {
+    return this.options.readBounds() ?? DEFAULT_BOUNDS;
+  }
+
+  private refuse(response: ServerResponse, error: unknown): void {
+    this.options.onRefused(error);
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    // A body that was not read to its end would be taken for the next request.
+    response.setHeader('connection', 'close');
+    this.options.protocol.writeProblem(response, error);
+  }
+
+  /** Answers bytes that Node could not read as a request, so that there is no response object. */
+  private refuseUnread(error: NodeJS.ErrnoException, socket: Socket): void {
+    const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'badRequest';
+    const problem = new HornbeampondError(kind, 'The request could not be read');
+    this.options.onRefused(problem);
+    if (!socket.writable) return;
+    const body = JSON.stringify(toProblemDocument(problem));
+    const length = Buffer.byteLength(body);
+    const head = `HTTP/1.1 ${statusLines[kind]}\r\ncontent-length: ${length}\r\nconnection: close`;
+    socket.end(`${head}\r\n\r\n${body}`);
+  }
+
+  private async take(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { protocol, onRequest, onGone } = this.options;
+    if (this.isClosing) response.setHeader('connection', 'close');
+    const { headerBytes, bodyBytes } = this.bounds;
+    if (headBytes(message) > headerBytes) {
+      throw new HornbeampondError('headersTooLarge', `The head is above ${headerBytes} bytes`);
+    }
+    const call = protocol.readCall(message);
+    const body = await readBody(message, bodyBytes);
+    // The caller may have left while its body was read.
+    if (response.destroyed) return;
+    const requestId = this.nameOf(call.name);
+    const answer = new RelayAnswer(requestId, response, protocol, call.resumeAfter);
+    const { method = 'GET', url: path = '/' } = message;
+    const digest = createHash('sha256')
+      .update(`${method}\n${path}\n${call.facts.keySha256 ?? ''}\n`)
+      .update(body)
+      .digest('hex');
+    const request = { requestId, workspace: '', method, path, digest, ...call.facts };
+    response.on('close', () => {
+      if (!response.writableEnded) onGone(requestId);
+    });
+    const { headers } = message;
+    onRequest({ request, headers, relayed: call.headers, body, completion: undefined, answer });
+  }
+
+  private nameOf(name: string | undefined): string {
+    const { isKnown, nameRequest } = this.options;
+    return name === undefined || isKnown(name) ? nameRequest() : name;
+  }
+}
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -1,1 +1,4 @@
+export * from './AdapterDirectory.js';
+export * from './CallProtocol.js';
 export * from './EntryProcess.js';
+export * from './RelayServer.js';
--- a/apps/store/src/StoreProcess.test.ts
+++ b/apps/store/src/StoreProcess.test.ts
@@ -25,6 +25,8 @@
     dataFolder: 'none',
     electionTimeoutMilliseconds: 300,
     heartbeatMilliseconds: 50,
+    leastVoters: 1,
+    peerHeartbeatMilliseconds: 1000,
   };
 }
 
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -15,6 +15,7 @@
   HornbeampondError,
   assertNever,
   type CommandResult,
+  type EntryReport,
   type StampedCommand,
   type StoreAddress,
   type StoreCommand,
@@ -31,6 +32,7 @@
   defaultConsensusSettings,
   fillSnapshotPart,
   leaderHint,
+  memberAddresses,
   publicRole,
   quarantineAt,
   reduceConsensus,
@@ -132,6 +134,7 @@
     private readonly timers: TimerService,
     private readonly storage: StoreDisk,
     private readonly onFailure: (store: StoreProcess, failure: StoreFailure) => void = () => {},
+    onEntryReport: (report: EntryReport) => void = () => {},
   ) {
     const { instance, dataCentre, cluster, clusterSecret, listen } = settings;
     this.address = { instance, dataCentre, ...listen };
@@ -142,6 +145,7 @@
       timers,
       logger: this.logger,
       metrics: this.metrics,
+      heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
     };
     this.sending = new SnapshotCache(timers);
     this.peers = new StorePeers(instance, context, settings.stores);
@@ -159,6 +163,8 @@
       readMachine: () => this.machine,
       readStatus: () => this.readStatus(),
       dispatch: (occurrence) => this.dispatch(occurrence),
+      onEntryReport,
+      leastVoters: settings.leastVoters,
     });
     this.server = new PeerServer(context, {
       onOpen: ({ peer }) => this.peers.greet(peer.instance),
@@ -184,18 +190,22 @@
   /** Reads the disk and starts to serve. */
   async start(): Promise<StorePorts> {
     const contents = await this.storage.open(this.settings.instance);
+    this.isNew = contents.isNew;
     this.loop = this.makeLoop(contents);
     const peers = await this.server.listen(this.settings.listen);
     this.address = { ...this.address, port: peers };
     const operators = await this.operators.listen(this.settings.operatorListen);
     this.peers.open();
-    this.peers.keep(this.memberAddresses());
+    this.peers.keep(memberAddresses(this.loop.state));
     this.dispatch({ type: 'started' });
     if (contents.isNew) this.joining.start();
     this.logger.write('processReady', { peers, operators });
     return { peers, operators };
   }
 
+  /** True if the disk was empty at start. */
+  isNew = false;
+
   /** Founds a cluster on this disk; refused unless the disk is empty. */
   found(): void {
     const { state } = this.loop;
@@ -266,10 +276,6 @@
     );
   }
 
-  private memberAddresses(): StoreAddress[] {
-    return currentMembership(this.loop.state).members.map((member) => member.address);
-  }
-
   private carryOut(effect: ConsensusEffect): void {
     // After an entry that was applied in part, replies to later ones would rest on a state that
     // no other store has. The process ends; nothing more leaves it until then.
@@ -314,6 +320,7 @@
         return;
       case 'membershipChanged':
         this.peers.keep(effect.membership.members.map((member) => member.address));
+        this.subscribers.push({ type: 'stores', stores: memberAddresses(this.loop.state) });
         return;
       case 'roleChanged':
         this.logger.write('storeRoleChanged', { ...effect });
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -5,6 +5,7 @@
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   assertNever,
+  type EntryReport,
   type StoreCommand,
   type StoreRequest,
   type StoreResponse,
@@ -12,6 +13,7 @@
 } from '@hornbeampond/schema';
 import {
   currentMembership,
+  memberAddresses,
   quarantineAt,
   type ConsensusState,
   type MachineState,
@@ -32,6 +34,9 @@
   readMachine(): MachineState;
   readStatus(): StoreStatus;
   dispatch(occurrence: StoreOccurrence): void;
+  onEntryReport(report: EntryReport): void;
+  /** Fewest voters with which operators' changes are taken. */
+  readonly leastVoters: number;
 }
 
 export class StoreRequests {
@@ -50,6 +55,11 @@
         dispatch({ type: 'read', requestId });
         return;
       }
+      case 'readDocument': {
+        const requestId = desk.add(respond, () => this.describeDocument());
+        dispatch({ type: 'read', requestId });
+        return;
+      }
       case 'peekConfiguration':
         respond(this.describeConfiguration());
         return;
@@ -61,6 +71,11 @@
         subscribers.note(session, request.report);
         respond({ type: 'accepted' });
         return;
+      case 'shareReport':
+        this.options.onEntryReport(request.report);
+        subscribers.push({ type: 'entryReport', report: request.report });
+        respond({ type: 'accepted' });
+        return;
       case 'readStatus':
         respond({ type: 'status', status: readStatus() });
         return;
@@ -83,6 +98,10 @@
 
   /** Commands that come in within one turn of the process go into the log as one batch. */
   private propose(command: StoreCommand, respond: Respond): void {
+    if (this.isTooYoung(command)) {
+      respond({ type: 'unavailable', reason: 'too few stores have joined yet' });
+      return;
+    }
     const requestId = this.options.desk.add(respond, (result) =>
       result === undefined
         ? { type: 'unsure', reason: 'the result is not there' }
@@ -97,6 +116,17 @@
     });
   }
 
+  /**
+   * True for an operators' change while the cluster is still being founded. The founder is a quorum
+   * by itself until others have joined: what it acknowledged then would be gone with its disk.
+   */
+  private isTooYoung({ type }: StoreCommand): boolean {
+    if (type !== 'replaceTables' && type !== 'putTable') return false;
+    const { members } = currentMembership(this.options.readState());
+    const voters = members.filter(({ role }) => role === 'voter');
+    return voters.length < this.options.leastVoters;
+  }
+
   /**
    * A store whose disk is new asks to join. If the log still knows its instance by another disk,
    * that disk is lost: its identity is removed first, so that it is never counted again.
@@ -153,9 +183,19 @@
     return { type: 'configuration', configuration: this.options.readMachine().configuration };
   }
 
+  private describeDocument(): StoreResponse {
+    const { configuration, document } = this.options.readMachine();
+    const version = configuration.whole?.version;
+    if (version === undefined || document === undefined) {
+      return { type: 'unavailable', reason: 'no configuration has been sent yet' };
+    }
+    return { type: 'document', version, document };
+  }
+
   private describeSubscription(): StoreResponse {
     const machine = this.options.readMachine();
     const quarantine = quarantineAt(machine, this.options.timers.wallNow());
-    return { type: 'subscribed', configuration: machine.configuration, quarantine };
+    const stores = memberAddresses(this.options.readState());
+    return { type: 'subscribed', configuration: machine.configuration, quarantine, stores };
   }
 }
--- a/apps/store/src/index.ts
+++ b/apps/store/src/index.ts
@@ -1,4 +1,5 @@
 export * from './FolderDisk.js';
+export * from './openFolderDisk.js';
 export * from './StoreDisk.js';
 export * from './StoreProcess.js';
 export * from './testing/MemoryDisk.js';
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -112,6 +112,8 @@
         dataFolder: 'none',
         electionTimeoutMilliseconds: 300,
         heartbeatMilliseconds: 50,
+        leastVoters: 1,
+        peerHeartbeatMilliseconds: 1000,
       },
       this.timers,
       disk,
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   js.configs.recommended,
   plugins.stylistic,
   plugins.importX,
@@ -61,6 +61,13 @@
       '@typescript-eslint/no-floating-promises': 'off',
     },
   },
+  {
+    files: ['tools/**'],
+    rules: {
+      // They run in this repository only, where what it is developed with is there.
+      'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }],
+    },
+  },
   {
     files: ['tools/**', 'measure/**', 'apps/ctl/**', 'apps/**/main.ts'],
     rules: { 'no-console': 'off' },
--- /dev/null
+++ b/packages/adapters/src/SingletonAdapter.ts
@@ -0,0 +1,37 @@
+/**
+ * How the platform is met by the one process that reports usage and sizes pools. Every call names
+ * its holder and the epoch of its lease; whether the platform checks them is its own affair.
+ *
+ * No method retries or has a timeout of its own. Every failure is a `BackendServerFailure`.
+ */
+
+/** Who calls, under which holding of the lease. */
+export interface Holding {
+  readonly holder: string;
+  /** Grows whenever the holder changes. */
+  readonly epoch: number;
+}
+
+export interface SizeOrderCall {
+  readonly pool: string;
+  readonly dataCentre: string;
+  readonly reclaimable: boolean;
+  readonly count: number;
+}
+
+export abstract class SingletonAdapter {
+  /** Reports what each workspace began to run in one window; the same again does no harm. */
+  abstract reportUsage(
+    window: number,
+    counts: Readonly<Record<string, number>>,
+    holding: Holding,
+    signal: AbortSignal,
+  ): Promise<void>;
+
+  /** Says how many instances there are to be; `refused` if the platform has none to give. */
+  abstract orderSize(
+    order: SizeOrderCall,
+    holding: Holding,
+    signal: AbortSignal,
+  ): Promise<'done' | 'refused'>;
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -2,6 +2,8 @@
 export * from './EngineAdapter.js';
 export * from './PlainServiceAdapter.js';
 export * from './PlatformAdapter.js';
+export * from './RelayAdapter.js';
+export * from './SingletonAdapter.js';
 export * from './WeightStoreAdapter.js';
 export * from './SignOfLife.js';
 export { HttpEngineAdapter } from './http/HttpEngineAdapter.js';
--- a/packages/controller-core/src/index.ts
+++ b/packages/controller-core/src/index.ts
@@ -8,3 +8,10 @@
 export * from './policy.js';
 export * from './reduceController.js';
 export { createControllerState, type ControllerOptions, type ControllerState } from './state.js';
+export * from './singleton/reduceSingleton.js';
+export * from './singleton/singletonEvents.js';
+export {
+  makeSingletonState,
+  type SingletonOptions,
+  type SingletonState,
+} from './singleton/SingletonState.js';
--- /dev/null
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -0,0 +1,175 @@
+/**
+ * Keeps the sizes of the pools: measures what is needed, plans, and tells the platform what has
+ * changed. Capacity follows a rise at once; it falls only after the need was lower for a while, so
+ * that a lull between two rushes costs no starts.
+ */
+import type { Milliseconds, Pool, PoolSizing, RouteDemandReport } from '@hornbeampond/schema';
+import { measureLoad, needFor, type PoolLoad } from '../sizing/measureNeed.js';
+import { planSizes, type PlaceSize, type PlaceState, type SizeNeed } from '../sizing/planSizes.js';
+import type { SingletonEffect, SizeOrder } from './singletonEvents.js';
+import type { SingletonState, SizedPool } from './SingletonState.js';
+
+const PLAN_MILLISECONDS: Milliseconds = 1000;
+
+/** What was needed or planned is kept for so long before capacity may fall below it. */
+const FALL_AFTER_MILLISECONDS: Milliseconds = 20_000;
+
+/** Rates are taken over ten seconds; before, they say less than what is there already. */
+const MEASURED_AFTER_MILLISECONDS: Milliseconds = 12_000;
+
+/** The list fills while the instances of a system that starts come up. */
+const LIST_FILLS_MILLISECONDS: Milliseconds = 2500;
+
+/** An entry that was not heard for so long has no demand. */
+const ENTRY_SILENCE_MILLISECONDS: Milliseconds = 5000;
+
+/** After a refusal the platform is asked again this much later. */
+const CLOSED_MILLISECONDS: Milliseconds = 3000;
+
+const DEFAULT_CONCURRENCY = 8;
+
+function poolStateOf(state: SingletonState, name: string): SizedPool {
+  const known = state.pools.get(name);
+  if (known !== undefined) return known;
+  const made: SizedPool = {
+    needs: [],
+    plans: [],
+    ordered: new Map(),
+    closedUntil: new Map(),
+  };
+  state.pools.set(name, made);
+  return made;
+}
+
+function demandFor(state: SingletonState, pool: Pool): RouteDemandReport[] {
+  return [...state.entries.values()]
+    .filter(({ heardAt }) => state.now - heardAt <= ENTRY_SILENCE_MILLISECONDS)
+    .flatMap(({ report }) => report.demand ?? [])
+    .filter((demand) => demand.pool === pool.name);
+}
+
+function countThere(state: SingletonState, pool: Pool, dataCentre: string, reclaimable: boolean) {
+  return state.instances.filter(
+    (instance) =>
+      instance.pool === pool.name &&
+      instance.dataCentre === dataCentre &&
+      instance.state === 'live' &&
+      (instance.instanceClass === 'reclaimable') === reclaimable,
+  ).length;
+}
+
+function placesOf(state: SingletonState, pool: Pool, sized: SizedPool): PlaceState[] {
+  return pool.dataCentres.map((dataCentre) => {
+    const onDemand = countThere(state, pool, dataCentre, false);
+    return {
+      dataCentre,
+      reclaimable: countThere(state, pool, dataCentre, true),
+      onDemand,
+      isClosed: (sized.closedUntil.get(dataCentre) ?? Number.NEGATIVE_INFINITY) > state.now,
+      plannedOnDemand: sized.ordered.get(dataCentre)?.onDemand ?? onDemand,
+    };
+  });
+}
+
+/** Until demand has been measured, what is there is taken for what is needed. */
+function needNow(state: SingletonState, load: PoolLoad, places: readonly PlaceState[]): SizeNeed {
+  const { demandSince } = state;
+  const measured = needFor(load);
+  const isMeasured =
+    demandSince !== undefined && state.now - demandSince >= MEASURED_AFTER_MILLISECONDS;
+  if (isMeasured) return measured;
+  const there = places.reduce((sum, place) => sum + place.reclaimable + place.onDemand, 0);
+  return {
+    normal: Math.max(there, measured.normal),
+    afterLoss: Math.max(Math.ceil(there / 2), measured.afterLoss),
+  };
+}
+
+function highestOf(needs: readonly { readonly need: SizeNeed }[]): SizeNeed {
+  return {
+    normal: Math.max(1, ...needs.map(({ need }) => need.normal)),
+    afterLoss: Math.max(1, ...needs.map(({ need }) => need.afterLoss)),
+  };
+}
+
+/** Keeps the highest reclaimable plan of the last while: starting and ending them is no saving. */
+function steady(state: SingletonState, sized: SizedPool, plan: readonly PlaceSize[]): PlaceSize[] {
+  sized.plans = sized.plans.filter(({ at }) => state.now - at < FALL_AFTER_MILLISECONDS);
+  sized.plans.push({ at: state.now, sizes: plan });
+  return plan.map((size, position) => ({
+    ...size,
+    reclaimable: Math.max(...sized.plans.map(({ sizes }) => sizes[position]?.reclaimable ?? 0)),
+  }));
+}
+
+function ordersFor(pool: Pool, { dataCentre, reclaimable, onDemand }: PlaceSize): SizeOrder[] {
+  return [
+    { pool: pool.name, dataCentre, reclaimable: true, count: reclaimable },
+    { pool: pool.name, dataCentre, reclaimable: false, count: onDemand },
+  ];
+}
+
+/** True if the platform was told this already, or there are so many without being told. */
+function isInForce(sized: SizedPool, place: PlaceState, order: SizeOrder): boolean {
+  const ordered = sized.ordered.get(order.dataCentre);
+  const told = order.reclaimable ? ordered?.reclaimable : ordered?.onDemand;
+  if (told !== undefined) return told === order.count;
+  return (order.reclaimable ? place.reclaimable : place.onDemand) === order.count;
+}
+
+function measure(state: SingletonState, pool: Pool): PoolLoad {
+  const concurrency = pool.instanceClasses[0]?.concurrency ?? DEFAULT_CONCURRENCY;
+  return measureLoad(demandFor(state, pool), concurrency);
+}
+
+function sizePool(state: SingletonState, pool: Pool, sizing: PoolSizing, epoch: number) {
+  const sized = poolStateOf(state, pool.name);
+  const places = placesOf(state, pool, sized);
+  const load = measure(state, pool);
+  sized.needs = sized.needs.filter(({ at }) => state.now - at < FALL_AFTER_MILLISECONDS);
+  sized.needs.push({ at: state.now, need: needNow(state, load, places) });
+  const need = highestOf(sized.needs);
+  const plan = steady(state, sized, planSizes({ sizing, need, places }));
+  return plan.flatMap((size, position): SingletonEffect[] => {
+    const place = places[position];
+    if (place === undefined) return [];
+    return ordersFor(pool, size)
+      .filter((order) => !isInForce(sized, place, order) && !(order.reclaimable && place.isClosed))
+      .flatMap((order): SingletonEffect[] => [
+        { type: 'log', event: 'sizeOrdered', fields: { ...order, ...need, ...load } },
+        { type: 'orderSize', order, epoch },
+      ]);
+  });
+}
+
+export function advanceSizes(state: SingletonState): SingletonEffect[] {
+  const { epoch, listedAt, now } = state;
+  if (!state.options.ordersInstances || epoch === undefined || listedAt === undefined) return [];
+  if (now - listedAt < LIST_FILLS_MILLISECONDS || now - state.plannedAt < PLAN_MILLISECONDS) {
+    return [];
+  }
+  state.plannedAt = now;
+  return state.configuration.pools.rows.flatMap((pool) =>
+    pool.sizing === undefined ? [] : sizePool(state, pool, pool.sizing, epoch),
+  );
+}
+
+/** Remembers what the platform was told, or that it has none to give there for now. */
+export function takeOrdered(
+  state: SingletonState,
+  order: SizeOrder,
+  outcome: 'done' | 'refused' | 'failed',
+): SingletonEffect[] {
+  const sized = poolStateOf(state, order.pool);
+  const { dataCentre, reclaimable, count } = order;
+  if (outcome === 'refused') {
+    sized.closedUntil.set(dataCentre, state.now + CLOSED_MILLISECONDS);
+    return [{ type: 'log', event: 'sizeRefused', fields: { ...order } }];
+  }
+  // What became of a failed order is not known; it is given again with the next plan.
+  if (outcome === 'failed') return [];
+  const before = sized.ordered.get(dataCentre);
+  const told = reclaimable ? { reclaimable: count } : { onDemand: count };
+  sized.ordered.set(dataCentre, { ...before, ...told });
+  return [];
+}
--- /dev/null
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -0,0 +1,55 @@
+/**
+ * The reducer of the work of which one process in the whole cluster does all: reporting usage, and
+ * sizing pools where the platform is told numbers. It asks for nothing while it holds no lease.
+ */
+import { assertNever } from '@hornbeampond/schema';
+import { advanceSizes, takeOrdered } from './advanceSizes.js';
+import { advanceUsage, takeSettled } from './advanceUsage.js';
+import type { SingletonEffect, SingletonEvent } from './singletonEvents.js';
+import type { SingletonState } from './SingletonState.js';
+
+function noteEntry(state: SingletonState, event: SingletonEvent): void {
+  if (event.type !== 'entryReported') return;
+  const { report, now } = event;
+  state.entries.set(report.instance, { report, heardAt: now });
+  state.usage.receive(report);
+  if ((report.demand ?? []).length > 0) state.demandSince ??= now;
+}
+
+export function reduceSingleton(state: SingletonState, event: SingletonEvent): SingletonEffect[] {
+  state.now = event.now;
+  state.wallNow = event.wallNow;
+  switch (event.type) {
+    case 'tick':
+      return [...advanceUsage(state), ...advanceSizes(state)];
+    case 'configurationReceived':
+      state.configuration = event.configuration;
+      return [];
+    case 'entryReported':
+      noteEntry(state, event);
+      return [];
+    case 'instancesListed':
+      state.instances = event.instances;
+      if (event.instances.length > 0) state.listedAt ??= event.now;
+      return [];
+    case 'leaseHeld':
+      state.epoch = event.epoch;
+      // What the holder before was told is not known; everything is planned anew.
+      state.pools.clear();
+      return [];
+    case 'leaseLost':
+      state.epoch = undefined;
+      return [];
+    case 'usageSettled':
+      return takeSettled(state, event.window, event.counts);
+    case 'usageReported': {
+      const window = state.usageWindows.get(event.window);
+      if (window !== undefined) window.isReported = true;
+      return [];
+    }
+    case 'sizeOrdered':
+      return takeOrdered(state, event.order, event.outcome);
+    default:
+      return assertNever(event);
+  }
+}
--- /dev/null
+++ b/packages/controller-core/src/singleton/singletonEvents.ts
@@ -0,0 +1,52 @@
+/** What happens to the process that reports usage and sizes pools, and what it asks of its shell. */
+import type {
+  Configuration,
+  EntryReport,
+  EpochMilliseconds,
+  LogEffect,
+  MonotonicMilliseconds,
+  PlatformInstance,
+} from '@hornbeampond/schema';
+import type { UsageCounts } from '../usage/UsageLedger.js';
+
+/** An order for one kind of instances of a pool in one data centre. */
+export interface SizeOrder {
+  readonly pool: string;
+  readonly dataCentre: string;
+  readonly reclaimable: boolean;
+  /** How many there are to be; the platform starts or ends the difference. */
+  readonly count: number;
+}
+
+export type SingletonOccurrence =
+  | { readonly type: 'tick' }
+  | { readonly type: 'configurationReceived'; readonly configuration: Configuration }
+  | { readonly type: 'entryReported'; readonly report: EntryReport }
+  | { readonly type: 'instancesListed'; readonly instances: readonly PlatformInstance[] }
+  | { readonly type: 'leaseHeld'; readonly epoch: number }
+  | { readonly type: 'leaseLost' }
+  /** The counts that the log keeps for a window, whoever proposed them. */
+  | { readonly type: 'usageSettled'; readonly window: number; readonly counts: UsageCounts }
+  | { readonly type: 'usageReported'; readonly window: number }
+  | {
+      readonly type: 'sizeOrdered';
+      readonly order: SizeOrder;
+      /** `refused`: the platform has none to give; `failed`: it is not known what became of it. */
+      readonly outcome: 'done' | 'refused' | 'failed';
+    };
+
+export type SingletonEvent = SingletonOccurrence & {
+  readonly now: MonotonicMilliseconds;
+  readonly wallNow: EpochMilliseconds;
+};
+
+export type SingletonEffect =
+  | { readonly type: 'settleUsage'; readonly window: number; readonly counts: UsageCounts }
+  | {
+      readonly type: 'reportUsage';
+      readonly window: number;
+      readonly counts: UsageCounts;
+      readonly epoch: number;
+    }
+  | { readonly type: 'orderSize'; readonly order: SizeOrder; readonly epoch: number }
+  | LogEffect;
--- /dev/null
+++ b/packages/controller-core/src/sizing/planSizes.ts
@@ -0,0 +1,143 @@
+/**
+ * Plans how many instances of a pool each data centre has, reclaimable and on-demand, where the
+ * platform is told numbers rather than sells single instances.
+ *
+ * Reclaimable ones cost a fraction, and a wave takes all of one data centre at a time. So they are
+ * spread evenly, as many as leave enough to go on with after the largest loss. On-demand ones are
+ * held for what the reclaimable ones that serve now lack of that, and no longer.
+ *
+ * A plan changes as little as it can: what was planned last is where it starts. Instances that are
+ * moved between data centres would each cost a start and the answers that run on the old one.
+ */
+import type { PoolSizing } from '@hornbeampond/schema';
+
+/** What the plan has to be enough for, in instances. */
+export interface SizeNeed {
+  /** With all there. */
+  readonly normal: number;
+  /** Just after the reclaimable instances of one data centre are gone. */
+  readonly afterLoss: number;
+}
+
+/** One data centre: what the platform lists there, without what leaves, and what was planned. */
+export interface PlaceState {
+  readonly dataCentre: string;
+  readonly reclaimable: number;
+  readonly onDemand: number;
+  /** True while the platform has no reclaimable instances to give there. */
+  readonly isClosed: boolean;
+  /** On-demand instances of the last plan. */
+  readonly plannedOnDemand: number;
+}
+
+export interface SizeRequest {
+  readonly sizing: PoolSizing;
+  readonly need: SizeNeed;
+  readonly places: readonly PlaceState[];
+}
+
+/** What is to be ordered for one data centre. */
+export interface PlaceSize {
+  readonly dataCentre: string;
+  readonly reclaimable: number;
+  readonly onDemand: number;
+}
+
+interface Draft {
+  readonly place: PlaceState;
+  readonly price: number;
+  reclaimable: number;
+  onDemand: number;
+}
+
+function sumOf(drafts: readonly Draft[], pick: (draft: Draft) => number): number {
+  return drafts.reduce((sum, draft) => sum + pick(draft), 0);
+}
+
+function byPrice(drafts: readonly Draft[]): Draft[] {
+  return [...drafts].sort((a, b) => a.price - b.price);
+}
+
+/** The place with fewest, the cheapest of several: an even spread bounds the largest loss. */
+function emptiest(drafts: readonly Draft[], pick: (draft: Draft) => number): Draft | undefined {
+  return byPrice(drafts).sort((a, b) => pick(a) - pick(b))[0];
+}
+
+function isEnough(drafts: readonly Draft[], need: SizeNeed): boolean {
+  const total = sumOf(drafts, (draft) => draft.reclaimable);
+  const largestLoss = Math.max(0, ...drafts.map((draft) => draft.reclaimable));
+  return total >= need.normal && total - largestLoss >= need.afterLoss;
+}
+
+/** A place without more to give counts with what it has: an order for fewer would end those. */
+function spreadReclaimable(drafts: readonly Draft[], { sizing, need }: SizeRequest): void {
+  drafts.forEach((draft) => {
+    const { isClosed, reclaimable } = draft.place;
+    draft.reclaimable = isClosed ? reclaimable : Math.min(sizing.least, sizing.most);
+  });
+  while (!isEnough(drafts, need)) {
+    const open = drafts.filter(
+      ({ place, reclaimable }) => !place.isClosed && reclaimable < sizing.most,
+    );
+    const next = emptiest(open, (draft) => draft.reclaimable);
+    if (next === undefined) return;
+    next.reclaimable += 1;
+  }
+}
+
+/** What the on-demand instances have to make up for. */
+function countLacking(drafts: readonly Draft[], { sizing, need }: SizeRequest): number {
+  if (sizing.reclaimableShare === undefined) return Math.max(need.normal, need.afterLoss);
+  const serving = sumOf(drafts, ({ place }) => place.reclaimable);
+  return Math.max(0, need.afterLoss - serving);
+}
+
+/** Starts from the last plan; adds where instances are there already, then where they are cheap. */
+function fillOnDemand(drafts: readonly Draft[], request: SizeRequest): void {
+  const { sizing } = request;
+  const lacking = countLacking(drafts, request);
+  drafts.forEach((draft) => {
+    draft.onDemand = Math.min(draft.place.plannedOnDemand, sizing.most);
+  });
+  const total = () => sumOf(drafts, (draft) => draft.onDemand);
+  while (total() > lacking) {
+    const dearest = byPrice(drafts.filter(({ onDemand }) => onDemand > 0)).at(-1);
+    if (dearest === undefined) return;
+    dearest.onDemand -= 1;
+  }
+  while (total() < lacking) {
+    const serving = ({ place, onDemand }: Draft) => place.reclaimable + onDemand;
+    const open = drafts.filter((draft) => serving(draft) < sizing.most);
+    const there = open.filter(({ place, onDemand }) => onDemand < place.onDemand);
+    const next = byPrice(there)[0] ?? emptiest(open, serving);
+    if (next === undefined) return;
+    next.onDemand += 1;
+  }
+}
+
+/** The platform bounds both kinds together. */
+function keepBounds(drafts: readonly Draft[], { sizing }: SizeRequest): void {
+  drafts.forEach((draft) => {
+    const least = sizing.least - draft.reclaimable;
+    draft.onDemand = Math.max(draft.onDemand, least);
+    draft.reclaimable = Math.min(draft.reclaimable, sizing.most - draft.onDemand);
+  });
+}
+
+export function planSizes(request: SizeRequest): PlaceSize[] {
+  const { sizing, places } = request;
+  const drafts = places.map((place) => ({
+    place,
+    price: sizing.prices[place.dataCentre] ?? 1,
+    reclaimable: 0,
+    onDemand: 0,
+  }));
+  if (sizing.reclaimableShare !== undefined) spreadReclaimable(drafts, request);
+  fillOnDemand(drafts, request);
+  keepBounds(drafts, request);
+  return drafts.map(({ place, reclaimable, onDemand }) => ({
+    dataCentre: place.dataCentre,
+    reclaimable,
+    onDemand,
+  }));
+}
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -11,6 +11,7 @@
 import type { PoolBalance } from './backendServers/PoolBalance.js';
 import type { CallClaim } from './claims/CallClaim.js';
 import { DemandMeter } from './demand/DemandMeter.js';
+import { UsageMeter } from './demand/UsageMeter.js';
 import type { Timed } from './entryEvents.js';
 import { makeLimitState, type LimitState } from './limits/LimitState.js';
 import { RouteIndex } from './routing/RouteIndex.js';
@@ -28,6 +29,8 @@
   readonly incarnation: number;
   /** Most requests that may wait for a backend server. */
   readonly queuedRequests: number;
+  /** Length of the windows in which requests are counted for the usage report, if there is one. */
+  readonly usageWindow?: number;
 }
 
 export interface EntryState {
@@ -42,6 +45,7 @@
   /** Claimed calls whose end is not in the log yet, by request id. */
   readonly claims: Map<string, CallClaim>;
   readonly demand: DemandMeter;
+  readonly usage: UsageMeter;
   /** By data centre. */
   readonly drains: Map<string, FleetDrains>;
   readonly retries: RetryState;
@@ -81,6 +85,7 @@
     attempts: new Map(),
     claims: new Map(),
     demand: new DemandMeter(),
+    usage: new UsageMeter(identity.usageWindow ?? 0),
     drains: new Map(),
     retries: makeRetryState(`${identity.instance}/${identity.incarnation}`),
     quarantine: makeQuarantineState(),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -2,6 +2,7 @@
  * Decides on a request that has just arrived: refuse it at once with the reason, or accept it
  * and try it.
  */
+import type { Milliseconds, Pool, Route } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
@@ -9,58 +10,107 @@
 import { beginClaim } from '../claims/beginClaim.js';
 import { refuse } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { choosePool } from '../routing/choosePool.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
 import { findRoute } from '../routing/findRoute.js';
+import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import { routeIndexOf } from '../routing/routeIndexOf.js';
 import { acquire } from '../limits/releaseEnded.js';
+import { spendAllowance } from '../limits/refuseOverAllowance.js';
 import { decideAdmission } from './refuseEarly.js';
 
-export function admitRequest(
+/** When a caller may come back to an entry that has not been told a configuration yet. */
+const NOT_CONFIGURED_RETRY_MILLISECONDS: Milliseconds = 500;
+
+/** The route and the workspace that a request has the right to use it as, or the refusal. */
+type Resolved =
+  | { readonly type: 'found'; readonly route: Route; readonly request: CallerRequest }
+  | { readonly type: 'refused'; readonly effects: EntryEffect[] };
+
+/** Finds who calls, where the configuration and not the settings names the workspaces. */
+function resolveWorkspace(state: EntryState, request: CallerRequest): CallerRequest {
+  if (state.configuration.whole === undefined || request.keySha256 === undefined) return request;
+  const workspace = routeIndexOf(state).workspaceOfKey(request.keySha256) ?? '';
+  return { ...request, workspace };
+}
+
+function resolve(state: EntryState, arrived: CallerRequest): Resolved {
+  const request = resolveWorkspace(state, arrived);
+  const found = findRoute(routeIndexOf(state), request);
+  if (found.type === 'found') {
+    const { route } = found;
+    const isKnown = route.public === true || request.workspace !== '';
+    if (isKnown) return { type: 'found', route, request };
+    return { type: 'refused', effects: refuse(request, 'unauthorized', 'The key is not known') };
+  }
+  const detail =
+    found.type === 'forbidden'
+      ? `Workspace "${request.workspace}" may not use this route`
+      : `No route matches ${request.path}`;
+  return { type: 'refused', effects: refuse(request, found.type, detail) };
+}
+
+/** Bounds the route's deadline by what the caller says of its patience. */
+function accept(
   state: EntryState,
   request: CallerRequest,
+  route: Route,
+  pool: Pool,
   { now, wallNow }: Timed,
-): EntryEffect[] {
-  if (state.shuttingDown) {
-    return refuse(request, 'draining', 'This instance is shutting down');
-  }
+): RequestState {
   const index = routeIndexOf(state);
-  const found = findRoute(index, request);
-  if (found.type === 'forbidden') {
-    return refuse(request, 'forbidden', `Workspace "${request.workspace}" may not use this route`);
-  }
-  if (found.type === 'routeNotFound') {
-    return refuse(request, 'routeNotFound', `No route matches ${request.path}`);
-  }
-  const { route } = found;
-  state.demand.note(route.name, now);
-  const pool = index.pool(route.pool);
-  if (pool === undefined) {
-    return refuse(request, 'noBackendServer', `Pool "${route.pool}" is not there`);
-  }
-  if (!route.idempotent && request.idempotencyKey === undefined) {
-    return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
-  }
   const deadline = deadlineAt(route, wallNow, index.clock);
-  const accepted: RequestState = {
+  const patience = request.patience ?? Infinity;
+  const priority = index.workspace(request.workspace)?.priority ?? route.priority;
+  return {
     request,
-    route,
+    route: priority === route.priority ? route : { ...route, priority },
     pool,
     arrivedAt: now,
-    firstTokenDueAt: now + deadline.firstTokenMilliseconds,
-    wholeAnswerDueAt: now + deadline.wholeAnswerMilliseconds,
+    firstTokenDueAt: now + Math.min(deadline.firstTokenMilliseconds, patience),
+    wholeAnswerDueAt: now + Math.min(deadline.wholeAnswerMilliseconds, patience),
     attemptId: undefined,
     attemptsStarted: 0,
     triedInstances: new Set(),
     tokens: 0,
     firstTokenAt: undefined,
   };
-  const admission = decideAdmission(state, accepted, now);
+}
+
+export function admitRequest(
+  state: EntryState,
+  arrived: CallerRequest,
+  timed: Timed,
+): EntryEffect[] {
+  if (state.shuttingDown) {
+    return refuse(arrived, 'draining', 'This instance is shutting down');
+  }
+  if (state.configuration.revision === 0) {
+    const problem = { retryAfterMilliseconds: NOT_CONFIGURED_RETRY_MILLISECONDS };
+    return refuse(arrived, 'notConfigured', 'No configuration is known here yet', problem);
+  }
+  const resolved = resolve(state, arrived);
+  if (resolved.type === 'refused') return resolved.effects;
+  const { route, request } = resolved;
+  state.demand.note(route.name, timed.now);
+  const poolName = choosePool(route, state.random);
+  const pool = routeIndexOf(state).pool(poolName);
+  if (pool === undefined) {
+    return refuse(request, 'noBackendServer', `Pool "${poolName}" is not there`);
+  }
+  const isClaimed = !mayBeCancelled(route);
+  if (isClaimed && request.idempotencyKey === undefined) {
+    return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
+  }
+  const accepted = accept(state, request, route, pool, timed);
+  const admission = decideAdmission(state, accepted, timed.now);
   if (admission.type === 'refused') {
     const { kind, detail, retryAfterMilliseconds } = admission.refusal;
     return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds });
   }
   state.requests.set(request.requestId, accepted);
   acquire(state, request.requestId, route.name, request.workspace);
+  spendAllowance(state, accepted);
   return [
     { type: 'count', metric: 'requestsAccepted', label: route.name },
     {
@@ -68,8 +118,8 @@
       event: 'requestAccepted',
       fields: { requestId: request.requestId, route: route.name, workspace: request.workspace },
     },
-    ...(route.idempotent
-      ? startAttempt(state, accepted, now, admission.server)
-      : beginClaim(state, accepted, { now, wallNow })),
+    ...(isClaimed
+      ? beginClaim(state, accepted, timed)
+      : startAttempt(state, accepted, timed.now, admission.server)),
   ];
 }
--- a/packages/entry-core/src/admission/refuseEarly.ts
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -8,6 +8,7 @@
 import { isPredictionTrusted, predictFirstToken } from '../backendServers/predictFirstToken.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryState } from '../EntryState.js';
+import { retryAfterAllowance } from '../limits/refuseOverAllowance.js';
 import { limitKey, limitOf } from '../limits/limitOf.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { countWaiting, poolQueueOf } from './AdmissionState.js';
@@ -27,6 +28,13 @@
 /** One workspace may have waiting so many times the room that is left in the queue. */
 const QUEUE_SHARE_FACTOR = 2;
 
+function refuseOverAllowance(state: EntryState, accepted: RequestState): EarlyRefusal | undefined {
+  const retryAfterMilliseconds = retryAfterAllowance(state, accepted);
+  if (retryAfterMilliseconds === undefined) return undefined;
+  const detail = `Workspace "${accepted.request.workspace}" has spent its allowance`;
+  return { kind: 'allowanceSpent', detail, retryAfterMilliseconds };
+}
+
 function refuseOverLimit(
   state: EntryState,
   { request, route, pool }: RequestState,
@@ -123,6 +131,8 @@
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): Admission {
+  const overAllowance = refuseOverAllowance(state, accepted);
+  if (overAllowance !== undefined) return toAdmission(overAllowance);
   const overLimit = refuseOverLimit(state, accepted, now);
   if (overLimit !== undefined) return toAdmission(overLimit);
   const placement = placeRequest(state, accepted, now);
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -6,6 +6,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/reportToEntries.js';
+import { targetAt } from '../backendServers/targetAt.js';
 import { attemptIdOf } from './AttemptState.js';
 import { isSuspect } from '../quarantine/suspects.js';
 import { prefillDuration } from '../reclaims/costs.js';
@@ -57,7 +58,7 @@
   now: MonotonicMilliseconds,
 ): EntryEffect[] {
   const { requestId } = accepted.request;
-  const { instance, host, port } = server.listed;
+  const { instance } = server.listed;
   if (accepted.attemptsStarted === 0) earnRetries(state.retries, accepted.route.name, instance);
   accepted.attemptsStarted += 1;
   const attemptId = attemptIdOf(requestId, accepted.attemptsStarted);
@@ -89,7 +90,9 @@
       type: 'startAttempt',
       requestId,
       attemptId,
-      target: { instance, host, port, kind: accepted.pool.kind },
+      target: targetAt(server, accepted.pool),
+      workspace: accepted.request.workspace,
+      timeLeft: Math.max(1, accepted.wholeAnswerDueAt - now),
       resumeFromTokens,
       priority: accepted.route.priority,
       sendOnce: !accepted.route.idempotent,
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -33,10 +33,12 @@
 }
 
 function noteFirstToken(
+  state: EntryState,
   accepted: RequestState,
   attempt: AttemptState,
-  { now }: EntryEvent,
+  { now, wallNow }: EntryEvent,
 ): EntryEffect[] {
+  if (attempt.firstTokenAt === undefined) state.usage.note(accepted.request.workspace, wallNow);
   attempt.firstTokenAt ??= now;
   if (accepted.firstTokenAt !== undefined) return [];
   accepted.firstTokenAt = now;
@@ -100,7 +102,7 @@
       accepted.maybeSent = true;
       return [];
     case 'firstTokenReceived':
-      return noteFirstToken(accepted, attempt, event);
+      return noteFirstToken(state, accepted, attempt, event);
     case 'attemptProgressed':
       noteProgress(accepted, attempt, event);
       return [];
--- a/packages/entry-core/src/attempts/releaseAttempts.ts
+++ b/packages/entry-core/src/attempts/releaseAttempts.ts
@@ -4,6 +4,7 @@
  */
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
+import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import type { RequestState } from '../requests/RequestState.js';
 import type { AttemptState } from './AttemptState.js';
 
@@ -45,7 +46,7 @@
   const { requestId } = accepted.request;
   state.retries.waiting.delete(requestId);
   forgetMove(state, requestId);
-  const effects = accepted.route.idempotent ? cancelAttempt(state, accepted) : [];
+  const effects = mayBeCancelled(accepted.route) ? cancelAttempt(state, accepted) : [];
   accepted.givenUpAttemptIds?.forEach((attemptId) => {
     if (state.attempts.delete(attemptId)) effects.push({ type: 'cancelAttempt', attemptId });
   });
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -70,7 +70,12 @@
 ): EntryEffect[] {
   if (!accepted.route.idempotent && accepted.maybeSent === true) {
     const detail = 'The call may have run and is not sent again';
-    return refuseRetry(state, accepted, 'notIdempotent', 'outcomeUnknown', detail);
+    const kind = accepted.route.claimed === false ? 'backendServerFailed' : 'outcomeUnknown';
+    return refuseRetry(state, accepted, 'notIdempotent', kind, detail);
+  }
+  if (accepted.attemptsStarted >= (accepted.route.mostAttempts ?? Infinity)) {
+    const detail = `The route allows ${accepted.attemptsStarted} attempts`;
+    return refuseRetry(state, accepted, 'attemptsUsedUp', 'backendServerFailed', detail);
   }
   const backOff = cause.free ? 0 : drawBackOff(state.retries, accepted.attemptsStarted);
   const delay = Math.max(backOff, cause.retryAfter ?? 0);
--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -78,6 +78,9 @@
   /** The same at servers that were well filled. */
   private readonly filledServiceTimes = new Map<string, LearntMean>();
 
+  /** Tokens of prompts that had to be computed, by route. */
+  private readonly uncachedTokens = new Map<string, LearntMean>();
+
   /** Attempts of this entry in progress at the pool's servers. */
   readonly attemptIds = new Set<string>();
 
@@ -121,6 +124,18 @@
     return quiet === undefined ? SERVICE_PRIOR : quiet * FILLED_SLOWDOWN;
   }
 
+  /** How long an engine computes the prompt of one of the route's requests. */
+  promptTime(route: string): Milliseconds {
+    return this.firstToken.predictGrowth(this.uncachedTokens.get(route)?.value ?? 0);
+  }
+
+  /** Takes in how many tokens of a prompt were not in the cache of where it was sent. */
+  learnPrompt(route: string, tokens: number): void {
+    const known = this.uncachedTokens.get(route) ?? new LearntMean(tokens);
+    known.learn(tokens);
+    this.uncachedTokens.set(route, known);
+  }
+
   learnServiceTime(route: string, sample: Milliseconds, isFilled: boolean): void {
     const means = isFilled ? this.filledServiceTimes : this.serviceTimes;
     const known = means.get(route) ?? new LearntMean(SERVICE_PRIOR);
--- a/packages/entry-core/src/backendServers/listInstances.ts
+++ b/packages/entry-core/src/backendServers/listInstances.ts
@@ -12,6 +12,7 @@
 const DEFAULT_CONCURRENCY = 8;
 
 function concurrencyOf(state: EntryState, instance: PlatformInstance): number {
+  if (instance.concurrency !== undefined) return instance.concurrency;
   const classes = routeIndexOf(state).pool(instance.pool)?.instanceClasses;
   const found = classes?.find((instanceClass) => instanceClass.name === instance.instanceClass);
   return found?.concurrency ?? DEFAULT_CONCURRENCY;
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -77,6 +77,7 @@
   pool.peak.see(pool.attemptIds.size, now);
   const tokens = uncachedTokens(pool, server, accepted.request, now);
   const tokensUntilFirst = pendingTokens(server) + tokens;
+  pool.learnPrompt(accepted.route.name, tokens);
   server.balance.pendingPrompts.set(attemptId, { tokens, tokensUntilFirst });
 }
 
--- /dev/null
+++ b/packages/entry-core/src/backendServers/targetAt.ts
@@ -0,0 +1,15 @@
+/** A backend server as effects name it to the shell. */
+import type { Pool } from '@hornbeampond/schema';
+import type { AttemptTarget } from '../entryEffects.js';
+import type { BackendServerState } from './BackendServerState.js';
+
+export function targetAt({ listed }: BackendServerState, pool: Pool | undefined): AttemptTarget {
+  const { instance, host, port } = listed;
+  return {
+    instance,
+    host,
+    port,
+    kind: pool?.kind ?? 'modelEngine',
+    ...(pool?.healthPath === undefined ? {} : { healthPath: pool.healthPath }),
+  };
+}
--- a/packages/entry-core/src/demand/reportDemand.ts
+++ b/packages/entry-core/src/demand/reportDemand.ts
@@ -12,7 +12,10 @@
   return [...state.demand.read(now)].flatMap(([route, requestsPerSecond]) => {
     const pool = index.pool(poolByRoute.get(route) ?? '');
     if (pool === undefined) return [];
-    const serviceMilliseconds = poolBalanceOf(state, pool.name).serviceTime(route);
-    return [{ route, requestsPerSecond, serviceMilliseconds }];
+    const balance = poolBalanceOf(state, pool.name);
+    const serviceMilliseconds = balance.serviceTime(route);
+    const promptMilliseconds = balance.promptTime(route);
+    const reported = { route, requestsPerSecond, serviceMilliseconds };
+    return [{ ...reported, pool: pool.name, promptMilliseconds }];
   });
 }
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -21,6 +21,8 @@
   readonly kind: PoolKind;
   readonly host: string;
   readonly port: number;
+  /** Path of its health check, where the pools table names one. */
+  readonly healthPath?: string;
 }
 
 export type EntryEffect =
@@ -29,6 +31,9 @@
       readonly requestId: string;
       readonly attemptId: string;
       readonly target: AttemptTarget;
+      readonly workspace: string;
+      /** Time until the whole answer is due. */
+      readonly timeLeft: Milliseconds;
       /**
        * Tokens of the answer that are there already; the engine goes on after them. It is what
        * the last edge told. The shell, which holds the text itself, goes on from what it has
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -22,9 +22,18 @@
 export interface CallerRequest {
   /** Unique for all time; it names the request in logs and answers. */
   readonly requestId: string;
+  /** Empty where the workspace is to be found from `keySha256`, or the caller sent no key. */
   readonly workspace: string;
+  /** SHA-256 of the caller's key, where the configuration names workspaces. */
+  readonly keySha256?: string;
   readonly method: string;
+  /** The host that the caller named, in lower case, where routes may tell hosts apart. */
+  readonly host?: string;
   readonly path: string;
+  /** How long the caller will wait, if it says so. */
+  readonly patience?: Milliseconds;
+  /** What it counts against an allowance in tokens; missing if it says nothing of tokens. */
+  readonly countedTokens?: number;
   readonly model?: string;
   readonly idempotencyKey?: string;
   /** Digest of method, path and body. */
--- a/packages/entry-core/src/limits/receiveEntryReport.ts
+++ b/packages/entry-core/src/limits/receiveEntryReport.ts
@@ -8,6 +8,8 @@
   now: MonotonicMilliseconds,
 ): void {
   const { dataCentre, instance } = state.identity;
-  if (report.dataCentre !== dataCentre || report.instance === instance) return;
+  if (report.instance === instance) return;
+  state.limits.allowances.receive(report, now);
+  if (report.dataCentre !== dataCentre) return;
   state.limits.ledger.receive(report, now);
 }
--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -5,6 +5,7 @@
 import type { EntryReport, PeerSuspect } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
+import { reportDemand } from '../demand/reportDemand.js';
 import type { EntryState } from '../EntryState.js';
 import type { Suspect } from '../quarantine/QuarantineState.js';
 
@@ -58,6 +59,15 @@
     }));
 }
 
+/** What only a configuration with workspaces of its own has a use for. */
+function describeWork(state: EntryState): Pick<EntryReport, 'spent' | 'begun' | 'demand'> {
+  return {
+    spent: state.limits.allowances.spent,
+    begun: state.usage.read(),
+    demand: reportDemand(state, state.clocks.now),
+  };
+}
+
 function makeReport(state: EntryState): EntryReport {
   const { instance, dataCentre, incarnation } = state.identity;
   state.membership.sequence += 1;
@@ -70,6 +80,7 @@
     leaving: state.shutdown.started,
     revision: state.configuration.revision,
     inProgress: countInProgress(state),
+    ...(state.configuration.whole === undefined ? {} : describeWork(state)),
     leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
     suspects: [...listSuspects(state), ...listQuarantined(state)],
   };
--- a/packages/entry-core/src/quarantine/probeOf.ts
+++ b/packages/entry-core/src/quarantine/probeOf.ts
@@ -1,12 +1,12 @@
 /** Asks a backend server for a sign of life. */
+import { targetAt } from '../backendServers/targetAt.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
+import { routeIndexOf } from '../routing/routeIndexOf.js';
 
 export function probeOf(state: EntryState, instance: string): EntryEffect[] {
-  const listed = state.backendServers.get(instance)?.listed;
-  if (listed === undefined) return [];
-  const { host, port, pool } = listed;
-  const row = state.configuration.pools.rows.find(({ name }) => name === pool);
-  const kind = row?.kind ?? 'modelEngine';
-  return [{ type: 'probe', target: { instance, host, port, kind } }];
+  const server = state.backendServers.get(instance);
+  if (server === undefined) return [];
+  const pool = routeIndexOf(state).pool(server.listed.pool);
+  return [{ type: 'probe', target: targetAt(server, pool) }];
 }
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -9,9 +9,10 @@
 import type { CacheMoveOutcome } from '@hornbeampond/schema';
 import { attemptIdOf, type AttemptState } from '../attempts/AttemptState.js';
 import { chooseForAttempt } from '../attempts/chooseForAttempt.js';
+import { targetAt } from '../backendServers/targetAt.js';
 import { forgetMove, reservationOf } from '../attempts/releaseAttempts.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
-import type { AttemptTarget, EntryEffect } from '../entryEffects.js';
+import type { EntryEffect } from '../entryEffects.js';
 import type { EntryEvent, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
@@ -31,11 +32,6 @@
   return { type: 'count', metric: 'cacheMoves', label: outcome };
 }
 
-function targetOf({ listed }: BackendServerState, { pool }: RequestState): AttemptTarget {
-  const { instance, host, port } = listed;
-  return { instance, host, port, kind: pool.kind };
-}
-
 export function startMove(
   state: EntryState,
   accepted: RequestState,
@@ -52,9 +48,9 @@
   const move: CacheMove = { requestId, attemptId, from: instance, to, tokens, dueAt: now + wait };
   state.reclaims.moves.set(requestId, move);
   target.attemptIds.add(reservationOf(requestId));
-  const from = targetOf(source, accepted);
+  const from = targetAt(source, accepted.pool);
   const nextAttemptId = attemptIdOf(requestId, accepted.attemptsStarted + 1);
-  const toTarget = targetOf(target, accepted);
+  const toTarget = targetAt(target, accepted.pool);
   return [{ type: 'moveCache', requestId, attemptId, nextAttemptId, from, to: toTarget }];
 }
 
--- a/packages/entry-core/src/routing/RouteIndex.ts
+++ b/packages/entry-core/src/routing/RouteIndex.ts
@@ -3,7 +3,7 @@
  * name. It is built once for a configuration, so that the cost of finding a route does not grow
  * with the number of routes but with the number of different prefix lengths.
  */
-import type { Configuration, Pool, Route } from '@hornbeampond/schema';
+import type { Configuration, Pool, Route, WorkspaceRow } from '@hornbeampond/schema';
 import { LocalClock } from './LocalClock.js';
 
 /** A route and its place in the table: among equally specific routes the first one wins. */
@@ -39,16 +39,22 @@
   readonly anyModel: RouteGroup | undefined;
 }
 
+/** A host never holds a slash and a prefix begins with one, so no two places share a key. */
+function placeOf(host: string | undefined, pathPrefix: string): string {
+  return `${host ?? ''}${pathPrefix}`;
+}
+
 function groupByPrefix(rows: readonly Route[]): Map<string, PrefixRoutes> {
   const prefixes = new Map<string, PrefixRoutes>();
   rows.forEach((route, row) => {
-    const { pathPrefix, model } = route.match;
-    const known = prefixes.get(pathPrefix) ?? { byModel: new Map(), anyModel: undefined };
+    const { host, pathPrefix, model } = route.match;
+    const place = placeOf(host, pathPrefix);
+    const known = prefixes.get(place) ?? { byModel: new Map(), anyModel: undefined };
     const old = model === undefined ? known.anyModel : known.byModel.get(model);
     const group = old ?? new RouteGroup();
     group.add({ route, row });
     if (model !== undefined) known.byModel.set(model, group);
-    prefixes.set(pathPrefix, model === undefined ? { ...known, anyModel: group } : known);
+    prefixes.set(place, model === undefined ? { ...known, anyModel: group } : known);
   });
   return prefixes;
 }
@@ -63,22 +69,50 @@
 
   private readonly pools: ReadonlyMap<string, Pool>;
 
+  private readonly workspaces: ReadonlyMap<string, WorkspaceRow>;
+
+  private readonly workspaceByKey: ReadonlyMap<string, string>;
+
   constructor(readonly configuration: Configuration) {
     this.prefixes = groupByPrefix(configuration.routes.rows);
-    const lengths = new Set([...this.prefixes.keys()].map((prefix) => prefix.length));
+    const { routes, whole } = configuration;
+    const lengths = new Set(routes.rows.map(({ match }) => match.pathPrefix.length));
     this.lengths = [...lengths].sort((a, b) => b - a);
     this.pools = new Map(configuration.pools.rows.map((pool) => [pool.name, pool]));
+    const workspaces = whole?.workspaces ?? [];
+    this.workspaces = new Map(workspaces.map((workspace) => [workspace.name, workspace]));
+    this.workspaceByKey = new Map(
+      workspaces.flatMap(({ name, keySha256 }) => keySha256.map((key) => [key, name] as const)),
+    );
+  }
+
+  workspace(name: string): WorkspaceRow | undefined {
+    return this.workspaces.get(name);
+  }
+
+  /** The workspace that holds a key, by the key's digest. */
+  workspaceOfKey(keySha256: string): string | undefined {
+    return this.workspaceByKey.get(keySha256);
   }
 
   pool(name: string): Pool | undefined {
     return this.pools.get(name);
   }
 
-  /** The groups that match, most specific first. */
-  *groups(path: string, model: string | undefined): Generator<RouteGroup> {
+  /** The groups that match, most specific first: a route that names the host before any other. */
+  *groups(path: string, model: string | undefined, host?: string): Generator<RouteGroup> {
+    if (host !== undefined) yield* this.groupsOf(host, path, model);
+    yield* this.groupsOf(undefined, path, model);
+  }
+
+  private *groupsOf(
+    host: string | undefined,
+    path: string,
+    model: string | undefined,
+  ): Generator<RouteGroup> {
     for (const length of this.lengths) {
       if (length > path.length) continue;
-      const found = this.prefixes.get(path.slice(0, length));
+      const found = this.prefixes.get(placeOf(host, path.slice(0, length)));
       const named = model === undefined ? undefined : found?.byModel.get(model);
       if (named !== undefined) yield named;
       if (found?.anyModel !== undefined) yield found.anyModel;
--- a/packages/entry-core/src/routing/findRoute.ts
+++ b/packages/entry-core/src/routing/findRoute.ts
@@ -14,7 +14,7 @@
 
 export function findRoute(index: RouteIndex, request: CallerRequest): FoundRoute {
   let matched = false;
-  for (const group of index.groups(request.path, request.model)) {
+  for (const group of index.groups(request.path, request.model, request.host)) {
     matched = true;
     const route = group.find(request.workspace);
     if (route !== undefined) return { type: 'found', route };
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -17,4 +17,5 @@
 export * from './tables/checkTables.js';
 export * from './tables/pools.js';
 export * from './tables/routes.js';
+export * from './tables/workspaces.js';
 export * from './units.js';
--- a/packages/schema/src/logEvents/controllerLogEvents.ts
+++ b/packages/schema/src/logEvents/controllerLogEvents.ts
@@ -24,5 +24,9 @@
   reloadStarted: define(4054, 'info', 'A backend server is drained so that it can be reloaded'),
   reloadFinished: define(4055, 'info', 'A reloaded backend server is back in service'),
   fleetTakenOver: define(4060, 'info', 'The controller keeps the pools of its data centre'),
+  sizeOrdered: define(4070, 'info', 'The platform is told how many instances there are to be'),
+  sizeRefused: define(4071, 'warn', 'The platform has no such instances to give for now'),
+  usageReported: define(4080, 'info', 'The usage of one window was reported to the platform'),
+  platformCallFailed: define(4081, 'warn', 'A call to the platform failed and is made again'),
   fleetLeft: define(4061, 'warn', 'The controller leaves the pools of its data centre alone'),
 } as const;
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -14,4 +14,6 @@
     'The disk is older than what it has promised; it counts no more',
   ),
   diskFailed: define(3203, 'error', 'The disk could not be written'),
+  tablesReplaced: define(3300, 'info', 'An operator’s whole configuration was acknowledged'),
+  operatorCallRefused: define(3301, 'warn', 'A call of an operator was refused'),
 } as const;
--- a/packages/schema/src/messages/backendServers.ts
+++ b/packages/schema/src/messages/backendServers.ts
@@ -21,6 +21,8 @@
   readonly goneAt?: EpochMilliseconds;
   /** Name that the buyer gave the purchase, so that a lost answer never buys twice. */
   readonly startToken?: string;
+  /** Requests that it runs at a time, where the list tells; goes before that of its class. */
+  readonly concurrency?: number;
 }
 
 /** A load report of a backend server, as old as `measuredAt` says. */
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -38,6 +38,12 @@
   readonly inProgress: Readonly<Record<string, number>>;
   /** Backend servers on notice, with the time they will be gone. */
   readonly leavingBackendServers: Readonly<Record<string, EpochMilliseconds>>;
+  /** What each workspace has spent of its allowance here since the process started. */
+  readonly spent?: Readonly<Record<string, number>>;
+  /** Requests of each workspace that began to run here, by number of the usage window. */
+  readonly begun?: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** What the planner of the fleet goes by. */
+  readonly demand?: readonly RouteDemandReport[];
   /** Crashes seen, so that a resend through another entry is not run beside others. */
   readonly suspects: readonly PeerSuspect[];
 }
@@ -49,6 +55,10 @@
   readonly requestsPerSecond: number;
   /** Mean time that one request keeps one place of a backend server busy. */
   readonly serviceMilliseconds: number;
+  /** The pool that the route's requests go to. */
+  readonly pool?: string;
+  /** Mean time that a model engine computes the prompt of one request, its cache considered. */
+  readonly promptMilliseconds?: number;
 }
 
 /** The backend servers of one data centre that its controller has taken out of service. */
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -5,6 +5,7 @@
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 import type { Fault } from '../tables/checkTables.js';
 import type { TableName } from '../tables/Configuration.js';
+import type { CallerBounds } from '../tables/workspaces.js';
 
 /** Replaces all rows of one table, if it is still at the revision that the change was made from. */
 export interface PutTableCommand {
@@ -16,6 +17,22 @@
   readonly rows: readonly unknown[];
 }
 
+/**
+ * Replaces all tables at once under the operators' own version. The highest version is in force:
+ * one that is not higher changes nothing and is no fault, so that a resend, or the slower of two
+ * racing operators, is told what is in force.
+ */
+export interface ReplaceTablesCommand {
+  readonly type: 'replaceTables';
+  readonly version: number;
+  readonly routes: readonly unknown[];
+  readonly pools: readonly unknown[];
+  readonly workspaces: readonly unknown[];
+  readonly callerBounds?: CallerBounds;
+  /** What the operator sent, kept as it was for those who read it back. */
+  readonly document: string;
+}
+
 /**
  * Largest answer that is stored, headers and body together: an offer or a reservation is a few
  * KiB. Proposers leave a larger body out, since the log would carry it for nothing.
@@ -82,6 +99,15 @@
   readonly epoch: number;
 }
 
+/** Keeps the counts of one usage window, unless some are kept for it already. */
+export interface SettleUsageCommand {
+  readonly type: 'settleUsage';
+  /** Number of the window. */
+  readonly window: number;
+  /** Requests that began to run, by workspace. */
+  readonly counts: Readonly<Record<string, number>>;
+}
+
 /** Reports that a backend server crashed while these requests ran on it. */
 export interface ReportCrashCommand {
   readonly type: 'reportCrash';
@@ -94,12 +120,14 @@
 /** What a proposer sends. */
 export type StoreCommand =
   | PutTableCommand
+  | ReplaceTablesCommand
   | OpenClaimCommand
   | ReleaseClaimCommand
   | SettleClaimCommand
   | TakeLeaseCommand
   | ReleaseLeaseCommand
-  | ReportCrashCommand;
+  | ReportCrashCommand
+  | SettleUsageCommand;
 
 /** A command as the log keeps it: the leader stamps its wall clock, never backwards. */
 export interface StampedCommand {
@@ -113,6 +141,11 @@
   | { readonly type: 'tableInvalid'; readonly faults: readonly Fault[] }
   | { readonly type: 'changeIdReused' };
 
+export type ReplaceTablesResult =
+  /** `version` is the one in force, which may be a higher one. */
+  | { readonly type: 'tablesReplaced'; readonly version: number }
+  | { readonly type: 'tablesInvalid'; readonly faults: readonly Fault[] };
+
 export type ClaimResult =
   | { readonly type: 'claimOpened' }
   | { readonly type: 'claimRunning' }
@@ -144,4 +177,16 @@
   readonly quarantined: readonly string[];
 }
 
-export type CommandResult = PutTableResult | ClaimResult | LeaseResult | CrashResult;
+export interface SettleUsageResult {
+  readonly type: 'usageSettled';
+  /** The counts that are kept, whoever proposed them. */
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+export type CommandResult =
+  | PutTableResult
+  | ReplaceTablesResult
+  | ClaimResult
+  | LeaseResult
+  | CrashResult
+  | SettleUsageResult;
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../tables/Configuration.js';
 import type { ConfigurationDelta } from '../tables/ConfigurationDelta.js';
 import type { EpochMilliseconds } from '../units.js';
+import type { EntryReport } from './entryMessages.js';
 import type { CommandResult, StoreCommand } from './storeCommands.js';
 
 /** One digest that backend servers must be kept from for a while. */
@@ -29,11 +30,15 @@
   | { readonly type: 'propose'; readonly command: StoreCommand }
   /** Linearizable read of the tables; an isolated leader answers none. */
   | { readonly type: 'readConfiguration' }
+  /** Linearizable read of what the operator sent who replaced all tables last. */
+  | { readonly type: 'readDocument' }
   /** The newest configuration this store knows, which may be old; for instances, not operators. */
   | { readonly type: 'peekConfiguration' }
   /** Asks for pushes of every later configuration and quarantine entry. */
   | { readonly type: 'subscribe'; readonly report: InstanceReport }
   | { readonly type: 'report'; readonly report: InstanceReport }
+  /** An entry's report, which the store hands to its subscribers. */
+  | { readonly type: 'shareReport'; readonly report: EntryReport }
   | { readonly type: 'readStatus' }
   /** Membership of the log. */
   | { readonly type: 'addVoter'; readonly voter: JoiningVoter }
@@ -81,7 +86,10 @@
       readonly type: 'subscribed';
       readonly configuration: Configuration;
       readonly quarantine: readonly QuarantineEntry[];
+      /** The members of the log, so that a subscriber finds stores that its settings do not name. */
+      readonly stores: readonly VoterAddress[];
     }
+  | { readonly type: 'document'; readonly version: number; readonly document: string }
   | { readonly type: 'status'; readonly status: StoreStatus }
   | { readonly type: 'accepted' }
   /** This store does not lead; nothing was done. */
@@ -98,5 +106,9 @@
   /** All rows, where no delta can be made. */
   | { readonly type: 'configuration'; readonly configuration: Configuration }
   | { readonly type: 'quarantine'; readonly quarantine: readonly QuarantineEntry[] }
+  /** The members of the log have changed. */
+  | { readonly type: 'stores'; readonly stores: readonly VoterAddress[] }
+  /** What other entries said of themselves. */
+  | { readonly type: 'entryReport'; readonly report: EntryReport }
   /** This store has known no leader for a while: what it holds may be old, and grows no newer. */
   | { readonly type: 'outOfTouch' };
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -23,6 +23,7 @@
   'notIdempotent',
   'quarantined',
   'noOtherBackendServer',
+  'attemptsUsedUp',
 ] as const;
 export type RetryRefusalReason = (typeof retryRefusalReasons)[number];
 
--- a/packages/schema/src/reference/reference.test.ts
+++ b/packages/schema/src/reference/reference.test.ts
@@ -23,6 +23,7 @@
   const folders = ['packages', 'apps'].flatMap((parent) =>
     readdirSync(join(root, parent)).map((name) => join(root, parent, name, 'src')),
   );
+  folders.push(join(root, 'platform', 'src'));
   const files = folders
     .filter((folder) => !/packages.(schema|testing)/.test(folder))
     .flatMap((folder) =>
--- a/packages/schema/src/reference/settingMeanings.ts
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -31,6 +31,8 @@
   'operatorKeys[].name': 'name of an operator',
   'operatorKeys[].keySha256': sha256,
   ...addressMeanings('stores', 'a store that is known from the start'),
+  peerHeartbeatMilliseconds:
+    'pause between two heartbeats to another process; after four without an answer it is lost',
 };
 
 const platformMeanings = {
@@ -44,6 +46,7 @@
   dataFolder: 'the one folder that holds all files of this store',
   electionTimeoutMilliseconds: 'a store that hears no leader for so long stands for election',
   heartbeatMilliseconds: 'pause between two messages of an idle leader',
+  leastVoters: 'changes of tables are taken only while so many stores vote',
 };
 
 export const entryMeanings: Readonly<Record<string, string>> = {
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -41,6 +41,8 @@
   operatorKeys: operatorKeysSchema,
   /** The stores that are known from the start. */
   stores: z.array(storeAddressSchema).min(1).max(16),
+  /** Interval of heartbeats between processes; a connection silent for four of them is dropped. */
+  peerHeartbeatMilliseconds: milliseconds(50, 60_000).default(1000),
 };
 
 const platformSchema = z.strictObject({
@@ -63,6 +65,8 @@
   dataFolder: z.string().min(1),
   electionTimeoutMilliseconds: milliseconds(50, 60_000).default(1000),
   heartbeatMilliseconds: milliseconds(10, 10_000).default(150),
+  /** Changes of tables are taken only while so many stores vote. */
+  leastVoters: z.number().int().min(1).max(16).default(1),
 });
 
 export const entrySettingsSchema = z.strictObject({
--- a/packages/schema/src/tables/Configuration.ts
+++ b/packages/schema/src/tables/Configuration.ts
@@ -3,6 +3,7 @@
  */
 import type { Pool } from './pools.js';
 import type { Route } from './routes.js';
+import type { CallerBounds, WorkspaceRow } from './workspaces.js';
 
 export const tableNames = ['routes', 'pools'] as const;
 export type TableName = (typeof tableNames)[number];
@@ -18,6 +19,16 @@
   readonly revision: number;
   readonly routes: Table<Route>;
   readonly pools: Table<Pool>;
+  /** Set where operators replace all tables at once. */
+  readonly whole?: WholeConfiguration;
+}
+
+/** What comes with a configuration that replaced all tables at once. */
+export interface WholeConfiguration {
+  /** The operators' own number; the highest is in force. */
+  readonly version: number;
+  readonly workspaces: readonly WorkspaceRow[];
+  readonly callerBounds?: CallerBounds;
 }
 
 /** What is in force before an operator has put anything. */
--- a/packages/schema/src/tables/checkTables.ts
+++ b/packages/schema/src/tables/checkTables.ts
@@ -7,6 +7,7 @@
 import { describeIssue } from '../describeIssue.js';
 import { poolRowsSchema, type Pool } from './pools.js';
 import { routeRowsSchema, type Route } from './routes.js';
+import { workspaceRowsSchema, type WorkspaceRow } from './workspaces.js';
 import type { TableName } from './Configuration.js';
 
 /** One thing wrong: `where` names table, row and key, such as `routes["offers"].pool`. */
@@ -105,9 +106,48 @@
     if (pool === undefined) {
       return [{ where: `${where}.pool`, reason: `the pools table has no "${route.pool}"` }];
     }
-    if (pool.kind === 'modelEngine' && !route.idempotent) {
+    if (pool.kind === 'modelEngine' && !route.idempotent && route.claimed !== false) {
       return [{ where: `${where}.idempotent`, reason: 'must be true before model engines' }];
     }
-    return [];
+    return checkSplit(route, where, byName);
   });
 }
+
+function checkSplit(route: Route, where: string, byName: ReadonlyMap<string, Pool>): Fault[] {
+  const { split } = route;
+  if (split === undefined) return [];
+  const unknown = split.filter(({ pool }) => !byName.has(pool));
+  if (unknown.length > 0) {
+    const reason = `the pools table has no "${unknown[0]?.pool}"`;
+    return [{ where: `${where}.split`, reason }];
+  }
+  const total = split.reduce((sum, { weight }) => sum + weight, 0);
+  return total > 0 ? [] : [{ where: `${where}.split`, reason: 'the weights add up to 0' }];
+}
+
+/** Checks workspaces by themselves: a key must name one of them only. */
+export function checkWorkspaces(rows: unknown): Checked<WorkspaceRow[]> {
+  const parsed = workspaceRowsSchema.safeParse(rows);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => ({
+      where: `workspaces${issue.path.map((key) => `[${String(key)}]`).join('')}`,
+      reason: describeIssue(issue),
+    }));
+    return { ok: false, faults };
+  }
+  const holders = new Map<string, string>();
+  const faults: Fault[] = [];
+  parsed.data.forEach(({ name, keySha256 }) => {
+    const where = `workspaces["${name}"]`;
+    keySha256.forEach((key) => {
+      const holder = holders.get(key);
+      if (holder === undefined) holders.set(key, name);
+      else if (holder !== name) faults.push({ where, reason: `shares a key with "${holder}"` });
+    });
+  });
+  const names = parsed.data.map(({ name }) => name);
+  if (new Set(names).size < names.length) {
+    faults.push({ where: 'workspaces', reason: 'two workspaces have one name' });
+  }
+  return faults.length > 0 ? { ok: false, faults } : { ok: true, rows: parsed.data };
+}
--- a/packages/schema/src/tables/pools.ts
+++ b/packages/schema/src/tables/pools.ts
@@ -18,6 +18,18 @@
   concurrency: z.number().int().min(1).max(100_000),
 });
 
+/** Bounds on the instances of one data centre, and what they cost. */
+export const sizingSchema = z.strictObject({
+  least: z.number().int().min(0).max(100_000),
+  most: z.number().int().min(0).max(100_000),
+  /** From an order until a new instance serves. */
+  startMilliseconds: z.number().min(0).max(86_400_000),
+  /** Price of one on-demand instance by data centre, in the platform's unit for each second. */
+  prices: z.record(nameSchema, z.number().min(0)),
+  /** Price of a reclaimable instance as a share of it; without it there are none. */
+  reclaimableShare: z.number().min(0).max(1).optional(),
+});
+
 export const poolSchema = z.strictObject({
   name: nameSchema,
   kind: z.enum(poolKinds),
@@ -32,9 +44,16 @@
   version: z.string().min(1).max(200).optional(),
   /** True if the backend servers refuse orders with an old fencing number. */
   checksFencing: z.boolean().default(false),
+  /** Path of the health check, where backend servers have one. */
+  healthPath: z.string().startsWith('/').max(512).optional(),
+  /** Connections that one backend server takes from all entries together. */
+  connections: z.number().int().min(1).max(1_000_000).optional(),
+  /** Sizes and prices by data centre, where the platform is told a number of instances for each. */
+  sizing: sizingSchema.optional(),
 });
 
 export const poolRowsSchema = z.array(poolSchema).max(MOST_POOLS);
 
 export type InstanceClass = z.infer<typeof instanceClassSchema>;
+export type PoolSizing = z.infer<typeof sizingSchema>;
 export type Pool = z.infer<typeof poolSchema>;
--- a/packages/schema/src/tables/routes.ts
+++ b/packages/schema/src/tables/routes.ts
@@ -51,6 +51,8 @@
 export const routeSchema = z.strictObject({
   name: nameSchema,
   match: z.strictObject({
+    /** The host that callers name, in lower case; without it any. */
+    host: z.string().min(1).max(255).optional(),
     /** The longest matching prefix wins. */
     pathPrefix: z.string().startsWith('/', 'must start with "/"').max(512),
     /** Workspaces that may use the route; empty means all. */
@@ -59,8 +61,22 @@
     model: z.string().min(1).max(200).optional(),
   }),
   pool: nameSchema,
+  /** Shares of the calls by pool, where they are split among several; `pool` is one of these. */
+  split: z
+    .array(z.strictObject({ pool: nameSchema, weight: z.number().min(0).max(1_000_000) }))
+    .max(64)
+    .optional(),
   /** False: a call may run at most once, needs an `Idempotency-Key` and is claimed first. */
   idempotent: z.boolean(),
+  /**
+   * False for calls that may not be repeated at backend servers that tell whether they ran one:
+   * each is sent once for each time its caller asks, without a key and a claim in the log.
+   */
+  claimed: z.boolean().optional(),
+  /** True: callers need no key. */
+  public: z.boolean().optional(),
+  /** Most backend servers that one call may be sent to; without it any number. */
+  mostAttempts: z.number().int().min(1).max(100).optional(),
   /** 0 is served first, 9 last. */
   priority: z.number().int().min(0).max(9).default(5),
   limits: z
--- a/packages/store-core/src/consensus/index.ts
+++ b/packages/store-core/src/consensus/index.ts
@@ -1,7 +1,7 @@
 export * from './ConsensusState.js';
 export * from './consensusEvents.js';
 export * from './consensusTypes.js';
-export { currentMembership, votersOf } from './membership.js';
+export { currentMembership, memberAddresses, votersOf } from './membership.js';
 export { lastIndexOf } from './memoryLog.js';
 export { reduceConsensus } from './reduceConsensus.js';
 export { fillSnapshotPart } from './snapshots.js';
--- a/packages/store-core/src/consensus/membership.ts
+++ b/packages/store-core/src/consensus/membership.ts
@@ -12,6 +12,11 @@
   return state.memberships.at(-1)?.membership ?? { members: [] };
 }
 
+/** Where the members are reached. */
+export function memberAddresses(state: ConsensusState): Member['address'][] {
+  return currentMembership(state).members.map(({ address }) => address);
+}
+
 /** The membership that was in force at `index`. */
 export function membershipAt(state: ConsensusState, index: number): Membership {
   const found = state.memberships.findLast((item) => item.index <= index);
--- a/packages/store-core/src/machine/MachineState.ts
+++ b/packages/store-core/src/machine/MachineState.ts
@@ -58,6 +58,9 @@
 
   configuration: Configuration = emptyConfiguration;
 
+  /** What the operator sent who replaced all tables last, for those who read it back. */
+  document: string | undefined;
+
   /** By change id, oldest first. */
   readonly changes = new Map<string, ChangeRecord>();
 
@@ -76,6 +79,9 @@
   /** By name. Never dropped, since an epoch must not be given twice; one for each data centre. */
   readonly leases = new Map<string, Lease>();
 
+  /** Counts of the latest usage windows, by number, oldest first. */
+  readonly usage = new Map<number, Readonly<Record<string, number>>>();
+
   /** By crash id, oldest first. */
   readonly crashes = new Map<string, CrashRecord>();
 
--- a/packages/store-core/src/machine/applyCommand.ts
+++ b/packages/store-core/src/machine/applyCommand.ts
@@ -12,7 +12,9 @@
 import { releaseLease, takeLease } from './leases.js';
 import type { MachineState } from './MachineState.js';
 import { forgetCrashes, reportCrash } from './quarantine.js';
+import { replaceTables } from './replaceTables.js';
 import { forgetChanges, putTable } from './tables.js';
+import { settleUsage } from './usage.js';
 
 function runCommand(
   state: MachineState,
@@ -22,6 +24,8 @@
   switch (command.type) {
     case 'putTable':
       return putTable(state, at, command);
+    case 'replaceTables':
+      return replaceTables(state, command);
     case 'openClaim':
       return openClaim(state, at, command);
     case 'releaseClaim':
@@ -34,6 +38,8 @@
       return releaseLease(state, at, command);
     case 'reportCrash':
       return reportCrash(state, at, command);
+    case 'settleUsage':
+      return settleUsage(state, command);
     default:
       return command satisfies never;
   }
--- a/packages/store-core/src/machine/constants.ts
+++ b/packages/store-core/src/machine/constants.ts
@@ -17,6 +17,9 @@
 /** Change ids kept at most: two days at 8,000 changes a day, three times over. */
 export const MOST_CHANGES = 48_000;
 
+/** Usage windows whose counts are kept: far more than any holder still reports. */
+export const MOST_USAGE_WINDOWS = 64;
+
 /** Faults reported for one refused table; more do not help, and each answer is kept. */
 export const MOST_FAULTS = 100;
 
--- a/packages/store-core/src/machine/replay.test.ts
+++ b/packages/store-core/src/machine/replay.test.ts
@@ -172,8 +172,8 @@
 });
 
 test('machine: a snapshot of another version is refused', () => {
-  const later = { ...takeSnapshot(new MachineState()), version: 2 };
-  assert.throws(() => restoreSnapshot(later), /snapshot version 2 is not the supported 1/);
+  const later = { ...takeSnapshot(new MachineState()), version: 3 };
+  assert.throws(() => restoreSnapshot(later), /snapshot version 3 is not the supported 2/);
   assert.throws(() => restoreSnapshot(undefined), /snapshot version undefined/);
 });
 
--- a/packages/store-core/src/machine/snapshot.ts
+++ b/packages/store-core/src/machine/snapshot.ts
@@ -15,18 +15,20 @@
 } from './MachineState.js';
 
 /** Grows with every change of the snapshot's form or of the rules that read it. */
-export const SNAPSHOT_VERSION = 1;
+export const SNAPSHOT_VERSION = 2;
 
 export interface MachineSnapshot {
   readonly version: typeof SNAPSHOT_VERSION;
   readonly lastAt: EpochMilliseconds;
   readonly configuration: Configuration;
+  readonly document?: string;
   readonly changes: readonly (readonly [string, ChangeRecord])[];
   readonly claims: readonly (readonly [string, Claim])[];
   readonly answers: readonly (readonly [string, StoredAnswer])[];
   readonly answerBytes: number;
   readonly barredAttempts: readonly (readonly [string, EpochMilliseconds])[];
   readonly leases: readonly (readonly [string, Lease])[];
+  readonly usage: readonly (readonly [number, Readonly<Record<string, number>>])[];
   readonly crashes: readonly (readonly [string, CrashRecord])[];
 }
 
@@ -36,12 +38,14 @@
     version: SNAPSHOT_VERSION,
     lastAt: state.lastAt,
     configuration: state.configuration,
+    ...(state.document === undefined ? {} : { document: state.document }),
     changes: [...state.changes],
     claims: [...state.claims],
     answers: [...state.answers],
     answerBytes: state.answerBytes,
     barredAttempts: [...state.barredAttempts],
     leases: [...state.leases],
+    usage: [...state.usage],
     crashes: [...state.crashes],
   };
 }
@@ -52,10 +56,7 @@
     : undefined;
 }
 
-function fill<Value>(
-  map: Map<string, Value>,
-  entries: readonly (readonly [string, Value])[],
-): void {
+function fill<Key, Value>(map: Map<Key, Value>, entries: readonly (readonly [Key, Value])[]): void {
   entries.forEach(([name, value]) => map.set(name, value));
 }
 
@@ -71,12 +72,14 @@
   const state = new MachineState();
   state.lastAt = snapshot.lastAt;
   state.configuration = snapshot.configuration;
+  state.document = snapshot.document;
   state.answerBytes = snapshot.answerBytes;
   fill(state.changes, snapshot.changes);
   fill(state.claims, snapshot.claims);
   snapshot.answers.forEach(([name, answer]) => state.answers.set(name, copyAnswer(answer)));
   fill(state.barredAttempts, snapshot.barredAttempts);
   fill(state.leases, snapshot.leases);
+  fill(state.usage, snapshot.usage);
   fill(state.crashes, snapshot.crashes);
   return state;
 }
--- a/packages/store-core/src/machine/tables.ts
+++ b/packages/store-core/src/machine/tables.ts
@@ -39,7 +39,8 @@
 ): Proposed {
   const faults = checkJoin(routes.rows, pools.rows);
   if (faults.length > 0) return { ok: false, faults };
-  return { ok: true, configuration: { revision: configuration.revision + 1, routes, pools } };
+  const revision = configuration.revision + 1;
+  return { ok: true, configuration: { ...configuration, revision, routes, pools } };
 }
 
 /** Checks the rows by themselves and joined with the other table as it is in the log. */
--- /dev/null
+++ b/packages/store-core/src/machine/usage.ts
@@ -0,0 +1,18 @@
+/**
+ * The counts of each usage window, as the first proposal of them had it. Whoever reports a window
+ * reports these, so that two holders never report one window with different counts.
+ */
+import type { SettleUsageCommand, SettleUsageResult } from '@hornbeampond/schema';
+import { MOST_USAGE_WINDOWS } from './constants.js';
+import type { MachineState } from './MachineState.js';
+
+export function settleUsage(state: MachineState, command: SettleUsageCommand): SettleUsageResult {
+  const { window, counts } = command;
+  const settled = state.usage.get(window) ?? counts;
+  state.usage.set(window, settled);
+  for (const oldest of state.usage.keys()) {
+    if (state.usage.size <= MOST_USAGE_WINDOWS) break;
+    state.usage.delete(oldest);
+  }
+  return { type: 'usageSettled', counts: settled };
+}
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -6,6 +6,7 @@
 import type {
   CommandResult,
   Configuration,
+  EntryReport,
   InstanceReport,
   Milliseconds,
   QuarantineEntry,
@@ -15,6 +16,7 @@
   StoreRequest,
   StoreResponse,
   StoreStatus,
+  VoterAddress,
 } from '@hornbeampond/schema';
 import { ConfigurationFollower, type FollowResult } from './ConfigurationFollower.js';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
@@ -31,6 +33,7 @@
 export interface StoreClientHandlers {
   onConfiguration?(configuration: Configuration): void;
   onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
+  onEntryReport?(report: EntryReport): void;
 }
 
 /** A store that does not answer within this span is passed over for another. */
@@ -56,7 +59,9 @@
 }
 
 export class StoreClient {
-  private readonly stores: StorePeer[];
+  private stores: StorePeer[];
+
+  private readonly seeds: readonly StoreAddress[];
 
   private leader: string | undefined;
 
@@ -73,7 +78,13 @@
     private readonly context: PeerContext,
     private readonly handlers: StoreClientHandlers = {},
     private report?: InstanceReport,
+    /**
+     * True to connect to all members of the log. Else the given addresses hold, whatever the log
+     * says: how a store is reached from here is for this instance's operator to know.
+     */
+    private readonly followsMembers = false,
   ) {
+    this.seeds = addresses;
     this.stores = addresses.map((address) => ({ address, client: this.connect(address) }));
   }
 
@@ -119,13 +130,24 @@
     return answers.flat();
   }
 
+  /** Linearizable read of what the operator sent who replaced all tables last. */
+  async readDocument(timeout: Milliseconds): Promise<string> {
+    const outcome = await this.ask({ type: 'readDocument' }, timeout);
+    if (outcome.type === 'answered' && outcome.response.type === 'document') {
+      return outcome.response.document;
+    }
+    throw new HornbeampondError('storeUnavailable', 'No quorum of stores can be reached');
+  }
+
+  /** Hands a report to all other entries, by way of every store that is within reach. */
+  shareReport(report: EntryReport): void {
+    this.tellAll({ type: 'shareReport', report });
+  }
+
   /** Tells the stores what this instance has in force. */
   updateReport(report: InstanceReport): void {
     this.report = report;
-    this.stores.forEach(({ client }) => {
-      if (!client.isOpen) return;
-      client.request({ type: 'report', report }, STATUS_MILLISECONDS).catch(() => {});
-    });
+    this.tellAll({ type: 'report', report });
   }
 
   close(): void {
@@ -133,6 +155,26 @@
     this.stores.forEach(({ client }) => client.close());
   }
 
+  /** Tells what the next telling repeats, so that a lost one does no harm. */
+  private tellAll(request: StoreRequest): void {
+    this.stores.forEach(({ client }) => {
+      if (client.isOpen) client.request(request, STATUS_MILLISECONDS).catch(() => {});
+    });
+  }
+
+  /** Connects to stores that have joined, and leaves those that are gone and are no seeds. */
+  private keepStores(members: readonly VoterAddress[]): void {
+    if (!this.followsMembers || this.stopped || members.length === 0) return;
+    const isAt = (a: VoterAddress) => (b: VoterAddress) => a.host === b.host && a.port === b.port;
+    const wanted = [...members, ...this.seeds.filter((seed) => !members.some(isAt(seed)))];
+    const before = this.stores;
+    this.stores = wanted.map((address) => {
+      const known = before.find((store) => isAt(address)(store.address));
+      return known ?? { address, client: this.connect(address) };
+    });
+    before.filter((store) => !this.stores.includes(store)).forEach(({ client }) => client.close());
+  }
+
   private connect(address: StoreAddress): PeerClient {
     return new PeerClient(address, this.context, {
       onOpen: () => this.subscribeIfNeeded(),
@@ -181,6 +223,7 @@
     subscription.isAnswered = true;
     this.note(this.follower.takeWhole(response.configuration));
     this.handlers.onQuarantine?.(response.quarantine);
+    this.keepStores(response.stores);
     subscription.early.forEach((push) => this.take(push));
   }
 
@@ -195,6 +238,12 @@
       case 'quarantine':
         this.handlers.onQuarantine?.(push.quarantine);
         return;
+      case 'stores':
+        this.keepStores(push.stores);
+        return;
+      case 'entryReport':
+        this.handlers.onEntryReport?.(push.report);
+        return;
       default:
         this.leaveOutOfTouch();
     }
