--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -24,6 +24,9 @@
 /** Time for a cancellation to reach an engine. */
 const CANCEL_MILLISECONDS = 2000;
 
+/** A move of a relayed stream that takes longer has paused it for too long. */
+const RELAY_MOVE_MILLISECONDS = 2000;
+
 /** Time for a KV cache to be exported and imported. */
 const MOVE_MILLISECONDS = 30_000;
 
@@ -32,6 +35,10 @@
   readonly controller: AbortController;
   cancelled: boolean;
   silent: boolean;
+  /** True while its KV cache is being moved: its stream then ends without its end. */
+  isMoving: boolean;
+  /** What it failed with while its KV cache was being moved. */
+  endedBy?: unknown;
   stopWatch: Unsubscribe;
 }
 
@@ -42,9 +49,12 @@
   dispatch(occurrence: EntryOccurrence): void;
 }
 
-function tokensOf(answer: CallerAnswer | undefined): number {
+function tokensOf(
+  answer: CallerAnswer | undefined,
+  { tokensPerEvent = 1 }: StartAttempt['target'],
+): number {
   if (answer instanceof CompletionAnswer) return answer.generatedTokens;
-  return answer instanceof RelayAnswer ? answer.eventsGiven : 0;
+  return answer instanceof RelayAnswer ? answer.eventsGiven * tokensPerEvent : 0;
 }
 
 function isPastRetry(answer: CallerAnswer | undefined): boolean {
@@ -55,6 +65,9 @@
 export class AttemptRunner {
   private readonly running = new Map<string, RunningAttempt>();
 
+  /** Names of moved KV caches, by the attempt that goes on from each. */
+  private readonly movedCaches = new Map<string, string>();
+
   constructor(private readonly options: AttemptRunnerOptions) {}
 
   get size(): number {
@@ -67,6 +80,7 @@
       controller: new AbortController(),
       cancelled: false,
       silent: false,
+      isMoving: false,
       stopWatch: () => {},
     };
     this.running.set(start.attemptId, attempt);
@@ -74,7 +88,8 @@
       () => this.end(attempt),
       (error: unknown) => {
         this.end(attempt);
-        if (!attempt.cancelled) this.reportFailure(attempt, error);
+        if (attempt.isMoving) attempt.endedBy = error;
+        else if (!attempt.cancelled) this.reportFailure(attempt, error);
       },
     );
   }
@@ -96,6 +111,10 @@
   async moveCache(move: MoveCache): Promise<void> {
     const { adapters, dispatch } = this.options;
     const { requestId, attemptId, nextAttemptId, from, to } = move;
+    if (adapters.find(from).kind === 'relay') {
+      await this.moveRelayed(move);
+      return;
+    }
     const signal = AbortSignal.timeout(MOVE_MILLISECONDS);
     try {
       const cache = await adapters.engine(from).exportCache(attemptId, signal);
@@ -106,6 +125,35 @@
     }
   }
 
+  /**
+   * Moves the cache of an opaque call. Its stream is cut by the move, which is no failure as long
+   * as the call can go on at its new place.
+   */
+  private async moveRelayed({ requestId, attemptId, nextAttemptId, from, to }: MoveCache) {
+    const { adapters, dispatch, findExchange } = this.options;
+    const attempt = this.running.get(attemptId);
+    const headers = findExchange(requestId)?.relayed;
+    if (attempt === undefined || headers === undefined) {
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
+      return;
+    }
+    attempt.isMoving = true;
+    try {
+      const signal = AbortSignal.timeout(RELAY_MOVE_MILLISECONDS);
+      const handle = await adapters.relay(from).moveCache({ headers, to, signal });
+      this.movedCaches.set(nextAttemptId, handle);
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
+    } catch {
+      // Counted by the reducer; if the stream has been cut by it, that is told as its failure.
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
+    }
+    attempt.isMoving = false;
+    this.movedCaches.delete(nextAttemptId);
+    if (attempt.endedBy !== undefined && !attempt.cancelled) {
+      this.reportFailure(attempt, attempt.endedBy);
+    }
+  }
+
   private end(attempt: RunningAttempt): void {
     attempt.stopWatch();
     this.running.delete(attempt.start.attemptId);
@@ -212,6 +260,7 @@
     const { attemptId, target, workspace, timeLeft, priority, silenceTimeout } = attempt.start;
     const { dispatch, adapters, timers } = this.options;
     const { method, path } = exchange.request;
+    const continueFrom = this.movedCaches.get(attemptId);
     const response = await adapters.relay(target).send({
       method,
       path,
@@ -220,6 +269,7 @@
       workspace,
       timeLeft,
       urgency: priority,
+      ...(continueFrom === undefined ? {} : { continueFrom }),
       ...(answer.lastEventId === undefined ? {} : { resumeAfter: answer.lastEventId }),
       signal: attempt.controller.signal,
     });
@@ -234,7 +284,7 @@
         if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
         if (now - reportedAt <= PROGRESS_MILLISECONDS) return;
         reportedAt = now;
-        dispatch({ type: 'attemptProgressed', attemptId, tokens: answer.eventsGiven });
+        dispatch({ type: 'attemptProgressed', attemptId, tokens: tokensOf(answer, target) });
       },
       onTaken: () => {
         if (!attempt.cancelled) this.watch(attempt, silenceTimeout);
@@ -242,7 +292,7 @@
     });
     if (attempt.cancelled) return;
     if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
-    dispatch({ type: 'attemptFinished', attemptId, tokens: answer.eventsGiven });
+    dispatch({ type: 'attemptFinished', attemptId, tokens: tokensOf(answer, target) });
   }
 
   /** An answer tells of the load at the moment it was begun, which is fresher than any poll. */
@@ -278,7 +328,7 @@
       attemptId,
       failure,
       sent: failed?.sent ?? 'maybe',
-      tokens: tokensOf(answer),
+      tokens: tokensOf(answer, attempt.start.target),
       // A completion and a stream of events can be resumed; what else has begun cannot.
       answerStarted: isPastRetry(answer),
       ...(failed?.retryAfter === undefined ? {} : { retryAfter: failed.retryAfter }),
--- /dev/null
+++ b/apps/entry/src/EventStreamCutter.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { EventStreamCutter } from './EventStreamCutter.js';
+
+const stream = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: half';
+
+/** Cuts a text at the given places and pushes its parts. */
+function pushIn(parts: readonly string[]) {
+  const cutter = new EventStreamCutter();
+  const cut = parts.map((part) => cutter.push(Buffer.from(part)));
+  return {
+    text: cut.map(({ bytes }) => bytes.toString()).join(''),
+    count: cut.reduce((sum, { count }) => sum + count, 0),
+    lastId: cut.map(({ lastId }) => lastId).findLast((id) => id !== undefined),
+    pending: cutter.pending.toString(),
+  };
+}
+
+test('whole events pass, and what follows the last one is kept back', () => {
+  assert.deepEqual(pushIn([stream]), {
+    text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n',
+    count: 3,
+    lastId: '3',
+    pending: 'id: 4\ndata: half',
+  });
+});
+
+test('it makes no difference where the bytes were parted on their way', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: stream.length }), { maxLength: 12 }),
+      (places) => {
+        const cuts = [0, ...places.sort((a, b) => a - b), stream.length];
+        const parts = cuts.slice(1).map((end, index) => stream.slice(cuts[index], end));
+        assert.deepEqual(pushIn(parts), pushIn([stream]));
+      },
+    ),
+    { seed: 11, numRuns: 500 },
+  );
+});
--- a/packages/adapters/src/RelayAdapter.ts
+++ b/packages/adapters/src/RelayAdapter.ts
@@ -27,6 +27,16 @@
   readonly urgency: number;
   /** The last event that the caller has, where a stream goes on after it. */
   readonly resumeAfter?: string;
+  /** Names a moved KV cache from which the call goes on as the same run. */
+  readonly continueFrom?: string;
+  readonly signal: AbortSignal;
+}
+
+/** A running call whose KV cache is to go to another backend server. */
+export interface RelayMove {
+  /** The call's headers, by which the backend server knows it. */
+  readonly headers: readonly HeaderLine[];
+  readonly to: { readonly host: string; readonly port: number };
   readonly signal: AbortSignal;
 }
 
@@ -51,6 +61,12 @@
   /** Sends a call; resolves when the answer's headers are there. */
   abstract send(request: RelayRequest): Promise<RelayResponse>;
 
+  /**
+   * Stops a running call and moves its KV cache; its answer ends without its end. Resolves with
+   * what names the cache at its new place. If it rejects, the call may run on or have stopped.
+   */
+  abstract moveCache(move: RelayMove): Promise<string>;
+
   /** Asks for a sign of life over a new connection; rejects if there is none. */
   abstract probe(signal: AbortSignal): Promise<SignOfLife>;
 
--- a/packages/controller-core/src/singleton/SingletonState.ts
+++ b/packages/controller-core/src/singleton/SingletonState.ts
@@ -76,7 +76,6 @@
   demandSince: MonotonicMilliseconds | undefined;
   /** By name. */
   readonly pools: Map<string, SizedPool>;
-  plannedAt: MonotonicMilliseconds;
   now: MonotonicMilliseconds;
   wallNow: EpochMilliseconds;
 }
@@ -93,7 +92,6 @@
     listedAt: undefined,
     demandSince: undefined,
     pools: new Map(),
-    plannedAt: Number.NEGATIVE_INFINITY,
     now: 0,
     wallNow: 0,
   };
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -9,8 +9,6 @@
 import type { SingletonEffect, SizeOrder } from './singletonEvents.js';
 import type { SingletonState, SizedPool } from './SingletonState.js';
 
-const PLAN_MILLISECONDS: Milliseconds = 1000;
-
 /** What was needed or planned is kept for so long before capacity may fall below it. */
 const FALL_AFTER_MILLISECONDS: Milliseconds = 20_000;
 
@@ -142,13 +140,11 @@
   });
 }
 
+/** To be called with each new list: a wave that it shows is answered at once. */
 export function advanceSizes(state: SingletonState): SingletonEffect[] {
   const { epoch, listedAt, now } = state;
   if (!state.options.ordersInstances || epoch === undefined || listedAt === undefined) return [];
-  if (now - listedAt < LIST_FILLS_MILLISECONDS || now - state.plannedAt < PLAN_MILLISECONDS) {
-    return [];
-  }
-  state.plannedAt = now;
+  if (now - listedAt < LIST_FILLS_MILLISECONDS) return [];
   return state.configuration.pools.rows.flatMap((pool) =>
     pool.sizing === undefined ? [] : sizePool(state, pool, pool.sizing, epoch),
   );
--- /dev/null
+++ b/packages/controller-core/src/singleton/reduceSingleton.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { emptyConfiguration, type EntryReport, type Pool } from '@hornbeampond/schema';
+import { reduceSingleton } from './reduceSingleton.js';
+import type { SingletonEffect, SingletonOccurrence } from './singletonEvents.js';
+import { makeSingletonState } from './SingletonState.js';
+
+const WINDOW = 5000;
+
+const pool: Pool = {
+  name: 'engines',
+  kind: 'modelEngine',
+  dataCentres: ['a', 'b'],
+  instanceClasses: [{ name: 'on-demand', eurosPerHour: 0, reclaimable: false, concurrency: 64 }],
+  least: 2,
+  most: 8,
+  model: 'm',
+  checksFencing: false,
+  sizing: {
+    least: 1,
+    most: 4,
+    startMilliseconds: 4000,
+    prices: { a: 1, b: 1 },
+    reclaimableShare: 0.2,
+  },
+};
+
+const configuration = {
+  ...emptyConfiguration,
+  revision: 1,
+  pools: { revision: 1, rows: [pool] },
+};
+
+function makeReport(counts: Record<string, number>): EntryReport {
+  return {
+    type: 'entryReport',
+    instance: 'entry-1',
+    dataCentre: 'a',
+    incarnation: 1,
+    sequence: 1,
+    leaving: false,
+    revision: 1,
+    inProgress: {},
+    leavingBackendServers: {},
+    suspects: [],
+    begun: { 0: counts },
+  };
+}
+
+/** A process whose clock the test sets; `feed` returns the effects without the log lines. */
+function makeProcess() {
+  const state = makeSingletonState({ usageWindow: WINDOW, ordersInstances: true });
+  return (at: number, occurrence: SingletonOccurrence): SingletonEffect[] =>
+    reduceSingleton(state, { ...occurrence, now: at, wallNow: at }).filter(
+      ({ type }) => type !== 'log',
+    );
+}
+
+test('a window is settled in the log once its reports have come, then reported as settled', () => {
+  const feed = makeProcess();
+  feed(0, { type: 'configurationReceived', configuration });
+  feed(0, { type: 'leaseHeld', epoch: 3 });
+  feed(4900, { type: 'entryReported', report: makeReport({ laden: 4 }) });
+  assert.deepEqual(
+    feed(6000, { type: 'tick' }).filter(({ type }) => type === 'reportUsage'),
+    [],
+  );
+  const settles = feed(8300, { type: 'tick' });
+  assert.ok(
+    settles.some(
+      (effect) =>
+        effect.type === 'settleUsage' && effect.window === 0 && effect.counts['laden'] === 4,
+    ),
+  );
+  // Another holder had proposed other counts before: those of the log are reported.
+  const reports = feed(8400, { type: 'usageSettled', window: 0, counts: { laden: 5 } });
+  assert.deepEqual(reports, [{ type: 'reportUsage', window: 0, counts: { laden: 5 }, epoch: 3 }]);
+  feed(8500, { type: 'usageReported', window: 0 });
+  assert.equal(
+    feed(9600, { type: 'tick' }).some((effect) => 'window' in effect && effect.window === 0),
+    false,
+  );
+});
+
+test('a report that failed is made again with the same counts', () => {
+  const feed = makeProcess();
+  feed(0, { type: 'configurationReceived', configuration });
+  feed(0, { type: 'leaseHeld', epoch: 3 });
+  feed(8300, { type: 'usageSettled', window: 0, counts: { laden: 5 } });
+  const again = feed(9400, { type: 'tick' }).filter(({ type }) => type === 'reportUsage');
+  assert.deepEqual(again, [{ type: 'reportUsage', window: 0, counts: { laden: 5 }, epoch: 3 }]);
+});
+
+// The platform would hear two holders at once. A process that has lost its lease, or never had it,
+// asks for nothing, whatever it hears.
+test('nothing is asked for without the lease', () => {
+  const feed = makeProcess();
+  const instances = [
+    {
+      instance: 'i-1',
+      dataCentre: 'a',
+      instanceClass: 'on-demand',
+      pool: 'engines',
+      state: 'live',
+      host: '10.0.0.1',
+      port: 1,
+    } as const,
+  ];
+  feed(0, { type: 'configurationReceived', configuration });
+  feed(0, { type: 'leaseHeld', epoch: 3 });
+  feed(1000, { type: 'instancesListed', instances });
+  feed(2000, { type: 'leaseLost' });
+  assert.deepEqual(feed(9000, { type: 'instancesListed', instances }), []);
+  assert.deepEqual(feed(9000, { type: 'tick' }), []);
+  feed(10_000, { type: 'leaseHeld', epoch: 4 });
+  const orders = feed(11_000, { type: 'instancesListed', instances });
+  assert.ok(orders.every((effect) => effect.type === 'orderSize' && effect.epoch === 4));
+  assert.ok(orders.length > 0);
+});
+
+test('an order that was refused is given again after a while, one that was taken is not', () => {
+  const feed = makeProcess();
+  const instances = [0, 1].map((number) => ({
+    instance: `i-${number}`,
+    dataCentre: 'a',
+    instanceClass: 'on-demand',
+    pool: 'engines',
+    state: 'live' as const,
+    host: '10.0.0.1',
+    port: number + 1,
+  }));
+  feed(0, { type: 'configurationReceived', configuration });
+  feed(0, { type: 'leaseHeld', epoch: 1 });
+  feed(0, { type: 'instancesListed', instances });
+  const first = feed(3000, { type: 'instancesListed', instances });
+  first.forEach((effect) => {
+    if (effect.type !== 'orderSize') return;
+    const outcome = effect.order.reclaimable ? 'refused' : 'done';
+    feed(3010, { type: 'sizeOrdered', order: effect.order, outcome });
+  });
+  const soon = feed(4000, { type: 'instancesListed', instances });
+  assert.ok(soon.every((effect) => effect.type === 'orderSize' && !effect.order.reclaimable));
+  const later = feed(7000, { type: 'instancesListed', instances });
+  assert.ok(later.some((effect) => effect.type === 'orderSize' && effect.order.reclaimable));
+});
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -21,7 +21,7 @@
   state.wallNow = event.wallNow;
   switch (event.type) {
     case 'tick':
-      return [...advanceUsage(state), ...advanceSizes(state)];
+      return advanceUsage(state);
     case 'configurationReceived':
       state.configuration = event.configuration;
       return [];
@@ -31,7 +31,7 @@
     case 'instancesListed':
       state.instances = event.instances;
       if (event.instances.length > 0) state.listedAt ??= event.now;
-      return [];
+      return advanceSizes(state);
     case 'leaseHeld':
       state.epoch = event.epoch;
       // What the holder before was told is not known; everything is planned anew.
--- a/packages/controller-core/src/sizing/planSizes.ts
+++ b/packages/controller-core/src/sizing/planSizes.ts
@@ -4,7 +4,8 @@
  *
  * Reclaimable ones cost a fraction, and a wave takes all of one data centre at a time. So they are
  * spread evenly, as many as leave enough to go on with after the largest loss. On-demand ones are
- * held for what the reclaimable ones that serve now lack of that, and no longer.
+ * held for what the reclaimable ones that serve now lack of that: while some start, and after a
+ * wave for as long as no more are to be had.
  *
  * A plan changes as little as it can: what was planned last is where it starts. Instances that are
  * moved between data centres would each cost a start and the answers that run on the old one.
@@ -85,11 +86,16 @@
   }
 }
 
-/** What the on-demand instances have to make up for. */
+/**
+ * What the on-demand instances have to make up for: what the reclaimable ones that serve now would
+ * lack after one more loss. Waves come in a row, and a start takes longer than a notice lasts, so
+ * it would be too late to order after the next one.
+ */
 function countLacking(drafts: readonly Draft[], { sizing, need }: SizeRequest): number {
   if (sizing.reclaimableShare === undefined) return Math.max(need.normal, need.afterLoss);
   const serving = sumOf(drafts, ({ place }) => place.reclaimable);
-  return Math.max(0, need.afterLoss - serving);
+  const largestLoss = Math.max(0, ...drafts.map(({ place }) => place.reclaimable));
+  return Math.max(0, need.afterLoss - (serving - largestLoss));
 }
 
 /** Starts from the last plan; adds where instances are there already, then where they are cheap. */
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -26,13 +26,14 @@
 const PREFILL_PATIENCE = 3;
 
 /**
- * How long to wait for the first byte. A call that may not be repeated gains nothing from an early
+ * How long to wait for the first byte. A call that may not be sent again gains nothing from an early
  * end; any other keeps time for a second attempt before its first token is due. In any case the
  * engine gets the time to compute the prompt, and on a resume the tokens generated so far.
  */
 function firstByteTimeout(accepted: RequestState, now: MonotonicMilliseconds): Milliseconds {
   const wholeAnswer = Math.max(1, accepted.wholeAnswerDueAt - now);
-  if (!accepted.route.idempotent) return wholeAnswer;
+  const isLast = accepted.attemptsStarted >= (accepted.route.mostAttempts ?? Infinity);
+  if (!accepted.route.idempotent || isLast) return wholeAnswer;
   const share = (accepted.firstTokenDueAt - now) * FIRST_BYTE_SHARE;
   const least = LEAST_FIRST_BYTE_MILLISECONDS + prefillDuration(accepted) * PREFILL_PATIENCE;
   return Math.min(wholeAnswer, Math.max(least, share));
--- /dev/null
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { AttemptFailure, CallerRequest, EntryOccurrence } from '../entryEvents.js';
+import type { EntryEffect } from '../entryEffects.js';
+import { makeEntryState } from '../EntryState.js';
+import { reduceEntry } from '../reduceEntry.js';
+import { examplePool, exampleRequest, exampleRoute } from '../testing/index.js';
+
+const KEY = 'a'.repeat(64);
+
+const once = { idempotent: false, claimed: false };
+
+/** An entry with three backend servers, whose clock a test moves. */
+function makeEntry(route: Record<string, unknown>, configured = true) {
+  const state = makeEntryState({
+    instance: 'entry-1',
+    dataCentre: 'dc-a',
+    incarnation: 1,
+    queuedRequests: 100,
+    usageWindow: 5000,
+  });
+  let now = 1000;
+  const send = (event: EntryOccurrence): EntryEffect[] =>
+    reduceEntry(state, { ...event, now, wallNow: 1_000_000 + now }).filter(
+      ({ type }) => !['log', 'count', 'setGauge', 'observe', 'reportToEntries'].includes(type),
+    );
+  const pass = (span: number) => {
+    now += span;
+    return send({ type: 'tick' });
+  };
+  if (configured) {
+    const pool = examplePool(8);
+    const row = exampleRoute({ match: { host: 'shop.example', pathPrefix: '/' }, ...route });
+    const configuration = {
+      revision: 1,
+      routes: { revision: 1, rows: [row] },
+      pools: { revision: 1, rows: [pool] },
+      whole: { version: 1, workspaces: [{ name: 'laden', keySha256: [KEY] }] },
+    };
+    send({ type: 'configurationReceived', configuration });
+  }
+  const instances = [1, 2, 3].map((number) => ({
+    instance: `server-${number}`,
+    dataCentre: 'dc-a',
+    instanceClass: 'large',
+    pool: 'engines',
+    state: 'live' as const,
+    host: '192.0.2.1',
+    port: number,
+  }));
+  send({ type: 'instancesListed', instances });
+  const arrive = (fields: Partial<CallerRequest> = {}) => {
+    const request = { host: 'shop.example', keySha256: KEY, workspace: '', ...fields };
+    return send({ type: 'requestArrived', request: exampleRequest('one', request) });
+  };
+  const fail = (attempt: number, failure: AttemptFailure, sent: 'nothing' | 'maybe') =>
+    send({
+      type: 'attemptFailed',
+      attemptId: `one.${attempt}`,
+      failure,
+      sent,
+      tokens: 0,
+      answerStarted: false,
+    });
+  return { state, send, pass, arrive, fail };
+}
+
+/** Effects by type, with what a caller or a backend server sees of each. */
+function describe(effects: readonly EntryEffect[]): string[] {
+  return effects.map((effect) => {
+    if (effect.type === 'answerProblem') return `${effect.kind} ran ${effect.ran}`;
+    if (effect.type === 'startAttempt') return `start for ${effect.workspace}`;
+    return effect.type;
+  });
+}
+
+test('a call is sent in the name of the workspace that holds its key', () => {
+  assert.deepEqual(describe(makeEntry(once).arrive()), ['start for laden']);
+});
+
+test('a key that no workspace holds is refused, unless the route is public', () => {
+  const stranger = { keySha256: 'b'.repeat(64) };
+  assert.deepEqual(describe(makeEntry(once).arrive(stranger)), ['unauthorized ran undefined']);
+  const open = makeEntry({ ...once, public: true });
+  assert.deepEqual(describe(open.arrive(stranger)), ['start for ']);
+});
+
+test('a call to another host finds no route', () => {
+  const found = makeEntry(once).arrive({ host: 'other.example' });
+  assert.deepEqual(describe(found), ['routeNotFound ran undefined']);
+});
+
+// The caller of an entry that has just started is told to come back. It would take a 404 or 401 for
+// its own fault and never try again, though every configuration allows the call.
+test('an entry without a configuration promises that nothing ran', () => {
+  const [refused] = makeEntry(once, false).arrive();
+  assert.ok(refused?.type === 'answerProblem');
+  assert.equal(refused.kind, 'notConfigured');
+  assert.ok((refused.retryAfterMilliseconds ?? 0) > 0);
+});
+
+// A full backend server says that it did not run the call. The caller of a purchase gets its answer
+// from the next one; no second purchase can come of it.
+test('a call that surely did not run is sent to another backend server', () => {
+  const entry = makeEntry(once);
+  entry.arrive();
+  assert.deepEqual(entry.fail(1, 'busy', 'nothing'), []);
+  const [again] = entry.pass(1000).filter(({ type }) => type === 'startAttempt');
+  assert.ok(again?.type === 'startAttempt');
+  assert.equal(again.attemptId, 'one.2');
+});
+
+// The connection is lost while a purchase is at a backend server. It may have been made: the caller
+// is told so at once, and nothing is sent a second time.
+test('a call that may have run is not sent again', () => {
+  const entry = makeEntry(once);
+  entry.arrive();
+  const ended = describe(entry.fail(1, 'connectionLost', 'maybe'));
+  assert.ok(ended.includes('backendServerFailed ran unknown'), ended.join());
+  assert.equal(entry.state.requests.size, 0);
+});
+
+test('a route’s bound on backend servers for one call holds', () => {
+  const entry = makeEntry({ mostAttempts: 2 });
+  entry.arrive();
+  entry.fail(1, 'busy', 'nothing');
+  entry.pass(1000);
+  assert.deepEqual(describe(entry.fail(2, 'busy', 'nothing')), ['backendServerFailed ran no']);
+});
+
+// A caller closes its connection. Backend servers would go on working for nobody; an outcome that is
+// kept nowhere need not be learnt.
+test('a call without a claim is cancelled with its caller', () => {
+  const entry = makeEntry(once);
+  entry.arrive();
+  assert.deepEqual(describe(entry.send({ type: 'callerGone', requestId: 'one' })), [
+    'cancelAttempt',
+  ]);
+});
+
+test('the caller’s patience bounds the time that is handed on', () => {
+  const [start] = makeEntry(once).arrive({ patience: 700 });
+  assert.ok(start?.type === 'startAttempt');
+  assert.equal(start.timeLeft, 700);
+});
+
+test('calls are split among pools by weight', () => {
+  const split = [
+    { pool: 'engines', weight: 9 },
+    { pool: 'elsewhere', weight: 1 },
+  ];
+  const entry = makeEntry({ ...once, split });
+  const sent = Array.from({ length: 400 }, () => {
+    const effects = describe(entry.arrive());
+    entry.send({ type: 'callerGone', requestId: 'one' });
+    return effects.includes('start for laden');
+  }).filter((started) => started).length;
+  assert.ok(sent > 330 && sent < 390, String(sent));
+});
+
+test('what begins to run is counted in its window', () => {
+  const entry = makeEntry(once);
+  entry.arrive();
+  entry.send({ type: 'firstTokenReceived', attemptId: 'one.1' });
+  entry.send({ type: 'firstTokenReceived', attemptId: 'one.1' });
+  assert.deepEqual(Object.values(entry.state.usage.read()), [{ laden: 1 }]);
+});
--- a/packages/entry-core/src/backendServers/targetAt.ts
+++ b/packages/entry-core/src/backendServers/targetAt.ts
@@ -10,6 +10,7 @@
     host,
     port,
     kind: pool?.kind ?? 'modelEngine',
+    ...(pool?.streams === undefined ? {} : { tokensPerEvent: pool.streams.tokensPerEvent }),
     ...(pool?.healthPath === undefined ? {} : { healthPath: pool.healthPath }),
   };
 }
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -23,6 +23,8 @@
   readonly port: number;
   /** Path of its health check, where the pools table names one. */
   readonly healthPath?: string;
+  /** Tokens that one event of its streams holds. */
+  readonly tokensPerEvent?: number;
 }
 
 export type EntryEffect =
--- /dev/null
+++ b/packages/entry-core/src/limits/AllowanceLedger.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Allowance, EntryReport } from '@hornbeampond/schema';
+import { AllowanceLedger } from './AllowanceLedger.js';
+
+const allowance: Allowance = {
+  unit: 'tokens',
+  perSecond: 100,
+  burst: 200,
+  windowMilliseconds: 8000,
+  plainTokens: 0,
+};
+
+/** What may be spent in any window. */
+const MOST = 1000;
+
+function report(instance: string, spent: number, incarnation = 1): EntryReport {
+  return {
+    type: 'entryReport',
+    instance,
+    dataCentre: 'a',
+    incarnation,
+    sequence: 1,
+    leaving: false,
+    revision: 1,
+    inProgress: {},
+    leavingBackendServers: {},
+    suspects: [],
+    spent: { laden: spent },
+  };
+}
+
+/** Spends in steps of 10 as long as it is allowed, and returns how much. */
+function spendAll(ledger: AllowanceLedger, now: number): number {
+  let spent = 0;
+  while (spent < 10 * MOST && ledger.ask('laden', allowance, 10, now).type === 'allowed') {
+    ledger.spend('laden', 10, now);
+    spent += 10;
+  }
+  return spent;
+}
+
+test('a window holds the rate and the burst, wherever it begins', () => {
+  const ledger = new AllowanceLedger();
+  const spentAt: [number, number][] = [];
+  for (let now = 0; now < 40_000; now += 100) spentAt.push([now, spendAll(ledger, now)]);
+  spentAt.forEach(([from]) => {
+    const inWindow = spentAt
+      .filter(([at]) => at >= from && at < from + allowance.windowMilliseconds)
+      .reduce((sum, [, spent]) => sum + spent, 0);
+    assert.ok(inWindow <= MOST, `${inWindow} from ${from}`);
+  });
+});
+
+test('one that comes back when it was told to is allowed', () => {
+  const ledger = new AllowanceLedger();
+  spendAll(ledger, 0);
+  const refused = ledger.ask('laden', allowance, 10, 500);
+  assert.ok(refused.type === 'exceeded');
+  const later = 500 + refused.retryAfterMilliseconds;
+  assert.equal(ledger.ask('laden', allowance, 10, later - 300).type, 'exceeded');
+  assert.equal(ledger.ask('laden', allowance, 10, later + 1).type, 'allowed');
+});
+
+test('what other entries spend counts once, also after they restart', () => {
+  const ledger = new AllowanceLedger();
+  ledger.receive(report('entry-2', 5000), 0);
+  ledger.receive(report('entry-2', 5600), 100);
+  ledger.receive(report('entry-2', 5600), 200);
+  ledger.receive(report('entry-2', 100, 2), 300);
+  assert.equal(spendAll(ledger, 400), MOST - 700);
+});
+
+// Callers of a workspace on both sides of a network partition would together be let run twice what
+// the operator allows. The entries of one side stop hearing the others and leave them their part.
+test('an entry that hears only half of the others spends only their half', () => {
+  const ledger = new AllowanceLedger();
+  ['entry-2', 'entry-3', 'entry-4'].forEach((name) => ledger.receive(report(name, 0), 0));
+  ledger.receive(report('entry-2', 0), 20_000);
+  assert.equal(spendAll(ledger, 20_100), MOST / 2);
+});
+
+test('a request above the whole allowance may run while nothing else has', () => {
+  const ledger = new AllowanceLedger();
+  assert.equal(ledger.ask('laden', allowance, 5 * MOST, 0).type, 'allowed');
+  ledger.spend('laden', 5 * MOST, 0);
+  assert.equal(ledger.ask('laden', allowance, 1, 0).type, 'exceeded');
+});
--- a/packages/entry-core/src/reclaims/costs.ts
+++ b/packages/entry-core/src/reclaims/costs.ts
@@ -33,7 +33,13 @@
 }
 
 export function moveDuration(accepted: RequestState): Milliseconds {
-  return MOVE_OVERHEAD_MILLISECONDS + redoTokens(accepted) / MOVED_TOKENS_PER_MILLISECOND;
+  const rate = accepted.pool.streams?.movedTokensPerMillisecond ?? MOVED_TOKENS_PER_MILLISECOND;
+  return rate > 0 ? MOVE_OVERHEAD_MILLISECONDS + redoTokens(accepted) / rate : Infinity;
+}
+
+/** True if the engines of its pool can hand the request's KV cache to each other. */
+export function canMove({ pool }: RequestState): boolean {
+  return pool.kind === 'modelEngine' && pool.streams?.movedTokensPerMillisecond !== 0;
 }
 
 export function prefillDuration(accepted: RequestState): Milliseconds {
--- a/packages/entry-core/src/reclaims/handOnStreams.ts
+++ b/packages/entry-core/src/reclaims/handOnStreams.ts
@@ -16,8 +16,10 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import type { RequestState } from '../requests/RequestState.js';
 import {
+  canMove,
   fitsNotice,
   moveDuration,
   NOTICE_MARGIN_MILLISECONDS,
@@ -44,11 +46,14 @@
 }
 
 /**
- * A call that may not be repeated stays where it is, and so does a plain service's answer once it
- * has begun: neither can go on elsewhere.
+ * A call that may not be repeated stays where it is, unless its cache can be moved: it then goes on
+ * as the same run. A plain service's answer stays as well once it has begun.
  */
 function canBeHandedOn(accepted: RequestState, attempt: AttemptState): boolean {
-  if (!accepted.route.idempotent || accepted.attemptId !== attempt.attemptId) return false;
+  if (accepted.attemptId !== attempt.attemptId) return false;
+  if (!accepted.route.idempotent) {
+    return !isClaimed(accepted) && canMove(accepted) && attempt.firstTokenAt !== undefined;
+  }
   return accepted.pool.kind === 'modelEngine' || attempt.firstTokenAt === undefined;
 }
 
@@ -64,6 +69,10 @@
   return NOTICE_MARGIN_MILLISECONDS + (prefill * SPREAD_SHARE) / Math.max(1, targets);
 }
 
+function isClaimed({ route }: RequestState): boolean {
+  return !mayBeCancelled(route);
+}
+
 function countTargets(state: EntryState, { accepted }: Stream): number {
   return [...state.backendServers.values()].filter(
     ({ listed, goneAt }) =>
@@ -116,6 +125,11 @@
   };
 }
 
+/** One that goes on only with its cache runs on where it is if that cannot be moved. */
+function isRepeatable({ accepted }: Stream): boolean {
+  return accepted.route.idempotent;
+}
+
 export function handOnStreams(state: EntryState, instance: string, timed: Timed): EntryEffect[] {
   if (!state.retries.policy.handOn) return [];
   const left = (state.reclaims.leaving.get(instance) ?? Infinity) - timed.wallNow;
@@ -126,12 +140,16 @@
   if (streams.length === 0) return [];
   const { unbegun, begun, plain } = partByProgress(streams);
   const { moved, resumed } = state.retries.policy.moves
-    ? fillLink(begun, left)
+    ? fillLink(
+        begun.filter(({ accepted }) => canMove(accepted)),
+        left,
+      )
     : { moved: [], resumed: begun };
+  const stay = begun.filter((stream) => !moved.includes(stream) && !resumed.includes(stream));
   const next = hasMoveFrom(state, instance) ? undefined : moved[0];
   return [
     ...unbegun.flatMap(({ accepted }) => resumeElsewhere(state, accepted, 'reclaimNotice', timed)),
     ...(next === undefined ? [] : startMove(state, next.accepted, next.attempt, timed)),
-    ...resumeDue(state, [...resumed, ...plain], left, timed),
+    ...resumeDue(state, [...resumed, ...stay, ...plain].filter(isRepeatable), left, timed),
   ];
 }
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -73,6 +73,8 @@
   if (accepted === undefined) return [];
   // The next place is sought elsewhere first: the target may be what failed.
   accepted.triedInstances.add(move.to);
+  // What may not be repeated runs on where it is, for as long as it can.
+  if (!accepted.route.idempotent) return [countMove(outcome)];
   return [countMove(outcome), ...resumeElsewhere(state, accepted, 'reclaimNotice', timed)];
 }
 
--- a/packages/schema/src/tables/pools.ts
+++ b/packages/schema/src/tables/pools.ts
@@ -30,6 +30,13 @@
   reclaimableShare: z.number().min(0).max(1).optional(),
 });
 
+/** What an operator knows of the streams that model engines give, and of moving them. */
+export const streamFactsSchema = z.strictObject({
+  tokensPerEvent: z.number().min(1).default(1),
+  /** Tokens of KV cache that an engine's link carries in a millisecond; 0 if caches don't move. */
+  movedTokensPerMillisecond: z.number().min(0),
+});
+
 export const poolSchema = z.strictObject({
   name: nameSchema,
   kind: z.enum(poolKinds),
@@ -48,6 +55,8 @@
   healthPath: z.string().startsWith('/').max(512).optional(),
   /** Connections that one backend server takes from all entries together. */
   connections: z.number().int().min(1).max(1_000_000).optional(),
+  /** What is known of the streams of its model engines. */
+  streams: streamFactsSchema.optional(),
   /** Sizes and prices by data centre, where the platform is told a number of instances for each. */
   sizing: sizingSchema.optional(),
 });
--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -36,7 +36,7 @@
   return existsSync(path.replace(/\/dist\//, '/src/').replace(/\.js$/, '.ts'));
 }
 
-const files = ['packages', 'apps', 'measure']
+const files = ['packages', 'apps', 'platform', 'measure']
   .flatMap((folder) => findTests(join(root, folder)))
   .filter(hasSource)
   .filter((path) => filters.length === 0 || filters.some((filter) => path.includes(filter)))
