--- a/packages/store-core/src/log/FolderLock.ts
+++ b/packages/store-core/src/log/FolderLock.ts
@@ -40,8 +40,13 @@
   return fields[START_FIELD] ?? '';
 }
 
+/**
+ * A lock without a start time was taken where the kernel tells nothing of processes. Its process
+ * cannot be told from a later one of the same number, and a store that is killed there would
+ * never start again, for its own lock: such a lock holds nobody off.
+ */
 function isAlive({ pid, startedAt, boot }: Owner): boolean {
-  if (boot !== readText(BOOT_FILE)) return false;
+  if (startedAt === '' || boot !== readText(BOOT_FILE)) return false;
   try {
     process.kill(pid, 0);
   } catch (error) {
