Write logs to standard output without waiting; share an allowance between reports

The platform's roles log each decision. Now an entry takes its part of the room in each round of reports; eight ledgers at twice the rate stay within a tenth.

--- a/measure/src/processes/ChildProcess.ts
+++ b/measure/src/processes/ChildProcess.ts
@@ -57,9 +57,12 @@
     const { stdout, stderr } = this.child;
     if (stdout === null || stderr === null) throw new Error(`${name} has no output`);
     createInterface({ input: stdout }).on('line', (line) => this.output.push(line));
-    createInterface({ input: stderr }).on('line', (line) => {
-      appendFileSync(logFile, `${line}\n`);
-      this.take(line);
+    // Logs are on standard output, what ends a process on standard error.
+    [stdout, stderr].forEach((input) => {
+      createInterface({ input }).on('line', (line) => {
+        appendFileSync(logFile, `${line}\n`);
+        this.take(line);
+      });
     });
   }
 
--- a/packages/controller-core/src/singleton/reduceSingleton.test.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.test.ts
@@ -68,8 +68,7 @@
   const settles = feed(8300, { type: 'tick' });
   assert.ok(
     settles.some(
-      (effect) =>
-        effect.type === 'settleUsage' && effect.window === 0 && effect.counts['laden'] === 4,
+      (effect) => effect.type === 'settleUsage' && effect.window === 0 && effect.counts.laden === 4,
     ),
   );
   // Another holder had proposed other counts before: those of the log are reported.
--- a/packages/entry-core/src/limits/AllowanceLedger.test.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.test.ts
@@ -62,13 +62,40 @@
   assert.equal(ledger.ask('laden', allowance, 10, later + 1).type, 'allowed');
 });
 
+// A workspace sends many times its usual through all entries at once, and their reports are a second
+// old. Each entry by itself would spend the whole window; together they keep to it but for what is
+// left as the last round begins.
+test('entries that hear each other each second keep to the allowance together', () => {
+  const ledgers = Array.from({ length: 8 }, () => new AllowanceLedger());
+  const spentAt: [number, number][] = [];
+  for (let now = 0; now < 30_000; now += 50) {
+    ledgers.forEach((ledger, number) => {
+      if (now % 1000 === number * 100) {
+        const own = ledger.spent['laden'] ?? 0;
+        ledgers.forEach((other) => {
+          if (other !== ledger) other.receive(report(`entry-${number}`, own), now);
+        });
+      }
+      // Twice the rate in all.
+      if (ledger.ask('laden', allowance, 1, now).type !== 'allowed') return;
+      ledger.spend('laden', 1, now);
+      spentAt.push([now, 1]);
+    });
+  }
+  const worst = Math.max(
+    ...spentAt.map(([from]) => spentAt.filter(([at]) => at >= from && at < from + 8000).length),
+  );
+  assert.ok(worst > MOST * 0.9 && worst <= MOST * 1.1, String(worst));
+});
+
 test('what other entries spend counts once, also after they restart', () => {
   const ledger = new AllowanceLedger();
   ledger.receive(report('entry-2', 5000), 0);
   ledger.receive(report('entry-2', 5600), 100);
   ledger.receive(report('entry-2', 5600), 200);
   ledger.receive(report('entry-2', 100, 2), 300);
-  assert.equal(spendAll(ledger, 400), MOST - 700);
+  assert.equal(ledger.ask('laden', allowance, MOST - 700, 400).type, 'allowed');
+  assert.equal(ledger.ask('laden', allowance, MOST - 699, 400).type, 'exceeded');
 });
 
 // Callers of a workspace on both sides of a network partition would together be let run twice what
--- a/packages/entry-core/src/limits/AllowanceLedger.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.ts
@@ -3,9 +3,10 @@
  * any window a rate times its length, and a burst on top. Every entry keeps the spending of the
  * last window: its own exactly, and that of the others as their reports come.
  *
- * What two entries spend between two reports is seen by both only afterwards; the window then
- * holds it against the seconds that follow, so an overshoot is bounded by what arrives between
- * reports. An entry that has not heard some of the others lately leaves them their equal part.
+ * What the others spend between two reports is seen only afterwards. So an entry takes, in the time
+ * of a round of reports, no more than its part of the room that is left: the part that it had of
+ * the spending so far, half as much again, and a little for one whose callers have just come. All
+ * parts together are twice the room at most, and the room is small when it matters. An entry that has not heard some of the others lately leaves them their equal part.
  * Without that, each side of a network partition would spend the whole.
  */
 import type {
@@ -26,6 +27,15 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** Within this span each entry's newest spending is unknown to the others. */
+const ROUND_MILLISECONDS: Milliseconds = 1200;
+
+/** An entry's callers may become more within a round, relative to those of the others. */
+const GROWTH = 1.5;
+
+/** Part of the room that is kept for entries that have spent nothing yet, shared equally. */
+const NEWCOMERS_SHARE = 0.5;
+
 interface Slice {
   readonly at: MonotonicMilliseconds;
   amount: number;
@@ -37,15 +47,48 @@
   readonly heardAt: MonotonicMilliseconds;
 }
 
+function sumOf(slices: readonly Slice[]): number {
+  return slices.reduce((sum, { amount }) => sum + amount, 0);
+}
+
+function note(
+  slicesByWorkspace: Map<string, Slice[]>,
+  workspace: string,
+  amount: number,
+  now: MonotonicMilliseconds,
+): void {
+  if (amount === 0) return;
+  const slices = slicesByWorkspace.get(workspace) ?? [];
+  slicesByWorkspace.set(workspace, slices);
+  const last = slices.at(-1);
+  if (last !== undefined && now - last.at < SLICE_MILLISECONDS) last.amount += amount;
+  else slices.push({ at: now, amount });
+}
+
+/** The slices that still count, the others being dropped. */
+function slicesSince(
+  slicesByWorkspace: ReadonlyMap<string, Slice[]>,
+  workspace: string,
+  since: MonotonicMilliseconds,
+): Slice[] {
+  const slices = slicesByWorkspace.get(workspace) ?? [];
+  const first = slices.findIndex(({ at }) => at + SLICE_MILLISECONDS > since);
+  slices.splice(0, first < 0 ? slices.length : first);
+  return slices;
+}
+
 /** Whether a request may be run, and if not, when to come back. */
 export type Spending =
   | { readonly type: 'allowed' }
   | { readonly type: 'exceeded'; readonly retryAfterMilliseconds: Milliseconds };
 
 export class AllowanceLedger {
-  /** By workspace, oldest first. */
+  /** Spending of all entries by workspace, oldest first. */
   private readonly slices = new Map<string, Slice[]>();
 
+  /** The part of it that is this entry's own. */
+  private readonly ownSlices = new Map<string, Slice[]>();
+
   private readonly peers = new Map<string, Peer>();
 
   private readonly own: Record<string, number> = {};
@@ -64,11 +107,14 @@
   ): Spending {
     const seconds = windowMilliseconds / MILLISECONDS_PER_SECOND;
     const most = (perSecond * seconds + burst) * this.ownShare(now);
-    const slices = this.slicesOf(workspace, now - windowMilliseconds);
-    const spent = slices.reduce((sum, slice) => sum + slice.amount, 0);
+    const slices = slicesSince(this.slices, workspace, now - windowMilliseconds);
+    const spent = sumOf(slices);
     // A request above the whole allowance could never run; it may while nothing else has.
     let excess = spent + Math.min(amount, most) - most;
-    if (excess <= 0) return { type: 'allowed' };
+    if (excess <= 0) {
+      const own = slicesSince(this.ownSlices, workspace, now - windowMilliseconds);
+      return this.askForRound(own, { spent, most, amount }, now);
+    }
     const freeing = slices.find((slice) => {
       excess -= slice.amount;
       return excess <= 0;
@@ -79,7 +125,8 @@
 
   spend(workspace: string, amount: number, now: MonotonicMilliseconds): void {
     this.own[workspace] = (this.own[workspace] ?? 0) + amount;
-    this.note(workspace, amount, now);
+    note(this.slices, workspace, amount, now);
+    note(this.ownSlices, workspace, amount, now);
   }
 
   /** Takes in what another entry has spent since its last report. */
@@ -90,25 +137,25 @@
     if (known === undefined) return;
     const before = known.incarnation === incarnation ? known.spent : {};
     Object.entries(spent).forEach(([workspace, amount]) => {
-      this.note(workspace, Math.max(0, amount - (before[workspace] ?? 0)), now);
+      note(this.slices, workspace, Math.max(0, amount - (before[workspace] ?? 0)), now);
     });
   }
 
-  private note(workspace: string, amount: number, now: MonotonicMilliseconds): void {
-    if (amount === 0) return;
-    const slices = this.slices.get(workspace) ?? [];
-    this.slices.set(workspace, slices);
-    const last = slices.at(-1);
-    if (last !== undefined && now - last.at < SLICE_MILLISECONDS) last.amount += amount;
-    else slices.push({ at: now, amount });
-  }
-
-  /** The slices that still count, the others being dropped. */
-  private slicesOf(workspace: string, since: MonotonicMilliseconds): Slice[] {
-    const slices = this.slices.get(workspace) ?? [];
-    const first = slices.findIndex(({ at }) => at + SLICE_MILLISECONDS > since);
-    slices.splice(0, first < 0 ? slices.length : first);
-    return slices;
+  /** Holds this entry to its part of what was left when the round began. */
+  private askForRound(
+    own: readonly Slice[],
+    { spent, most, amount }: { spent: number; most: number; amount: number },
+    now: MonotonicMilliseconds,
+  ): Spending {
+    const entries = this.peers.size + 1;
+    if (entries === 1 || spent === 0) return { type: 'allowed' };
+    const ownSpent = sumOf(own);
+    const inRound = sumOf(own.filter(({ at }) => at > now - ROUND_MILLISECONDS));
+    const share = (ownSpent / spent) * GROWTH + NEWCOMERS_SHARE / entries;
+    const room = (most - (spent - inRound)) * Math.min(1, Math.max(share, 1 / entries));
+    // One request is always let through in a round, however small the part.
+    if (inRound === 0 || inRound + amount <= room) return { type: 'allowed' };
+    return { type: 'exceeded', retryAfterMilliseconds: ROUND_MILLISECONDS };
   }
 
   /** The part of the allowance that is not left to peers that have fallen silent. */
--- a/packages/runtime/src/Logger.ts
+++ b/packages/runtime/src/Logger.ts
@@ -1,8 +1,10 @@
 /**
  * Structured logs: one JSON object a line, with the event's number and name from the catalogue.
  */
+import { setTimeout } from 'node:timers/promises';
 import loglevel from 'loglevel';
 import { logEvents, type LogEventName, type LogFields, type LogLevel } from '@hornbeampond/schema';
+import { LineWriter, writeToDescriptor } from './LineWriter.js';
 
 /** Fields that every line of a process carries. */
 export interface LogContext {
@@ -13,8 +15,17 @@
 /** Writes one line; the line has no end-of-line character. */
 export type WriteLine = (line: string) => void;
 
-function writeToStandardError(line: string): void {
-  process.stderr.write(`${line}\n`);
+const STANDARD_OUTPUT = 1;
+
+/** One for the process, since its bounds are those of the one output. */
+const standardOutput = new LineWriter(writeToDescriptor(STANDARD_OUTPUT));
+
+/** A reader that stands still must not keep a process from ending. */
+const FLUSH_MILLISECONDS = 500;
+
+/** Resolves once all lines have been written, or soon after; for the end of a process. */
+export async function flushLogs(): Promise<void> {
+  await Promise.race([standardOutput.whenTaken(), setTimeout(FLUSH_MILLISECONDS)]);
 }
 
 export class Logger {
@@ -23,7 +34,7 @@
   constructor(
     private readonly context: LogContext,
     level: LogLevel,
-    private readonly writeLine: WriteLine = writeToStandardError,
+    private readonly writeLine: WriteLine = standardOutput.write,
   ) {
     this.backing = loglevel.getLogger(Symbol(context.instance));
     this.backing.methodFactory = () => (line: unknown) => this.writeLine(String(line));
--- a/packages/runtime/src/runBinary.ts
+++ b/packages/runtime/src/runBinary.ts
@@ -4,6 +4,7 @@
  */
 import { parseArgs } from 'node:util';
 import type { z } from 'zod';
+import { flushLogs } from './Logger.js';
 import { readSettings } from './readSettings.js';
 
 export const version = '0.1.0';
@@ -109,13 +110,19 @@
   const stop = () => {
     if (stopping) return;
     stopping = true;
-    running.shutDown().then(
-      () => process.exit(exitCodes.done),
-      (error: unknown) => {
-        process.stderr.write(`${binary.name}: ${String(error)}\n`);
-        process.exit(exitCodes.failed);
-      },
-    );
+    void running
+      .shutDown()
+      .then(
+        () => exitCodes.done,
+        (error: unknown) => {
+          process.stderr.write(`${binary.name}: ${String(error)}\n`);
+          return exitCodes.failed;
+        },
+      )
+      .then(async (code) => {
+        await flushLogs();
+        process.exit(code);
+      });
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
