Leave an engine alone whose stream is held up by its caller

Cause of the slow caller's test failing beside load: the stream gives no token while its caller does not read, so its engine was probed; on a busy machine the answer came after a second, the engine counted as crashed and the answer was computed again elsewhere (274593 tokens generated for 120000). Ruled out: the silence limit, which does not run while the caller is written to.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -173,6 +173,10 @@
     const exchange = this.options.findExchange(start.requestId);
     if (exchange === undefined) return;
     this.watch(attempt, start.firstByteTimeout);
+    exchange.answer.onHeld = (held) => {
+      const { attemptId } = start;
+      if (!attempt.cancelled) this.options.dispatch({ type: 'attemptHeld', attemptId, held });
+    };
     if (exchange.answer instanceof CompletionAnswer) {
       await this.runCompletion(attempt, exchange, exchange.answer);
     } else if (exchange.answer instanceof PlainAnswer) {
--- a/apps/entry/src/CallerAnswer.ts
+++ b/apps/entry/src/CallerAnswer.ts
@@ -13,6 +13,9 @@
     protected readonly response: ServerResponse,
   ) {}
 
+  /** Told when the caller begins to hold the answer up, and when it has caught up. */
+  onHeld: (held: boolean) => void = () => {};
+
   /** True once a byte of the answer has gone to the caller. */
   get started(): boolean {
     return this.response.headersSent;
@@ -53,6 +56,7 @@
     if (this.gone || this.response.write(bytes)) return;
     const controller = new AbortController();
     const { signal } = controller;
+    this.onHeld(true);
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
@@ -60,6 +64,7 @@
       ]);
     } finally {
       controller.abort();
+      this.onHeld(false);
     }
   }
 
--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -14,6 +14,8 @@
   /** Tokens of the whole answer so far, by the newest edge. */
   tokens: number;
   tokensAt: MonotonicMilliseconds | undefined;
+  /** True while its caller, and not its backend server, holds it up. */
+  heldByCaller?: boolean;
   /** When its backend server was last probed because this stream had stalled. */
   stallProbedAt?: MonotonicMilliseconds;
   /** True for an attempt that fell silent; its whole answer may still come first. */
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -22,6 +22,7 @@
       | 'attemptSent'
       | 'firstTokenReceived'
       | 'attemptProgressed'
+      | 'attemptHeld'
       | 'attemptFinished'
       | 'attemptFailed';
   }
@@ -106,6 +107,10 @@
     case 'attemptProgressed':
       noteProgress(accepted, attempt, event);
       return [];
+    case 'attemptHeld':
+      attempt.heldByCaller = event.held;
+      if (!event.held) attempt.tokensAt = event.now;
+      return [];
     default:
       return assertNever(event);
   }
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -99,6 +99,8 @@
   | { readonly type: 'firstTokenReceived'; readonly attemptId: string }
   /** Sent now and then while a stream runs. `tokens` counts the whole answer so far. */
   | { readonly type: 'attemptProgressed'; readonly attemptId: string; readonly tokens: number }
+  /** The caller reads more slowly than the backend server gives, or has caught up again. */
+  | { readonly type: 'attemptHeld'; readonly attemptId: string; readonly held: boolean }
   /** The whole answer has come from the backend server. */
   | {
       readonly type: 'attemptFinished';
--- a/packages/entry-core/src/quarantine/probeStalled.ts
+++ b/packages/entry-core/src/quarantine/probeStalled.ts
@@ -5,6 +5,9 @@
  * silence time-out. The probe finds out sooner, and for all of them. An answer changes nothing: an engine
  * may pause to compute a long prompt, and a connection that has lost track of its ends still has
  * its own time-out.
+ *
+ * A stream that its caller holds up has not stalled. Probing for it would put all that runs at that
+ * backend server at risk: on a busy instance one probe that is answered late reads as a crash.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { AttemptState } from '../attempts/AttemptState.js';
@@ -18,7 +21,7 @@
 
 function isStalled(attempt: AttemptState, now: MonotonicMilliseconds): boolean {
   const { firstTokenAt, tokensAt = firstTokenAt, stallProbedAt = 0, givenUp } = attempt;
-  if (tokensAt === undefined || givenUp) return false;
+  if (tokensAt === undefined || givenUp || attempt.heldByCaller === true) return false;
   return now - Math.max(tokensAt, stallProbedAt) >= STALL_MILLISECONDS;
 }
 
--- /dev/null
+++ b/packages/entry-core/src/quarantine/slowCaller.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { makeRequest, World } from '../driver/index.js';
+
+/** True if the engine was put in doubt, or given up already. */
+function isInDoubt(world: World): boolean {
+  const { losses, down } = world.entry.state.quarantine;
+  return losses.size + down.size > 0;
+}
+
+// A caller reads more slowly than its engine gives; the entry stops reading, and no token comes for
+// seconds. The engine is not to blame. It was probed all the same, and where the instance was too
+// busy for the answer to come within a second, all streams of that engine were run again elsewhere.
+test('a stream that its caller holds up does not put its engine in doubt', () => {
+  const world = new World({ engines: { 'wien-a': 2 } });
+  world.entry.arrive(makeRequest('slow', { mostTokens: 5000 }));
+  world.advance(300);
+  const [attempt] = world.entry.state.attempts.values();
+  assert.ok(attempt !== undefined);
+  const { attemptId, instance } = attempt;
+  world.entry.send({ type: 'attemptHeld', attemptId, held: true });
+  world.probesAnswered = false;
+  world.engine(instance).streams.forEach((stream) => {
+    stream.silent = true;
+  });
+  world.advance(3000);
+  assert.equal(isInDoubt(world), false);
+  // It has caught up: from here on the engine is to give again.
+  world.entry.send({ type: 'attemptHeld', attemptId, held: false });
+  world.advance(1000);
+  assert.equal(isInDoubt(world), false);
+  world.advance(700);
+  assert.equal(isInDoubt(world), true);
+});
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -71,6 +71,7 @@
     case 'attemptSent':
     case 'firstTokenReceived':
     case 'attemptProgressed':
+    case 'attemptHeld':
     case 'attemptFinished':
     case 'attemptFailed':
       return reduceAttempts(state, event);
