--- a/packages/entry-core/src/limits/AllowanceLedger.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.ts
@@ -33,6 +33,9 @@
 /** An entry's callers may become more within a round, relative to those of the others. */
 const GROWTH = 1.5;
 
+/** What an entry that has heard no other yet may spend of a window: its rate for about a round. */
+const STARTING_SHARE = 0.1;
+
 /** Part of the room that is kept for entries that have spent nothing yet, shared equally. */
 const NEWCOMERS_SHARE = 0.5;
 
@@ -93,11 +96,26 @@
 
   private readonly own: Record<string, number> = {};
 
+  /** Length of the window by workspace, as it was asked with last. */
+  private readonly windows = new Map<string, Milliseconds>();
+
+  /** When this entry first spent anything of an allowance. */
+  private startedAt: MonotonicMilliseconds | undefined;
+
   /** What each workspace has spent here since the process started. */
   get spent(): Readonly<Record<string, number>> {
     return { ...this.own };
   }
 
+  /** What each workspace has spent at all entries in its window, as far as it is known here. */
+  windowSpent(now: MonotonicMilliseconds): Readonly<Record<string, number>> {
+    const spent = [...this.windows].map(([workspace, length]) => {
+      const slices = slicesSince(this.slices, workspace, now - length);
+      return [workspace, sumOf(slices)] as const;
+    });
+    return Object.fromEntries(spent);
+  }
+
   /** Asks whether `amount` may be spent now; nothing is spent by asking. */
   ask(
     workspace: string,
@@ -105,6 +123,8 @@
     amount: number,
     now: MonotonicMilliseconds,
   ): Spending {
+    this.startedAt ??= now;
+    this.windows.set(workspace, windowMilliseconds);
     const seconds = windowMilliseconds / MILLISECONDS_PER_SECOND;
     const most = (perSecond * seconds + burst) * this.ownShare(now);
     const slices = slicesSince(this.slices, workspace, now - windowMilliseconds);
@@ -130,17 +150,43 @@
   }
 
   /** Takes in what another entry has spent since its last report. */
-  receive({ instance, incarnation, spent = {} }: EntryReport, now: MonotonicMilliseconds): void {
+  receive(report: EntryReport, now: MonotonicMilliseconds): void {
+    const { instance, incarnation, spent = {} } = report;
     const known = this.peers.get(instance);
     this.peers.set(instance, { incarnation, spent, heardAt: now });
-    // Spending of before this entry heard its peer is past.
-    if (known === undefined) return;
+    if (known === undefined) {
+      this.takeWindow(report, now);
+      return;
+    }
     const before = known.incarnation === incarnation ? known.spent : {};
     Object.entries(spent).forEach(([workspace, amount]) => {
       note(this.slices, workspace, Math.max(0, amount - (before[workspace] ?? 0)), now);
     });
   }
 
+  /**
+   * Takes over what the window holds already. Without it, the entries that are started again after
+   * half of them were killed would each find an unspent window.
+   */
+  private takeWindow({ windowSpent = {} }: EntryReport, now: MonotonicMilliseconds): void {
+    Object.entries(windowSpent).forEach(([workspace, amount]) => {
+      const known = sumOf(this.slices.get(workspace) ?? []);
+      note(this.slices, workspace, Math.max(0, amount - known), now);
+    });
+  }
+
+  /** Before it has heard of others an entry takes little of a window that may be spent already. */
+  private askAtStart(
+    { spent, most, amount }: { spent: number; most: number; amount: number },
+    now: MonotonicMilliseconds,
+  ): Spending {
+    const isStarting = now - (this.startedAt ?? now) < ROUND_MILLISECONDS;
+    if (!isStarting || spent === 0 || spent + amount <= most * STARTING_SHARE) {
+      return { type: 'allowed' };
+    }
+    return { type: 'exceeded', retryAfterMilliseconds: ROUND_MILLISECONDS };
+  }
+
   /** Holds this entry to its part of what was left when the round began. */
   private askForRound(
     own: readonly Slice[],
@@ -148,7 +194,8 @@
     now: MonotonicMilliseconds,
   ): Spending {
     const entries = this.peers.size + 1;
-    if (entries === 1 || spent === 0) return { type: 'allowed' };
+    if (entries === 1) return this.askAtStart({ spent, most, amount }, now);
+    if (spent === 0) return { type: 'allowed' };
     const ownSpent = sumOf(own);
     const inRound = sumOf(own.filter(({ at }) => at > now - ROUND_MILLISECONDS));
     const share = (ownSpent / spent) * GROWTH + NEWCOMERS_SHARE / entries;
--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -60,9 +60,12 @@
 }
 
 /** What only a configuration with workspaces of its own has a use for. */
-function describeWork(state: EntryState): Pick<EntryReport, 'spent' | 'begun' | 'demand'> {
+function describeWork(
+  state: EntryState,
+): Pick<EntryReport, 'spent' | 'windowSpent' | 'begun' | 'demand'> {
   return {
     spent: state.limits.allowances.spent,
+    windowSpent: state.limits.allowances.windowSpent(state.clocks.now),
     begun: state.usage.read(),
     demand: reportDemand(state, state.clocks.now),
   };
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -40,6 +40,11 @@
   readonly leavingBackendServers: Readonly<Record<string, EpochMilliseconds>>;
   /** What each workspace has spent of its allowance here since the process started. */
   readonly spent?: Readonly<Record<string, number>>;
+  /**
+   * What each workspace has spent of its allowance at all entries in the last window, as this one
+   * knows it: an entry that has just started knows nothing of the window it starts in.
+   */
+  readonly windowSpent?: Readonly<Record<string, number>>;
   /** Requests of each workspace that began to run here, by number of the usage window. */
   readonly begun?: Readonly<Record<string, Readonly<Record<string, number>>>>;
   /** What the planner of the fleet goes by. */
