Take a stream held up by its caller for a sign of its engine's life

A probe had gone out while the busy machine stood still, the caller then held the stream up, and the late answer read as a crash.

--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -31,12 +31,14 @@
 
 /**
  * A backend server too busy for new connections still feeds its old ones. To end these for an
- * unanswered probe would cut streams that are well.
+ * unanswered probe would cut streams that are well. So would one that went out just before a caller
+ * began to hold its stream up: the engine gave more than the caller could take.
  */
 function givesTokens(state: EntryState, { instance, openedAt }: Loss): boolean {
-  return [...(state.backendServers.get(instance)?.attemptIds ?? [])].some(
-    (attemptId) => (state.attempts.get(attemptId)?.tokensAt ?? openedAt) > openedAt,
-  );
+  return [...(state.backendServers.get(instance)?.attemptIds ?? [])].some((attemptId) => {
+    const attempt = state.attempts.get(attemptId);
+    return attempt?.heldByCaller === true || (attempt?.tokensAt ?? openedAt) > openedAt;
+  });
 }
 
 export function judgeLoss(
--- a/packages/entry-core/src/quarantine/slowCaller.test.ts
+++ b/packages/entry-core/src/quarantine/slowCaller.test.ts
@@ -32,3 +32,24 @@
   world.advance(700);
   assert.equal(isInDoubt(world), true);
 });
+
+// The engine falls silent for a moment on a busy machine and is probed; then it goes on, until its
+// caller holds the stream up. The probe is not answered in time. The stream is not run again.
+test('a probe from before a caller held its stream up ends nothing', () => {
+  const world = new World({ engines: { 'wien-a': 2 } });
+  world.entry.arrive(makeRequest('slow', { mostTokens: 5000 }));
+  world.advance(300);
+  const [attempt] = world.entry.state.attempts.values();
+  assert.ok(attempt !== undefined);
+  const { attemptId, instance } = attempt;
+  world.probesAnswered = false;
+  world.engine(instance).streams.forEach((stream) => {
+    stream.silent = true;
+  });
+  world.advance(1700);
+  assert.equal(isInDoubt(world), true);
+  world.entry.send({ type: 'attemptHeld', attemptId, held: true });
+  world.advance(1500);
+  assert.equal(isInDoubt(world), false);
+  assert.ok(world.entry.state.attempts.has(attemptId));
+});
