--- /dev/null
+++ b/apps/entry/src/CallerHttpServer.ts
@@ -0,0 +1,44 @@
+/** The life of an HTTP server that callers connect to: it ends without cutting an answer off. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { TimerService } from '@hornbeampond/runtime';
+import type { ListenAddress, Milliseconds } from '@hornbeampond/schema';
+
+/** How often connections that have become idle are looked for while closing. */
+const SWEEP_MILLISECONDS = 10;
+
+export class CallerHttpServer {
+  constructor(
+    private readonly server: Server,
+    private readonly timers: TimerService,
+  ) {}
+
+  /** Starts to listen and returns the port. */
+  async listen({ host, port }: ListenAddress): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new connections; those in use go on until their answers are given. */
+  stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Waits until the last answers are written, and no longer than `patience`. */
+  async close(patience: Milliseconds): Promise<void> {
+    const sweep = () => this.server.closeIdleConnections();
+    const stopSweep = this.timers.every(SWEEP_MILLISECONDS, sweep);
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    sweep();
+    const cancel = this.timers.after(patience, () => this.server.closeAllConnections());
+    await closed;
+    cancel();
+    stopSweep();
+  }
+}
--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -10,7 +10,6 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import {
   HornbeampondError,
   toProblemDocument,
@@ -27,6 +26,7 @@
 } from '@hornbeampond/adapters';
 import type { CallerRequest } from '@hornbeampond/entry-core';
 import type { CallerAnswer } from './CallerAnswer.js';
+import { CallerHttpServer } from './CallerHttpServer.js';
 import type { CallerListener } from './CallerListener.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
@@ -60,9 +60,6 @@
 /** Used where a completion does not say how many tokens it wants. */
 const DEFAULT_MOST_TOKENS = 1024;
 
-/** How often connections that have become idle are looked for while closing. */
-const SWEEP_MILLISECONDS = 10;
-
 /** Longest `Idempotency-Key` in characters. */
 const MOST_KEY_CHARACTERS = 256;
 
@@ -82,6 +79,8 @@
 export class CallerServer implements CallerListener {
   private readonly server: Server;
 
+  private readonly life: CallerHttpServer;
+
   private readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
 
   constructor(private readonly options: CallerServerOptions) {
@@ -93,6 +92,7 @@
     this.server = createServer({ maxHeaderSize: headerBytes }, (request, response) => {
       this.take(request, response).catch((error: unknown) => this.refuse(response, error));
     });
+    this.life = new CallerHttpServer(this.server, options.timers);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
       const kind = tooLarge ? 'headersTooLarge' : 'badRequest';
@@ -103,32 +103,17 @@
   }
 
   async listen(): Promise<number> {
-    const { host, port } = this.options.settings.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    return this.life.listen(this.options.settings.listen);
   }
 
   /** Takes no new connections; those in use go on until their answers are given. */
   stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.life.stopListening();
   }
 
   /** Waits until the last answers are written, and no longer than `patience`. */
   async close(patience: Milliseconds): Promise<void> {
-    const { timers } = this.options;
-    const stopSweep = timers.every(SWEEP_MILLISECONDS, () => this.server.closeIdleConnections());
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
-    this.server.closeIdleConnections();
-    const cancel = timers.after(patience, () => this.server.closeAllConnections());
-    await closed;
-    cancel();
-    stopSweep();
+    await this.life.close(patience);
   }
 
   private refuse(response: ServerResponse, error: unknown): void {
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   HornbeampondError,
@@ -15,6 +15,7 @@
 } from '@hornbeampond/schema';
 import { readBody } from '@hornbeampond/transport';
 import type { CallerExchange } from './CallerServer.js';
+import { CallerHttpServer } from './CallerHttpServer.js';
 import type { CallerListener } from './CallerListener.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
@@ -52,9 +53,6 @@
 /** How often Node looks for heads that take too long. */
 const HEAD_CHECK_MILLISECONDS = 1000;
 
-/** How often connections that have become idle are looked for while closing. */
-const SWEEP_MILLISECONDS = 50;
-
 const statusLines = {
   badRequest: '400 Bad Request',
   headersTooLarge: '431 Request Header Fields Too Large',
@@ -68,6 +66,8 @@
 export class RelayServer implements CallerListener {
   private readonly server: Server;
 
+  private readonly life: CallerHttpServer;
+
   private isClosing = false;
 
   constructor(private readonly options: RelayServerOptions) {
@@ -77,6 +77,7 @@
         this.take(request, response).catch((error: unknown) => this.refuse(response, error));
       },
     );
+    this.life = new CallerHttpServer(this.server, options.timers);
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.refuseUnread(error, socket),
@@ -92,12 +93,7 @@
   }
 
   async listen(): Promise<number> {
-    const { host, port } = this.options.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    return this.life.listen(this.options.listen);
   }
 
   /** Asks callers to connect elsewhere next time, with each answer from now on. */
@@ -107,21 +103,11 @@
 
   stopListening(): void {
     this.isClosing = true;
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.life.stopListening();
   }
 
   async close(patience: Milliseconds): Promise<void> {
-    const { timers } = this.options;
-    const stopSweep = timers.every(SWEEP_MILLISECONDS, () => this.server.closeIdleConnections());
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
-    this.server.closeIdleConnections();
-    const cancel = timers.after(patience, () => this.server.closeAllConnections());
-    await closed;
-    cancel();
-    stopSweep();
+    await this.life.close(patience);
   }
 
   private get bounds(): CallerBounds {
