--- /dev/null
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { test } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { RelayAdapter, type RelayResponse } from '@hornbeampond/adapters';
+import type { EntryOccurrence } from '@hornbeampond/entry-core';
+import { TimerService } from '@hornbeampond/runtime';
+import { AdapterDirectory } from './AdapterDirectory.js';
+import { AttemptRunner, type StartAttempt } from './AttemptRunner.js';
+import { CallProtocol, type ReadCall } from './CallProtocol.js';
+import { RelayAnswer } from './RelayAnswer.js';
+
+/** Timers that fire when the test says so. */
+class HeldTimers extends TimerService {
+  readonly due: (() => void)[] = [];
+
+  monotonicNow(): number {
+    return 0;
+  }
+
+  wallNow(): number {
+    return 0;
+  }
+
+  after(_delay: number, listener: () => void): () => void {
+    this.due.push(listener);
+    return () => {
+      this.due.splice(this.due.indexOf(listener), 1);
+    };
+  }
+}
+
+/** A backend server whose answer comes when the test gives it. */
+class HeldAdapter extends RelayAdapter {
+  give: (response: RelayResponse) => void = () => {};
+
+  override async send({ signal }: { signal: AbortSignal }): Promise<RelayResponse> {
+    return new Promise((resolve, reject) => {
+      this.give = resolve;
+      signal.addEventListener('abort', () => reject(new Error('aborted')));
+    });
+  }
+
+  override async moveCache(): Promise<string> {
+    return '';
+  }
+
+  override async probe(): Promise<Record<string, never>> {
+    return {};
+  }
+
+  override renewConnections(): void {}
+
+  override async close(): Promise<void> {
+    this.give = () => {};
+  }
+}
+
+class NoProtocol extends CallProtocol {
+  override readCall(): ReadCall {
+    throw new TypeError('no call is read here');
+  }
+
+  override writeProblem(): void {}
+}
+
+const start: StartAttempt = {
+  type: 'startAttempt',
+  requestId: 'one',
+  attemptId: 'one.1',
+  target: { instance: 'i-1', kind: 'plainService', host: '192.0.2.1', port: 1 },
+  workspace: 'laden',
+  timeLeft: 1000,
+  resumeFromTokens: 0,
+  priority: 0,
+  sendOnce: false,
+  firstByteTimeout: 500,
+  silenceTimeout: 500,
+};
+
+function makeRunner() {
+  const timers = new HeldTimers();
+  const adapter = new HeldAdapter();
+  const seen: EntryOccurrence[] = [];
+  const response = new ServerResponse(new IncomingMessage(new Socket()));
+  const answer = new RelayAnswer('one', response, new NoProtocol(), undefined);
+  const runner = new AttemptRunner({
+    timers,
+    adapters: new AdapterDirectory(() => ({ kind: 'relay', adapter })),
+    findExchange: () => ({
+      request: {
+        requestId: 'one',
+        workspace: '',
+        method: 'GET',
+        path: '/',
+        digest: 'd',
+        prefixDigests: [],
+        promptTokens: 0,
+        mostTokens: 0,
+      },
+      headers: {},
+      relayed: [],
+      body: Buffer.alloc(0),
+      completion: undefined,
+      answer,
+    }),
+    dispatch: (occurrence) => seen.push(occurrence),
+  });
+  runner.start(start);
+  return { timers, adapter, seen };
+}
+
+async function* bytes(): AsyncGenerator<Uint8Array> {
+  yield Buffer.from('bought');
+}
+
+async function turns(count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn += 1) await nextTurn();
+}
+
+// A busy process is late for its timers. The answer has come in time and waits to be read; Node runs
+// the due timer first. The caller gets that answer, and the backend server is asked once.
+test('an answer that waits to be read as its limit passes is taken', async () => {
+  const { timers, adapter, seen } = makeRunner();
+  timers.due.forEach((fire) => fire());
+  setImmediate(() => adapter.give({ status: 200, headers: [], isStream: false, body: bytes() }));
+  await turns(20);
+  const types = seen.map(({ type }) => type);
+  assert.ok(types.includes('attemptFinished'), types.join());
+  assert.equal(types.includes('attemptFailed'), false);
+});
+
+test('an attempt of which nothing is there as its limit passes is silent', async () => {
+  const { timers, seen } = makeRunner();
+  timers.due.forEach((fire) => fire());
+  await turns(20);
+  assert.deepEqual(
+    seen.map((occurrence) => occurrence.type === 'attemptFailed' && occurrence.failure),
+    ['silent'],
+  );
+});
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -49,6 +49,15 @@
   dispatch(occurrence: EntryOccurrence): void;
 }
 
+/** Turns of the event loop in which bytes that are there reach the attempt: head, then body. */
+const INPUT_TURNS = 6;
+
+/** Calls `then` once the input that is waiting now has been read. */
+function afterInput(then: () => void, turns = INPUT_TURNS): void {
+  if (turns === 0) then();
+  else setImmediate(() => afterInput(then, turns - 1));
+}
+
 function tokensOf(
   answer: CallerAnswer | undefined,
   { tokensPerEvent = 1 }: StartAttempt['target'],
@@ -159,13 +168,25 @@
     this.running.delete(attempt.start.attemptId);
   }
 
-  /** Aborts the attempt as silent unless this is called again, or stopped, within `limit`. */
+  /**
+   * Aborts the attempt as silent unless this is called again, or stopped, within `limit`. A busy
+   * process comes to its due timers before the input that is waiting: an answer that came in time
+   * would be thrown away and computed again. So the input is read first.
+   */
   private watch(attempt: RunningAttempt, limit: Milliseconds): void {
     attempt.stopWatch();
-    attempt.stopWatch = this.options.timers.after(limit, () => {
-      attempt.silent = true;
-      attempt.controller.abort();
+    let isStopped = false;
+    const cancel = this.options.timers.after(limit, () => {
+      afterInput(() => {
+        if (isStopped) return;
+        attempt.silent = true;
+        attempt.controller.abort();
+      });
     });
+    attempt.stopWatch = () => {
+      isStopped = true;
+      cancel();
+    };
   }
 
   private async run(attempt: RunningAttempt): Promise<void> {
