Say once which calls are claimed, and share what stood twice

isClaimed is in the tables now, for their check and the five places of an entry that asked the opposite or the same by hand. One digest of a key for five copies, one list of connection headers, one SizeOrder and one UsageCounts. Streams that cannot be moved need no filter of their own before the link is filled: a move of theirs takes for ever. Otherwise no behaviour changes; the tests keep their assertions.

--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -18,6 +18,7 @@
   type InstanceReport,
   type Milliseconds,
   type StoreAddress,
+  type UsageCounts,
 } from '@hornbeampond/schema';
 import { StoreClient, type PeerContext } from '@hornbeampond/transport';
 import { LeaseKeeper } from './LeaseKeeper.js';
@@ -138,7 +139,7 @@
     }
   }
 
-  private async settleUsage(window: number, counts: Readonly<Record<string, number>>) {
+  private async settleUsage(window: number, counts: UsageCounts) {
     const command = { type: 'settleUsage', window, counts } as const;
     const outcome = await this.store.propose(command, SETTLE_MILLISECONDS);
     if (outcome.type !== 'result' || outcome.result.type !== 'usageSettled') return;
--- a/apps/dev/src/DevCluster.ts
+++ b/apps/dev/src/DevCluster.ts
@@ -2,7 +2,6 @@
  * The embedded default: every role and its outside world in one process on loopback. It serves
  * for a first look and for tests; nothing it stores outlives it.
  */
-import { createHash } from 'node:crypto';
 import { HttpEngineAdapter, type InstanceStart } from '@hornbeampond/adapters';
 import { ControllerProcess, type ControllerPolicy } from '@hornbeampond/controller-app';
 import { EntryProcess, type EntryPorts } from '@hornbeampond/entry-app';
@@ -25,6 +24,7 @@
   type FakeEngineOptions,
 } from '@hornbeampond/testing';
 import { OperatorClient } from '@hornbeampond/ctl-app';
+import { digestKey } from '@hornbeampond/transport';
 import type { z } from 'zod';
 import { DEV_DATA_CENTRE, devKeys, devPools, devRoutes } from './devTables.js';
 
@@ -61,10 +61,6 @@
   readonly pool: string;
 }
 
-function sha256(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 function requireSettings<Schema extends z.ZodType>(
   schema: Schema,
   values: unknown,
@@ -184,7 +180,7 @@
       clusterSecret: 'dev-cluster-secret',
       logLevel: this.options.logLevel,
       operatorListen: { host: HOST, port: operatorsPort },
-      operatorKeys: [{ name: 'dev', keySha256: sha256(devKeys.operator) }],
+      operatorKeys: [{ name: 'dev', keySha256: digestKey(devKeys.operator) }],
       stores: [{ instance: 'store-1', dataCentre: DEV_DATA_CENTRE, host: HOST, port: storePort }],
     };
   }
@@ -209,7 +205,7 @@
       ...this.commonSettings('entry-1', storePort, operatorsPort),
       listen: { host: HOST, port: callersPort },
       peerListen: { host: HOST, port: 0 },
-      workspaces: [{ name: 'dev', keySha256: sha256(devKeys.workspace) }],
+      workspaces: [{ name: 'dev', keySha256: digestKey(devKeys.workspace) }],
       platform: {
         url: `http://${HOST}:${this.platform.port}`,
         pollMilliseconds: POLL_MILLISECONDS,
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -150,6 +150,7 @@
     try {
       const signal = AbortSignal.timeout(RELAY_MOVE_MILLISECONDS);
       const handle = await adapters.relay(from).moveCache({ headers, to, signal });
+      // The dispatch starts the next attempt, which reads this, before it returns.
       this.movedCaches.set(nextAttemptId, handle);
       dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
     } catch {
--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -16,7 +16,7 @@
   type EntrySettings,
   type Milliseconds,
 } from '@hornbeampond/schema';
-import { readBody, writeProblem } from '@hornbeampond/transport';
+import { digestKey, readBody, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   digestPrefixes,
@@ -144,7 +144,7 @@
     if (scheme?.toLowerCase() !== 'bearer' || key === undefined) {
       throw new HornbeampondError('unauthorized', 'Send "Authorization: Bearer KEY"');
     }
-    const digest = createHash('sha256').update(key).digest('hex');
+    const digest = digestKey(key);
     const workspace = this.workspaceByKeyDigest.get(digest);
     if (workspace === undefined)
       throw new HornbeampondError('unauthorized', 'The key is not known');
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -89,7 +89,7 @@
 export class StoreProcess implements RunningProcess {
   private readonly logger: Logger;
 
-  private readonly metrics = new Metrics({ withProcessMetrics: true });
+  readonly metrics = new Metrics({ withProcessMetrics: true });
 
   private readonly server: PeerServer;
 
--- a/measure/src/processes/ProcessCluster.ts
+++ b/measure/src/processes/ProcessCluster.ts
@@ -3,7 +3,6 @@
  * measurements start it; the product starts no process.
  */
 import { setTimeout as wait } from 'node:timers/promises';
-import { createHash } from 'node:crypto';
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
@@ -12,7 +11,7 @@
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
 import type { Pool, Route, StoreAddress } from '@hornbeampond/schema';
 import type { FakeClusterInput } from '@hornbeampond/testing';
-import type { PeerContext } from '@hornbeampond/transport';
+import { digestKey, type PeerContext } from '@hornbeampond/transport';
 import { stringify } from 'smol-toml';
 import { request as httpRequest } from 'undici';
 import { ChildProcess } from './ChildProcess.js';
@@ -64,10 +63,6 @@
   readonly weightStore: string;
 }
 
-function sha256(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 async function place(role: string, placed: readonly Placed[]): Promise<StoreAddress[]> {
   const addresses: StoreAddress[] = [];
   for (const { dataCentre } of placed) {
@@ -235,7 +230,7 @@
       clusterSecret: SECRET,
       logLevel: 'info',
       operatorListen: { host: HOST, port: operatorsPort },
-      operatorKeys: [{ name: 'operator', keySha256: sha256(clusterKeys.operator) }],
+      operatorKeys: [{ name: 'operator', keySha256: digestKey(clusterKeys.operator) }],
       stores: await this.seenFrom(dataCentre, this.stores),
     };
   }
@@ -275,7 +270,7 @@
       entries: await this.seenFrom(rest.dataCentre, this.entryAddresses()),
       workspaces: workspaces.map((name, position) => ({
         name,
-        keySha256: sha256(position === 0 ? clusterKeys.workspace : `${name}-key`),
+        keySha256: digestKey(position === 0 ? clusterKeys.workspace : `${name}-key`),
       })),
       platform: { url: this.fakes?.platform, pollMilliseconds: this.pollMilliseconds },
       balancerDelayMilliseconds: 300,
--- a/packages/adapters/src/SingletonAdapter.ts
+++ b/packages/adapters/src/SingletonAdapter.ts
@@ -4,6 +4,7 @@
  *
  * No method retries or has a timeout of its own. Every failure is a `BackendServerFailure`.
  */
+import type { SizeOrder, UsageCounts } from '@hornbeampond/schema';
 
 /** Who calls, under which holding of the lease. */
 export interface Holding {
@@ -12,25 +13,18 @@
   readonly epoch: number;
 }
 
-export interface SizeOrderCall {
-  readonly pool: string;
-  readonly dataCentre: string;
-  readonly reclaimable: boolean;
-  readonly count: number;
-}
-
 export abstract class SingletonAdapter {
   /** Reports what each workspace began to run in one window; the same again does no harm. */
   abstract reportUsage(
     window: number,
-    counts: Readonly<Record<string, number>>,
+    counts: UsageCounts,
     holding: Holding,
     signal: AbortSignal,
   ): Promise<void>;
 
   /** Says how many instances there are to be; `refused` if the platform has none to give. */
   abstract orderSize(
-    order: SizeOrderCall,
+    order: SizeOrder,
     holding: Holding,
     signal: AbortSignal,
   ): Promise<'done' | 'refused'>;
--- a/packages/adapters/src/http/HttpPlainServiceAdapter.ts
+++ b/packages/adapters/src/http/HttpPlainServiceAdapter.ts
@@ -12,6 +12,7 @@
 } from '../PlainServiceAdapter.js';
 import { formatOrigin, HttpConnections, type HttpAnswer } from './HttpConnections.js';
 import type { SignOfLife } from '../SignOfLife.js';
+import { connectionHeaders } from './connectionHeaders.js';
 import { probeHealth } from './probeHealth.js';
 import { readJson } from './readAnswer.js';
 import { loadReportSchema } from './wireSchemas.js';
@@ -19,19 +20,6 @@
 /** Bound of one answer, if the owner sets none. */
 const MOST_ANSWER_BYTES = 64 * 1024 * 1024;
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const connectionHeaders = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /** Headers of a request that undici sets by itself. */
 const ownRequestHeaders = new Set(['content-length', 'expect', 'host']);
 
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -6,6 +6,7 @@
 export * from './SingletonAdapter.js';
 export * from './WeightStoreAdapter.js';
 export * from './SignOfLife.js';
+export { connectionHeaders } from './http/connectionHeaders.js';
 export { HttpEngineAdapter } from './http/HttpEngineAdapter.js';
 export { HttpPlainServiceAdapter } from './http/HttpPlainServiceAdapter.js';
 export { HttpPlatformAdapter } from './http/HttpPlatformAdapter.js';
--- a/packages/controller-core/src/singleton/SingletonState.ts
+++ b/packages/controller-core/src/singleton/SingletonState.ts
@@ -10,6 +10,7 @@
   type Milliseconds,
   type MonotonicMilliseconds,
   type PlatformInstance,
+  type UsageCounts,
 } from '@hornbeampond/schema';
 import type { PlaceSize, SizeNeed } from '../sizing/planSizes.js';
 import { UsageLedger } from '../usage/UsageLedger.js';
@@ -54,7 +55,7 @@
 /** One usage window on its way to the platform. */
 export interface UsageWindow {
   /** The counts that the log has settled on; undefined before. */
-  counts: Readonly<Record<string, number>> | undefined;
+  counts: UsageCounts | undefined;
   isReported: boolean;
   /** When the next step may be tried again. */
   retryAt: MonotonicMilliseconds;
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -3,10 +3,16 @@
  * changed. Capacity follows a rise at once; it falls only after the need was lower for a while, so
  * that a lull between two rushes costs no starts.
  */
-import type { Milliseconds, Pool, PoolSizing, RouteDemandReport } from '@hornbeampond/schema';
+import type {
+  Milliseconds,
+  Pool,
+  PoolSizing,
+  RouteDemandReport,
+  SizeOrder,
+} from '@hornbeampond/schema';
 import { measureLoad, needFor, type PoolLoad } from '../sizing/measureNeed.js';
 import { planSizes, type PlaceSize, type PlaceState, type SizeNeed } from '../sizing/planSizes.js';
-import type { SingletonEffect, SizeOrder } from './singletonEvents.js';
+import type { SingletonEffect } from './singletonEvents.js';
 import type { SingletonState, SizedPool } from './SingletonState.js';
 
 /** What was needed or planned is kept for so long before capacity may fall below it. */
--- a/packages/controller-core/src/singleton/advanceUsage.ts
+++ b/packages/controller-core/src/singleton/advanceUsage.ts
@@ -3,7 +3,7 @@
  * holder that took over in between, and heard other reports than its predecessor, would otherwise
  * report the same window with other counts. What is settled may be sent any number of times.
  */
-import type { Milliseconds } from '@hornbeampond/schema';
+import type { Milliseconds, UsageCounts } from '@hornbeampond/schema';
 import type { SingletonEffect } from './singletonEvents.js';
 import type { SingletonState, UsageWindow } from './SingletonState.js';
 
@@ -51,7 +51,7 @@
 export function takeSettled(
   state: SingletonState,
   number: number,
-  counts: Readonly<Record<string, number>>,
+  counts: UsageCounts,
 ): SingletonEffect[] {
   const window = windowOf(state, number);
   window.counts = counts;
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -2,18 +2,16 @@
  * The reducer of the work of which one process in the whole cluster does all: reporting usage, and
  * sizing pools where the platform is told numbers. It asks for nothing while it holds no lease.
  */
-import { assertNever } from '@hornbeampond/schema';
+import { assertNever, type EntryReport } from '@hornbeampond/schema';
 import { advanceSizes, takeOrdered } from './advanceSizes.js';
 import { advanceUsage, takeSettled } from './advanceUsage.js';
 import type { SingletonEffect, SingletonEvent } from './singletonEvents.js';
 import type { SingletonState } from './SingletonState.js';
 
-function noteEntry(state: SingletonState, event: SingletonEvent): void {
-  if (event.type !== 'entryReported') return;
-  const { report, now } = event;
-  state.entries.set(report.instance, { report, heardAt: now });
+function noteEntry(state: SingletonState, report: EntryReport): void {
+  state.entries.set(report.instance, { report, heardAt: state.now });
   state.usage.receive(report);
-  if ((report.demand ?? []).length > 0) state.demandSince ??= now;
+  if ((report.demand ?? []).length > 0) state.demandSince ??= state.now;
 }
 
 export function reduceSingleton(state: SingletonState, event: SingletonEvent): SingletonEffect[] {
@@ -26,7 +24,7 @@
       state.configuration = event.configuration;
       return [];
     case 'entryReported':
-      noteEntry(state, event);
+      noteEntry(state, event.report);
       return [];
     case 'instancesListed':
       state.instances = event.instances;
--- a/packages/controller-core/src/singleton/singletonEvents.ts
+++ b/packages/controller-core/src/singleton/singletonEvents.ts
@@ -6,17 +6,9 @@
   LogEffect,
   MonotonicMilliseconds,
   PlatformInstance,
+  SizeOrder,
+  UsageCounts,
 } from '@hornbeampond/schema';
-import type { UsageCounts } from '../usage/UsageLedger.js';
-
-/** An order for one kind of instances of a pool in one data centre. */
-export interface SizeOrder {
-  readonly pool: string;
-  readonly dataCentre: string;
-  readonly reclaimable: boolean;
-  /** How many there are to be; the platform starts or ends the difference. */
-  readonly count: number;
-}
 
 export type SingletonOccurrence =
   | { readonly type: 'tick' }
--- a/packages/controller-core/src/usage/UsageLedger.ts
+++ b/packages/controller-core/src/usage/UsageLedger.ts
@@ -3,13 +3,11 @@
  * counts in each report, so the newest report of each start of an entry replaces its earlier ones;
  * counts of an entry that has restarted since stay.
  */
-import type { EntryReport } from '@hornbeampond/schema';
+import type { EntryReport, UsageCounts } from '@hornbeampond/schema';
 
 /** Windows that are kept; older ones have been settled or are too late to be of use. */
 const KEPT_WINDOWS = 12;
 
-export type UsageCounts = Readonly<Record<string, number>>;
-
 export class UsageLedger {
   /** Counts by window, then by start of an entry. */
   private readonly windows = new Map<number, Map<string, UsageCounts>>();
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -2,7 +2,7 @@
  * Decides on a request that has just arrived: refuse it at once with the reason, or accept it
  * and try it.
  */
-import type { Milliseconds, Pool, Route } from '@hornbeampond/schema';
+import { isClaimed, type Milliseconds, type Pool, type Route } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
@@ -13,7 +13,6 @@
 import { choosePool } from '../routing/choosePool.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
 import { findRoute } from '../routing/findRoute.js';
-import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import { routeIndexOf } from '../routing/routeIndexOf.js';
 import { acquire } from '../limits/releaseEnded.js';
 import { spendAllowance } from '../limits/refuseOverAllowance.js';
@@ -98,8 +97,7 @@
   if (pool === undefined) {
     return refuse(request, 'noBackendServer', `Pool "${poolName}" is not there`);
   }
-  const isClaimed = !mayBeCancelled(route);
-  if (isClaimed && request.idempotencyKey === undefined) {
+  if (isClaimed(route) && request.idempotencyKey === undefined) {
     return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
   }
   const accepted = accept(state, request, route, pool, timed);
@@ -118,7 +116,7 @@
       event: 'requestAccepted',
       fields: { requestId: request.requestId, route: route.name, workspace: request.workspace },
     },
-    ...(isClaimed
+    ...(isClaimed(route)
       ? beginClaim(state, accepted, timed)
       : startAttempt(state, accepted, timed.now, admission.server)),
   ];
--- a/packages/entry-core/src/attempts/releaseAttempts.ts
+++ b/packages/entry-core/src/attempts/releaseAttempts.ts
@@ -2,9 +2,9 @@
  * Ends attempts from this side: their record is dropped at once, so that whatever still comes from
  * them is late, and the shell is asked to cancel them.
  */
+import { isClaimed } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
-import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import type { RequestState } from '../requests/RequestState.js';
 import type { AttemptState } from './AttemptState.js';
 
@@ -39,14 +39,14 @@
 }
 
 /**
- * Lets go of all that a request holds when it ends. The attempt of a call that may not be
- * repeated is left to run, for its outcome must still be learnt.
+ * Lets go of all that a request holds when it ends. The attempt of a claimed call is left to
+ * run, for its outcome must still be learnt; any other is cancelled, so that nobody works for nobody.
  */
 export function releaseAttempts(state: EntryState, accepted: RequestState): EntryEffect[] {
   const { requestId } = accepted.request;
   state.retries.waiting.delete(requestId);
   forgetMove(state, requestId);
-  const effects = mayBeCancelled(accepted.route) ? cancelAttempt(state, accepted) : [];
+  const effects = isClaimed(accepted.route) ? [] : cancelAttempt(state, accepted);
   accepted.givenUpAttemptIds?.forEach((attemptId) => {
     if (state.attempts.delete(attemptId)) effects.push({ type: 'cancelAttempt', attemptId });
   });
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -2,6 +2,7 @@
  * Decides whether a request whose attempt failed is tried again, and when. Each refusal is counted
  * by its reason and ends the request at once.
  */
+import { isClaimed } from '@hornbeampond/schema';
 import type {
   ErrorKind,
   Milliseconds,
@@ -70,7 +71,7 @@
 ): EntryEffect[] {
   if (!accepted.route.idempotent && accepted.maybeSent === true) {
     const detail = 'The call may have run and is not sent again';
-    const kind = accepted.route.claimed === false ? 'backendServerFailed' : 'outcomeUnknown';
+    const kind = isClaimed(accepted.route) ? 'outcomeUnknown' : 'backendServerFailed';
     return refuseRetry(state, accepted, 'notIdempotent', kind, detail);
   }
   if (accepted.attemptsStarted >= (accepted.route.mostAttempts ?? Infinity)) {
--- a/packages/entry-core/src/limits/AllowanceLedger.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.ts
@@ -6,8 +6,10 @@
  * What the others spend between two reports is seen only afterwards. So an entry takes, in the time
  * of a round of reports, no more than its part of the room that is left: the part that it had of
  * the spending so far, half as much again, and a little for one whose callers have just come. All
- * parts together are twice the room at most, and the room is small when it matters. An entry that has not heard some of the others lately leaves them their equal part.
- * Without that, each side of a network partition would spend the whole.
+ * parts together are twice the room at most, and the room is small when it matters.
+ *
+ * An entry that has not heard some of the others lately leaves them their equal part. Without that,
+ * each side of a network partition would spend the whole.
  */
 import type {
   Allowance,
@@ -99,7 +101,7 @@
   /** Length of the window by workspace, as it was asked with last. */
   private readonly windows = new Map<string, Milliseconds>();
 
-  /** When this entry first spent anything of an allowance. */
+  /** When this entry was first asked for anything of an allowance. */
   private startedAt: MonotonicMilliseconds | undefined;
 
   /** What each workspace has spent here since the process started. */
--- a/packages/entry-core/src/reclaims/handOnStreams.ts
+++ b/packages/entry-core/src/reclaims/handOnStreams.ts
@@ -11,12 +11,11 @@
  * Nothing is planned ahead: each look starts from what runs now. A move that failed, a target that
  * was lost, or a notice that became shorter is then not a special case.
  */
-import type { Milliseconds } from '@hornbeampond/schema';
+import { isClaimed, type Milliseconds } from '@hornbeampond/schema';
 import type { AttemptState } from '../attempts/AttemptState.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import { mayBeCancelled } from '../routing/mayBeCancelled.js';
 import type { RequestState } from '../requests/RequestState.js';
 import {
   canMove,
@@ -52,7 +51,7 @@
 function canBeHandedOn(accepted: RequestState, attempt: AttemptState): boolean {
   if (accepted.attemptId !== attempt.attemptId) return false;
   if (!accepted.route.idempotent) {
-    return !isClaimed(accepted) && canMove(accepted) && attempt.firstTokenAt !== undefined;
+    return !isClaimed(accepted.route) && canMove(accepted) && attempt.firstTokenAt !== undefined;
   }
   return accepted.pool.kind === 'modelEngine' || attempt.firstTokenAt === undefined;
 }
@@ -69,10 +68,6 @@
   return NOTICE_MARGIN_MILLISECONDS + (prefill * SPREAD_SHARE) / Math.max(1, targets);
 }
 
-function isClaimed({ route }: RequestState): boolean {
-  return !mayBeCancelled(route);
-}
-
 function countTargets(state: EntryState, { accepted }: Stream): number {
   return [...state.backendServers.values()].filter(
     ({ listed, goneAt }) =>
@@ -140,16 +135,12 @@
   if (streams.length === 0) return [];
   const { unbegun, begun, plain } = partByProgress(streams);
   const { moved, resumed } = state.retries.policy.moves
-    ? fillLink(
-        begun.filter(({ accepted }) => canMove(accepted)),
-        left,
-      )
+    ? fillLink(begun, left)
     : { moved: [], resumed: begun };
-  const stay = begun.filter((stream) => !moved.includes(stream) && !resumed.includes(stream));
   const next = hasMoveFrom(state, instance) ? undefined : moved[0];
   return [
     ...unbegun.flatMap(({ accepted }) => resumeElsewhere(state, accepted, 'reclaimNotice', timed)),
     ...(next === undefined ? [] : startMove(state, next.accepted, next.attempt, timed)),
-    ...resumeDue(state, [...resumed, ...stay, ...plain].filter(isRepeatable), left, timed),
+    ...resumeDue(state, [...resumed, ...plain].filter(isRepeatable), left, timed),
   ];
 }
--- a/packages/entry-core/src/requests/callerGone.ts
+++ b/packages/entry-core/src/requests/callerGone.ts
@@ -2,14 +2,14 @@
  * A caller that closed its connection wants no answer: its attempt is cancelled at the backend
  * server, unless the call may not be repeated, for then its outcome must still be learnt.
  */
-import { mayBeCancelled } from '../routing/mayBeCancelled.js';
+import { isClaimed } from '@hornbeampond/schema';
 import { releaseAttempts } from '../attempts/releaseAttempts.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 
 export function callerGone(state: EntryState, requestId: string): EntryEffect[] {
   const accepted = state.requests.get(requestId);
-  if (accepted === undefined || !mayBeCancelled(accepted.route)) return [];
+  if (accepted === undefined || isClaimed(accepted.route)) return [];
   state.requests.delete(requestId);
   return [
     ...releaseAttempts(state, accepted),
--- a/packages/schema/src/messages/backendServers.ts
+++ b/packages/schema/src/messages/backendServers.ts
@@ -64,3 +64,12 @@
 }
 
 export type OrderResult = 'done' | 'refusedAsOld' | 'failed';
+
+/** An order for one kind of instances of a pool in one data centre. */
+export interface SizeOrder {
+  readonly pool: string;
+  readonly dataCentre: string;
+  readonly reclaimable: boolean;
+  /** How many there are to be; the platform starts or ends the difference. */
+  readonly count: number;
+}
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -99,13 +99,15 @@
   readonly epoch: number;
 }
 
+/** Requests that began to run in one usage window, by workspace. */
+export type UsageCounts = Readonly<Record<string, number>>;
+
 /** Keeps the counts of one usage window, unless some are kept for it already. */
 export interface SettleUsageCommand {
   readonly type: 'settleUsage';
   /** Number of the window. */
   readonly window: number;
-  /** Requests that began to run, by workspace. */
-  readonly counts: Readonly<Record<string, number>>;
+  readonly counts: UsageCounts;
 }
 
 /** Reports that a backend server crashed while these requests ran on it. */
@@ -180,7 +182,7 @@
 export interface SettleUsageResult {
   readonly type: 'usageSettled';
   /** The counts that are kept, whoever proposed them. */
-  readonly counts: Readonly<Record<string, number>>;
+  readonly counts: UsageCounts;
 }
 
 export type CommandResult =
--- a/packages/schema/src/tables/checkTables.ts
+++ b/packages/schema/src/tables/checkTables.ts
@@ -6,7 +6,7 @@
 import type { z } from 'zod';
 import { describeIssue } from '../describeIssue.js';
 import { poolRowsSchema, type Pool } from './pools.js';
-import { routeRowsSchema, type Route } from './routes.js';
+import { isClaimed, routeRowsSchema, type Route } from './routes.js';
 import { workspaceRowsSchema, type WorkspaceRow } from './workspaces.js';
 import type { TableName } from './Configuration.js';
 
@@ -106,7 +106,7 @@
     if (pool === undefined) {
       return [{ where: `${where}.pool`, reason: `the pools table has no "${route.pool}"` }];
     }
-    if (pool.kind === 'modelEngine' && !route.idempotent && route.claimed !== false) {
+    if (pool.kind === 'modelEngine' && isClaimed(route)) {
       return [{ where: `${where}.idempotent`, reason: 'must be true before model engines' }];
     }
     return checkSplit(route, where, byName);
--- a/packages/schema/src/tables/routes.ts
+++ b/packages/schema/src/tables/routes.ts
@@ -99,3 +99,11 @@
 export type Deadline = z.infer<typeof deadlineSchema>;
 export type DeadlineSpan = z.infer<typeof deadlineSpanSchema>;
 export type Route = z.infer<typeof routeSchema>;
+
+/**
+ * True if a call of the route is claimed in the log before it is sent, so that its outcome is kept
+ * for its resends and must be learnt even when its caller is gone.
+ */
+export function isClaimed({ idempotent, claimed }: Pick<Route, 'idempotent' | 'claimed'>): boolean {
+  return !idempotent && claimed !== false;
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,3 +8,4 @@
 export * from './readBody.js';
 export * from './writeProblem.js';
 export * from './authorizeOperator.js';
+export * from './digestKey.js';
