Leave a store that is behind what another store holds

Cause: an entry follows one store. Ruled out: a store with an empty disk that reaches nobody (it says so), a gap in the deltas (asks for the whole), an older store's configuration taken (dropped). Now each store answers a report with the revision it holds, and a process that is behind for 250 ms moves to where the newer one is.

--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -69,12 +69,12 @@
         return;
       case 'report':
         subscribers.note(session, request.report);
-        respond({ type: 'accepted' });
+        respond(this.acceptReport());
         return;
       case 'shareReport':
         this.options.onEntryReport(request.report);
         subscribers.push({ type: 'entryReport', report: request.report });
-        respond({ type: 'accepted' });
+        respond(this.acceptReport());
         return;
       case 'readStatus':
         respond({ type: 'status', status: readStatus() });
@@ -179,6 +179,10 @@
     this.options.dispatch({ type: 'changeMembership', requestId, change });
   }
 
+  private acceptReport(): StoreResponse {
+    return { type: 'accepted', revision: this.options.readMachine().configuration.revision };
+  }
+
   private describeConfiguration(): StoreResponse {
     return { type: 'configuration', configuration: this.options.readMachine().configuration };
   }
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -91,7 +91,11 @@
     }
   | { readonly type: 'document'; readonly version: number; readonly document: string }
   | { readonly type: 'status'; readonly status: StoreStatus }
-  | { readonly type: 'accepted' }
+  | {
+      readonly type: 'accepted';
+      /** Answers a report: the revision of the configuration that this store holds. */
+      readonly revision?: number;
+    }
   /** This store does not lead; nothing was done. */
   | { readonly type: 'notLeader'; readonly leader?: string }
   /** Nothing was done and nothing will be. */
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -9,7 +9,6 @@
   EntryReport,
   InstanceReport,
   Milliseconds,
-  QuarantineEntry,
   StoreAddress,
   StoreCommand,
   StorePush,
@@ -18,9 +17,13 @@
   StoreStatus,
   VoterAddress,
 } from '@hornbeampond/schema';
-import { ConfigurationFollower, type FollowResult } from './ConfigurationFollower.js';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
+import {
+  StoreSubscription,
+  type StoreClientHandlers,
+  type StorePeer,
+} from './StoreSubscription.js';
 
 /** How a proposal ended. */
 export type ProposalOutcome =
@@ -30,34 +33,11 @@
   /** The command may be in the log; resend it under the same intent to learn. */
   | { readonly type: 'unsure' };
 
-export interface StoreClientHandlers {
-  onConfiguration?(configuration: Configuration): void;
-  onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
-  onEntryReport?(report: EntryReport): void;
-}
-
 /** A store that does not answer within this span is passed over for another. */
 const ATTEMPT_MILLISECONDS = 1500;
 const PAUSE_MILLISECONDS = 40;
 const STATUS_MILLISECONDS = 1000;
 
-interface StorePeer {
-  readonly address: StoreAddress;
-  readonly client: PeerClient;
-}
-
-/** What one store is asked to send. */
-interface Subscription {
-  readonly store: StorePeer;
-  /** True once the store has answered with what it holds. */
-  isAnswered: boolean;
-  /**
-   * Pushes that came with the answer in one read of the socket and are seen before it. Taken at
-   * once they would not join to what is held.
-   */
-  readonly early: StorePush[];
-}
-
 export class StoreClient {
   private stores: StorePeer[];
 
@@ -67,17 +47,15 @@
 
   private next = 0;
 
-  private subscription: Subscription | undefined;
-
-  private readonly follower = new ConfigurationFollower();
+  private readonly subscription: StoreSubscription;
 
   private stopped = false;
 
   constructor(
     addresses: readonly StoreAddress[],
     private readonly context: PeerContext,
-    private readonly handlers: StoreClientHandlers = {},
-    private report?: InstanceReport,
+    handlers: StoreClientHandlers = {},
+    report?: InstanceReport,
     /**
      * True to connect to all members of the log. Else the given addresses hold, whatever the log
      * says: how a store is reached from here is for this instance's operator to know.
@@ -85,6 +63,13 @@
     private readonly followsMembers = false,
   ) {
     this.seeds = addresses;
+    this.subscription = new StoreSubscription({
+      timers: context.timers,
+      report,
+      handlers,
+      readStores: () => this.stores,
+      onStores: (members) => this.keepStores(members),
+    });
     this.stores = addresses.map((address) => ({ address, client: this.connect(address) }));
   }
 
@@ -146,19 +131,24 @@
 
   /** Tells the stores what this instance has in force. */
   updateReport(report: InstanceReport): void {
-    this.report = report;
+    this.subscription.report = report;
     this.tellAll({ type: 'report', report });
   }
 
   close(): void {
     this.stopped = true;
+    this.subscription.stop();
     this.stores.forEach(({ client }) => client.close());
   }
 
   /** Tells what the next telling repeats, so that a lost one does no harm. */
   private tellAll(request: StoreRequest): void {
-    this.stores.forEach(({ client }) => {
-      if (client.isOpen) client.request(request, STATUS_MILLISECONDS).catch(() => {});
+    this.stores.forEach((store) => {
+      if (!store.client.isOpen) return;
+      store.client.request(request, STATUS_MILLISECONDS).then(
+        (response) => this.subscription.hear(store, response as StoreResponse),
+        () => {},
+      );
     });
   }
 
@@ -177,100 +167,12 @@
 
   private connect(address: StoreAddress): PeerClient {
     return new PeerClient(address, this.context, {
-      onOpen: () => this.subscribeIfNeeded(),
-      onPush: (body) => {
-        const { subscription } = this;
-        if (subscription?.store.address !== address) return;
-        if (subscription.isAnswered) this.take(body as StorePush);
-        else subscription.early.push(body as StorePush);
-      },
-      onClose: () => {
-        if (this.subscription?.store.address !== address) return;
-        this.subscription = undefined;
-        this.subscribeIfNeeded();
-      },
+      onOpen: () => this.subscription.subscribeIfNeeded(),
+      onPush: (body) => this.subscription.receive(address, body as StorePush),
+      onClose: () => this.subscription.leave(address),
     });
   }
 
-  /** A store of the own data centre is preferred: it stays reachable when others are cut off. */
-  private subscribeIfNeeded(): void {
-    const { report } = this;
-    if (report === undefined || this.stopped || this.subscription !== undefined) return;
-    const open = this.stores.filter(({ client }) => client.isOpen);
-    const store = open.find(({ address }) => address.dataCentre === report.dataCentre) ?? open[0];
-    if (store !== undefined) this.subscribe(store, report);
-  }
-
-  private subscribe(store: StorePeer, report: InstanceReport): void {
-    const subscription: Subscription = { store, isAnswered: false, early: [] };
-    this.subscription = subscription;
-    store.client.request({ type: 'subscribe', report }, ATTEMPT_MILLISECONDS).then(
-      (response) => {
-        if (this.subscription === subscription) {
-          this.acceptSubscription(subscription, response as StoreResponse);
-        }
-      },
-      () => {
-        if (this.subscription !== subscription) return;
-        this.subscription = undefined;
-        this.context.timers.after(PAUSE_MILLISECONDS, () => this.subscribeIfNeeded());
-      },
-    );
-  }
-
-  private acceptSubscription(subscription: Subscription, response: StoreResponse): void {
-    if (response.type !== 'subscribed') return;
-    subscription.isAnswered = true;
-    this.note(this.follower.takeWhole(response.configuration));
-    this.handlers.onQuarantine?.(response.quarantine);
-    this.keepStores(response.stores);
-    subscription.early.forEach((push) => this.take(push));
-  }
-
-  private take(push: StorePush): void {
-    switch (push.type) {
-      case 'configuration':
-        this.note(this.follower.takeWhole(push.configuration));
-        return;
-      case 'configurationDelta':
-        this.note(this.follower.takeDelta(push.delta));
-        return;
-      case 'quarantine':
-        this.handlers.onQuarantine?.(push.quarantine);
-        return;
-      case 'stores':
-        this.keepStores(push.stores);
-        return;
-      case 'entryReport':
-        this.handlers.onEntryReport?.(push.report);
-        return;
-      default:
-        this.leaveOutOfTouch();
-    }
-  }
-
-  /** Moves to another store, if one is within reach; it may be out of touch as well, and say so. */
-  private leaveOutOfTouch(): void {
-    const { report, subscription } = this;
-    if (report === undefined || subscription === undefined) return;
-    const others = this.stores.filter(
-      (store) => store !== subscription.store && store.client.isOpen,
-    );
-    this.next += 1;
-    const store = others[this.next % Math.max(1, others.length)];
-    if (store !== undefined) this.subscribe(store, report);
-  }
-
-  /** Hands on what is newer; after a gap it asks the same store for all of it. */
-  private note(result: FollowResult): void {
-    const { newest } = this.follower;
-    if (result === 'newer' && newest !== undefined) this.handlers.onConfiguration?.(newest);
-    const { report, subscription } = this;
-    if (result !== 'gap' || report === undefined || subscription === undefined) return;
-    // Pushes behind the gap wait for the answer.
-    if (subscription.isAnswered) this.subscribe(subscription.store, report);
-  }
-
   private async ask(
     request: StoreRequest,
     timeout: Milliseconds,
--- /dev/null
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { emptyConfiguration, type StoreRequest, type StoreResponse } from '@hornbeampond/schema';
+import { ManualTimerService } from '@hornbeampond/testing';
+import { StoreSubscription, type StorePeer } from './StoreSubscription.js';
+
+const REPORT = {
+  instance: 'entry-1',
+  dataCentre: 'wien-a',
+  role: 'entry',
+  revision: 0,
+  cutOff: false,
+} as const;
+
+/** A store that answers at once with the revision that it holds. */
+class AnsweringStore implements StorePeer {
+  revision = 3;
+
+  subscriptions = 0;
+
+  readonly address;
+
+  readonly client = {
+    isOpen: true,
+    request: async (request: unknown): Promise<unknown> => this.answer(request as StoreRequest),
+    close: () => {},
+  };
+
+  constructor(instance: string, dataCentre: string) {
+    this.address = { instance, dataCentre, host: '127.0.0.1', port: 1 };
+  }
+
+  get accepted(): StoreResponse {
+    return { type: 'accepted', revision: this.revision };
+  }
+
+  private answer({ type }: StoreRequest): StoreResponse {
+    assert.equal(type, 'subscribe');
+    this.subscriptions += 1;
+    const configuration = { ...emptyConfiguration, revision: this.revision };
+    return { type: 'subscribed', configuration, quarantine: [], stores: [] };
+  }
+}
+
+/** An entry that follows the store of its own data centre, with another one within reach. */
+async function follow() {
+  const timers = new ManualTimerService();
+  const own = new AnsweringStore('store-1', 'wien-a');
+  const other = new AnsweringStore('store-2', 'wien-b');
+  const revisions: number[] = [];
+  const subscription = new StoreSubscription({
+    timers,
+    report: REPORT,
+    handlers: { onConfiguration: ({ revision }) => revisions.push(revision) },
+    readStores: () => [own, other],
+    onStores: () => {},
+  });
+  subscription.subscribeIfNeeded();
+  await settle();
+  return { timers, own, other, revisions, subscription };
+}
+
+/** Lets answers that have been given reach whoever waits for them. */
+async function settle(): Promise<void> {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+// The store that an entry follows is cut off from the other stores, and hears of no change. It does
+// not know so itself for seconds. Meanwhile a route is added and acknowledged: callers of this entry
+// would get 404 for it. The other store's answer to the entry's next report gives it away.
+test('an entry leaves a store that is behind what another store holds', async () => {
+  const { timers, own, other, revisions, subscription } = await follow();
+  other.revision = 4;
+  subscription.hear(own, own.accepted);
+  subscription.hear(other, other.accepted);
+  timers.advance(249);
+  await settle();
+  assert.deepEqual(revisions, [3]);
+  timers.advance(1);
+  await settle();
+  assert.deepEqual(revisions, [3, 4]);
+  assert.equal(other.subscriptions, 1);
+});
+
+// All stores apply a change within milliseconds of each other, but answers overtake pushes. Moving
+// at once would have every entry ask for all tables again at each change.
+test('an entry stays with its store if the change comes from there a moment later', async () => {
+  const { timers, own, other, revisions, subscription } = await follow();
+  other.revision = 4;
+  subscription.hear(other, other.accepted);
+  timers.advance(20);
+  subscription.receive(own.address, {
+    type: 'configurationDelta',
+    delta: { fromRevision: 3, toRevision: 4 },
+  });
+  timers.advance(1000);
+  await settle();
+  assert.deepEqual(revisions, [3, 4]);
+  assert.deepEqual([own.subscriptions, other.subscriptions], [1, 0]);
+});
+
+// A store that is behind says so in its answers; nothing is gained by a move to it.
+test('an older store draws nobody', async () => {
+  const { timers, other, subscription } = await follow();
+  other.revision = 2;
+  subscription.hear(other, other.accepted);
+  timers.advance(1000);
+  await settle();
+  assert.equal(other.subscriptions, 0);
+});
