--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -11,5 +11,6 @@
 export { HttpPlainServiceAdapter } from './http/HttpPlainServiceAdapter.js';
 export { HttpPlatformAdapter } from './http/HttpPlatformAdapter.js';
 export { HttpWeightStoreAdapter } from './http/HttpWeightStoreAdapter.js';
+export { resetOnAbort } from './http/resetOnAbort.js';
 export { formatOrigin } from './http/HttpConnections.js';
 export { digestPrefixes, splitPrompt, TOKENS_PER_BLOCK } from './digestPrefixes.js';
