Order again what a wave has taken, and prepare for two waves while none are to be had

After the waves at 2 to 11 s nothing was ordered again until the planned number changed at 29 and 48 s; on-demand instances stood in until 53 s. Both kinds that were there during the change were added up: 9 reclaimable ordered where 6 had served. Ruled out: the platform starting them by itself (none came back in 18 s). The list counts as filled once it no longer grows, a second earlier than before.

--- a/packages/controller-core/src/singleton/SingletonState.ts
+++ b/packages/controller-core/src/singleton/SingletonState.ts
@@ -40,8 +40,17 @@
   readonly sizes: readonly PlaceSize[];
 }
 
+/** The last order for one kind of instances in one data centre. */
+export interface ToldSize {
+  readonly count: number;
+  readonly at: MonotonicMilliseconds;
+}
+
 /** What the platform was told last for one data centre; a kind that it was not told is missing. */
-export type OrderedSize = Partial<Pick<PlaceSize, 'reclaimable' | 'onDemand'>>;
+export interface OrderedSize {
+  readonly reclaimable?: ToldSize;
+  readonly onDemand?: ToldSize;
+}
 
 export interface SizedPool {
   needs: PastNeed[];
@@ -71,8 +80,10 @@
   readonly usageWindows: Map<number, UsageWindow>;
   readonly entries: Map<string, HeardEntry>;
   instances: readonly PlatformInstance[];
-  /** When the list first held an instance. */
-  listedAt: MonotonicMilliseconds | undefined;
+  /** Instances on the list before, until the list has stopped to grow. */
+  lastListed: number;
+  /** True once the list has not grown from one reading to the next. */
+  isListFilled: boolean;
   /** When demand was first heard of, so that a window that is not full yet is not believed. */
   demandSince: MonotonicMilliseconds | undefined;
   /** By name. */
@@ -90,7 +101,8 @@
     usageWindows: new Map(),
     entries: new Map(),
     instances: [],
-    listedAt: undefined,
+    lastListed: 0,
+    isListFilled: false,
     demandSince: undefined,
     pools: new Map(),
     now: 0,
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -13,7 +13,7 @@
 import { measureLoad, needFor, type PoolLoad } from '../sizing/measureNeed.js';
 import { planSizes, type PlaceSize, type PlaceState, type SizeNeed } from '../sizing/planSizes.js';
 import type { SingletonEffect } from './singletonEvents.js';
-import type { SingletonState, SizedPool } from './SingletonState.js';
+import type { OrderedSize, SingletonState, SizedPool } from './SingletonState.js';
 
 /** What was needed or planned is kept for so long before capacity may fall below it. */
 const FALL_AFTER_MILLISECONDS: Milliseconds = 20_000;
@@ -21,8 +21,11 @@
 /** Rates are taken over ten seconds; before, they say less than what is there already. */
 const MEASURED_AFTER_MILLISECONDS: Milliseconds = 12_000;
 
-/** The list fills while the instances of a system that starts come up. */
-const LIST_FILLS_MILLISECONDS: Milliseconds = 2500;
+/**
+ * An instance that was ordered serves after its start and is listed up to this much later: the
+ * list lags by most of a second and is read once a second.
+ */
+const LISTED_LATE_MILLISECONDS: Milliseconds = 2000;
 
 /** An entry that was not heard for so long has no demand. */
 const ENTRY_SILENCE_MILLISECONDS: Milliseconds = 5000;
@@ -70,19 +73,24 @@
       reclaimable: countThere(state, pool, dataCentre, true),
       onDemand,
       isClosed: (sized.closedUntil.get(dataCentre) ?? Number.NEGATIVE_INFINITY) > state.now,
-      plannedOnDemand: sized.ordered.get(dataCentre)?.onDemand ?? onDemand,
+      plannedOnDemand: sized.ordered.get(dataCentre)?.onDemand?.count ?? onDemand,
     };
   });
 }
 
-/** Until demand has been measured, what is there is taken for what is needed. */
+/**
+ * Until demand has been measured, what is there is taken for what is needed. While one kind takes
+ * over from the other both are there, and only the larger number counts.
+ */
 function needNow(state: SingletonState, load: PoolLoad, places: readonly PlaceState[]): SizeNeed {
   const { demandSince } = state;
   const measured = needFor(load);
   const isMeasured =
     demandSince !== undefined && state.now - demandSince >= MEASURED_AFTER_MILLISECONDS;
   if (isMeasured) return measured;
-  const there = places.reduce((sum, place) => sum + place.reclaimable + place.onDemand, 0);
+  const reclaimable = places.reduce((sum, place) => sum + place.reclaimable, 0);
+  const onDemand = places.reduce((sum, place) => sum + place.onDemand, 0);
+  const there = Math.max(reclaimable, onDemand);
   return {
     normal: Math.max(there, measured.normal),
     afterLoss: Math.max(Math.ceil(there / 2), measured.afterLoss),
@@ -113,12 +121,24 @@
   ];
 }
 
-/** True if the platform was told this already, or there are so many without being told. */
-function isInForce(sized: SizedPool, place: PlaceState, order: SizeOrder): boolean {
-  const ordered = sized.ordered.get(order.dataCentre);
+/**
+ * True if the platform was told this already and has it, or has it without being told. It does not
+ * replace what a wave or a crash has taken: an order that has come to nothing is given again, or
+ * the pool would stay as small, and on-demand instances stand in for the rest of the day.
+ */
+function isInForce(
+  state: SingletonState,
+  sizing: PoolSizing,
+  ordered: OrderedSize | undefined,
+  place: PlaceState,
+  order: SizeOrder,
+): boolean {
   const told = order.reclaimable ? ordered?.reclaimable : ordered?.onDemand;
-  if (told !== undefined) return told === order.count;
-  return (order.reclaimable ? place.reclaimable : place.onDemand) === order.count;
+  const there = order.reclaimable ? place.reclaimable : place.onDemand;
+  if (told === undefined) return there === order.count;
+  if (told.count !== order.count) return false;
+  const patience = sizing.startMilliseconds + LISTED_LATE_MILLISECONDS;
+  return there >= order.count || state.now - told.at < patience;
 }
 
 function measure(state: SingletonState, pool: Pool): PoolLoad {
@@ -137,8 +157,10 @@
   return plan.flatMap((size, position): SingletonEffect[] => {
     const place = places[position];
     if (place === undefined) return [];
+    const ordered = sized.ordered.get(size.dataCentre);
     return ordersFor(pool, size)
-      .filter((order) => !isInForce(sized, place, order) && !(order.reclaimable && place.isClosed))
+      .filter((order) => !isInForce(state, sizing, ordered, place, order))
+      .filter((order) => !(order.reclaimable && place.isClosed))
       .flatMap((order): SingletonEffect[] => [
         { type: 'log', event: 'sizeOrdered', fields: { ...order, ...need, ...load } },
         { type: 'orderSize', order, epoch },
@@ -148,9 +170,8 @@
 
 /** To be called with each new list: a wave that it shows is answered at once. */
 export function advanceSizes(state: SingletonState): SingletonEffect[] {
-  const { epoch, listedAt, now } = state;
-  if (!state.options.ordersInstances || epoch === undefined || listedAt === undefined) return [];
-  if (now - listedAt < LIST_FILLS_MILLISECONDS) return [];
+  const { epoch, isListFilled } = state;
+  if (!state.options.ordersInstances || epoch === undefined || !isListFilled) return [];
   return state.configuration.pools.rows.flatMap((pool) =>
     pool.sizing === undefined ? [] : sizePool(state, pool, pool.sizing, epoch),
   );
@@ -171,7 +192,10 @@
   // What became of a failed order is not known; it is given again with the next plan.
   if (outcome === 'failed') return [];
   const before = sized.ordered.get(dataCentre);
-  const told = reclaimable ? { reclaimable: count } : { onDemand: count };
-  sized.ordered.set(dataCentre, { ...before, ...told });
+  const told = { count, at: state.now };
+  sized.ordered.set(dataCentre, {
+    ...before,
+    ...(reclaimable ? { reclaimable: told } : { onDemand: told }),
+  });
   return [];
 }
--- a/packages/controller-core/src/singleton/reduceSingleton.test.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { emptyConfiguration, type EntryReport, type Pool } from '@hornbeampond/schema';
+import {
+  emptyConfiguration,
+  type EntryReport,
+  type PlatformInstance,
+  type Pool,
+} from '@hornbeampond/schema';
 import { reduceSingleton } from './reduceSingleton.js';
 import type { SingletonEffect, SingletonOccurrence } from './singletonEvents.js';
 import { makeSingletonState } from './SingletonState.js';
@@ -142,3 +147,80 @@
   const later = feed(7000, { type: 'instancesListed', instances });
   assert.ok(later.some((effect) => effect.type === 'orderSize' && effect.order.reclaimable));
 });
+
+/** A process that holds the lease, and whose orders all succeed; `list` returns the new ones. */
+function makeBuyer() {
+  const feed = makeProcess();
+  feed(0, { type: 'configurationReceived', configuration });
+  feed(0, { type: 'leaseHeld', epoch: 1 });
+  const list = (at: number, reclaimable: Record<string, number>, onDemand = {}): string[] => {
+    const instances = [
+      ...makeInstances('reclaimable', reclaimable),
+      ...makeInstances('on-demand', onDemand),
+    ];
+    return feed(at, { type: 'instancesListed', instances }).flatMap((effect) => {
+      if (effect.type !== 'orderSize') return [];
+      const { order } = effect;
+      feed(at, { type: 'sizeOrdered', order, outcome: 'done' });
+      return [
+        `${order.dataCentre} ${order.reclaimable ? 'reclaimable' : 'onDemand'} ${order.count}`,
+      ];
+    });
+  };
+  return { feed, list };
+}
+
+function makeInstances(instanceClass: string, counts: Record<string, number>): PlatformInstance[] {
+  return Object.entries(counts).flatMap(([dataCentre, count]) =>
+    Array.from({ length: count }, (_, number) => ({
+      instance: `${instanceClass}-${dataCentre}-${number}`,
+      dataCentre,
+      instanceClass,
+      pool: 'engines',
+      state: 'live' as const,
+      host: '10.0.0.1',
+      port: number + 1,
+    })),
+  );
+}
+
+// Callers are late and refused for the rest of a rush. A wave takes the reclaimable engines of a
+// data centre; the platform starts no others for an order that it carried out before. So once
+// those ordered should have come and have not, the order is given again.
+test('what a wave has taken is ordered again', () => {
+  const { list } = makeBuyer();
+  list(0, {}, { a: 1, b: 1 });
+  const first = list(1000, {}, { a: 1, b: 1 });
+  assert.ok(first.includes('a reclaimable 1') && first.includes('b reclaimable 1'));
+  list(6000, { a: 1, b: 1 });
+  assert.deepEqual(list(20_000, { a: 1, b: 1 }), []);
+  assert.deepEqual(
+    list(21_000, { a: 1 }).filter((order) => order.startsWith('b reclaimable')),
+    ['b reclaimable 1'],
+  );
+  assert.deepEqual(
+    list(24_000, { a: 1 }).filter((order) => order.startsWith('b reclaimable')),
+    [],
+  );
+});
+
+// Reclaimable engines take over from on-demand ones before any demand is known. For a moment both
+// are there; taken for twice the need, twice as many would be ordered and paid for.
+test('both kinds that are there during a change are not added up', () => {
+  const { list } = makeBuyer();
+  list(0, {}, { a: 2, b: 2 });
+  list(1000, {}, { a: 2, b: 2 });
+  const orders = list(7000, { a: 2, b: 2 }, { a: 1, b: 1 });
+  assert.deepEqual(
+    orders.filter((order) => order.includes('reclaimable')),
+    [],
+  );
+});
+
+// The list grows while the engines of a system that starts come up.
+test('nothing is ordered by a list that still grows', () => {
+  const { list } = makeBuyer();
+  assert.deepEqual(list(0, {}, { a: 1 }), []);
+  assert.deepEqual(list(1000, {}, { a: 2 }), []);
+  assert.notDeepEqual(list(2000, {}, { a: 2 }), []);
+});
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -2,7 +2,7 @@
  * The reducer of the work of which one process in the whole cluster does all: reporting usage, and
  * sizing pools where the platform is told numbers. It asks for nothing while it holds no lease.
  */
-import { assertNever, type EntryReport } from '@hornbeampond/schema';
+import { assertNever, type EntryReport, type PlatformInstance } from '@hornbeampond/schema';
 import { advanceSizes, takeOrdered } from './advanceSizes.js';
 import { advanceUsage, takeSettled } from './advanceUsage.js';
 import type { SingletonEffect, SingletonEvent } from './singletonEvents.js';
@@ -14,6 +14,17 @@
   if ((report.demand ?? []).length > 0) state.demandSince ??= state.now;
 }
 
+/**
+ * The list fills while the instances of a system that starts come up. Planned by the first few of
+ * them, a pool would be cut down to what happened to be there.
+ */
+function noteList(state: SingletonState, instances: readonly PlatformInstance[]): void {
+  state.instances = instances;
+  if (instances.length === 0) return;
+  state.isListFilled ||= instances.length <= state.lastListed;
+  state.lastListed = instances.length;
+}
+
 export function reduceSingleton(state: SingletonState, event: SingletonEvent): SingletonEffect[] {
   state.now = event.now;
   state.wallNow = event.wallNow;
@@ -27,8 +38,7 @@
       noteEntry(state, event.report);
       return [];
     case 'instancesListed':
-      state.instances = event.instances;
-      if (event.instances.length > 0) state.listedAt ??= event.now;
+      noteList(state, event.instances);
       return advanceSizes(state);
     case 'leaseHeld':
       state.epoch = event.epoch;
--- a/packages/controller-core/src/sizing/planSizes.test.ts
+++ b/packages/controller-core/src/sizing/planSizes.test.ts
@@ -52,6 +52,22 @@
     place('d', { reclaimable: 2 }),
   ];
   const planned = planSizes({ sizing, need: { normal: 8, afterLoss: 5 }, places });
+  assert.equal(
+    planned.reduce((sum, { onDemand }) => sum + onDemand, 0),
+    3,
+  );
+});
+
+// The same wave, but there are reclaimable instances to be had elsewhere: those come as soon as
+// on-demand ones, at a fraction of the price, so only the very next wave is made up for.
+test('after a wave that can be made good elsewhere, one more is prepared for', () => {
+  const places = [
+    place('a', { reclaimable: 2 }),
+    place('b'),
+    place('c', { reclaimable: 2 }),
+    place('d', { reclaimable: 2 }),
+  ];
+  const planned = planSizes({ sizing, need: { normal: 8, afterLoss: 5 }, places });
   assert.equal(
     planned.reduce((sum, { onDemand }) => sum + onDemand, 0),
     1,
--- a/packages/controller-core/src/sizing/planSizes.ts
+++ b/packages/controller-core/src/sizing/planSizes.ts
@@ -87,15 +87,30 @@
 }
 
 /**
- * What the on-demand instances have to make up for: what the reclaimable ones that serve now would
- * lack after one more loss. Waves come in a row, and a start takes longer than a notice lasts, so
- * it would be too late to order after the next one.
+ * Further waves that the on-demand instances have to make up for. Waves come in a row, seconds
+ * apart, and a start takes longer than a notice lasts: what is ordered after the next one comes
+ * too late for it. While reclaimable instances can be had, one lost data centre is made good within
+ * a start. While the platform has none to give, the wave after the next comes before that as well.
  */
+const WAVES_AHEAD = 1;
+const WAVES_AHEAD_WHILE_CLOSED = 2;
+
+/** Reclaimable instances of the data centres that have most of them. */
+function countAtRisk(drafts: readonly Draft[]): number {
+  const isShort = drafts.some(({ place }) => place.isClosed);
+  const waves = isShort ? WAVES_AHEAD_WHILE_CLOSED : WAVES_AHEAD;
+  return drafts
+    .map(({ place }) => place.reclaimable)
+    .sort((a, b) => b - a)
+    .slice(0, waves)
+    .reduce((sum, reclaimable) => sum + reclaimable, 0);
+}
+
+/** What the reclaimable instances that serve now would lack after the waves that may follow. */
 function countLacking(drafts: readonly Draft[], { sizing, need }: SizeRequest): number {
   if (sizing.reclaimableShare === undefined) return Math.max(need.normal, need.afterLoss);
   const serving = sumOf(drafts, ({ place }) => place.reclaimable);
-  const largestLoss = Math.max(0, ...drafts.map(({ place }) => place.reclaimable));
-  return Math.max(0, need.afterLoss - (serving - largestLoss));
+  return Math.max(0, need.afterLoss - (serving - countAtRisk(drafts)));
 }
 
 /** Starts from the last plan; adds where instances are there already, then where they are cheap. */
