Count a cached prefix by its tokens, and let it draw a call to another data centre

A prefix counted by its number of parts: a system prompt of 500 tokens like a conversation of 5,000.

--- a/apps/entry/src/CallProtocol.ts
+++ b/apps/entry/src/CallProtocol.ts
@@ -15,6 +15,7 @@
   | 'patience'
   | 'model'
   | 'prefixDigests'
+  | 'prefixTokens'
   | 'promptTokens'
   | 'mostTokens'
   | 'countedTokens'
--- a/packages/entry-core/src/admission/isWorthHolding.ts
+++ b/packages/entry-core/src/admission/isWorthHolding.ts
@@ -31,12 +31,12 @@
   const patience = nextTokenDueAt(accepted) - accepted.arrivedAt;
   if (now - accepted.arrivedAt >= patience * HOLD_SHARE) return false;
   const pool = poolBalanceOf(state, accepted.pool.name);
-  const { prefixDigests, promptTokens } = accepted.request;
+  const { request } = accepted;
   const holder = findHolder(state, pool, accepted, server);
   // One that has room was not chosen for other reasons; waiting would not change them.
   if (holder === undefined || hasRoom(state, pool, holder.server, accepted)) return false;
-  const more = holder.share - pool.beliefs.shareAt(server, prefixDigests, now);
-  return pool.firstToken.predictGrowth(more * promptTokens) >= LEAST_SAVING_MILLISECONDS;
+  const more = holder.share - pool.beliefs.shareAt(server, request, now);
+  return pool.firstToken.predictGrowth(more * request.promptTokens) >= LEAST_SAVING_MILLISECONDS;
 }
 
 /** The server near `server` that is believed to have the longest prefix. */
@@ -50,7 +50,7 @@
   const group = pool.groupOf(server);
   const excluded = ruledOut(state, accepted, now);
   return pool.beliefs
-    .find(accepted.request.prefixDigests, now)
+    .find(accepted.request, now)
     .filter((held) => group.has(held.server) && takesNewWork(held.server))
     .find((held) => !excluded.has(held.server.listed.instance));
 }
--- a/packages/entry-core/src/admission/orderForServer.ts
+++ b/packages/entry-core/src/admission/orderForServer.ts
@@ -38,7 +38,7 @@
   }
   const { beliefs } = poolBalanceOf(state, first.accepted.pool.name);
   const known = ({ accepted }: Waiting) =>
-    beliefs.shareAt(freed, accepted.request.prefixDigests, now) >= LEAST_SHARE;
+    beliefs.shareAt(freed, accepted.request, now) >= LEAST_SHARE;
   const [fit, rest] = [waiting.filter(known), waiting.filter((one) => !known(one))];
   return [...fit, ...rest].slice(0, MOST_TRIED);
 }
--- a/packages/entry-core/src/backendServers/PrefixBeliefs.ts
+++ b/packages/entry-core/src/backendServers/PrefixBeliefs.ts
@@ -5,6 +5,7 @@
  * because the engine computes whatever it does not have.
  */
 import type { CacheEvent, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { CallerRequest } from '../entryEvents.js';
 import type { BackendServerState } from './BackendServerState.js';
 
 const BELIEVED_MILLISECONDS: Milliseconds = 120_000;
@@ -23,6 +24,19 @@
   readonly share: number;
 }
 
+/** The parts of a request's prompt that may be cached. */
+export type Prompt = Pick<CallerRequest, 'prefixDigests' | 'prefixTokens' | 'promptTokens'>;
+
+/**
+ * Which share of the prompt its first prefixes are, by tokens. Where they are not told, all parts
+ * are taken to be equally long.
+ */
+function shareOf({ prefixDigests, prefixTokens, promptTokens }: Prompt, length: number): number {
+  const tokens = prefixTokens?.[length - 1];
+  if (tokens === undefined || promptTokens <= 0) return length / prefixDigests.length;
+  return Math.min(1, tokens / promptTokens);
+}
+
 function stillHolds({ server, generation, until }: Belief, now: MonotonicMilliseconds): boolean {
   return now < until && generation === server.balance.cacheGeneration;
 }
@@ -48,25 +62,24 @@
   }
 
   /** Servers that are believed to have the longest known prefix of the prompt. */
-  find(digests: readonly string[], now: MonotonicMilliseconds): PrefixHolder[] {
+  find(prompt: Prompt, now: MonotonicMilliseconds): PrefixHolder[] {
+    const { prefixDigests: digests } = prompt;
     for (let { length } = digests; length > 0; length -= 1) {
       const held = this.holders(digests[length - 1] ?? '', now);
       if (held.length > 0) {
-        return held.map(({ server }) => ({ server, share: length / digests.length }));
+        const share = shareOf(prompt, length);
+        return held.map(({ server }) => ({ server, share }));
       }
     }
     return [];
   }
 
   /** The share of the prompt that one server is believed to have. */
-  shareAt(
-    server: BackendServerState,
-    digests: readonly string[],
-    now: MonotonicMilliseconds,
-  ): number {
+  shareAt(server: BackendServerState, prompt: Prompt, now: MonotonicMilliseconds): number {
+    const { prefixDigests: digests } = prompt;
     for (let { length } = digests; length > 0; length -= 1) {
       const held = this.holders(digests[length - 1] ?? '', now);
-      if (held.some((belief) => belief.server === server)) return length / digests.length;
+      if (held.some((belief) => belief.server === server)) return shareOf(prompt, length);
     }
     return 0;
   }
--- a/packages/entry-core/src/backendServers/backendServers.test.ts
+++ b/packages/entry-core/src/backendServers/backendServers.test.ts
@@ -13,6 +13,7 @@
 import { chooseBackendServer } from './chooseBackendServer.js';
 import { noteFailure } from './ejectOutliers.js';
 import type { PoolBalance } from './PoolBalance.js';
+import type { Prompt } from './PrefixBeliefs.js';
 
 const CONCURRENCY = 8;
 const SECOND = 1000;
@@ -131,6 +132,10 @@
   );
 });
 
+function prompt(...prefixDigests: string[]): Prompt {
+  return { prefixDigests, promptTokens: 0 };
+}
+
 // A seller's long prompt has been computed on one engine, and later turns of it follow. They go to
 // the same engine while its cache events are whole. Then an event is lost: it may have said that
 // the prefix was evicted, so the next turn is placed as if nothing were known of that engine.
@@ -146,7 +151,7 @@
     harness.send({ type: 'cacheEventsReceived', events: [event] });
   };
   const isBelieved = () =>
-    poolOf(harness).beliefs.find(['a', 'b'], harness.timeline.now).length > 0;
+    poolOf(harness).beliefs.find(prompt('a', 'b'), harness.timeline.now).length > 0;
   tell(1);
   tell(2);
   assert.ok(isBelieved(), 'events without a gap keep it');
@@ -159,12 +164,54 @@
   assert.ok(!isBelieved(), 'a cleared cache drops it');
 });
 
+// A workspace's system prompt is short and a conversation long. By the number of parts the engine
+// that has only the system prompt would be taken to have half of what the other one has.
+test('a cached prefix counts by its tokens', () => {
+  const harness = makeHarness();
+  const home = askFor(harness, 'turn-1', ['system', 'conversation']);
+  const { beliefs } = poolOf(harness);
+  const share = (prefixDigests: string[]) =>
+    beliefs.find(
+      { prefixDigests, prefixTokens: [500, 5500, 12_000], promptTokens: 12_000 },
+      harness.timeline.now,
+    )[0];
+  assert.equal(share(['system', 'conversation', 'turn-2'])?.server.listed.instance, home);
+  assert.equal(share(['system', 'conversation', 'turn-2'])?.share, 5500 / 12_000);
+  assert.equal(share(['system', 'another', 'turn-3'])?.share, 500 / 12_000);
+});
+
+// Callers of two data centres take turns in one conversation. Its long prompt has been computed in
+// the other data centre. Computing it again at home would delay this answer and all that run beside
+// it; the way there and back is far shorter. A prompt that saves less than that way stays at home.
+test('a long prompt goes to the data centre that has computed it', () => {
+  const harness = makeHarness({
+    servers: 2,
+    dataCentreOf: (server) => (server === 0 ? 'dc-a' : 'dc-b'),
+  });
+  const far = harness.entries[0]?.backendServers.get('engine-1');
+  assert.ok(far);
+  const { beliefs } = poolOf(harness);
+  beliefs.believe(far, ['long'], harness.timeline.now);
+  beliefs.believe(far, ['short'], harness.timeline.now);
+  harness.arrive(
+    exampleRequest('first', { prefixDigests: ['long', 'own'], promptTokens: 4000 }),
+    5,
+  );
+  harness.arrive(
+    exampleRequest('second', { prefixDigests: ['short', 'own'], promptTokens: 40 }),
+    5,
+  );
+  const instanceOf = (attempt: string) => harness.entries[0]?.attempts.get(attempt)?.instance;
+  assert.equal(instanceOf('first.1'), 'engine-1');
+  assert.equal(instanceOf('second.1'), 'engine-0');
+});
+
 // A belief that nothing has confirmed for two minutes is let go, as an engine that reports nothing
 // will have evicted the prefix by then.
 test('a belief expires', () => {
   const harness = makeHarness();
   askFor(harness, 'turn-1', ['a']);
-  const believedAt = (now: number) => poolOf(harness).beliefs.find(['a'], now).length > 0;
+  const believedAt = (now: number) => poolOf(harness).beliefs.find(prompt('a'), now).length > 0;
   assert.ok(believedAt(100 * SECOND));
   assert.ok(!believedAt(130 * SECOND));
 });
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -3,7 +3,7 @@
  * believed to have the longest prefix of the prompt, and two at random, of which the better one
  * wins (two random choices keep the fullest server near the mean, and entries that see the same
  * old load reports do not all pick the same one). Own data centre first; others when it has
- * nobody or would be late.
+ * nobody or would be late, or when they save more than going there costs.
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
@@ -24,6 +24,16 @@
 /** More samples, one at a time, while none with room was found. */
 const MORE_CHOICES = 14;
 
+/**
+ * What another data centre has to save before it is preferred: the way there and back, the price
+ * of the bytes between data centres, and the risk to be cut off from it. Computing five thousand
+ * cached tokens anew takes an engine about 70 ms.
+ */
+const REMOTE_MILLISECONDS: Milliseconds = 30;
+
+/** Of the caller's patience: a first token predicted later than this comes from a busy server. */
+const BUSY_SHARE = 0.25;
+
 /** How much longer an answer is taken to last in a full batch than alone, as a share of it. */
 const CROWDING_SHARE = 0.2;
 
@@ -35,6 +45,8 @@
 interface Choice {
   readonly server: BackendServerState;
   readonly firstTokenIn: Milliseconds;
+  /** What computing the prompt there takes, which is what others that come after it wait longer. */
+  readonly promptTime: Milliseconds;
   /**
    * What the choice goes by, the least wins: the request's own wait and what it makes others wait,
    * or for streams of a wave how full the server is.
@@ -67,11 +79,12 @@
     if (this.accepted.triedInstances.has(instance) || this.ruledOut.has(instance)) return;
     if (!takesNewWork(server) || !hasRoom(this.state, this.pool, server, this.accepted)) return;
     const firstTokenIn = predictFirstToken(this.state, this.pool, server, this.accepted);
+    const promptTime = this.promptTime(server);
     const rank = this.spread
       ? this.fullness(server)
-      : firstTokenIn + this.delayOfOthers(server) + this.crowding(server);
+      : firstTokenIn + promptTime + this.crowding(server);
     if (this.best === undefined || rank < this.best.rank) {
-      this.best = { server, firstTokenIn, rank };
+      this.best = { server, firstTokenIn, promptTime, rank };
     }
   }
 
@@ -84,17 +97,13 @@
     return serviceTime * this.fullness(server) * CROWDING_SHARE;
   }
 
-  /** What computing the prompt there adds to the wait of those that come after it. */
-  private delayOfOthers(server: BackendServerState): Milliseconds {
+  private promptTime(server: BackendServerState): Milliseconds {
     const uncached = uncachedTokens(this.pool, server, this.accepted.request, this.now);
     return this.pool.firstToken.predictGrowth(uncached);
   }
 
   lookAtHolders(group: CandidateGroup): void {
-    for (const { server } of this.pool.beliefs.find(
-      this.accepted.request.prefixDigests,
-      this.now,
-    )) {
+    for (const { server } of this.pool.beliefs.find(this.accepted.request, this.now)) {
       if (group.has(server)) this.look(server);
     }
   }
@@ -148,6 +157,19 @@
   return one.best;
 }
 
+/**
+ * True if a server of another data centre is to be preferred to the best one of the own: it is in
+ * time and the other is not, or it saves enough, by a cached prefix or because the own one is busy.
+ */
+function isBetterFar(near: Choice, far: Choice, dueIn: Milliseconds): boolean {
+  if (near.firstTokenIn > dueIn) return far.firstTokenIn <= dueIn;
+  const isBusy = near.firstTokenIn > dueIn * BUSY_SHARE;
+  const isCached = far.promptTime < near.promptTime;
+  if (!isBusy && !isCached) return false;
+  const saved = near.firstTokenIn + near.promptTime - far.firstTokenIn - far.promptTime;
+  return saved > REMOTE_MILLISECONDS;
+}
+
 /**
  * The backend server with room that promises the earliest first token, or undefined if none has
  * room now. Other data centres are looked at when the own one has no candidate or would be late;
@@ -162,11 +184,10 @@
   if (options.where === 'remote') return search(state, accepted, remote, options)?.server;
   const near = search(state, accepted, local, options);
   if (near === undefined && hasUntriedIn(state, local, accepted)) return undefined;
-  const dueIn = nextTokenDueAt(accepted) - state.clocks.now;
-  if (near !== undefined && near.firstTokenIn <= dueIn) return near.server;
   const far = search(state, accepted, remote, options);
-  if (near === undefined) return far?.server;
-  return far !== undefined && far.firstTokenIn <= dueIn ? far.server : near.server;
+  if (near === undefined || far === undefined) return (near ?? far)?.server;
+  const dueIn = nextTokenDueAt(accepted) - state.clocks.now;
+  return (isBetterFar(near, far, dueIn) ? far : near).server;
 }
 
 function hasUntriedIn(state: EntryState, group: CandidateGroup, accepted: RequestState): boolean {
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -19,10 +19,10 @@
 export function uncachedTokens(
   pool: PoolBalance,
   server: BackendServerState,
-  { promptTokens, prefixDigests }: CallerRequest,
+  request: CallerRequest,
   now: MonotonicMilliseconds,
 ): number {
-  return promptTokens * (1 - pool.beliefs.shareAt(server, prefixDigests, now));
+  return request.promptTokens * (1 - pool.beliefs.shareAt(server, request, now));
 }
 
 /** Tokens of prompts that were sent there and have no first token yet. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -40,6 +40,8 @@
   readonly digest: string;
   /** Digests of the prompt's prefixes, shortest first, for cache affinity. */
   readonly prefixDigests: readonly string[];
+  /** Tokens that each prefix holds, if the caller tells. */
+  readonly prefixTokens?: readonly number[];
   /** Estimated tokens of the prompt; 0 for plain services. */
   readonly promptTokens: number;
   /** Most tokens the caller wants generated; 0 for plain services. */
