--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { emptyConfiguration, type Configuration, type FleetDrains } from '@hornbeampond/schema';
+import type { UnconfiguredRequest } from './admission/awaitConfiguration.js';
 import { makeAdmissionState, type AdmissionState } from './admission/AdmissionState.js';
 import type { AttemptState } from './attempts/AttemptState.js';
 import { makeRetryState, type RetryState } from './attempts/RetryState.js';
@@ -38,6 +39,8 @@
   configuration: Configuration;
   /** By instance. */
   readonly backendServers: Map<string, BackendServerState>;
+  /** Requests that came before the configuration, by request id. */
+  readonly unconfigured: Map<string, UnconfiguredRequest>;
   /** Requests without a final answer, by request id. */
   readonly requests: Map<string, RequestState>;
   /** Attempts without an end, by attempt id. */
@@ -81,6 +84,7 @@
     identity,
     configuration: emptyConfiguration,
     backendServers: new Map(),
+    unconfigured: new Map(),
     requests: new Map(),
     attempts: new Map(),
     claims: new Map(),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -2,7 +2,13 @@
  * Decides on a request that has just arrived: refuse it at once with the reason, or accept it
  * and try it.
  */
-import { isClaimed, type Milliseconds, type Pool, type Route } from '@hornbeampond/schema';
+import {
+  isClaimed,
+  type EpochMilliseconds,
+  type MonotonicMilliseconds,
+  type Pool,
+  type Route,
+} from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
@@ -16,11 +22,9 @@
 import { routeIndexOf } from '../routing/routeIndexOf.js';
 import { acquire } from '../limits/releaseEnded.js';
 import { spendAllowance } from '../limits/refuseOverAllowance.js';
+import { awaitConfiguration } from './awaitConfiguration.js';
 import { decideAdmission } from './refuseEarly.js';
 
-/** When a caller may come back to an entry that has not been told a configuration yet. */
-const NOT_CONFIGURED_RETRY_MILLISECONDS: Milliseconds = 500;
-
 /** The route and the workspace that a request has the right to use it as, or the refusal. */
 type Resolved =
   | { readonly type: 'found'; readonly route: Route; readonly request: CallerRequest }
@@ -55,7 +59,8 @@
   request: CallerRequest,
   route: Route,
   pool: Pool,
-  { now, wallNow }: Timed,
+  arrivedAt: MonotonicMilliseconds,
+  wallNow: EpochMilliseconds,
 ): RequestState {
   const index = routeIndexOf(state);
   const deadline = deadlineAt(route, wallNow, index.clock);
@@ -65,9 +70,9 @@
     request,
     route: priority === route.priority ? route : { ...route, priority },
     pool,
-    arrivedAt: now,
-    firstTokenDueAt: now + Math.min(deadline.firstTokenMilliseconds, patience),
-    wholeAnswerDueAt: now + Math.min(deadline.wholeAnswerMilliseconds, patience),
+    arrivedAt,
+    firstTokenDueAt: arrivedAt + Math.min(deadline.firstTokenMilliseconds, patience),
+    wholeAnswerDueAt: arrivedAt + Math.min(deadline.wholeAnswerMilliseconds, patience),
     attemptId: undefined,
     attemptsStarted: 0,
     triedInstances: new Set(),
@@ -80,14 +85,12 @@
   state: EntryState,
   arrived: CallerRequest,
   timed: Timed,
+  arrivedAt = timed.now,
 ): EntryEffect[] {
   if (state.shuttingDown) {
     return refuse(arrived, 'draining', 'This instance is shutting down');
   }
-  if (state.configuration.revision === 0) {
-    const problem = { retryAfterMilliseconds: NOT_CONFIGURED_RETRY_MILLISECONDS };
-    return refuse(arrived, 'notConfigured', 'No configuration is known here yet', problem);
-  }
+  if (state.configuration.revision === 0) return awaitConfiguration(state, arrived, timed);
   const resolved = resolve(state, arrived);
   if (resolved.type === 'refused') return resolved.effects;
   const { route, request } = resolved;
@@ -100,7 +103,7 @@
   if (isClaimed(route) && request.idempotencyKey === undefined) {
     return refuse(request, 'idempotencyKeyMissing', `Route "${route.name}" needs the header`);
   }
-  const accepted = accept(state, request, route, pool, timed);
+  const accepted = accept(state, request, route, pool, arrivedAt, timed.wallNow);
   const admission = decideAdmission(state, accepted, timed.now);
   if (admission.type === 'refused') {
     const { kind, detail, retryAfterMilliseconds } = admission.refusal;
--- /dev/null
+++ b/packages/entry-core/src/admission/awaitConfiguration.ts
@@ -0,0 +1,75 @@
+/**
+ * Requests that reach an entry before its configuration does. After a loss of power entries and
+ * stores start together, and the stores need a moment to elect a leader. A caller that is refused
+ * then has often used up its one retry on the fault itself, and is lost for the sake of a few
+ * hundred milliseconds. So a young entry keeps such requests for that long; one that is cut off
+ * from the stores gets no configuration however long it waits, and refuses at once.
+ */
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { CallerRequest, Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { refuse } from '../requests/endRequest.js';
+
+/** An entry waits for stores that start with it; these serve within two seconds of their start. */
+const STARTING_MILLISECONDS: Milliseconds = 2000;
+
+/**
+ * Longest wait of one request. Callers that wait three seconds in all are still served in time
+ * after it, and those that wait longer in good time.
+ */
+const LONGEST_WAIT_MILLISECONDS: Milliseconds = 700;
+
+/** Of the caller's patience, the share that may be spent waiting. */
+const WAIT_SHARE = 1 / 3;
+
+/** When a caller may come back to an entry that has not been told a configuration yet. */
+const NOT_CONFIGURED_RETRY_MILLISECONDS: Milliseconds = 500;
+
+/** A request that waits for the configuration. */
+export interface UnconfiguredRequest {
+  readonly request: CallerRequest;
+  readonly arrivedAt: MonotonicMilliseconds;
+  readonly waitsUntil: MonotonicMilliseconds;
+}
+
+function refuseUnconfigured(request: CallerRequest): EntryEffect[] {
+  const problem = { retryAfterMilliseconds: NOT_CONFIGURED_RETRY_MILLISECONDS };
+  return refuse(request, 'notConfigured', 'No configuration is known here yet', problem);
+}
+
+/** Keeps the request for a while, or refuses it. */
+export function awaitConfiguration(
+  state: EntryState,
+  request: CallerRequest,
+  { now, wallNow }: Timed,
+): EntryEffect[] {
+  const { unconfigured, identity } = state;
+  const startingFor = STARTING_MILLISECONDS - (wallNow - identity.incarnation);
+  const patience = (request.patience ?? Infinity) * WAIT_SHARE;
+  const wait = Math.min(startingFor, LONGEST_WAIT_MILLISECONDS, patience);
+  const hasRoom = unconfigured.size < identity.queuedRequests;
+  if (wait <= 0 || !hasRoom) return refuseUnconfigured(request);
+  const { requestId } = request;
+  unconfigured.set(requestId, { request, arrivedAt: now, waitsUntil: now + wait });
+  return [{ type: 'log', event: 'requestAwaitsConfiguration', fields: { requestId, wait } }];
+}
+
+/** Refuses those that have waited long enough, and all of them once the entry shuts down. */
+export function advanceUnconfigured(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  const { unconfigured, shuttingDown } = state;
+  const over = [...unconfigured.values()].filter(
+    ({ waitsUntil }) => shuttingDown || waitsUntil <= now,
+  );
+  return over.flatMap(({ request }) => {
+    unconfigured.delete(request.requestId);
+    return refuseUnconfigured(request);
+  });
+}
+
+/** Takes out all that wait, in order of arrival, now that there is a configuration. */
+export function takeUnconfigured(state: EntryState): UnconfiguredRequest[] {
+  const waiting = [...state.unconfigured.values()];
+  state.unconfigured.clear();
+  return waiting;
+}
--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -2,6 +2,7 @@
  * Looks at everything that waits for time to pass. Deadlines go first, so that nothing is started
  * for a request that is out of time; what was lost is judged before work is placed anew.
  */
+import { advanceUnconfigured } from './admission/awaitConfiguration.js';
 import { advanceRetries } from './attempts/advanceRetries.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { Timed } from './entryEvents.js';
@@ -22,6 +23,7 @@
   advanceSuspects(state, timed.now);
   return [
     ...enforceDeadlines(state, timed.now),
+    ...advanceUnconfigured(state, timed.now),
     ...advanceLosses(state, timed),
     ...probeStalled(state, timed.now),
     ...advanceMoves(state, timed),
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -11,11 +11,11 @@
 const once = { idempotent: false, claimed: false };
 
 /** An entry with three backend servers, whose clock a test moves. */
-function makeEntry(route: Record<string, unknown>, configured = true) {
+function makeEntry(route: Record<string, unknown>, configured = true, incarnation = 1) {
   const state = makeEntryState({
     instance: 'entry-1',
     dataCentre: 'dc-a',
-    incarnation: 1,
+    incarnation,
     queuedRequests: 100,
     usageWindow: 5000,
   });
@@ -28,7 +28,7 @@
     now += span;
     return send({ type: 'tick' });
   };
-  if (configured) {
+  const configure = () => {
     const pool = examplePool(8);
     const row = exampleRoute({ match: { host: 'shop.example', pathPrefix: '/' }, ...route });
     const configuration = {
@@ -37,8 +37,9 @@
       pools: { revision: 1, rows: [pool] },
       whole: { version: 1, workspaces: [{ name: 'laden', keySha256: [KEY] }] },
     };
-    send({ type: 'configurationReceived', configuration });
-  }
+    return send({ type: 'configurationReceived', configuration });
+  };
+  if (configured) configure();
   const instances = [1, 2, 3].map((number) => ({
     instance: `server-${number}`,
     dataCentre: 'dc-a',
@@ -62,7 +63,7 @@
       tokens: 0,
       answerStarted: false,
     });
-  return { state, send, pass, arrive, fail };
+  return { state, send, pass, arrive, fail, configure };
 }
 
 /** Effects by type, with what a caller or a backend server sees of each. */
@@ -99,6 +100,50 @@
   assert.ok((refused.retryAfterMilliseconds ?? 0) > 0);
 });
 
+/** An entry that has started 200 ms ago. */
+const JUST_STARTED = 1_000_800;
+
+// All power was lost; entries and stores start together, and the stores have yet to elect a leader.
+// The caller has tried once, at the fault, and may not try again after a refusal. It is answered as
+// soon as the configuration is there, and its deadline still counts from when it came.
+test('a request that comes before the configuration is served once it is there', () => {
+  const entry = makeEntry(once, false, JUST_STARTED);
+  assert.deepEqual(entry.arrive({ patience: 3000 }), []);
+  assert.deepEqual(entry.pass(400), []);
+  assert.deepEqual(
+    describe(entry.configure()).filter((type) => type !== 'configurationApplied'),
+    ['start for laden'],
+  );
+  assert.equal(entry.state.requests.get('one')?.wholeAnswerDueAt, 1000 + 3000);
+});
+
+// The entry is cut off from the stores, and no configuration comes. Its callers are told to come
+// back after a bounded wait, and at once when the entry is no longer starting.
+test('a request is not kept for longer than a configuration takes to come', () => {
+  const entry = makeEntry(once, false, JUST_STARTED);
+  entry.arrive({ patience: 3000 });
+  assert.deepEqual(describe(entry.pass(699)), []);
+  assert.deepEqual(describe(entry.pass(1)), ['notConfigured ran undefined']);
+  entry.pass(1200);
+  assert.deepEqual(describe(entry.arrive()), ['notConfigured ran undefined']);
+});
+
+// A caller with little patience is told early, while it still has the time to go elsewhere; one that
+// leaves is forgotten, and an entry that shuts down keeps nobody.
+test('who waits for the configuration is bounded by the caller and by a shutdown', () => {
+  const hasty = makeEntry(once, false, JUST_STARTED);
+  hasty.arrive({ patience: 300 });
+  assert.deepEqual(describe(hasty.pass(100)), ['notConfigured ran undefined']);
+  const left = makeEntry(once, false, JUST_STARTED);
+  left.arrive();
+  left.send({ type: 'callerGone', requestId: 'one' });
+  assert.deepEqual(describe(left.pass(700)), []);
+  const stopping = makeEntry(once, false, JUST_STARTED);
+  stopping.arrive();
+  stopping.send({ type: 'shutdownStarted', acceptUntil: 1000, endAt: 9000 });
+  assert.ok(describe(stopping.pass(50)).some((text) => text.startsWith('notConfigured')));
+});
+
 // A full backend server says that it did not run the call. The caller of a purchase gets its answer
 // from the next one; no second purchase can come of it.
 test('a call that surely did not run is sent to another backend server', () => {
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -1,9 +1,10 @@
 /**
  * The one reducer of an entry: it hands each event to the part whose concern it is.
  */
-import { assertNever } from '@hornbeampond/schema';
+import { assertNever, type Configuration } from '@hornbeampond/schema';
 import { advanceEntry } from './advanceEntry.js';
 import { admitRequest } from './admission/admitRequest.js';
+import { takeUnconfigured } from './admission/awaitConfiguration.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
@@ -13,7 +14,7 @@
 import { findEndingClaim, followClaims } from './claims/followClaims.js';
 import { receiveDrains } from './backendServers/receiveDrains.js';
 import type { EntryEffect } from './entryEffects.js';
-import type { EntryEvent } from './entryEvents.js';
+import type { EntryEvent, Timed } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
 import { receiveEntryReport } from './limits/receiveEntryReport.js';
 import { receiveReport } from './membership/receiveReport.js';
@@ -36,20 +37,29 @@
   return effects;
 }
 
+function receiveConfiguration(
+  state: EntryState,
+  configuration: Configuration,
+  timed: Timed,
+): EntryEffect[] {
+  const { revision } = configuration;
+  if (revision <= state.configuration.revision) return [];
+  state.configuration = configuration;
+  refreshLimits(state);
+  return [
+    { type: 'configurationApplied', revision },
+    { type: 'setGauge', metric: 'configurationRevision', value: revision },
+    { type: 'log', event: 'configurationApplied', fields: { revision } },
+    ...takeUnconfigured(state).flatMap(({ request, arrivedAt }) =>
+      admitRequest(state, request, timed, arrivedAt),
+    ),
+  ];
+}
+
 function reduceConcern(state: EntryState, event: EntryEvent): EntryEffect[] {
   switch (event.type) {
-    case 'configurationReceived': {
-      const { configuration } = event;
-      if (configuration.revision <= state.configuration.revision) return [];
-      state.configuration = configuration;
-      refreshLimits(state);
-      const { revision } = configuration;
-      return [
-        { type: 'configurationApplied', revision },
-        { type: 'setGauge', metric: 'configurationRevision', value: revision },
-        { type: 'log', event: 'configurationApplied', fields: { revision } },
-      ];
-    }
+    case 'configurationReceived':
+      return receiveConfiguration(state, event.configuration, event);
     case 'instancesListed':
       listInstances(state, event.instances, event.now);
       return noticeListed(state, event.instances, event);
--- a/packages/entry-core/src/requests/callerGone.ts
+++ b/packages/entry-core/src/requests/callerGone.ts
@@ -8,6 +8,7 @@
 import type { EntryState } from '../EntryState.js';
 
 export function callerGone(state: EntryState, requestId: string): EntryEffect[] {
+  state.unconfigured.delete(requestId);
   const accepted = state.requests.get(requestId);
   if (accepted === undefined || isClaimed(accepted.route)) return [];
   state.requests.delete(requestId);
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -12,6 +12,11 @@
   answerReplayed: define(2021, 'debug', 'A call sent again got the answer of its first run'),
   platformUnreachable: define(2030, 'warn', 'The list of instances could not be read'),
   instancesUnreadable: define(2031, 'warn', 'Entries of the list of instances make no sense'),
+  requestAwaitsConfiguration: define(
+    2004,
+    'debug',
+    'A request waits until this starting entry has its configuration',
+  ),
   requestQueued: define(2100, 'debug', 'A request waits for a backend server'),
   backendServerEjected: define(2101, 'warn', 'A backend server gets no new work for a while'),
   connectionOnlyLost: define(2200, 'info', 'A connection was lost; its backend server answers'),
