--- a/apps/entry/src/AdapterDirectory.ts
+++ b/apps/entry/src/AdapterDirectory.ts
@@ -2,13 +2,7 @@
  * The adapters to backend servers, one for each that the platform lists. The rest of the shell
  * meets backend servers only through them.
  */
-import {
-  HttpEngineAdapter,
-  HttpPlainServiceAdapter,
-  type EngineAdapter,
-  type PlainServiceAdapter,
-  type RelayAdapter,
-} from '@hornbeampond/adapters';
+import type { EngineAdapter, PlainServiceAdapter, RelayAdapter } from '@hornbeampond/adapters';
 import type { AttemptTarget } from '@hornbeampond/entry-core';
 
 export type BackendServerAdapter =
@@ -19,17 +13,10 @@
 /** Makes the adapter to a backend server. */
 export type MakeAdapter = (target: AttemptTarget) => BackendServerAdapter;
 
-/** Adapters to backend servers that speak the interface of this project. */
-export function makeHttpAdapter(target: AttemptTarget): BackendServerAdapter {
-  return target.kind === 'modelEngine'
-    ? { kind: 'modelEngine', adapter: new HttpEngineAdapter(target) }
-    : { kind: 'plainService', adapter: new HttpPlainServiceAdapter(target) };
-}
-
 export class AdapterDirectory {
   private readonly adapters = new Map<string, BackendServerAdapter>();
 
-  constructor(private readonly make: MakeAdapter = makeHttpAdapter) {}
+  constructor(private readonly make: MakeAdapter) {}
 
   /** The adapter to a backend server; the same one while its address stays the same. */
   find(target: AttemptTarget): BackendServerAdapter {
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -1,7 +1,7 @@
 /**
  * One running entry: it feeds the reducer with events and carries out its effects.
  */
-import { HttpPlatformAdapter, type PlatformAdapter } from '@hornbeampond/adapters';
+import type { PlatformAdapter } from '@hornbeampond/adapters';
 import {
   makeEntryState,
   reduceEntry,
@@ -66,19 +66,21 @@
   readonly peers: number;
 }
 
-/**
- * What is outside an entry, and how it is spoken to. Without one it is this project's own
- * interface, over HTTP at the addresses of the settings.
- */
-export interface EntryBoundary {
-  readonly platform: PlatformAdapter;
-  readonly makeAdapter: MakeAdapter;
-  /** Speaks with callers whose calls are opaque. */
+/** How callers are spoken to whose calls are passed on as they are. */
+export interface OpaqueCalls {
   readonly protocol: CallProtocol;
   /** Windows in which requests are counted for the usage report. */
   readonly usageWindow: Milliseconds;
 }
 
+/** What is outside an entry, and how it is spoken to. */
+export interface EntryBoundary {
+  readonly platform: PlatformAdapter;
+  readonly makeAdapter: MakeAdapter;
+  /** Without it callers speak the interface of this project. */
+  readonly opaqueCalls?: OpaqueCalls;
+}
+
 export class EntryProcess implements RunningProcess {
   private readonly logger: Logger;
 
@@ -117,7 +119,7 @@
   constructor(
     private readonly settings: EntrySettings,
     private readonly timers: TimerService,
-    private readonly boundary?: EntryBoundary,
+    private readonly boundary: EntryBoundary,
   ) {
     const { instance, dataCentre } = settings;
     this.incarnation = timers.wallNow();
@@ -129,13 +131,13 @@
         dataCentre,
         incarnation: this.incarnation,
         queuedRequests,
-        usageWindow: boundary?.usageWindow,
+        usageWindow: boundary.opaqueCalls?.usageWindow,
       }),
       reduceEntry,
       (effect) => this.carryOut(effect),
       (error, event) => this.reportError(error, event.type),
     );
-    this.adapters = new AdapterDirectory(boundary?.makeAdapter);
+    this.adapters = new AdapterDirectory(boundary.makeAdapter);
     const dispatch = (occurrence: EntryOccurrence) => this.dispatch(occurrence);
     const readConfiguration = () => this.loop.state.configuration;
     this.attempts = new AttemptRunner({
@@ -168,7 +170,7 @@
       onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
-      platform: boundary?.platform ?? new HttpPlatformAdapter(settings.platform.url),
+      platform: boundary.platform,
       adapters: this.adapters,
       timers,
       logger: this.logger,
@@ -200,7 +202,8 @@
   }
 
   private makeCallers(): CallerListener {
-    const { settings, timers, boundary } = this;
+    const { settings, timers } = this;
+    const { opaqueCalls } = this.boundary;
     const shared = {
       timers,
       nameRequest: () => this.nameRequest(),
@@ -208,11 +211,11 @@
       onGone: (requestId: string) => this.dispatch({ type: 'callerGone', requestId }),
       onRefused: (error: unknown) => this.countRefusal(error),
     };
-    if (boundary === undefined) return new CallerServer({ ...shared, settings });
+    if (opaqueCalls === undefined) return new CallerServer({ ...shared, settings });
     return new RelayServer({
       ...shared,
       listen: settings.listen,
-      protocol: boundary.protocol,
+      protocol: opaqueCalls.protocol,
       readBounds: () => this.loop.state.configuration.whole?.callerBounds,
       isKnown: (requestId) => this.exchanges.has(requestId),
     });
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -21,7 +21,9 @@
   banner: { js: banner },
   // A native addon that its library can do without.
   external: ['cbor-extract'],
+  // A shorter text is read sooner; names are kept for stack traces.
   minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: 'none',
   logLevel: 'warning',
 });
