--- a/packages/entry-core/src/backendServers/PoolBalance.ts
+++ b/packages/entry-core/src/backendServers/PoolBalance.ts
@@ -9,6 +9,7 @@
 import { LearntMean } from './LearntMean.js';
 import { takesNewWork, type BackendServerState } from './BackendServerState.js';
 import { PrefixBeliefs } from './PrefixBeliefs.js';
+import { PrefixHomes } from './PrefixHomes.js';
 
 /** Servers of one pool in one group of data centres. */
 export class CandidateGroup {
@@ -89,6 +90,8 @@
 
   readonly beliefs = new PrefixBeliefs();
 
+  readonly homes = new PrefixHomes();
+
   get groups(): readonly CandidateGroup[] {
     return [this.local, this.remote];
   }
--- a/packages/entry-core/src/backendServers/PrefixBeliefs.ts
+++ b/packages/entry-core/src/backendServers/PrefixBeliefs.ts
@@ -84,6 +84,11 @@
     return 0;
   }
 
+  /** True if any server is believed to have this very prefix. */
+  isHeld(digest: string, now: MonotonicMilliseconds): boolean {
+    return this.holders(digest, now).length > 0;
+  }
+
   /** Takes in one cache event of a server of this pool. */
   receive(server: BackendServerState, event: CacheEvent, now: MonotonicMilliseconds): void {
     const { balance } = server;
--- a/packages/entry-core/src/backendServers/backendServers.test.ts
+++ b/packages/entry-core/src/backendServers/backendServers.test.ts
@@ -206,6 +206,29 @@
   assert.equal(instanceOf('second.1'), 'engine-0');
 });
 
+// Two entries that know nothing of each other's requests get the first turns of one conversation
+// at the same moment. Begun at two engines its prompt would be computed twice, and lie in two caches.
+test('entries begin the same conversation at the same engine', () => {
+  const harness = makeHarness({ entries: 3 });
+  const homes = ['one', 'two', 'three', 'four'].map((conversation) => {
+    const request = {
+      prefixDigests: ['system', conversation, `${conversation}/own`],
+      prefixTokens: [500, 3500, 4000],
+      promptTokens: 4000,
+    };
+    const places = [0, 1, 2].map((entry) => {
+      const requestId = `${conversation}-${entry}`;
+      harness.arrive(exampleRequest(requestId, request), 20, entry);
+      const attempt = harness.entries[entry]?.attempts.get(`${requestId}.1`);
+      harness.timeline.runUntil(harness.timeline.now + 5 * SECOND);
+      return attempt?.instance;
+    });
+    assert.equal(new Set(places).size, 1, `${places}`);
+    return places[0];
+  });
+  assert.ok(new Set(homes).size > 1, 'not all at one engine');
+});
+
 // A belief that nothing has confirmed for two minutes is let go, as an engine that reports nothing
 // will have evicted the prefix by then.
 test('a belief expires', () => {
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -45,7 +45,10 @@
 interface Choice {
   readonly server: BackendServerState;
   readonly firstTokenIn: Milliseconds;
-  /** What computing the prompt there takes, which is what others that come after it wait longer. */
+  /**
+   * What computing the prompt there takes, which is what others that come after it wait longer. At
+   * the home of the prompt it is less by what later requests will save.
+   */
   readonly promptTime: Milliseconds;
   /**
    * What the choice goes by, the least wins: the request's own wait and what it makes others wait,
@@ -54,6 +57,31 @@
   readonly rank: number;
 }
 
+/** The server at which a prompt that others share is to be begun. */
+interface Home {
+  readonly server: BackendServerState;
+  /** Tokens that are shared with other requests. */
+  readonly tokens: number;
+}
+
+/**
+ * The home of the part of the prompt that other requests share: all but the last part, which is the
+ * request's own. There is none once a server is believed to have computed it.
+ */
+function findHome(
+  pool: PoolBalance,
+  { request }: RequestState,
+  now: MonotonicMilliseconds,
+): Home | undefined {
+  const { prefixDigests, prefixTokens } = request;
+  const digest = prefixDigests.at(-2);
+  const tokens = prefixTokens?.at(-2);
+  if (digest === undefined || tokens === undefined) return undefined;
+  if (pool.beliefs.isHeld(digest, now)) return undefined;
+  const server = pool.homes.find(digest);
+  return server === undefined ? undefined : { server, tokens };
+}
+
 /** One search for a backend server. */
 class ServerSearch {
   best: Choice | undefined;
@@ -62,6 +90,8 @@
 
   private readonly ruledOut: ReadonlySet<string>;
 
+  private readonly home: Home | undefined;
+
   constructor(
     private readonly state: EntryState,
     private readonly pool: PoolBalance,
@@ -70,6 +100,7 @@
     private readonly spread: boolean,
   ) {
     this.ruledOut = ruledOut(state, accepted, now);
+    this.home = findHome(pool, accepted, now);
   }
 
   look(server: BackendServerState | undefined): void {
@@ -99,10 +130,12 @@
 
   private promptTime(server: BackendServerState): Milliseconds {
     const uncached = uncachedTokens(this.pool, server, this.accepted.request, this.now);
-    return this.pool.firstToken.predictGrowth(uncached);
+    const saved = this.home?.server === server ? this.home.tokens : 0;
+    return this.pool.firstToken.predictGrowth(uncached - saved);
   }
 
   lookAtHolders(group: CandidateGroup): void {
+    if (this.home !== undefined && group.has(this.home.server)) this.look(this.home.server);
     for (const { server } of this.pool.beliefs.find(this.accepted.request, this.now)) {
       if (group.has(server)) this.look(server);
     }
--- a/packages/entry-core/src/backendServers/indexCandidates.ts
+++ b/packages/entry-core/src/backendServers/indexCandidates.ts
@@ -4,8 +4,9 @@
  * taking new work in between is taken out when a choice meets it.
  */
 import type { EntryState } from '../EntryState.js';
-import { takesNewWork } from './BackendServerState.js';
+import { takesNewWork, type BackendServerState } from './BackendServerState.js';
 import { keepFloor } from './ejectOutliers.js';
+import type { PoolBalance } from './PoolBalance.js';
 import { poolBalanceOf } from './poolBalanceOf.js';
 
 function emptyGroups(state: EntryState): void {
@@ -16,6 +17,7 @@
 
 export function indexCandidates(state: EntryState): void {
   emptyGroups(state);
+  const serversByPool = new Map<PoolBalance, BackendServerState[]>();
   for (const server of state.backendServers.values()) {
     server.balance.candidateIndex = undefined;
     if (!takesNewWork(server)) continue;
@@ -24,6 +26,12 @@
     const group = isLocal ? pool.local : pool.remote;
     if (server.balance.ejectedUntil === undefined) group.add(server);
     else group.ejected.add(server);
+    const servers = serversByPool.get(pool);
+    if (servers === undefined) serversByPool.set(pool, [server]);
+    else servers.push(server);
+  }
+  for (const pool of state.poolBalances.values()) {
+    pool.homes.setServers(serversByPool.get(pool) ?? []);
+    pool.groups.forEach(keepFloor);
   }
-  for (const pool of state.poolBalances.values()) pool.groups.forEach(keepFloor);
 }
