Tell starting entries nothing older than what was agreed on, and elect sooner after a restart

The leader came 0.7 s after the last store had started, since voters that have just started waited a whole election timeout. Now a store answers subscriptions once it knows an entry of the present term to be committed, publishes once a turn, and a voter that has just started waits half the timeout. The test fails without the change (the entry is told revision 0 first).

--- a/apps/store/src/StoreCluster.test.ts
+++ b/apps/store/src/StoreCluster.test.ts
@@ -260,3 +260,17 @@
   await cluster.close(leader);
   await runChanges(41, 42);
 });
+
+// All stores and an entry lose power at once, and start together. A store knows what its own disk
+// holds, but not yet what of it was agreed on. Told that, the entry would serve its callers by routes
+// and keys that were replaced hundreds of changes ago, until the stores have a leader again.
+test('a starting entry is told nothing older than what was agreed on before a power loss', async () => {
+  const stores = ['store-1', 'store-2', 'store-3', 'store-4', 'store-5'];
+  await runChanges(1, 12);
+  await Promise.all(stores.map(async (instance) => cluster.close(instance)));
+  const starting = stores.map(async (instance) => cluster.open(instance));
+  const entry = cluster.connect('entry-5');
+  await Promise.all(starting);
+  await waitFor('a configuration', () => (entry.configurations.length > 0 ? true : undefined));
+  assert.deepEqual(revisionsOf(entry), [12]);
+});
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -122,6 +122,9 @@
 
   private isLeaderless = false;
 
+  /** While a publication is due: the revision that subscribers have. */
+  private publishedRevision: number | undefined;
+
   private closed = false;
 
   /** True once a step was not carried out to its end. */
@@ -171,7 +174,7 @@
       onPush: (session, body) => this.receive(session, body as Envelope),
       onRequest: (session, body, respond) =>
         this.requests.answer(session, body as StoreRequest, respond),
-      onClose: (session) => this.subscribers.remove(session),
+      onClose: (session) => this.requests.forget(session),
     });
     const operations = new StoreOperations({
       operatorKeys: settings.operatorKeys,
@@ -263,6 +266,7 @@
     if (this.closed || this.failed) return;
     const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
     this.loop.dispatch({ ...occurrence, ...clocks });
+    this.requests.advance();
   }
 
   private receive(session: PeerSession, envelope: Envelope): void {
@@ -296,7 +300,7 @@
       case 'restore': {
         const { revision } = this.machine.configuration;
         this.machine = restoreSnapshot(codec.decode(effect.data));
-        this.publishConfiguration(revision);
+        this.publishSoon(revision);
         return;
       }
       case 'takeSnapshot':
@@ -414,10 +418,25 @@
     const result = applyCommand(this.machine, stamped);
     this.results.clear();
     this.results.set(entry.index, result);
-    if (this.machine.configuration.revision > revision) this.publishConfiguration(revision);
+    if (this.machine.configuration.revision > revision) this.publishSoon(revision);
     if (result.type === 'crashCounted') this.publishQuarantine();
   }
 
+  /**
+   * Publishes at the end of this turn. A store that has restarted applies its whole log in one
+   * turn; told of each entry, its subscribers would serve by configurations that were replaced long
+   * ago, one after the other.
+   */
+  private publishSoon(previousRevision: number): void {
+    if (this.publishedRevision !== undefined) return;
+    this.publishedRevision = previousRevision;
+    setImmediate(() => {
+      const { publishedRevision = previousRevision } = this;
+      this.publishedRevision = undefined;
+      if (!this.closed) this.publishConfiguration(publishedRevision);
+    });
+  }
+
   /** Sends what has changed since `previousRevision`, which all subscribers were sent before. */
   private publishConfiguration(previousRevision: number): void {
     this.metrics.setGauge('configurationRevision', this.machine.configuration.revision);
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -13,6 +13,7 @@
 } from '@hornbeampond/schema';
 import {
   currentMembership,
+  knowsCommitted,
   memberAddresses,
   quarantineAt,
   type ConsensusState,
@@ -42,6 +43,11 @@
 export class StoreRequests {
   private proposals: { requestId: string; command: StoreCommand }[] = [];
 
+  private hasCaughtUp = false;
+
+  /** Subscriptions that wait until this store has caught up. */
+  private readonly early = new Map<PeerSession, () => void>();
+
   constructor(private readonly options: StoreRequestsOptions) {}
 
   answer(session: PeerSession, request: StoreRequest, respond: Respond): void {
@@ -64,8 +70,11 @@
         respond(this.describeConfiguration());
         return;
       case 'subscribe':
-        subscribers.add(session, request.report);
-        respond(this.describeSubscription());
+        this.early.set(session, () => {
+          subscribers.add(session, request.report);
+          respond(this.describeSubscription());
+        });
+        this.advance();
         return;
       case 'report':
         subscribers.note(session, request.report);
@@ -90,6 +99,25 @@
     }
   }
 
+  /**
+   * Answers the subscriptions that came before this store had caught up with the others since its
+   * start. What its disk alone holds may be hundreds of changes old, and a starting entry would
+   * serve by it.
+   */
+  advance(): void {
+    this.hasCaughtUp ||= knowsCommitted(this.options.readState());
+    if (!this.hasCaughtUp || this.early.size === 0) return;
+    const answers = [...this.early.values()];
+    this.early.clear();
+    answers.forEach((answer) => answer());
+  }
+
+  /** Lets go of a session that has ended. */
+  forget(session: PeerSession): void {
+    this.early.delete(session);
+    this.options.subscribers.remove(session);
+  }
+
   async removeVoter(instance: string): Promise<StoreResponse> {
     return new Promise((resolve) => {
       this.removeByName(instance, resolve);
--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -90,7 +90,7 @@
 
 /**
  * A live leader is not voted out by a voter that merely can't hear it. A voter that has just
- * started waits as long, because it may have heard a leader right before it stopped.
+ * started waits for a while too, because it may have heard a leader right before it stopped.
  */
 function leaderIsAlive({ state, now }: StepContext): boolean {
   return state.role.type === 'leader' || now < state.voteAfter;
--- a/packages/store-core/src/consensus/index.ts
+++ b/packages/store-core/src/consensus/index.ts
@@ -5,4 +5,4 @@
 export { lastIndexOf } from './memoryLog.js';
 export { reduceConsensus } from './reduceConsensus.js';
 export { fillSnapshotPart } from './snapshots.js';
-export { leaderHint, publicRole } from './roles.js';
+export { knowsCommitted, leaderHint, publicRole } from './roles.js';
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -20,15 +20,24 @@
 import { changeMembership, propose } from './proposals.js';
 import { beginRead } from './reads.js';
 import { advanceCommit, leaderTimerFired, receiveAppendResponse } from './replication.js';
-import { announceRole, becomeFollower, enterTerm, leaderOf, resetElectionTimer } from './roles.js';
+import { announceRole, becomeFollower, enterTerm, leaderOf, setElectionTimer } from './roles.js';
 import { acceptCompacted, askForSnapshot, receiveSnapshot } from './snapshots.js';
 import type { StepContext } from './StepContext.js';
 
+/**
+ * Of the election timeout, how long a voter that has just started waits for a leader before it
+ * votes, and at the least before it stands. A leader that lives is heard within a heartbeat of the
+ * first connection. Where all were stopped at once there is none, and nothing can be changed or
+ * read until one is elected: waiting the whole timeout doubled the time that callers went without.
+ */
+const START_SHARE = 0.5;
+
 function start(context: StepContext): void {
   const { state, now } = context;
-  resetElectionTimer(context);
+  const wait = state.settings.electionTimeout * START_SHARE;
+  setElectionTimer(context, wait);
   // An empty disk has promised nothing; any other may have heard a leader just before it stopped.
-  if (state.term > 0) state.voteAfter = now + state.settings.electionTimeout;
+  if (state.term > 0) state.voteAfter = now + wait;
   announceRole(context);
 }
 
--- a/packages/store-core/src/consensus/roles.ts
+++ b/packages/store-core/src/consensus/roles.ts
@@ -4,6 +4,8 @@
 import type { RequestOutcome } from './consensusEvents.js';
 import type { ConsensusState, LeaderState } from './ConsensusState.js';
 import { isVoter } from './membership.js';
+import type { Milliseconds } from '@hornbeampond/schema';
+import { termAt } from './memoryLog.js';
 import type { StepContext } from './StepContext.js';
 
 export function leaderOf(state: ConsensusState): LeaderState | undefined {
@@ -25,6 +27,14 @@
   return isVoter(state, state.self.identity) ? state.role.type : 'learner';
 }
 
+/**
+ * True if an entry of the present term is known to be committed. All that was committed before is
+ * then known as well; a store that has just started knows only that its own log may be.
+ */
+export function knowsCommitted(state: ConsensusState): boolean {
+  return state.appliedIndex > 0 && termAt(state, state.appliedIndex) === state.term;
+}
+
 export function announceRole(context: StepContext): void {
   const { state, effects } = context;
   effects.push({
@@ -35,14 +45,20 @@
   });
 }
 
-/** Draws the next election timeout; drawn apart, two voters seldom split the votes twice. */
-export function resetElectionTimer({ state, now }: StepContext): void {
-  const { electionTimeout } = state.settings;
+/**
+ * Draws the next election timeout, between `least` and twice that; drawn apart, two voters seldom
+ * split the votes twice.
+ */
+export function setElectionTimer({ state, now }: StepContext, least: Milliseconds): void {
   const generator = xoroshiro128plusFromState(state.random);
-  state.electionDueAt = now + electionTimeout + uniformInt(generator, 0, electionTimeout);
+  state.electionDueAt = now + least + uniformInt(generator, 0, Math.ceil(least));
   state.random = [...generator.getState()];
 }
 
+export function resetElectionTimer(context: StepContext): void {
+  setElectionTimer(context, context.state.settings.electionTimeout);
+}
+
 export function enterTerm(state: ConsensusState, term: number): void {
   state.term = term;
   state.votedFor = undefined;
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -75,6 +75,9 @@
 
   private cancelMove: Unsubscribe | undefined;
 
+  /** Stores that did not answer a subscription, until all have been tried. */
+  private readonly passedOver = new Set<StorePeer>();
+
   private next = 0;
 
   private stopped = false;
@@ -92,7 +95,8 @@
   subscribeIfNeeded(): void {
     const { report } = this;
     if (report === undefined || this.stopped || this.subscription !== undefined) return;
-    const open = this.openStores;
+    if (this.openStores.every((store) => this.passedOver.has(store))) this.passedOver.clear();
+    const open = this.openStores.filter((store) => !this.passedOver.has(store));
     const store = open.find(({ address }) => address.dataCentre === report.dataCentre) ?? open[0];
     if (store !== undefined) this.subscribe(store, report);
   }
@@ -145,6 +149,7 @@
       () => {
         if (this.subscription !== subscription) return;
         this.subscription = undefined;
+        this.passedOver.add(store);
         this.options.timers.after(PAUSE_MILLISECONDS, () => this.subscribeIfNeeded());
       },
     );
@@ -153,6 +158,7 @@
   private acceptSubscription(subscription: Subscription, response: StoreResponse): void {
     if (response.type !== 'subscribed') return;
     subscription.isAnswered = true;
+    this.passedOver.clear();
     this.note(this.follower.takeWhole(response.configuration));
     this.options.handlers.onQuarantine?.(response.quarantine);
     this.options.onStores(response.stores);
