--- a/packages/store-core/src/consensus/roles.ts
+++ b/packages/store-core/src/consensus/roles.ts
@@ -1,10 +1,10 @@
 /** Changes of role that several concerns share: stepping down, and the timers that go with it. */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plusFromState } from 'pure-rand/generator/xoroshiro128plus';
+import type { Milliseconds } from '@hornbeampond/schema';
 import type { RequestOutcome } from './consensusEvents.js';
 import type { ConsensusState, LeaderState } from './ConsensusState.js';
 import { isVoter } from './membership.js';
-import type { Milliseconds } from '@hornbeampond/schema';
 import { termAt } from './memoryLog.js';
 import type { StepContext } from './StepContext.js';
 
