--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -18,6 +18,12 @@
 /** What was needed or planned is kept for so long before capacity may fall below it. */
 const FALL_AFTER_MILLISECONDS: Milliseconds = 20_000;
 
+/**
+ * The same for on-demand instances, which cost five to seven times as much: a start and a second
+ * reading of the list, so that none is let go while it starts.
+ */
+const ON_DEMAND_FALL_AFTER_MILLISECONDS: Milliseconds = 8000;
+
 /** Rates are taken over ten seconds; before, they say less than what is there already. */
 const MEASURED_AFTER_MILLISECONDS: Milliseconds = 12_000;
 
@@ -152,8 +158,10 @@
   const load = measure(state, pool);
   sized.needs = sized.needs.filter(({ at }) => state.now - at < FALL_AFTER_MILLISECONDS);
   sized.needs.push({ at: state.now, need: needNow(state, load, places) });
+  const recent = sized.needs.filter(({ at }) => state.now - at < ON_DEMAND_FALL_AFTER_MILLISECONDS);
   const need = highestOf(sized.needs);
-  const plan = steady(state, sized, planSizes({ sizing, need, places }));
+  const needs = { lately: need, now: highestOf(recent) };
+  const plan = steady(state, sized, planSizes({ sizing, needs, places }));
   return plan.flatMap((size, position): SingletonEffect[] => {
     const place = places[position];
     if (place === undefined) return [];
--- a/packages/controller-core/src/sizing/planSizes.test.ts
+++ b/packages/controller-core/src/sizing/planSizes.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { PoolSizing } from '@hornbeampond/schema';
-import { planSizes, type PlaceState, type SizeNeed } from './planSizes.js';
+import { planSizes, type NeedSpans, type PlaceState, type SizeNeed } from './planSizes.js';
 
 const sizing: PoolSizing = {
   least: 1,
@@ -22,9 +22,13 @@
   };
 }
 
+function steady(need: SizeNeed): NeedSpans {
+  return { lately: need, now: need };
+}
+
 /** The plan as text, such as `a 2+0` for two reclaimable and no on-demand instances. */
 function plan(need: SizeNeed, places: readonly PlaceState[], limits = sizing): string {
-  return planSizes({ sizing: limits, need, places })
+  return planSizes({ sizing: limits, needs: steady(need), places })
     .map(({ dataCentre, reclaimable, onDemand }) => `${dataCentre} ${reclaimable}+${onDemand}`)
     .join(', ');
 }
@@ -51,7 +55,7 @@
     place('c', { reclaimable: 2 }),
     place('d', { reclaimable: 2 }),
   ];
-  const planned = planSizes({ sizing, need: { normal: 8, afterLoss: 5 }, places });
+  const planned = planSizes({ sizing, needs: steady({ normal: 8, afterLoss: 5 }), places });
   assert.equal(
     planned.reduce((sum, { onDemand }) => sum + onDemand, 0),
     3,
@@ -67,7 +71,7 @@
     place('c', { reclaimable: 2 }),
     place('d', { reclaimable: 2 }),
   ];
-  const planned = planSizes({ sizing, need: { normal: 8, afterLoss: 5 }, places });
+  const planned = planSizes({ sizing, needs: steady({ normal: 8, afterLoss: 5 }), places });
   assert.equal(
     planned.reduce((sum, { onDemand }) => sum + onDemand, 0),
     1,
@@ -78,10 +82,23 @@
 // instances. A plan that counted a place without more to give as empty would end what serves there.
 test('a place without more to give keeps what it has', () => {
   const places = four.map((name) => place(name, { reclaimable: 1, isClosed: name === 'b' }));
-  const planned = planSizes({ sizing, need: { normal: 8, afterLoss: 5 }, places });
+  const planned = planSizes({ sizing, needs: steady({ normal: 8, afterLoss: 5 }), places });
   assert.equal(planned.find(({ dataCentre }) => dataCentre === 'b')?.reclaimable, 1);
 });
 
+// A rush is over. The cheap instances stay for the next one; what stands in for those that a wave
+// took costs several times as much, and goes as soon as the rush that it was ordered for.
+test('on-demand instances are let go before reclaimable ones', () => {
+  const places = four.map((name) =>
+    place(name, { reclaimable: name === 'b' ? 0 : 2, isClosed: name === 'b', plannedOnDemand: 1 }),
+  );
+  const needs = { lately: { normal: 6, afterLoss: 5 }, now: { normal: 3, afterLoss: 2 } };
+  const planned = planSizes({ sizing, needs, places });
+  const sum = (kind: 'reclaimable' | 'onDemand') =>
+    planned.reduce((total, size) => total + size[kind], 0);
+  assert.deepEqual([sum('reclaimable'), sum('onDemand')], [8, 1]);
+});
+
 // Each move between data centres costs a start and cuts the answers that run on the old instance.
 test('what was planned on demand stays where it is', () => {
   const places = [
@@ -95,7 +112,7 @@
 
 test('no place is planned beyond its bounds, whatever is needed', () => {
   const places = four.map((name) => place(name));
-  planSizes({ sizing, need: { normal: 100, afterLoss: 90 }, places }).forEach((size) => {
+  planSizes({ sizing, needs: steady({ normal: 100, afterLoss: 90 }), places }).forEach((size) => {
     const total = size.reclaimable + size.onDemand;
     assert.ok(total >= sizing.least && total <= sizing.most, JSON.stringify(size));
   });
--- a/packages/controller-core/src/sizing/planSizes.ts
+++ b/packages/controller-core/src/sizing/planSizes.ts
@@ -20,6 +20,14 @@
   readonly afterLoss: number;
 }
 
+/** The need over two spans: capacity follows a rise at once and a fall late. */
+export interface NeedSpans {
+  /** Over the span for which cheap instances are kept. */
+  readonly lately: SizeNeed;
+  /** Over the shorter one for which on-demand instances are. */
+  readonly now: SizeNeed;
+}
+
 /** One data centre: what the platform lists there, without what leaves, and what was planned. */
 export interface PlaceState {
   readonly dataCentre: string;
@@ -33,7 +41,7 @@
 
 export interface SizeRequest {
   readonly sizing: PoolSizing;
-  readonly need: SizeNeed;
+  readonly needs: NeedSpans;
   readonly places: readonly PlaceState[];
 }
 
@@ -71,7 +79,10 @@
 }
 
 /** A place without more to give counts with what it has: an order for fewer would end those. */
-function spreadReclaimable(drafts: readonly Draft[], { sizing, need }: SizeRequest): void {
+function spreadReclaimable(
+  drafts: readonly Draft[],
+  { sizing, needs: { lately: need } }: SizeRequest,
+): void {
   drafts.forEach((draft) => {
     const { isClosed, reclaimable } = draft.place;
     draft.reclaimable = isClosed ? reclaimable : Math.min(sizing.least, sizing.most);
@@ -107,7 +118,10 @@
 }
 
 /** What the reclaimable instances that serve now would lack after the waves that may follow. */
-function countLacking(drafts: readonly Draft[], { sizing, need }: SizeRequest): number {
+function countLacking(
+  drafts: readonly Draft[],
+  { sizing, needs: { now: need } }: SizeRequest,
+): number {
   if (sizing.reclaimableShare === undefined) return Math.max(need.normal, need.afterLoss);
   const serving = sumOf(drafts, ({ place }) => place.reclaimable);
   return Math.max(0, need.afterLoss - (serving - countAtRisk(drafts)));
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -23,7 +23,7 @@
 import { acquire } from '../limits/releaseEnded.js';
 import { spendAllowance } from '../limits/refuseOverAllowance.js';
 import { awaitConfiguration } from './awaitConfiguration.js';
-import { decideAdmission } from './refuseEarly.js';
+import { decideAdmission, type Admission } from './refuseEarly.js';
 
 /** The route and the workspace that a request has the right to use it as, or the refusal. */
 type Resolved =
@@ -81,6 +81,16 @@
   };
 }
 
+/**
+ * Counts what the fleet has to be large enough for: refused requests too, but not those beyond a
+ * workspace's allowance. Those are refused whatever the size, and one workspace that sends six times
+ * its usual would have engines bought for it that nobody may use.
+ */
+function noteDemand(state: EntryState, route: Route, admission: Admission, { now }: Timed): void {
+  const isBeyond = admission.type === 'refused' && admission.refusal.kind === 'allowanceSpent';
+  if (!isBeyond) state.demand.note(route.name, now);
+}
+
 export function admitRequest(
   state: EntryState,
   arrived: CallerRequest,
@@ -94,7 +104,6 @@
   const resolved = resolve(state, arrived);
   if (resolved.type === 'refused') return resolved.effects;
   const { route, request } = resolved;
-  state.demand.note(route.name, timed.now);
   const poolName = choosePool(route, state.random);
   const pool = routeIndexOf(state).pool(poolName);
   if (pool === undefined) {
@@ -105,6 +114,7 @@
   }
   const accepted = accept(state, request, route, pool, arrivedAt, timed.wallNow);
   const admission = decideAdmission(state, accepted, timed.now);
+  noteDemand(state, route, admission, timed);
   if (admission.type === 'refused') {
     const { kind, detail, retryAfterMilliseconds } = admission.refusal;
     return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds });
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Allowance } from '@hornbeampond/schema';
 import type { AttemptFailure, CallerRequest, EntryOccurrence } from '../entryEvents.js';
 import type { EntryEffect } from '../entryEffects.js';
 import { makeEntryState } from '../EntryState.js';
@@ -11,7 +12,12 @@
 const once = { idempotent: false, claimed: false };
 
 /** An entry with three backend servers, whose clock a test moves. */
-function makeEntry(route: Record<string, unknown>, configured = true, incarnation = 1) {
+function makeEntry(
+  route: Record<string, unknown>,
+  configured = true,
+  incarnation = 1,
+  allowance?: Allowance,
+) {
   const state = makeEntryState({
     instance: 'entry-1',
     dataCentre: 'dc-a',
@@ -35,7 +41,7 @@
       revision: 1,
       routes: { revision: 1, rows: [row] },
       pools: { revision: 1, rows: [pool] },
-      whole: { version: 1, workspaces: [{ name: 'laden', keySha256: [KEY] }] },
+      whole: { version: 1, workspaces: [{ name: 'laden', keySha256: [KEY], allowance }] },
     };
     return send({ type: 'configurationReceived', configuration });
   };
@@ -144,6 +150,26 @@
   assert.ok(describe(stopping.pass(50)).some((text) => text.startsWith('notConfigured')));
 });
 
+// One workspace sends many times what it may, and is refused beyond that however large the fleet is.
+// Counted as demand, its flood would have engines bought that nobody may use.
+test('what is beyond an allowance is no demand', () => {
+  const allowance: Allowance = {
+    unit: 'requests',
+    perSecond: 0.1,
+    burst: 1,
+    windowMilliseconds: 10_000,
+    plainTokens: 0,
+  };
+  const entry = makeEntry(once, true, 1, allowance);
+  const refused = Array.from({ length: 40 }, () => entry.arrive())
+    .flat()
+    .filter((effect) => effect.type === 'answerProblem');
+  entry.pass(1000);
+  const rates = [...entry.state.demand.read(2000).values()];
+  assert.ok(refused.length >= 30, `${refused.length}`);
+  assert.ok(rates.every((rate) => rate * 10 <= 40 - refused.length), `${rates}`);
+});
+
 // A full backend server says that it did not run the call. The caller of a purchase gets its answer
 // from the next one; no second purchase can come of it.
 test('a call that surely did not run is sent to another backend server', () => {
