--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -166,7 +166,9 @@
     const place = places[position];
     if (place === undefined) return [];
     const ordered = sized.ordered.get(size.dataCentre);
+    // By a list that still fills, on-demand instances would be let go that only are not listed yet.
     return ordersFor(pool, size)
+      .filter((order) => order.reclaimable || state.isListFilled)
       .filter((order) => !isInForce(state, sizing, ordered, place, order))
       .filter((order) => !(order.reclaimable && place.isClosed))
       .flatMap((order): SingletonEffect[] => [
@@ -178,8 +180,8 @@
 
 /** To be called with each new list: a wave that it shows is answered at once. */
 export function advanceSizes(state: SingletonState): SingletonEffect[] {
-  const { epoch, isListFilled } = state;
-  if (!state.options.ordersInstances || epoch === undefined || !isListFilled) return [];
+  const { epoch } = state;
+  if (!state.options.ordersInstances || epoch === undefined) return [];
   return state.configuration.pools.rows.flatMap((pool) =>
     pool.sizing === undefined ? [] : sizePool(state, pool, pool.sizing, epoch),
   );
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -14,10 +14,7 @@
   if ((report.demand ?? []).length > 0) state.demandSince ??= state.now;
 }
 
-/**
- * The list fills while the instances of a system that starts come up. Planned by the first few of
- * them, a pool would be cut down to what happened to be there.
- */
+/** The list fills while the instances of a system that starts come up, for several seconds. */
 function noteList(state: SingletonState, instances: readonly PlatformInstance[]): void {
   state.instances = instances;
   if (instances.length === 0) return;
