--- a/apps/entry/src/parseCompletion.ts
+++ b/apps/entry/src/parseCompletion.ts
@@ -1,7 +1,7 @@
 /** Checks the body of a chat completion as far as the system itself depends on it. */
 import { describeIssue, HornbeampondError } from '@hornbeampond/schema';
 import type { CompletionBody } from '@hornbeampond/adapters';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * The relay carries one text answer. Of a call of a tool nothing would reach the caller: it would
--- a/packages/adapters/src/http/wireSchemas.ts
+++ b/packages/adapters/src/http/wireSchemas.ts
@@ -1,6 +1,6 @@
 /** Shapes of the JSON answers that the HTTP adapters read. Unknown keys are left out. */
 import { instanceStates } from '@hornbeampond/schema';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const countSchema = z.number().int().min(0);
 
--- a/packages/schema/src/reference/describeSettings.ts
+++ b/packages/schema/src/reference/describeSettings.ts
@@ -1,5 +1,5 @@
 /** The tables of docs/SETTINGS.md: each key with unit, default and bounds, read off the schemas. */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   controllerSettingsSchema,
   entrySettingsSchema,
--- a/packages/schema/src/reference/reference.test.ts
+++ b/packages/schema/src/reference/reference.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import { z } from 'zod';
+import * as z from 'zod';
 import { errorKinds } from '../errors/errorKinds.js';
 import { commonLogEvents } from '../logEvents/commonLogEvents.js';
 import { controllerLogEvents } from '../logEvents/controllerLogEvents.js';
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -2,7 +2,7 @@
  * Settings of the binaries, one TOML file each, checked whole at start. Every key has its unit
  * in its name or in its comment, a bound, and a default where one is safe.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { logLevels } from '../logEvents/LogEventDefinition.js';
 import { nameSchema } from '../tables/routes.js';
 
--- a/packages/schema/src/tables/pools.ts
+++ b/packages/schema/src/tables/pools.ts
@@ -1,7 +1,7 @@
 /**
  * The pools table: the instances that carry the services.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from './routes.js';
 
 const MOST_POOLS = 2000;
--- a/packages/schema/src/tables/routes.ts
+++ b/packages/schema/src/tables/routes.ts
@@ -1,7 +1,7 @@
 /**
  * The routes table: which callers go to which pool, and how long they may wait at which hour.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MOST_MILLISECONDS = 24 * 60 * 60 * 1000;
 const MOST_ROUTES = 10_000;
--- a/packages/schema/src/tables/workspaces.ts
+++ b/packages/schema/src/tables/workspaces.ts
@@ -2,7 +2,7 @@
  * Workspaces and bounds on callers, where operators replace the whole configuration at once instead
  * of naming workspaces in the settings of each entry.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from './routes.js';
 
 const MOST_WORKSPACES = 10_000;
--- a/packages/testing/src/fakes/FakeControl.ts
+++ b/packages/testing/src/fakes/FakeControl.ts
@@ -12,7 +12,7 @@
  * `giveNotice {instance, milliseconds}`, `remove {instance}`, `refuseStarts {refusals}`.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FakeBackendServer } from './FakeBackendServer.js';
 import type { FakeCluster } from './FakeCluster.js';
 import { FakeEngine } from './FakeEngine.js';
--- a/packages/testing/src/fakes/fakeClusterSettings.ts
+++ b/packages/testing/src/fakes/fakeClusterSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of a cluster of fakes: what runs at the start, and on which ports. */
 import { nameSchema, poolKinds } from '@hornbeampond/schema';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const portSchema = z.number().int().min(0).max(65_535).default(0);
 const millisecondsSchema = z.number().int().min(0).max(3_600_000);
