--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -167,7 +167,10 @@
   entry.pass(1000);
   const rates = [...entry.state.demand.read(2000).values()];
   assert.ok(refused.length >= 30, `${refused.length}`);
-  assert.ok(rates.every((rate) => rate * 10 <= 40 - refused.length), `${rates}`);
+  assert.ok(
+    rates.every((rate) => rate * 10 <= 40 - refused.length),
+    `${rates}`,
+  );
 });
 
 // A full backend server says that it did not run the call. The caller of a purchase gets its answer
