Draw election timeouts apart: the stores' random seeds were all the same

After a power loss they stand together in each round, each votes for itself, and who wins is up to a millisecond of delay. Ruled out: quorum lost (all four were back and connected).

--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -37,6 +37,7 @@
   quarantineAt,
   reduceConsensus,
   restoreSnapshot,
+  seedOf,
   takeSnapshot,
   type ConsensusEffect,
   type ConsensusEvent,
@@ -252,7 +253,7 @@
         heartbeatInterval: heartbeatMilliseconds,
       },
       restored,
-      restored.self.run.count + restored.self.identity.length,
+      seedOf(restored.self),
     );
     return new EventLoop<ConsensusState, ConsensusEvent, ConsensusEffect>(
       state,
--- /dev/null
+++ b/packages/store-core/src/consensus/seedOf.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createConsensusState, defaultConsensusSettings } from './ConsensusState.js';
+import { reduceConsensus } from './reduceConsensus.js';
+import { seedOf } from './seedOf.js';
+
+const settings = { ...defaultConsensusSettings, cluster: 'tested' };
+
+/** The moment at which a store that starts now stands for election. */
+function standsAt(number: number, runCount: number): number {
+  const self = {
+    instance: `store-${number}`,
+    identity: `identity-${number}`,
+    run: { count: runCount, token: 'started-together' },
+  };
+  const restored = { self, term: 3, entries: [] };
+  const state = createConsensusState(settings, restored, seedOf(self));
+  reduceConsensus(state, { type: 'started', now: 0, wallNow: 0 });
+  return state.electionDueAt;
+}
+
+// All stores lose power at once and start together, each for the same time in its life. Callers find
+// no entry with a configuration until a leader is elected. If all stand at the same moment nobody
+// wins, and with the same draws the next round goes the same way.
+test('stores that start together stand for election at different moments', () => {
+  [1, 2, 3].forEach((runCount) => {
+    const moments = [1, 2, 3, 4].map((number) => standsAt(number, runCount)).sort((a, b) => a - b);
+    const gaps = moments.slice(1).map((moment, position) => moment - (moments[position] ?? 0));
+    assert.ok(
+      gaps.some((gap) => gap > 20),
+      `run ${runCount}: ${moments}`,
+    );
+    assert.equal(new Set(moments).size, 4, `run ${runCount}: ${moments}`);
+  });
+  const runs = [1, 2, 3, 4, 5].map((runCount) => standsAt(1, runCount));
+  assert.ok(new Set(runs).size > 3, `${runs}`);
+});
