--- /dev/null
+++ b/apps/store/src/ConfigurationPublisher.ts
@@ -0,0 +1,58 @@
+/**
+ * Hands changes of the configuration and of the quarantine to the subscribers of a store.
+ *
+ * Changes are published at the end of the turn in which they were applied. A store that has
+ * restarted applies its whole log in one turn; told of each entry, its subscribers would serve by
+ * configurations that were replaced long ago, one after the other.
+ */
+import type { Metrics, TimerService } from '@hornbeampond/runtime';
+import { configurationSince, quarantineAt, type MachineState } from '@hornbeampond/store-core';
+import type { Subscribers } from './Subscribers.js';
+
+export interface ConfigurationPublisherOptions {
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  readonly subscribers: Subscribers;
+  readMachine(): MachineState;
+}
+
+export class ConfigurationPublisher {
+  /** While a publication is due: the revision that subscribers have. */
+  private sentRevision: number | undefined;
+
+  private isStopped = false;
+
+  constructor(private readonly options: ConfigurationPublisherOptions) {}
+
+  /** Publishes soon what has changed since `previousRevision`, which subscribers were sent before. */
+  publishSince(previousRevision: number): void {
+    if (this.sentRevision !== undefined) return;
+    this.sentRevision = previousRevision;
+    setImmediate(() => {
+      this.sentRevision = undefined;
+      if (!this.isStopped) this.publish(previousRevision);
+    });
+  }
+
+  publishQuarantine(): void {
+    const { readMachine, subscribers, timers } = this.options;
+    const quarantine = quarantineAt(readMachine(), timers.wallNow());
+    subscribers.push({ type: 'quarantine', quarantine });
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private publish(previousRevision: number): void {
+    const { readMachine, subscribers, metrics } = this.options;
+    const machine = readMachine();
+    metrics.setGauge('configurationRevision', machine.configuration.revision);
+    const update = configurationSince(machine, previousRevision);
+    subscribers.push(
+      update.type === 'delta'
+        ? { type: 'configurationDelta', delta: update.delta }
+        : { type: 'configuration', configuration: update.configuration },
+    );
+  }
+}
--- /dev/null
+++ b/apps/store/src/LeaderWatch.ts
@@ -0,0 +1,39 @@
+/**
+ * Tells when a store has known no leader for a while. Its subscribers would otherwise follow a store
+ * that hears of no change, while others are within their reach.
+ */
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type { Milliseconds } from '@hornbeampond/schema';
+
+/** Election timeouts without a known leader after which a store is out of touch. */
+const LEADERLESS_TIMEOUTS = 4;
+
+export interface LeaderWatchOptions {
+  readonly timers: TimerService;
+  readonly electionTimeout: Milliseconds;
+  onOutOfTouch(): void;
+}
+
+export class LeaderWatch {
+  private isLeaderless = false;
+
+  private cancel: Unsubscribe = () => {};
+
+  constructor(private readonly options: LeaderWatchOptions) {}
+
+  /** Takes note of the leader that the store follows now, if it knows one. */
+  note(leader: string | undefined): void {
+    const isLeaderless = leader === undefined;
+    // A store that stands for election again and again has been leaderless all the while.
+    if (isLeaderless === this.isLeaderless) return;
+    this.isLeaderless = isLeaderless;
+    this.cancel();
+    if (!isLeaderless) return;
+    const { timers, electionTimeout, onOutOfTouch } = this.options;
+    this.cancel = timers.after(LEADERLESS_TIMEOUTS * electionTimeout, onOutOfTouch);
+  }
+
+  stop(): void {
+    this.cancel();
+  }
+}
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -26,15 +26,12 @@
 import {
   MachineState,
   applyCommand,
-  configurationSince,
   createConsensusState,
   currentMembership,
   defaultConsensusSettings,
   fillSnapshotPart,
   leaderHint,
   memberAddresses,
-  publicRole,
-  quarantineAt,
   reduceConsensus,
   restoreSnapshot,
   seedOf,
@@ -54,7 +51,10 @@
   type PeerContext,
   type PeerSession,
 } from '@hornbeampond/transport';
+import { ConfigurationPublisher } from './ConfigurationPublisher.js';
+import { describeStore } from './describeStore.js';
 import { JoinRequests } from './JoinRequests.js';
+import { LeaderWatch } from './LeaderWatch.js';
 import { RequestDesk } from './RequestDesk.js';
 import { SnapshotCache } from './SnapshotCache.js';
 import { StoreOperations } from './StoreOperations.js';
@@ -65,9 +65,6 @@
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
-/** Election timeouts without a known leader after which a store is out of touch. */
-const LEADERLESS_TIMEOUTS = 4;
-
 /** What happens to a store, without the clocks. */
 export type StoreOccurrence = ConsensusEvent extends infer Event
   ? Event extends { now: number; wallNow: number }
@@ -119,12 +116,9 @@
 
   private cancelWake: Unsubscribe = () => {};
 
-  private cancelOutOfTouch: Unsubscribe = () => {};
-
-  private isLeaderless = false;
+  private readonly leaderWatch: LeaderWatch;
 
-  /** While a publication is due: the revision that subscribers have. */
-  private publishedRevision: number | undefined;
+  private readonly publisher: ConfigurationPublisher;
 
   private closed = false;
 
@@ -152,6 +146,17 @@
       heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
     };
     this.sending = new SnapshotCache(timers);
+    this.leaderWatch = new LeaderWatch({
+      timers,
+      electionTimeout: settings.electionTimeoutMilliseconds,
+      onOutOfTouch: () => this.subscribers.push({ type: 'outOfTouch' }),
+    });
+    this.publisher = new ConfigurationPublisher({
+      timers,
+      metrics: this.metrics,
+      subscribers: this.subscribers,
+      readMachine: () => this.machine,
+    });
     this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
       timers,
@@ -233,7 +238,8 @@
   async close(): Promise<void> {
     this.closed = true;
     this.cancelWake();
-    this.cancelOutOfTouch();
+    this.leaderWatch.stop();
+    this.publisher.stop();
     this.joining.stop();
     this.sending.clear();
     this.peers.close();
@@ -301,7 +307,7 @@
       case 'restore': {
         const { revision } = this.machine.configuration;
         this.machine = restoreSnapshot(codec.decode(effect.data));
-        this.publishSoon(revision);
+        this.publisher.publishSince(revision);
         return;
       }
       case 'takeSnapshot':
@@ -329,7 +335,7 @@
         return;
       case 'roleChanged':
         this.logger.write('storeRoleChanged', { ...effect });
-        this.watchLeader(effect.leader);
+        this.leaderWatch.note(effect.leader);
         return;
       case 'messageRefused':
         this.logger.write('storeMessageRefused', { from: effect.from, reason: effect.reason });
@@ -343,23 +349,6 @@
     }
   }
 
-  /**
-   * Tells subscribers when no leader has been known for a while. They would otherwise follow a
-   * store that hears of no change, while others are within their reach.
-   */
-  private watchLeader(leader: string | undefined): void {
-    const isLeaderless = leader === undefined;
-    // A store that stands for election again and again has been leaderless all the while.
-    if (isLeaderless === this.isLeaderless) return;
-    this.isLeaderless = isLeaderless;
-    this.cancelOutOfTouch();
-    if (!isLeaderless) return;
-    const patience = LEADERLESS_TIMEOUTS * this.settings.electionTimeoutMilliseconds;
-    this.cancelOutOfTouch = this.timers.after(patience, () => {
-      if (!this.closed) this.subscribers.push({ type: 'outOfTouch' });
-    });
-  }
-
   /** Runs disk work one after another, in the order in which it was asked for. */
   private onDisk(work: () => Promise<void>): void {
     this.disk = this.disk.then(work).catch((error: unknown) => this.reportDiskFailure(error));
@@ -419,67 +408,18 @@
     const result = applyCommand(this.machine, stamped);
     this.results.clear();
     this.results.set(entry.index, result);
-    if (this.machine.configuration.revision > revision) this.publishSoon(revision);
-    if (result.type === 'crashCounted') this.publishQuarantine();
-  }
-
-  /**
-   * Publishes at the end of this turn. A store that has restarted applies its whole log in one
-   * turn; told of each entry, its subscribers would serve by configurations that were replaced long
-   * ago, one after the other.
-   */
-  private publishSoon(previousRevision: number): void {
-    if (this.publishedRevision !== undefined) return;
-    this.publishedRevision = previousRevision;
-    setImmediate(() => {
-      const { publishedRevision = previousRevision } = this;
-      this.publishedRevision = undefined;
-      if (!this.closed) this.publishConfiguration(publishedRevision);
-    });
-  }
-
-  /** Sends what has changed since `previousRevision`, which all subscribers were sent before. */
-  private publishConfiguration(previousRevision: number): void {
-    this.metrics.setGauge('configurationRevision', this.machine.configuration.revision);
-    const update = configurationSince(this.machine, previousRevision);
-    this.subscribers.push(
-      update.type === 'delta'
-        ? { type: 'configurationDelta', delta: update.delta }
-        : { type: 'configuration', configuration: update.configuration },
-    );
-  }
-
-  private publishQuarantine(): void {
-    const quarantine = quarantineAt(this.machine, this.timers.wallNow());
-    this.subscribers.push({ type: 'quarantine', quarantine });
+    if (this.machine.configuration.revision > revision) this.publisher.publishSince(revision);
+    if (result.type === 'crashCounted') this.publisher.publishQuarantine();
   }
 
   private readStatus(): StoreStatus {
-    const { state } = this.loop;
-    const { members } = currentMembership(state);
-    const named = (role: 'voter' | 'learner') =>
-      members.filter((member) => member.role === role).map((member) => member.address.instance);
-    const leader = leaderHint(state);
-    return {
+    return describeStore({
       instance: this.settings.instance,
-      role: publicRole(state),
-      term: state.term,
-      ...(leader === undefined ? {} : { leader }),
-      commitIndex: state.commitIndex,
-      appliedIndex: state.appliedIndex,
-      voters: named('voter'),
-      learners: named('learner'),
-      readOnly: state.readOnly,
-      configurationRevision: this.machine.configuration.revision,
+      state: this.loop.state,
+      machine: this.machine,
       instances: this.subscribers.reports,
-      leases: [...this.machine.leases].map(([lease, { holder, epoch }]) => ({
-        lease,
-        holder,
-        epoch,
-      })),
-      claims: this.machine.claims.size,
-      quarantine: quarantineAt(this.machine, this.timers.wallNow()),
-    };
+      wallNow: this.timers.wallNow(),
+    });
   }
 
   private reportError(error: unknown, at: string): void {
