--- a/packages/controller-core/src/sizing/measureNeed.ts
+++ b/packages/controller-core/src/sizing/measureNeed.ts
@@ -22,16 +22,36 @@
   readonly prompts: number;
 }
 
-export function measureLoad(demand: readonly RouteDemandReport[], concurrency: number): PoolLoad {
+type RateOf = (report: RouteDemandReport) => number;
+
+function loadAt(
+  demand: readonly RouteDemandReport[],
+  concurrency: number,
+  rateOf: RateOf,
+): PoolLoad {
   let inProgress = 0;
   let prompts = 0;
-  demand.forEach(({ requestsPerSecond, serviceMilliseconds, promptMilliseconds = 0 }) => {
-    inProgress += (requestsPerSecond * serviceMilliseconds) / MILLISECONDS_PER_SECOND;
-    prompts += (requestsPerSecond * promptMilliseconds) / MILLISECONDS_PER_SECOND;
+  demand.forEach((report) => {
+    const { serviceMilliseconds, promptMilliseconds = 0 } = report;
+    inProgress += (rateOf(report) * serviceMilliseconds) / MILLISECONDS_PER_SECOND;
+    prompts += (rateOf(report) * promptMilliseconds) / MILLISECONDS_PER_SECOND;
   });
   return { places: inProgress / Math.max(1, concurrency), prompts };
 }
 
+/**
+ * The load over the last ten seconds, or over the last few where that is more. An engine takes
+ * seconds to start, and a rush may last no longer than it takes to show in ten.
+ */
+export function measureLoad(demand: readonly RouteDemandReport[], concurrency: number): PoolLoad {
+  const steady = loadAt(demand, concurrency, ({ requestsPerSecond }) => requestsPerSecond);
+  const recent = loadAt(demand, concurrency, ({ recentPerSecond = 0 }) => recentPerSecond);
+  return {
+    places: Math.max(steady.places, recent.places),
+    prompts: Math.max(steady.prompts, recent.prompts),
+  };
+}
+
 function instancesFor(load: PoolLoad, shares: PoolLoad): number {
   return Math.ceil(Math.max(load.places / shares.places, load.prompts / shares.prompts));
 }
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -168,7 +168,7 @@
   const rates = [...entry.state.demand.read(2000).values()];
   assert.ok(refused.length >= 30, `${refused.length}`);
   assert.ok(
-    rates.every((rate) => rate * 10 <= 40 - refused.length),
+    rates.every(({ steady }) => steady * 10 <= 40 - refused.length),
     `${rates}`,
   );
 });
--- a/packages/entry-core/src/demand/DemandMeter.ts
+++ b/packages/entry-core/src/demand/DemandMeter.ts
@@ -9,12 +9,31 @@
 /** Whole seconds that the rate is taken over. */
 const WINDOW_SECONDS = 10;
 
+/** Whole seconds that the recent rate is taken over. */
+const RECENT_SECONDS = 4;
+
+/** Requests a second on one route. */
+export interface DemandRate {
+  readonly steady: number;
+  readonly recent: number;
+}
+
 interface RouteCount {
   /** Arrivals by second, modulo the window and the second that is being counted. */
   readonly bySecond: number[];
   second: number;
 }
 
+/** Arrivals of the last whole seconds, without the second that is being counted. */
+function countBack({ bySecond, second }: RouteCount, seconds: number): number {
+  const { length } = bySecond;
+  let arrived = 0;
+  for (let back = 1; back <= seconds; back += 1) {
+    arrived += bySecond[(second - back + length) % length] ?? 0;
+  }
+  return arrived;
+}
+
 export class DemandMeter {
   private readonly counts = new Map<string, RouteCount>();
 
@@ -24,15 +43,19 @@
     count.bySecond[slot] = (count.bySecond[slot] ?? 0) + 1;
   }
 
-  /** Requests a second by route, over the whole seconds of the window. */
-  read(now: MonotonicMilliseconds): ReadonlyMap<string, number> {
-    const rates = new Map<string, number>();
+  /** Rates by route, over whole seconds. */
+  read(now: MonotonicMilliseconds): ReadonlyMap<string, DemandRate> {
+    const rates = new Map<string, DemandRate>();
     this.counts.forEach((_, route) => {
-      const { bySecond, second } = this.advance(route, now);
-      const current = bySecond[second % bySecond.length] ?? 0;
-      const arrived = bySecond.reduce((sum, arrivals) => sum + arrivals, 0) - current;
-      if (arrived + current > 0) rates.set(route, arrived / WINDOW_SECONDS);
-      else this.counts.delete(route);
+      const count = this.advance(route, now);
+      const arrived = countBack(count, WINDOW_SECONDS);
+      const current = count.bySecond[count.second % count.bySecond.length] ?? 0;
+      if (arrived + current === 0) {
+        this.counts.delete(route);
+        return;
+      }
+      const recent = countBack(count, RECENT_SECONDS) / RECENT_SECONDS;
+      rates.set(route, { steady: arrived / WINDOW_SECONDS, recent });
     });
     return rates;
   }
--- a/packages/entry-core/src/demand/reportDemand.ts
+++ b/packages/entry-core/src/demand/reportDemand.ts
@@ -9,13 +9,21 @@
     state.configuration.routes.rows.map((route) => [route.name, route.pool]),
   );
   const index = routeIndexOf(state);
-  return [...state.demand.read(now)].flatMap(([route, requestsPerSecond]) => {
+  return [...state.demand.read(now)].flatMap(([route, rate]) => {
     const pool = index.pool(poolByRoute.get(route) ?? '');
     if (pool === undefined) return [];
     const balance = poolBalanceOf(state, pool.name);
     const serviceMilliseconds = balance.serviceTime(route);
     const promptMilliseconds = balance.promptTime(route);
-    const reported = { route, requestsPerSecond, serviceMilliseconds };
-    return [{ ...reported, pool: pool.name, promptMilliseconds }];
+    return [
+      {
+        route,
+        pool: pool.name,
+        requestsPerSecond: rate.steady,
+        recentPerSecond: rate.recent,
+        serviceMilliseconds,
+        promptMilliseconds,
+      },
+    ];
   });
 }
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -56,8 +56,13 @@
 /** Requests of one route that one entry, or one whole data centre, has seen lately. */
 export interface RouteDemandReport {
   readonly route: string;
-  /** All that arrived, refused ones too: they are demand that the fleet was too small for. */
+  /**
+   * All that arrived within their allowances over the last ten seconds, refused ones too: they are
+   * demand that the fleet was too small for.
+   */
   readonly requestsPerSecond: number;
+  /** The same over the last few seconds, which shows a rush sooner. */
+  readonly recentPerSecond?: number;
   /** Mean time that one request keeps one place of a backend server busy. */
   readonly serviceMilliseconds: number;
   /** The pool that the route's requests go to. */
