--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -31,7 +31,10 @@
  */
 const REMOTE_MILLISECONDS: Milliseconds = 30;
 
-/** Of the caller's patience: a first token predicted later than this comes from a busy server. */
+/**
+ * Of the caller's patience: a first token predicted later than this comes from a busy server. Below
+ * it a caller gains little from going elsewhere; by judgement, other shares were not measured.
+ */
 const BUSY_SHARE = 0.25;
 
 /** How much longer an answer is taken to last in a full batch than alone, as a share of it. */
