--- a/packages/entry-core/src/limits/AllowanceLedger.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.ts
@@ -9,9 +9,9 @@
  * parts together are twice the room at most, and the room is small when it matters.
  *
  * After a loss of power nobody knows what was spent before it. Then the window is taken to have been
- * spent evenly, and only the burst and the rate are let through until a whole window is known again:
- * it would otherwise be spent twice, before the fault and after it. Without the burst the callers
- * that have waited for the restart would be refused.
+ * spent evenly, and only the rate, or the burst while that is more, is let through until a whole
+ * window is known again: it would otherwise be spent twice, before the fault and after it. Without
+ * the burst the callers that have waited for the restart would be refused.
  *
  * An entry that has not heard some of the others lately leaves them their equal part. Without that,
  * each side of a network partition would spend the whole.
@@ -137,8 +137,8 @@
     { perSecond, burst, windowMilliseconds }: Allowance,
     reach: Milliseconds,
   ): number {
-    const known = Math.min(reach, windowMilliseconds);
-    return burst + (perSecond * known) / MILLISECONDS_PER_SECOND;
+    const known = (perSecond * Math.min(reach, windowMilliseconds)) / MILLISECONDS_PER_SECOND;
+    return reach < windowMilliseconds ? Math.max(burst, known) : burst + known;
   }
 
   /** Asks whether `amount` may be spent now; nothing is spent by asking. */
@@ -148,7 +148,7 @@
     amount: number,
     now: MonotonicMilliseconds,
   ): Spending {
-    const { perSecond, burst, windowMilliseconds } = allowance;
+    const { perSecond, windowMilliseconds } = allowance;
     this.startedAt ??= now;
     this.windows.set(workspace, windowMilliseconds);
     const reach = this.reach(now);
@@ -163,8 +163,7 @@
       return this.askForRound(own, { spent, most, amount }, now);
     }
     if (reach < windowMilliseconds) {
-      const missing = Math.max(0, spent + amount - burst);
-      const enoughAt = (missing / Math.max(1, perSecond)) * MILLISECONDS_PER_SECOND;
+      const enoughAt = ((spent + amount) / Math.max(1, perSecond)) * MILLISECONDS_PER_SECOND;
       const wait = Math.min(enoughAt, windowMilliseconds) - reach;
       return { type: 'exceeded', retryAfterMilliseconds: Math.max(SLICE_MILLISECONDS, wait) };
     }
