Look up a prompt's home once a choice; keep a flag where a number was only asked for

Found in the read-through: each choice searched two groups of data centres and hashed the prompt's shared part for each, and the publisher kept a revision of which only its being there was used. No behaviour changes.

--- a/apps/store/src/ConfigurationPublisher.ts
+++ b/apps/store/src/ConfigurationPublisher.ts
@@ -17,8 +17,8 @@
 }
 
 export class ConfigurationPublisher {
-  /** While a publication is due: the revision that subscribers have. */
-  private sentRevision: number | undefined;
+  /** True while a publication is due; it covers all that is applied until then. */
+  private isDue = false;
 
   private isStopped = false;
 
@@ -26,10 +26,10 @@
 
   /** Publishes soon what has changed since `previousRevision`, which subscribers were sent before. */
   publishSince(previousRevision: number): void {
-    if (this.sentRevision !== undefined) return;
-    this.sentRevision = previousRevision;
+    if (this.isDue) return;
+    this.isDue = true;
     setImmediate(() => {
-      this.sentRevision = undefined;
+      this.isDue = false;
       if (!this.isStopped) this.publish(previousRevision);
     });
   }
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -93,17 +93,15 @@
 
   private readonly ruledOut: ReadonlySet<string>;
 
-  private readonly home: Home | undefined;
-
   constructor(
     private readonly state: EntryState,
     private readonly pool: PoolBalance,
     private readonly accepted: RequestState,
     private readonly now: MonotonicMilliseconds,
+    private readonly home: Home | undefined,
     private readonly spread: boolean,
   ) {
     this.ruledOut = ruledOut(state, accepted, now);
-    this.home = findHome(pool, accepted, now);
   }
 
   look(server: BackendServerState | undefined): void {
@@ -178,15 +176,20 @@
   readonly spread?: boolean;
 }
 
+/** The home is the same for every group that is searched, so it is looked up once. */
+interface SearchOptions extends ChoiceOptions {
+  readonly home: Home | undefined;
+}
+
 function search(
   state: EntryState,
   accepted: RequestState,
   group: CandidateGroup,
-  { freed, spread = false }: ChoiceOptions,
+  { freed, home, spread = false }: SearchOptions,
 ): Choice | undefined {
   const { now } = state.clocks;
   const pool = poolBalanceOf(state, accepted.pool.name);
-  const one = new ServerSearch(state, pool, accepted, now, spread);
+  const one = new ServerSearch(state, pool, accepted, now, home, spread);
   if (freed !== undefined && group.has(freed)) one.look(freed);
   one.lookAtHolders(group);
   one.lookAround(group);
@@ -216,11 +219,13 @@
   accepted: RequestState,
   options: ChoiceOptions = {},
 ): BackendServerState | undefined {
-  const { local, remote } = poolBalanceOf(state, accepted.pool.name);
-  if (options.where === 'remote') return search(state, accepted, remote, options)?.server;
-  const near = search(state, accepted, local, options);
+  const pool = poolBalanceOf(state, accepted.pool.name);
+  const { local, remote } = pool;
+  const searched = { ...options, home: findHome(pool, accepted, state.clocks.now) };
+  if (options.where === 'remote') return search(state, accepted, remote, searched)?.server;
+  const near = search(state, accepted, local, searched);
   if (near === undefined && hasUntriedIn(state, local, accepted)) return undefined;
-  const far = search(state, accepted, remote, options);
+  const far = search(state, accepted, remote, searched);
   if (near === undefined || far === undefined) return (near ?? far)?.server;
   const dueIn = nextTokenDueAt(accepted) - state.clocks.now;
   return (isBetterFar(near, far, dueIn) ? far : near).server;
