--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -20,14 +20,14 @@
   type StoreAddress,
   type UsageCounts,
 } from '@hornbeampond/schema';
-import { StoreClient, type PeerContext } from '@hornbeampond/transport';
+import { StoreClient, toShared, type PeerContext } from '@hornbeampond/transport';
 import { LeaseKeeper } from './LeaseKeeper.js';
 
 const LEASE = 'singleton';
 
 const TICK_MILLISECONDS: Milliseconds = 250;
 
-/** The list is read by the holder alone, and as often as the plan is made. */
+/** The list is read by the holder alone, for all, and as often as the plan is made. */
 const LIST_MILLISECONDS: Milliseconds = 1000;
 
 /** A call that has not come back by then is given up; it acts no more after its connection ends. */
@@ -180,12 +180,13 @@
   }
 
   private async list(): Promise<void> {
-    const { platform, logger, ordersInstances } = this.options;
-    if (!ordersInstances || this.isListing || this.lease.epoch === undefined) return;
+    const { platform, logger, timers } = this.options;
+    if (this.isListing || this.lease.epoch === undefined) return;
     this.isListing = true;
     try {
       const signal = AbortSignal.timeout(CALL_MILLISECONDS);
       const instances = await platform.listInstances(signal);
+      this.store.shareInstances(toShared(instances, timers.wallNow()));
       this.dispatch({ type: 'instancesListed', instances });
     } catch (error) {
       logger.write('platformUnreachable', { reason: String(error) });
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -1,11 +1,20 @@
 /**
- * Reads the platform's list of instances and their reclaim notices, the load of each backend server
- * and the cache events of each engine, at steady intervals.
+ * Keeps the list of instances and their reclaim notices up to date, and reads the load of each backend
+ * server and the cache events of each engine, at steady intervals.
+ *
+ * Where entries find each other by the stores, one process reads the platform's list for all and
+ * tells it. An entry reads it only once nobody has told it for a while, as in a data centre that is cut
+ * off, and tells what it has read; entries wait by lot, so that mostly one of them reads.
  */
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import type { AttemptTarget, EntryOccurrence } from '@hornbeampond/entry-core';
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type { Configuration, Milliseconds, PlatformInstance } from '@hornbeampond/schema';
+import type {
+  Configuration,
+  Milliseconds,
+  MonotonicMilliseconds,
+  PlatformInstance,
+} from '@hornbeampond/schema';
 import { CacheEventReader } from './CacheEventReader.js';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 
@@ -17,8 +26,27 @@
   readonly pollMilliseconds: Milliseconds;
   readConfiguration(): Configuration;
   dispatch(occurrence: EntryOccurrence): void;
+  /** Tells the others what was read; without it this entry reads at every interval. */
+  readonly share?: (instances: readonly PlatformInstance[]) => void;
+  /** Entries that may read in place of one that does no longer. */
+  countEntries(): number;
 }
 
+/** How often an entry that is told the list looks whether it still is. */
+const LOOK_MILLISECONDS: Milliseconds = 50;
+
+/** A list that is told at every interval has failed to come once it is so many intervals old. */
+const OVERDUE_INTERVALS = 1.5;
+
+/** Apart by so much in the mean, entries that read in place of another see each other's reading. */
+const APART_MILLISECONDS: Milliseconds = 100;
+
+/** Of many entries some read at once; the first of them is to come soon. */
+const MOST_SPREAD_MILLISECONDS: Milliseconds = 1000;
+
+/** Spread of the first readings of entries that start together. */
+const START_SPREAD_MILLISECONDS: Milliseconds = 400;
+
 export class BackendServerWatcher {
   private instances: readonly PlatformInstance[] = [];
 
@@ -26,24 +54,55 @@
 
   private polling = false;
 
+  /** When this entry reads the list itself unless it is told before. */
+  private readAt: MonotonicMilliseconds = 0;
+
   private readonly cacheEvents = new CacheEventReader();
 
   constructor(private readonly options: BackendServerWatcherOptions) {}
 
-  /** Polls once, then at every interval; resolves after the first poll. */
+  /** Starts to poll; resolves after the first poll, where this entry reads for itself. */
   async start(): Promise<void> {
-    const { timers, pollMilliseconds } = this.options;
-    this.stop = timers.every(pollMilliseconds, () => {
-      this.poll().catch((error: unknown) => this.reportUnreachable(error));
-    });
+    const { timers, pollMilliseconds, share } = this.options;
+    if (share !== undefined) {
+      this.readAt = timers.monotonicNow() + Math.random() * START_SPREAD_MILLISECONDS;
+      this.stop = timers.every(LOOK_MILLISECONDS, () => this.readIfOverdue());
+      return;
+    }
+    this.stop = timers.every(pollMilliseconds, () => this.startPoll());
     await this.poll();
   }
 
+  /** Takes in the list as another process has read it. */
+  receive(instances: readonly PlatformInstance[], age: Milliseconds): void {
+    const { pollMilliseconds, timers } = this.options;
+    const apart = this.options.countEntries() * APART_MILLISECONDS;
+    const spread = Math.min(MOST_SPREAD_MILLISECONDS, apart);
+    const isFresh = age <= pollMilliseconds * OVERDUE_INTERVALS;
+    // An old one is better than none, at a start behind a partition.
+    if (!isFresh && this.instances.length > 0) return;
+    const overdue = pollMilliseconds * OVERDUE_INTERVALS - age;
+    this.readAt = timers.monotonicNow() + Math.max(0, overdue) + Math.random() * spread;
+    this.take(instances);
+  }
+
   async close(): Promise<void> {
     this.stop();
     await this.options.platform.close();
   }
 
+  private readIfOverdue(): void {
+    const { timers, pollMilliseconds } = this.options;
+    const now = timers.monotonicNow();
+    if (this.polling || now < this.readAt) return;
+    this.readAt = now + pollMilliseconds;
+    this.startPoll();
+  }
+
+  private startPoll(): void {
+    this.poll().catch((error: unknown) => this.reportUnreachable(error));
+  }
+
   private async poll(): Promise<void> {
     if (this.polling) return;
     this.polling = true;
@@ -56,25 +115,31 @@
   }
 
   private async pollPlatform(): Promise<void> {
-    const { platform, dispatch, adapters, pollMilliseconds } = this.options;
+    const { platform, dispatch, pollMilliseconds, share } = this.options;
     const signal = AbortSignal.timeout(pollMilliseconds * 2);
     try {
       const [instances, notices] = await Promise.all([
         platform.listInstances(signal),
         platform.readNotices(signal),
       ]);
-      this.instances = instances;
-      this.cacheEvents.keepOnly(instances.map(({ instance }) => instance));
-      dispatch({ type: 'instancesListed', instances });
+      this.take(instances);
       notices.forEach(({ instance, goneAt }) => {
         dispatch({ type: 'reclaimNoticed', instance, goneAt });
       });
-      adapters.keepOnly(instances.flatMap((instance) => this.targetOf(instance) ?? []));
+      share?.(instances);
     } catch (error) {
       this.reportUnreachable(error);
     }
   }
 
+  private take(instances: readonly PlatformInstance[]): void {
+    const { adapters, dispatch } = this.options;
+    this.instances = instances;
+    this.cacheEvents.keepOnly(instances.map(({ instance }) => instance));
+    dispatch({ type: 'instancesListed', instances });
+    adapters.keepOnly(instances.flatMap((instance) => this.targetOf(instance) ?? []));
+  }
+
   private async pollInstance(instance: PlatformInstance): Promise<void> {
     const target = this.targetOf(instance);
     if (target === undefined || instance.state === 'starting') return;
--- a/apps/entry/src/EntryPeers.ts
+++ b/apps/entry/src/EntryPeers.ts
@@ -16,6 +16,7 @@
   EntrySettings,
   FleetDrains,
   RouteDemandReport,
+  SpendingReport,
 } from '@hornbeampond/schema';
 
 export interface EntryPeersOptions {
@@ -23,7 +24,7 @@
   readonly context: PeerContext;
   readConfiguration(): Configuration;
   readDemand(): readonly RouteDemandReport[];
-  onReport(report: EntryReport): void;
+  onReport(report: EntryReport | SpendingReport): void;
   onDrains(drains: FleetDrains): void;
 }
 
@@ -38,7 +39,7 @@
     const { context, settings } = options;
     this.server = new PeerServer(context, {
       onPush: ({ peer }, body) => {
-        if (peer.role === 'entry') options.onReport(body as EntryReport);
+        if (peer.role === 'entry') options.onReport(body as EntryReport | SpendingReport);
       },
       onRequest: ({ peer }, body, respond) => respond(this.answer(body as EntryRequest, peer.role)),
     });
@@ -61,7 +62,7 @@
     return this.server.listen(this.options.settings.peerListen);
   }
 
-  report(report: EntryReport): void {
+  report(report: EntryReport | SpendingReport): void {
     this.clients.forEach((client) => client.push(report));
   }
 
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -29,7 +29,13 @@
   type Milliseconds,
   type PlatformInstance,
 } from '@hornbeampond/schema';
-import { OperatorServer, StoreClient, type PeerContext } from '@hornbeampond/transport';
+import {
+  fromShared,
+  OperatorServer,
+  StoreClient,
+  toShared,
+  type PeerContext,
+} from '@hornbeampond/transport';
 import { AdapterDirectory, type MakeAdapter } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
 import { BackendServerWatcher } from './BackendServerWatcher.js';
@@ -157,6 +163,10 @@
         },
         onQuarantine: (quarantine) => dispatch({ type: 'quarantineReceived', quarantine }),
         onEntryReport: (report) => dispatch({ type: 'entryReported', report }),
+        onInstances: (instances, age) =>
+          this.watcher.receive(fromShared(instances, timers.wallNow()), age),
+        onSpendingRemembered: (spending) => dispatch({ type: 'spendingRemembered', spending }),
+        onSpending: (spending) => dispatch({ type: 'spendingReported', spending }),
       },
       this.makeReport(0),
       this.findsPeersByStores,
@@ -166,7 +176,10 @@
       context,
       readConfiguration,
       readDemand: () => reportDemand(this.loop.state, timers.monotonicNow()),
-      onReport: (report) => dispatch({ type: 'entryReported', report }),
+      onReport: (report) => {
+        if (report.type === 'entryReport') dispatch({ type: 'entryReported', report });
+        else dispatch({ type: 'spendingReported', spending: report });
+      },
       onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
@@ -177,6 +190,8 @@
       pollMilliseconds: settings.platform.pollMilliseconds,
       readConfiguration,
       dispatch,
+      countEntries: () => this.loop.state.membership.peers.size + 1,
+      ...(this.findsPeersByStores ? { share: (instances) => this.shareInstances(instances) } : {}),
     });
     this.callers = this.makeCallers();
     const tables = new TableApi(settings, this.store);
@@ -302,6 +317,10 @@
     return { instance, dataCentre, role: 'entry' as const, revision, cutOff: this.cutOff };
   }
 
+  private shareInstances(instances: readonly PlatformInstance[]): void {
+    this.store.shareInstances(toShared(instances, this.timers.wallNow()));
+  }
+
   private nameRequest(): string {
     this.requestCount += 1;
     return `${this.settings.instance}-${this.incarnation.toString(36)}-${this.requestCount}`;
@@ -362,6 +381,10 @@
         if (this.findsPeersByStores) this.store.shareReport(effect.report);
         else this.peers.report(effect.report);
         return;
+      case 'tellSpending':
+        if (this.findsPeersByStores) this.store.shareSpending(effect.spending);
+        else this.peers.report(effect.spending);
+        return;
       case 'configurationApplied':
         this.callers.applyBounds?.();
         this.store.updateReport(this.makeReport(effect.revision));
--- a/apps/store/src/FolderDisk.ts
+++ b/apps/store/src/FolderDisk.ts
@@ -2,12 +2,18 @@
 
 import {
   LogStore,
+  NodeFileSystem,
+  readWholeFile,
+  replaceFile,
   renewIdentity,
   type LogNotice,
   type PersistEffect,
 } from '@hornbeampond/store-core';
+import type { RememberedSpending } from '@hornbeampond/schema';
 import { StoreDisk, type DiskContents, type SavedSnapshot } from './StoreDisk.js';
 
+const SPENDING_FILE = 'spending';
+
 export interface FolderDiskOptions {
   readonly folder: string;
   readonly cluster: string;
@@ -44,6 +50,16 @@
     await this.opened.discardLog(throughIndex);
   }
 
+  override async readSpending(): Promise<RememberedSpending | undefined> {
+    const { folder } = this.options;
+    const read = await readWholeFile(new NodeFileSystem(), folder, SPENDING_FILE);
+    return read as RememberedSpending | undefined;
+  }
+
+  override async saveSpending(spending: RememberedSpending): Promise<void> {
+    await replaceFile(new NodeFileSystem(), this.options.folder, SPENDING_FILE, spending);
+  }
+
   /** Gives the folder a new identity, as that of an empty disk. It must be closed. */
   async renew(): Promise<void> {
     await renewIdentity(this.options);
--- /dev/null
+++ b/apps/store/src/SpendingMemory.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Logger } from '@hornbeampond/runtime';
+import type { EntryReport, Milliseconds, RememberedSpending } from '@hornbeampond/schema';
+import { ManualTimerService } from '@hornbeampond/testing';
+import { SpendingMemory } from './SpendingMemory.js';
+import { MemoryDisk } from './testing/MemoryDisk.js';
+
+function report(spent: number, windowReach: Milliseconds): EntryReport {
+  return {
+    type: 'entryReport',
+    instance: 'entry-1',
+    dataCentre: 'a',
+    incarnation: 1,
+    sequence: 1,
+    leaving: false,
+    revision: 1,
+    inProgress: {},
+    leavingBackendServers: {},
+    suspects: [],
+    spent: { laden: spent + 1000 },
+    windowSpent: { laden: [spent] },
+    windowReach,
+  };
+}
+
+/** Lets the promises that wait settle. */
+async function settle(): Promise<void> {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+function makeMemory(disk: MemoryDisk, lines: string[] = []) {
+  const timers = new ManualTimerService();
+  const write = (line: string) => {
+    lines.push(line);
+  };
+  const logger = new Logger({ process: 'test', instance: 'store-1' }, 'info', write);
+  return { timers, memory: new SpendingMemory({ disk, timers, logger }) };
+}
+
+// All processes lose power a moment after an entry has told what a workspace has spent. Entries that
+// start would take the window for unspent, if the store did not tell them.
+test('what entries have told is there again after a loss of power', async () => {
+  const disk = new MemoryDisk();
+  const before = makeMemory(disk);
+  await before.memory.open();
+  before.memory.note(report(500, 8000));
+  before.timers.advance(250);
+  await settle();
+  const after = makeMemory(disk);
+  await after.memory.open();
+  assert.deepEqual(after.memory.remembered?.windowSpent, { laden: [500] });
+  assert.deepEqual(after.memory.remembered?.entries, {
+    'entry-1': { incarnation: 1, spent: { laden: 1500 } },
+  });
+});
+
+test('an entry that has just started does not replace the word of one that knows the window', async () => {
+  const { timers, memory } = makeMemory(new MemoryDisk());
+  await memory.open();
+  memory.note(report(500, 8000));
+  memory.note(report(20, 100));
+  assert.deepEqual(memory.remembered?.windowSpent, { laden: [500] });
+  timers.advance(2000);
+  memory.note(report(30, 2100));
+  assert.deepEqual(memory.remembered?.windowSpent, { laden: [30] });
+});
+
+class FullDisk extends MemoryDisk {
+  override async saveSpending(): Promise<void> {
+    throw new Error('ENOSPC');
+  }
+
+  override async readSpending(): Promise<RememberedSpending | undefined> {
+    throw new Error('the checksum does not match');
+  }
+}
+
+// The disk takes no more bytes and what is on it is damaged. The store says so and goes on, since
+// nothing that it has promised depends on it.
+test('a disk that fails costs the memory only', async () => {
+  const lines: string[] = [];
+  const { timers, memory } = makeMemory(new FullDisk(), lines);
+  await memory.open();
+  memory.note(report(500, 8000));
+  timers.advance(250);
+  await settle();
+  const events = lines.map((line) => (JSON.parse(line) as { event: string }).event);
+  assert.deepEqual(events, ['spendingUnreadable', 'spendingNotKept']);
+  assert.deepEqual(memory.remembered?.windowSpent, { laden: [500] });
+});
--- a/apps/store/src/StoreDisk.ts
+++ b/apps/store/src/StoreDisk.ts
@@ -2,6 +2,7 @@
  * What a store needs of its disk. Whatever resolves here is synced; nothing is acknowledged to
  * anyone before.
  */
+import type { RememberedSpending } from '@hornbeampond/schema';
 import type { PersistEffect, RestoredState, SavedSnapshot } from '@hornbeampond/store-core';
 
 export type { SavedSnapshot };
@@ -28,5 +29,10 @@
 
   abstract discardLog(throughIndex: number): Promise<void>;
 
+  /** What `saveSpending` kept last, or undefined. */
+  abstract readSpending(): Promise<RememberedSpending | undefined>;
+
+  abstract saveSpending(spending: RememberedSpending): Promise<void>;
+
   abstract close(): Promise<void>;
 }
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -53,10 +53,12 @@
 } from '@hornbeampond/transport';
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
 import { describeStore } from './describeStore.js';
+import { InstanceBoard } from './InstanceBoard.js';
 import { JoinRequests } from './JoinRequests.js';
 import { LeaderWatch } from './LeaderWatch.js';
 import { RequestDesk } from './RequestDesk.js';
 import { SnapshotCache } from './SnapshotCache.js';
+import { SpendingMemory } from './SpendingMemory.js';
 import { StoreOperations } from './StoreOperations.js';
 import { StorePeers } from './StorePeers.js';
 import { StoreRequests } from './StoreRequests.js';
@@ -120,6 +122,8 @@
 
   private readonly publisher: ConfigurationPublisher;
 
+  private readonly spending: SpendingMemory;
+
   private closed = false;
 
   /** True once a step was not carried out to its end. */
@@ -157,6 +161,7 @@
       subscribers: this.subscribers,
       readMachine: () => this.machine,
     });
+    this.spending = new SpendingMemory({ disk: storage, timers, logger: this.logger });
     this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
       timers,
@@ -172,7 +177,13 @@
       readMachine: () => this.machine,
       readStatus: () => this.readStatus(),
       dispatch: (occurrence) => this.dispatch(occurrence),
-      onEntryReport,
+      onEntryReport: (report) => {
+        this.spending.note(report);
+        onEntryReport(report);
+      },
+      instances: new InstanceBoard(timers),
+      onSpending: (spending) => this.spending.noteSpending(spending),
+      readSpending: () => this.spending.remembered,
       leastVoters: settings.leastVoters,
     });
     this.server = new PeerServer(context, {
@@ -201,6 +212,7 @@
     const contents = await this.storage.open(this.settings.instance);
     this.isNew = contents.isNew;
     this.loop = this.makeLoop(contents);
+    await this.spending.open();
     const peers = await this.server.listen(this.settings.listen);
     this.address = { ...this.address, port: peers };
     const operators = await this.operators.listen(this.settings.operatorListen);
@@ -240,6 +252,7 @@
     this.cancelWake();
     this.leaderWatch.stop();
     this.publisher.stop();
+    this.spending.close();
     this.joining.stop();
     this.sending.clear();
     this.peers.close();
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -6,6 +6,8 @@
 import {
   assertNever,
   type EntryReport,
+  type RememberedSpending,
+  type SpendingReport,
   type StoreCommand,
   type StoreRequest,
   type StoreResponse,
@@ -20,6 +22,7 @@
   type MachineState,
 } from '@hornbeampond/store-core';
 import type { PeerSession } from '@hornbeampond/transport';
+import type { InstanceBoard } from './InstanceBoard.js';
 import type { RequestDesk, Respond } from './RequestDesk.js';
 import type { StoreOccurrence } from './StoreProcess.js';
 import type { Subscribers } from './Subscribers.js';
@@ -36,6 +39,9 @@
   readStatus(): StoreStatus;
   dispatch(occurrence: StoreOccurrence): void;
   onEntryReport(report: EntryReport): void;
+  onSpending(spending: SpendingReport): void;
+  readonly instances: InstanceBoard;
+  readSpending(): RememberedSpending | undefined;
   /** Fewest voters with which operators' changes are taken. */
   readonly leastVoters: number;
 }
@@ -82,7 +88,16 @@
         return;
       case 'shareReport':
         this.options.onEntryReport(request.report);
-        subscribers.push({ type: 'entryReport', report: request.report });
+        subscribers.pushReport(request.report);
+        respond(this.acceptReport());
+        return;
+      case 'shareInstances':
+        subscribers.push({ type: 'instances', ...this.options.instances.take(request.instances) });
+        respond(this.acceptReport());
+        return;
+      case 'shareSpending':
+        this.options.onSpending(request.spending);
+        subscribers.push({ type: 'spending', spending: request.spending });
         respond(this.acceptReport());
         return;
       case 'readStatus':
@@ -228,6 +243,14 @@
     const machine = this.options.readMachine();
     const quarantine = quarantineAt(machine, this.options.timers.wallNow());
     const stores = memberAddresses(this.options.readState());
-    return { type: 'subscribed', configuration: machine.configuration, quarantine, stores };
+    const spending = this.options.readSpending();
+    return {
+      type: 'subscribed',
+      configuration: machine.configuration,
+      quarantine,
+      stores,
+      ...(spending === undefined ? {} : { spending }),
+      ...this.options.instances.last,
+    };
   }
 }
--- a/apps/store/src/Subscribers.ts
+++ b/apps/store/src/Subscribers.ts
@@ -1,7 +1,7 @@
 /**
  * The instances that follow the configuration at this store, and what each last said of itself.
  */
-import type { InstanceReport, StorePush } from '@hornbeampond/schema';
+import type { EntryReport, InstanceReport, StorePush } from '@hornbeampond/schema';
 import { encodeFrame, type PeerSession } from '@hornbeampond/transport';
 
 export class Subscribers {
@@ -31,7 +31,26 @@
 
   /** Sends to all; the frame is made once, whatever their number. */
   push(push: StorePush): void {
+    this.send(push, () => true);
+  }
+
+  /**
+   * Hands on what an entry says of itself. What only the planner of the fleet and a store's memory go
+   * by is most of it, and would reach each entry from each other one once a second.
+   */
+  pushReport(report: EntryReport): void {
+    const { begun, demand, windowSpent, windowReach, ...brief } = report;
+    this.send({ type: 'entryReport', report: brief }, ({ role }) => role === 'entry');
+    this.send({ type: 'entryReport', report }, ({ role }) => role !== 'entry');
+  }
+
+  private send(push: StorePush, isFor: (report: InstanceReport) => boolean): void {
+    const sessions = [...this.sessions].filter((session) => {
+      const report = this.reportBySession.get(session);
+      return report !== undefined && isFor(report);
+    });
+    if (sessions.length === 0) return;
     const frame = encodeFrame({ type: 'push', body: push });
-    this.sessions.forEach((session) => session.pushEncoded(frame));
+    sessions.forEach((session) => session.pushEncoded(frame));
   }
 }
--- a/apps/store/src/testing/MemoryDisk.ts
+++ b/apps/store/src/testing/MemoryDisk.ts
@@ -3,6 +3,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { LogEntry, PersistEffect } from '@hornbeampond/store-core';
+import type { RememberedSpending } from '@hornbeampond/schema';
 import { StoreDisk, type DiskContents, type SavedSnapshot } from '../StoreDisk.js';
 
 export class MemoryDisk extends StoreDisk {
@@ -18,6 +19,8 @@
 
   private snapshot: SavedSnapshot | undefined;
 
+  private spending: RememberedSpending | undefined;
+
   override async open(instance: string): Promise<DiskContents> {
     this.runs += 1;
     return {
@@ -64,4 +67,12 @@
   override async close(): Promise<void> {
     // Nothing is open.
   }
+
+  override async readSpending(): Promise<RememberedSpending | undefined> {
+    return this.spending;
+  }
+
+  override async saveSpending(spending: RememberedSpending): Promise<void> {
+    this.spending = spending;
+  }
 }
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -116,13 +116,14 @@
   const admission = decideAdmission(state, accepted, timed.now);
   noteDemand(state, route, admission, timed);
   if (admission.type === 'refused') {
-    const { kind, detail, retryAfterMilliseconds } = admission.refusal;
-    return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds });
+    const { kind, detail, retryAfterMilliseconds, facts } = admission.refusal;
+    const known = { route: route.name, retryAfterMilliseconds, ...facts };
+    return refuse(request, kind, detail, { ran: 'no', retryAfterMilliseconds }, known);
   }
   state.requests.set(request.requestId, accepted);
   acquire(state, request.requestId, route.name, request.workspace);
-  spendAllowance(state, accepted);
   return [
+    ...spendAllowance(state, accepted),
     { type: 'count', metric: 'requestsAccepted', label: route.name },
     {
       type: 'log',
--- a/packages/entry-core/src/admission/refuseEarly.ts
+++ b/packages/entry-core/src/admission/refuseEarly.ts
@@ -2,13 +2,22 @@
  * Decides whether a request that has just arrived is refused before anything is done for it, and
  * when its caller should come back. Only what is predicted to meet its deadline is accepted.
  */
-import type { ErrorKind, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type {
+  ErrorKind,
+  LogFields,
+  Milliseconds,
+  MonotonicMilliseconds,
+} from '@hornbeampond/schema';
 import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
 import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
-import { isPredictionTrusted, predictFirstToken } from '../backendServers/predictFirstToken.js';
+import {
+  describePrediction,
+  isPredictionTrusted,
+  predictFirstToken,
+} from '../backendServers/predictFirstToken.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryState } from '../EntryState.js';
-import { retryAfterAllowance } from '../limits/refuseOverAllowance.js';
+import { findAllowanceExceeded } from '../limits/refuseOverAllowance.js';
 import { limitKey, limitOf } from '../limits/limitOf.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { countWaiting, poolQueueOf } from './AdmissionState.js';
@@ -20,6 +29,8 @@
   readonly kind: ErrorKind;
   readonly detail: string;
   readonly retryAfterMilliseconds: Milliseconds;
+  /** What it was decided by, for the log. */
+  readonly facts: LogFields;
 }
 
 /** Without any backend server nothing can be predicted; instances start in about this time. */
@@ -29,10 +40,11 @@
 const QUEUE_SHARE_FACTOR = 2;
 
 function refuseOverAllowance(state: EntryState, accepted: RequestState): EarlyRefusal | undefined {
-  const retryAfterMilliseconds = retryAfterAllowance(state, accepted);
-  if (retryAfterMilliseconds === undefined) return undefined;
+  const exceeded = findAllowanceExceeded(state, accepted);
+  if (exceeded === undefined) return undefined;
   const detail = `Workspace "${accepted.request.workspace}" has spent its allowance`;
-  return { kind: 'allowanceSpent', detail, retryAfterMilliseconds };
+  const { retryAfterMilliseconds, facts } = exceeded;
+  return { kind: 'allowanceSpent', detail, retryAfterMilliseconds, facts: { ...facts } };
 }
 
 function refuseOverLimit(
@@ -51,7 +63,8 @@
       ? LONGEST_RETRY_AFTER_MILLISECONDS
       : serviceTime / Math.max(1, ledger.ownInProgress(key));
   const retryAfterMilliseconds = promiseRetry(state, `limit/${key}`, interval, interval, now);
-  return { kind: 'limitReached', detail, retryAfterMilliseconds };
+  const facts = { limit, inProgress: ledger.ownInProgress(key) };
+  return { kind: 'limitReached', detail, retryAfterMilliseconds, facts };
 }
 
 /**
@@ -75,7 +88,8 @@
   const interval = (cost * workspaces) / countPlaces(state, accepted.pool.name);
   const key = `queue/${accepted.pool.name}/${workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, interval * excess, interval, now);
-  return { kind: 'overloaded', detail: 'Too many requests wait', retryAfterMilliseconds };
+  const facts = { waiting: own, free, workspaces };
+  return { kind: 'overloaded', detail: 'Too many requests wait', retryAfterMilliseconds, facts };
 }
 
 function refuseLateInQueue(
@@ -84,7 +98,9 @@
   now: MonotonicMilliseconds,
 ): EarlyRefusal | undefined {
   const waiting = makeWaiting(state, accepted);
-  const predicted = predictWait(state, waiting) + usualDelay(state, accepted);
+  const wait = predictWait(state, waiting);
+  const usual = usualDelay(state, accepted);
+  const predicted = wait + usual;
   const late = predicted - (waiting.dueAt - now);
   if (late <= 0) return undefined;
   const pool = accepted.pool.name;
@@ -93,7 +109,9 @@
   const key = `queue/${pool}/${accepted.request.workspace}`;
   const retryAfterMilliseconds = promiseRetry(state, key, late + interval, interval, now);
   const detail = `The first token is predicted in ${Math.round(predicted)} ms`;
-  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds };
+  const places = countPlaces(state, pool);
+  const facts = { wait, usual, places, patience: waiting.dueAt - now };
+  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds, facts };
 }
 
 function refuseLateAt(
@@ -114,7 +132,8 @@
   const wait = predicted - patience;
   const retryAfterMilliseconds = promiseRetry(state, key, wait, interval, now);
   const detail = `The first token is predicted in ${Math.round(predicted)} ms`;
-  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds };
+  const facts = { patience, ...describePrediction(state, balance, server, accepted) };
+  return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds, facts };
 }
 
 /** The refusal, or where the request goes. */
@@ -141,6 +160,7 @@
       kind: 'noBackendServer',
       detail: `Pool "${accepted.pool.name}" has no backend server`,
       retryAfterMilliseconds: NO_BACKEND_SERVER_RETRY_MILLISECONDS,
+      facts: { pool: accepted.pool.name },
     });
   }
   if (placement.type === 'start') {
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -78,7 +78,7 @@
   return {
     type: 'log',
     event: 'attemptFailed',
-    fields: { requestId, attemptId, instance, failure, sent },
+    fields: { requestId, attemptId, backendServer: instance, failure, sent },
   };
 }
 
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -6,6 +6,8 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/reportToEntries.js';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import { describePrediction } from '../backendServers/predictFirstToken.js';
 import { targetAt } from '../backendServers/targetAt.js';
 import { attemptIdOf } from './AttemptState.js';
 import { isSuspect } from '../quarantine/suspects.js';
@@ -60,6 +62,7 @@
 ): EntryEffect[] {
   const { requestId } = accepted.request;
   const { instance } = server.listed;
+  const pool = poolBalanceOf(state, accepted.pool.name);
   if (accepted.attemptsStarted === 0) earnRetries(state.retries, accepted.route.name, instance);
   accepted.attemptsStarted += 1;
   const attemptId = attemptIdOf(requestId, accepted.attemptsStarted);
@@ -100,6 +103,10 @@
       firstByteTimeout: firstByteTimeout(accepted, now),
       silenceTimeout: SILENCE_TIMEOUT_MILLISECONDS,
     },
-    { type: 'log', event: 'attemptStarted', fields: { requestId, attemptId, instance } },
+    {
+      type: 'log',
+      event: 'attemptStarted',
+      fields: { requestId, attemptId, ...describePrediction(state, pool, server, accepted) },
+    },
   ];
 }
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -158,6 +158,7 @@
     perSecond: 0.1,
     burst: 1,
     windowMilliseconds: 10_000,
+    tolerated: 0,
     plainTokens: 0,
   };
   const entry = makeEntry(once, true, 1, allowance);
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -116,7 +116,11 @@
   const { ejectedUntil } = server.balance;
   return [
     { type: 'count', metric: 'ejections', label: failure },
-    { type: 'log', event: 'backendServerEjected', fields: { instance, failure, ejectedUntil } },
+    {
+      type: 'log',
+      event: 'backendServerEjected',
+      fields: { backendServer: instance, failure, ejectedUntil },
+    },
   ];
 }
 
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -3,7 +3,7 @@
  * computed one after the other, so what counts is the tokens of this prompt and of those that were
  * sent there and have no first token yet, less what the prefix cache is believed to hold.
  */
-import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { LogFields, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
@@ -81,6 +81,27 @@
   return Math.max(crowded, reportedDelay(server, now)) + queued;
 }
 
+/** What a prediction goes by, for the log of a decision. */
+export function describePrediction(
+  state: EntryState,
+  pool: PoolBalance,
+  server: BackendServerState,
+  { request }: RequestState,
+): LogFields {
+  const { now } = state.clocks;
+  const { measuredAt } = server.balance;
+  return {
+    backendServer: server.listed.instance,
+    promptTokens: request.promptTokens,
+    uncachedTokens: Math.round(uncachedTokens(pool, server, request, now)),
+    pendingTokens: Math.round(pendingTokens(server)),
+    inProgress: estimateInProgress(state, server),
+    limit: limitNow(server.balance, now),
+    slowness: slownessNow(server.balance, now),
+    ...(measuredAt === undefined ? {} : { loadAge: now - measuredAt }),
+  };
+}
+
 /**
  * True if a prediction above the caller's patience may be a reason to refuse. What was learnt must
  * be young: a pool that refuses everything learns nothing, and one slow moment would close it for
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -10,6 +10,7 @@
   Milliseconds,
   PoolKind,
   Ran,
+  SpendingReport,
   StoreCommand,
   StoredAnswer,
 } from '@hornbeampond/schema';
@@ -88,6 +89,8 @@
   | { readonly type: 'probe'; readonly target: AttemptTarget }
   /** Sends this entry's report to all its peers. */
   | { readonly type: 'reportToEntries'; readonly report: EntryReport }
+  /** Tells all peers what was spent of an allowance, ahead of the next report. */
+  | { readonly type: 'tellSpending'; readonly spending: SpendingReport }
   /** A newer configuration is in force. */
   | { readonly type: 'configurationApplied'; readonly revision: number }
   /** Nothing is in progress any more; a graceful shutdown can end. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -14,6 +14,8 @@
   MonotonicMilliseconds,
   PlatformInstance,
   QuarantineEntry,
+  RememberedSpending,
+  SpendingReport,
   StoredAnswer,
 } from '@hornbeampond/schema';
 import type { ClaimCommand } from './claims/ClaimedCall.js';
@@ -141,6 +143,8 @@
     }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
+  | { readonly type: 'spendingRemembered'; readonly spending: RememberedSpending }
+  | { readonly type: 'spendingReported'; readonly spending: SpendingReport }
   | {
       readonly type: 'shutdownStarted';
       /** Until when requests are still accepted: the balancer's delay. Missing means not at all. */
--- a/packages/entry-core/src/limits/AllowanceLedger.ts
+++ b/packages/entry-core/src/limits/AllowanceLedger.ts
@@ -1,27 +1,35 @@
 /**
- * Holds what a workspace may spend over all entries together, without a message per request: in
- * any window a rate times its length, and a burst on top. Every entry keeps the spending of the
- * last window: its own exactly, and that of the others as their reports come.
+ * Holds what a workspace may spend over all entries together: in any window a rate times its length,
+ * and a burst on top. Every entry keeps the spending of the last window: its own exactly, and that of
+ * the others as they tell it, once a second.
  *
- * What the others spend between two reports is seen only afterwards. So an entry takes, in the time
- * of a round of reports, no more than its part of the room that is left: the part that it had of
- * the spending so far, half as much again, and a little for one whose callers have just come. All
- * parts together are twice the room at most, and the room is small when it matters.
+ * What an entry has spent and not told yet is unknown to the others. So it tells it at once when it
+ * comes near the entry's equal part of what the known spending leaves, the operators' tolerance
+ * included: all parts together never pass limit and tolerance, and nobody who is within the limit is
+ * refused. That is one small message for each request that is let through, and only while a workspace
+ * is near its limit.
  *
- * After a loss of power nobody knows what was spent before it. Then the window is taken to have been
- * spent evenly, and only the rate, or the burst while that is more, is let through until a whole
- * window is known again: it would otherwise be spent twice, before the fault and after it. Without
- * the burst the callers that have waited for the restart would be refused.
+ * An entry that has not heard others for a while has to take it that they do not hear it either. What
+ * it has spent since is hidden, however often it was told, and is held to the entry's part. After some
+ * seconds it leaves those others their equal part of the limit itself. Without that, each side of a
+ * network partition would spend the whole.
  *
- * An entry that has not heard some of the others lately leaves them their equal part. Without that,
- * each side of a network partition would spend the whole.
+ * After a loss of power entries know of the window what a store has kept of it. Where that is nothing,
+ * the window is taken to have been spent evenly, and only the rate and a part of the tolerance, or the burst while that is more, are let
+ * through until a whole window is known again: it would otherwise be spent twice, before the fault
+ * and after it.
  */
 import type {
   Allowance,
   EntryReport,
+  EpochMilliseconds,
   Milliseconds,
   MonotonicMilliseconds,
+  RememberedSpending,
+  SpendingReport,
+  WindowSpending,
 } from '@hornbeampond/schema';
+import { SLICE_MILLISECONDS, SpendingWindow } from './SpendingWindow.js';
 
 /** A peer that has missed three reports may be spending without being heard. */
 const SILENT_MILLISECONDS: Milliseconds = 3000;
@@ -29,79 +37,84 @@
 /** A peer that was not heard for so long is gone. */
 const FORGOTTEN_MILLISECONDS: Milliseconds = 60_000;
 
-/** Spending is kept in slices of this length; a slice counts until it has passed as a whole. */
-const SLICE_MILLISECONDS: Milliseconds = 250;
-
 const MILLISECONDS_PER_SECOND = 1000;
 
-/** Within this span each entry's newest spending is unknown to the others. */
-const ROUND_MILLISECONDS: Milliseconds = 1200;
+/** Of a second: stores write four times in it, and entries report once, one after the other. */
+const UNWRITTEN_SHARE = 0.4;
 
-/** An entry's callers may become more within a round, relative to those of the others. */
-const GROWTH = 1.5;
+/** All entries may be down together for so long; a memory that is older says nothing of the gap. */
+const LONGEST_OUTAGE_MILLISECONDS: Milliseconds = 5000;
 
-/** What an entry that has heard no other yet may spend of a window: its rate for about a round. */
+/** Every entry in touch is heard at least so often. */
+const ROUND_MILLISECONDS: Milliseconds = 1200;
+
+/** An entry that has just started takes so much of the room at most: it cannot count the others. */
 const STARTING_SHARE = 0.1;
 
-/** Part of the room that is kept for entries that have spent nothing yet, shared equally. */
-const NEWCOMERS_SHARE = 0.5;
+/** Part of the tolerance that entries may spend unheard of each other, all together. */
+const TOLERANCE_SHARE = 0.3;
 
-interface Slice {
-  readonly at: MonotonicMilliseconds;
-  amount: number;
-}
+/**
+ * Part of the tolerance that is spent knowingly while every entry hears every other: callers are
+ * served by it that would be refused, and the rest is for what an entry learns too late of.
+ */
+const KNOWING_SHARE = 0.3;
+
+/** The same while it is not known what was spent before. */
+const UNKNOWN_TOLERANCE_SHARE = 0.25;
+
+/** Untold spending is told at once beyond this share of the entry's part. */
+const TELLING_SHARE = 0.5;
 
 interface Peer {
   readonly incarnation: number;
   readonly spent: Readonly<Record<string, number>>;
   readonly heardAt: MonotonicMilliseconds;
+  /** True once it has said that it stops: its silence then leaves it no part. */
+  readonly leaving: boolean;
+  /** How many entries it counts. */
+  readonly entries: number;
 }
 
-function sumOf(slices: readonly Slice[]): number {
-  return slices.reduce((sum, { amount }) => sum + amount, 0);
-}
-
-function note(
-  slicesByWorkspace: Map<string, Slice[]>,
-  workspace: string,
-  amount: number,
-  now: MonotonicMilliseconds,
-): void {
-  if (amount === 0) return;
-  const slices = slicesByWorkspace.get(workspace) ?? [];
-  slicesByWorkspace.set(workspace, slices);
-  const last = slices.at(-1);
-  if (last !== undefined && now - last.at < SLICE_MILLISECONDS) last.amount += amount;
-  else slices.push({ at: now, amount });
-}
-
-/** The slices that still count, the others being dropped. */
-function slicesSince(
-  slicesByWorkspace: ReadonlyMap<string, Slice[]>,
-  workspace: string,
-  since: MonotonicMilliseconds,
-): Slice[] {
-  const slices = slicesByWorkspace.get(workspace) ?? [];
-  const first = slices.findIndex(({ at }) => at + SLICE_MILLISECONDS > since);
-  slices.splice(0, first < 0 ? slices.length : first);
-  return slices;
+/** What an answer of the ledger was decided by. */
+export interface SpendingFacts {
+  /** The window is spent, or this entry's part of what is left of it. */
+  readonly bound: 'window' | 'part';
+  readonly amount: number;
+  /** What may be spent in a window now, and what is known to be, by all entries. */
+  readonly limit: number;
+  readonly known: number;
+  /** What this entry may spend without the others knowing it, and what it may have. */
+  readonly part: number;
+  readonly hidden: number;
+  readonly entries: number;
+  /** How long ago the peer that was silent longest was heard; undefined without peers. */
+  readonly oldestReport?: Milliseconds;
 }
 
 /** Whether a request may be run, and if not, when to come back. */
 export type Spending =
   | { readonly type: 'allowed' }
-  | { readonly type: 'exceeded'; readonly retryAfterMilliseconds: Milliseconds };
+  | {
+      readonly type: 'exceeded';
+      readonly retryAfterMilliseconds: Milliseconds;
+      readonly facts: SpendingFacts;
+    };
 
 export class AllowanceLedger {
-  /** Spending of all entries by workspace, oldest first. */
-  private readonly slices = new Map<string, Slice[]>();
+  /** Spending of all entries, as far as it is known here. */
+  private readonly all = new SpendingWindow();
 
   /** The part of it that is this entry's own. */
-  private readonly ownSlices = new Map<string, Slice[]>();
+  private readonly own = new SpendingWindow();
 
   private readonly peers = new Map<string, Peer>();
 
-  private readonly own: Record<string, number> = {};
+  /** By workspace, since the process started. */
+  private readonly ownTotals: Record<string, number> = {};
+
+  /** Of these, what the others were told. */
+  private readonly told: Record<string, number> = {};
 
   /** Length of the window by workspace, as it was asked with last. */
   private readonly windows = new Map<string, Milliseconds>();
@@ -112,18 +125,33 @@
   /** When this entry was first asked for anything of an allowance. */
   private startedAt: MonotonicMilliseconds | undefined;
 
-  /** What each workspace has spent here since the process started. */
-  get spent(): Readonly<Record<string, number>> {
-    return { ...this.own };
+  /** What each workspace has spent here since the process started; it counts as told from now on. */
+  tellAll(): Readonly<Record<string, number>> {
+    Object.assign(this.told, this.ownTotals);
+    return { ...this.ownTotals };
+  }
+
+  /** The same of one workspace. */
+  tell(workspace: string): Readonly<Record<string, number>> {
+    const total = this.ownTotals[workspace] ?? 0;
+    this.told[workspace] = total;
+    return { [workspace]: total };
   }
 
   /** What each workspace has spent at all entries in its window, as far as it is known here. */
-  windowSpent(now: MonotonicMilliseconds): Readonly<Record<string, number>> {
-    const spent = [...this.windows].map(([workspace, length]) => {
-      const slices = slicesSince(this.slices, workspace, now - length);
-      return [workspace, sumOf(slices)] as const;
+  windowSpent(now: MonotonicMilliseconds): WindowSpending {
+    // An entry that has no caller of a workspace knows of its spending all the same.
+    const spent = [...this.all.workspaces].map((workspace) => {
+      const length = this.windows.get(workspace) ?? FORGOTTEN_MILLISECONDS;
+      this.all.forgetBefore(workspace, now - length);
+      return [workspace, this.all.bySecond(workspace, now)] as const;
     });
-    return Object.fromEntries(spent);
+    return Object.fromEntries(spent.filter(([, amounts]) => amounts.length > 0));
+  }
+
+  /** How many entries this one has heard lately, itself included. */
+  get entries(): number {
+    return this.peers.size + 1;
   }
 
   /** How far back spending is known here. */
@@ -132,15 +160,6 @@
     return now - this.knownSince;
   }
 
-  /** What may be spent in a window of which only the last `reach` is known. */
-  private mostNow(
-    { perSecond, burst, windowMilliseconds }: Allowance,
-    reach: Milliseconds,
-  ): number {
-    const known = (perSecond * Math.min(reach, windowMilliseconds)) / MILLISECONDS_PER_SECOND;
-    return reach < windowMilliseconds ? Math.max(burst, known) : burst + known;
-  }
-
   /** Asks whether `amount` may be spent now; nothing is spent by asking. */
   ask(
     workspace: string,
@@ -148,69 +167,157 @@
     amount: number,
     now: MonotonicMilliseconds,
   ): Spending {
-    const { perSecond, windowMilliseconds } = allowance;
+    const { windowMilliseconds } = allowance;
     this.startedAt ??= now;
     this.windows.set(workspace, windowMilliseconds);
-    const reach = this.reach(now);
-    const most = this.mostNow(allowance, reach) * this.ownShare(now);
-    const slices = slicesSince(this.slices, workspace, now - windowMilliseconds);
-    const spent = sumOf(slices);
+    [this.all, this.own].forEach((spending) =>
+      spending.forgetBefore(workspace, now - windowMilliseconds),
+    );
+    const limit = this.limitNow(allowance, now);
+    const known = this.all.sumSince(workspace, now - windowMilliseconds);
+    const hidden = this.hidden(workspace, windowMilliseconds, now);
+    const part = this.partOf(limit - known + hidden, allowance, now);
+    const entries = this.countEntries(now).all;
+    const facts = { amount, limit, known, part, hidden, entries, ...this.oldestReport(now) };
     // A request above the whole allowance could never run; it may while nothing else has.
-    let excess = spent + Math.min(amount, most) - most;
-    if (excess <= 0) {
-      const own = slicesSince(this.ownSlices, workspace, now - windowMilliseconds);
-      if (this.isStarting(now, windowMilliseconds)) return this.askAtStart(own, most, amount);
-      return this.askForRound(own, { spent, most, amount }, now);
+    const excess = known + Math.min(amount, limit) - limit;
+    if (excess > 0) {
+      const retryAfterMilliseconds = this.waitFor(
+        workspace,
+        allowance,
+        { known, amount, excess },
+        now,
+      );
+      return { type: 'exceeded', retryAfterMilliseconds, facts: { bound: 'window', ...facts } };
     }
-    if (reach < windowMilliseconds) {
-      const enoughAt = ((spent + amount) / Math.max(1, perSecond)) * MILLISECONDS_PER_SECOND;
-      const wait = Math.min(enoughAt, windowMilliseconds) - reach;
-      return { type: 'exceeded', retryAfterMilliseconds: Math.max(SLICE_MILLISECONDS, wait) };
-    }
-    const freeing = slices.find((slice) => {
-      excess -= slice.amount;
-      return excess <= 0;
-    });
-    const freeAt = (freeing?.at ?? now) + SLICE_MILLISECONDS + windowMilliseconds;
-    return { type: 'exceeded', retryAfterMilliseconds: Math.max(0, freeAt - now) };
+    // What can be told is told at once; one request is let through before that, however large.
+    if (hidden === 0 || hidden + amount <= part) return { type: 'allowed' };
+    const retryAfterMilliseconds = ROUND_MILLISECONDS;
+    return { type: 'exceeded', retryAfterMilliseconds, facts: { bound: 'part', ...facts } };
   }
 
-  spend(workspace: string, amount: number, now: MonotonicMilliseconds): void {
-    this.own[workspace] = (this.own[workspace] ?? 0) + amount;
-    note(this.slices, workspace, amount, now);
-    note(this.ownSlices, workspace, amount, now);
+  /** Spends; returns true if the others have to be told at once. */
+  spend(
+    workspace: string,
+    allowance: Allowance,
+    amount: number,
+    now: MonotonicMilliseconds,
+  ): boolean {
+    this.ownTotals[workspace] = (this.ownTotals[workspace] ?? 0) + amount;
+    this.all.note(workspace, amount, now);
+    this.own.note(workspace, amount, now);
+    const { windowMilliseconds } = allowance;
+    const known = this.all.sumSince(workspace, now - windowMilliseconds);
+    const untold = this.untoldTotal(workspace);
+    const part = this.partOf(this.limitNow(allowance, now) - known + untold, allowance, now);
+    return this.peers.size > 0 && untold > part * TELLING_SHARE;
   }
 
   /** Takes in what another entry has spent since its last report. */
   receive(report: EntryReport, now: MonotonicMilliseconds): void {
-    const { instance, incarnation, spent = {} } = report;
+    const { instance, incarnation, spent = {}, leaving, entries = 1 } = report;
     const known = this.peers.get(instance);
-    this.peers.set(instance, { incarnation, spent, heardAt: now });
-    if (known === undefined) {
-      this.takeWindow(report, now);
+    if (known !== undefined) {
+      this.peers.set(instance, { ...known, entries });
+      this.receiveSpending({ instance, incarnation, spent, leaving }, now);
       return;
     }
+    this.peers.set(instance, { incarnation, spent, heardAt: now, leaving, entries });
+    const { windowSpent = {}, windowReach = 0 } = report;
+    this.takeWindow(windowSpent, windowReach, now);
+  }
+
+  /**
+   * Takes in what a store has kept of the window.
+   *
+   * @param self - The name of this entry, whose earlier lives the store may know.
+   */
+  remember(
+    { at, windowSpent, windowReach, entries }: RememberedSpending,
+    self: string,
+    now: MonotonicMilliseconds,
+    wallNow: EpochMilliseconds,
+  ): void {
+    const age = Math.max(0, wallNow - at);
+    // Of what was spent since then nothing is known, unless that was while all were down.
+    const reach = age <= LONGEST_OUTAGE_MILLISECONDS ? windowReach : -age;
+    this.takeWindow(windowSpent, reach, now - age);
+    // What was spent between the last write and the loss of power is taken to be as much as before.
+    Object.entries(windowSpent).forEach(([workspace, [lately = 0]]) => {
+      this.all.noteBack(workspace, lately * UNWRITTEN_SHARE, now - age);
+    });
+    Object.entries(entries).forEach(([instance, { incarnation, spent }]) => {
+      if (instance === self || this.peers.has(instance)) return;
+      const heardAt = now - age;
+      this.peers.set(instance, { incarnation, spent, heardAt, leaving: false, entries: 1 });
+    });
+  }
+
+  /** The same between two reports; of a peer that is not known its whole report is awaited. */
+  receiveSpending(
+    { instance, incarnation, spent, leaving }: Omit<SpendingReport, 'type'>,
+    now: MonotonicMilliseconds,
+  ): void {
+    const known = this.peers.get(instance);
+    if (known === undefined || incarnation < known.incarnation) return;
     const before = known.incarnation === incarnation ? known.spent : {};
+    const after: Record<string, number> = { ...before };
     Object.entries(spent).forEach(([workspace, amount]) => {
-      note(this.slices, workspace, Math.max(0, amount - (before[workspace] ?? 0)), now);
+      const more = amount - (before[workspace] ?? 0);
+      // Reports that come through two stores may overtake each other.
+      if (more <= 0) return;
+      after[workspace] = amount;
+      this.all.note(workspace, more, now);
     });
+    const { entries } = known;
+    this.peers.set(instance, { incarnation, spent: after, heardAt: now, leaving, entries });
   }
 
   /**
-   * Takes over what the window holds already. Without it, the entries that are started again after
-   * half of them were killed would each find an unspent window.
+   * Takes over what the window held already at some moment. Without it, the entries that are started
+   * again after half of them were killed would each find an unspent window.
    */
   private takeWindow(
-    { windowSpent = {}, windowReach = 0 }: EntryReport,
-    now: MonotonicMilliseconds,
+    windowSpent: WindowSpending,
+    reach: Milliseconds,
+    at: MonotonicMilliseconds,
   ): void {
-    this.knownSince = Math.min(this.knownSince ?? now, now - windowReach);
-    Object.entries(windowSpent).forEach(([workspace, amount]) => {
-      const known = sumOf(this.slices.get(workspace) ?? []);
-      note(this.slices, workspace, Math.max(0, amount - known), now);
+    this.knownSince = Math.min(this.knownSince ?? at, at - reach);
+    Object.entries(windowSpent).forEach(([workspace, amounts]) => {
+      const known = this.all.sumSince(workspace, Number.NEGATIVE_INFINITY);
+      const told = amounts.reduce((sum, amount) => sum + amount, 0);
+      let missing = Math.max(0, told - known);
+      // What is not known here yet is the newest of it.
+      amounts.forEach((amount, second) => {
+        const taken = Math.min(missing, amount);
+        missing -= taken;
+        this.all.noteBack(workspace, taken, at - second * MILLISECONDS_PER_SECOND);
+      });
     });
   }
 
+  /** What may be spent in a window of which only the last part may be known. */
+  private limitNow(allowance: Allowance, now: MonotonicMilliseconds): number {
+    const { perSecond, burst, windowMilliseconds, tolerated } = allowance;
+    const reach = this.reach(now);
+    const known = (perSecond * Math.min(reach, windowMilliseconds)) / MILLISECONDS_PER_SECOND;
+    const whole = (perSecond * windowMilliseconds) / MILLISECONDS_PER_SECOND + burst;
+    const spare = Math.max(burst, known + tolerated * UNKNOWN_TOLERANCE_SHARE);
+    const limit = reach < windowMilliseconds ? Math.min(whole, spare) : whole;
+    const share = this.ownShare(now);
+    const isExact = share === 1 && reach >= windowMilliseconds && !this.isAnyOverdue(now);
+    return limit * share + (isExact ? tolerated * KNOWING_SHARE : 0);
+  }
+
+  /** What this entry may leave untold of the room that is left. */
+  private partOf(room: number, { tolerated, windowMilliseconds }: Allowance, now: number): number {
+    const equal = 1 / this.countEntries(now).all;
+    const share = this.isStarting(now, windowMilliseconds)
+      ? Math.min(STARTING_SHARE, equal)
+      : equal;
+    return Math.max(0, room + tolerated * TOLERANCE_SHARE) * share;
+  }
+
   /**
    * True while an entry may know nothing of what others spend: it has heard none, or all of them
    * have started with it and have yet to tell what they let through in their first round.
@@ -220,39 +327,79 @@
     return this.peers.size === 0 || this.reach(now) < windowMilliseconds;
   }
 
-  /** An entry that starts takes little of a window that may be spent already. */
-  private askAtStart(own: readonly Slice[], most: number, amount: number): Spending {
-    const ownSpent = sumOf(own);
-    const share = Math.min(STARTING_SHARE, 1 / (this.peers.size + 1));
-    if (ownSpent === 0 || ownSpent + amount <= most * share) return { type: 'allowed' };
-    return { type: 'exceeded', retryAfterMilliseconds: ROUND_MILLISECONDS };
+  private untoldTotal(workspace: string): number {
+    return (this.ownTotals[workspace] ?? 0) - (this.told[workspace] ?? 0);
   }
 
-  /** Holds this entry to its part of what was left when the round began. */
-  private askForRound(
-    own: readonly Slice[],
-    { spent, most, amount }: { spent: number; most: number; amount: number },
+  /** Own spending that cannot be told for now, or was told to peers that may not have heard it. */
+  private hidden(
+    workspace: string,
+    windowMilliseconds: Milliseconds,
     now: MonotonicMilliseconds,
-  ): Spending {
-    const entries = this.peers.size + 1;
-    if (spent === 0 || entries === 1) return { type: 'allowed' };
-    const ownSpent = sumOf(own);
-    const inRound = sumOf(own.filter(({ at }) => at > now - ROUND_MILLISECONDS));
-    const share = (ownSpent / spent) * GROWTH + NEWCOMERS_SHARE / entries;
-    const room = (most - (spent - inRound)) * Math.min(1, Math.max(share, 1 / entries));
-    // One request is always let through in a round, however small the part.
-    if (inRound === 0 || inRound + amount <= room) return { type: 'allowed' };
-    return { type: 'exceeded', retryAfterMilliseconds: ROUND_MILLISECONDS };
+  ): number {
+    if (this.isStarting(now, windowMilliseconds)) return this.ownTotals[workspace] ?? 0;
+    let quietSince = now;
+    this.peers.forEach(({ heardAt }) => {
+      const silence = now - heardAt;
+      if (silence > ROUND_MILLISECONDS && silence < SILENT_MILLISECONDS) {
+        quietSince = Math.min(quietSince, heardAt);
+      }
+    });
+    return quietSince < now ? this.own.sumSince(workspace, quietSince) : 0;
   }
 
-  /** The part of the allowance that is not left to peers that have fallen silent. */
-  private ownShare(now: MonotonicMilliseconds): number {
-    let silent = 0;
-    this.peers.forEach(({ heardAt }, instance) => {
+  /**
+   * All entries, and those that are heard. One that starts during a partition hears of those beyond it
+   * only from peers that knew them before.
+   */
+  private countEntries(now: MonotonicMilliseconds): { all: number; heard: number } {
+    let heard = 1;
+    let all = this.entries;
+    this.peers.forEach(({ heardAt, entries }) => {
+      if (now - heardAt >= SILENT_MILLISECONDS) return;
+      heard += 1;
+      all = Math.max(all, entries);
+    });
+    return { all, heard };
+  }
+
+  /** The part of the allowance that is not left to entries that have fallen silent. */
+  protected ownShare(now: MonotonicMilliseconds): number {
+    this.peers.forEach(({ heardAt, leaving }, instance) => {
       const silence = now - heardAt;
-      if (silence >= FORGOTTEN_MILLISECONDS) this.peers.delete(instance);
-      else if (silence >= SILENT_MILLISECONDS) silent += 1;
+      const isGone = leaving && silence >= SILENT_MILLISECONDS;
+      if (isGone || silence >= FORGOTTEN_MILLISECONDS) this.peers.delete(instance);
     });
-    return 1 - silent / (this.peers.size + 1);
+    const { all, heard } = this.countEntries(now);
+    return heard / all;
+  }
+
+  /** True while a peer that is not silent yet has not been heard as it should. */
+  private isAnyOverdue(now: MonotonicMilliseconds): boolean {
+    return [...this.peers.values()].some(({ heardAt }) => now - heardAt > ROUND_MILLISECONDS);
+  }
+
+  private oldestReport(now: MonotonicMilliseconds): Pick<SpendingFacts, 'oldestReport'> {
+    if (this.peers.size === 0) return {};
+    const heardAt = Math.min(...[...this.peers.values()].map((peer) => peer.heardAt));
+    return { oldestReport: now - heardAt };
+  }
+
+  /** How long until so much has left the window. */
+  private waitFor(
+    workspace: string,
+    { perSecond, windowMilliseconds, tolerated }: Allowance,
+    { known, amount, excess }: { known: number; amount: number; excess: number },
+    now: MonotonicMilliseconds,
+  ): Milliseconds {
+    const reach = this.reach(now);
+    if (reach < windowMilliseconds) {
+      const above = known + amount - tolerated * UNKNOWN_TOLERANCE_SHARE;
+      const enoughAt = (above / Math.max(1, perSecond)) * MILLISECONDS_PER_SECOND;
+      const wait = Math.min(enoughAt, windowMilliseconds) - reach;
+      return Math.max(SLICE_MILLISECONDS, wait);
+    }
+    const freeAt = this.all.freeAt(workspace, excess, windowMilliseconds);
+    return Math.max(0, (freeAt ?? now) - now);
   }
 }
--- a/packages/entry-core/src/limits/receiveEntryReport.ts
+++ b/packages/entry-core/src/limits/receiveEntryReport.ts
@@ -1,5 +1,11 @@
 /** Takes in what another entry has in progress; only those of the own data centre share limits. */
-import type { EntryReport, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type {
+  EntryReport,
+  MonotonicMilliseconds,
+  RememberedSpending,
+  SpendingReport,
+} from '@hornbeampond/schema';
+import type { Timed } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 
 export function receiveEntryReport(
@@ -13,3 +19,20 @@
   if (report.dataCentre !== dataCentre) return;
   state.limits.ledger.receive(report, now);
 }
+
+export function receiveSpendingReport(
+  state: EntryState,
+  spending: SpendingReport,
+  now: MonotonicMilliseconds,
+): void {
+  if (spending.instance === state.identity.instance) return;
+  state.limits.allowances.receiveSpending(spending, now);
+}
+
+export function rememberSpending(
+  state: EntryState,
+  spending: RememberedSpending,
+  { now, wallNow }: Timed,
+): void {
+  state.limits.allowances.remember(spending, state.identity.instance, now, wallNow);
+}
--- a/packages/entry-core/src/limits/refuseOverAllowance.ts
+++ b/packages/entry-core/src/limits/refuseOverAllowance.ts
@@ -1,8 +1,10 @@
-/** The allowance of a workspace as admission asks for it. */
+/** The allowance of a workspace as admission asks for it and spends it. */
 import type { Allowance, Milliseconds } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { routeIndexOf } from '../routing/routeIndexOf.js';
+import type { SpendingFacts } from './AllowanceLedger.js';
 
 /** A bucket that fills slowly is looked at again after this long by callers that came too early. */
 const LONGEST_RETRY_MILLISECONDS: Milliseconds = 10_000;
@@ -16,24 +18,38 @@
   return unit === 'tokens' ? (request.countedTokens ?? plainTokens) : 1;
 }
 
-/** When to come back if the request is beyond its workspace's allowance, else undefined. */
-export function retryAfterAllowance(
+/** Why a request is beyond its workspace's allowance, and when to come back. */
+export interface AllowanceExceeded {
+  readonly retryAfterMilliseconds: Milliseconds;
+  readonly facts: SpendingFacts;
+}
+
+/** Says if the request is beyond its workspace's allowance; undefined if it is not. */
+export function findAllowanceExceeded(
   state: EntryState,
   accepted: RequestState,
-): Milliseconds | undefined {
+): AllowanceExceeded | undefined {
   const { workspace } = accepted.request;
   const allowance = allowanceOf(state, workspace);
   if (allowance === undefined) return undefined;
   const amount = amountOf(accepted, allowance);
   const asked = state.limits.allowances.ask(workspace, allowance, amount, state.clocks.now);
   if (asked.type === 'allowed') return undefined;
-  return Math.min(asked.retryAfterMilliseconds, LONGEST_RETRY_MILLISECONDS);
+  const { facts } = asked;
+  const wait = Math.min(asked.retryAfterMilliseconds, LONGEST_RETRY_MILLISECONDS);
+  return { retryAfterMilliseconds: wait, facts };
 }
 
-export function spendAllowance(state: EntryState, accepted: RequestState): void {
+export function spendAllowance(state: EntryState, accepted: RequestState): EntryEffect[] {
   const { workspace } = accepted.request;
   const allowance = allowanceOf(state, workspace);
-  if (allowance === undefined) return;
+  if (allowance === undefined) return [];
+  const { allowances } = state.limits;
   const amount = amountOf(accepted, allowance);
-  state.limits.allowances.spend(workspace, amount, state.clocks.now);
+  if (!allowances.spend(workspace, allowance, amount, state.clocks.now)) return [];
+  const { instance, incarnation } = state.identity;
+  const spent = allowances.tell(workspace);
+  const leaving = state.shutdown.started;
+  const spending = { type: 'spendingReport', instance, incarnation, spent, leaving } as const;
+  return [{ type: 'tellSpending', spending }];
 }
--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -62,11 +62,12 @@
 /** What only a configuration with workspaces of its own has a use for. */
 function describeWork(
   state: EntryState,
-): Pick<EntryReport, 'spent' | 'windowSpent' | 'windowReach' | 'begun' | 'demand'> {
+): Pick<EntryReport, 'spent' | 'windowSpent' | 'windowReach' | 'entries' | 'begun' | 'demand'> {
   return {
-    spent: state.limits.allowances.spent,
+    spent: state.limits.allowances.tellAll(),
     windowSpent: state.limits.allowances.windowSpent(state.clocks.now),
     windowReach: state.limits.allowances.reach(state.clocks.now),
+    entries: state.limits.allowances.entries,
     begun: state.usage.read(),
     demand: reportDemand(state, state.clocks.now),
   };
--- a/packages/entry-core/src/quarantine/judgeLoss.ts
+++ b/packages/entry-core/src/quarantine/judgeLoss.ts
@@ -55,7 +55,9 @@
     rememberReset(state, loss);
     const lost = clearProvisional(state, instance);
     if (lost === 0) return [];
-    return [{ type: 'log', event: 'connectionOnlyLost', fields: { instance, lost } }];
+    return [
+      { type: 'log', event: 'connectionOnlyLost', fields: { backendServer: instance, lost } },
+    ];
   }
   const crashId = crashIdOf(state, loss, timed);
   state.quarantine.lastCrashes.set(instance, { crashId, judgedAt: timed.now });
@@ -66,7 +68,11 @@
   if (mass) clearProvisional(state, instance);
   const members = loss.members.size;
   return [
-    { type: 'log', event: 'backendServerCrashed', fields: { instance, crashId, members, mass } },
+    {
+      type: 'log',
+      event: 'backendServerCrashed',
+      fields: { backendServer: instance, crashId, members, mass },
+    },
     ...blamed,
     ...failAttemptsAt(state, instance, timed),
   ];
--- a/packages/entry-core/src/reclaims/noticeReclaim.ts
+++ b/packages/entry-core/src/reclaims/noticeReclaim.ts
@@ -33,7 +33,7 @@
   reportSoon(state);
   const notice = goneAt - timed.wallNow;
   return [
-    { type: 'log', event: 'reclaimNoticed', fields: { instance, goneAt, notice } },
+    { type: 'log', event: 'reclaimNoticed', fields: { backendServer: instance, goneAt, notice } },
     ...handOnStreams(state, instance, timed),
   ];
 }
@@ -54,7 +54,7 @@
   });
   if (fresh.length > 0) reportSoon(state);
   return fresh.flatMap((instance) => [
-    { type: 'log', event: 'reclaimNoticed', fields: { instance } } as const,
+    { type: 'log', event: 'reclaimNoticed', fields: { backendServer: instance } } as const,
     ...handOnStreams(state, instance, timed),
   ]);
 }
--- a/packages/entry-core/src/reclaims/resumeElsewhere.ts
+++ b/packages/entry-core/src/reclaims/resumeElsewhere.ts
@@ -28,7 +28,11 @@
   accepted.recompute = { reason: 'reclaimResume', tokens };
   return [
     ...cancelled,
-    { type: 'log', event: 'streamHandedOn', fields: { requestId, instance, tokens } },
+    {
+      type: 'log',
+      event: 'streamHandedOn',
+      fields: { requestId, backendServer: instance, tokens },
+    },
     ...launchAttempt(state, accepted, server, now),
   ];
 }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -16,8 +16,13 @@
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent, Timed } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
-import { receiveEntryReport } from './limits/receiveEntryReport.js';
+import {
+  receiveEntryReport,
+  receiveSpendingReport,
+  rememberSpending,
+} from './limits/receiveEntryReport.js';
 import { receiveReport } from './membership/receiveReport.js';
+import { reportSoon } from './membership/reportToEntries.js';
 import { takeProbeAnswer } from './quarantine/judgeLoss.js';
 import { receiveQuarantine } from './quarantine/quarantineDigest.js';
 import { noticeListed, noticeReclaim } from './reclaims/noticeReclaim.js';
@@ -44,6 +49,8 @@
 ): EntryEffect[] {
   const { revision } = configuration;
   if (revision <= state.configuration.revision) return [];
+  // Entries that start together learn of each other's spending with the first report only.
+  if (state.configuration.revision === 0) reportSoon(state);
   state.configuration = configuration;
   refreshLimits(state);
   return [
@@ -94,6 +101,12 @@
     case 'entryReported':
       receiveEntryReport(state, event.report, event.now);
       return receiveReport(state, event.report, event);
+    case 'spendingRemembered':
+      rememberSpending(state, event.spending, event);
+      return [];
+    case 'spendingReported':
+      receiveSpendingReport(state, event.spending, event.now);
+      return [];
     case 'shutdownStarted':
       return startShutdown(state, event);
     case 'tick':
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -1,7 +1,7 @@
 /**
  * The ways a request gets its final answer. Each is given at the moment it is decided.
  */
-import type { ErrorKind, Milliseconds, Ran } from '@hornbeampond/schema';
+import type { ErrorKind, LogFields, Milliseconds, Ran } from '@hornbeampond/schema';
 import { releaseAttempts } from '../attempts/releaseAttempts.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest } from '../entryEvents.js';
@@ -15,18 +15,27 @@
   readonly ran?: Ran;
 }
 
-/** Refuses a request that was not accepted. */
+/**
+ * Refuses a request that was not accepted.
+ *
+ * @param facts - What it was decided by.
+ */
 export function refuse(
   request: CallerRequest,
   kind: ErrorKind,
   detail: string,
   problem: FinalProblem = {},
+  facts: LogFields = {},
 ): EntryEffect[] {
   const { requestId, workspace } = request;
   return [
     { type: 'answerProblem', requestId, kind, detail, ...problem },
     { type: 'count', metric: 'refusals', label: kind },
-    { type: 'log', event: 'requestRefused', fields: { requestId, workspace, kind, detail } },
+    {
+      type: 'log',
+      event: 'requestRefused',
+      fields: { requestId, workspace, kind, detail, ...facts },
+    },
   ];
 }
 
--- a/packages/schema/src/messages/backendServers.ts
+++ b/packages/schema/src/messages/backendServers.ts
@@ -25,6 +25,19 @@
   readonly concurrency?: number;
 }
 
+/** An instance as one process that has read the platform's list tells it to the others. */
+export type SharedInstance = Omit<PlatformInstance, 'goneAt'> & {
+  /** Time until a reclaimed instance is gone; the clocks of two processes may differ. */
+  readonly goneIn?: Milliseconds;
+};
+
+/** What one reading of the list has changed. */
+export interface SharedInstances {
+  readonly changed: readonly SharedInstance[];
+  /** Names of instances that are listed no longer. */
+  readonly gone: readonly string[];
+}
+
 /** A load report of a backend server, as old as `measuredAt` says. */
 export interface LoadReport {
   readonly instance: string;
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -24,6 +24,26 @@
   readonly quarantinedUntil?: EpochMilliseconds;
 }
 
+/** Amounts spent by workspace, each for one second: the first is the last second, and so back. */
+export type WindowSpending = Readonly<Record<string, readonly number[]>>;
+
+/** What a store remembers of spending when entries cannot. */
+export interface RememberedSpending {
+  /** When it was told. */
+  readonly at: EpochMilliseconds;
+  readonly windowSpent: WindowSpending;
+  /** How far back it was known then. */
+  readonly windowReach: Milliseconds;
+  /** What each entry had told by then, by name: what it tells later counts from there. */
+  readonly entries: Readonly<Record<string, EntrySpending>>;
+}
+
+/** What one life of an entry has spent since its start. */
+export interface EntrySpending {
+  readonly incarnation: EpochMilliseconds;
+  readonly spent: Readonly<Record<string, number>>;
+}
+
 /** One entry's word on itself and on what it has seen first. */
 export interface EntryReport {
   readonly type: 'entryReport';
@@ -44,9 +64,11 @@
    * What each workspace has spent of its allowance at all entries in the last window, as this one
    * knows it: an entry that has just started knows nothing of the window it starts in.
    */
-  readonly windowSpent?: Readonly<Record<string, number>>;
+  readonly windowSpent?: WindowSpending;
   /** How far back `windowSpent` is known there; less than a window after all have started anew. */
   readonly windowReach?: Milliseconds;
+  /** How many entries this one counts, itself and those that have fallen silent included. */
+  readonly entries?: number;
   /** Requests of each workspace that began to run here, by number of the usage window. */
   readonly begun?: Readonly<Record<string, Readonly<Record<string, number>>>>;
   /** What the planner of the fleet goes by. */
@@ -55,6 +77,17 @@
   readonly suspects: readonly PeerSuspect[];
 }
 
+/** What one entry has spent of allowances, told between two reports where it matters at once. */
+export interface SpendingReport {
+  readonly type: 'spendingReport';
+  readonly instance: string;
+  readonly incarnation: EpochMilliseconds;
+  /** Since the process started, of the workspaces whose spending has changed most. */
+  readonly spent: Readonly<Record<string, number>>;
+  /** True if the entry is shutting down. */
+  readonly leaving: boolean;
+}
+
 /** Requests of one route that one entry, or one whole data centre, has seen lately. */
 export interface RouteDemandReport {
   readonly route: string;
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -4,8 +4,9 @@
  */
 import type { Configuration } from '../tables/Configuration.js';
 import type { ConfigurationDelta } from '../tables/ConfigurationDelta.js';
-import type { EpochMilliseconds } from '../units.js';
-import type { EntryReport } from './entryMessages.js';
+import type { EpochMilliseconds, Milliseconds } from '../units.js';
+import type { SharedInstance, SharedInstances } from './backendServers.js';
+import type { EntryReport, RememberedSpending, SpendingReport } from './entryMessages.js';
 import type { CommandResult, StoreCommand } from './storeCommands.js';
 
 /** One digest that backend servers must be kept from for a while. */
@@ -39,6 +40,10 @@
   | { readonly type: 'report'; readonly report: InstanceReport }
   /** An entry's report, which the store hands to its subscribers. */
   | { readonly type: 'shareReport'; readonly report: EntryReport }
+  /** The platform's list as a process has just read it, so that others need not read it. */
+  | { readonly type: 'shareInstances'; readonly instances: readonly SharedInstance[] }
+  /** The same for what an entry tells between two reports. */
+  | { readonly type: 'shareSpending'; readonly spending: SpendingReport }
   | { readonly type: 'readStatus' }
   /** Membership of the log. */
   | { readonly type: 'addVoter'; readonly voter: JoiningVoter }
@@ -88,6 +93,11 @@
       readonly quarantine: readonly QuarantineEntry[];
       /** The members of the log, so that a subscriber finds stores that its settings do not name. */
       readonly stores: readonly VoterAddress[];
+      /** What is known here of the spending that a starting entry knows nothing of. */
+      readonly spending?: RememberedSpending;
+      /** The platform's list as it was read last, and how long ago; missing before the first. */
+      readonly instances?: readonly SharedInstance[];
+      readonly instancesAge?: Milliseconds;
     }
   | { readonly type: 'document'; readonly version: number; readonly document: string }
   | { readonly type: 'status'; readonly status: StoreStatus }
@@ -114,5 +124,8 @@
   | { readonly type: 'stores'; readonly stores: readonly VoterAddress[] }
   /** What other entries said of themselves. */
   | { readonly type: 'entryReport'; readonly report: EntryReport }
+  | { readonly type: 'spending'; readonly spending: SpendingReport }
+  /** A reading of the platform's list, against the one before. */
+  | ({ readonly type: 'instances' } & SharedInstances)
   /** This store has known no leader for a while: what it holds may be old, and grows no newer. */
   | { readonly type: 'outOfTouch' };
--- a/packages/schema/src/tables/workspaces.ts
+++ b/packages/schema/src/tables/workspaces.ts
@@ -15,6 +15,11 @@
   windowMilliseconds: z.number().min(100).max(3_600_000).default(1000),
   /** What may be spent at once on top, after a quiet time. */
   burst: z.number().min(0),
+  /**
+   * What may be spent above the limit in a window where entries learn too late of each other's
+   * spending. Without any, little may be spent between two reports.
+   */
+  tolerated: z.number().min(0).default(0),
   /** What a request counts that does not say its tokens. */
   plainTokens: z.number().min(0).default(0),
 });
--- a/packages/store-core/src/log/index.ts
+++ b/packages/store-core/src/log/index.ts
@@ -1,2 +1,3 @@
 export * from './FileSystem.js';
 export * from './LogStore.js';
+export * from './replaceFile.js';
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -9,6 +9,8 @@
   EntryReport,
   InstanceReport,
   Milliseconds,
+  SharedInstance,
+  SpendingReport,
   StoreAddress,
   StoreCommand,
   StorePush,
@@ -129,6 +131,16 @@
     this.tellAll({ type: 'shareReport', report });
   }
 
+  /** Hands the platform's list, as it was just read, to all that subscribe to a store. */
+  shareInstances(instances: readonly SharedInstance[]): void {
+    this.tellAll({ type: 'shareInstances', instances });
+  }
+
+  /** The same for what is told between two reports. */
+  shareSpending(spending: SpendingReport): void {
+    this.tellAll({ type: 'shareSpending', spending });
+  }
+
   /** Tells the stores what this instance has in force. */
   updateReport(report: InstanceReport): void {
     this.subscription.report = report;
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -11,8 +11,11 @@
 import type {
   Configuration,
   EntryReport,
-  InstanceReport,
   Milliseconds,
+  RememberedSpending,
+  SharedInstance,
+  SpendingReport,
+  InstanceReport,
   QuarantineEntry,
   StoreAddress,
   StorePush,
@@ -20,6 +23,7 @@
   VoterAddress,
 } from '@hornbeampond/schema';
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import { InstanceListFollower } from './InstanceListFollower.js';
 import { ConfigurationFollower, type FollowResult } from './ConfigurationFollower.js';
 import type { PeerClient } from './PeerClient.js';
 
@@ -27,6 +31,10 @@
   onConfiguration?(configuration: Configuration): void;
   onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
   onEntryReport?(report: EntryReport): void;
+  onSpending?(spending: SpendingReport): void;
+  /** A reading of the platform's list that another process has made, and its age. */
+  onInstances?(instances: readonly SharedInstance[], age: Milliseconds): void;
+  onSpendingRemembered?(spending: RememberedSpending): void;
 }
 
 export interface StorePeer {
@@ -71,6 +79,8 @@
 
   private readonly follower = new ConfigurationFollower();
 
+  private readonly instances = new InstanceListFollower();
+
   private subscription: Subscription | undefined;
 
   private cancelMove: Unsubscribe | undefined;
@@ -159,12 +169,25 @@
     if (response.type !== 'subscribed') return;
     subscription.isAnswered = true;
     this.passedOver.clear();
+    this.takeInstances(response);
+    // Ahead of the configuration: with that the requests that have waited for it are admitted.
+    if (response.spending !== undefined) {
+      this.options.handlers.onSpendingRemembered?.(response.spending);
+    }
     this.note(this.follower.takeWhole(response.configuration));
     this.options.handlers.onQuarantine?.(response.quarantine);
     this.options.onStores(response.stores);
     subscription.early.forEach((push) => this.take(push));
   }
 
+  private takeInstances({
+    instances,
+    instancesAge = 0,
+  }: Extract<StoreResponse, { type: 'subscribed' }>): void {
+    this.instances.reset(instances);
+    if (instances !== undefined) this.options.handlers.onInstances?.(instances, instancesAge);
+  }
+
   private take(push: StorePush): void {
     const { handlers, onStores } = this.options;
     switch (push.type) {
@@ -183,6 +206,12 @@
       case 'entryReport':
         handlers.onEntryReport?.(push.report);
         return;
+      case 'instances':
+        handlers.onInstances?.(this.instances.apply(push), 0);
+        return;
+      case 'spending':
+        handlers.onSpending?.(push.spending);
+        return;
       default:
         this.leaveOutOfTouch();
     }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,6 +6,7 @@
 export * from './StoreClient.js';
 export type { StoreClientHandlers } from './StoreSubscription.js';
 export * from './OperatorServer.js';
+export * from './sharedInstances.js';
 export * from './readBody.js';
 export * from './writeProblem.js';
 export * from './authorizeOperator.js';
--- /dev/null
+++ b/packages/transport/src/sharedInstances.ts
@@ -0,0 +1,20 @@
+/** Instances as processes tell them to each other: times are told as spans, since clocks differ. */
+import type { EpochMilliseconds, PlatformInstance, SharedInstance } from '@hornbeampond/schema';
+
+export function toShared(
+  instances: readonly PlatformInstance[],
+  wallNow: EpochMilliseconds,
+): SharedInstance[] {
+  return instances.map(({ goneAt, ...instance }) =>
+    goneAt === undefined ? instance : { ...instance, goneIn: goneAt - wallNow },
+  );
+}
+
+export function fromShared(
+  instances: readonly SharedInstance[],
+  wallNow: EpochMilliseconds,
+): PlatformInstance[] {
+  return instances.map(({ goneIn, ...instance }) =>
+    goneIn === undefined ? instance : { ...instance, goneAt: wallNow + goneIn },
+  );
+}
