Have entries tell each other their work at engines and the prefixes they had computed

Cause: each entry knew of the others only what engines say with their answers, seconds old at five requests a second, and of cached prefixes only its own. Ruled out: polling engines' events at each entry (engines keep twelve such calls), homes alone (they move with each wave). Change: what changes of an entry's work at an engine, and shared prefixes that were computed, go to all others within 50 ms by way of the stores, which collect for 20 ms; at many entries less often. Prompts that wait inside an engine are bounded for all entries together (400 ms). Predictions refuse only once samples weigh more than the first belief, and count cached parts. A stream that lost its engine goes by its pause in the queue and not by the deadline of its whole answer. Tested: long shared prompts at eight entries, with and without the telling; failed before.

--- a/apps/entry/src/EntryPeers.ts
+++ b/apps/entry/src/EntryPeers.ts
@@ -10,13 +10,12 @@
 } from '@hornbeampond/transport';
 import type {
   Configuration,
-  EntryReport,
   EntryRequest,
   EntryResponse,
   EntrySettings,
   FleetDrains,
+  PeerReport,
   RouteDemandReport,
-  SpendingReport,
 } from '@hornbeampond/schema';
 
 export interface EntryPeersOptions {
@@ -24,7 +23,7 @@
   readonly context: PeerContext;
   readConfiguration(): Configuration;
   readDemand(): readonly RouteDemandReport[];
-  onReport(report: EntryReport | SpendingReport): void;
+  onReport(report: PeerReport): void;
   onDrains(drains: FleetDrains): void;
 }
 
@@ -39,7 +38,7 @@
     const { context, settings } = options;
     this.server = new PeerServer(context, {
       onPush: ({ peer }, body) => {
-        if (peer.role === 'entry') options.onReport(body as EntryReport | SpendingReport);
+        if (peer.role === 'entry') options.onReport(body as PeerReport);
       },
       onRequest: ({ peer }, body, respond) => respond(this.answer(body as EntryRequest, peer.role)),
     });
@@ -62,7 +61,7 @@
     return this.server.listen(this.options.settings.peerListen);
   }
 
-  report(report: EntryReport | SpendingReport): void {
+  report(report: PeerReport): void {
     this.clients.forEach((client) => client.push(report));
   }
 
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -27,6 +27,7 @@
   type ClaimResult,
   type EntrySettings,
   type Milliseconds,
+  type PeerReport,
   type PlatformInstance,
 } from '@hornbeampond/schema';
 import {
@@ -166,6 +167,7 @@
         onInstances: (instances, age) =>
           this.watcher.receive(fromShared(instances, timers.wallNow()), age),
         onSpendingRemembered: (spending) => dispatch({ type: 'spendingRemembered', spending }),
+        onWork: (work) => dispatch({ type: 'workReported', work }),
         onSpending: (spending) => dispatch({ type: 'spendingReported', spending }),
       },
       this.makeReport(0),
@@ -176,10 +178,7 @@
       context,
       readConfiguration,
       readDemand: () => reportDemand(this.loop.state, timers.monotonicNow()),
-      onReport: (report) => {
-        if (report.type === 'entryReport') dispatch({ type: 'entryReported', report });
-        else dispatch({ type: 'spendingReported', spending: report });
-      },
+      onReport: (report) => this.receiveReport(report),
       onDrains: (drains) => dispatch({ type: 'drainsReceived', drains }),
     });
     this.watcher = new BackendServerWatcher({
@@ -317,6 +316,22 @@
     return { instance, dataCentre, role: 'entry' as const, revision, cutOff: this.cutOff };
   }
 
+  private receiveReport(report: PeerReport): void {
+    switch (report.type) {
+      case 'entryReport':
+        this.dispatch({ type: 'entryReported', report });
+        return;
+      case 'spendingReport':
+        this.dispatch({ type: 'spendingReported', spending: report });
+        return;
+      case 'workReport':
+        this.dispatch({ type: 'workReported', work: report });
+        return;
+      default:
+        assertNever(report);
+    }
+  }
+
   private shareInstances(instances: readonly PlatformInstance[]): void {
     this.store.shareInstances(toShared(instances, this.timers.wallNow()));
   }
@@ -381,6 +396,10 @@
         if (this.findsPeersByStores) this.store.shareReport(effect.report);
         else this.peers.report(effect.report);
         return;
+      case 'tellWork':
+        if (this.findsPeersByStores) this.store.shareWork(effect.work);
+        else this.peers.report(effect.work);
+        return;
       case 'tellSpending':
         if (this.findsPeersByStores) this.store.shareSpending(effect.spending);
         else this.peers.report(effect.spending);
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -60,6 +60,7 @@
 import { SnapshotCache } from './SnapshotCache.js';
 import { SpendingMemory } from './SpendingMemory.js';
 import { StoreOperations } from './StoreOperations.js';
+import { WorkBoard } from './WorkBoard.js';
 import { StorePeers } from './StorePeers.js';
 import { StoreRequests } from './StoreRequests.js';
 import { Subscribers } from './Subscribers.js';
@@ -124,6 +125,8 @@
 
   private readonly spending: SpendingMemory;
 
+  private readonly work: WorkBoard;
+
   private closed = false;
 
   /** True once a step was not carried out to its end. */
@@ -161,6 +164,7 @@
       subscribers: this.subscribers,
       readMachine: () => this.machine,
     });
+    this.work = new WorkBoard(timers, this.subscribers);
     this.spending = new SpendingMemory({ disk: storage, timers, logger: this.logger });
     this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
@@ -182,6 +186,7 @@
         onEntryReport(report);
       },
       instances: new InstanceBoard(timers),
+      onWork: (work) => this.work.add(work),
       onSpending: (spending) => this.spending.noteSpending(spending),
       readSpending: () => this.spending.remembered,
       leastVoters: settings.leastVoters,
@@ -253,6 +258,7 @@
     this.leaderWatch.stop();
     this.publisher.stop();
     this.spending.close();
+    this.work.close();
     this.joining.stop();
     this.sending.clear();
     this.peers.close();
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -11,6 +11,7 @@
   type StoreCommand,
   type StoreRequest,
   type StoreResponse,
+  type WorkReport,
   type StoreStatus,
 } from '@hornbeampond/schema';
 import {
@@ -39,6 +40,7 @@
   readStatus(): StoreStatus;
   dispatch(occurrence: StoreOccurrence): void;
   onEntryReport(report: EntryReport): void;
+  onWork(work: WorkReport): void;
   onSpending(spending: SpendingReport): void;
   readonly instances: InstanceBoard;
   readSpending(): RememberedSpending | undefined;
@@ -95,6 +97,10 @@
         subscribers.push({ type: 'instances', ...this.options.instances.take(request.instances) });
         respond(this.acceptReport());
         return;
+      case 'shareWork':
+        this.options.onWork(request.work);
+        respond(this.acceptReport());
+        return;
       case 'shareSpending':
         this.options.onSpending(request.spending);
         subscribers.push({ type: 'spending', spending: request.spending });
--- a/apps/store/src/Subscribers.ts
+++ b/apps/store/src/Subscribers.ts
@@ -34,13 +34,18 @@
     this.send(push, () => true);
   }
 
+  /** Sends what only entries go by. */
+  pushToEntries(push: StorePush): void {
+    this.send(push, ({ role }) => role === 'entry');
+  }
+
   /**
    * Hands on what an entry says of itself. What only the planner of the fleet and a store's memory go
    * by is most of it, and would reach each entry from each other one once a second.
    */
   pushReport(report: EntryReport): void {
     const { begun, demand, windowSpent, windowReach, ...brief } = report;
-    this.send({ type: 'entryReport', report: brief }, ({ role }) => role === 'entry');
+    this.pushToEntries({ type: 'entryReport', report: brief });
     this.send({ type: 'entryReport', report }, ({ role }) => role !== 'entry');
   }
 
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -15,6 +15,7 @@
 import { UsageMeter } from './demand/UsageMeter.js';
 import type { Timed } from './entryEvents.js';
 import { makeLimitState, type LimitState } from './limits/LimitState.js';
+import { PeerWork } from './backendServers/PeerWork.js';
 import { RouteIndex } from './routing/RouteIndex.js';
 import { makeMembershipState, type MembershipState } from './membership/MembershipState.js';
 import { makeQuarantineState, type QuarantineState } from './quarantine/QuarantineState.js';
@@ -55,6 +56,7 @@
   readonly quarantine: QuarantineState;
   readonly reclaims: ReclaimState;
   readonly membership: MembershipState;
+  readonly peerWork: PeerWork;
   readonly shutdown: ShutdownState;
   /** True once no new request is accepted; see `shutdown`. */
   shuttingDown: boolean;
@@ -95,6 +97,7 @@
     quarantine: makeQuarantineState(),
     reclaims: makeReclaimState(),
     membership: makeMembershipState(),
+    peerWork: new PeerWork(),
     shutdown: makeShutdownState(),
     shuttingDown: false,
     clocks: { now: 0, wallNow: 0 },
--- a/packages/entry-core/src/admission/FairQueue.ts
+++ b/packages/entry-core/src/admission/FairQueue.ts
@@ -18,6 +18,8 @@
   readonly accepted: RequestState;
   /** When its next token is due; the queue's order. */
   readonly dueAt: MonotonicMilliseconds;
+  /** When an answer is of no more use: a stream that has begun outlasts a pause that is too long. */
+  readonly endsAt: MonotonicMilliseconds;
   /** How long it is expected to keep one place of a backend server busy. */
   readonly cost: Milliseconds;
 }
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -5,6 +5,7 @@
 import {
   isClaimed,
   type EpochMilliseconds,
+  type Milliseconds,
   type MonotonicMilliseconds,
   type Pool,
   type Route,
@@ -25,6 +26,9 @@
 import { awaitConfiguration } from './awaitConfiguration.js';
 import { decideAdmission, type Admission } from './refuseEarly.js';
 
+/** Where a route does not say which pause its callers take for none. */
+const DEFAULT_PAUSE_MILLISECONDS: Milliseconds = 1000;
+
 /** The route and the workspace that a request has the right to use it as, or the refusal. */
 type Resolved =
   | { readonly type: 'found'; readonly route: Route; readonly request: CallerRequest }
@@ -73,6 +77,7 @@
     arrivedAt,
     firstTokenDueAt: arrivedAt + Math.min(deadline.firstTokenMilliseconds, patience),
     wholeAnswerDueAt: arrivedAt + Math.min(deadline.wholeAnswerMilliseconds, patience),
+    longestPause: deadline.pauseMilliseconds ?? DEFAULT_PAUSE_MILLISECONDS,
     attemptId: undefined,
     attemptsStarted: 0,
     triedInstances: new Set(),
--- a/packages/entry-core/src/admission/dropUnreachable.ts
+++ b/packages/entry-core/src/admission/dropUnreachable.ts
@@ -70,11 +70,11 @@
 /** True if the deadline is missed when the request is sent after so long. */
 export function isLateAfter(
   state: EntryState,
-  { accepted, dueAt }: Waiting,
+  { accepted, endsAt }: Waiting,
   wait: Milliseconds,
   now: MonotonicMilliseconds,
 ): boolean {
-  return now + wait + usualDelay(state, accepted) > dueAt;
+  return now + wait + usualDelay(state, accepted) > endsAt;
 }
 
 /** Ends a request that has left the queue because it would be late. */
--- /dev/null
+++ b/packages/entry-core/src/admission/interruptedStreams.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Streams that have lost their backend server in the middle, beside callers who have just come.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { makeRequest, World } from '../driver/index.js';
+import { nextTokenDueAt } from '../backendServers/chooseBackendServer.js';
+import type { RequestState } from '../requests/RequestState.js';
+import { isLateAfter } from './dropUnreachable.js';
+import { FairQueue } from './FairQueue.js';
+import { makeWaiting } from './predictWait.js';
+
+const FIRST_TOKEN_MILLISECONDS = 5000;
+const WHOLE_ANSWER_MILLISECONDS = 25_000;
+
+function makeWorld(): World {
+  return new World({ engines: { 'wien-a': 1 } });
+}
+
+function accepted(world: World, name: string, fields: Partial<RequestState>): RequestState {
+  const { configuration } = world.entry.state;
+  const [route] = configuration.routes.rows;
+  const [pool] = configuration.pools.rows;
+  assert.ok(route !== undefined && pool !== undefined);
+  return {
+    request: makeRequest(name, {}),
+    route,
+    pool,
+    arrivedAt: 0,
+    firstTokenDueAt: FIRST_TOKEN_MILLISECONDS,
+    wholeAnswerDueAt: WHOLE_ANSWER_MILLISECONDS,
+    longestPause: 500,
+    attemptId: undefined,
+    attemptsStarted: 0,
+    triedInstances: new Set(),
+    tokens: 0,
+    firstTokenAt: undefined,
+    ...fields,
+  };
+}
+
+const begun: Partial<RequestState> = {
+  attemptsStarted: 1,
+  tokens: 40,
+  firstTokenAt: 800,
+  interruptedAt: 3000,
+};
+
+// An engine dies with streams on it while new callers wait. Ordered by the deadline of its whole answer,
+// a stream waited behind everyone who came after it, and its caller saw it stand still for ten seconds.
+test('a stream that was interrupted goes before callers who have just come', () => {
+  const world = makeWorld();
+  const { state } = world.entry;
+  const queue = new FairQueue();
+  queue.add(makeWaiting(state, accepted(world, 'new', {})));
+  queue.add(makeWaiting(state, accepted(world, 'stream', begun)));
+  assert.equal(queue.peek()?.accepted.request.requestId, 'stream');
+});
+
+// Its pause is longer than its caller takes for none already. Its answer is late, but still awaited.
+test('a stream whose pause is too long is not given up before its deadline', () => {
+  const world = makeWorld();
+  const { state } = world.entry;
+  const stream = accepted(world, 'stream', begun);
+  assert.equal(nextTokenDueAt(stream), 3500);
+  assert.equal(isLateAfter(state, makeWaiting(state, stream), 0, 6000), false);
+  assert.equal(
+    isLateAfter(state, makeWaiting(state, stream), 0, WHOLE_ANSWER_MILLISECONDS + 1),
+    true,
+  );
+  const fresh = accepted(world, 'new', {});
+  assert.equal(isLateAfter(state, makeWaiting(state, fresh), 0, 6000), true);
+});
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -23,7 +23,9 @@
 
 export function makeWaiting(state: EntryState, accepted: RequestState): Waiting {
   const cost = poolBalanceOf(state, accepted.pool.name).serviceTime(accepted.route.name);
-  return { accepted, dueAt: nextTokenDueAt(accepted), cost };
+  const dueAt = nextTokenDueAt(accepted);
+  const endsAt = accepted.firstTokenAt === undefined ? dueAt : accepted.wholeAnswerDueAt;
+  return { accepted, dueAt, endsAt, cost };
 }
 
 /** Wait in the queue until a backend server can be given the request. */
@@ -33,7 +35,14 @@
   return (ahead + waiting.cost) / countPlaces(state, pool);
 }
 
-/** Time from being sent to the first token when no other prompt is in front. */
+/**
+ * Time from being sent to the first token when no other prompt is in front, where most of the prompt
+ * is cached. Until that is known none is counted on, or the first callers would be given up by guess.
+ */
 export function usualDelay(state: EntryState, { pool, request }: RequestState): Milliseconds {
-  return poolBalanceOf(state, pool.name).firstToken.predict(request.promptTokens);
+  const { now } = state.clocks;
+  const { beliefs, firstToken } = poolBalanceOf(state, pool.name);
+  if (!firstToken.isTrusted(now)) return 0;
+  const [holder] = beliefs.find(request, now);
+  return firstToken.predict(request.promptTokens * (1 - (holder?.share ?? 0)));
 }
--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -7,6 +7,7 @@
 import type { EntryEffect } from './entryEffects.js';
 import type { Timed } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
+import { advanceWork } from './backendServers/shareWork.js';
 import { markSilentPeers } from './membership/livePeers.js';
 import { advanceReports } from './membership/reportToEntries.js';
 import { advanceSuspects } from './quarantine/advanceSuspects.js';
@@ -30,6 +31,7 @@
     ...advanceReclaims(state, timed),
     ...advanceRetries(state, timed.now),
     ...advanceReports(state, timed),
+    ...advanceWork(state, timed.now),
     ...advanceShutdown(state, timed),
   ];
 }
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -69,6 +69,7 @@
 function unbind(accepted: RequestState, attempt: AttemptState, event: AttemptFailed): void {
   accepted.attemptId = undefined;
   accepted.tokens = Math.max(accepted.tokens, event.tokens);
+  if (accepted.firstTokenAt !== undefined) accepted.interruptedAt = event.now;
   if (event.sent === 'maybe' || attempt.sent) accepted.maybeSent = true;
 }
 
--- a/packages/entry-core/src/attempts/releaseAttempts.ts
+++ b/packages/entry-core/src/attempts/releaseAttempts.ts
@@ -11,7 +11,10 @@
 /** Ends an attempt's own record. Its request goes on, or not, as the caller of this decides. */
 export function forgetAttempt(state: EntryState, attempt: AttemptState): void {
   state.attempts.delete(attempt.attemptId);
-  state.backendServers.get(attempt.instance)?.attemptIds.delete(attempt.attemptId);
+  const server = state.backendServers.get(attempt.instance);
+  server?.attemptIds.delete(attempt.attemptId);
+  server?.balance.pendingPrompts.delete(attempt.attemptId);
+  state.peerWork.noteChange(attempt.instance);
 }
 
 /** Gives up the attempt that the request is bound to. It may have sent bytes, so it counts so. */
--- a/packages/entry-core/src/backendServers/LearntLine.ts
+++ b/packages/entry-core/src/backendServers/LearntLine.ts
@@ -9,6 +9,9 @@
 const PRIOR_VARIANCE = 200 ** 2;
 const YOUNG_MILLISECONDS: Milliseconds = 3000;
 
+/** After so many samples the first belief has less than half of the say. */
+const SETTLED_SAMPLES = 14;
+
 export class LearntLine {
   private meanX: number;
 
@@ -20,6 +23,8 @@
 
   private learntAt: MonotonicMilliseconds | undefined;
 
+  private samples = 0;
+
   /**
    * What is believed before the first sample, as if two samples had been of it: without them the
    * first samples, all alike, would make the line flat, and no work would be worth saving.
@@ -36,9 +41,10 @@
     this.meanXY = (mostWork * (base + slope * mostWork)) / 2;
   }
 
-  /** True if the last sample is of just now. */
-  isYoung(now: MonotonicMilliseconds): boolean {
-    return this.learntAt !== undefined && now - this.learntAt <= YOUNG_MILLISECONDS;
+  /** True if the last sample is of just now, and samples weigh more than the first belief. */
+  isTrusted(now: MonotonicMilliseconds): boolean {
+    if (this.learntAt === undefined || this.samples < SETTLED_SAMPLES) return false;
+    return now - this.learntAt <= YOUNG_MILLISECONDS;
   }
 
   predict(work: number): Milliseconds {
@@ -59,6 +65,7 @@
     this.meanXX += (work * work - this.meanXX) * share;
     this.meanXY += (work * delay - this.meanXY) * share;
     this.learntAt = now;
+    this.samples += weight;
   }
 
   /**
--- /dev/null
+++ b/packages/entry-core/src/backendServers/PeerWork.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ServerWork, WorkReport } from '@hornbeampond/schema';
+import { PeerWork } from './PeerWork.js';
+
+function report(instance: string, work: Record<string, ServerWork>, incarnation = 1): WorkReport {
+  return { type: 'workReport', instance, incarnation, work, computed: {} };
+}
+
+const busy: ServerWork = { inProgress: 2, promptTokens: 5000 };
+const idle: ServerWork = { inProgress: 0, promptTokens: 0 };
+
+test('the work of all peers at a backend server adds up, and goes as they tell', () => {
+  const work = new PeerWork();
+  work.receive(report('entry-2', { engine: busy }));
+  work.receive(report('entry-3', { engine: { inProgress: 1, promptTokens: 0 } }));
+  assert.deepEqual(work.at('engine'), { inProgress: 3, promptTokens: 5000 });
+  work.receive(report('entry-2', { engine: idle }));
+  assert.deepEqual(work.at('engine'), { inProgress: 1, promptTokens: 0 });
+  assert.deepEqual(work.at('another'), idle);
+});
+
+// An entry is killed with calls in progress and started again. What it told before is gone with it;
+// kept, its engines would look busy for the rest of the day.
+test('the work of an entry that was started anew or fell silent is forgotten', () => {
+  const work = new PeerWork();
+  work.receive(report('entry-2', { engine: busy }));
+  work.receive(report('entry-2', { other: busy }, 2));
+  assert.deepEqual(work.at('engine'), idle);
+  work.receive(report('entry-2', { engine: busy }, 1));
+  assert.deepEqual(work.at('engine'), idle);
+  work.forget('entry-2');
+  assert.deepEqual(work.at('other'), idle);
+});
+
+test('what has changed is told together, and no faster at many entries than at few', () => {
+  const work = new PeerWork();
+  const take = (entries: number, now: number) => work.takeDue(entries, now, () => busy);
+  assert.equal(take(8, 0), undefined);
+  work.noteChange('engine');
+  work.noteComputed('engine', ['a', 'b']);
+  work.noteComputed('engine', ['b']);
+  assert.deepEqual(take(8, 0), { work: { engine: busy }, computed: { engine: ['a', 'b'] } });
+  work.noteChange('engine');
+  assert.equal(take(8, 40), undefined);
+  assert.equal(take(80, 400), undefined);
+  assert.deepEqual(take(80, 500), { work: { engine: busy }, computed: {} });
+});
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -42,7 +42,10 @@
 
 /** When the request's next token is due. */
 export function nextTokenDueAt(accepted: RequestState): MonotonicMilliseconds {
-  return accepted.firstTokenAt === undefined ? accepted.firstTokenDueAt : accepted.wholeAnswerDueAt;
+  const { firstTokenAt, interruptedAt, longestPause } = accepted;
+  if (firstTokenAt === undefined) return accepted.firstTokenDueAt;
+  const paused = (interruptedAt ?? firstTokenAt) + longestPause;
+  return Math.min(accepted.wholeAnswerDueAt, paused);
 }
 
 interface Choice {
--- a/packages/entry-core/src/backendServers/estimateInProgress.ts
+++ b/packages/entry-core/src/backendServers/estimateInProgress.ts
@@ -58,13 +58,23 @@
   balance.othersInProgress = Math.max(0, report.running + report.queued - own);
 }
 
+/** True while all other entries that are known tell what they have in progress. */
+function isToldAll({ membership }: EntryState): boolean {
+  if (membership.peers.size === 0) return false;
+  return [...membership.peers.values()].every(({ live }) => live);
+}
+
 /**
- * Requests in progress at the server now, of this entry and of others. Other entries of the data
+ * Requests in progress at the server now, of this entry and of others. Where some cannot tell theirs,
+ * a load report stands in: other entries of the data
  * centre are taken to have grown since the measurement as this one has, since the balancer gives
  * all of them the same rush; a report that is seconds old would otherwise let each of them fill
  * the server for itself.
  */
 export function estimateInProgress(state: EntryState, server: BackendServerState): number {
+  if (isToldAll(state)) {
+    return server.attemptIds.size + state.peerWork.at(server.listed.instance).inProgress;
+  }
   const { measuredAt, othersInProgress, ownAtMeasurement } = server.balance;
   const own = server.attemptIds.size;
   const { now } = state.clocks;
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -53,7 +53,10 @@
  */
 const CROWDED_WEIGHT = 0.1;
 
-function observeFirstToken({ attempt, accepted, server, pool, now }: Observed): void {
+function observeFirstToken(
+  state: EntryState,
+  { attempt, accepted, server, pool, now }: Observed,
+): void {
   const pending = server.balance.pendingPrompts.get(attempt.attemptId);
   if (pending === undefined) return;
   server.balance.pendingPrompts.delete(attempt.attemptId);
@@ -65,27 +68,24 @@
   pool.firstToken.learn(pending.tokensUntilFirst, learnt, now, weight);
   // The prompt has been computed here, so its prefixes are cached here; the engine's own event
   // will say so only later.
-  pool.beliefs.believe(server, accepted.request.prefixDigests, now);
+  const { prefixDigests } = accepted.request;
+  pool.beliefs.believe(server, prefixDigests, now);
+  state.peerWork.noteChange(server.listed.instance);
+  // The last part of a prompt is its own; no other entry is asked for it.
+  state.peerWork.noteComputed(server.listed.instance, prefixDigests.slice(0, -1));
 }
 
 function observeStart(state: EntryState, attemptId: string, now: MonotonicMilliseconds): void {
   const edge = observed(state, attemptId, now);
   if (edge === undefined || edge.server.balance.pendingPrompts.has(attemptId)) return;
   const { accepted, server, pool } = edge;
-  forgetCancelled(server);
   pool.attemptIds.add(attemptId);
   pool.peak.see(pool.attemptIds.size, now);
   const tokens = uncachedTokens(pool, server, accepted.request, now);
-  const tokensUntilFirst = pendingTokens(server) + tokens;
+  const tokensUntilFirst = pendingTokens(state, server) + tokens;
   pool.learnPrompt(accepted.route.name, tokens);
   server.balance.pendingPrompts.set(attemptId, { tokens, tokensUntilFirst });
-}
-
-/** Forgets the pending prompts of attempts that were cancelled. */
-function forgetCancelled({ attemptIds, balance }: BackendServerState): void {
-  for (const attemptId of balance.pendingPrompts.keys()) {
-    if (!attemptIds.has(attemptId)) balance.pendingPrompts.delete(attemptId);
-  }
+  state.peerWork.noteChange(server.listed.instance);
 }
 
 function observeEnd({ attempt, server, pool, now }: Observed): void {
@@ -128,7 +128,7 @@
   if (!('attemptId' in event) || event.attemptId === undefined) return [];
   const edge = observed(state, event.attemptId, event.now);
   if (edge === undefined) return [];
-  if (event.type === 'firstTokenReceived') observeFirstToken(edge);
+  if (event.type === 'firstTokenReceived') observeFirstToken(state, edge);
   if (event.type === 'attemptFinished') observeFinish(state, edge);
   if (event.type === 'attemptFailed') return observeFailure(edge, event.failure);
   return [];
--- a/packages/entry-core/src/backendServers/predictFirstToken.ts
+++ b/packages/entry-core/src/backendServers/predictFirstToken.ts
@@ -25,8 +25,13 @@
   return request.promptTokens * (1 - pool.beliefs.shareAt(server, request, now));
 }
 
-/** Tokens of prompts that were sent there and have no first token yet. */
-export function pendingTokens({ balance }: BackendServerState): number {
+/** Tokens of prompts that all entries have sent there and that have no first token yet. */
+export function pendingTokens(state: EntryState, server: BackendServerState): number {
+  return ownPendingTokens(server) + state.peerWork.at(server.listed.instance).promptTokens;
+}
+
+/** The same of this entry's own prompts. */
+export function ownPendingTokens({ balance }: BackendServerState): number {
   let tokens = 0;
   for (const pending of balance.pendingPrompts.values()) tokens += pending.tokens;
   return tokens;
@@ -37,7 +42,7 @@
  * is sent early waits there in order of arrival, whatever its deadline and workspace; what is kept
  * here waits in the right order. All entries of the data centre together keep to it.
  */
-const LONGEST_PENDING_MILLISECONDS: Milliseconds = 200;
+const LONGEST_PENDING_MILLISECONDS: Milliseconds = 400;
 
 /**
  * True if the prompts that are pending at the server leave no use for this one there. One whose
@@ -49,12 +54,12 @@
   server: BackendServerState,
   { request }: RequestState,
 ): boolean {
-  if (server.balance.pendingPrompts.size === 0) return false;
-  const { entries } = state.limits.ledger;
+  const waiting = pendingTokens(state, server);
+  if (waiting === 0) return false;
   const uncached = uncachedTokens(pool, server, request, state.clocks.now);
   const saved = pool.firstToken.predictGrowth(request.promptTokens - uncached);
-  const pending = pool.firstToken.predictGrowth(pendingTokens(server));
-  return pending > LONGEST_PENDING_MILLISECONDS / entries + saved;
+  const pending = pool.firstToken.predictGrowth(waiting);
+  return pending > LONGEST_PENDING_MILLISECONDS + saved;
 }
 
 /** What is left of the wait that the server's last report predicted. */
@@ -73,7 +78,7 @@
   const { now } = state.clocks;
   const limit = limitNow(server.balance, now);
   const inProgress = estimateInProgress(state, server);
-  const tokens = pendingTokens(server) + uncachedTokens(pool, server, request, now);
+  const tokens = pendingTokens(state, server) + uncachedTokens(pool, server, request, now);
   const usual = pool.firstToken.predict(tokens) * slownessNow(server.balance, now);
   const crowded = usual * (1 + FULL_SLOWDOWN * Math.min(1, inProgress / limit));
   const above = Math.max(0, inProgress + 1 - limit);
@@ -94,7 +99,7 @@
     backendServer: server.listed.instance,
     promptTokens: request.promptTokens,
     uncachedTokens: Math.round(uncachedTokens(pool, server, request, now)),
-    pendingTokens: Math.round(pendingTokens(server)),
+    pendingTokens: Math.round(pendingTokens(state, server)),
     inProgress: estimateInProgress(state, server),
     limit: limitNow(server.balance, now),
     slowness: slownessNow(server.balance, now),
@@ -104,8 +109,8 @@
 
 /**
  * True if a prediction above the caller's patience may be a reason to refuse. What was learnt must
- * be young: a pool that refuses everything learns nothing, and one slow moment would close it for
- * good. So after a few seconds without a sample a request is let through to find out.
+ * be young, and more than a first belief, which may be several times too slow: a pool that refuses
+ * everything learns nothing, and one slow moment would close it for good. So after a few seconds without a sample a request is let through to find out.
  */
 export function isPredictionTrusted(
   pool: PoolBalance,
@@ -113,5 +118,5 @@
   patience: Milliseconds,
   now: MonotonicMilliseconds,
 ): boolean {
-  return pool.firstToken.isYoung(now) || reportedDelay(server, now) > patience;
+  return pool.firstToken.isTrusted(now) || reportedDelay(server, now) > patience;
 }
--- /dev/null
+++ b/packages/entry-core/src/backendServers/shareWork.ts
@@ -0,0 +1,40 @@
+/** Tells the other entries of this one's work at backend servers, and takes in theirs. */
+import type { MonotonicMilliseconds, ServerWork, WorkReport } from '@hornbeampond/schema';
+import type { EntryEffect } from '../entryEffects.js';
+import type { EntryState } from '../EntryState.js';
+import { poolBalanceOf } from './poolBalanceOf.js';
+import { ownPendingTokens } from './predictFirstToken.js';
+
+function readOwn(state: EntryState, instance: string): ServerWork {
+  const server = state.backendServers.get(instance);
+  if (server === undefined) return { inProgress: 0, promptTokens: 0 };
+  return {
+    inProgress: server.attemptIds.size,
+    promptTokens: Math.round(ownPendingTokens(server)),
+  };
+}
+
+export function advanceWork(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
+  const { instance, incarnation } = state.identity;
+  state.membership.peers.forEach(({ live }, name) => {
+    if (!live) state.peerWork.forget(name);
+  });
+  const entries = state.membership.peers.size + 1;
+  const due = state.peerWork.takeDue(entries, now, (name) => readOwn(state, name));
+  if (due === undefined) return [];
+  return [{ type: 'tellWork', work: { type: 'workReport', instance, incarnation, ...due } }];
+}
+
+export function receiveWork(
+  state: EntryState,
+  report: WorkReport,
+  now: MonotonicMilliseconds,
+): void {
+  if (report.instance === state.identity.instance) return;
+  state.peerWork.receive(report);
+  Object.entries(report.computed).forEach(([instance, digests]) => {
+    const server = state.backendServers.get(instance);
+    if (server === undefined) return;
+    poolBalanceOf(state, server.listed.pool).beliefs.believe(server, digests, now);
+  });
+}
--- a/packages/entry-core/src/driver/EntryShell.ts
+++ b/packages/entry-core/src/driver/EntryShell.ts
@@ -133,6 +133,9 @@
       case 'reportToEntries':
         this.world.deliverReport(this, effect.report);
         return;
+      case 'tellWork':
+        this.world.deliverWork(this, effect.work);
+        return;
       case 'proposeCommand':
         this.world.propose(effect.command as ReportCrashCommand);
         return;
--- a/packages/entry-core/src/driver/World.ts
+++ b/packages/entry-core/src/driver/World.ts
@@ -2,7 +2,12 @@
  * Entries and fake engines together in virtual time. Time goes in equal steps; what is due within
  * a step runs in the order in which it was asked for, so that each run is the same.
  */
-import type { EntryReport, PlatformInstance, ReportCrashCommand } from '@hornbeampond/schema';
+import type {
+  EntryReport,
+  PlatformInstance,
+  ReportCrashCommand,
+  WorkReport,
+} from '@hornbeampond/schema';
 import type { CallerRequest, Timed } from '../entryEvents.js';
 import { EntryShell, type Caller } from './EntryShell.js';
 import { FakeEngine, wholeAnswer, type EngineRates, type Poison } from './FakeEngine.js';
@@ -185,6 +190,12 @@
       .forEach((entry) => this.later(1, () => entry.send({ type: 'entryReported', report })));
   }
 
+  deliverWork(from: EntryShell, work: WorkReport): void {
+    this.entries
+      .filter((entry) => entry !== from)
+      .forEach((entry) => this.later(1, () => entry.send({ type: 'workReported', work })));
+  }
+
   /** A store that counts crashes by digest and quarantines at the second. */
   propose({ crashId, digests }: ReportCrashCommand): void {
     if (!this.storeReachable) return;
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -13,6 +13,7 @@
   SpendingReport,
   StoreCommand,
   StoredAnswer,
+  WorkReport,
 } from '@hornbeampond/schema';
 import type { ClaimCommand } from './claims/ClaimedCall.js';
 
@@ -91,6 +92,8 @@
   | { readonly type: 'reportToEntries'; readonly report: EntryReport }
   /** Tells all peers what was spent of an allowance, ahead of the next report. */
   | { readonly type: 'tellSpending'; readonly spending: SpendingReport }
+  /** Tells all peers what has changed of this entry's work at backend servers. */
+  | { readonly type: 'tellWork'; readonly work: WorkReport }
   /** A newer configuration is in force. */
   | { readonly type: 'configurationApplied'; readonly revision: number }
   /** Nothing is in progress any more; a graceful shutdown can end. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -17,6 +17,7 @@
   RememberedSpending,
   SpendingReport,
   StoredAnswer,
+  WorkReport,
 } from '@hornbeampond/schema';
 import type { ClaimCommand } from './claims/ClaimedCall.js';
 
@@ -144,6 +145,7 @@
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
   | { readonly type: 'spendingRemembered'; readonly spending: RememberedSpending }
+  | { readonly type: 'workReported'; readonly work: WorkReport }
   | { readonly type: 'spendingReported'; readonly spending: SpendingReport }
   | {
       readonly type: 'shutdownStarted';
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -12,6 +12,7 @@
 import { observeAttempt, observeStarts } from './backendServers/observeAttempt.js';
 import { receiveCacheEvents } from './backendServers/receiveCacheEvents.js';
 import { findEndingClaim, followClaims } from './claims/followClaims.js';
+import { receiveWork } from './backendServers/shareWork.js';
 import { receiveDrains } from './backendServers/receiveDrains.js';
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent, Timed } from './entryEvents.js';
@@ -104,6 +105,9 @@
     case 'spendingRemembered':
       rememberSpending(state, event.spending, event);
       return [];
+    case 'workReported':
+      receiveWork(state, event.work, event.now);
+      return [];
     case 'spendingReported':
       receiveSpendingReport(state, event.spending, event.now);
       return [];
--- a/packages/entry-core/src/requests/RequestState.ts
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -1,5 +1,11 @@
 /** One accepted request until its final answer. */
-import type { MonotonicMilliseconds, Pool, RecomputeReason, Route } from '@hornbeampond/schema';
+import type {
+  Milliseconds,
+  MonotonicMilliseconds,
+  Pool,
+  RecomputeReason,
+  Route,
+} from '@hornbeampond/schema';
 import type { CallerRequest } from '../entryEvents.js';
 
 export interface RequestState {
@@ -9,6 +15,8 @@
   readonly arrivedAt: MonotonicMilliseconds;
   readonly firstTokenDueAt: MonotonicMilliseconds;
   readonly wholeAnswerDueAt: MonotonicMilliseconds;
+  /** The longest pause between two tokens that the caller takes for none. */
+  readonly longestPause: Milliseconds;
   /** The attempt that the caller's answer is bound to now. */
   attemptId: string | undefined;
   attemptsStarted: number;
@@ -17,6 +25,8 @@
   /** Tokens of the answer that are there already. */
   tokens: number;
   firstTokenAt: MonotonicMilliseconds | undefined;
+  /** When the attempt ended that gave the newest tokens, if the answer goes on elsewhere. */
+  interruptedAt?: MonotonicMilliseconds;
   /** True once an attempt may have sent a byte; see `ranOf`. */
   maybeSent?: boolean;
   /** True while another attempt holds the claim of this call; see `ranOf`. */
--- a/packages/entry-core/src/testing/EntryHarness.ts
+++ b/packages/entry-core/src/testing/EntryHarness.ts
@@ -41,6 +41,8 @@
   readonly reportInterval?: Milliseconds;
   /** Data centre of the server with this number; `dc-a`, the entries' own, by default. */
   readonly dataCentreOf?: (server: number) => string;
+  /** True if nothing comes of what entries tell each other of their work. */
+  readonly losesWork?: boolean;
   /** Kept from the reducer, so that it has no affinity to choose by. */
   readonly hidePrefixes?: boolean;
 }
@@ -203,6 +205,12 @@
         this.timeline.after(NETWORK_MILLISECONDS, () => this.send(answer, entry));
         break;
       }
+      case 'tellWork': {
+        if (this.options.losesWork === true) break;
+        const { work } = effect;
+        this.timeline.after(NETWORK_MILLISECONDS, () => this.send({ type: 'workReported', work }));
+        break;
+      }
       case 'count': {
         const key = `${effect.metric}/${effect.label ?? ''}`;
         this.counted.set(key, (this.counted.get(key) ?? 0) + (effect.amount ?? 1));
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -77,6 +77,24 @@
   readonly suspects: readonly PeerSuspect[];
 }
 
+/** What one entry has in progress at one backend server. */
+export interface ServerWork {
+  readonly inProgress: number;
+  /** Tokens of prompts that are to be computed there and have no first token yet. */
+  readonly promptTokens: number;
+}
+
+/** What has changed of one entry's work, told soon after so that others don't send into it. */
+export interface WorkReport {
+  readonly type: 'workReport';
+  readonly instance: string;
+  readonly incarnation: EpochMilliseconds;
+  /** By backend server, of those where it has changed. */
+  readonly work: Readonly<Record<string, ServerWork>>;
+  /** Prompt prefixes that were computed since it was told last, by backend server. */
+  readonly computed: Readonly<Record<string, readonly string[]>>;
+}
+
 /** What one entry has spent of allowances, told between two reports where it matters at once. */
 export interface SpendingReport {
   readonly type: 'spendingReport';
@@ -114,6 +132,9 @@
   readonly instances: readonly string[];
 }
 
+/** What an entry tells others unasked. */
+export type PeerReport = EntryReport | SpendingReport | WorkReport;
+
 /** What entries and controllers ask an entry. */
 export type EntryRequest =
   | { readonly type: 'peekConfiguration' }
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -6,7 +6,12 @@
 import type { ConfigurationDelta } from '../tables/ConfigurationDelta.js';
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 import type { SharedInstance, SharedInstances } from './backendServers.js';
-import type { EntryReport, RememberedSpending, SpendingReport } from './entryMessages.js';
+import type {
+  EntryReport,
+  RememberedSpending,
+  SpendingReport,
+  WorkReport,
+} from './entryMessages.js';
 import type { CommandResult, StoreCommand } from './storeCommands.js';
 
 /** One digest that backend servers must be kept from for a while. */
@@ -44,6 +49,7 @@
   | { readonly type: 'shareInstances'; readonly instances: readonly SharedInstance[] }
   /** The same for what an entry tells between two reports. */
   | { readonly type: 'shareSpending'; readonly spending: SpendingReport }
+  | { readonly type: 'shareWork'; readonly work: WorkReport }
   | { readonly type: 'readStatus' }
   /** Membership of the log. */
   | { readonly type: 'addVoter'; readonly voter: JoiningVoter }
@@ -125,6 +131,8 @@
   /** What other entries said of themselves. */
   | { readonly type: 'entryReport'; readonly report: EntryReport }
   | { readonly type: 'spending'; readonly spending: SpendingReport }
+  /** What entries have told of their work since the push before. */
+  | { readonly type: 'work'; readonly reports: readonly WorkReport[] }
   /** A reading of the platform's list, against the one before. */
   | ({ readonly type: 'instances' } & SharedInstances)
   /** This store has known no leader for a while: what it holds may be old, and grows no newer. */
--- a/packages/schema/src/tables/routes.ts
+++ b/packages/schema/src/tables/routes.ts
@@ -39,6 +39,8 @@
   firstTokenMilliseconds: durationSchema,
   /** From the request's arrival to the end of the answer. */
   wholeAnswerMilliseconds: durationSchema,
+  /** The longest pause between two tokens that callers take for none. */
+  pauseMilliseconds: durationSchema.optional(),
 });
 
 export const deadlineSpanSchema = deadlineSchema.extend({
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -18,6 +18,7 @@
   StoreResponse,
   StoreStatus,
   VoterAddress,
+  WorkReport,
 } from '@hornbeampond/schema';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
@@ -141,6 +142,11 @@
     this.tellAll({ type: 'shareSpending', spending });
   }
 
+  /** Hands on what has changed of this entry's work. */
+  shareWork(work: WorkReport): void {
+    this.tellAll({ type: 'shareWork', work });
+  }
+
   /** Tells the stores what this instance has in force. */
   updateReport(report: InstanceReport): void {
     this.subscription.report = report;
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -21,6 +21,7 @@
   StorePush,
   StoreResponse,
   VoterAddress,
+  WorkReport,
 } from '@hornbeampond/schema';
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import { InstanceListFollower } from './InstanceListFollower.js';
@@ -31,6 +32,7 @@
   onConfiguration?(configuration: Configuration): void;
   onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
   onEntryReport?(report: EntryReport): void;
+  onWork?(work: WorkReport): void;
   onSpending?(spending: SpendingReport): void;
   /** A reading of the platform's list that another process has made, and its age. */
   onInstances?(instances: readonly SharedInstance[], age: Milliseconds): void;
@@ -209,6 +211,9 @@
       case 'instances':
         handlers.onInstances?.(this.instances.apply(push), 0);
         return;
+      case 'work':
+        push.reports.forEach((report) => handlers.onWork?.(report));
+        return;
       case 'spending':
         handlers.onSpending?.(push.spending);
         return;
