Have stores remember prefixes and delays for entries that start, and spread callers who have waited

Cause: after a loss of power an entry admits all callers who have waited in the moment its configuration comes, each placed as if the others were not there (four prompts of 44,000 tokens at one engine), with every prompt believed uncached; connections to stores were sought again up to 0.4 s late. Change: each is noted before the next is placed; stores keep which prefixes were computed and how long prompts take, on disk; for two seconds after a loss a connection is sought again every 25 ms in the mean.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -166,7 +166,7 @@
         onEntryReport: (report) => dispatch({ type: 'entryReported', report }),
         onInstances: (instances, age) =>
           this.watcher.receive(fromShared(instances, timers.wallNow()), age),
-        onSpendingRemembered: (spending) => dispatch({ type: 'spendingRemembered', spending }),
+        onRemembered: (remembered) => dispatch({ type: 'knowledgeRemembered', remembered }),
         onWork: (work) => dispatch({ type: 'workReported', work }),
         onSpending: (spending) => dispatch({ type: 'spendingReported', spending }),
       },
--- a/apps/store/src/SpendingMemory.test.ts
+++ b/apps/store/src/EntryMemory.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Logger } from '@hornbeampond/runtime';
-import type { EntryReport, Milliseconds, RememberedSpending } from '@hornbeampond/schema';
+import type { EntryReport, Milliseconds, RememberedEntries } from '@hornbeampond/schema';
 import { ManualTimerService } from '@hornbeampond/testing';
-import { SpendingMemory } from './SpendingMemory.js';
+import { EntryMemory } from './EntryMemory.js';
 import { MemoryDisk } from './testing/MemoryDisk.js';
 
 function report(spent: number, windowReach: Milliseconds): EntryReport {
@@ -37,7 +37,7 @@
     lines.push(line);
   };
   const logger = new Logger({ process: 'test', instance: 'store-1' }, 'info', write);
-  return { timers, memory: new SpendingMemory({ disk, timers, logger }) };
+  return { timers, memory: new EntryMemory({ disk, timers, logger }) };
 }
 
 // All processes lose power a moment after an entry has told what a workspace has spent. Entries that
@@ -51,8 +51,8 @@
   await settle();
   const after = makeMemory(disk);
   await after.memory.open();
-  assert.deepEqual(after.memory.remembered?.windowSpent, { laden: [500] });
-  assert.deepEqual(after.memory.remembered?.entries, {
+  assert.deepEqual(after.memory.remembered.spending?.windowSpent, { laden: [500] });
+  assert.deepEqual(after.memory.remembered.spending?.entries, {
     'entry-1': { incarnation: 1, spent: { laden: 1500 } },
   });
 });
@@ -62,18 +62,18 @@
   await memory.open();
   memory.note(report(500, 8000));
   memory.note(report(20, 100));
-  assert.deepEqual(memory.remembered?.windowSpent, { laden: [500] });
+  assert.deepEqual(memory.remembered.spending?.windowSpent, { laden: [500] });
   timers.advance(2000);
   memory.note(report(30, 2100));
-  assert.deepEqual(memory.remembered?.windowSpent, { laden: [30] });
+  assert.deepEqual(memory.remembered.spending?.windowSpent, { laden: [30] });
 });
 
 class FullDisk extends MemoryDisk {
-  override async saveSpending(): Promise<void> {
+  override async saveMemory(): Promise<void> {
     throw new Error('ENOSPC');
   }
 
-  override async readSpending(): Promise<RememberedSpending | undefined> {
+  override async readMemory(): Promise<RememberedEntries | undefined> {
     throw new Error('the checksum does not match');
   }
 }
@@ -88,6 +88,6 @@
   timers.advance(250);
   await settle();
   const events = lines.map((line) => (JSON.parse(line) as { event: string }).event);
-  assert.deepEqual(events, ['spendingUnreadable', 'spendingNotKept']);
-  assert.deepEqual(memory.remembered?.windowSpent, { laden: [500] });
+  assert.deepEqual(events, ['memoryUnreadable', 'memoryNotKept']);
+  assert.deepEqual(memory.remembered.spending?.windowSpent, { laden: [500] });
 });
--- /dev/null
+++ b/apps/store/src/EntryMemory.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps on the store's disk what entries hold in memory only and would need when all of them lose power
+ * together. What workspaces have spent of their allowances lately: otherwise it is spent a second time,
+ * or callers within their allowance are refused for as long as the window is. Which prompt prefixes
+ * engines have computed, and how long prompts take: otherwise all prompts are computed anew, just when
+ * everyone who has waited comes at once.
+ *
+ * It is a memory and no promise: it is written a few times a second and not agreed on, and a store that
+ * cannot write it goes on without. Entries count what is missing as they count late reports.
+ */
+import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type {
+  EntryReport,
+  EntrySpending,
+  Milliseconds,
+  RememberedEntries,
+  WorkReport,
+} from '@hornbeampond/schema';
+import { PrefixMemory } from './PrefixMemory.js';
+import type { StoreDisk } from './StoreDisk.js';
+
+/** How much a loss of power may take at most, beside what entries have not reported. */
+const WRITE_MILLISECONDS: Milliseconds = 250;
+
+/** An entry that knows less of the window is passed over until the one kept is so old. */
+const REPLACED_AFTER_MILLISECONDS: Milliseconds = 2000;
+
+export interface EntryMemoryOptions {
+  readonly disk: StoreDisk;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+}
+
+export class EntryMemory {
+  private spending: RememberedEntries['spending'];
+
+  private delays: RememberedEntries['delays'] = {};
+
+  private readonly prefixes = new PrefixMemory();
+
+  /** What each entry has told, by name. */
+  private readonly entries = new Map<string, EntrySpending>();
+
+  private hasChanged = false;
+
+  private isWriting = false;
+
+  private stop: Unsubscribe = () => {};
+
+  constructor(private readonly options: EntryMemoryOptions) {}
+
+  get remembered(): RememberedEntries {
+    const { spending, delays } = this;
+    return {
+      ...(spending === undefined ? {} : { spending }),
+      delays,
+      computed: this.prefixes.computed,
+    };
+  }
+
+  async open(): Promise<void> {
+    const { disk, timers, logger } = this.options;
+    try {
+      const kept = await disk.readMemory();
+      this.spending = kept?.spending;
+      this.delays = kept?.delays ?? {};
+      this.prefixes.note(kept?.computed ?? {});
+    } catch (error) {
+      logger.write('memoryUnreadable', { reason: String(error) });
+    }
+    this.stop = timers.every(WRITE_MILLISECONDS, () => {
+      void this.write();
+    });
+  }
+
+  note(report: EntryReport): void {
+    const { windowSpent, windowReach = 0, spent = {}, delays } = report;
+    this.hasChanged = true;
+    if (delays !== undefined) this.delays = { ...this.delays, ...delays };
+    if (windowSpent === undefined) return;
+    this.noteSpending({ ...report, spent });
+    const at = this.options.timers.wallNow();
+    const known = this.spending;
+    const isOld = known === undefined || at - known.at >= REPLACED_AFTER_MILLISECONDS;
+    if (!isOld && windowReach < known.windowReach) return;
+    const entries = Object.fromEntries(this.entries);
+    this.spending = { at, windowSpent, windowReach, entries };
+  }
+
+  /** Takes in what an entry tells between two reports. */
+  noteSpending({ instance, incarnation, spent }: EntrySpending & { instance: string }): void {
+    const known = this.entries.get(instance);
+    const before = known?.incarnation === incarnation ? known.spent : {};
+    this.entries.set(instance, { incarnation, spent: { ...before, ...spent } });
+  }
+
+  noteWork({ computed }: WorkReport): void {
+    this.prefixes.note(computed);
+  }
+
+  /** Forgets what instances that are listed no longer have had computed. */
+  keepInstances(instances: readonly string[]): void {
+    this.prefixes.keepOnly(instances);
+  }
+
+  close(): void {
+    this.stop();
+  }
+
+  private async write(): Promise<void> {
+    if (!this.hasChanged || this.isWriting) return;
+    this.isWriting = true;
+    this.hasChanged = false;
+    try {
+      await this.options.disk.saveMemory(this.remembered);
+    } catch (error) {
+      this.options.logger.write('memoryNotKept', { reason: String(error) });
+    } finally {
+      this.isWriting = false;
+    }
+  }
+}
--- a/apps/store/src/FolderDisk.ts
+++ b/apps/store/src/FolderDisk.ts
@@ -9,10 +9,10 @@
   type LogNotice,
   type PersistEffect,
 } from '@hornbeampond/store-core';
-import type { RememberedSpending } from '@hornbeampond/schema';
+import type { RememberedEntries } from '@hornbeampond/schema';
 import { StoreDisk, type DiskContents, type SavedSnapshot } from './StoreDisk.js';
 
-const SPENDING_FILE = 'spending';
+const MEMORY_FILE = 'entries';
 
 export interface FolderDiskOptions {
   readonly folder: string;
@@ -50,14 +50,14 @@
     await this.opened.discardLog(throughIndex);
   }
 
-  override async readSpending(): Promise<RememberedSpending | undefined> {
+  override async readMemory(): Promise<RememberedEntries | undefined> {
     const { folder } = this.options;
-    const read = await readWholeFile(new NodeFileSystem(), folder, SPENDING_FILE);
-    return read as RememberedSpending | undefined;
+    const read = await readWholeFile(new NodeFileSystem(), folder, MEMORY_FILE);
+    return read as RememberedEntries | undefined;
   }
 
-  override async saveSpending(spending: RememberedSpending): Promise<void> {
-    await replaceFile(new NodeFileSystem(), this.options.folder, SPENDING_FILE, spending);
+  override async saveMemory(memory: RememberedEntries): Promise<void> {
+    await replaceFile(new NodeFileSystem(), this.options.folder, MEMORY_FILE, memory);
   }
 
   /** Gives the folder a new identity, as that of an empty disk. It must be closed. */
--- /dev/null
+++ b/apps/store/src/PrefixMemory.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PrefixMemory } from './PrefixMemory.js';
+
+test('the latest prefixes of a backend server are kept, those used again among them', () => {
+  const memory = new PrefixMemory();
+  const digests = Array.from({ length: 500 }, (_, number) => `part-${number}`);
+  memory.note({ engine: digests });
+  memory.note({ engine: ['part-0', 'new'] });
+  const kept = memory.computed.engine ?? [];
+  assert.equal(kept.length, 500);
+  assert.deepEqual([kept.includes('part-0'), kept.includes('part-1')], [true, false]);
+  assert.deepEqual(kept.slice(-2), ['part-0', 'new']);
+});
+
+test('what a backend server had goes with it', () => {
+  const memory = new PrefixMemory();
+  memory.note({ engine: ['a'], other: ['b'] });
+  memory.keepOnly(['other']);
+  assert.deepEqual(memory.computed, { other: ['b'] });
+});
--- /dev/null
+++ b/apps/store/src/PrefixMemory.ts
@@ -0,0 +1,35 @@
+/** Which prompt prefixes backend servers were told to have computed, the latest of them. */
+
+/** Prefixes that are kept of one backend server: those that are used by turns, not all there were. */
+const MOST_PREFIXES = 500;
+
+export class PrefixMemory {
+  /** By backend server, the latest last. */
+  private readonly byServer = new Map<string, Set<string>>();
+
+  get computed(): Record<string, string[]> {
+    return Object.fromEntries([...this.byServer].map(([name, digests]) => [name, [...digests]]));
+  }
+
+  note(computed: Readonly<Record<string, readonly string[]>>): void {
+    Object.entries(computed).forEach(([name, digests]) => {
+      const known = this.byServer.get(name) ?? new Set();
+      this.byServer.set(name, known);
+      digests.forEach((digest) => {
+        known.delete(digest);
+        known.add(digest);
+      });
+      for (const oldest of known) {
+        if (known.size <= MOST_PREFIXES) break;
+        known.delete(oldest);
+      }
+    });
+  }
+
+  keepOnly(names: readonly string[]): void {
+    const kept = new Set(names);
+    [...this.byServer.keys()].forEach((name) => {
+      if (!kept.has(name)) this.byServer.delete(name);
+    });
+  }
+}
--- a/apps/store/src/StoreDisk.ts
+++ b/apps/store/src/StoreDisk.ts
@@ -2,7 +2,7 @@
  * What a store needs of its disk. Whatever resolves here is synced; nothing is acknowledged to
  * anyone before.
  */
-import type { RememberedSpending } from '@hornbeampond/schema';
+import type { RememberedEntries } from '@hornbeampond/schema';
 import type { PersistEffect, RestoredState, SavedSnapshot } from '@hornbeampond/store-core';
 
 export type { SavedSnapshot };
@@ -29,10 +29,10 @@
 
   abstract discardLog(throughIndex: number): Promise<void>;
 
-  /** What `saveSpending` kept last, or undefined. */
-  abstract readSpending(): Promise<RememberedSpending | undefined>;
+  /** What `saveMemory` kept last, or undefined. */
+  abstract readMemory(): Promise<RememberedEntries | undefined>;
 
-  abstract saveSpending(spending: RememberedSpending): Promise<void>;
+  abstract saveMemory(memory: RememberedEntries): Promise<void>;
 
   abstract close(): Promise<void>;
 }
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -58,7 +58,7 @@
 import { LeaderWatch } from './LeaderWatch.js';
 import { RequestDesk } from './RequestDesk.js';
 import { SnapshotCache } from './SnapshotCache.js';
-import { SpendingMemory } from './SpendingMemory.js';
+import { EntryMemory } from './EntryMemory.js';
 import { StoreOperations } from './StoreOperations.js';
 import { WorkBoard } from './WorkBoard.js';
 import { StorePeers } from './StorePeers.js';
@@ -123,7 +123,7 @@
 
   private readonly publisher: ConfigurationPublisher;
 
-  private readonly spending: SpendingMemory;
+  private readonly memory: EntryMemory;
 
   private readonly work: WorkBoard;
 
@@ -165,7 +165,7 @@
       readMachine: () => this.machine,
     });
     this.work = new WorkBoard(timers, this.subscribers);
-    this.spending = new SpendingMemory({ disk: storage, timers, logger: this.logger });
+    this.memory = new EntryMemory({ disk: storage, timers, logger: this.logger });
     this.peers = new StorePeers(instance, context, settings.stores);
     this.joining = new JoinRequests({
       timers,
@@ -182,13 +182,17 @@
       readStatus: () => this.readStatus(),
       dispatch: (occurrence) => this.dispatch(occurrence),
       onEntryReport: (report) => {
-        this.spending.note(report);
+        this.memory.note(report);
         onEntryReport(report);
       },
       instances: new InstanceBoard(timers),
-      onWork: (work) => this.work.add(work),
-      onSpending: (spending) => this.spending.noteSpending(spending),
-      readSpending: () => this.spending.remembered,
+      onWork: (work) => {
+        this.memory.noteWork(work);
+        this.work.add(work);
+      },
+      onSpending: (spending) => this.memory.noteSpending(spending),
+      onInstances: (instances) => this.memory.keepInstances(instances),
+      readMemory: () => this.memory.remembered,
       leastVoters: settings.leastVoters,
     });
     this.server = new PeerServer(context, {
@@ -217,7 +221,7 @@
     const contents = await this.storage.open(this.settings.instance);
     this.isNew = contents.isNew;
     this.loop = this.makeLoop(contents);
-    await this.spending.open();
+    await this.memory.open();
     const peers = await this.server.listen(this.settings.listen);
     this.address = { ...this.address, port: peers };
     const operators = await this.operators.listen(this.settings.operatorListen);
@@ -257,7 +261,7 @@
     this.cancelWake();
     this.leaderWatch.stop();
     this.publisher.stop();
-    this.spending.close();
+    this.memory.close();
     this.work.close();
     this.joining.stop();
     this.sending.clear();
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -6,7 +6,7 @@
 import {
   assertNever,
   type EntryReport,
-  type RememberedSpending,
+  type RememberedEntries,
   type SpendingReport,
   type StoreCommand,
   type StoreRequest,
@@ -43,7 +43,9 @@
   onWork(work: WorkReport): void;
   onSpending(spending: SpendingReport): void;
   readonly instances: InstanceBoard;
-  readSpending(): RememberedSpending | undefined;
+  /** Names of all instances on the list, when it was read. */
+  onInstances(instances: readonly string[]): void;
+  readMemory(): RememberedEntries;
   /** Fewest voters with which operators' changes are taken. */
   readonly leastVoters: number;
 }
@@ -94,6 +96,7 @@
         respond(this.acceptReport());
         return;
       case 'shareInstances':
+        this.options.onInstances(request.instances.map(({ instance }) => instance));
         subscribers.push({ type: 'instances', ...this.options.instances.take(request.instances) });
         respond(this.acceptReport());
         return;
@@ -249,13 +252,12 @@
     const machine = this.options.readMachine();
     const quarantine = quarantineAt(machine, this.options.timers.wallNow());
     const stores = memberAddresses(this.options.readState());
-    const spending = this.options.readSpending();
     return {
       type: 'subscribed',
       configuration: machine.configuration,
       quarantine,
       stores,
-      ...(spending === undefined ? {} : { spending }),
+      remembered: this.options.readMemory(),
       ...this.options.instances.last,
     };
   }
--- a/apps/store/src/Subscribers.ts
+++ b/apps/store/src/Subscribers.ts
@@ -44,7 +44,7 @@
    * by is most of it, and would reach each entry from each other one once a second.
    */
   pushReport(report: EntryReport): void {
-    const { begun, demand, windowSpent, windowReach, ...brief } = report;
+    const { begun, demand, delays, windowSpent, windowReach, ...brief } = report;
     this.pushToEntries({ type: 'entryReport', report: brief });
     this.send({ type: 'entryReport', report }, ({ role }) => role !== 'entry');
   }
--- a/apps/store/src/testing/MemoryDisk.ts
+++ b/apps/store/src/testing/MemoryDisk.ts
@@ -3,7 +3,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { LogEntry, PersistEffect } from '@hornbeampond/store-core';
-import type { RememberedSpending } from '@hornbeampond/schema';
+import type { RememberedEntries } from '@hornbeampond/schema';
 import { StoreDisk, type DiskContents, type SavedSnapshot } from '../StoreDisk.js';
 
 export class MemoryDisk extends StoreDisk {
@@ -19,7 +19,7 @@
 
   private snapshot: SavedSnapshot | undefined;
 
-  private spending: RememberedSpending | undefined;
+  private memory: RememberedEntries | undefined;
 
   override async open(instance: string): Promise<DiskContents> {
     this.runs += 1;
@@ -68,11 +68,11 @@
     // Nothing is open.
   }
 
-  override async readSpending(): Promise<RememberedSpending | undefined> {
-    return this.spending;
+  override async readMemory(): Promise<RememberedEntries | undefined> {
+    return this.memory;
   }
 
-  override async saveSpending(spending: RememberedSpending): Promise<void> {
-    this.spending = spending;
+  override async saveMemory(memory: RememberedEntries): Promise<void> {
+    this.memory = memory;
   }
 }
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -57,6 +57,8 @@
   readonly reclaims: ReclaimState;
   readonly membership: MembershipState;
   readonly peerWork: PeerWork;
+  /** Prompt prefixes that a store remembers of backend servers that are not listed here yet. */
+  readonly rememberedPrefixes: Map<string, readonly string[]>;
   readonly shutdown: ShutdownState;
   /** True once no new request is accepted; see `shutdown`. */
   shuttingDown: boolean;
@@ -98,6 +100,7 @@
     reclaims: makeReclaimState(),
     membership: makeMembershipState(),
     peerWork: new PeerWork(),
+    rememberedPrefixes: new Map(),
     shutdown: makeShutdownState(),
     shuttingDown: false,
     clocks: { now: 0, wallNow: 0 },
--- /dev/null
+++ b/packages/entry-core/src/admission/admitUnconfigured.ts
@@ -0,0 +1,19 @@
+/**
+ * Admits the requests that have waited for a starting entry's configuration, all in one moment. Each is
+ * noted at its engine before the next is placed: otherwise all of them go to the engines that look idle,
+ * a dozen long prompts one behind the other, while the others stay idle.
+ */
+import { observeStarts } from '../backendServers/observeAttempt.js';
+import type { EntryEffect } from '../entryEffects.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+import { admitRequest } from './admitRequest.js';
+import { takeUnconfigured } from './awaitConfiguration.js';
+
+export function admitUnconfigured(state: EntryState, timed: Timed): EntryEffect[] {
+  return takeUnconfigured(state).flatMap(({ request, arrivedAt }) => {
+    const admitted = admitRequest(state, request, timed, arrivedAt);
+    observeStarts(state, admitted, timed.now);
+    return admitted;
+  });
+}
--- a/packages/entry-core/src/backendServers/LearntLine.ts
+++ b/packages/entry-core/src/backendServers/LearntLine.ts
@@ -2,7 +2,7 @@
  * A delay that grows with an amount of work: a straight line fitted to samples, of which old ones
  * fade. For first tokens it holds what a prompt costs whatever its length, and what each token adds.
  */
-import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { LearntDelay, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 
 const SAMPLE_SHARE = 0.05;
 const PRIOR_WORK = 1000;
@@ -41,6 +41,20 @@
     this.meanXY = (mostWork * (base + slope * mostWork)) / 2;
   }
 
+  /** What was learnt, for entries that start; undefined while the first belief has much of the say. */
+  describe(): LearntDelay | undefined {
+    const { samples, meanX, meanY, meanXX, meanXY } = this;
+    if (samples < SETTLED_SAMPLES) return undefined;
+    return { samples, meanX, meanY, meanXX, meanXY };
+  }
+
+  /** Takes over what another entry has learnt, unless this one has learnt enough itself. */
+  adopt({ samples, meanX, meanY, meanXX, meanXY }: LearntDelay): void {
+    if (this.samples >= SETTLED_SAMPLES) return;
+    Object.assign(this, { meanX, meanY, meanXX, meanXY });
+    this.samples = Math.min(samples, SETTLED_SAMPLES);
+  }
+
   /** True if the last sample is of just now, and samples weigh more than the first belief. */
   isTrusted(now: MonotonicMilliseconds): boolean {
     if (this.learntAt === undefined || this.samples < SETTLED_SAMPLES) return false;
--- a/packages/entry-core/src/backendServers/listInstances.ts
+++ b/packages/entry-core/src/backendServers/listInstances.ts
@@ -5,6 +5,8 @@
 import type { MonotonicMilliseconds, PlatformInstance } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
 import { routeIndexOf } from '../routing/routeIndexOf.js';
+import { believeRemembered } from '../membership/takeRemembered.js';
+import type { BackendServerState } from './BackendServerState.js';
 import { indexCandidates } from './indexCandidates.js';
 import { makeServerBalance } from './ServerBalance.js';
 
@@ -22,15 +24,17 @@
   state: EntryState,
   listed: PlatformInstance,
   slowStartAt: MonotonicMilliseconds | undefined,
-): void {
-  state.backendServers.set(listed.instance, {
+): BackendServerState {
+  const server: BackendServerState = {
     listed,
     goneAt: listed.goneAt,
     attemptIds: new Set(),
     load: undefined,
     loadReceivedAt: undefined,
     balance: makeServerBalance(concurrencyOf(state, listed), slowStartAt),
-  });
+  };
+  state.backendServers.set(listed.instance, server);
+  return server;
 }
 
 /** Takes the concurrency of the classes anew, when the list or the configuration has changed. */
@@ -55,7 +59,7 @@
   instances.forEach((instance) => {
     const known = state.backendServers.get(instance.instance);
     if (known === undefined) {
-      addInstance(state, instance, isFirstList ? undefined : now);
+      believeRemembered(state, addInstance(state, instance, isFirstList ? undefined : now), now);
       return;
     }
     if (known.listed.state === 'starting' && instance.state === 'live') {
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -14,7 +14,7 @@
   MonotonicMilliseconds,
   PlatformInstance,
   QuarantineEntry,
-  RememberedSpending,
+  RememberedEntries,
   SpendingReport,
   StoredAnswer,
   WorkReport,
@@ -144,7 +144,8 @@
     }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineEntry[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
-  | { readonly type: 'spendingRemembered'; readonly spending: RememberedSpending }
+  /** What a store has kept of what entries knew. */
+  | { readonly type: 'knowledgeRemembered'; readonly remembered: RememberedEntries }
   | { readonly type: 'workReported'; readonly work: WorkReport }
   | { readonly type: 'spendingReported'; readonly spending: SpendingReport }
   | {
--- a/packages/entry-core/src/limits/receiveEntryReport.ts
+++ b/packages/entry-core/src/limits/receiveEntryReport.ts
@@ -1,11 +1,5 @@
 /** Takes in what another entry has in progress; only those of the own data centre share limits. */
-import type {
-  EntryReport,
-  MonotonicMilliseconds,
-  RememberedSpending,
-  SpendingReport,
-} from '@hornbeampond/schema';
-import type { Timed } from '../entryEvents.js';
+import type { EntryReport, MonotonicMilliseconds, SpendingReport } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
 
 export function receiveEntryReport(
@@ -28,11 +22,3 @@
   if (spending.instance === state.identity.instance) return;
   state.limits.allowances.receiveSpending(spending, now);
 }
-
-export function rememberSpending(
-  state: EntryState,
-  spending: RememberedSpending,
-  { now, wallNow }: Timed,
-): void {
-  state.limits.allowances.remember(spending, state.identity.instance, now, wallNow);
-}
--- a/packages/entry-core/src/membership/reportToEntries.ts
+++ b/packages/entry-core/src/membership/reportToEntries.ts
@@ -2,7 +2,7 @@
  * This entry's own report to its peers: once a second, and with the next tick when something
  * that cannot wait was learnt here, such as a reclaim notice.
  */
-import type { EntryReport, PeerSuspect } from '@hornbeampond/schema';
+import type { EntryReport, LearntDelay, PeerSuspect } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timed } from '../entryEvents.js';
 import { reportDemand } from '../demand/reportDemand.js';
@@ -59,15 +59,28 @@
     }));
 }
 
+function describeDelays(state: EntryState): Record<string, LearntDelay> {
+  const delays: Record<string, LearntDelay> = {};
+  state.poolBalances.forEach(({ firstToken }, pool) => {
+    const delay = firstToken.describe();
+    if (delay !== undefined) delays[pool] = delay;
+  });
+  return delays;
+}
+
 /** What only a configuration with workspaces of its own has a use for. */
 function describeWork(
   state: EntryState,
-): Pick<EntryReport, 'spent' | 'windowSpent' | 'windowReach' | 'entries' | 'begun' | 'demand'> {
+): Pick<
+  EntryReport,
+  'spent' | 'windowSpent' | 'windowReach' | 'entries' | 'delays' | 'begun' | 'demand'
+> {
   return {
     spent: state.limits.allowances.tellAll(),
     windowSpent: state.limits.allowances.windowSpent(state.clocks.now),
     windowReach: state.limits.allowances.reach(state.clocks.now),
     entries: state.limits.allowances.entries,
+    delays: describeDelays(state),
     begun: state.usage.read(),
     demand: reportDemand(state, state.clocks.now),
   };
--- /dev/null
+++ b/packages/entry-core/src/membership/takeRemembered.ts
@@ -0,0 +1,36 @@
+/** Takes over what a store has kept of what entries knew, at a start. */
+import type { MonotonicMilliseconds, RememberedEntries } from '@hornbeampond/schema';
+import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { poolBalanceOf } from '../backendServers/poolBalanceOf.js';
+import type { Timed } from '../entryEvents.js';
+import type { EntryState } from '../EntryState.js';
+
+export function takeRemembered(
+  state: EntryState,
+  { spending, delays, computed }: RememberedEntries,
+  { now, wallNow }: Timed,
+): void {
+  if (spending !== undefined) {
+    state.limits.allowances.remember(spending, state.identity.instance, now, wallNow);
+  }
+  Object.entries(delays).forEach(([pool, delay]) => {
+    poolBalanceOf(state, pool).firstToken.adopt(delay);
+  });
+  Object.entries(computed).forEach(([instance, digests]) => {
+    state.rememberedPrefixes.set(instance, digests);
+  });
+  state.backendServers.forEach((server) => believeRemembered(state, server, now));
+}
+
+/** Believes what was computed at a backend server once it is listed: the list may come later. */
+export function believeRemembered(
+  state: EntryState,
+  server: BackendServerState,
+  now: MonotonicMilliseconds,
+): void {
+  const { instance, pool } = server.listed;
+  const digests = state.rememberedPrefixes.get(instance);
+  if (digests === undefined) return;
+  state.rememberedPrefixes.delete(instance);
+  poolBalanceOf(state, pool).beliefs.believe(server, digests, now);
+}
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -4,7 +4,7 @@
 import { assertNever, type Configuration } from '@hornbeampond/schema';
 import { advanceEntry } from './advanceEntry.js';
 import { admitRequest } from './admission/admitRequest.js';
-import { takeUnconfigured } from './admission/awaitConfiguration.js';
+import { admitUnconfigured } from './admission/admitUnconfigured.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
 import { findConcerned, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
@@ -17,11 +17,8 @@
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent, Timed } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
-import {
-  receiveEntryReport,
-  receiveSpendingReport,
-  rememberSpending,
-} from './limits/receiveEntryReport.js';
+import { receiveEntryReport, receiveSpendingReport } from './limits/receiveEntryReport.js';
+import { takeRemembered } from './membership/takeRemembered.js';
 import { receiveReport } from './membership/receiveReport.js';
 import { reportSoon } from './membership/reportToEntries.js';
 import { takeProbeAnswer } from './quarantine/judgeLoss.js';
@@ -58,9 +55,7 @@
     { type: 'configurationApplied', revision },
     { type: 'setGauge', metric: 'configurationRevision', value: revision },
     { type: 'log', event: 'configurationApplied', fields: { revision } },
-    ...takeUnconfigured(state).flatMap(({ request, arrivedAt }) =>
-      admitRequest(state, request, timed, arrivedAt),
-    ),
+    ...admitUnconfigured(state, timed),
   ];
 }
 
@@ -102,8 +97,8 @@
     case 'entryReported':
       receiveEntryReport(state, event.report, event.now);
       return receiveReport(state, event.report, event);
-    case 'spendingRemembered':
-      rememberSpending(state, event.spending, event);
+    case 'knowledgeRemembered':
+      takeRemembered(state, event.remembered, event);
       return [];
     case 'workReported':
       receiveWork(state, event.work, event.now);
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -14,8 +14,8 @@
     'The disk is older than what it has promised; it counts no more',
   ),
   diskFailed: define(3203, 'error', 'The disk could not be written'),
-  spendingUnreadable: define(3204, 'warn', 'The spending that was kept could not be read'),
-  spendingNotKept: define(3205, 'warn', 'The spending of workspaces could not be kept'),
+  memoryUnreadable: define(3204, 'warn', 'What was kept of entries’ knowledge could not be read'),
+  memoryNotKept: define(3205, 'warn', 'What entries know could not be kept'),
   tablesReplaced: define(3300, 'info', 'An operator’s whole configuration was acknowledged'),
   operatorCallRefused: define(3301, 'warn', 'A call of an operator was refused'),
 } as const;
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -44,6 +44,25 @@
   readonly spent: Readonly<Record<string, number>>;
 }
 
+/** How a delay grows with work, as an entry has learnt it: the means that the line is fitted to. */
+export interface LearntDelay {
+  /** How many samples it was learnt from; a newer one counts no more than so many. */
+  readonly samples: number;
+  readonly meanX: number;
+  readonly meanY: number;
+  readonly meanXX: number;
+  readonly meanXY: number;
+}
+
+/** What stores keep of entries' knowledge and tell to those that start. */
+export interface RememberedEntries {
+  readonly spending?: RememberedSpending;
+  /** Time to the first token by prompt tokens, by pool. */
+  readonly delays: Readonly<Record<string, LearntDelay>>;
+  /** Prompt prefixes that were computed, by backend server. */
+  readonly computed: Readonly<Record<string, readonly string[]>>;
+}
+
 /** One entry's word on itself and on what it has seen first. */
 export interface EntryReport {
   readonly type: 'entryReport';
@@ -67,6 +86,8 @@
   readonly windowSpent?: WindowSpending;
   /** How far back `windowSpent` is known there; less than a window after all have started anew. */
   readonly windowReach?: Milliseconds;
+  /** What this entry has learnt of the time to the first token, by pool. */
+  readonly delays?: Readonly<Record<string, LearntDelay>>;
   /** How many entries this one counts, itself and those that have fallen silent included. */
   readonly entries?: number;
   /** Requests of each workspace that began to run here, by number of the usage window. */
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -8,7 +8,7 @@
 import type { SharedInstance, SharedInstances } from './backendServers.js';
 import type {
   EntryReport,
-  RememberedSpending,
+  RememberedEntries,
   SpendingReport,
   WorkReport,
 } from './entryMessages.js';
@@ -99,8 +99,8 @@
       readonly quarantine: readonly QuarantineEntry[];
       /** The members of the log, so that a subscriber finds stores that its settings do not name. */
       readonly stores: readonly VoterAddress[];
-      /** What is known here of the spending that a starting entry knows nothing of. */
-      readonly spending?: RememberedSpending;
+      /** What is known here that a starting entry knows nothing of. */
+      readonly remembered: RememberedEntries;
       /** The platform's list as it was read last, and how long ago; missing before the first. */
       readonly instances?: readonly SharedInstance[];
       readonly instancesAge?: Milliseconds;
--- a/packages/transport/src/PeerClient.ts
+++ b/packages/transport/src/PeerClient.ts
@@ -30,6 +30,12 @@
 }
 
 const FIRST_PAUSE_MILLISECONDS = 50;
+
+/**
+ * For so long after a connection was lost the pauses do not grow: processes that lose power together are
+ * back within a second of each other, and callers wait for those that find the others late.
+ */
+const SOON_BACK_MILLISECONDS = 2000;
 const LONGEST_PAUSE_MILLISECONDS = 2000;
 
 export class PeerClient {
@@ -37,6 +43,10 @@
 
   private pause = FIRST_PAUSE_MILLISECONDS;
 
+  private isLost = false;
+
+  private lostAt = 0;
+
   private cancelReconnect: Unsubscribe = () => {};
 
   private stopped = false;
@@ -111,6 +121,7 @@
     const connection = new PeerConnection(socket, 'client', this.context, {
       onOpen: (peer) => {
         this.pause = FIRST_PAUSE_MILLISECONDS;
+        this.isLost = false;
         this.context.logger.write('peerConnected', { peer: peer.instance });
         this.handlers.onOpen?.(peer);
       },
@@ -129,9 +140,14 @@
     [...this.failures].forEach((fail) => fail());
     this.handlers.onClose?.();
     if (this.stopped) return;
+    if (!this.isLost) this.lostAt = this.context.timers.monotonicNow();
+    this.isLost = true;
     // Full jitter keeps the clients of a restarted process from coming back all at once.
     const delay = Math.random() * this.pause;
-    this.pause = Math.min(this.pause * 2, LONGEST_PAUSE_MILLISECONDS);
+    const lostFor = this.context.timers.monotonicNow() - this.lostAt;
+    if (lostFor > SOON_BACK_MILLISECONDS) {
+      this.pause = Math.min(this.pause * 2, LONGEST_PAUSE_MILLISECONDS);
+    }
     this.waiting = true;
     this.cancelReconnect = this.context.timers.after(delay, () => {
       if (!this.stopped) this.connect();
--- a/packages/transport/src/StoreSubscription.test.ts
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -38,7 +38,8 @@
     assert.equal(type, 'subscribe');
     this.subscriptions += 1;
     const configuration = { ...emptyConfiguration, revision: this.revision };
-    return { type: 'subscribed', configuration, quarantine: [], stores: [] };
+    const remembered = { delays: {}, computed: {} };
+    return { type: 'subscribed', configuration, quarantine: [], stores: [], remembered };
   }
 }
 
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -12,7 +12,7 @@
   Configuration,
   EntryReport,
   Milliseconds,
-  RememberedSpending,
+  RememberedEntries,
   SharedInstance,
   SpendingReport,
   InstanceReport,
@@ -36,7 +36,8 @@
   onSpending?(spending: SpendingReport): void;
   /** A reading of the platform's list that another process has made, and its age. */
   onInstances?(instances: readonly SharedInstance[], age: Milliseconds): void;
-  onSpendingRemembered?(spending: RememberedSpending): void;
+  /** What starting entries may learn from a store. */
+  onRemembered?(remembered: RememberedEntries): void;
 }
 
 export interface StorePeer {
@@ -173,9 +174,7 @@
     this.passedOver.clear();
     this.takeInstances(response);
     // Ahead of the configuration: with that the requests that have waited for it are admitted.
-    if (response.spending !== undefined) {
-      this.options.handlers.onSpendingRemembered?.(response.spending);
-    }
+    this.options.handlers.onRemembered?.(response.remembered);
     this.note(this.follower.takeWhole(response.configuration));
     this.options.handlers.onQuarantine?.(response.quarantine);
     this.options.onStores(response.stores);
