Keep counts of what began to run over a loss of power

Change: entries tell it with their work, within 50 ms; stores keep the newest windows on disk and tell them to those that report usage.

--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -73,6 +73,8 @@
         onConfiguration: (configuration) =>
           this.dispatch({ type: 'configurationReceived', configuration }),
         onEntryReport: (report) => this.dispatch({ type: 'entryReported', report }),
+        onUsage: (usage) => this.dispatch({ type: 'usageTold', usage }),
+        onRemembered: ({ usage }) => this.dispatch({ type: 'usageTold', usage }),
       },
       this.makeReport(),
       true,
--- a/apps/store/src/EntryMemory.ts
+++ b/apps/store/src/EntryMemory.ts
@@ -3,7 +3,8 @@
  * together. What workspaces have spent of their allowances lately: otherwise it is spent a second time,
  * or callers within their allowance are refused for as long as the window is. Which prompt prefixes
  * engines have computed, and how long prompts take: otherwise all prompts are computed anew, just when
- * everyone who has waited comes at once.
+ * everyone who has waited comes at once. How many requests began to run: otherwise the usage of the
+ * window in which power was lost is told too low.
  *
  * It is a memory and no promise: it is written a few times a second and not agreed on, and a store that
  * cannot write it goes on without. Entries count what is missing as they count late reports.
@@ -18,6 +19,7 @@
 } from '@hornbeampond/schema';
 import { PrefixMemory } from './PrefixMemory.js';
 import type { StoreDisk } from './StoreDisk.js';
+import { UsageMemory } from './UsageMemory.js';
 
 /** How much a loss of power may take at most, beside what entries have not reported. */
 const WRITE_MILLISECONDS: Milliseconds = 250;
@@ -38,6 +40,8 @@
 
   private readonly prefixes = new PrefixMemory();
 
+  private readonly usage = new UsageMemory();
+
   /** What each entry has told, by name. */
   private readonly entries = new Map<string, EntrySpending>();
 
@@ -53,6 +57,7 @@
     const { spending, delays } = this;
     return {
       ...(spending === undefined ? {} : { spending }),
+      usage: this.usage.told,
       delays,
       computed: this.prefixes.computed,
     };
@@ -65,6 +70,7 @@
       this.spending = kept?.spending;
       this.delays = kept?.delays ?? {};
       this.prefixes.note(kept?.computed ?? {});
+      kept?.usage.forEach((usage) => this.usage.note(usage));
     } catch (error) {
       logger.write('memoryUnreadable', { reason: String(error) });
     }
@@ -74,8 +80,9 @@
   }
 
   note(report: EntryReport): void {
-    const { windowSpent, windowReach = 0, spent = {}, delays } = report;
+    const { windowSpent, windowReach = 0, spent = {}, delays, begun = {} } = report;
     this.hasChanged = true;
+    this.usage.note({ ...report, begun });
     if (delays !== undefined) this.delays = { ...this.delays, ...delays };
     if (windowSpent === undefined) return;
     this.noteSpending({ ...report, spent });
@@ -94,8 +101,10 @@
     this.entries.set(instance, { incarnation, spent: { ...before, ...spent } });
   }
 
-  noteWork({ computed }: WorkReport): void {
+  noteWork({ instance, incarnation, computed, begun }: WorkReport): void {
+    this.hasChanged = true;
     this.prefixes.note(computed);
+    if (begun !== undefined) this.usage.note({ instance, incarnation, begun });
   }
 
   /** Forgets what instances that are listed no longer have had computed. */
--- a/apps/store/src/Subscribers.ts
+++ b/apps/store/src/Subscribers.ts
@@ -39,6 +39,11 @@
     this.send(push, ({ role }) => role === 'entry');
   }
 
+  /** Sends what entries have no use for. */
+  pushToOthers(push: StorePush): void {
+    this.send(push, ({ role }) => role !== 'entry');
+  }
+
   /**
    * Hands on what an entry says of itself. What only the planner of the fleet and a store's memory go
    * by is most of it, and would reach each entry from each other one once a second.
@@ -46,7 +51,7 @@
   pushReport(report: EntryReport): void {
     const { begun, demand, delays, windowSpent, windowReach, ...brief } = report;
     this.pushToEntries({ type: 'entryReport', report: brief });
-    this.send({ type: 'entryReport', report }, ({ role }) => role !== 'entry');
+    this.pushToOthers({ type: 'entryReport', report });
   }
 
   private send(push: StorePush, isFor: (report: InstanceReport) => boolean): void {
--- a/apps/store/src/WorkBoard.test.ts
+++ b/apps/store/src/WorkBoard.test.ts
@@ -8,9 +8,15 @@
 class KeptPushes extends Subscribers {
   readonly pushes: StorePush[] = [];
 
+  readonly others: StorePush[] = [];
+
   override pushToEntries(push: StorePush): void {
     this.pushes.push(push);
   }
+
+  override pushToOthers(push: StorePush): void {
+    this.others.push(push);
+  }
 }
 
 function report(instance: string): WorkReport {
@@ -33,3 +39,16 @@
     [['entry-1', 'entry-2'], ['entry-1']],
   );
 });
+
+// Counts of what began to run go to those that report usage; fifty entries have no use for each other's.
+test('usage is handed to others than entries', () => {
+  const timers = new ManualTimerService();
+  const subscribers = new KeptPushes();
+  const board = new WorkBoard(timers, subscribers);
+  const begun = { 7: { laden: 20 } };
+  board.add({ ...report('entry-1'), begun });
+  timers.advance(20);
+  assert.deepEqual(subscribers.pushes, [{ type: 'work', reports: [report('entry-1')] }]);
+  const usage = [{ instance: 'entry-1', incarnation: 1, begun }];
+  assert.deepEqual(subscribers.others, [{ type: 'usage', usage }]);
+});
--- a/apps/store/src/WorkBoard.ts
+++ b/apps/store/src/WorkBoard.ts
@@ -3,11 +3,19 @@
  * frame for each word of each would cost the entries more than the calls that it is about.
  */
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type { Milliseconds, WorkReport } from '@hornbeampond/schema';
+import type { EntryUsage, Milliseconds, WorkReport } from '@hornbeampond/schema';
 import type { Subscribers } from './Subscribers.js';
 
 const COLLECTED_MILLISECONDS: Milliseconds = 20;
 
+function usageOf({ instance, incarnation, begun }: WorkReport): EntryUsage[] {
+  return begun === undefined ? [] : [{ instance, incarnation, begun }];
+}
+
+function withoutUsage({ begun, ...work }: WorkReport): WorkReport {
+  return work;
+}
+
 export class WorkBoard {
   private collected: WorkReport[] = [];
 
@@ -21,14 +29,18 @@
   add(report: WorkReport): void {
     this.collected.push(report);
     if (this.collected.length > 1) return;
-    this.cancel = this.timers.after(COLLECTED_MILLISECONDS, () => {
-      const reports = this.collected;
-      this.collected = [];
-      this.subscribers.pushToEntries({ type: 'work', reports });
-    });
+    this.cancel = this.timers.after(COLLECTED_MILLISECONDS, () => this.handOn());
   }
 
   close(): void {
     this.cancel();
   }
+
+  private handOn(): void {
+    const { collected, subscribers } = this;
+    this.collected = [];
+    subscribers.pushToEntries({ type: 'work', reports: collected.map(withoutUsage) });
+    const usage = collected.flatMap(usageOf);
+    if (usage.length > 0) subscribers.pushToOthers({ type: 'usage', usage });
+  }
 }
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -34,6 +34,9 @@
     case 'entryReported':
       noteEntry(state, event.report);
       return [];
+    case 'usageTold':
+      event.usage.forEach((usage) => state.usage.receive(usage));
+      return [];
     case 'instancesListed':
       noteList(state, event.instances);
       return advanceSizes(state);
--- a/packages/controller-core/src/singleton/singletonEvents.ts
+++ b/packages/controller-core/src/singleton/singletonEvents.ts
@@ -2,6 +2,7 @@
 import type {
   Configuration,
   EntryReport,
+  EntryUsage,
   EpochMilliseconds,
   LogEffect,
   MonotonicMilliseconds,
@@ -14,6 +15,8 @@
   | { readonly type: 'tick' }
   | { readonly type: 'configurationReceived'; readonly configuration: Configuration }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
+  /** What entries tell between two reports, or a store has kept of what they told. */
+  | { readonly type: 'usageTold'; readonly usage: readonly EntryUsage[] }
   | { readonly type: 'instancesListed'; readonly instances: readonly PlatformInstance[] }
   | { readonly type: 'leaseHeld'; readonly epoch: number }
   | { readonly type: 'leaseLost' }
--- a/packages/controller-core/src/usage/UsageLedger.test.ts
+++ b/packages/controller-core/src/usage/UsageLedger.test.ts
@@ -39,3 +39,11 @@
 test('a window that nobody reported has no counts', () => {
   assert.deepEqual(new UsageLedger().total(3), {});
 });
+
+// Counts come with reports and between them, through two stores; an older word may come last.
+test('an older word of the same start takes nothing away', () => {
+  const ledger = new UsageLedger();
+  ledger.receive({ instance: 'entry-1', incarnation: 1, begun: { 7: { laden: 5, kunde: 2 } } });
+  ledger.receive(report({ begun: { 7: { laden: 3 } } }));
+  assert.deepEqual(ledger.total(7), { kunde: 2, laden: 5 });
+});
--- a/packages/entry-core/src/backendServers/shareWork.ts
+++ b/packages/entry-core/src/backendServers/shareWork.ts
@@ -22,7 +22,9 @@
   const entries = state.membership.peers.size + 1;
   const due = state.peerWork.takeDue(entries, now, (name) => readOwn(state, name));
   if (due === undefined) return [];
-  return [{ type: 'tellWork', work: { type: 'workReport', instance, incarnation, ...due } }];
+  const begun = state.usage.takeChanged();
+  const work = { type: 'workReport', instance, incarnation, ...due } as const;
+  return [{ type: 'tellWork', work: begun === undefined ? work : { ...work, begun } }];
 }
 
 export function receiveWork(
--- a/packages/entry-core/src/demand/UsageMeter.ts
+++ b/packages/entry-core/src/demand/UsageMeter.ts
@@ -2,16 +2,16 @@
  * Counts the requests of each workspace that began to run, by window of the wall clock, so that
  * one process can add up what all entries ran and report it.
  */
-import type { EpochMilliseconds, Milliseconds } from '@hornbeampond/schema';
+import type { BegunCounts, EpochMilliseconds, Milliseconds } from '@hornbeampond/schema';
 
 /** Windows that are kept: late enough for a holder of the duty that has just taken over. */
 const KEPT_WINDOWS = 6;
 
-export type BegunByWindow = Readonly<Record<string, Readonly<Record<string, number>>>>;
-
 export class UsageMeter {
   private readonly windows = new Map<number, Record<string, number>>();
 
+  private readonly changed = new Set<number>();
+
   /** @param length - Length of a window; 0 counts nothing. */
   constructor(private readonly length: Milliseconds) {}
 
@@ -20,13 +20,22 @@
     const number = Math.floor(wallNow / this.length);
     const counts = this.windows.get(number) ?? {};
     counts[workspace] = (counts[workspace] ?? 0) + 1;
+    this.changed.add(number);
     this.windows.set(number, counts);
     this.windows.forEach((_, known) => {
       if (known <= number - KEPT_WINDOWS) this.windows.delete(known);
     });
   }
 
-  read(): BegunByWindow {
+  /** Counts of the windows that have changed since this was asked last. */
+  takeChanged(): BegunCounts | undefined {
+    if (this.changed.size === 0) return undefined;
+    const numbers = [...this.changed];
+    this.changed.clear();
+    return Object.fromEntries(numbers.map((number) => [number, { ...this.windows.get(number) }]));
+  }
+
+  read(): BegunCounts {
     return Object.fromEntries([...this.windows].map(([number, counts]) => [number, { ...counts }]));
   }
 }
--- a/packages/entry-core/src/membership/restart.test.ts
+++ b/packages/entry-core/src/membership/restart.test.ts
@@ -70,7 +70,7 @@
   const state = makeEntry();
   const computed = { 'engine-2': ['terms'] };
   const delay = { samples: 100, meanX: 5000, meanY: 150, meanXX: 30e6, meanXY: 850_000 };
-  const remembered = { delays: { engines: delay }, computed };
+  const remembered = { usage: [], delays: { engines: delay }, computed };
   reduceEntry(state, { type: 'knowledgeRemembered', remembered, now: 0, wallNow });
   listEngines(state);
   configure(state);
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -57,12 +57,24 @@
 /** What stores keep of entries' knowledge and tell to those that start. */
 export interface RememberedEntries {
   readonly spending?: RememberedSpending;
+  /** What was told of the newest usage windows; entries themselves have no use for it. */
+  readonly usage: readonly EntryUsage[];
   /** Time to the first token by prompt tokens, by pool. */
   readonly delays: Readonly<Record<string, LearntDelay>>;
   /** Prompt prefixes that were computed, by backend server. */
   readonly computed: Readonly<Record<string, readonly string[]>>;
 }
 
+/** Requests that began to run, by number of the usage window and then by workspace. */
+export type BegunCounts = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
+/** What one life of an entry has told of the requests that began to run there. */
+export interface EntryUsage {
+  readonly instance: string;
+  readonly incarnation: EpochMilliseconds;
+  readonly begun: BegunCounts;
+}
+
 /** One entry's word on itself and on what it has seen first. */
 export interface EntryReport {
   readonly type: 'entryReport';
@@ -91,7 +103,7 @@
   /** How many entries this one counts, itself and those that have fallen silent included. */
   readonly entries?: number;
   /** Requests of each workspace that began to run here, by number of the usage window. */
-  readonly begun?: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  readonly begun?: BegunCounts;
   /** What the planner of the fleet goes by. */
   readonly demand?: readonly RouteDemandReport[];
   /** Crashes seen, so that a resend through another entry is not run beside others. */
@@ -114,6 +126,8 @@
   readonly work: Readonly<Record<string, ServerWork>>;
   /** Prompt prefixes that were computed since it was told last, by backend server. */
   readonly computed: Readonly<Record<string, readonly string[]>>;
+  /** Requests that began to run here, in windows whose counts have changed. */
+  readonly begun?: BegunCounts;
 }
 
 /** What one entry has spent of allowances, told between two reports where it matters at once. */
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -8,6 +8,7 @@
 import type { SharedInstance, SharedInstances } from './backendServers.js';
 import type {
   EntryReport,
+  EntryUsage,
   RememberedEntries,
   SpendingReport,
   WorkReport,
@@ -133,6 +134,8 @@
   | { readonly type: 'spending'; readonly spending: SpendingReport }
   /** What entries have told of their work since the push before. */
   | { readonly type: 'work'; readonly reports: readonly WorkReport[] }
+  /** What entries have told of the requests that began to run; for those that report usage. */
+  | { readonly type: 'usage'; readonly usage: readonly EntryUsage[] }
   /** A reading of the platform's list, against the one before. */
   | ({ readonly type: 'instances' } & SharedInstances)
   /** This store has known no leader for a while: what it holds may be old, and grows no newer. */
--- a/packages/transport/src/StoreSubscription.test.ts
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -38,7 +38,7 @@
     assert.equal(type, 'subscribe');
     this.subscriptions += 1;
     const configuration = { ...emptyConfiguration, revision: this.revision };
-    const remembered = { delays: {}, computed: {} };
+    const remembered = { usage: [], delays: {}, computed: {} };
     return { type: 'subscribed', configuration, quarantine: [], stores: [], remembered };
   }
 }
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -11,6 +11,7 @@
 import type {
   Configuration,
   EntryReport,
+  EntryUsage,
   Milliseconds,
   RememberedEntries,
   SharedInstance,
@@ -32,6 +33,7 @@
   onConfiguration?(configuration: Configuration): void;
   onQuarantine?(quarantine: readonly QuarantineEntry[]): void;
   onEntryReport?(report: EntryReport): void;
+  onUsage?(usage: readonly EntryUsage[]): void;
   onWork?(work: WorkReport): void;
   onSpending?(spending: SpendingReport): void;
   /** A reading of the platform's list that another process has made, and its age. */
@@ -213,6 +215,9 @@
       case 'work':
         push.reports.forEach((report) => handlers.onWork?.(report));
         return;
+      case 'usage':
+        handlers.onUsage?.(push.usage);
+        return;
       case 'spending':
         handlers.onSpending?.(push.spending);
         return;
