--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -52,7 +52,7 @@
   type PeerSession,
 } from '@hornbeampond/transport';
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
-import { describeStore } from './describeStore.js';
+import { describeMembers, describeStore } from './describeStore.js';
 import { InstanceBoard } from './InstanceBoard.js';
 import { JoinRequests } from './JoinRequests.js';
 import { LeaderWatch } from './LeaderWatch.js';
@@ -355,11 +355,15 @@
       case 'membershipChanged':
         this.peers.keep(effect.membership.members.map((member) => member.address));
         this.subscribers.push({ type: 'stores', stores: memberAddresses(this.loop.state) });
+        this.logger.write('storeMembersChanged', { ...describeMembers(this.loop.state) });
         return;
       case 'roleChanged':
         this.logger.write('storeRoleChanged', { ...effect });
         this.leaderWatch.note(effect.leader);
         return;
+      case 'electionFailed':
+        this.logger.write('storeElectionFailed', { ...effect });
+        return;
       case 'messageRefused':
         this.logger.write('storeMessageRefused', { from: effect.from, reason: effect.reason });
         return;
--- a/apps/store/src/describeStore.ts
+++ b/apps/store/src/describeStore.ts
@@ -18,11 +18,16 @@
   readonly wallNow: EpochMilliseconds;
 }
 
-export function describeStore(view: StoreView): StoreStatus {
-  const { instance, state, machine, instances, wallNow } = view;
+/** Who votes, and who is still catching up, by instance. */
+export function describeMembers(state: ConsensusState): Pick<StoreStatus, 'voters' | 'learners'> {
   const { members } = currentMembership(state);
   const named = (role: 'voter' | 'learner') =>
     members.filter((member) => member.role === role).map((member) => member.address.instance);
+  return { voters: named('voter'), learners: named('learner') };
+}
+
+export function describeStore(view: StoreView): StoreStatus {
+  const { instance, state, machine, instances, wallNow } = view;
   const leader = leaderHint(state);
   return {
     instance,
@@ -31,8 +36,7 @@
     ...(leader === undefined ? {} : { leader }),
     commitIndex: state.commitIndex,
     appliedIndex: state.appliedIndex,
-    voters: named('voter'),
-    learners: named('learner'),
+    ...describeMembers(state),
     readOnly: state.readOnly,
     configurationRevision: machine.configuration.revision,
     instances,
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -16,6 +16,8 @@
   diskFailed: define(3203, 'error', 'The disk could not be written'),
   memoryUnreadable: define(3204, 'warn', 'What was kept of entries’ knowledge could not be read'),
   memoryNotKept: define(3205, 'warn', 'What entries know could not be kept'),
+  storeMembersChanged: define(3206, 'info', 'Stores were let in, made voters or taken out'),
+  storeElectionFailed: define(3207, 'warn', 'A round of votes has ended without a leader'),
   tablesReplaced: define(3300, 'info', 'An operator’s whole configuration was acknowledged'),
   operatorCallRefused: define(3301, 'warn', 'A call of an operator was refused'),
 } as const;
--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -123,7 +123,13 @@
 
 export type RoleState =
   | { readonly type: 'follower'; leader?: string }
-  | { readonly type: 'candidate'; readonly preVote: boolean; votes: string[] }
+  | {
+      readonly type: 'candidate';
+      readonly preVote: boolean;
+      votes: string[];
+      /** Voters that answered no. */
+      refusals: string[];
+    }
   | {
       readonly type: 'leader';
       progress: Record<string, Progress>;
--- a/packages/store-core/src/consensus/consensusEvents.ts
+++ b/packages/store-core/src/consensus/consensusEvents.ts
@@ -122,6 +122,17 @@
       readonly term: number;
       readonly leader?: string;
     }
+  /** A round of votes has ended without a quorum; names are instances. */
+  | {
+      readonly type: 'electionFailed';
+      readonly preVote: boolean;
+      readonly term: number;
+      readonly quorum: number;
+      readonly granted: readonly string[];
+      readonly refused: readonly string[];
+      /** Voters that have not answered. */
+      readonly silent: readonly string[];
+    }
   /** A message was refused; for counters. */
   | { readonly type: 'messageRefused'; readonly reason: RefusalReason; readonly from: string }
   /** This disk is older than what it has promised. The shell makes a new identity and restarts. */
--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -6,7 +6,7 @@
  */
 import type { Sender, VoteRequest, VoteResponse } from './consensusTypes.js';
 import { lastIndexOf, lastTermOf, appendNew } from './memoryLog.js';
-import { hasQuorum, isVoter, otherMembers } from './membership.js';
+import { hasQuorum, isVoter, otherMembers, quorumSize, votersOf } from './membership.js';
 import { sendToOthersWhenPersisted, sendWhenPersisted } from './persistence.js';
 import { broadcastAppends, makeProgress } from './appends.js';
 import { announceRole, becomeFollower, enterTerm, resetElectionTimer } from './roles.js';
@@ -28,12 +28,34 @@
   });
 }
 
+/** Tells why the round before this one gave no leader: whether voters said no, or nothing at all. */
+function reportFailedRound({ state, effects }: StepContext): void {
+  const { role, term } = state;
+  if (role.type !== 'candidate') return;
+  const { preVote, votes, refusals } = role;
+  const answered = [...votes, ...refusals];
+  const namesOf = (test: (identity: string) => boolean) =>
+    votersOf(state)
+      .filter(({ identity }) => test(identity))
+      .map(({ address }) => address.instance);
+  effects.push({
+    type: 'electionFailed',
+    preVote,
+    term,
+    quorum: quorumSize(state),
+    granted: namesOf((identity) => votes.includes(identity)),
+    refused: namesOf((identity) => refusals.includes(identity)),
+    silent: namesOf((identity) => !answered.includes(identity)),
+  });
+}
+
 /** Runs when no leader was heard for an election timeout. */
 export function startPreVote(context: StepContext): void {
   const { state } = context;
   resetElectionTimer(context);
   if (!mayStand(state)) return;
-  state.role = { type: 'candidate', preVote: true, votes: [state.self.identity] };
+  reportFailedRound(context);
+  state.role = { type: 'candidate', preVote: true, votes: [state.self.identity], refusals: [] };
   announceRole(context);
   requestVotes(context, true, state.term + 1);
   countVotes(context);
@@ -44,7 +66,7 @@
   resetElectionTimer(context);
   enterTerm(state, state.term + 1);
   state.votedFor = state.self.identity;
-  state.role = { type: 'candidate', preVote: false, votes: [] };
+  state.role = { type: 'candidate', preVote: false, votes: [], refusals: [] };
   announceRole(context);
   requestVotes(context, false, state.term);
 }
@@ -151,7 +173,11 @@
     return;
   }
   const { role } = state;
-  if (role.type !== 'candidate' || role.preVote !== response.preVote || !response.granted) return;
+  if (role.type !== 'candidate' || role.preVote !== response.preVote) return;
+  if (!response.granted) {
+    if (!role.refusals.includes(from.identity)) role.refusals.push(from.identity);
+    return;
+  }
   const expectedTerm = role.preVote ? state.term + 1 : state.term;
   if (response.term !== expectedTerm || role.votes.includes(from.identity)) return;
   role.votes.push(from.identity);
