Take stores that are gone for good out of the log, and let those that come back in again

Cause: a store that left for good stayed a voter until an operator removed it. Two such voters made a quorum of four out of six; the loss of one disk, which is to be borne, left three. No leader, and so nobody to let the empty disks in. Change: the leader takes out a member that was silent for silentStoreMilliseconds, one at a time and only while leastVoters (three at the least) are heard of, so a cut never leaves fewer than lost disks ask for. A store that knows no leader asks to be let in, whatever its own log says; one that an operator took out stays out. Learners forget a leader that they hear no more. Connections to stores that are neither members nor in the settings end. Why it is enough: each exchange ends with as many voters as there are stores, so a quorum is what the deployment was planned for when the next one goes.

--- a/apps/store/src/JoinRequests.ts
+++ b/apps/store/src/JoinRequests.ts
@@ -1,6 +1,7 @@
 /**
- * A store whose disk is new asks the others to be let in, until it is a member. It votes and
- * counts as a copy only once it has caught up; the leader sees to that.
+ * A store whose disk is new, or that was taken out while it was away, asks the others to be let in,
+ * until it is a member and hears of a leader. It votes and counts as a copy only once it has caught
+ * up; the leader sees to that.
  */
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { JoiningVoter, StoreRequest } from '@hornbeampond/schema';
@@ -12,7 +13,8 @@
 export interface JoinRequestsOptions {
   readonly timers: TimerService;
   readonly peers: StorePeers;
-  isMember(): boolean;
+  /** False once this store is a member that follows a leader, or is one. */
+  isNeeded(): boolean;
   describe(): JoiningVoter;
 }
 
@@ -31,7 +33,7 @@
   }
 
   private ask(): void {
-    if (this.options.isMember()) {
+    if (!this.options.isNeeded()) {
       this.stop();
       return;
     }
--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -32,8 +32,14 @@
     this.configured.forEach((address) => this.connect(address));
   }
 
-  /** Keeps a connection to each member of the log; one that has moved is connected anew. */
+  /** Keeps a connection to each member of the log, and to no other that the settings don't name. */
   keep(addresses: readonly StoreAddress[]): void {
+    const members = new Set(addresses.map(({ instance }) => instance));
+    this.clients.forEach((client, instance) => {
+      if (members.has(instance) || this.configuredNames.has(instance)) return;
+      client.close();
+      this.clients.delete(instance);
+    });
     addresses
       .filter(({ instance }) => !this.configuredNames.has(instance))
       .forEach((address) => this.connect(address));
--- a/apps/store/src/StoreProcess.test.ts
+++ b/apps/store/src/StoreProcess.test.ts
@@ -26,6 +26,7 @@
     electionTimeoutMilliseconds: 300,
     heartbeatMilliseconds: 50,
     leastVoters: 1,
+    silentStoreMilliseconds: 0,
     peerHeartbeatMilliseconds: 1000,
   };
 }
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -156,7 +156,10 @@
     this.leaderWatch = new LeaderWatch({
       timers,
       electionTimeout: settings.electionTimeoutMilliseconds,
-      onOutOfTouch: () => this.subscribers.push({ type: 'outOfTouch' }),
+      onOutOfTouch: () => {
+        this.subscribers.push({ type: 'outOfTouch' });
+        this.joining.start();
+      },
     });
     this.publisher = new ConfigurationPublisher({
       timers,
@@ -170,7 +173,7 @@
     this.joining = new JoinRequests({
       timers,
       peers: this.peers,
-      isMember: () => this.isMember(),
+      isNeeded: () => this.needsLetIn(),
       describe: () => ({ ...this.address, identity: this.loop.state.self.identity }),
     });
     this.requests = new StoreRequests({
@@ -274,12 +277,15 @@
   private makeLoop({ restored, snapshot }: DiskContents) {
     if (snapshot !== undefined) this.machine = restoreSnapshot(codec.decode(snapshot.data));
     const { cluster, electionTimeoutMilliseconds, heartbeatMilliseconds } = this.settings;
+    const { silentStoreMilliseconds, leastVoters } = this.settings;
     const state = createConsensusState(
       {
         ...defaultConsensusSettings,
         cluster,
         electionTimeout: electionTimeoutMilliseconds,
         heartbeatInterval: heartbeatMilliseconds,
+        silentMemberTimeout: silentStoreMilliseconds,
+        leastVoters,
       },
       restored,
       seedOf(restored.self),
@@ -310,6 +316,17 @@
     );
   }
 
+  /**
+   * True if no leader counts on this store. One that was cut off for long was taken out meanwhile, and
+   * its own log does not say so: it would stand for election for ever. A disk that takes no writes is
+   * not offered again.
+   */
+  private needsLetIn(): boolean {
+    const { state } = this.loop;
+    if (state.readOnly || state.diskRefused) return false;
+    return !this.isMember() || leaderHint(state) === undefined;
+  }
+
   private carryOut(effect: ConsensusEffect): void {
     // After an entry that was applied in part, replies to later ones would rest on a state that
     // no other store has. The process ends; nothing more leaves it until then.
@@ -364,6 +381,14 @@
       case 'electionFailed':
         this.logger.write('storeElectionFailed', { ...effect });
         return;
+      case 'silentMemberRemoved':
+        this.logger.write('silentStoreRemoved', {
+          store: effect.instance,
+          silence: effect.silence,
+          timeout: this.settings.silentStoreMilliseconds,
+          leastVoters: this.settings.leastVoters,
+        });
+        return;
       case 'messageRefused':
         this.logger.write('storeMessageRefused', { from: effect.from, reason: effect.reason });
         return;
--- a/apps/store/src/StoreRequests.ts
+++ b/apps/store/src/StoreRequests.ts
@@ -220,7 +220,7 @@
       respond({ type: 'unavailable', reason: `${instance} is no member` });
       return;
     }
-    this.change(respond, { type: 'removeMember', identity: member.identity });
+    this.change(respond, { type: 'takeOutMember', identity: member.identity });
   }
 
   private change(
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -1,6 +1,11 @@
 /** Five stores on disks in memory, and clients of them, in one process over loopback. */
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
-import type { Configuration, InstanceReport, StoreAddress } from '@hornbeampond/schema';
+import type {
+  Configuration,
+  InstanceReport,
+  Milliseconds,
+  StoreAddress,
+} from '@hornbeampond/schema';
 import { StoreClient, type PeerContext } from '@hornbeampond/transport';
 import type { StoreDisk } from '../StoreDisk.js';
 import { StoreProcess, type StoreFailure } from '../StoreProcess.js';
@@ -56,7 +61,10 @@
 
   private readonly seconds: StoreProcess[] = [];
 
-  private constructor(dataCentres: readonly string[]) {
+  private constructor(
+    dataCentres: readonly string[],
+    private readonly silentStoreMilliseconds: Milliseconds,
+  ) {
     this.stores = dataCentres.map((dataCentre, position) => ({
       instance: `store-${position + 1}`,
       dataCentre,
@@ -67,8 +75,11 @@
   }
 
   /** Starts one store for each place; resolves once all of them vote. */
-  static async start(dataCentres: readonly string[]): Promise<StoreCluster> {
-    const cluster = new StoreCluster(dataCentres);
+  static async start(
+    dataCentres: readonly string[],
+    silentStoreMilliseconds: Milliseconds = 0,
+  ): Promise<StoreCluster> {
+    const cluster = new StoreCluster(dataCentres, silentStoreMilliseconds);
     for (const { instance } of cluster.stores) await cluster.open(instance);
     cluster.find('store-1').process?.found();
     await cluster.waitForVoters(dataCentres.length);
@@ -113,6 +124,7 @@
         electionTimeoutMilliseconds: 300,
         heartbeatMilliseconds: 50,
         leastVoters: 1,
+        silentStoreMilliseconds: this.silentStoreMilliseconds,
         peerHeartbeatMilliseconds: 1000,
       },
       this.timers,
@@ -163,9 +175,12 @@
     });
   }
 
-  async waitForVoters(count: number): Promise<void> {
+  /** Waits until all running stores, or one of them, count so many voters and no learner. */
+  async waitForVoters(count: number, counting?: string): Promise<void> {
     await waitFor(`${count} voters`, async () => {
-      const statuses = await this.readStatus();
+      const statuses = (await this.readStatus()).filter(
+        ({ instance }) => counting === undefined || instance === counting,
+      );
       const all = statuses.every(
         ({ voters, learners }) => voters.length + learners.length * 100 === count,
       );
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -18,6 +18,7 @@
   memoryNotKept: define(3205, 'warn', 'What entries know could not be kept'),
   storeMembersChanged: define(3206, 'info', 'Stores were let in, made voters or taken out'),
   storeElectionFailed: define(3207, 'warn', 'A round of votes has ended without a leader'),
+  silentStoreRemoved: define(3208, 'warn', 'A store that was silent for too long was taken out'),
   tablesReplaced: define(3300, 'info', 'An operator’s whole configuration was acknowledged'),
   operatorCallRefused: define(3301, 'warn', 'A call of an operator was refused'),
 } as const;
--- a/packages/schema/src/reference/settingMeanings.ts
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -46,7 +46,10 @@
   dataFolder: 'the one folder that holds all files of this store',
   electionTimeoutMilliseconds: 'a store that hears no leader for so long stands for election',
   heartbeatMilliseconds: 'pause between two messages of an idle leader',
-  leastVoters: 'changes of tables are taken only while so many stores vote',
+  leastVoters:
+    'changes of tables are taken only while so many stores vote; while fewer are heard of, no silent one is taken out',
+  silentStoreMilliseconds:
+    'a store that the leader has not heard of for so long is taken out; 0: never; it is let in again when it comes back',
 };
 
 export const entryMeanings: Readonly<Record<string, string>> = {
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -65,7 +65,12 @@
   dataFolder: z.string().min(1),
   electionTimeoutMilliseconds: milliseconds(50, 60_000).default(1000),
   heartbeatMilliseconds: milliseconds(10, 10_000).default(150),
-  /** Changes of tables are taken only while so many stores vote. */
+  /**
+   * A store that the leader has not heard of for so long is taken out; 0: never. It is let in again
+   * when it comes back.
+   */
+  silentStoreMilliseconds: milliseconds(0, 86_400_000).default(10_000),
+  /** Changes of tables are taken only while so many stores vote; no silent one is taken out below. */
   leastVoters: z.number().int().min(1).max(16).default(1),
 });
 
--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -50,6 +50,10 @@
   readonly mostBytesPerSnapshotPart: number;
   /** Appends under way to one peer before its first answer. */
   readonly mostAppendsInFlight: number;
+  /** A member that the leader has not heard of for so long is taken for gone; 0: never. */
+  readonly silentMemberTimeout: Milliseconds;
+  /** No voter that is taken for gone is removed while fewer than so many are heard of. */
+  readonly leastVoters: number;
   /** Uncommitted entries above which proposals are refused. */
   readonly mostUncommittedEntries: number;
   /** Applied entries after which a snapshot is taken. */
@@ -68,6 +72,8 @@
   mostBytesPerAppend: 4 * 1024 * 1024,
   mostBytesPerSnapshotPart: 4 * 1024 * 1024,
   mostAppendsInFlight: 8,
+  silentMemberTimeout: 10_000,
+  leastVoters: 3,
   mostUncommittedEntries: 20_000,
   entriesPerSnapshot: 20_000,
   trailingEntries: 2_000,
--- a/packages/store-core/src/consensus/consensusEvents.ts
+++ b/packages/store-core/src/consensus/consensusEvents.ts
@@ -2,7 +2,7 @@
  * What happens to a voter (events) and what its shell must do about it (effects). The shell
  * carries out the effects of one event in their order before it hands in the next event.
  */
-import type { EpochMilliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { EpochMilliseconds, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type {
   Envelope,
   LogEntry,
@@ -25,7 +25,9 @@
 export type MembershipChange =
   /** The learner is made a voter by the leader as soon as it has caught up. */
   | { readonly type: 'addLearner'; readonly member: Omit<Member, 'role'> }
-  | { readonly type: 'removeMember'; readonly identity: string };
+  | { readonly type: 'removeMember'; readonly identity: string }
+  /** As `removeMember`, for good: the identity is not let in again. */
+  | { readonly type: 'takeOutMember'; readonly identity: string };
 
 export type ConsensusEvent = Timed &
   (
@@ -133,6 +135,12 @@
       /** Voters that have not answered. */
       readonly silent: readonly string[];
     }
+  /** A member was taken for gone. */
+  | {
+      readonly type: 'silentMemberRemoved';
+      readonly instance: string;
+      readonly silence: Milliseconds;
+    }
   /** A message was refused; for counters. */
   | { readonly type: 'messageRefused'; readonly reason: RefusalReason; readonly from: string }
   /** This disk is older than what it has promised. The shell makes a new identity and restarts. */
--- a/packages/store-core/src/consensus/consensusSchedules.test.ts
+++ b/packages/store-core/src/consensus/consensusSchedules.test.ts
@@ -74,6 +74,11 @@
   checkSchedules(context, { voters: TRIO, spares: ['d', 'e'] }, 302, 80);
 });
 
+test('Random schedules do no harm while silent members are taken out', (context) => {
+  const taking = { ...settings, silentMemberTimeout: 1500, leastVoters: 3 };
+  checkSchedules(context, { voters: FIVE, spares: ['f', 'g'], settings: taking }, 503, 80);
+});
+
 interface Fault {
   readonly off?: keyof Safeguards;
   readonly mutation?: ShellMutation;
--- a/packages/store-core/src/consensus/consensusTypes.ts
+++ b/packages/store-core/src/consensus/consensusTypes.ts
@@ -19,6 +19,8 @@
 
 export interface Membership {
   readonly members: readonly Member[];
+  /** Identities that an operator has taken out; they are not let in again. */
+  readonly takenOut?: readonly string[];
 }
 
 /** What an entry carries. A command is opaque to consensus. */
--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -53,7 +53,11 @@
 export function startPreVote(context: StepContext): void {
   const { state } = context;
   resetElectionTimer(context);
-  if (!mayStand(state)) return;
+  if (!mayStand(state)) {
+    // Heard of no leader either; one that is still named would be followed for ever.
+    becomeFollower(context, state.term);
+    return;
+  }
   reportFailedRound(context);
   state.role = { type: 'candidate', preVote: true, votes: [state.self.identity], refusals: [] };
   announceRole(context);
--- a/packages/store-core/src/consensus/membership.ts
+++ b/packages/store-core/src/consensus/membership.ts
@@ -72,21 +72,24 @@
   state: ConsensusState,
   change: MembershipChange,
 ): Membership | undefined {
-  const { members } = currentMembership(state);
+  const membership = currentMembership(state);
+  const { members, takenOut = [] } = membership;
   if (change.type === 'addLearner') {
     const { identity, address } = change.member;
+    if (takenOut.includes(identity)) return undefined;
     // An instance has one member at a time: a lost disk's old identity is removed first, so that
     // it can't be counted beside the new one.
     const taken = members.some(
       (member) => member.identity === identity || member.address.instance === address.instance,
     );
     if (taken) return undefined;
-    return { members: [...members, { ...change.member, role: 'learner' }] };
+    return { ...membership, members: [...members, { ...change.member, role: 'learner' }] };
   }
   const left = members.filter((member) => member.identity !== change.identity);
   const votersLeft = left.filter((member) => member.role === 'voter');
   if (left.length === members.length || votersLeft.length === 0) return undefined;
-  return { members: left };
+  if (change.type === 'removeMember') return { ...membership, members: left };
+  return { members: left, takenOut: [...takenOut, change.identity] };
 }
 
 /** A learner that holds all that is committed, as of the leader's knowledge. */
@@ -103,8 +106,9 @@
 }
 
 export function promotedMembership(state: ConsensusState, identity: string): Membership {
-  const members = currentMembership(state).members.map((member) =>
+  const membership = currentMembership(state);
+  const members = membership.members.map((member) =>
     member.identity === identity ? { ...member, role: 'voter' as const } : member,
   );
-  return { members };
+  return { ...membership, members };
 }
--- a/packages/store-core/src/consensus/replacedStores.test.ts
+++ b/packages/store-core/src/consensus/replacedStores.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ConsensusSettings } from './ConsensusState.js';
+import type { MembershipChange } from './consensusEvents.js';
+import { votersOf } from './membership.js';
 import {
   crash,
   currentLeader,
+  happen,
   loseDisk,
   makeCluster,
   propose,
@@ -12,7 +15,11 @@
 import { passTime } from './testing/passTime.js';
 import type { Schedule } from './testing/randomSchedule.js';
 
-const settings: Partial<ConsensusSettings> = { electionTimeout: 400, heartbeatInterval: 100 };
+const settings: Partial<ConsensusSettings> = {
+  electionTimeout: 400,
+  heartbeatInterval: 100,
+  silentMemberTimeout: 3000,
+};
 const VOTERS = ['a', 'b', 'c', 'd'];
 const SUCCESSORS = ['e', 'f', 'g'];
 
@@ -46,6 +53,17 @@
   return leader.instance;
 }
 
+function votersNamedBy(schedule: Schedule, instance: string): string[] {
+  const state = schedule.cluster.voters[instance]?.state;
+  assert.ok(state !== undefined);
+  return votersOf(state).map(({ address }) => address.instance);
+}
+
+function changeMembers(schedule: Schedule, change: MembershipChange): void {
+  const event = { type: 'changeMembership', requestId: 'operator', change } as const;
+  schedule.cluster = happen(schedule.cluster, leaderOf(schedule), event);
+}
+
 function assertTakesWrite(schedule: Schedule): void {
   const before = schedule.cluster.acknowledgedIndex;
   schedule.cluster = propose(schedule.cluster, leaderOf(schedule));
@@ -74,3 +92,42 @@
   passTime(schedule, 2000);
   assertTakesWrite(schedule);
 });
+
+// Guards against a store that stands for election for ever after a long cut, as its log still has it vote.
+test('a store that was cut off until it was taken out votes again once it is back', () => {
+  const schedule = startCluster();
+  const cut = leaderOf(schedule);
+  schedule.cutOff = [cut];
+  passTime(schedule, CATCH_UP_MILLISECONDS + 1500);
+  assert.equal(votersNamedBy(schedule, leaderOf(schedule)).includes(cut), false);
+  assertTakesWrite(schedule);
+  schedule.cutOff = [];
+  passTime(schedule, 2000);
+  assert.deepEqual(votersNamedBy(schedule, cut).toSorted(), VOTERS);
+  assertTakesWrite(schedule);
+});
+
+// Guards against so few voters that the next lost disk takes acknowledged changes with it.
+test('no voter is taken out while too few others are heard of', () => {
+  const schedule = startCluster();
+  const [first = '', second = ''] = VOTERS.filter((name) => name !== leaderOf(schedule));
+  stop(schedule, first);
+  passTime(schedule, CATCH_UP_MILLISECONDS);
+  stop(schedule, second);
+  passTime(schedule, CATCH_UP_MILLISECONDS);
+  const voters = votersNamedBy(schedule, leaderOf(schedule));
+  assert.equal(voters.length, 3);
+  assert.ok(voters.includes(second));
+  assertTakesWrite(schedule);
+});
+
+// Guards against a store that comes back by itself after an operator has taken it out.
+test('a store that an operator has taken out is not let in again', () => {
+  const schedule = startCluster();
+  const [removed = ''] = VOTERS.filter((name) => name !== leaderOf(schedule));
+  const identity = schedule.cluster.voters[removed]?.identity ?? '';
+  changeMembers(schedule, { type: 'takeOutMember', identity });
+  passTime(schedule, CATCH_UP_MILLISECONDS);
+  assert.equal(votersNamedBy(schedule, leaderOf(schedule)).includes(removed), false);
+  assertTakesWrite(schedule);
+});
--- a/packages/store-core/src/consensus/replication.ts
+++ b/packages/store-core/src/consensus/replication.ts
@@ -21,6 +21,7 @@
 import { sendNow } from './persistence.js';
 import { confirmReads, startReadRound } from './reads.js';
 import { becomeFollower } from './roles.js';
+import { removeSilentMember } from './silentMembers.js';
 import { acceptPart } from './snapshots.js';
 import type { StepContext } from './StepContext.js';
 
@@ -188,4 +189,5 @@
     if (progress.mode === 'probing') progress.inFlight = [];
   });
   broadcastAppends(context, leader, true);
+  removeSilentMember(context, leader);
 }
--- /dev/null
+++ b/packages/store-core/src/consensus/silentMembers.ts
@@ -0,0 +1,65 @@
+/**
+ * Members that are gone for good leave the log by themselves. Each of them would go on to count for
+ * the size of a quorum: after a few exchanges of stores a quorum would need nearly all that are left,
+ * and after the next loss there would never be a leader again. A member that is wrongly taken for
+ * gone keeps its disk and its identity, and is let in again as soon as it asks.
+ */
+import type { Member } from './consensusTypes.js';
+import type { LeaderState } from './ConsensusState.js';
+import { followMembership } from './appends.js';
+import { appendNew } from './memoryLog.js';
+import {
+  changedMembership,
+  currentMembership,
+  mayChangeMembership,
+  votersOf,
+} from './membership.js';
+import type { StepContext } from './StepContext.js';
+
+/** With two voters both are needed for a quorum: the second of three gains nothing by the third's removal. */
+const FEWEST_VOTERS = 3;
+
+function silenceOf({ state, now }: StepContext, leader: LeaderState, identity: string): number {
+  if (identity === state.self.identity) return 0;
+  const progress = leader.progress[identity];
+  return progress === undefined ? 0 : now - progress.lastHeardAt;
+}
+
+/**
+ * True if the deployment's bounds on losses still hold without the silent voters. Those that are
+ * merely cut off come back, and changes must outlive as many lost disks meanwhile as at other times.
+ */
+function enoughAreHeardOf(context: StepContext, leader: LeaderState): boolean {
+  const { state } = context;
+  const { electionTimeout, leastVoters } = state.settings;
+  const heardOf = votersOf(state).filter(
+    ({ identity }) => silenceOf(context, leader, identity) <= electionTimeout,
+  );
+  return heardOf.length >= Math.max(leastVoters, FEWEST_VOTERS);
+}
+
+function findSilentMember(context: StepContext, leader: LeaderState): Member | undefined {
+  const { state } = context;
+  const { silentMemberTimeout } = state.settings;
+  const votersMayGo = enoughAreHeardOf(context, leader);
+  return currentMembership(state).members.find(
+    ({ identity, role }) =>
+      (role === 'learner' || votersMayGo) &&
+      silenceOf(context, leader, identity) > silentMemberTimeout,
+  );
+}
+
+/** Removes one member that has been silent for too long; the next one once that is committed. */
+export function removeSilentMember(context: StepContext, leader: LeaderState): void {
+  const { state, wallNow, effects } = context;
+  if (state.settings.silentMemberTimeout === 0 || !mayChangeMembership(state, leader)) return;
+  const silent = findSilentMember(context, leader);
+  if (silent === undefined) return;
+  const { identity, address } = silent;
+  const membership = changedMembership(state, { type: 'removeMember', identity });
+  if (membership === undefined) return;
+  const silence = silenceOf(context, leader, identity);
+  effects.push({ type: 'silentMemberRemoved', instance: address.instance, silence });
+  appendNew(state, { type: 'membership', membership }, wallNow);
+  followMembership(context, leader);
+}
--- a/packages/store-core/src/consensus/testing/modelKeys.ts
+++ b/packages/store-core/src/consensus/testing/modelKeys.ts
@@ -84,7 +84,8 @@
 
 function copyRole(role: RoleState): RoleState {
   if (role.type === 'follower') return { ...role };
-  if (role.type === 'candidate') return { ...role, votes: [...role.votes], refusals: [...role.refusals] };
+  if (role.type === 'candidate')
+    return { ...role, votes: [...role.votes], refusals: [...role.refusals] };
   const progress = Object.fromEntries(
     Object.entries(role.progress).map(([identity, item]) => [
       identity,
