--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -29,6 +29,7 @@
   type Milliseconds,
   type PeerReport,
   type PlatformInstance,
+  type StoreAddress,
 } from '@hornbeampond/schema';
 import {
   fromShared,
@@ -260,6 +261,11 @@
    * Ends without cutting off a request: the balancer is told first and served for its delay, then
    * no new connection is taken, and the reducer says when nothing is in progress any more.
    */
+  /** Seeks the stores that changed settings name, beside those it was told of. */
+  useStores(addresses: readonly StoreAddress[]): void {
+    this.store.useSeeds(addresses);
+  }
+
   async shutDown(): Promise<void> {
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.ready = false;
--- a/apps/store/src/StoreCluster.test.ts
+++ b/apps/store/src/StoreCluster.test.ts
@@ -274,3 +274,14 @@
   await waitFor('a configuration', () => (entry.configurations.length > 0 ? true : undefined));
   assert.deepEqual(revisionsOf(entry), [12]);
 });
+
+// Guards against a process that seeks only stores which are gone, while changed settings name others.
+test('a process whose stores are all gone finds the others by changed settings', async () => {
+  await runChanges(1, 2);
+  const { client, configurations } = cluster.connect('entry-5', ['store-2']);
+  await waitFor('revision 2', () => (configurations.at(-1)?.revision === 2 ? true : undefined));
+  await cluster.close('store-2');
+  await runChanges(3, 4);
+  client.useSeeds(cluster.addressesOf(['store-3', 'store-4']));
+  await waitFor('revision 4', () => (configurations.at(-1)?.revision === 4 ? true : undefined));
+});
--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -9,7 +9,9 @@
 export class StorePeers {
   private readonly clients = new Map<string, PeerClient>();
 
-  private readonly configuredNames: ReadonlySet<string>;
+  private configuredNames: ReadonlySet<string>;
+
+  private members: readonly StoreAddress[] = [];
 
   /**
    * @param configured - Stores of the settings. Their addresses hold, whatever the log says: how
@@ -18,7 +20,7 @@
   constructor(
     private readonly self: string,
     private readonly context: PeerContext,
-    private readonly configured: readonly StoreAddress[],
+    private configured: readonly StoreAddress[],
   ) {
     this.configuredNames = new Set(configured.map(({ instance }) => instance));
   }
@@ -32,8 +34,17 @@
     this.configured.forEach((address) => this.connect(address));
   }
 
+  /** Takes over the stores that changed settings name. */
+  useConfigured(addresses: readonly StoreAddress[]): void {
+    this.configured = addresses;
+    this.configuredNames = new Set(addresses.map(({ instance }) => instance));
+    this.open();
+    this.keep(this.members);
+  }
+
   /** Keeps a connection to each member of the log, and to no other that the settings don't name. */
   keep(addresses: readonly StoreAddress[]): void {
+    this.members = addresses;
     const members = new Set(addresses.map(({ instance }) => instance));
     this.clients.forEach((client, instance) => {
       if (members.has(instance) || this.configuredNames.has(instance)) return;
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -253,6 +253,11 @@
     });
   }
 
+  /** Seeks the stores that changed settings name, beside the members of the log. */
+  useStores(addresses: readonly StoreAddress[]): void {
+    this.peers.useConfigured(addresses);
+  }
+
   async shutDown(): Promise<void> {
     this.logger.write('shutdownStarted', {});
     await this.close();
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -150,7 +150,7 @@
   /** A client of all stores, or of some; it follows the configuration. */
   connect(name: string, instances = this.stores.map(({ instance }) => instance)): TestedClient {
     const configurations: Configuration[] = [];
-    const addresses = instances.map((instance) => this.addressOf(this.find(instance)));
+    const addresses = this.addressesOf(instances);
     const report: InstanceReport = {
       instance: name,
       dataCentre: 'wien-b',
@@ -215,6 +215,10 @@
     return store;
   }
 
+  addressesOf(instances: readonly string[]): StoreAddress[] {
+    return instances.map((instance) => this.addressOf(this.find(instance)));
+  }
+
   private addressOf({ instance, dataCentre, port }: TestedStore): StoreAddress {
     return { instance, dataCentre, host: LOOPBACK, port };
   }
--- a/packages/schema/src/logEvents/commonLogEvents.ts
+++ b/packages/schema/src/logEvents/commonLogEvents.ts
@@ -14,5 +14,7 @@
   configurationApplied: define(1020, 'info', 'A newer configuration is in force here'),
   configurationIgnored: define(1021, 'warn', 'A configuration older than the one in force came in'),
   reclaimNoticed: define(1030, 'warn', 'The platform reclaims an instance; it gets no new work'),
+  storesRenamed: define(1040, 'info', 'The settings name other stores; they are sought there too'),
+  settingsUnusable: define(1041, 'warn', 'Changed settings have faults; those in force stay'),
   unexpectedError: define(1099, 'error', 'An unexpected error was caught'),
 } as const;
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -44,7 +44,10 @@
 export class StoreClient {
   private stores: StorePeer[];
 
-  private readonly seeds: readonly StoreAddress[];
+  private seeds: readonly StoreAddress[];
+
+  /** The members of the log, as last told; none until then. */
+  private members: readonly VoterAddress[] = [];
 
   private leader: string | undefined;
 
@@ -71,7 +74,10 @@
       report,
       handlers,
       readStores: () => this.stores,
-      onStores: (members) => this.keepStores(members),
+      onStores: (members) => {
+        this.members = members;
+        this.connectToAll();
+      },
     });
     this.stores = addresses.map((address) => ({ address, client: this.connect(address) }));
   }
@@ -153,6 +159,12 @@
     this.tellAll({ type: 'report', report });
   }
 
+  /** Takes over the stores that changed settings name. */
+  useSeeds(addresses: readonly StoreAddress[]): void {
+    this.seeds = addresses;
+    this.connectToAll();
+  }
+
   close(): void {
     this.stopped = true;
     this.subscription.stop();
@@ -170,9 +182,20 @@
     });
   }
 
+  /**
+   * The stores to be connected to beside the seeds. Until members are told, those that are connected
+   * are all there is.
+   */
+  private get wantedMembers(): readonly VoterAddress[] {
+    if (!this.followsMembers) return [];
+    if (this.members.length > 0) return this.members;
+    return this.stores.filter(({ client }) => client.isOpen).map(({ address }) => address);
+  }
+
   /** Connects to stores that have joined, and leaves those that are gone and are no seeds. */
-  private keepStores(members: readonly VoterAddress[]): void {
-    if (!this.followsMembers || this.stopped || members.length === 0) return;
+  private connectToAll(): void {
+    if (this.stopped) return;
+    const members = this.wantedMembers;
     const isAt = (a: VoterAddress) => (b: VoterAddress) => a.host === b.host && a.port === b.port;
     const wanted = [...members, ...this.seeds.filter((seed) => !members.some(isAt(seed)))];
     const before = this.stores;
