--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -307,6 +307,7 @@
       onBytes: () => {
         attempt.stopWatch();
         const now = timers.monotonicNow();
+        answer.notePiece(now);
         if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
         if (now - reportedAt <= PROGRESS_MILLISECONDS) return;
         reportedAt = now;
@@ -318,7 +319,9 @@
     });
     if (attempt.cancelled) return;
     if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
-    dispatch({ type: 'attemptFinished', attemptId, tokens: tokensOf(answer, target) });
+    const { longestPause } = answer;
+    const tokens = tokensOf(answer, target);
+    dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause });
   }
 
   /** An answer tells of the load at the moment it was begun, which is fresher than any poll. */
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -9,6 +9,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { HeaderLine, RelayResponse } from '@hornbeampond/adapters';
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import { CallerAnswer } from './CallerAnswer.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { EventStreamCutter } from './EventStreamCutter.js';
@@ -26,6 +27,11 @@
   /** The last event that the caller has. */
   lastEventId: string | undefined;
 
+  /** The longest time between two pieces of the answer, over all attempts. */
+  longestPause: Milliseconds = 0;
+
+  private pieceAt: MonotonicMilliseconds | undefined;
+
   /** Whole events that have gone to the caller. */
   eventsGiven = 0;
 
@@ -58,6 +64,12 @@
     return this.head?.isStream === true && this.cutter.pending.length > 0;
   }
 
+  /** Takes note that a piece of the answer has come. */
+  notePiece(now: MonotonicMilliseconds): void {
+    this.longestPause = Math.max(this.longestPause, now - (this.pieceAt ?? now));
+    this.pieceAt = now;
+  }
+
   /** Takes in the head of a backend server's answer; a stream that goes on keeps its first head. */
   begin({ status, headers, isStream }: RelayResponse): void {
     this.cutter = new EventStreamCutter();
--- a/measure/src/run.ts
+++ b/measure/src/run.ts
@@ -1,6 +1,7 @@
 /** `npm run measure -- NAME [--json] [--seed N]`: runs one measurement and prints its figures. */
 import { parseArgs } from 'node:util';
 import { findMeasurement, measurements } from './capacity/measurements.js';
+import { lossesUsage, reportLosses } from './losses/reportLosses.js';
 import { printResult } from './capacity/printResult.js';
 import { runMeasurement } from './capacity/runMeasurement.js';
 
@@ -12,7 +13,8 @@
 function printHelp(): string {
   const width = Math.max(...measurements.map(({ name }) => name.length));
   const lines = measurements.map(({ name, summary }) => `  ${name.padEnd(width)}  ${summary}`);
-  return ['Usage: npm run measure -- NAME [--json] [--seed N]', '', ...lines].join('\n');
+  const usage = 'Usage: npm run measure -- NAME [--json] [--seed N]';
+  return [usage, '', ...lines, `  ${lossesUsage}`].join('\n');
 }
 
 function readArguments() {
@@ -47,7 +49,18 @@
   }
 }
 
+function measureLosses(words: readonly string[]): number {
+  try {
+    reportLosses(words);
+    return 0;
+  } catch (error) {
+    return refuse(`losses: ${String(error)}`);
+  }
+}
+
 async function main(): Promise<number> {
+  const [command, ...words] = process.argv.slice(2);
+  if (command === 'losses') return measureLosses(words);
   let parsed: ReturnType<typeof readArguments>;
   try {
     parsed = readArguments();
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -145,6 +145,7 @@
         route: route.name,
         workspace: request.workspace,
         patience: request.patience,
+        tokens: request.countedTokens,
       },
     },
     ...(isClaimed(route)
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -28,6 +28,8 @@
   }
 >;
 
+type AttemptFinished = Extract<EntryEvent, { type: 'attemptFinished' }>;
+
 /** Counts an answer from an attempt that its request no longer waits for. */
 function dropLate(): EntryEffect[] {
   return [{ type: 'count', metric: 'lateAnswers', label: 'attemptGivenUp' }];
@@ -71,29 +73,33 @@
 function finishGivenUp(
   state: EntryState,
   accepted: RequestState | undefined,
-  { attemptId }: AttemptState,
+  { attemptId, longestPause }: AttemptFinished,
 ): EntryEffect[] {
   state.attempts.delete(attemptId);
   if (accepted === undefined || accepted.firstTokenAt !== undefined || accepted.tokens > 0) {
     return dropLate();
   }
-  return finishRequest(state, accepted, attemptId);
+  return finishRequest(state, accepted, attemptId, longestPause);
 }
 
-function finishAttempt(state: EntryState, attempt: AttemptState): EntryEffect[] {
+function finishAttempt(
+  state: EntryState,
+  attempt: AttemptState,
+  event: AttemptFinished,
+): EntryEffect[] {
   const accepted = state.requests.get(attempt.requestId);
-  if (attempt.givenUp) return finishGivenUp(state, accepted, attempt);
+  if (attempt.givenUp) return finishGivenUp(state, accepted, event);
   forgetAttempt(state, attempt);
   if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return dropLate();
   accepted.attemptId = undefined;
   accepted.maybeSent = true;
-  return finishRequest(state, accepted, attempt.attemptId);
+  return finishRequest(state, accepted, attempt.attemptId, event.longestPause);
 }
 
 export function reduceAttempts(state: EntryState, event: AttemptEvent): EntryEffect[] {
   const attempt = state.attempts.get(event.attemptId);
   if (attempt === undefined) return event.type === 'attemptFinished' ? dropLate() : [];
-  if (event.type === 'attemptFinished') return finishAttempt(state, attempt);
+  if (event.type === 'attemptFinished') return finishAttempt(state, attempt, event);
   if (event.type === 'attemptFailed') return failAttempt(state, attempt, event);
   const accepted = state.requests.get(attempt.requestId);
   if (accepted === undefined || accepted.attemptId !== attempt.attemptId) return [];
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -111,6 +111,8 @@
       readonly type: 'attemptFinished';
       readonly attemptId: string;
       readonly tokens: number;
+      /** The longest time between two of its events, over all attempts. */
+      readonly longestPause?: Milliseconds;
       /** The answer of a call that may not be repeated, to be kept for its resends. */
       readonly storedAnswer?: StoredAnswer;
     }
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -65,11 +65,18 @@
   ];
 }
 
+/** When its first token came, and was due, from its arrival. */
+function describeTimes({ arrivedAt, firstTokenAt, firstTokenDueAt }: RequestState): LogFields {
+  if (firstTokenAt === undefined) return {};
+  return { firstTokenIn: firstTokenAt - arrivedAt, firstTokenDueIn: firstTokenDueAt - arrivedAt };
+}
+
 /** Ends an accepted request whose whole answer is there, as `attemptId` brought it. */
 export function finishRequest(
   state: EntryState,
   accepted: RequestState,
   attemptId?: string,
+  longestPause?: Milliseconds,
 ): EntryEffect[] {
   const { requestId, digest } = accepted.request;
   state.requests.delete(requestId);
@@ -77,6 +84,10 @@
   return [
     ...releaseAttempts(state, accepted),
     { type: 'finishAnswer', requestId, attemptId },
-    { type: 'log', event: 'requestFinished', fields: { requestId } },
+    {
+      type: 'log',
+      event: 'requestFinished',
+      fields: { requestId, ...describeTimes(accepted), longestPause },
+    },
   ];
 }
