--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -29,7 +29,6 @@
   createConsensusState,
   currentMembership,
   defaultConsensusSettings,
-  fillSnapshotPart,
   leaderHint,
   memberAddresses,
   reduceConsensus,
@@ -41,9 +40,6 @@
   type ConsensusState,
   type Envelope,
   type LogEntry,
-  type PersistEffect,
-  type SendSnapshotEffect,
-  type SnapshotHeader,
 } from '@hornbeampond/store-core';
 import {
   OperatorServer,
@@ -52,19 +48,19 @@
   type PeerSession,
 } from '@hornbeampond/transport';
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
+import { DiskWork } from './DiskWork.js';
 import { describeMembers, describeStore } from './describeStore.js';
 import { InstanceBoard } from './InstanceBoard.js';
 import { JoinRequests } from './JoinRequests.js';
 import { LeaderWatch } from './LeaderWatch.js';
 import { RequestDesk } from './RequestDesk.js';
-import { SnapshotCache } from './SnapshotCache.js';
 import { EntryMemory } from './EntryMemory.js';
 import { StoreOperations } from './StoreOperations.js';
 import { WorkBoard } from './WorkBoard.js';
 import { StorePeers } from './StorePeers.js';
 import { StoreRequests } from './StoreRequests.js';
 import { Subscribers } from './Subscribers.js';
-import type { DiskContents, SavedSnapshot, StoreDisk } from './StoreDisk.js';
+import type { DiskContents, StoreDisk } from './StoreDisk.js';
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
@@ -109,7 +105,7 @@
   /** Results of commands of this step, until their replies have been sent. */
   private readonly results = new Map<number, CommandResult>();
 
-  private disk: Promise<void> = Promise.resolve();
+  private readonly disk: DiskWork;
 
   private readonly joining: JoinRequests;
 
@@ -132,8 +128,6 @@
   /** True once a step was not carried out to its end. */
   private failed = false;
 
-  private readonly sending: SnapshotCache;
-
   constructor(
     private readonly settings: StoreSettings,
     private readonly timers: TimerService,
@@ -152,7 +146,6 @@
       metrics: this.metrics,
       heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
     };
-    this.sending = new SnapshotCache(timers);
     this.leaderWatch = new LeaderWatch({
       timers,
       electionTimeout: settings.electionTimeoutMilliseconds,
@@ -170,6 +163,13 @@
     this.work = new WorkBoard(timers, this.subscribers);
     this.memory = new EntryMemory({ disk: storage, timers, logger: this.logger });
     this.peers = new StorePeers(instance, context, settings.stores);
+    this.disk = new DiskWork({
+      disk: storage,
+      timers,
+      logger: this.logger,
+      dispatch: (occurrence) => this.dispatch(occurrence),
+      send: (store, envelope) => this.peers.send(store, envelope),
+    });
     this.joining = new JoinRequests({
       timers,
       peers: this.peers,
@@ -272,10 +272,10 @@
     this.memory.close();
     this.work.close();
     this.joining.stop();
-    this.sending.clear();
+    this.disk.stop();
     this.peers.close();
     await Promise.all([this.server.close(), this.operators.close()]);
-    await this.disk;
+    await this.disk.finish();
     await this.storage.close();
   }
 
@@ -338,13 +338,13 @@
     if (this.failed) return;
     switch (effect.type) {
       case 'persist':
-        this.persist(effect);
+        this.disk.persist(effect);
         return;
       case 'send':
         this.peers.send(effect.instance, effect.envelope);
         return;
       case 'sendSnapshot':
-        this.sendSnapshot(effect);
+        this.disk.sendSnapshot(effect);
         return;
       case 'apply':
         this.apply(effect.entry);
@@ -356,10 +356,13 @@
         return;
       }
       case 'takeSnapshot':
-        this.saveSnapshot(effect.header);
+        this.disk.saveSnapshot({
+          header: effect.header,
+          data: codec.encode(takeSnapshot(this.machine)),
+        });
         return;
       case 'discardLog':
-        this.onDisk(async () => this.storage.discardLog(effect.throughIndex));
+        this.disk.discardLog(effect.throughIndex);
         return;
       case 'reply': {
         const index = effect.outcome.type === 'committed' ? effect.outcome.index : undefined;
@@ -406,55 +409,6 @@
     }
   }
 
-  /** Runs disk work one after another, in the order in which it was asked for. */
-  private onDisk(work: () => Promise<void>): void {
-    this.disk = this.disk.then(work).catch((error: unknown) => this.reportDiskFailure(error));
-  }
-
-  private reportDiskFailure(error: unknown): void {
-    const reason = error instanceof Error ? error.message : String(error);
-    this.logger.write('diskFailed', { reason });
-    this.dispatch({ type: 'persistFailed', reason });
-  }
-
-  /** Writes are handed in at once: those that wait for a sync share the next one. */
-  private persist(effect: PersistEffect): void {
-    const written = this.storage.write(effect).then(
-      () => this.dispatch({ type: 'persisted', batch: effect.batch }),
-      (error: unknown) => this.reportDiskFailure(error),
-    );
-    this.disk = Promise.all([this.disk, written]).then(() => {});
-  }
-
-  private saveSnapshot(header: SnapshotHeader): void {
-    const data = codec.encode(takeSnapshot(this.machine));
-    this.onDisk(async () => {
-      await this.storage.saveSnapshot({ header, data });
-      this.dispatch({ type: 'compacted', header });
-    });
-  }
-
-  private sendSnapshot(effect: SendSnapshotEffect): void {
-    const kept = this.sending.find(effect.header);
-    if (kept !== undefined) {
-      this.sendPart(effect, kept);
-      return;
-    }
-    this.onDisk(async () => {
-      // Loaded meanwhile for another part or peer.
-      const snapshot = this.sending.find(effect.header) ?? (await this.storage.readSnapshot());
-      if (snapshot === undefined || this.closed) return;
-      this.sending.keep(snapshot);
-      this.sendPart(effect, snapshot);
-    });
-  }
-
-  private sendPart(effect: SendSnapshotEffect, snapshot: SavedSnapshot): void {
-    const envelope = fillSnapshotPart(effect, snapshot);
-    // Replaced meanwhile: the leader asks again for the newer one.
-    if (envelope !== undefined) this.peers.send(effect.instance, envelope);
-  }
-
   private apply(entry: LogEntry): void {
     if (entry.body.type !== 'command') return;
     const stamped: StampedCommand = {
