--- a/packages/controller-core/src/singleton/SingletonState.ts
+++ b/packages/controller-core/src/singleton/SingletonState.ts
@@ -57,6 +57,11 @@
   plans: PastPlan[];
   /** By data centre. */
   readonly ordered: Map<string, OrderedSize>;
+  /** Instances that were there before any were ordered. */
+  found: number;
+  /** When waves have taken the reclaimable instances of a data centre, and how many it had before. */
+  waves: MonotonicMilliseconds[];
+  readonly reclaimableBefore: Map<string, number>;
   /** Until when reclaimable instances cannot be had, by data centre. */
   readonly closedUntil: Map<string, MonotonicMilliseconds>;
 }
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -36,6 +36,9 @@
 /** An entry that was not heard for so long has no demand. */
 const ENTRY_SILENCE_MILLISECONDS: Milliseconds = 5000;
 
+/** Waves count as following each other within the time of so many starts. */
+const STARTS_LOOKED_BACK = 2;
+
 /** After a refusal the platform is asked again this much later. */
 const CLOSED_MILLISECONDS: Milliseconds = 3000;
 
@@ -47,6 +50,9 @@
   const made: SizedPool = {
     needs: [],
     plans: [],
+    found: 0,
+    waves: [],
+    reclaimableBefore: new Map(),
     ordered: new Map(),
     closedUntil: new Map(),
   };
@@ -85,10 +91,16 @@
 }
 
 /**
- * Until demand has been measured, what is there is taken for what is needed. While one kind takes
- * over from the other both are there, and only the larger number counts.
+ * Until demand has been measured, what was found is taken for what is needed: not what is there, as
+ * that holds what was ordered by this very measure. While one kind takes over from the other both
+ * are there, and only the larger number counts.
  */
-function needNow(state: SingletonState, load: PoolLoad, places: readonly PlaceState[]): SizeNeed {
+function needNow(
+  state: SingletonState,
+  sized: SizedPool,
+  load: PoolLoad,
+  places: readonly PlaceState[],
+): SizeNeed {
   const { demandSince } = state;
   const measured = needFor(load);
   const isMeasured =
@@ -96,10 +108,10 @@
   if (isMeasured) return measured;
   const reclaimable = places.reduce((sum, place) => sum + place.reclaimable, 0);
   const onDemand = places.reduce((sum, place) => sum + place.onDemand, 0);
-  const there = Math.max(reclaimable, onDemand);
+  if (!state.isListFilled || sized.found === 0) sized.found = Math.max(reclaimable, onDemand);
   return {
-    normal: Math.max(there, measured.normal),
-    afterLoss: Math.max(Math.ceil(there / 2), measured.afterLoss),
+    normal: Math.max(sized.found, measured.normal),
+    afterLoss: Math.max(Math.ceil(sized.found / 2), measured.afterLoss),
   };
 }
 
@@ -152,16 +164,37 @@
   return measureLoad(demandFor(state, pool), concurrency);
 }
 
+/** Takes note of the data centres that were to have reclaimable instances, and have lost all of them. */
+function countWaves(
+  state: SingletonState,
+  sized: SizedPool,
+  places: readonly PlaceState[],
+  { startMilliseconds }: PoolSizing,
+): number {
+  const { ordered, reclaimableBefore } = sized;
+  const hit = places.filter(
+    ({ dataCentre, reclaimable }) =>
+      reclaimable === 0 &&
+      (reclaimableBefore.get(dataCentre) ?? 0) > 0 &&
+      ordered.get(dataCentre)?.reclaimable?.count !== 0,
+  );
+  places.forEach(({ dataCentre, reclaimable }) => reclaimableBefore.set(dataCentre, reclaimable));
+  const since = state.now - STARTS_LOOKED_BACK * startMilliseconds;
+  sized.waves = [...sized.waves, ...hit.map(() => state.now)].filter((at) => at > since);
+  return sized.waves.length;
+}
+
 function sizePool(state: SingletonState, pool: Pool, sizing: PoolSizing, epoch: number) {
   const sized = poolStateOf(state, pool.name);
   const places = placesOf(state, pool, sized);
   const load = measure(state, pool);
   sized.needs = sized.needs.filter(({ at }) => state.now - at < FALL_AFTER_MILLISECONDS);
-  sized.needs.push({ at: state.now, need: needNow(state, load, places) });
+  sized.needs.push({ at: state.now, need: needNow(state, sized, load, places) });
   const recent = sized.needs.filter(({ at }) => state.now - at < ON_DEMAND_FALL_AFTER_MILLISECONDS);
   const need = highestOf(sized.needs);
   const needs = { lately: need, now: highestOf(recent) };
-  const plan = steady(state, sized, planSizes({ sizing, needs, places }));
+  const wavesLately = countWaves(state, sized, places, sizing);
+  const plan = steady(state, sized, planSizes({ sizing, needs, places, wavesLately }));
   return plan.flatMap((size, position): SingletonEffect[] => {
     const place = places[position];
     if (place === undefined) return [];
--- a/packages/controller-core/src/sizing/planSizes.ts
+++ b/packages/controller-core/src/sizing/planSizes.ts
@@ -3,7 +3,8 @@
  * platform is told numbers rather than sells single instances.
  *
  * Reclaimable ones cost a fraction, and a wave takes all of one data centre at a time. So they are
- * spread evenly, as many as leave enough to go on with after the largest loss. On-demand ones are
+ * spread evenly, as many as leave enough to go on with after one such loss, or after two
+ * where they are cheap. On-demand ones are
  * held for what the reclaimable ones that serve now lack of that: while some start, and after a
  * wave for as long as no more are to be had.
  *
@@ -43,6 +44,8 @@
   readonly sizing: PoolSizing;
   readonly needs: NeedSpans;
   readonly places: readonly PlaceState[];
+  /** Waves that have taken reclaimable instances within the last two starts. */
+  readonly wavesLately?: number;
 }
 
 /** What is to be ordered for one data centre. */
@@ -72,10 +75,36 @@
   return byPrice(drafts).sort((a, b) => pick(a) - pick(b))[0];
 }
 
-function isEnough(drafts: readonly Draft[], need: SizeNeed): boolean {
+/**
+ * Waves after which the reclaimable instances are still enough, if none come back in between: where
+ * they are cheap, another of them costs a fraction of the on-demand one that it makes good.
+ */
+const WAVES_HELD_FOR_WHILE_CHEAP = 2;
+const WAVES_HELD_FOR = 1;
+
+/** Of the price of an on-demand instance. */
+const CHEAP_SHARE = 0.5;
+
+/** Where few data centres give any now, nothing would be left after the waves, however many are held. */
+const MOST_HELD_OF_NEED = 3;
+
+/** Instances of the data centres that have most of them. */
+function countLargest(counts: readonly number[], waves: number): number {
+  return [...counts]
+    .sort((a, b) => b - a)
+    .slice(0, waves)
+    .reduce((sum, count) => sum + count, 0);
+}
+
+function isEnough(drafts: readonly Draft[], need: SizeNeed, price: number): boolean {
+  const counts = drafts.map(({ reclaimable }) => reclaimable);
   const total = sumOf(drafts, (draft) => draft.reclaimable);
-  const largestLoss = Math.max(0, ...drafts.map((draft) => draft.reclaimable));
-  return total >= need.normal && total - largestLoss >= need.afterLoss;
+  if (total < need.normal) return false;
+  const left = (waves: number) => total - countLargest(counts, waves);
+  if (left(WAVES_HELD_FOR) < need.afterLoss) return false;
+  if (price > CHEAP_SHARE || total >= MOST_HELD_OF_NEED * need.afterLoss) return true;
+  const waves = Math.min(WAVES_HELD_FOR_WHILE_CHEAP, Math.floor(drafts.length / 2));
+  return left(waves) >= need.afterLoss;
 }
 
 /** A place without more to give counts with what it has: an order for fewer would end those. */
@@ -83,11 +112,12 @@
   drafts: readonly Draft[],
   { sizing, needs: { lately: need } }: SizeRequest,
 ): void {
+  const price = sizing.reclaimableShare ?? 1;
   drafts.forEach((draft) => {
     const { isClosed, reclaimable } = draft.place;
     draft.reclaimable = isClosed ? reclaimable : Math.min(sizing.least, sizing.most);
   });
-  while (!isEnough(drafts, need)) {
+  while (!isEnough(drafts, need, price)) {
     const open = drafts.filter(
       ({ place, reclaimable }) => !place.isClosed && reclaimable < sizing.most,
     );
@@ -98,33 +128,25 @@
 }
 
 /**
- * Further waves that the on-demand instances have to make up for. Waves come in a row, seconds
- * apart, and a start takes longer than a notice lasts: what is ordered after the next one comes
- * too late for it. While reclaimable instances can be had, one lost data centre is made good within
- * a start. While the platform has none to give, the wave after the next comes before that as well.
+ * Further waves that the on-demand instances have to make up for: the next one, since what is ordered
+ * after it comes too late for it. While the platform has none to give, as many as came within the time
+ * of two starts.
  */
-const WAVES_AHEAD = 1;
-const WAVES_AHEAD_WHILE_CLOSED = 2;
-
-/** Reclaimable instances of the data centres that have most of them. */
-function countAtRisk(drafts: readonly Draft[]): number {
+function countWavesAhead(drafts: readonly Draft[], wavesLately: number): number {
   const isShort = drafts.some(({ place }) => place.isClosed);
-  const waves = isShort ? WAVES_AHEAD_WHILE_CLOSED : WAVES_AHEAD;
-  return drafts
-    .map(({ place }) => place.reclaimable)
-    .sort((a, b) => b - a)
-    .slice(0, waves)
-    .reduce((sum, reclaimable) => sum + reclaimable, 0);
+  return isShort ? Math.max(1, wavesLately) : 1;
 }
 
 /** What the reclaimable instances that serve now would lack after the waves that may follow. */
 function countLacking(
   drafts: readonly Draft[],
-  { sizing, needs: { now: need } }: SizeRequest,
+  { sizing, needs: { now: need }, wavesLately = 0 }: SizeRequest,
 ): number {
   if (sizing.reclaimableShare === undefined) return Math.max(need.normal, need.afterLoss);
   const serving = sumOf(drafts, ({ place }) => place.reclaimable);
-  return Math.max(0, need.afterLoss - (serving - countAtRisk(drafts)));
+  const counts = drafts.map(({ place }) => place.reclaimable);
+  const atRisk = countLargest(counts, countWavesAhead(drafts, wavesLately));
+  return Math.max(0, need.afterLoss - (serving - atRisk));
 }
 
 /** Starts from the last plan; adds where instances are there already, then where they are cheap. */
