--- a/packages/store-core/src/consensus/silentMembers.ts
+++ b/packages/store-core/src/consensus/silentMembers.ts
@@ -16,7 +16,7 @@
 } from './membership.js';
 import type { StepContext } from './StepContext.js';
 
-/** With two voters both are needed for a quorum: the second of three gains nothing by the third's removal. */
+/** A quorum is two of three as well as two of two, so the third of three is worth keeping. */
 const FEWEST_VOTERS = 3;
 
 function silenceOf({ state, now }: StepContext, leader: LeaderState, identity: string): number {
