--- a/packages/entry-core/src/limits/allowanceFloods.test.ts
+++ b/packages/entry-core/src/limits/allowanceFloods.test.ts
@@ -153,11 +153,31 @@
   assert.equal(refused, 0);
 });
 
+// Guards against a window that is overspent by callers who waited for a loss of power to end, all at once.
+test('callers who come back together after a loss of power get no more than is tolerated', () => {
+  let delay = 3;
+  const entries = new AllowanceEntries(ENTRIES, allowance, { delay: () => delay });
+  entries.advance(26_000);
+  entries.losePower(1000);
+  // Stores that have just started themselves hand messages on late.
+  delay = 50;
+  entries.advance(1010);
+  press(entries, 6000, 300, 5);
+  delay = 3;
+  press(entries, 4000, 9000);
+  const most = entries.mostInWindow();
+  assert.ok(most <= ACCEPTED, `${most} of ${ACCEPTED}`);
+});
+
 const small: Allowance = { ...allowance, perSecond: 100, burst: 200, tolerated: 0 };
 
 /** Callers that ask each entry for a small amount at every step. */
-function press(entries: AllowanceEntries, amount: number, span: Milliseconds): void {
-  const step = 50;
+function press(
+  entries: AllowanceEntries,
+  amount: number,
+  span: Milliseconds,
+  step: Milliseconds = 50,
+): void {
   for (const end = entries.now + span; entries.now < end; entries.advance(step)) {
     for (let number = 0; number < ENTRIES; number += 1) entries.ask(number, amount);
   }
