--- a/packages/store-core/src/consensus/testing/randomSchedule.ts
+++ b/packages/store-core/src/consensus/testing/randomSchedule.ts
@@ -37,7 +37,7 @@
   return voters[pick % voters.length] as ModelVoter;
 }
 
-function isCut({ cutOff }: Schedule, { instance, envelope }: ModelMessage): boolean {
+export function isCut({ cutOff }: Schedule, { instance, envelope }: ModelMessage): boolean {
   return cutOff.includes(instance) !== cutOff.includes(envelope.from.instance);
 }
 
@@ -58,7 +58,7 @@
   }
 }
 
-function syncAll(schedule: Schedule): void {
+export function syncAll(schedule: Schedule): void {
   Object.values(schedule.cluster.voters)
     .filter(({ jobs }) => jobs.length > 0)
     .forEach(({ instance, jobs }) => {
@@ -66,7 +66,7 @@
     });
 }
 
-function elapseAll(schedule: Schedule, span: number): void {
+export function elapseAll(schedule: Schedule, span: number): void {
   Object.keys(schedule.cluster.voters).forEach((instance) => {
     schedule.cluster = elapse(schedule.cluster, instance, span);
   });
