Prune usage of entries once a window, not at each report

Cause, read in the code: each report and each work report of an entry rebuilt the counts of all entries, so a store's work grew with the square of their number (at 194 entries some 350 reports a second times 194 rebuilt objects). Now only when a newer window appears. Not measured by itself; tests of RecentEntryUsage unchanged.

--- a/apps/store/src/RecentEntryUsage.ts
+++ b/apps/store/src/RecentEntryUsage.ts
@@ -15,14 +15,18 @@
   }
 
   record({ instance, incarnation, begun }: EntryUsage): void {
-    this.newestWindow = Math.max(this.newestWindow, ...Object.keys(begun).map(Number));
     const key = `${instance}/${incarnation}`;
     const merged = { ...this.usageByIncarnation.get(key)?.begun, ...begun };
-    this.usageByIncarnation.set(key, {
-      instance,
-      incarnation,
-      begun: this.withoutOldWindows(merged),
-    });
+    const recent = this.withoutOldWindows(merged);
+    if (Object.keys(recent).length === 0) this.usageByIncarnation.delete(key);
+    else this.usageByIncarnation.set(key, { instance, incarnation, begun: recent });
+    const newest = Math.max(this.newestWindow, ...Object.keys(begun).map(Number));
+    if (newest === this.newestWindow) return;
+    this.newestWindow = newest;
+    this.removeOldWindows();
+  }
+
+  private removeOldWindows(): void {
     this.usageByIncarnation.forEach((usage, name) => {
       const recent = this.withoutOldWindows(usage.begun);
       if (Object.keys(recent).length === 0) this.usageByIncarnation.delete(name);
