Send entries one digest of what all entries report, with sums of their work

Cause, read in the code: each store sent every report and every spending report of each entry on to each of its subscribers, one frame each. At 194 entries that is some 194 reports and 300 spending reports a second to each entry, and sixteen thousand pushes a second from each store.

Change: stores add up the work of all entries and push one digest every 20 to 50 ms with what has changed: reports, spending, sums by backend server, and which report of each entry the sums include, so that an entry takes its own part out. Digests are numbered; after a gap the whole is requested and logged. Work is reported at least every 250 ms. Subscribers of an older version still get single reports.

--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -76,6 +76,10 @@
       {
         onConfiguration: (configuration) =>
           this.dispatch({ type: 'configurationReceived', configuration }),
+        onEntryDigest: ({ reports, usage }) => {
+          reports.forEach((report) => this.dispatch({ type: 'entryReported', report }));
+          if (usage.length > 0) this.dispatch({ type: 'usageTold', usage });
+        },
         onEntryReport: (report) => this.dispatch({ type: 'entryReported', report }),
         onUsage: (usage) => this.dispatch({ type: 'usageTold', usage }),
         onPersistedState: ({ usage }) => this.dispatch({ type: 'usageTold', usage }),
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -168,6 +168,8 @@
           dispatch({ type: 'configurationReceived', configuration });
         },
         onQuarantine: (quarantine) => dispatch({ type: 'quarantineReceived', quarantine }),
+        onEntryDigest: (digest, isWhole) =>
+          dispatch({ type: 'entryDigestReceived', digest, isWhole }),
         onEntryReport: (report) => dispatch({ type: 'entryReported', report }),
         onInstanceList: (instances, age) =>
           this.watcher.receiveInstances(fromSharedInstances(instances, timers.wallNow()), age),
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -51,13 +51,13 @@
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
 import { DiskOperations } from './DiskOperations.js';
 import { describeMembers, describeStore } from './describeStore.js';
+import { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import { InstanceListCache } from './InstanceListCache.js';
 import { JoinRequests } from './JoinRequests.js';
 import { LeaderWatch } from './LeaderWatch.js';
 import { PendingRequests } from './PendingRequests.js';
 import { PersistedEntryState } from './PersistedEntryState.js';
 import { OperatorRequestHandler } from './OperatorRequestHandler.js';
-import { WorkReportBatcher } from './WorkReportBatcher.js';
 import { StorePeers } from './StorePeers.js';
 import { StoreRequestHandler } from './StoreRequestHandler.js';
 import { Subscribers } from './Subscribers.js';
@@ -122,7 +122,7 @@
 
   private readonly persistedEntryState: PersistedEntryState;
 
-  private readonly workReportBatcher: WorkReportBatcher;
+  private readonly digestPublisher: EntryDigestPublisher;
 
   private closed = false;
 
@@ -161,7 +161,7 @@
       subscribers: this.subscribers,
       readMachine: () => this.machine,
     });
-    this.workReportBatcher = new WorkReportBatcher(timers, this.subscribers);
+    this.digestPublisher = new EntryDigestPublisher(timers, this.subscribers);
     this.persistedEntryState = new PersistedEntryState({
       disk,
       timers,
@@ -194,10 +194,8 @@
         onEntryReport(report);
       },
       instanceList: new InstanceListCache(timers),
-      onWorkReport: (work) => {
-        this.persistedEntryState.recordWork(work);
-        this.workReportBatcher.add(work);
-      },
+      digestPublisher: this.digestPublisher,
+      onWorkReport: (work) => this.persistedEntryState.recordWork(work),
       onSpendingReport: (spending) => this.persistedEntryState.recordSpending(spending),
       onInstanceList: (instances) => this.persistedEntryState.removeUnlistedInstances(instances),
       readPersistedEntryState: () => this.persistedEntryState.contents,
@@ -275,7 +273,7 @@
     this.leaderWatch.stop();
     this.publisher.stop();
     this.persistedEntryState.close();
-    this.workReportBatcher.close();
+    this.digestPublisher.close();
     this.joinRequests.stop();
     this.diskOperations.stop();
     this.peers.close();
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -24,6 +24,7 @@
   type MachineState,
 } from '@hornbeampond/store-core';
 import type { PeerSession } from '@hornbeampond/transport';
+import type { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import type { InstanceListCache } from './InstanceListCache.js';
 import type { PendingRequests, Respond } from './PendingRequests.js';
 import type { ConsensusEventPayload } from './StoreProcess.js';
@@ -36,6 +37,7 @@
   readonly timers: TimerService;
   readonly pendingRequests: PendingRequests;
   readonly subscribers: Subscribers;
+  readonly digestPublisher: EntryDigestPublisher;
   readState(): ConsensusState;
   readMachine(): MachineState;
   readStatus(): StoreStatus;
@@ -62,7 +64,7 @@
   constructor(private readonly options: StoreRequestHandlerOptions) {}
 
   handle(session: PeerSession, request: StoreRequest, respond: Respond): void {
-    const { pendingRequests, dispatch, subscribers, readStatus } = this.options;
+    const { pendingRequests, dispatch, subscribers, readStatus, digestPublisher } = this.options;
     switch (request.type) {
       case 'propose':
         this.propose(request.command, respond);
@@ -82,8 +84,9 @@
         return;
       case 'subscribe':
         this.earlySubscriptions.set(session, () => {
-          subscribers.add(session, request.report);
-          respond(this.makeSubscribedResponse());
+          const { report, receivesDigests = false } = request;
+          subscribers.add(session, report, receivesDigests);
+          respond(this.makeSubscribedResponse(receivesDigests));
         });
         this.answerEarlySubscriptions();
         return;
@@ -93,7 +96,7 @@
         return;
       case 'shareReport':
         this.options.onEntryReport(request.report);
-        subscribers.pushReport(request.report);
+        digestPublisher.addReport(request.report);
         respond(this.makeAcceptedResponse());
         return;
       case 'shareInstances':
@@ -106,11 +109,12 @@
         return;
       case 'shareWork':
         this.options.onWorkReport(request.work);
+        digestPublisher.addWork(session, request.work);
         respond(this.makeAcceptedResponse());
         return;
       case 'shareSpending':
         this.options.onSpendingReport(request.spending);
-        subscribers.push({ type: 'spending', spending: request.spending });
+        digestPublisher.addSpending(request.spending);
         respond(this.makeAcceptedResponse());
         return;
       case 'readStatus':
@@ -143,6 +147,7 @@
   removeSession(session: PeerSession): void {
     this.earlySubscriptions.delete(session);
     this.options.subscribers.remove(session);
+    this.options.digestPublisher.removeSession(session);
   }
 
   async removeVoter(instance: string): Promise<StoreResponse> {
@@ -255,7 +260,7 @@
     return { type: 'document', version, document };
   }
 
-  private makeSubscribedResponse(): StoreResponse {
+  private makeSubscribedResponse(receivesDigests: boolean): StoreResponse {
     const machine = this.options.readMachine();
     const quarantine = quarantineAt(machine, this.options.timers.wallNow());
     const stores = memberAddresses(this.options.readState());
@@ -266,6 +271,7 @@
       stores,
       remembered: this.options.readPersistedEntryState(),
       ...this.options.instanceList.latest,
+      ...(receivesDigests ? { digest: this.options.digestPublisher.makeCompleteDigest() } : {}),
     };
   }
 }
--- a/apps/store/src/Subscribers.ts
+++ b/apps/store/src/Subscribers.ts
@@ -2,17 +2,42 @@
  * Tracks the subscribers of this store and the latest report of every connected instance, and sends
  * pushes to all subscribers, to entries only or to all but entries.
  */
-import type { EntryReport, InstanceReport, StorePush } from '@hornbeampond/schema';
+import type {
+  EntryDigest,
+  EntryReport,
+  EntryUsage,
+  InstanceReport,
+  SpendingReport,
+  StorePush,
+  WorkReport,
+} from '@hornbeampond/schema';
 import { encodeFrame, type PeerSession } from '@hornbeampond/transport';
 
+/** What entries have reported, for subscribers that understand no digests. */
+export interface SingleReports {
+  readonly reports: readonly EntryReport[];
+  readonly spending: readonly SpendingReport[];
+  readonly workReports: readonly WorkReport[];
+  readonly usage: readonly EntryUsage[];
+}
+
+interface Subscriber {
+  readonly role: InstanceReport['role'];
+  readonly receivesDigests: boolean;
+}
+
+function isEntry({ role }: Subscriber): boolean {
+  return role === 'entry';
+}
+
 export class Subscribers {
-  private readonly sessions = new Set<PeerSession>();
+  private readonly subscribers = new Map<PeerSession, Subscriber>();
 
   /** By session, so that a report is removed together with the connection that sent it. */
   private readonly reportBySession = new Map<PeerSession, InstanceReport>();
 
-  add(session: PeerSession, report: InstanceReport): void {
-    this.sessions.add(session);
+  add(session: PeerSession, report: InstanceReport, receivesDigests: boolean): void {
+    this.subscribers.set(session, { role: report.role, receivesDigests });
     this.reportBySession.set(session, report);
   }
 
@@ -22,7 +47,7 @@
   }
 
   remove(session: PeerSession): void {
-    this.sessions.delete(session);
+    this.subscribers.delete(session);
     this.reportBySession.delete(session);
   }
 
@@ -35,31 +60,33 @@
     this.send(push, () => true);
   }
 
-  /** Sends a push that only entries use. */
-  pushToEntries(push: StorePush): void {
-    this.send(push, ({ role }) => role === 'entry');
-  }
-
-  /** Sends a push that entries do not use. */
-  pushToNonEntries(push: StorePush): void {
-    this.send(push, ({ role }) => role !== 'entry');
+  /** Sends a digest to entries, or to all subscribers that are no entries. */
+  pushDigest(recipients: 'entries' | 'others', digest: EntryDigest): void {
+    const includesEntries = recipients === 'entries';
+    this.send(
+      { type: 'entryDigest', digest },
+      (subscriber) => subscriber.receivesDigests && isEntry(subscriber) === includesEntries,
+    );
   }
 
   /**
-   * Sends an entry's report to all subscribers. Entries get it without the fields that only the fleet
-   * planner and the persisted entry state use, which are the largest part of a report.
+   * Sends the reports to subscribers of an older version, for as long as both run beside each other.
    */
-  pushReport(report: EntryReport): void {
-    const { begun, demand, delays, windowSpent, windowReach, ...entryFields } = report;
-    this.pushToEntries({ type: 'entryReport', report: entryFields });
-    this.pushToNonEntries({ type: 'entryReport', report });
+  pushSingleReports({ reports, spending, workReports, usage }: SingleReports): void {
+    const isOlder = ({ receivesDigests }: Subscriber) => !receivesDigests;
+    const isOlderEntry = (subscriber: Subscriber) => isOlder(subscriber) && isEntry(subscriber);
+    if (![...this.subscribers.values()].some(isOlder)) return;
+    reports.forEach((report) => this.send({ type: 'entryReport', report }, isOlder));
+    spending.forEach((report) => this.send({ type: 'spending', spending: report }, isOlderEntry));
+    if (workReports.length > 0) this.send({ type: 'work', reports: workReports }, isOlderEntry);
+    if (usage.length === 0) return;
+    this.send({ type: 'usage', usage }, (other) => isOlder(other) && !isEntry(other));
   }
 
-  private send(push: StorePush, isRecipient: (report: InstanceReport) => boolean): void {
-    const sessions = [...this.sessions].filter((session) => {
-      const report = this.reportBySession.get(session);
-      return report !== undefined && isRecipient(report);
-    });
+  private send(push: StorePush, isRecipient: (subscriber: Subscriber) => boolean): void {
+    const sessions = [...this.subscribers]
+      .filter(([, subscriber]) => isRecipient(subscriber))
+      .map(([session]) => session);
     if (sessions.length === 0) return;
     const frame = encodeFrame({ type: 'push', body: push });
     sessions.forEach((session) => session.pushEncoded(frame));
--- a/packages/entry-core/src/backendServers/WorkReports.ts
+++ b/packages/entry-core/src/backendServers/WorkReports.ts
@@ -1,36 +1,72 @@
 /**
- * Tracks the requests that other entries have reported in progress at backend servers, and collects
- * the changes of this entry's own work for its next report. Load reports of backend servers alone
- * are too old, and do not tell how many prompt tokens are still to be prefilled: several entries
- * would send long prompts to one server while other servers are idle.
+ * What this entry knows of the work of other entries at backend servers, and the changes of its own
+ * work for its next report. Load reports of backend servers alone are too old, and do not tell how
+ * many prompt tokens are still to be prefilled: several entries would send long prompts to one
+ * server while other servers are idle.
+ *
+ * Where entries report through a store, the store sends sums over all entries, including this one.
+ * The sums state which report of this entry they include, and the work in that report is subtracted
+ * from them. Where entries report to each other, their reports are added up here.
  */
-import type { MonotonicMilliseconds, ServerWork, WorkReport } from '@hornbeampond/schema';
+import {
+  WorkTotals,
+  type EntryDigest,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type ServerWork,
+  type WorkReport,
+} from '@hornbeampond/schema';
 
 const NO_WORK: ServerWork = { inProgress: 0, promptTokens: 0 };
 
-interface PeerWorkState {
-  readonly incarnation: number;
-  /** Keyed by backend server. */
-  readonly work: Map<string, ServerWork>;
+const MIN_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 50;
+
+/** With more entries the interval grows in proportion, which bounds the messages that a store gets. */
+const MAX_ENTRIES_AT_MIN_INTERVAL = 50;
+
+const MAX_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 250;
+
+/** Sums of which nothing has been heard for this long are not used. */
+const SUMS_EXPIRY_MILLISECONDS: Milliseconds = 3000;
+
+/** Own reports that are kept until the sums include them. */
+const MAX_PENDING_REPORTS = 64;
+
+type WorkByServer = ReadonlyMap<string, ServerWork>;
+
+interface PendingReport {
+  readonly sequence: number;
+  readonly work: WorkByServer;
 }
 
-const MIN_REPORT_INTERVAL_MILLISECONDS = 50;
-/**
- * With more entries the interval grows in proportion, so that the messages that each entry sends
- * per second stay bounded.
- */
-const MAX_ENTRIES_AT_MIN_INTERVAL = 8;
+/** The parts of a work report that depend on the state of this entry. */
+export type DueWorkReport = Required<
+  Pick<WorkReport, 'sequence' | 'work' | 'isWhole' | 'computed'>
+>;
 
 export class WorkReports {
-  /** Keyed by the instance name of the peer. */
-  private readonly peers = new Map<string, PeerWorkState>();
+  /** From the reports of single peers. */
+  private readonly peerTotals = new WorkTotals();
+
+  /** The sums of a store over all entries, by backend server. */
+  private readonly sums = new Map<string, ServerWork>();
 
-  /** Sum over all peers, keyed by backend server. */
-  private readonly totals = new Map<string, { inProgress: number; promptTokens: number }>();
+  private sumsReceivedAt: MonotonicMilliseconds | undefined;
+
+  /** This entry's work that the sums include. */
+  private includedWork: WorkByServer = new Map();
+
+  /** Own reports that the sums may include next, oldest first. */
+  private pendingReports: PendingReport[] = [];
+
+  private sequence = 0;
 
   /** Backend servers at which this entry's own work has changed since the last report. */
   private readonly changedServers = new Set<string>();
 
+  /** Backend servers at which the last report listed work. */
+  private reportedServers: readonly string[] = [];
+
   /**
    * Digests of the prefixes that backend servers have prefilled for this entry since its last
    * report, keyed by backend server.
@@ -39,9 +75,23 @@
 
   private lastSentAt: MonotonicMilliseconds = Number.NEGATIVE_INFINITY;
 
-  /** Work of all peers at a backend server. */
+  /** Work of all other entries at a backend server. */
   peerWorkAt(backendServer: string): ServerWork {
-    return this.totals.get(backendServer) ?? NO_WORK;
+    const reported = this.peerTotals.at(backendServer);
+    const sum = this.sums.get(backendServer);
+    if (sum === undefined) return reported;
+    const own = this.includedWork.get(backendServer) ?? NO_WORK;
+    return {
+      inProgress: reported.inProgress + Math.max(0, sum.inProgress - own.inProgress),
+      promptTokens: reported.promptTokens + Math.max(0, sum.promptTokens - own.promptTokens),
+    };
+  }
+
+  /** Age of the sums of a store; undefined if there are none, or if they are too old to be used. */
+  ageOfSums(now: MonotonicMilliseconds): Milliseconds | undefined {
+    if (this.sumsReceivedAt === undefined) return undefined;
+    const age = now - this.sumsReceivedAt;
+    return age <= SUMS_EXPIRY_MILLISECONDS ? age : undefined;
   }
 
   /** Marks this entry's own work at a backend server as changed since the last report. */
@@ -61,65 +111,78 @@
     entryCount: number,
     now: MonotonicMilliseconds,
     readOwnWork: (backendServer: string) => ServerWork,
-  ): Pick<WorkReport, 'work' | 'computed'> | undefined {
-    const reportInterval =
-      MIN_REPORT_INTERVAL_MILLISECONDS * Math.max(1, entryCount / MAX_ENTRIES_AT_MIN_INTERVAL);
+  ): DueWorkReport | undefined {
     if (this.changedServers.size === 0 && this.prefilledPrefixes.size === 0) return undefined;
-    if (now - this.lastSentAt < reportInterval) return undefined;
+    const interval =
+      MIN_REPORT_INTERVAL_MILLISECONDS * Math.max(1, entryCount / MAX_ENTRIES_AT_MIN_INTERVAL);
+    if (now - this.lastSentAt < Math.min(interval, MAX_REPORT_INTERVAL_MILLISECONDS)) {
+      return undefined;
+    }
     this.lastSentAt = now;
-    const work = Object.fromEntries(
-      [...this.changedServers].map((backendServer) => [backendServer, readOwnWork(backendServer)]),
-    );
     const computed = Object.fromEntries(
       [...this.prefilledPrefixes].map(([backendServer, digests]) => [backendServer, [...digests]]),
     );
-    this.changedServers.clear();
     this.prefilledPrefixes.clear();
-    return { work, computed };
+    return { ...this.takeOwnWork(readOwnWork), computed };
+  }
+
+  /** Merges the report of one peer. */
+  applyReport(report: WorkReport): void {
+    this.peerTotals.apply(report);
+  }
+
+  /** Removes the work that a peer has reported; its requests are assumed to have ended. */
+  removePeerWork(peer: string): void {
+    this.peerTotals.remove(peer);
   }
 
   /**
-   * Merges a report, which lists only the servers whose work has changed. Reports of an earlier
-   * process of the peer are ignored; a later incarnation means that the peer has restarted and its
-   * earlier work is gone.
+   * Applies the sums of a store.
+   *
+   * @param isWhole - True for the first sums after subscribing, which replace all others.
    */
-  applyReport({ instance: peer, incarnation, work }: WorkReport): void {
-    const previousState = this.peers.get(peer);
-    if (previousState !== undefined && incarnation < previousState.incarnation) return;
-    if (previousState !== undefined && incarnation > previousState.incarnation)
-      this.removePeerWork(peer);
-    const peerState = this.peers.get(peer) ?? {
-      incarnation,
-      work: new Map<string, ServerWork>(),
-    };
-    this.peers.set(peer, peerState);
-    Object.entries(work).forEach(([backendServer, current]) => {
-      this.updateTotal(backendServer, current, peerState.work.get(backendServer));
-      if (current.inProgress > 0) peerState.work.set(backendServer, current);
-      else peerState.work.delete(backendServer);
+  applySums(
+    { work, included }: Pick<EntryDigest, 'work' | 'included'>,
+    isWhole: boolean,
+    ownInstance: string,
+    now: MonotonicMilliseconds,
+  ): void {
+    this.sumsReceivedAt = now;
+    if (isWhole) {
+      this.sums.clear();
+      this.includedWork = new Map();
+    }
+    work.servers.forEach((server, position) => {
+      const inProgress = work.inProgress[position] ?? 0;
+      const promptTokens = work.promptTokens[position] ?? 0;
+      if (inProgress > 0 || promptTokens > 0) this.sums.set(server, { inProgress, promptTokens });
+      else this.sums.delete(server);
     });
+    const sequence = included[ownInstance];
+    if (sequence !== undefined) this.setIncludedReport(sequence);
   }
 
-  /**
-   * Removes the work of a peer that is unreachable or has restarted; its requests are assumed to
-   * have ended.
-   */
-  removePeerWork(peer: string): void {
-    this.peers
-      .get(peer)
-      ?.work.forEach((current, backendServer) => this.updateTotal(backendServer, NO_WORK, current));
-    this.peers.delete(peer);
+  private setIncludedReport(sequence: number): void {
+    const report = this.pendingReports.find((pending) => pending.sequence === sequence);
+    if (report === undefined) return;
+    this.includedWork = report.work;
+    // Kept, because another store that this entry turns to may not have got further.
+    this.pendingReports = this.pendingReports.filter((pending) => pending.sequence >= sequence);
   }
 
-  private updateTotal(
-    backendServer: string,
-    current: ServerWork,
-    previous: ServerWork = NO_WORK,
-  ): void {
-    const total = this.totals.get(backendServer) ?? { inProgress: 0, promptTokens: 0 };
-    total.inProgress += current.inProgress - previous.inProgress;
-    total.promptTokens += current.promptTokens - previous.promptTokens;
-    if (total.inProgress > 0) this.totals.set(backendServer, total);
-    else this.totals.delete(backendServer);
+  /** All own work, and zero for servers without work any more that the last report listed. */
+  private takeOwnWork(
+    readOwnWork: (backendServer: string) => ServerWork,
+  ): Omit<DueWorkReport, 'computed'> {
+    const servers = new Set([...this.reportedServers, ...this.changedServers]);
+    this.changedServers.clear();
+    const work = new Map([...servers].map((server) => [server, readOwnWork(server)] as const));
+    const present = new Map([...work].filter(([, { inProgress }]) => inProgress > 0));
+    this.reportedServers = [...present.keys()];
+    this.sequence += 1;
+    const { sequence } = this;
+    this.pendingReports.push({ sequence, work: present });
+    if (this.pendingReports.length > MAX_PENDING_REPORTS) this.pendingReports.shift();
+    return { sequence, work: Object.fromEntries(work), isWhole: true };
   }
 }
--- a/packages/entry-core/src/backendServers/estimateInProgress.ts
+++ b/packages/entry-core/src/backendServers/estimateInProgress.ts
@@ -60,10 +60,12 @@
 }
 
 /**
- * True if there are other entries and all of them are connected, so that work reports are complete.
+ * True if the work of the other entries is known: a store has sent sums lately, or all other entries
+ * are connected to this one.
  */
-function isEveryPeerConnected({ membership }: EntryState): boolean {
+function isPeerWorkKnown({ membership, workReports, clocks }: EntryState): boolean {
   if (membership.peers.size === 0) return false;
+  if (workReports.ageOfSums(clocks.now) !== undefined) return true;
   return [...membership.peers.values()].every(({ isReachable: live }) => live);
 }
 
@@ -74,7 +76,7 @@
  * by itself.
  */
 export function estimateInProgress(state: EntryState, server: BackendServerState): number {
-  if (isEveryPeerConnected(state)) {
+  if (isPeerWorkKnown(state)) {
     return (
       server.attemptIds.size +
       state.workReports.peerWorkAt(server.platformInstance.instance).inProgress
--- a/packages/entry-core/src/backendServers/shareWork.ts
+++ b/packages/entry-core/src/backendServers/shareWork.ts
@@ -2,7 +2,12 @@
  * Exchanges work reports with the other entries: the requests and pending prompt tokens of each
  * entry at backend servers, and the prefixes that were prefilled for it.
  */
-import type { MonotonicMilliseconds, ServerWork, WorkReport } from '@hornbeampond/schema';
+import type {
+  EntryDigest,
+  MonotonicMilliseconds,
+  ServerWork,
+  WorkReport,
+} from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { getPoolState } from './getPoolState.js';
@@ -32,14 +37,13 @@
   return [{ type: 'tellWork', work: begun === undefined ? work : { ...work, begun } }];
 }
 
-export function receiveWorkReport(
+/** Records the prefixes that other entries report as computed. */
+export function receiveComputedPrefixes(
   state: EntryState,
-  report: WorkReport,
+  computed: Readonly<Record<string, readonly string[]>>,
   now: MonotonicMilliseconds,
 ): void {
-  if (report.instance === state.identity.instance) return;
-  state.workReports.applyReport(report);
-  Object.entries(report.computed).forEach(([instance, digests]) => {
+  Object.entries(computed).forEach(([instance, digests]) => {
     const server = state.backendServers.get(instance);
     if (server === undefined) return;
     getPoolState(state, server.platformInstance.pool).prefixCacheIndex.recordCached(
@@ -49,3 +53,24 @@
     );
   });
 }
+
+export function receiveWorkReport(
+  state: EntryState,
+  report: WorkReport,
+  now: MonotonicMilliseconds,
+): void {
+  if (report.instance === state.identity.instance) return;
+  state.workReports.applyReport(report);
+  receiveComputedPrefixes(state, report.computed, now);
+}
+
+/** Applies the work and the prefixes of a digest; they include those of this entry. */
+export function receiveWorkDigest(
+  state: EntryState,
+  digest: EntryDigest,
+  isWhole: boolean,
+  now: MonotonicMilliseconds,
+): void {
+  state.workReports.applySums(digest, isWhole, state.identity.instance, now);
+  receiveComputedPrefixes(state, digest.computed, now);
+}
--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -17,6 +17,7 @@
   type EngineRates,
   type CrashTokenByDigest,
 } from './SimulatedEngine.js';
+import { SimulatedReportStore } from './SimulatedReportStore.js';
 import { makeConfiguration, defaultEngineRates } from './fixtures.js';
 
 const STEP_MILLISECONDS = 10;
@@ -35,6 +36,8 @@
   readonly pool?: 'engines' | 'bookings';
   /** True if hosts disappear with their engines: connections are not reset, and probes time out. */
   readonly enginesDieWithoutReset?: boolean;
+  /** True if entries report to each other through a store instead of directly. */
+  readonly reportsThroughStore?: boolean;
 }
 
 interface Task {
@@ -64,6 +67,8 @@
 
   private readonly losesHost: boolean;
 
+  private readonly reportStore: SimulatedReportStore | undefined;
+
   private now = 0;
 
   private readonly startedAt = Date.UTC(2026, 0, 15, 11);
@@ -79,6 +84,8 @@
     this.crashTokenByDigest = options.crashTokenByDigest ?? new Map();
     this.pool = options.pool ?? 'engines';
     this.losesHost = options.enginesDieWithoutReset ?? false;
+    this.reportStore =
+      options.reportsThroughStore === true ? new SimulatedReportStore(this) : undefined;
     Object.entries(options.engines).forEach(([dataCentre, count]) => {
       for (let number = 1; number <= count; number += 1) {
         this.addEngine(`${dataCentre}-engine-${number}`, dataCentre);
@@ -209,12 +216,20 @@
   }
 
   deliverReport(from: SimulatedEntry, report: EntryReport): void {
+    if (this.reportStore !== undefined) {
+      this.reportStore.addReport(report);
+      return;
+    }
     this.entries
       .filter((entry) => entry !== from)
       .forEach((entry) => this.schedule(1, () => entry.send({ type: 'entryReported', report })));
   }
 
   deliverWorkReport(from: SimulatedEntry, work: WorkReport): void {
+    if (this.reportStore !== undefined) {
+      this.reportStore.addWork(work);
+      return;
+    }
     this.entries
       .filter((entry) => entry !== from)
       .forEach((entry) => this.schedule(1, () => entry.send({ type: 'workReported', work })));
--- /dev/null
+++ b/packages/entry-core/src/driver/SimulatedReportStore.ts
@@ -0,0 +1,67 @@
+/** Simulates the store through which many entries report to each other: it sends digests. */
+import {
+  WorkTotals,
+  type EntryDigest,
+  type EntryReport,
+  type Milliseconds,
+  type WorkReport,
+} from '@hornbeampond/schema';
+import type { SimulatedCluster } from './SimulatedCluster.js';
+
+const DIGEST_DELAY_MILLISECONDS: Milliseconds = 50;
+
+const NO_CHANGES = {
+  work: { servers: [], inProgress: [], promptTokens: [] },
+  included: {},
+} as const;
+
+export class SimulatedReportStore {
+  private readonly workTotals = new WorkTotals();
+
+  private reports: EntryReport[] = [];
+
+  private computed: Record<string, string[]> = {};
+
+  private sequence = 0;
+
+  private isDigestScheduled = false;
+
+  constructor(private readonly cluster: SimulatedCluster) {}
+
+  addReport(report: EntryReport): void {
+    this.reports.push(report);
+    this.scheduleDigest();
+  }
+
+  addWork(report: WorkReport): void {
+    this.workTotals.apply(report);
+    Object.entries(report.computed).forEach(([server, digests]) => {
+      this.computed[server] = [...(this.computed[server] ?? []), ...digests];
+    });
+    this.scheduleDigest();
+  }
+
+  private scheduleDigest(): void {
+    if (this.isDigestScheduled) return;
+    this.isDigestScheduled = true;
+    this.cluster.schedule(DIGEST_DELAY_MILLISECONDS, () => this.sendDigest());
+  }
+
+  private sendDigest(): void {
+    this.isDigestScheduled = false;
+    this.sequence += 1;
+    const digest: EntryDigest = {
+      sequence: this.sequence,
+      reports: this.reports,
+      spending: [],
+      ...(this.workTotals.takeChanges() ?? NO_CHANGES),
+      computed: this.computed,
+      usage: [],
+    };
+    this.reports = [];
+    this.computed = {};
+    this.cluster.entries.forEach((entry) =>
+      entry.send({ type: 'entryDigestReceived', digest, isWhole: digest.sequence === 1 }),
+    );
+  }
+}
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -6,6 +6,7 @@
   CacheEvent,
   ClaimResult,
   Configuration,
+  EntryDigest,
   EntryReport,
   EpochMilliseconds,
   DrainedInstances,
@@ -150,6 +151,12 @@
   | { readonly type: 'knowledgeRemembered'; readonly remembered: PersistedEntryData }
   | { readonly type: 'workReported'; readonly work: WorkReport }
   | { readonly type: 'spendingReported'; readonly spending: SpendingReport }
+  | {
+      readonly type: 'entryDigestReceived';
+      readonly digest: EntryDigest;
+      /** True for the first digest after subscribing to a store. */
+      readonly isWhole: boolean;
+    }
   | {
       readonly type: 'shutdownStarted';
       /**
--- a/packages/entry-core/src/membership/receivePeerReport.ts
+++ b/packages/entry-core/src/membership/receivePeerReport.ts
@@ -6,6 +6,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { updateLimitersFromReport } from '../limits/updateLimitersFromReport.js';
 import { receiveQuarantine } from '../quarantine/quarantineDigest.js';
 import { recordReclaimNotice } from '../reclaims/recordReclaimNotice.js';
 
@@ -23,6 +24,7 @@
   timestamps: Timestamps,
 ): EntryEffect[] {
   if (report.instance === state.identity.instance) return [];
+  updateLimitersFromReport(state, report, timestamps.now);
   const known = state.membership.peers.get(report.instance);
   if (!isNewer(report, known?.report)) return [];
   state.membership.peers.set(report.instance, {
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -15,10 +15,8 @@
 import type { EntryEffect } from './entryEffects.js';
 import type { EntryEvent, Timestamps } from './entryEvents.js';
 import type { EntryState } from './EntryState.js';
-import {
-  updateLimitersFromReport,
-  receiveSpendingReport,
-} from './limits/updateLimitersFromReport.js';
+import { receiveSpendingReport } from './limits/updateLimitersFromReport.js';
+import { receiveEntryDigest } from './membership/receiveEntryDigest.js';
 import { restorePersistedState } from './membership/restorePersistedState.js';
 import { receivePeerReport } from './membership/receivePeerReport.js';
 import { reportSoon } from './membership/advanceReports.js';
@@ -96,7 +94,6 @@
     case 'quarantineReceived':
       return receiveQuarantine(state, event.quarantine, event);
     case 'entryReported':
-      updateLimitersFromReport(state, event.report, event.now);
       return receivePeerReport(state, event.report, event);
     case 'knowledgeRemembered':
       restorePersistedState(state, event.remembered, event);
@@ -107,6 +104,8 @@
     case 'spendingReported':
       receiveSpendingReport(state, event.spending, event.now);
       return [];
+    case 'entryDigestReceived':
+      return receiveEntryDigest(state, event.digest, event.isWhole, event);
     case 'shutdownStarted':
       return startShutdown(state, event);
     case 'tick':
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,6 +7,7 @@
 export * from './messages/backendServers.js';
 export * from './messages/entryMessages.js';
 export * from './messages/storeCommands.js';
+export * from './messages/WorkTotals.js';
 export * from './messages/storeMessages.js';
 export * from './metrics.js';
 export * from './reasons.js';
--- a/packages/schema/src/logEvents/commonLogEvents.ts
+++ b/packages/schema/src/logEvents/commonLogEvents.ts
@@ -19,6 +19,11 @@
     'warn',
     'A frame was too large or invalid; its connection was closed',
   ),
+  entryDigestLost: defineLogEvent(
+    1015,
+    'warn',
+    'A digest of entry reports was lost; the complete one is requested',
+  ),
   configurationApplied: defineLogEvent(1020, 'info', 'A configuration was applied'),
   configurationIgnored: defineLogEvent(
     1021,
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -129,8 +129,12 @@
   readonly type: 'workReport';
   readonly instance: string;
   readonly incarnation: EpochMilliseconds;
+  /** Increases with each report of this incarnation; missing in reports of older versions. */
+  readonly sequence?: number;
   /** New values of all backend servers whose values have changed, by instance. */
   readonly work: Readonly<Record<string, ServerWork>>;
+  /** True if the entry has no work at backend servers that `work` does not list. */
+  readonly isWhole?: boolean;
   /** Digests of prompt prefixes that were computed since the last such report, by instance. */
   readonly computed: Readonly<Record<string, readonly string[]>>;
   /** Requests that began to run at this entry, in the windows whose counts have changed. */
@@ -148,6 +152,32 @@
   readonly leaving: boolean;
 }
 
+/** Work of all entries together; the arrays are parallel, which keeps the message small. */
+export interface WorkSums {
+  readonly servers: readonly string[];
+  readonly inProgress: readonly number[];
+  readonly promptTokens: readonly number[];
+}
+
+/**
+ * What entries have reported to a store since its previous digest. Its size grows with what has
+ * changed, and the number of digests does not grow with the number of entries.
+ */
+export interface EntryDigest {
+  /** One more than that of the previous digest of this store; a gap means that one was lost. */
+  readonly sequence: number;
+  readonly reports: readonly EntryReport[];
+  readonly spending: readonly SpendingReport[];
+  /** New sums of the backend servers at which work has changed. */
+  readonly work: WorkSums;
+  /** The work report that the sums include, by entry; only entries for which it has changed. */
+  readonly included: Readonly<Record<string, number>>;
+  /** Digests of prompt prefixes that were computed, by backend server. */
+  readonly computed: Readonly<Record<string, readonly string[]>>;
+  /** Requests that began to run; not sent to entries. */
+  readonly usage: readonly EntryUsage[];
+}
+
 /** Recent demand on one route at one entry or in one data centre. */
 export interface RouteDemandReport {
   readonly route: string;
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -7,6 +7,7 @@
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 import type { SharedInstance, InstanceListDelta } from './backendServers.js';
 import type {
+  EntryDigest,
   EntryReport,
   EntryUsage,
   PersistedEntryData,
@@ -42,7 +43,12 @@
   /** Reads the configuration that this store has, which may be stale; not for operators. */
   | { readonly type: 'peekConfiguration' }
   /** Subscribes to pushes: changes of the configuration, the quarantine and other state. */
-  | { readonly type: 'subscribe'; readonly report: InstanceReport }
+  | {
+      readonly type: 'subscribe';
+      readonly report: InstanceReport;
+      /** True if the subscriber understands `entryDigest`, which replaces single reports. */
+      readonly receivesDigests?: boolean;
+    }
   | { readonly type: 'report'; readonly report: InstanceReport }
   /** A report of an entry, for the subscribers of the store. */
   | { readonly type: 'shareReport'; readonly report: EntryReport }
@@ -105,6 +111,8 @@
       /** The last reading of the platform's list and its age; missing before the first one. */
       readonly instances?: readonly SharedInstance[];
       readonly instancesAge?: Milliseconds;
+      /** What entries have reported; the digests that follow are changes to it. */
+      readonly digest?: EntryDigest;
     }
   | { readonly type: 'document'; readonly version: number; readonly document: string }
   | { readonly type: 'status'; readonly status: StoreStatus }
@@ -129,7 +137,8 @@
   | { readonly type: 'quarantine'; readonly quarantine: readonly QuarantineRecord[] }
   /** The members of the log have changed. */
   | { readonly type: 'stores'; readonly stores: readonly VoterAddress[] }
-  /** A report of an entry. */
+  | { readonly type: 'entryDigest'; readonly digest: EntryDigest }
+  /** The next four are sent instead of digests to subscribers of older versions. */
   | { readonly type: 'entryReport'; readonly report: EntryReport }
   | { readonly type: 'spending'; readonly spending: SpendingReport }
   /** Work reports that have arrived since the previous push. */
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -75,6 +75,7 @@
       report,
       handlers,
       readStores: () => this.stores,
+      onDigestGap: (gap) => context.logger.write('entryDigestLost', { ...gap }),
       onMembers: (members) => {
         this.members = members;
         this.updateConnections();
--- a/packages/transport/src/StoreSubscription.test.ts
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { emptyConfiguration, type StoreRequest, type StoreResponse } from '@hornbeampond/schema';
+import {
+  emptyConfiguration,
+  type EntryDigest,
+  type StoreRequest,
+  type StoreResponse,
+} from '@hornbeampond/schema';
 import { ManualTimerService } from '@hornbeampond/testing';
-import { StoreSubscription, type StorePeer } from './StoreSubscription.js';
+import { StoreSubscription, type DigestGap, type StorePeer } from './StoreSubscription.js';
 
 const REPORT = {
   instance: 'entry-1',
@@ -12,12 +17,26 @@
   cutOff: false,
 } as const;
 
+function makeDigest(sequence: number): EntryDigest {
+  return {
+    sequence,
+    reports: [],
+    spending: [],
+    work: { servers: [], inProgress: [], promptTokens: [] },
+    included: {},
+    computed: {},
+    usage: [],
+  };
+}
+
 /** A store that answers every subscription with a configuration of its revision. */
 class FakeStore implements StorePeer {
   revision = 3;
 
   subscriptions = 0;
 
+  digestSequence = 10;
+
   readonly address;
 
   readonly client = {
@@ -39,7 +58,8 @@
     this.subscriptions += 1;
     const configuration = { ...emptyConfiguration, revision: this.revision };
     const remembered = { usage: [], delays: {}, computed: {} };
-    return { type: 'subscribed', configuration, quarantine: [], stores: [], remembered };
+    const digest = makeDigest(this.digestSequence);
+    return { type: 'subscribed', configuration, quarantine: [], stores: [], remembered, digest };
   }
 }
 
@@ -49,16 +69,22 @@
   const own = new FakeStore('store-1', 'wien-a');
   const other = new FakeStore('store-2', 'wien-b');
   const revisions: number[] = [];
+  const digests: { readonly sequence: number; readonly isWhole: boolean }[] = [];
+  const gaps: DigestGap[] = [];
   const subscription = new StoreSubscription({
     timers,
     report: REPORT,
-    handlers: { onConfiguration: ({ revision }) => revisions.push(revision) },
+    handlers: {
+      onConfiguration: ({ revision }) => revisions.push(revision),
+      onEntryDigest: ({ sequence }, isWhole) => digests.push({ sequence, isWhole }),
+    },
+    onDigestGap: (gap) => gaps.push(gap),
     readStores: () => [own, other],
     onMembers: () => {},
   });
   subscription.subscribeIfNeeded();
   await flushPendingCallbacks();
-  return { timers, own, other, revisions, subscription };
+  return { timers, own, other, revisions, digests, gaps, subscription };
 }
 
 /** Waits until answered requests have been handled. */
@@ -110,3 +136,24 @@
   await flushPendingCallbacks();
   assert.equal(other.subscriptions, 0);
 });
+
+// Guards against work that looks as if it never ended because the digest with its end was lost.
+test('after a gap between digests a complete one is requested', async () => {
+  const { own, digests, gaps, subscription } = await subscribeEntry();
+  const receive = (sequence: number) =>
+    subscription.receivePush(own.address, { type: 'entryDigest', digest: makeDigest(sequence) });
+  receive(11);
+  receive(11);
+  own.digestSequence = 13;
+  receive(13);
+  await flushPendingCallbacks();
+  receive(14);
+  assert.deepEqual(digests, [
+    { sequence: 10, isWhole: true },
+    { sequence: 11, isWhole: false },
+    { sequence: 13, isWhole: true },
+    { sequence: 14, isWhole: false },
+  ]);
+  assert.deepEqual(gaps, [{ expected: 12, received: 13 }]);
+  assert.equal(own.subscriptions, 2);
+});
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -8,6 +8,7 @@
  */
 import type {
   Configuration,
+  EntryDigest,
   EntryReport,
   EntryUsage,
   Milliseconds,
@@ -30,6 +31,13 @@
 export interface StoreClientHandlers {
   onConfiguration?(configuration: Configuration): void;
   onQuarantine?(quarantine: readonly QuarantineRecord[]): void;
+  /**
+   * What entries have reported to the store.
+   *
+   * @param isWhole - True for the first digest of a subscription, which does not depend on others.
+   */
+  onEntryDigest?(digest: EntryDigest, isWhole: boolean): void;
+  /** Single reports, from stores of older versions. */
   onEntryReport?(report: EntryReport): void;
   onUsage?(usage: readonly EntryUsage[]): void;
   onWorkReport?(work: WorkReport): void;
@@ -40,6 +48,12 @@
   onPersistedState?(remembered: PersistedEntryData): void;
 }
 
+/** The sequences of two digests between which others are missing. */
+export interface DigestGap {
+  readonly expected: number;
+  readonly received: number;
+}
+
 export interface StorePeer {
   readonly address: ProcessAddress;
   readonly client: Pick<PeerClient, 'isOpen' | 'request' | 'close'>;
@@ -51,6 +65,8 @@
   readonly report: InstanceReport | undefined;
   readonly handlers: StoreClientHandlers;
   readStores(): readonly StorePeer[];
+  /** Called when a digest was lost and all of them are requested again. */
+  onDigestGap?(gap: DigestGap): void;
   /** Called with the members of the log. */
   onMembers(members: readonly VoterAddress[]): void;
 }
@@ -65,6 +81,8 @@
    * their deltas start from the state in it.
    */
   readonly earlyPushes: StorePush[];
+  /** Sequence of the last entry digest; undefined for a store that sends none. */
+  digestSequence: number | undefined;
 }
 
 const SUBSCRIBE_TIMEOUT_MILLISECONDS: Milliseconds = 1500;
@@ -158,9 +176,15 @@
   }
 
   private subscribe(store: StorePeer, report: InstanceReport): void {
-    const subscription: Subscription = { store, isAnswered: false, earlyPushes: [] };
+    const subscription: Subscription = {
+      store,
+      isAnswered: false,
+      earlyPushes: [],
+      digestSequence: undefined,
+    };
     this.subscription = subscription;
-    store.client.request({ type: 'subscribe', report }, SUBSCRIBE_TIMEOUT_MILLISECONDS).then(
+    const request = { type: 'subscribe', report, receivesDigests: true } as const;
+    store.client.request(request, SUBSCRIBE_TIMEOUT_MILLISECONDS).then(
       (response) => {
         if (this.subscription === subscription) {
           this.handleSubscribeResponse(subscription, response as StoreResponse);
@@ -185,6 +209,10 @@
     this.handleUpdateResult(this.configurationFollower.applyConfiguration(response.configuration));
     this.options.handlers.onQuarantine?.(response.quarantine);
     this.options.onMembers(response.stores);
+    if (response.digest !== undefined) {
+      subscription.digestSequence = response.digest.sequence;
+      this.options.handlers.onEntryDigest?.(response.digest, true);
+    }
     subscription.earlyPushes.forEach((push) => this.handlePush(push));
   }
 
@@ -211,6 +239,9 @@
       case 'stores':
         onMembers(push.stores);
         return;
+      case 'entryDigest':
+        this.handleDigest(push.digest);
+        return;
       case 'entryReport':
         handlers.onEntryReport?.(push.report);
         return;
@@ -231,6 +262,21 @@
     }
   }
 
+  /** Applies a digest; after a gap, subscribes again to get a complete one. */
+  private handleDigest(digest: EntryDigest): void {
+    const { report, subscription } = this;
+    if (subscription === undefined) return;
+    const { digestSequence } = subscription;
+    if (digestSequence === undefined || digest.sequence <= digestSequence) return;
+    if (digest.sequence === digestSequence + 1) {
+      subscription.digestSequence = digest.sequence;
+      this.options.handlers.onEntryDigest?.(digest, false);
+      return;
+    }
+    this.options.onDigestGap?.({ expected: digestSequence + 1, received: digest.sequence });
+    if (report !== undefined) this.subscribe(subscription.store, report);
+  }
+
   /** Switches to another connected store; that store may report that it is partitioned too. */
   private switchStore(): void {
     const { report, subscription } = this;
