Bound what a store sends to an entry that starts

Cause, read in the code: an entry that subscribes got the counts of usage of all entries, which it does not use, and up to 500 prefixes of each backend server. At 194 entries and 55 engines that is some 450 kB, half a second of a 7 Mbit/s link, for all entries at once after a loss of power. Now no usage, and the 6,000 most recent prefixes (about 60 kB).

--- a/apps/store/src/PersistedEntryState.test.ts
+++ b/apps/store/src/PersistedEntryState.test.ts
@@ -92,3 +92,16 @@
   assert.deepEqual(events, ['memoryUnreadable', 'memoryNotKept']);
   assert.deepEqual(state.contents.spending?.windowSpent, { workspace1: [500] });
 });
+
+// Guards against sending entries counts that only the process that reports usage needs.
+test('starting entries get spending and prefixes, and no usage', async () => {
+  const { state } = makeState(new MemoryDisk());
+  await state.open();
+  state.recordReport({ ...report(500, 8000), begun: { 7: { workspace1: 3 } } });
+  const computed = { engine: ['a'] };
+  state.recordWork({ type: 'workReport', instance: 'entry-1', incarnation: 1, work: {}, computed });
+  const { usage, spending, computed: prefixes } = state.contentsForEntries;
+  assert.equal(state.contents.usage.length, 1);
+  assert.deepEqual([usage, prefixes], [[], computed]);
+  assert.equal(spending?.windowReach, 8000);
+});
--- a/apps/store/src/PersistedEntryState.ts
+++ b/apps/store/src/PersistedEntryState.ts
@@ -21,6 +21,9 @@
 /** What entries reported within this time before a power loss may be lost. */
 const WRITE_INTERVAL_MILLISECONDS: Milliseconds = 250;
 
+/** Prefixes of all backend servers together that a starting entry gets; about 60 kB. */
+const MAX_PREFIXES_FOR_ENTRIES = 6000;
+
 /** Age that stored totals must have before totals with a shorter reach replace them. */
 const SPENDING_REPLACEMENT_AGE_MILLISECONDS: Milliseconds = 2000;
 
@@ -60,6 +63,15 @@
     };
   }
 
+  /**
+   * What a starting entry uses of `contents`, limited in size: after a power loss hundreds of entries
+   * request it at the same time, and their links are slow.
+   */
+  get contentsForEntries(): PersistedEntryData {
+    const computed = this.prefixes.mostRecent(MAX_PREFIXES_FOR_ENTRIES);
+    return { ...this.contents, usage: [], computed };
+  }
+
   async open(): Promise<void> {
     const { disk, timers, logger } = this.options;
     try {
--- a/apps/store/src/RecentPrefixes.test.ts
+++ b/apps/store/src/RecentPrefixes.test.ts
@@ -19,3 +19,12 @@
   recentPrefixes.retainOnly(['other']);
   assert.deepEqual(recentPrefixes.computed, { other: ['b'] });
 });
+
+// Guards against responses of hundreds of kilobytes to each of hundreds of entries that start
+// together.
+test('the most recent prefixes are limited in total, with as many of each backend server', () => {
+  const prefixes = new RecentPrefixes();
+  prefixes.record({ a: ['1', '2', '3'], b: ['4', '5'], c: ['6'] });
+  assert.deepEqual(prefixes.mostRecent(6), { a: ['2', '3'], b: ['4', '5'], c: ['6'] });
+  assert.deepEqual(prefixes.mostRecent(2), {});
+});
--- a/apps/store/src/RecentPrefixes.ts
+++ b/apps/store/src/RecentPrefixes.ts
@@ -11,6 +11,15 @@
     return Object.fromEntries([...this.byServer].map(([name, digests]) => [name, [...digests]]));
   }
 
+  /** The most recent prefixes, at most `limit` in total and as many of each backend server. */
+  mostRecent(limit: number): Record<string, string[]> {
+    const limitPerServer = Math.floor(limit / Math.max(1, this.byServer.size));
+    if (limitPerServer === 0) return {};
+    return Object.fromEntries(
+      [...this.byServer].map(([name, digests]) => [name, [...digests].slice(-limitPerServer)]),
+    );
+  }
+
   record(computed: Readonly<Record<string, readonly string[]>>): void {
     Object.entries(computed).forEach(([name, digests]) => {
       const prefixes = this.byServer.get(name) ?? new Set();
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -198,7 +198,10 @@
       onWorkReport: (work) => this.persistedEntryState.recordWork(work),
       onSpendingReport: (spending) => this.persistedEntryState.recordSpending(spending),
       onInstanceList: (instances) => this.persistedEntryState.removeUnlistedInstances(instances),
-      readPersistedEntryState: () => this.persistedEntryState.contents,
+      readPersistedEntryState: (role) =>
+        role === 'entry'
+          ? this.persistedEntryState.contentsForEntries
+          : this.persistedEntryState.contents,
       leastVoters: settings.leastVoters,
     });
     this.peerServer = new PeerServer(context, {
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -7,6 +7,7 @@
 import {
   assertNever,
   type EntryReport,
+  type InstanceReport,
   type PersistedEntryData,
   type SpendingReport,
   type StoreCommand,
@@ -48,7 +49,8 @@
   readonly instanceList: InstanceListCache;
   /** Called with the names of all listed instances when the list arrives. */
   onInstanceList(instances: readonly string[]): void;
-  readPersistedEntryState(): PersistedEntryData;
+  /** Persisted state for a subscriber of this role. */
+  readPersistedEntryState(role: InstanceReport['role']): PersistedEntryData;
   /** With fewer voters than this, changes of the tables are refused. */
   readonly leastVoters: number;
 }
@@ -86,7 +88,7 @@
         this.earlySubscriptions.set(session, () => {
           const { report, receivesDigests = false } = request;
           subscribers.add(session, report, receivesDigests);
-          respond(this.makeSubscribedResponse(receivesDigests));
+          respond(this.makeSubscribedResponse(report.role, receivesDigests));
         });
         this.answerEarlySubscriptions();
         return;
@@ -260,7 +262,10 @@
     return { type: 'document', version, document };
   }
 
-  private makeSubscribedResponse(receivesDigests: boolean): StoreResponse {
+  private makeSubscribedResponse(
+    role: InstanceReport['role'],
+    receivesDigests: boolean,
+  ): StoreResponse {
     const machine = this.options.readMachine();
     const quarantine = quarantineAt(machine, this.options.timers.wallNow());
     const stores = memberAddresses(this.options.readState());
@@ -269,7 +274,7 @@
       configuration: machine.configuration,
       quarantine,
       stores,
-      remembered: this.options.readPersistedEntryState(),
+      remembered: this.options.readPersistedEntryState(role),
       ...this.options.instanceList.latest,
       ...(receivesDigests ? { digest: this.options.digestPublisher.makeCompleteDigest() } : {}),
     };
