Withdraw slow entries from the load balancer, and let none judge others by its own delays

Cause: an entry whose instance runs several times slower (node_slow) stays ready and takes its share of the callers, who wait there while other entries of the data centre have time. It also takes late answers for slow or silent backend servers, lowers their limits and ejects them.

Change: an entry is slow when its ticks are late for 0.6 of the time in two seconds running. It then says so in its reports, is not ready, and asks callers to reconnect, if slow entries are at most a quarter of its data centre; it learns nothing from its own delays and ejects nobody for silence.

--- a/apps/entry/src/CallerListener.ts
+++ b/apps/entry/src/CallerListener.ts
@@ -11,8 +11,11 @@
    */
   applyBounds?(): void;
 
-  /** Sends `connection: close` with the answers to new requests, so that callers reconnect. */
-  disableKeepAlive?(): void;
+  /**
+   * While disabled, `connection: close` is sent with the answers to new requests, so that callers
+   * reconnect.
+   */
+  setKeepAlive?(isEnabled: boolean): void;
 
   /** Stops accepting connections; open answers continue. */
   stopListening(): void;
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -4,6 +4,7 @@
  */
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import {
+  TICK_INTERVAL_MILLISECONDS,
   makeEntryState,
   reduceEntry,
   buildDemandReports,
@@ -29,6 +30,7 @@
   type EntryReport,
   type EntrySettings,
   type Milliseconds,
+  type MonotonicMilliseconds,
   type PeerReport,
   type PlatformInstance,
   type ProcessAddress,
@@ -51,8 +53,6 @@
 import { RelayServer } from './RelayServer.js';
 import { TableApi } from './TableApi.js';
 
-const TICK_INTERVAL_MILLISECONDS = 50;
-
 /**
  * If a claim command has no result within this time, it is answered as `unavailable` (certainly not
  * in the log) or `unsure` (may be in the log).
@@ -70,6 +70,9 @@
 /** After this time without a configuration from the stores, an entry asks its peers. */
 const STORE_CONFIGURATION_TIMEOUT_MILLISECONDS = 2000;
 
+/** A process whose last tick is older than this is behind with its work. */
+const MAX_TICK_AGE_MILLISECONDS: Milliseconds = 3 * TICK_INTERVAL_MILLISECONDS;
+
 type ProposeClaimEffect = Extract<EntryEffect, { type: 'proposeClaim' }>;
 
 /** The ports that the process listens on; chosen by the system where the settings have port 0. */
@@ -123,8 +126,13 @@
 
   private requestCount = 0;
 
+  private lastTickAt: MonotonicMilliseconds = 0;
+
   private isServing = false;
 
+  /** True while this process is slow and others can serve its callers. */
+  private isWithdrawn = false;
+
   /** True after a peer's configuration was applied, until the stores send one. */
   private isPartitionedFromStores = false;
 
@@ -159,6 +167,7 @@
       adapters: this.adapters,
       findExchange: (requestId) => this.exchanges.get(requestId),
       dispatch,
+      isBehind: () => timers.monotonicNow() - this.lastTickAt > MAX_TICK_AGE_MILLISECONDS,
     });
     const context = this.makePeerContext();
     this.storeClient = new StoreClient(
@@ -218,7 +227,8 @@
    * stores is ready only once it has a configuration; other entries are ready without one.
    */
   private get isReady(): boolean {
-    return this.isServing && (this.revision > 0 || !this.exchangesReportsThroughStores);
+    if (!this.isServing || this.isWithdrawn) return false;
+    return this.revision > 0 || !this.exchangesReportsThroughStores;
   }
 
   /** True if the settings list no entries; this entry then does not connect to its peers. */
@@ -250,7 +260,7 @@
   async start(): Promise<EntryPorts> {
     this.logger.write('processStarted', { dataCentre: this.settings.dataCentre });
     this.subscriptions.push(
-      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.dispatch({ type: 'tick' })),
+      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.tick()),
       this.timers.after(STORE_CONFIGURATION_TIMEOUT_MILLISECONDS, () =>
         this.readPeerConfigurationsIfUnconfigured(),
       ),
@@ -283,7 +293,7 @@
   async shutDown(): Promise<void> {
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
     this.isServing = false;
-    this.callerListener.disableKeepAlive?.();
+    this.callerListener.setKeepAlive?.(false);
     this.logger.write('shutdownStarted', {});
     let cancelLimit: Unsubscribe = () => {};
     const drainedOrTimedOut = new Promise<void>((resolve) => {
@@ -314,6 +324,11 @@
     await this.adapters.close();
   }
 
+  private tick(): void {
+    this.dispatch({ type: 'tick' });
+    this.lastTickAt = this.timers.monotonicNow();
+  }
+
   private dispatch(payload: EntryEventPayload): void {
     const now = this.timers.monotonicNow();
     this.eventLoop.dispatch({ ...payload, now, wallNow: this.timers.wallNow() });
@@ -432,6 +447,10 @@
         this.callerListener.applyBounds?.();
         this.storeClient.updateReport(this.makeInstanceReport(effect.revision));
         return;
+      case 'withdrawalChanged':
+        this.isWithdrawn = effect.isWithdrawn;
+        if (this.isServing) this.callerListener.setKeepAlive?.(!effect.isWithdrawn);
+        return;
       case 'shutdownReady':
         this.onShutdownReady();
         return;
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -101,8 +101,8 @@
     return this.lifecycle.listen(this.options.listen);
   }
 
-  disableKeepAlive(): void {
-    this.isKeepAliveDisabled = true;
+  setKeepAlive(isEnabled: boolean): void {
+    this.isKeepAliveDisabled = !isEnabled;
   }
 
   stopListening(): void {
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -24,6 +24,7 @@
 import { makeQuarantineState, type QuarantineState } from './quarantine/QuarantineState.js';
 import { makeReclaimState, type ReclaimState } from './reclaims/ReclaimState.js';
 import type { RequestState } from './requests/RequestState.js';
+import { makeSlownessState, type SlownessState } from './slowness/SlownessState.js';
 import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
 
 /** Settings that stay fixed for the lifetime of an entry process. */
@@ -65,6 +66,7 @@
   /** Prompt prefixes restored from a store for backend servers that are not listed yet. */
   readonly persistedPrefixes: Map<string, readonly string[]>;
   readonly shutdown: ShutdownState;
+  readonly slowness: SlownessState;
   /** False until `shutdown.acceptUntil` of a started shutdown. */
   refusesNewRequests: boolean;
   /** Timestamps of the event being handled. */
@@ -110,6 +112,7 @@
     workReports: new WorkReports(),
     persistedPrefixes: new Map(),
     shutdown: makeShutdownState(),
+    slowness: makeSlownessState(),
     refusesNewRequests: false,
     clocks: { now: 0, wallNow: 0 },
     random: xoroshiro128plus(makeSeed(identity)),
--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -17,6 +17,7 @@
 import { advanceCacheMoves } from './reclaims/moveCache.js';
 import { advanceReclaims } from './reclaims/recordReclaimNotice.js';
 import { enforceDeadlines } from './requests/enforceDeadlines.js';
+import { advanceSlowness } from './slowness/advanceSlowness.js';
 import { advanceShutdown } from './shutdown/advanceShutdown.js';
 
 export function advanceEntry(state: EntryState, timestamps: Timestamps): EntryEffect[] {
@@ -24,6 +25,7 @@
   updatePeerReachability(state, timestamps.now);
   advanceSuspects(state, timestamps.now);
   return [
+    ...advanceSlowness(state, timestamps),
     ...enforceDeadlines(state, timestamps.now),
     ...expireAwaitingConfiguration(state, timestamps.now),
     ...expireAwaitingAcknowledgement(state, timestamps),
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -19,7 +19,7 @@
 import type { PoolState } from './PoolState.js';
 import { getPoolState } from './getPoolState.js';
 import { countPendingTokens, estimateUncachedTokens } from './predictFirstTokenDelay.js';
-import { currentLimit } from './BalancingState.js';
+import { currentLimit, type PendingPrompt } from './BalancingState.js';
 
 /** The attempt of an event, and the state that belongs to it. */
 interface AttemptContext {
@@ -63,19 +63,28 @@
  */
 const OVERLOADED_SAMPLE_WEIGHT = 0.1;
 
+/** Not called while this process is slow: the delay would be its own, not the server's. */
+function learnFromDelay(
+  { attempt, server, pool, now }: AttemptContext,
+  { tokensUntilFirstToken }: PendingPrompt,
+): void {
+  const delay = now - attempt.startedAt;
+  const expectedDelay = pool.firstTokenRegression.predict(tokensUntilFirstToken);
+  const isTypical = adaptConcurrency(pool, server, delay, expectedDelay, now);
+  const weight = isTypical ? 1 : OVERLOADED_SAMPLE_WEIGHT;
+  const cappedDelay = Math.min(delay, TOLERATED_SLOWDOWN_FACTOR * expectedDelay);
+  pool.firstTokenRegression.addSample(tokensUntilFirstToken, cappedDelay, now, weight);
+}
+
 function observeFirstToken(
   state: EntryState,
-  { attempt, accepted, server, pool, now }: AttemptContext,
+  context: AttemptContext,
 ): void {
+  const { attempt, accepted, server, pool, now } = context;
   const pending = server.balancing.pendingPrompts.get(attempt.attemptId);
   if (pending === undefined) return;
   server.balancing.pendingPrompts.delete(attempt.attemptId);
-  const delay = now - attempt.startedAt;
-  const expectedDelay = pool.firstTokenRegression.predict(pending.tokensUntilFirstToken);
-  const isTypical = adaptConcurrency(pool, server, delay, expectedDelay, now);
-  const weight = isTypical ? 1 : OVERLOADED_SAMPLE_WEIGHT;
-  const cappedDelay = Math.min(delay, TOLERATED_SLOWDOWN_FACTOR * expectedDelay);
-  pool.firstTokenRegression.addSample(pending.tokensUntilFirstToken, cappedDelay, now, weight);
+  if (!state.slowness.detector.isSlow) learnFromDelay(context, pending);
   // The server has just prefilled the prompt, so its prefixes are cached there; the server's own
   // cache event arrives later.
   const { prefixDigests } = accepted.request;
@@ -122,11 +131,17 @@
   pool.recordServiceTime(accepted.route.name, now - attempt.startedAt, isBusy);
 }
 
-function observeFailure(context: AttemptContext, failure: AttemptFailure): EntryEffect[] {
+function observeFailure(
+  state: EntryState,
+  context: AttemptContext,
+  failure: AttemptFailure,
+): EntryEffect[] {
   const { server, pool, now } = context;
   observeEnd(context);
   if (failure === 'busy') lowerConcurrency(pool, server, now);
   if (!serverFailures.includes(failure)) return [];
+  // A slow process reads answers late, so its timeouts say nothing about the server.
+  if (failure === 'silent' && state.slowness.detector.isSlow) return [];
   if (!recordFailure(pool, server, now)) return [];
   const { instance } = server.platformInstance;
   const { ejectedUntil } = server.balancing;
@@ -146,7 +161,7 @@
   if (context === undefined) return [];
   if (event.type === 'firstTokenReceived') observeFirstToken(state, context);
   if (event.type === 'attemptFinished') observeFinish(state, context);
-  if (event.type === 'attemptFailed') return observeFailure(context, event.failure);
+  if (event.type === 'attemptFailed') return observeFailure(state, context, event.failure);
   return [];
 }
 
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -97,6 +97,8 @@
   | { readonly type: 'tellWork'; readonly work: WorkReport }
   /** A newer configuration has taken effect. */
   | { readonly type: 'configurationApplied'; readonly revision: number }
+  /** Asks the load balancer to send new connections elsewhere, or here again. */
+  | { readonly type: 'withdrawalChanged'; readonly isWithdrawn: boolean }
   /** Nothing is in progress any more, so a graceful shutdown can finish. */
   | { readonly type: 'shutdownReady' }
   | { readonly type: 'setGauge'; readonly metric: MetricName; readonly value: number }
--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -100,6 +100,7 @@
     incarnation,
     sequence: state.membership.sequence,
     leaving: state.shutdown.started,
+    ...(state.slowness.detector.isSlow ? { slow: true } : {}),
     revision: state.configuration.revision,
     inProgress: countInProgress(state),
     ...(state.configuration.whole === undefined ? {} : buildWholeConfigurationFields(state)),
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -57,6 +57,17 @@
     'A request that crashed backend servers was quarantined',
   ),
   streamHandedOn: defineLogEvent(2211, 'info', 'A stream is migrated to another backend server'),
+  entrySlow: defineLogEvent(
+    2300,
+    'warn',
+    'This process gets too little processor time: its ticks are late most of the time',
+  ),
+  entryRecovered: defineLogEvent(2301, 'info', 'This process gets enough processor time again'),
+  withdrawalChanged: defineLogEvent(
+    2302,
+    'warn',
+    'A slow entry asks the load balancer to send callers elsewhere, or takes them again',
+  ),
   shutdownLimitReached: defineLogEvent(
     2220,
     'warn',
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -88,6 +88,8 @@
   readonly incarnation: EpochMilliseconds;
   readonly sequence: number;
   readonly leaving: boolean;
+  /** True while the entry's process gets too little processor time. */
+  readonly slow?: boolean;
   readonly revision: number;
   /** Requests in progress by route and workspace, keyed `route/workspace`. */
   readonly inProgress: Readonly<Record<string, number>>;
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -143,6 +143,11 @@
     help: 'Starts and ends of instances and orders that are resent, by reason',
     label: { name: 'reason', values: fleetRetryReasons },
   },
+  withdrawn: {
+    name: 'hornbeampond_withdrawn',
+    kind: 'gauge',
+    help: '1 while this entry is slow and asks the load balancer to send callers elsewhere',
+  },
   queuedRequests: {
     name: 'hornbeampond_queued_requests',
     kind: 'gauge',
