Size pools by the time that requests were measured to take, and use more of the slots

Change: entries report measured times and prompt times with their samples; the planner averages over the entries by samples, and takes assumptions only while nobody has measured. Slots are planned at 0.6, and 0.8 after a loss (0.3 and 0.5 before, which made up for nothing but the doubling where engines have 16 slots). A route that an entry has not served yet is assumed to take as long as the pool's others.

--- a/packages/controller-core/src/sizing/computeInstanceNeed.ts
+++ b/packages/controller-core/src/sizing/computeInstanceNeed.ts
@@ -3,7 +3,7 @@
  * resources: slots in its batch, which long answers occupy, and time for prefill, which delays the
  * tokens of the other requests in the batch. The scarcer resource decides.
  */
-import type { RouteDemandReport } from '@hornbeampond/schema';
+import type { Milliseconds, RouteDemandReport } from '@hornbeampond/schema';
 import type { InstanceNeed } from './planSizes.js';
 
 /**
@@ -11,8 +11,8 @@
  * times are estimated from first-token delays, which include waiting for other prompts, so the
  * limits for `prompts` are higher.
  */
-const MAX_UTILIZATION = { places: 0.3, prompts: 0.65 } as const;
-const MAX_UTILIZATION_AFTER_LOSS = { places: 0.5, prompts: 0.95 } as const;
+const MAX_UTILIZATION = { places: 0.6, prompts: 0.65 } as const;
+const MAX_UTILIZATION_AFTER_LOSS = { places: 0.8, prompts: 0.95 } as const;
 
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -27,6 +27,45 @@
 
 type RateOf = (report: RouteDemandReport) => number;
 
+/** A duration that one entry reports, and the measurements behind it. */
+interface ReportedDuration {
+  readonly value: Milliseconds;
+  readonly samples: number;
+}
+
+/** More samples say no more, because old ones fade from the averages. */
+const MAX_SAMPLES_OF_ENTRY = 20;
+
+/**
+ * Mean of what the entries report, weighted by their samples. Each of many entries serves a route
+ * seldom, and until it has measured it reports an assumption that may be far too high; assumptions
+ * count only while no entry has measured.
+ */
+function averageDuration(durations: readonly ReportedDuration[]): Milliseconds {
+  const measured = durations.filter(({ samples }) => samples > 0);
+  const counted = measured.length > 0 ? measured : durations;
+  let sum = 0;
+  let weights = 0;
+  counted.forEach(({ value, samples }) => {
+    const weight = Math.min(MAX_SAMPLES_OF_ENTRY, Math.max(1, samples));
+    sum += value * weight;
+    weights += weight;
+  });
+  return weights === 0 ? 0 : sum / weights;
+}
+
+function groupByRoute(
+  demand: readonly RouteDemandReport[],
+): ReadonlyMap<string, RouteDemandReport[]> {
+  const byRoute = new Map<string, RouteDemandReport[]>();
+  demand.forEach((report) => {
+    const reports = byRoute.get(report.route) ?? [];
+    reports.push(report);
+    byRoute.set(report.route, reports);
+  });
+  return byRoute;
+}
+
 /** Computes the load with the rate that `rateOf` takes from each report. */
 function computeLoad(
   demand: readonly RouteDemandReport[],
@@ -35,10 +74,24 @@
 ): PoolLoad {
   let inProgress = 0;
   let prompts = 0;
-  demand.forEach((report) => {
-    const { serviceMilliseconds, promptMilliseconds = 0 } = report;
-    inProgress += (rateOf(report) * serviceMilliseconds) / MILLISECONDS_PER_SECOND;
-    prompts += (rateOf(report) * promptMilliseconds) / MILLISECONDS_PER_SECOND;
+  groupByRoute(demand).forEach((reports) => {
+    const rate = reports.reduce((sum, report) => sum + rateOf(report), 0) / MILLISECONDS_PER_SECOND;
+    inProgress +=
+      rate *
+      averageDuration(
+        reports.map(({ serviceMilliseconds, measuredServiceMilliseconds, serviceSamples }) => ({
+          value: measuredServiceMilliseconds ?? serviceMilliseconds,
+          samples: serviceSamples ?? 0,
+        })),
+      );
+    prompts +=
+      rate *
+      averageDuration(
+        reports.map(({ promptMilliseconds: value = 0, promptSamples: samples = 1 }) => ({
+          value,
+          samples,
+        })),
+      );
   });
   return { places: inProgress / Math.max(1, concurrency), prompts };
 }
--- a/packages/entry-core/src/backendServers/DelayRegression.ts
+++ b/packages/entry-core/src/backendServers/DelayRegression.ts
@@ -60,6 +60,11 @@
     this.samples = Math.min(samples, MIN_TRUSTED_SAMPLES);
   }
 
+  /** Number of samples, or 0 while the prior still dominates. */
+  get trustedSamples(): number {
+    return this.samples < MIN_TRUSTED_SAMPLES ? 0 : this.samples;
+  }
+
   /** True if the last sample is recent and the samples outweigh the prior. */
   isTrusted(now: MonotonicMilliseconds): boolean {
     if (this.lastSampleAt === undefined || this.samples < MIN_TRUSTED_SAMPLES) return false;
--- a/packages/entry-core/src/backendServers/PoolState.ts
+++ b/packages/entry-core/src/backendServers/PoolState.ts
@@ -95,6 +95,9 @@
   /** The same for busy servers, those near their concurrency limit (see `observeFinish`). */
   private readonly busyServiceTimes = new Map<string, MovingAverage>();
 
+  /** The same for all servers. */
+  private readonly measuredServiceTimes = new Map<string, MovingAverage>();
+
   /**
    * Average number of prompt tokens estimated to be uncached when an attempt starts, keyed by
    * route.
@@ -141,14 +144,25 @@
     balancing.limit = limit;
   }
 
-  /** Expected duration of an attempt for the route on a busy server. */
+  /**
+   * Expected duration of an attempt for the route on a busy server. For a route that this entry has
+   * not served yet, it is the mean of the pool's other routes: with hundreds of entries, each of them
+   * meets most routes for the first time long after the others.
+   */
   estimateBusyServiceTime(route: string): Milliseconds {
     const busy = this.busyServiceTimes.get(route)?.value;
     if (busy !== undefined) return busy;
     const nonBusy = this.nonBusyServiceTimes.get(route)?.value;
-    return nonBusy === undefined
-      ? DEFAULT_SERVICE_TIME_MILLISECONDS
-      : nonBusy * BUSY_SERVICE_TIME_FACTOR;
+    if (nonBusy !== undefined) return nonBusy * BUSY_SERVICE_TIME_FACTOR;
+    const measured = [...this.measuredServiceTimes.values()].map(({ value }) => value);
+    if (measured.length === 0) return DEFAULT_SERVICE_TIME_MILLISECONDS;
+    const mean = measured.reduce((sum, value) => sum + value, 0) / measured.length;
+    return mean * BUSY_SERVICE_TIME_FACTOR;
+  }
+
+  /** Average duration of the route's attempts on all servers; undefined until one has finished. */
+  measureServiceTime(route: string): MovingAverage | undefined {
+    return this.measuredServiceTimes.get(route);
   }
 
   /** Expected prefill time of the uncached part of a prompt of the route. */
@@ -166,8 +180,11 @@
 
   recordServiceTime(route: string, sample: Milliseconds, isBusy: boolean): void {
     const averages = isBusy ? this.busyServiceTimes : this.nonBusyServiceTimes;
-    const average = averages.get(route) ?? new MovingAverage(DEFAULT_SERVICE_TIME_MILLISECONDS);
-    average.addSample(sample);
-    averages.set(route, average);
+    [averages, this.measuredServiceTimes].forEach((averagesByRoute) => {
+      const average =
+        averagesByRoute.get(route) ?? new MovingAverage(DEFAULT_SERVICE_TIME_MILLISECONDS);
+      average.addSample(sample);
+      averagesByRoute.set(route, average);
+    });
   }
 }
--- a/packages/entry-core/src/demand/buildDemandReports.ts
+++ b/packages/entry-core/src/demand/buildDemandReports.ts
@@ -16,7 +16,7 @@
     const pool = index.pool(poolByRoute.get(route) ?? '');
     if (pool === undefined) return [];
     const poolState = getPoolState(state, pool.name);
-    const serviceMilliseconds = poolState.estimateBusyServiceTime(route);
+    const serviceTime = poolState.measureServiceTime(route);
     const promptMilliseconds = poolState.estimatePrefillTime(route);
     return [
       {
@@ -24,8 +24,15 @@
         pool: pool.name,
         requestsPerSecond: rate.requestsPerSecond,
         recentPerSecond: rate.recentPerSecond,
-        serviceMilliseconds,
+        serviceMilliseconds: poolState.estimateBusyServiceTime(route),
+        ...(serviceTime === undefined
+          ? {}
+          : {
+              measuredServiceMilliseconds: serviceTime.value,
+              serviceSamples: serviceTime.samples,
+            }),
         promptMilliseconds,
+        promptSamples: poolState.firstTokenRegression.trustedSamples,
       },
     ];
   });
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -192,10 +192,16 @@
   readonly recentPerSecond?: number;
   /** Mean time that one request occupies a concurrency slot of a busy backend server. */
   readonly serviceMilliseconds: number;
+  /** The same for backend servers as they were used; missing until a request has finished. */
+  readonly measuredServiceMilliseconds?: number;
+  /** Finished requests behind `measuredServiceMilliseconds`. */
+  readonly serviceSamples?: number;
   /** The pool that the route's requests go to. */
   readonly pool?: string;
   /** Mean prefill time of one request on a model engine, excluding cached prefixes. */
   readonly promptMilliseconds?: number;
+  /** Measured prompts behind it; with 0 it is an assumption. */
+  readonly promptSamples?: number;
 }
 
 /** The backend servers of one data centre that its controller has drained. */
