Ignore persisted spending at an entry that knows its window already

After one store had frozen, two thirds of the entries counted 750,000 to 840,000 tokens of a workspace where 556,000 had been admitted, and refused it below its limit for up to eight seconds.

Change: persisted spending is ignored by an entry that has counted a whole window itself. The test fails before (300 more refused). What is missing after a change of store comes with the complete digest, as totals by entry.

--- a/packages/entry-core/src/limits/AllowanceLimiter.test.ts
+++ b/packages/entry-core/src/limits/AllowanceLimiter.test.ts
@@ -160,3 +160,19 @@
   const limiter = makeLimiterWithPeers(199, 40);
   assert.ok(spendAll(limiter, 10) <= MAX_IN_WINDOW / 50);
 });
+
+// A store is frozen, and its entries turn to another one, which sends them what it has persisted.
+// Guards against refusing half of what a workspace may spend because it was counted twice.
+test('an entry that turns to another store counts nothing twice', () => {
+  const limiter = makeRunningLimiter();
+  limiter.receive(report('entry-2', 0), 0);
+  limiter.receive(report('entry-2', 300), 500);
+  const persisted = {
+    at: 0,
+    windowSpent: { laden: [500, 200] },
+    windowReach: 20_000,
+    entries: { 'entry-2': { incarnation: 1, spent: { laden: 300 } } },
+  };
+  limiter.restore(persisted, 'entry-1', 600, 100);
+  assert.equal(limiter.check('laden', allowance, MAX_IN_WINDOW - 300, 700).type, 'allowed');
+});
--- a/packages/entry-core/src/limits/AllowanceLimiter.ts
+++ b/packages/entry-core/src/limits/AllowanceLimiter.ts
@@ -36,6 +36,9 @@
  */
 const MAX_OUTAGE_MILLISECONDS: Milliseconds = 5000;
 
+/** Window that an entry must know before it ignores persisted spending, if its own are shorter. */
+const MIN_RESTORED_WINDOW_MILLISECONDS: Milliseconds = 8000;
+
 /** A reachable peer is seen at least this often. */
 const MAX_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 1200;
 
@@ -290,7 +293,9 @@
   }
 
   /**
-   * Restores the window that a store has persisted.
+   * Restores the window that a store has persisted. An entry that knows its window already ignores
+   * it: it gets the state again whenever it turns to another store, and would count twice what was
+   * spent around the last write.
    *
    * @param ownInstance - Name of this entry; the store may list an earlier incarnation of it.
    */
@@ -300,6 +305,7 @@
     now: MonotonicMilliseconds,
     wallNow: EpochMilliseconds,
   ): void {
+    if (this.knowsWindow(now)) return;
     const age = Math.max(0, wallNow - at);
     // If the write is older, entries may have run since, and what they have spent is unknown.
     const historyLength = age <= MAX_OUTAGE_MILLISECONDS ? windowReach : -age;
@@ -321,6 +327,13 @@
     });
   }
 
+  /** True if this entry has counted the spending of all entries for a whole window. */
+  private knowsWindow(now: MonotonicMilliseconds): boolean {
+    if (this.historyStartedAt === undefined) return false;
+    const windowLength = Math.max(MIN_RESTORED_WINDOW_MILLISECONDS, ...this.windowLengths.values());
+    return now - this.historyStartedAt >= windowLength;
+  }
+
   /**
    * Handles a spending report, which is sent between two full reports. It is ignored before the
    * first full report of the peer.
