--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -16,7 +16,6 @@
   type DataCentreSize,
   type DataCentreState,
   type InstanceNeed,
-  type NeedWindows,
 } from '../sizing/planSizes.js';
 import type { SingletonEffect } from './singletonEvents.js';
 import type { AcceptedSize, SingletonState, PoolSizingState } from './SingletonState.js';
@@ -105,64 +104,40 @@
   });
 }
 
-/** True once demand has been reported for long enough to rely on its rates. */
-function isDemandMeasured({ firstDemandAt, now }: SingletonState): boolean {
-  return firstDemandAt !== undefined && now - firstDemandAt >= MIN_MEASUREMENT_MILLISECONDS;
-}
-
 /**
- * The least need until demand has been measured: the initial instance count, and half of it after a
- * loss. It is no part of the recent needs, so that capacity falls as soon as demand is measured.
+ * Returns the measured need. Until demand has been measured long enough, the result is at least the
+ * initial instance count, and half of it after a loss.
  *
  * Takes that count from the platform's list of instances until the list is stable and the count is
  * above 0, and keeps it from then on: later lists include instances ordered to meet the count.
  * While reclaimable instances replace on-demand ones both are listed, so only the larger number
  * counts.
  */
-function updateInitialNeed(
+function updateNeedEstimate(
   state: SingletonState,
   sizingState: PoolSizingState,
+  load: PoolLoad,
   dataCentres: readonly DataCentreState[],
 ): InstanceNeed {
+  const { firstDemandAt } = state;
+  const measuredNeed = computeInstanceNeed(load);
+  const isDemandMeasured =
+    firstDemandAt !== undefined && state.now - firstDemandAt >= MIN_MEASUREMENT_MILLISECONDS;
+  if (isDemandMeasured) return measuredNeed;
   const reclaimable = dataCentres.reduce((sum, listed) => sum + listed.reclaimable, 0);
   const onDemand = dataCentres.reduce((sum, listed) => sum + listed.onDemand, 0);
   if (!state.isListStable || sizingState.initialCount === 0)
     sizingState.initialCount = Math.max(reclaimable, onDemand);
-  const { initialCount } = sizingState;
-  return { normal: initialCount, afterLoss: Math.ceil(initialCount / 2) };
-}
-
-const MIN_NEED: InstanceNeed = { normal: 1, afterLoss: 1 };
-
-function findHighestNeed(needs: readonly InstanceNeed[]): InstanceNeed {
   return {
-    normal: Math.max(...needs.map(({ normal }) => normal)),
-    afterLoss: Math.max(...needs.map(({ afterLoss }) => afterLoss)),
+    normal: Math.max(sizingState.initialCount, measuredNeed.normal),
+    afterLoss: Math.max(Math.ceil(sizingState.initialCount / 2), measuredNeed.afterLoss),
   };
 }
 
-/** Records the measured need, and returns the highest of the recent ones over both windows. */
-function recordAndCombineNeeds(
-  state: SingletonState,
-  sizingState: PoolSizingState,
-  load: PoolLoad,
-  dataCentres: readonly DataCentreState[],
-): NeedWindows {
-  sizingState.recentNeeds = sizingState.recentNeeds.filter(
-    ({ at }) => state.now - at < SCALE_IN_DELAY_MILLISECONDS,
-  );
-  sizingState.recentNeeds.push({ at: state.now, need: computeInstanceNeed(load) });
-  const leastNeed = isDemandMeasured(state)
-    ? MIN_NEED
-    : findHighestNeed([MIN_NEED, updateInitialNeed(state, sizingState, dataCentres)]);
-  const combineSince = (delay: Milliseconds) =>
-    findHighestNeed([
-      leastNeed,
-      ...sizingState.recentNeeds.filter(({ at }) => state.now - at < delay).map(({ need }) => need),
-    ]);
+function findHighestNeed(needs: readonly { readonly need: InstanceNeed }[]): InstanceNeed {
   return {
-    longWindow: combineSince(SCALE_IN_DELAY_MILLISECONDS),
-    shortWindow: combineSince(ON_DEMAND_SCALE_IN_DELAY_MILLISECONDS),
+    normal: Math.max(1, ...needs.map(({ need }) => need.normal)),
+    afterLoss: Math.max(1, ...needs.map(({ need }) => need.afterLoss)),
   };
 }
 
@@ -175,12 +150,8 @@
   sizingState: PoolSizingState,
   plan: readonly DataCentreSize[],
 ): DataCentreSize[] {
-  // Plans for the initial count say nothing about the demand.
-  const since = isDemandMeasured(state)
-    ? (state.firstDemandAt ?? 0) + MIN_MEASUREMENT_MILLISECONDS
-    : Number.NEGATIVE_INFINITY;
   sizingState.recentPlans = sizingState.recentPlans.filter(
-    ({ at }) => at >= since && state.now - at < SCALE_IN_DELAY_MILLISECONDS,
+    ({ at }) => state.now - at < SCALE_IN_DELAY_MILLISECONDS,
   );
   sizingState.recentPlans.push({ at: state.now, sizes: plan });
   return plan.map((size, position) => ({
@@ -259,7 +230,21 @@
   const sizingState = getPoolSizingState(state, pool.name);
   const dataCentres = listDataCentreStates(state, pool, sizingState);
   const load = measurePoolLoad(state, pool);
-  const needWindows = recordAndCombineNeeds(state, sizingState, load, dataCentres);
+  sizingState.recentNeeds = sizingState.recentNeeds.filter(
+    ({ at }) => state.now - at < SCALE_IN_DELAY_MILLISECONDS,
+  );
+  sizingState.recentNeeds.push({
+    at: state.now,
+    need: updateNeedEstimate(state, sizingState, load, dataCentres),
+  });
+  const shortWindowNeeds = sizingState.recentNeeds.filter(
+    ({ at }) => state.now - at < ON_DEMAND_SCALE_IN_DELAY_MILLISECONDS,
+  );
+  const longWindowNeed = findHighestNeed(sizingState.recentNeeds);
+  const needWindows = {
+    longWindow: longWindowNeed,
+    shortWindow: findHighestNeed(shortWindowNeeds),
+  };
   const recentWaveCount = recordAndCountWaves(state, sizingState, dataCentres, sizing);
   const plan = recordPlanAndDelayScaleIn(
     state,
@@ -278,11 +263,7 @@
         .filter((order) => !isFulfilledOrPending(state, sizing, acceptedSize, dataCentre, order))
         .filter((order) => !(order.reclaimable && dataCentre.isClosed))
         .flatMap((order): SingletonEffect[] => [
-          {
-            type: 'log',
-            event: 'sizeOrdered',
-            fields: { ...order, ...needWindows.longWindow, ...load },
-          },
+          { type: 'log', event: 'sizeOrdered', fields: { ...order, ...longWindowNeed, ...load } },
           { type: 'orderSize', order, epoch },
         ])
     );
