--- a/packages/controller-core/src/buying/placeClosures.ts
+++ b/packages/controller-core/src/buying/placeClosures.ts
@@ -40,14 +40,16 @@
     previous !== undefined && previous.until > state.now && previous.consecutiveFailedStarts > 0;
   const consecutiveFailedStarts =
     (isConsecutive ? previous.consecutiveFailedStarts : 0) + (isAlreadyCounted ? 0 : 1);
+  // A closure after a reclaim keeps its reason, so that a later successful start does not end it.
+  const isReclaimed = previous?.reason === 'reclaimed' && previous.until > state.now;
   const until = Math.max(
     state.now + drawBackoff(state, consecutiveFailedStarts),
-    previous?.reason === 'reclaimed' ? previous.until : 0,
+    isReclaimed ? previous.until : 0,
   );
   const closure = {
     dataCentre: state.dataCentre,
     instanceClass,
-    reason,
+    reason: isReclaimed ? previous.reason : reason,
     until,
     consecutiveFailedStarts,
   };
--- a/packages/controller-core/src/planning/scaleIn.ts
+++ b/packages/controller-core/src/planning/scaleIn.ts
@@ -112,7 +112,9 @@
   const lastReportAt = instance.loadReportReceivedAt ?? instance.phaseSince;
   const timeWithoutReport = state.now - Math.max(lastReportAt, instance.phaseSince);
   const maxAnswerDuration = state.configuration.routes.rows
-    .filter((route) => route.pool === instance.pool)
+    .filter(({ pool, split = [{ pool, weight: 1 }] }) =>
+      split.some((target) => target.pool === instance.pool),
+    )
     .flatMap((route) => [route.deadline, ...route.deadlinesByHour])
     .reduce((maxSoFar, deadline) => Math.max(maxSoFar, deadline.wholeAnswerMilliseconds), 0);
   return timeWithoutReport > maxAnswerDuration + state.policy.maxListLag;
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -283,8 +283,8 @@
 }
 
 /**
- * Records an accepted order. After a refusal, closes the data centre to orders of reclaimable
- * instances for a while.
+ * Records an accepted order. After a refusal of reclaimable instances, closes the data centre to
+ * orders of them for a while.
  */
 export function handleSizeOrderOutcome(
   state: SingletonState,
@@ -294,7 +294,9 @@
   const sizingState = getPoolSizingState(state, order.pool);
   const { dataCentre, reclaimable, count } = order;
   if (outcome === 'refused') {
-    sizingState.closedUntil.set(dataCentre, state.now + REFUSAL_CLOSURE_MILLISECONDS);
+    if (reclaimable) {
+      sizingState.closedUntil.set(dataCentre, state.now + REFUSAL_CLOSURE_MILLISECONDS);
+    }
     return [{ type: 'log', event: 'sizeRefused', fields: { ...order } }];
   }
   // It is unknown whether a failed order took effect; the next plan orders again.
--- a/packages/controller-core/src/singleton/reduceSingleton.test.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.test.ts
@@ -251,3 +251,14 @@
   feedInstanceList(2000, {}, { a: 2, b: 1 });
   assert.ok(feedInstanceList(3000, {}, { a: 2, b: 1 }).some((order) => order.includes('onDemand')));
 });
+
+// Guards against a data centre that gets no cheap instances because there were no expensive ones.
+test('a refused on-demand order does not keep reclaimable instances from being ordered', () => {
+  const { feed, feedInstanceList } = makeLeaseHolder();
+  feedInstanceList(0, {}, { a: 2, b: 2 });
+  feedInstanceList(1000, {}, { a: 2, b: 2 });
+  const order = { pool: 'engines', dataCentre: 'b', reclaimable: false, count: 1 };
+  feed(20_900, { type: 'sizeOrdered', order, outcome: 'refused' });
+  const orders = feedInstanceList(21_000, { a: 2 });
+  assert.ok(orders.some((text) => text.startsWith('b reclaimable')));
+});
--- a/packages/entry-core/src/backendServers/backendServers.test.ts
+++ b/packages/entry-core/src/backendServers/backendServers.test.ts
@@ -381,9 +381,10 @@
     });
   }
   harness.submitRequest(exampleRequest('one'), 20);
+  const [accepted] = state.requests.values();
+  assert.ok(accepted);
+  assert.equal(chooseBackendServer(state, accepted), undefined);
   harness.timeline.runUntil(SECOND);
   assert.ok(harness.outcomes.get('one')?.finishedAt !== undefined);
-  const [accepted] = state.requests.values();
-  assert.equal(accepted && chooseBackendServer(state, accepted), undefined);
   assert.ok(getPool(harness).local.candidates.length < 20);
 });
