--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -47,8 +47,6 @@
   readonly adapters: AdapterDirectory;
   findExchange(requestId: string): CallerExchange | undefined;
   dispatch(payload: EntryEventPayload): void;
-  /** True while the process is behind with its work, so that input may have waited for long. */
-  isBehind(): boolean;
 }
 
 /** Event loop turns until bytes that are ready to be read, head then body, reach the attempt. */
@@ -99,16 +97,6 @@
       stopTimeout: () => {},
     };
     this.attempts.set(effect.attemptId, attempt);
-    // A caller that has disconnected meanwhile cancels the attempt before it is sent.
-    if (this.options.isBehind()) runAfterPendingInput(() => this.execute(attempt));
-    else this.execute(attempt);
-  }
-
-  private execute(attempt: RunningAttempt): void {
-    if (attempt.isCancelled) {
-      this.removeAttempt(attempt);
-      return;
-    }
     this.run(attempt).then(
       () => this.removeAttempt(attempt),
       (error: unknown) => {
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -30,7 +30,6 @@
   type EntryReport,
   type EntrySettings,
   type Milliseconds,
-  type MonotonicMilliseconds,
   type PeerReport,
   type PlatformInstance,
   type ProcessAddress,
@@ -70,9 +69,6 @@
 /** After this time without a configuration from the stores, an entry asks its peers. */
 const STORE_CONFIGURATION_TIMEOUT_MILLISECONDS = 2000;
 
-/** A process whose last tick is older than this is behind with its work. */
-const MAX_TICK_AGE_MILLISECONDS: Milliseconds = 3 * TICK_INTERVAL_MILLISECONDS;
-
 type ProposeClaimEffect = Extract<EntryEffect, { type: 'proposeClaim' }>;
 
 /** The ports that the process listens on; chosen by the system where the settings have port 0. */
@@ -126,8 +122,6 @@
 
   private requestCount = 0;
 
-  private lastTickAt: MonotonicMilliseconds = 0;
-
   private isServing = false;
 
   /** True while this process is slow and others can serve its callers. */
@@ -167,7 +161,6 @@
       adapters: this.adapters,
       findExchange: (requestId) => this.exchanges.get(requestId),
       dispatch,
-      isBehind: () => timers.monotonicNow() - this.lastTickAt > MAX_TICK_AGE_MILLISECONDS,
     });
     const context = this.makePeerContext();
     this.storeClient = new StoreClient(
@@ -260,7 +253,7 @@
   async start(): Promise<EntryPorts> {
     this.logger.write('processStarted', { dataCentre: this.settings.dataCentre });
     this.subscriptions.push(
-      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.tick()),
+      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.dispatch({ type: 'tick' })),
       this.timers.after(STORE_CONFIGURATION_TIMEOUT_MILLISECONDS, () =>
         this.readPeerConfigurationsIfUnconfigured(),
       ),
@@ -324,11 +317,6 @@
     await this.adapters.close();
   }
 
-  private tick(): void {
-    this.dispatch({ type: 'tick' });
-    this.lastTickAt = this.timers.monotonicNow();
-  }
-
   private dispatch(payload: EntryEventPayload): void {
     const now = this.timers.monotonicNow();
     this.eventLoop.dispatch({ ...payload, now, wallNow: this.timers.wallNow() });
--- a/packages/controller-core/src/sizing/computeInstanceNeed.ts
+++ b/packages/controller-core/src/sizing/computeInstanceNeed.ts
@@ -11,8 +11,8 @@
  * times are estimated from first-token delays, which include waiting for other prompts, so the
  * limits for `prompts` are higher.
  */
-const MAX_UTILIZATION = { places: 0.6, prompts: 0.65 } as const;
-const MAX_UTILIZATION_AFTER_LOSS = { places: 0.8, prompts: 0.95 } as const;
+const MAX_UTILIZATION = { places: 0.45, prompts: 0.65 } as const;
+const MAX_UTILIZATION_AFTER_LOSS = { places: 0.65, prompts: 0.95 } as const;
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/entry-core/src/backendServers/WorkReports.ts
+++ b/packages/entry-core/src/backendServers/WorkReports.ts
@@ -22,7 +22,7 @@
 const MIN_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 50;
 
 /** With more entries the interval grows in proportion, which bounds the messages that a store gets. */
-const MAX_ENTRIES_AT_MIN_INTERVAL = 50;
+const MAX_ENTRIES_AT_MIN_INTERVAL = 8;
 
 const MAX_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 250;
 
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -76,10 +76,7 @@
   pool.firstTokenRegression.addSample(tokensUntilFirstToken, cappedDelay, now, weight);
 }
 
-function observeFirstToken(
-  state: EntryState,
-  context: AttemptContext,
-): void {
+function observeFirstToken(state: EntryState, context: AttemptContext): void {
   const { attempt, accepted, server, pool, now } = context;
   const pending = server.balancing.pendingPrompts.get(attempt.attemptId);
   if (pending === undefined) return;
