--- a/packages/transport/src/FrameCodec.ts
+++ b/packages/transport/src/FrameCodec.ts
@@ -4,6 +4,7 @@
  * as its length is known, so that a peer cannot make a process buffer unlimited data.
  */
 import { Encoder } from 'cbor-x';
+import { UNANSWERED_REQUEST_ID } from './peerMessages.js';
 
 const LENGTH_PREFIX_BYTES = 4;
 
@@ -18,14 +19,43 @@
   }
 }
 
+/** How CBOR encodes null, in one byte. */
+const NULL_BYTES = 1;
+
+function joinFrame(parts: readonly Buffer[]): Buffer {
+  const contentBytes = parts.reduce((sum, part) => sum + part.length, 0);
+  if (contentBytes > MAX_FRAME_BYTES) throw new FrameTooLargeError(contentBytes);
+  const frame = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + contentBytes);
+  frame.writeUInt32BE(contentBytes, 0);
+  let offset = LENGTH_PREFIX_BYTES;
+  parts.forEach((part) => {
+    offset += part.copy(frame, offset);
+  });
+  return frame;
+}
+
 /** Encodes one frame. */
 export function encodeFrame(body: unknown): Buffer {
-  const content = codec.encode(body);
-  if (content.length > MAX_FRAME_BYTES) throw new FrameTooLargeError(content.length);
-  const frame = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + content.length);
-  frame.writeUInt32BE(content.length, 0);
-  content.copy(frame, LENGTH_PREFIX_BYTES);
-  return frame;
+  return joinFrame([codec.encode(body)]);
+}
+
+/** Encodes the body of a message that is sent on several connections. */
+export function encodeSharedBody(body: unknown): Buffer {
+  return codec.encode(body);
+}
+
+/**
+ * Encodes one frame with a body that `encodeSharedBody` has encoded. The body is the last field, so
+ * that its bytes take the place of an encoded null.
+ */
+export function encodeFrameAround(envelope: object, sharedBody: Buffer): Buffer {
+  const encoded = codec.encode({ ...envelope, body: null });
+  return joinFrame([encoded.subarray(0, -NULL_BYTES), sharedBody]);
+}
+
+/** Encodes a request that needs no response, as a frame that can be sent on several connections. */
+export function encodeUnansweredRequest(body: unknown): Buffer {
+  return encodeFrame({ type: 'request', id: UNANSWERED_REQUEST_ID, body });
 }
 
 /** Splits a byte stream into frames and decodes their bodies. */
--- a/packages/transport/src/PeerClient.ts
+++ b/packages/transport/src/PeerClient.ts
@@ -70,13 +70,36 @@
 
   /** Sends a request and resolves with its response; rejects with `PeerRequestError`. */
   async request(body: unknown, timeout: Milliseconds): Promise<unknown> {
+    return this.requestWith(
+      (connection, onResponse) => connection.request(body, onResponse),
+      timeout,
+    );
+  }
+
+  /** As `request`, with a body that `encodeSharedBody` has encoded. */
+  async requestEncoded(body: Buffer, timeout: Milliseconds): Promise<unknown> {
+    return this.requestWith(
+      (connection, onResponse) => connection.requestEncoded(body, onResponse),
+      timeout,
+    );
+  }
+
+  /** Sends a frame that needs no response, such as one of `encodeUnansweredRequest`. */
+  sendFrame(frame: Buffer): void {
+    if (this.isOpen) this.connection?.sendFrame(frame);
+  }
+
+  private async requestWith(
+    send: (connection: PeerConnection, onResponse: (response: unknown) => void) => number,
+    timeout: Milliseconds,
+  ): Promise<unknown> {
     const { connection } = this;
     if (connection === undefined || !connection.isOpen) {
       throw new PeerRequestError('not connected', 'nothing');
     }
     return new Promise((resolve, reject) => {
       let cleanUp: () => void = () => {};
-      const id = connection.request(body, (response) => {
+      const id = send(connection, (response) => {
         cleanUp();
         resolve(response);
       });
--- a/packages/transport/src/PeerConnection.test.ts
+++ b/packages/transport/src/PeerConnection.test.ts
@@ -2,9 +2,16 @@
 import { once } from 'node:events';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { Logger } from '@hornbeampond/runtime';
+import { Logger, Metrics } from '@hornbeampond/runtime';
 import { ManualTimerService } from '@hornbeampond/testing';
-import { encodeFrame, FrameDecoder, FrameTooLargeError } from './FrameCodec.js';
+import {
+  encodeFrame,
+  encodeFrameAround,
+  encodeSharedBody,
+  encodeUnansweredRequest,
+  FrameDecoder,
+  FrameTooLargeError,
+} from './FrameCodec.js';
 import { PeerClient, PeerRequestError, type PeerClientHandlers } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
 import { PeerServer, type PeerServerHandlers } from './PeerServer.js';
@@ -13,6 +20,8 @@
 /** Real-time limit of a test that hangs; the connections themselves use simulated time. */
 const testOptions = { timeout: 10_000 } as const;
 const SECRET = 'a secret of the cluster';
+/** The challenge and the welcome. */
+const HANDSHAKE_FRAMES_OF_SERVER = 2;
 
 /** Records the events that one process logs. */
 class LogRecord {
@@ -45,8 +54,9 @@
   const log = new LogRecord();
   const { cluster = 'test', secret = SECRET } = overrides;
   const identity = { cluster, instance, dataCentre: 'a', role: 'entry' } as const;
-  const context: PeerContext = { identity, secret, timers, logger: log.logger };
-  return { context, timers, log };
+  const metrics = new Metrics();
+  const context: PeerContext = { identity, secret, timers, logger: log.logger, metrics };
+  return { context, timers, log, metrics };
 }
 
 async function startServer(context: TestContext, handlers: PeerServerHandlers = {}) {
@@ -250,6 +260,36 @@
 });
 
 // A server answers the hello with a wrong proof. The client must not send requests to it.
+test('a shared body makes the frame that its message makes', testOptions, () => {
+  const body = { type: 'shareReport', report: { sequence: 3, spent: { cafe: 12.5 } } };
+  const message = { type: 'request', id: 300, body };
+  const frame = encodeFrameAround({ type: 'request', id: 300 }, encodeSharedBody(body));
+  assert.deepEqual(frame, encodeFrame(message));
+});
+
+// Guards against a store that answers each work report of each entry, which cost both more than the
+// report itself.
+test(
+  'a request that needs no response is handled and not answered',
+  testOptions,
+  async (context) => {
+    const handled: unknown[] = [];
+    const server = await startServer(context, {
+      onRequest: (_session, body, respond) => {
+        handled.push(body);
+        respond({ type: 'accepted' });
+      },
+    });
+    const { client, opened, metrics } = startClient(context, server.port);
+    await opened;
+    client.sendFrame(encodeUnansweredRequest({ type: 'shareWork' }));
+    await client.request({ type: 'report' }, 1000);
+    assert.deepEqual(handled, [{ type: 'shareWork' }, { type: 'report' }]);
+    const { in: framesReceived } = await metrics.readCounter('frames');
+    assert.equal(framesReceived, HANDSHAKE_FRAMES_OF_SERVER + 1);
+  },
+);
+
 test('a client refuses a server that cannot prove the secret', testOptions, async (context) => {
   const sockets = new Set<Socket>();
   const impostor = createServer((socket) => {
--- a/packages/transport/src/PeerConnection.ts
+++ b/packages/transport/src/PeerConnection.ts
@@ -7,12 +7,13 @@
  */
 import type { Socket } from 'node:net';
 import type { Logger, Metrics, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import { FrameDecoder, MAX_FRAME_BYTES, encodeFrame } from './FrameCodec.js';
-import type {
-  HandshakeMessage,
-  PeerIdentity,
-  PeerMessage,
-  SessionMessage,
+import { FrameDecoder, MAX_FRAME_BYTES, encodeFrame, encodeFrameAround } from './FrameCodec.js';
+import {
+  UNANSWERED_REQUEST_ID,
+  type HandshakeMessage,
+  type PeerIdentity,
+  type PeerMessage,
+  type SessionMessage,
 } from './peerMessages.js';
 import { makeNonce, makeProof, areProofsEqual, type Handshake } from './makeProof.js';
 
@@ -64,7 +65,7 @@
 
   private readonly responseHandlers = new Map<number, (response: unknown) => void>();
 
-  private nextRequestId = 1;
+  private nextRequestId = UNANSWERED_REQUEST_ID + 1;
 
   private heartbeatsWithoutData = 0;
 
@@ -106,13 +107,18 @@
 
   /** Sends a request; `onResponse` is not called if the connection closes first. Returns the id. */
   request(body: unknown, onResponse: (response: unknown) => void): number {
-    const id = this.nextRequestId;
-    this.nextRequestId += 1;
-    this.responseHandlers.set(id, onResponse);
+    const id = this.registerRequest(onResponse);
     this.write({ type: 'request', id, body });
     return id;
   }
 
+  /** Sends a request whose body `encodeSharedBody` has encoded, as `request` does. */
+  requestEncoded(body: Buffer, onResponse: (response: unknown) => void): number {
+    const id = this.registerRequest(onResponse);
+    this.writeFrame(encodeFrameAround({ type: 'request', id }, body));
+    return id;
+  }
+
   /** Drops the response to a request, if it still arrives. */
   discardResponse(id: number): void {
     this.responseHandlers.delete(id);
@@ -122,8 +128,8 @@
     this.write({ type: 'push', body });
   }
 
-  /** Sends a frame encoded by `encodeFrame`, so that a push to many peers is encoded only once. */
-  pushEncoded(frame: Buffer): void {
+  /** Sends an encoded frame, so that a message to many peers is encoded only once. */
+  sendFrame(frame: Buffer): void {
     this.writeFrame(frame);
   }
 
@@ -153,6 +159,13 @@
     if (this.heartbeatsBeforeOpen > MAX_HANDSHAKE_HEARTBEATS) this.refuse('no handshake in time');
   }
 
+  private registerRequest(onResponse: (response: unknown) => void): number {
+    const id = this.nextRequestId;
+    this.nextRequestId += 1;
+    this.responseHandlers.set(id, onResponse);
+    return id;
+  }
+
   private write(message: PeerMessage): void {
     this.writeFrame(encodeFrame(message));
   }
@@ -189,9 +202,7 @@
   private handleSessionMessage(message: SessionMessage): void {
     switch (message.type) {
       case 'request':
-        this.handlers.onRequest(message.body, (body) => {
-          this.write({ type: 'response', id: message.id, body });
-        });
+        this.handlers.onRequest(message.body, (body) => this.respond(message.id, body));
         return;
       case 'response': {
         const onResponse = this.responseHandlers.get(message.id);
@@ -209,6 +220,11 @@
     }
   }
 
+  private respond(requestId: number, body: unknown): void {
+    if (requestId === UNANSWERED_REQUEST_ID) return;
+    this.write({ type: 'response', id: requestId, body });
+  }
+
   private handleHandshakeMessage(message: HandshakeMessage): void {
     if (message.type !== this.expected) {
       this.refuse(`expected ${this.expected}`);
--- a/packages/transport/src/PeerServer.ts
+++ b/packages/transport/src/PeerServer.ts
@@ -36,7 +36,7 @@
           session = {
             peer,
             push: (body) => connection.push(body),
-            pushEncoded: (frame) => connection.pushEncoded(frame),
+            pushEncoded: (frame) => connection.sendFrame(frame),
             close: () => connection.close(),
           };
           this.handlers.onOpen?.(session);
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -21,6 +21,7 @@
   VoterAddress,
   WorkReport,
 } from '@hornbeampond/schema';
+import { encodeSharedBody, encodeUnansweredRequest } from './FrameCodec.js';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
 import {
@@ -42,8 +43,12 @@
 const RETRY_DELAY_MILLISECONDS = 40;
 const BROADCAST_TIMEOUT_MILLISECONDS = 1000;
 
+interface StoreConnection extends StorePeer {
+  readonly client: PeerClient;
+}
+
 export class StoreClient {
-  private stores: StorePeer[];
+  private stores: StoreConnection[];
 
   private seeds: readonly ProcessAddress[];
 
@@ -163,7 +168,9 @@
 
   /** Sends the changes in the work of this entry to all other entries. */
   shareWork(work: WorkReport): void {
-    this.sendToAll({ type: 'shareWork', work });
+    const request: StoreRequest = { type: 'shareWork', work };
+    const frame = encodeUnansweredRequest(request);
+    this.stores.forEach(({ client }) => client.sendFrame(frame));
   }
 
   /** Sends the report of this instance to the stores, and with later subscriptions. */
@@ -186,10 +193,11 @@
 
   /** Sends a request to all connected stores, without retries: later reports repeat lost ones. */
   private sendToAll(request: StoreRequest, onAcknowledged: () => void = () => {}): void {
+    const body = encodeSharedBody(request);
     let isAcknowledged = false;
     this.stores.forEach((store) => {
       if (!store.client.isOpen) return;
-      store.client.request(request, BROADCAST_TIMEOUT_MILLISECONDS).then(
+      store.client.requestEncoded(body, BROADCAST_TIMEOUT_MILLISECONDS).then(
         (response) => {
           this.subscription.handleReportResponse(store, response as StoreResponse);
           if (isAcknowledged || (response as StoreResponse).type !== 'accepted') return;
@@ -268,7 +276,7 @@
     return { type: mayHaveBeenSent ? 'unsure' : 'unavailable' };
   }
 
-  private chooseStore(): StorePeer | undefined {
+  private chooseStore(): StoreConnection | undefined {
     const open = this.stores.filter(({ client }) => client.isOpen);
     const leader = open.find(({ address }) => address.instance === this.leaderInstance);
     if (leader !== undefined) return leader;
@@ -277,7 +285,7 @@
   }
 
   private async tryStore(
-    store: StorePeer | undefined,
+    store: StoreConnection | undefined,
     request: StoreRequest,
     timeout: Milliseconds,
   ): Promise<
--- a/packages/transport/src/peerMessages.ts
+++ b/packages/transport/src/peerMessages.ts
@@ -19,6 +19,9 @@
   | { readonly type: 'proof'; readonly proof: Uint8Array }
   | { readonly type: 'welcome' };
 
+/** Id of requests that need no response; all others have greater ids. */
+export const UNANSWERED_REQUEST_ID = 0;
+
 export type SessionMessage =
   | { readonly type: 'request'; readonly id: number; readonly body: unknown }
   | { readonly type: 'response'; readonly id: number; readonly body: unknown }
