--- a/packages/runtime/src/Metrics.ts
+++ b/packages/runtime/src/Metrics.ts
@@ -10,6 +10,9 @@
   type MetricName,
 } from '@hornbeampond/schema';
 
+/** Each sample wakes the process. */
+const EVENT_LOOP_SAMPLE_INTERVAL_MILLISECONDS = 1000;
+
 type Instrument = Counter | Gauge | Histogram;
 
 function makeInstrument(definition: MetricDefinition, registry: Registry): Instrument {
@@ -44,7 +47,12 @@
     Object.entries(metricDefinitions).forEach(([name, definition]) => {
       this.instruments.set(name as MetricName, makeInstrument(definition, this.registry));
     });
-    if (options.withProcessMetrics === true) collectDefaultMetrics({ register: this.registry });
+    if (options.withProcessMetrics === true) {
+      collectDefaultMetrics({
+        register: this.registry,
+        eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL_MILLISECONDS,
+      });
+    }
   }
 
   /** Adds to a counter. */
