--- a/packages/runtime/src/LineWriter.ts
+++ b/packages/runtime/src/LineWriter.ts
@@ -15,10 +15,21 @@
 /** Writes text and calls back when it was written or has failed. */
 export type WriteText = (text: string, onWritten: (error: Error | null) => void) => void;
 
-/** Returns a writer to a file descriptor, such as 1 for standard output. */
+/**
+ * Each write is a task of another thread and wakes the process at its end, which costs more than the
+ * lines themselves; so the lines of this time after a write are written together.
+ */
+const WRITE_PAUSE_MILLISECONDS = 100;
+
+/**
+ * Returns a writer to a file descriptor, such as 1 for standard output. It calls back some time after
+ * the write.
+ */
 export function writeToDescriptor(descriptor: number): WriteText {
   return (text, onWritten) => {
-    write(descriptor, text, (error) => onWritten(error));
+    write(descriptor, text, (error) => {
+      setTimeout(() => onWritten(error), WRITE_PAUSE_MILLISECONDS);
+    });
   };
 }
 
