--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -6,14 +6,14 @@
  */
 import { BackendServerFailure, type RelayResponse } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
-import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type { Milliseconds } from '@hornbeampond/schema';
+import type { TimerService } from '@hornbeampond/runtime';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 import type { CallerExchange } from './CallerServer.js';
 import type { CallerAnswer } from './CallerAnswer.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { RelayAnswer } from './RelayAnswer.js';
+import { RestartableTimeout } from './RestartableTimeout.js';
 import { relayBody } from './relayBody.js';
 
 export type StartAttemptEffect = Extract<EntryEffect, { type: 'startAttempt' }>;
@@ -39,7 +39,7 @@
   isMovingCache: boolean;
   /** The error with which the stream ended during the move. */
   errorDuringMove?: unknown;
-  stopTimeout: Unsubscribe;
+  readonly timeout: RestartableTimeout;
 }
 
 export interface AttemptRunnerOptions {
@@ -94,7 +94,7 @@
       isCancelled: false,
       hasTimedOut: false,
       isMovingCache: false,
-      stopTimeout: () => {},
+      timeout: new RestartableTimeout(this.options.timers, () => this.endSilentAttempt(attempt)),
     };
     this.attempts.set(effect.attemptId, attempt);
     this.run(attempt).then(
@@ -112,7 +112,7 @@
     const attempt = this.attempts.get(attemptId);
     if (attempt === undefined || attempt.isCancelled) return;
     attempt.isCancelled = true;
-    attempt.stopTimeout();
+    attempt.timeout.close();
     attempt.abortController.abort();
     const backendServerAdapter = this.options.adapters.getOrCreate(attempt.effect.target);
     // Other backend servers have no cancel request; the abort closes their connection.
@@ -173,36 +173,29 @@
   }
 
   private removeAttempt(attempt: RunningAttempt): void {
-    attempt.stopTimeout();
+    attempt.timeout.close();
     this.attempts.delete(attempt.effect.attemptId);
   }
 
   /**
-   * Aborts the attempt after `timeout` unless the timeout is restarted or stopped before. A busy
-   * process runs due timers before it reads pending input, and would discard an answer that arrived
-   * in time; so the pending input is read first.
+   * Aborts an attempt that has timed out. A busy process runs due timers before it reads pending
+   * input, and would discard an answer that arrived in time; so the pending input is read first.
    */
-  private startTimeout(attempt: RunningAttempt, timeout: Milliseconds): void {
-    attempt.stopTimeout();
-    let isStopped = false;
-    const cancel = this.options.timers.after(timeout, () => {
-      runAfterPendingInput(() => {
-        if (isStopped) return;
-        attempt.hasTimedOut = true;
-        attempt.abortController.abort();
-      });
+  private endSilentAttempt(attempt: RunningAttempt): void {
+    const { timeout } = attempt;
+    const { changeCount } = timeout;
+    runAfterPendingInput(() => {
+      if (timeout.changeCount !== changeCount) return;
+      attempt.hasTimedOut = true;
+      attempt.abortController.abort();
     });
-    attempt.stopTimeout = () => {
-      isStopped = true;
-      cancel();
-    };
   }
 
   private async run(attempt: RunningAttempt): Promise<void> {
     const { effect } = attempt;
     const exchange = this.options.findExchange(effect.requestId);
     if (exchange === undefined) return;
-    this.startTimeout(attempt, effect.firstByteTimeout);
+    attempt.timeout.start(effect.firstByteTimeout);
     exchange.answer.onBackpressureChange = (held) => {
       const { attemptId } = effect;
       if (!attempt.isCancelled) this.options.dispatch({ type: 'attemptHeld', attemptId, held });
@@ -235,7 +228,7 @@
     for await (const chunk of stream) {
       if (attempt.isCancelled) return;
       // Time spent waiting for a slow caller does not count against the engine.
-      attempt.stopTimeout();
+      attempt.timeout.stop();
       if (chunk.type === 'end') {
         answer.recordEnd(chunk.finishReason, chunk.usage);
         dispatch({ type: 'attemptFinished', attemptId, tokens: answer.generatedTokens });
@@ -248,7 +241,7 @@
         reportedAt = now;
         dispatch({ type: 'attemptProgressed', attemptId, tokens: answer.generatedTokens });
       }
-      if (!attempt.isCancelled) this.startTimeout(attempt, streamIdleTimeout);
+      if (!attempt.isCancelled) attempt.timeout.start(streamIdleTimeout);
     }
   }
 
@@ -273,9 +266,9 @@
     dispatch({ type: 'firstTokenReceived', attemptId });
     for await (const bytes of response.body) {
       if (attempt.isCancelled) return;
-      attempt.stopTimeout();
+      attempt.timeout.stop();
       await answer.writeBytes(bytes);
-      if (!attempt.isCancelled) this.startTimeout(attempt, streamIdleTimeout);
+      if (!attempt.isCancelled) attempt.timeout.start(streamIdleTimeout);
     }
     const { storedAnswer } = answer;
     dispatch({
@@ -313,7 +306,7 @@
     await relayBody(response, answer, {
       isCancelled: () => attempt.isCancelled,
       onBytesReceived: () => {
-        attempt.stopTimeout();
+        attempt.timeout.stop();
         const now = timers.monotonicNow();
         answer.recordBytesReceived(now);
         if (reportedAt === 0) dispatch({ type: 'firstTokenReceived', attemptId });
@@ -326,7 +319,7 @@
         });
       },
       onBytesWritten: () => {
-        if (!attempt.isCancelled) this.startTimeout(attempt, streamIdleTimeout);
+        if (!attempt.isCancelled) attempt.timeout.start(streamIdleTimeout);
       },
     });
     if (attempt.isCancelled) return;
