--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -51,6 +51,8 @@
   readonly timers: TimerService;
   /** Returns a globally unique id. */
   makeRequestId(): string;
+  /** Called with each connection that is accepted. */
+  onConnection(): void;
   onRequest(exchange: CallerExchange): void;
   onCallerDisconnect(requestId: string): void;
   /** Called for requests that are refused before they reach the reducer. */
@@ -96,6 +98,7 @@
       );
     });
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
+    this.server.on('connection', () => options.onConnection());
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
       const kind = tooLarge ? 'headersTooLarge' : 'badRequest';
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -2,6 +2,7 @@
  * A running entry: it connects the servers, clients and adapters to the reducer, dispatches events to
  * the reducer and carries out the effects it returns. It also starts and shuts down the process.
  */
+import { performance } from 'node:perf_hooks';
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import {
   TICK_INTERVAL_MILLISECONDS,
@@ -49,7 +50,9 @@
 import type { CallerListener } from './CallerListener.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { EntryPeers } from './EntryPeers.js';
+import { InputClock } from './InputClock.js';
 import { RelayServer } from './RelayServer.js';
+import { afterPendingInput, RequestIntake } from './RequestIntake.js';
 import { TableApi } from './TableApi.js';
 
 /**
@@ -102,6 +105,10 @@
 
   private readonly exchanges = new Map<string, CallerExchange>();
 
+  private readonly inputClock: InputClock;
+
+  private readonly requestIntake: RequestIntake;
+
   private readonly eventLoop: EventLoop<EntryState, EntryEvent, EntryEffect>;
 
   private readonly attemptRunner: AttemptRunner;
@@ -140,6 +147,15 @@
     const { instance, dataCentre } = settings;
     this.incarnation = timers.wallNow();
     this.logger = new Logger({ process: 'hornbeampond-entry', instance }, settings.logLevel);
+    const readNow = () => timers.monotonicNow();
+    this.inputClock = new InputClock(readNow, () => performance.eventLoopUtilization().idle);
+    this.requestIntake = new RequestIntake({
+      clock: this.inputClock,
+      readNow,
+      afterPendingInput,
+      onRequest: ({ request }, arrivedAt) =>
+        this.dispatch({ type: 'requestArrived', request, arrivedAt }),
+    });
     const { queuedRequests } = settings.limits;
     this.eventLoop = new EventLoop(
       makeEntryState({
@@ -235,8 +251,9 @@
     const commonOptions = {
       timers,
       makeRequestId: () => this.makeRequestId(),
+      onConnection: () => this.requestIntake.recordConnection(),
       onRequest: (exchange: CallerExchange) => this.receiveRequest(exchange),
-      onCallerDisconnect: (requestId: string) => this.dispatch({ type: 'callerGone', requestId }),
+      onCallerDisconnect: (requestId: string) => this.endCallOfLeftCaller(requestId),
       onRefused: (error: unknown) => this.countRefusal(error),
     };
     if (opaqueCalls === undefined) return new CallerServer({ ...commonOptions, settings });
@@ -253,7 +270,7 @@
   async start(): Promise<EntryPorts> {
     this.logger.write('processStarted', { dataCentre: this.settings.dataCentre });
     this.subscriptions.push(
-      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.dispatch({ type: 'tick' })),
+      this.timers.every(TICK_INTERVAL_MILLISECONDS, () => this.tick()),
       this.timers.after(STORE_CONFIGURATION_TIMEOUT_MILLISECONDS, () =>
         this.readPeerConfigurationsIfUnconfigured(),
       ),
@@ -322,6 +339,11 @@
     this.eventLoop.dispatch({ ...payload, now, wallNow: this.timers.wallNow() });
   }
 
+  private tick(): void {
+    this.inputClock.recordTick();
+    this.dispatch({ type: 'tick' });
+  }
+
   private makePeerContext(): PeerContext {
     const { cluster, clusterSecret, instance, dataCentre } = this.settings;
     return {
@@ -373,7 +395,14 @@
   private receiveRequest(exchange: CallerExchange): void {
     this.exchanges.set(exchange.request.requestId, exchange);
     this.metrics.setGauge('openStreams', this.exchanges.size);
-    this.dispatch({ type: 'requestArrived', request: exchange.request });
+    this.requestIntake.add(exchange);
+  }
+
+  private endCallOfLeftCaller(requestId: string): void {
+    const wasHeld = this.requestIntake.remove(requestId);
+    if (!wasHeld) this.dispatch({ type: 'callerGone', requestId });
+    // A claimed call goes on without its caller, since its outcome is recorded.
+    if (!this.eventLoop.state.requests.has(requestId)) this.endExchange(requestId, () => {});
   }
 
   private endExchange(requestId: string, writeEnd: (exchange: CallerExchange) => void): void {
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -31,6 +31,8 @@
   makeRequestId(): string;
   /** True if a request with this id is in progress. */
   isInProgress(requestId: string): boolean;
+  /** Called with each connection that is accepted. */
+  onConnection(): void;
   onRequest(exchange: CallerExchange): void;
   onCallerDisconnect(requestId: string): void;
   /** Called for requests that are refused before they reach the reducer. */
@@ -84,6 +86,7 @@
       },
     );
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
+    this.server.on('connection', () => options.onConnection());
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.refuseUnparsedRequest(error, socket),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -16,6 +16,7 @@
 import { startAttempt } from '../attempts/startAttempt.js';
 import { beginClaim } from '../claims/beginClaim.js';
 import { refuseRequest } from '../requests/endRequest.js';
+import { refuseOverdueArrival } from '../requests/enforceDeadlines.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { choosePool } from '../routing/choosePool.js';
 import { deadlineAt } from '../routing/deadlineAt.js';
@@ -135,6 +136,8 @@
     );
   }
   const accepted = makeRequestState(state, request, route, pool, arrivedAt, timestamps.wallNow);
+  const overdue = refuseOverdueArrival(accepted, timestamps.now);
+  if (overdue !== undefined) return overdue;
   const decision = decideAdmission(state, accepted, timestamps.now);
   if (decision.type === 'refused' && decision.refusal.awaitsAcknowledgement === true) {
     const { workspace } = request;
@@ -164,6 +167,7 @@
         route: route.name,
         workspace: request.workspace,
         patience: request.patience,
+        waited: Math.round(timestamps.now - arrivedAt),
         tokens: request.countedTokens,
       },
     },
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -98,7 +98,12 @@
       /** Identifies the run of the backend server's process, if the adapter reports it. */
       readonly incarnation?: string;
     }
-  | { readonly type: 'requestArrived'; readonly request: CallerRequest }
+  | {
+      readonly type: 'requestArrived';
+      readonly request: CallerRequest;
+      /** When the request may have arrived at this process, if it was read later. */
+      readonly arrivedAt?: MonotonicMilliseconds;
+    }
   | { readonly type: 'callerGone'; readonly requestId: string }
   /** From now on, bytes of the call may have reached the backend server. */
   | { readonly type: 'attemptSent'; readonly attemptId: string }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -78,7 +78,7 @@
       receiveCacheEvents(state, event.events, event.now);
       return [];
     case 'requestArrived':
-      return admitRequest(state, event.request, event);
+      return admitRequest(state, event.request, event, event.arrivedAt);
     case 'callerGone':
       return handleCallerDisconnect(state, event.requestId);
     case 'attemptSent':
