--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -35,6 +35,9 @@
 /** Timeout of calls to the platform; the lease reducer assumes that calls have no effect after it. */
 const PLATFORM_TIMEOUT_MILLISECONDS: Milliseconds = 900;
 
+/** Proposed again after this, if it is still due. */
+const ADVANCE_ROLLOUT_TIMEOUT_MILLISECONDS: Milliseconds = 1000;
+
 const SETTLE_USAGE_TIMEOUT_MILLISECONDS: Milliseconds = 2000;
 
 export interface SingletonProcessOptions extends SingletonOptions {
@@ -141,6 +144,9 @@
       case 'settleUsage':
         void this.settleUsage(effect.window, effect.counts);
         return;
+      case 'advanceRollout':
+        void this.store.propose(effect.command, ADVANCE_ROLLOUT_TIMEOUT_MILLISECONDS);
+        return;
       case 'reportUsage':
         void this.reportUsage(effect);
         return;
--- a/apps/store/src/EntryDigestPublisher.ts
+++ b/apps/store/src/EntryDigestPublisher.ts
@@ -50,7 +50,7 @@
 }
 
 function withoutPlannerFields(report: EntryReport): EntryReport {
-  const { begun, demand, delays, windowSpent, windowReach, ...entryFields } = report;
+  const { begun, demand, delays, windowSpent, windowReach, rollouts, ...entryFields } = report;
   return entryFields;
 }
 
--- a/packages/controller-core/src/singleton/SingletonState.ts
+++ b/packages/controller-core/src/singleton/SingletonState.ts
@@ -14,6 +14,7 @@
   type UsageCounts,
 } from '@hornbeampond/schema';
 import type { DataCentreSize, InstanceNeed } from '../sizing/planSizes.js';
+import { RolloutLedger } from '../rollouts/RolloutLedger.js';
 import { UsageLedger } from '../usage/UsageLedger.js';
 
 /** Options of the process. */
@@ -88,6 +89,10 @@
   /** Epoch of the lease; undefined while this process does not hold it. */
   epoch: number | undefined;
   readonly usage: UsageLedger;
+  /** Answers of both versions of the roll-outs that run. */
+  readonly rollouts: RolloutLedger;
+  /** When each step of a roll-out was last proposed, by its name. */
+  readonly rolloutProposals: Map<string, MonotonicMilliseconds>;
   /** By window number. */
   readonly usageWindows: Map<number, UsageWindow>;
   /** By entry. */
@@ -112,6 +117,8 @@
     configuration: emptyConfiguration,
     epoch: undefined,
     usage: new UsageLedger(),
+    rollouts: new RolloutLedger(),
+    rolloutProposals: new Map(),
     usageWindows: new Map(),
     entryReports: new Map(),
     instances: [],
--- a/packages/controller-core/src/singleton/advanceSizes.ts
+++ b/packages/controller-core/src/singleton/advanceSizes.ts
@@ -3,12 +3,13 @@
  * counts that differ from the platform's. Capacity follows an increase of the need immediately, but
  * a decrease only after a delay, so that a lull between two peaks costs no starts.
  */
-import type {
-  Milliseconds,
-  Pool,
-  PoolSizing,
-  RouteDemandReport,
-  SizeOrder,
+import {
+  findRollout,
+  type Milliseconds,
+  type Pool,
+  type PoolSizing,
+  type RouteDemandReport,
+  type SizeOrder,
 } from '@hornbeampond/schema';
 import { measureLoad, computeInstanceNeed, type PoolLoad } from '../sizing/computeInstanceNeed.js';
 import {
@@ -193,6 +194,18 @@
   return liveCount >= order.count || state.now - accepted.acceptedAt < fulfilmentTimeout;
 }
 
+/** While both versions run, fewer instances might take away those that the roll-out needs. */
+function isLoweredDuringRollout(
+  state: SingletonState,
+  { pool, reclaimable, count }: SizeOrder,
+  acceptedSize: AcceptedSize | undefined,
+): boolean {
+  const rollout = findRollout(state.configuration.rollouts, pool);
+  if (rollout?.phase !== 'running') return false;
+  const accepted = reclaimable ? acceptedSize?.reclaimable : acceptedSize?.onDemand;
+  return accepted === undefined || count < accepted.count;
+}
+
 function measurePoolLoad(state: SingletonState, pool: Pool): PoolLoad {
   const concurrency = pool.instanceClasses[0]?.concurrency ?? DEFAULT_CONCURRENCY;
   return measureLoad(listPoolDemand(state, pool), concurrency);
@@ -262,6 +275,7 @@
         .filter((order) => order.reclaimable || state.isListStable)
         .filter((order) => !isFulfilledOrPending(state, sizing, acceptedSize, dataCentre, order))
         .filter((order) => !(order.reclaimable && dataCentre.isClosed))
+        .filter((order) => !isLoweredDuringRollout(state, order, acceptedSize))
         .flatMap((order): SingletonEffect[] => [
           { type: 'log', event: 'sizeOrdered', fields: { ...order, ...longWindowNeed, ...load } },
           { type: 'orderSize', order, epoch },
--- a/packages/controller-core/src/singleton/reduceSingleton.ts
+++ b/packages/controller-core/src/singleton/reduceSingleton.ts
@@ -5,6 +5,7 @@
  */
 import { assertNever, type EntryReport, type PlatformInstance } from '@hornbeampond/schema';
 import { advanceSizes, handleSizeOrderOutcome } from './advanceSizes.js';
+import { advanceRollouts } from './advanceRollouts.js';
 import { advanceUsage, handleUsageSettled } from './advanceUsage.js';
 import type { SingletonEffect, SingletonEvent } from './singletonEvents.js';
 import type { SingletonState } from './SingletonState.js';
@@ -12,6 +13,7 @@
 function receiveEntryReport(state: SingletonState, report: EntryReport): void {
   state.entryReports.set(report.instance, { report, receivedAt: state.now });
   state.usage.receive(report);
+  state.rollouts.receive(report);
   if ((report.demand ?? []).length > 0) state.firstDemandAt ??= state.now;
 }
 
@@ -31,7 +33,7 @@
   state.wallNow = event.wallNow;
   switch (event.type) {
     case 'tick':
-      return advanceUsage(state);
+      return [...advanceUsage(state), ...advanceRollouts(state)];
     case 'configurationReceived':
       state.configuration = event.configuration;
       return [];
--- a/packages/controller-core/src/singleton/singletonEvents.ts
+++ b/packages/controller-core/src/singleton/singletonEvents.ts
@@ -1,5 +1,6 @@
 /** Events and effects of the process that reports usage and sizes pools for the whole cluster. */
 import type {
+  AdvanceRolloutCommand,
   Configuration,
   EntryReport,
   EntryUsage,
@@ -43,5 +44,6 @@
       readonly counts: UsageCounts;
       readonly epoch: number;
     }
+  | { readonly type: 'advanceRollout'; readonly command: AdvanceRolloutCommand }
   | { readonly type: 'orderSize'; readonly order: SizeOrder; readonly epoch: number }
   | LogEffect;
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -24,6 +24,7 @@
 import { makeQuarantineState, type QuarantineState } from './quarantine/QuarantineState.js';
 import { makeReclaimState, type ReclaimState } from './reclaims/ReclaimState.js';
 import type { RequestState } from './requests/RequestState.js';
+import { makeRolloutState, type RolloutState } from './rollouts/RolloutState.js';
 import { makeSlownessState, type SlownessState } from './slowness/SlownessState.js';
 import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
 
@@ -65,6 +66,7 @@
   readonly workReports: WorkReports;
   /** Prompt prefixes restored from a store for backend servers that are not listed yet. */
   readonly persistedPrefixes: Map<string, readonly string[]>;
+  readonly rollouts: RolloutState;
   readonly shutdown: ShutdownState;
   readonly slowness: SlownessState;
   /** False until `shutdown.acceptUntil` of a started shutdown. */
@@ -111,6 +113,7 @@
     membership: makeMembershipState(),
     workReports: new WorkReports(),
     persistedPrefixes: new Map(),
+    rollouts: makeRolloutState(),
     shutdown: makeShutdownState(),
     slowness: makeSlownessState(),
     refusesNewRequests: false,
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -10,6 +10,7 @@
 import { failRequest } from '../requests/endRequest.js';
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { recordVersionFailure } from '../rollouts/recordVersionAnswer.js';
 import type { AttemptState } from './AttemptState.js';
 import { removeAttempt, removeCacheMove } from './releaseAttempts.js';
 import { failInterruptedAnswer, retryRequest } from './retryRequest.js';
@@ -126,6 +127,7 @@
     removeAttempt(state, attempt);
     return [];
   }
+  recordVersionFailure(state, requestState, attempt, event.failure);
   const lossEffects = recordLoss(state, requestState, attempt, event);
   removeAttempt(state, attempt);
   removeCacheMove(state, attempt.requestId);
--- a/packages/entry-core/src/attempts/findExcludedInstances.ts
+++ b/packages/entry-core/src/attempts/findExcludedInstances.ts
@@ -7,6 +7,7 @@
 import type { EntryState } from '../EntryState.js';
 import { isSuspect, listInstancesRunningSuspects } from '../quarantine/suspects.js';
 import { listInstancesOutsideSlot } from '../quarantine/listInstancesOutsideSlot.js';
+import { findInstancesOfOtherVersion } from '../rollouts/chooseVersion.js';
 import type { RequestState } from '../requests/RequestState.js';
 
 /** Backend servers that are excluded for a short time and may take the request soon. */
@@ -24,7 +25,10 @@
   return instances;
 }
 
-/** All excluded backend servers, including those that are down or taken out of service. */
+/**
+ * All excluded backend servers, including those that are down, taken out of service, or of another
+ * version than the request uses.
+ */
 export function findExcludedInstances(
   state: EntryState,
   requestState: RequestState,
@@ -32,6 +36,7 @@
 ): Set<string> {
   const instances = findTemporarilyExcludedInstances(state, requestState, now);
   state.quarantine.down.forEach((_, instance) => instances.add(instance));
+  findInstancesOfOtherVersion(state, requestState).forEach((instance) => instances.add(instance));
   state.drains.forEach((drains) => drains.instances.forEach((instance) => instances.add(instance)));
   return instances;
 }
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -10,6 +10,7 @@
 import type { EntryState } from '../EntryState.js';
 import { finishRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { recordVersionSuccess } from '../rollouts/recordVersionAnswer.js';
 import type { AttemptState } from './AttemptState.js';
 import { failAttempt } from './failAttempt.js';
 import { removeAttempt } from './releaseAttempts.js';
@@ -98,6 +99,7 @@
   removeAttempt(state, attempt);
   if (requestState === undefined || requestState.attemptId !== attempt.attemptId)
     return countLateAnswer();
+  recordVersionSuccess(state, requestState, attempt, event.now);
   requestState.attemptId = undefined;
   requestState.maybeSent = true;
   return finishRequest(state, requestState, attempt.attemptId, event.longestPause);
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -10,6 +10,7 @@
 import { findExcludedInstances } from '../attempts/findExcludedInstances.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { findCanaries } from '../rollouts/chooseVersion.js';
 import { acceptsNewWork, type BackendServerState } from './BackendServerState.js';
 import { estimateInProgress } from './estimateInProgress.js';
 import { hasCapacity } from './hasCapacity.js';
@@ -160,6 +161,12 @@
   }
 
   considerGroup(group: CandidateGroup): void {
+    const canaries = findCanaries(this.state, this.accepted);
+    if (canaries !== undefined) {
+      // Random samples of a large group would miss them.
+      this.considerInstances(group, canaries);
+      return;
+    }
     if (group.candidates.length <= MAX_FULL_SCAN_SERVERS) {
       for (const server of [...group.candidates]) this.consider(server);
       return;
@@ -170,6 +177,13 @@
     }
   }
 
+  private considerInstances(group: CandidateGroup, instances: ReadonlySet<string>): void {
+    instances.forEach((instance) => {
+      const server = this.state.backendServers.get(instance);
+      if (server !== undefined && group.hasCandidate(server)) this.consider(server);
+    });
+  }
+
   private considerRandom(group: CandidateGroup): void {
     if (group.candidates.length === 0) return;
     this.consider(
--- a/packages/entry-core/src/backendServers/rebuildCandidateGroups.ts
+++ b/packages/entry-core/src/backendServers/rebuildCandidateGroups.ts
@@ -7,6 +7,7 @@
 import type { EntryState } from '../EntryState.js';
 import { acceptsNewWork, type BackendServerState } from './BackendServerState.js';
 import { enforceMinServersInUse } from './ejectOutliers.js';
+import { updateVersions } from '../rollouts/updateVersions.js';
 import type { PoolState } from './PoolState.js';
 import { getPoolState } from './getPoolState.js';
 
@@ -17,6 +18,7 @@
 }
 
 export function rebuildCandidateGroups(state: EntryState): void {
+  updateVersions(state);
   clearGroups(state);
   const serversByPool = new Map<PoolState, BackendServerState[]>();
   for (const server of state.backendServers.values()) {
--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -7,6 +7,7 @@
 import type { Timestamps } from '../entryEvents.js';
 import { buildDemandReports } from '../demand/buildDemandReports.js';
 import type { EntryState } from '../EntryState.js';
+import { describeRollouts } from '../rollouts/describeRollouts.js';
 import type { Suspect } from '../quarantine/QuarantineState.js';
 
 export const REPORT_INTERVAL_MILLISECONDS = 1000;
@@ -91,6 +92,7 @@
 }
 
 function makeReport(state: EntryState): EntryReport {
+  const rollouts = describeRollouts(state);
   const { instance, dataCentre, incarnation } = state.identity;
   state.membership.sequence += 1;
   return {
@@ -104,6 +106,7 @@
     revision: state.configuration.revision,
     inProgress: countInProgress(state),
     ...(state.configuration.whole === undefined ? {} : buildWholeConfigurationFields(state)),
+    ...(rollouts.length === 0 ? {} : { rollouts }),
     leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
     suspects: [...listSuspects(state), ...listQuarantined(state)],
   };
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -26,6 +26,7 @@
 import { recordListedReclaimNotices, recordReclaimNotice } from './reclaims/recordReclaimNotice.js';
 import { receiveCacheMoved } from './reclaims/receiveCacheMoved.js';
 import { handleCallerDisconnect } from './requests/handleCallerDisconnect.js';
+import { updateVersions } from './rollouts/updateVersions.js';
 import { startShutdown } from './shutdown/advanceShutdown.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
@@ -50,6 +51,7 @@
   // Entries that start together do not know each other's spending until the first report.
   if (state.configuration.revision === 0) reportSoon(state);
   state.configuration = configuration;
+  updateVersions(state);
   refreshConcurrencyLimits(state);
   return [
     { type: 'configurationApplied', revision },
--- a/packages/entry-core/src/requests/RequestState.ts
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -24,6 +24,8 @@
   /** The attempt that the caller's answer currently comes from. */
   attemptId: string | undefined;
   attemptsStarted: number;
+  /** Compared with the share of a roll-out, from 0 to 1; drawn once. */
+  rolloutDraw?: number;
   /** Instances that this request was sent to, the latest last. */
   readonly triedInstances: Set<string>;
   /** Number of answer tokens received so far. */
--- /dev/null
+++ b/packages/entry-core/src/rollouts/rollouts.test.ts
@@ -0,0 +1,180 @@
+/** Which instances get requests while a pool changes to another version, and what is counted. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Configuration, PlatformInstance, Rollout } from '@hornbeampond/schema';
+import { EntryHarness } from '../testing/EntryHarness.js';
+import {
+  examplePool,
+  exampleRequest,
+  exampleRoute,
+  makeDeadlineFields,
+} from '../testing/examples.js';
+import { describeRollouts } from './describeRollouts.js';
+
+const SERVERS = 20;
+const REQUESTS = 400;
+const CONCURRENCY = 12;
+
+const rolloutFields: Rollout = {
+  pool: 'engines',
+  version: 'v2',
+  startedAt: 5,
+  duration: 12_000,
+  phase: 'running',
+  share: 0.1,
+};
+
+/** An entry with a pool of which the second half has the new version. */
+class Pool {
+  readonly harness = new EntryHarness({
+    servers: SERVERS,
+    speed: {
+      concurrency: CONCURRENCY,
+      prefillMillisecondsPerToken: 0.1,
+      decodeMillisecondsPerToken: 5,
+      cachedPrefixes: 100,
+    },
+    routes: [exampleRoute(makeDeadlineFields(2000))],
+    pool: examplePool(CONCURRENCY),
+  });
+
+  private readonly names = [...this.harness.engines.keys()].sort();
+
+  private revision = 1;
+
+  private requestCount = 0;
+
+  private readonly served = new Map<string, number>();
+
+  constructor() {
+    this.countSubmits();
+    this.list(this.names);
+  }
+
+  get previous(): string[] {
+    return this.names.slice(0, SERVERS / 2);
+  }
+
+  get next(): string[] {
+    return this.names.slice(SERVERS / 2);
+  }
+
+  list(names: readonly string[]): void {
+    const instances = names.map((instance): PlatformInstance => ({
+      instance,
+      dataCentre: 'dc-a',
+      instanceClass: 'large',
+      pool: 'engines',
+      state: 'live',
+      host: '192.0.2.1',
+      port: 8000,
+      version: this.next.includes(instance) ? 'v2' : 'v1',
+    }));
+    this.harness.send({ type: 'instancesListed', instances });
+  }
+
+  apply(fields: Partial<Rollout>): void {
+    this.revision += 1;
+    const [state] = this.harness.entries;
+    const configuration: Configuration = {
+      ...(state as { configuration: Configuration }).configuration,
+      revision: this.revision,
+      rollouts: [{ ...rolloutFields, ...fields }],
+    };
+    this.harness.send({ type: 'configurationReceived', configuration });
+  }
+
+  /** Sends requests one after the other and returns how many each instance ran. */
+  serve(): Map<string, number> {
+    const before = this.countServed();
+    for (let number = 0; number < REQUESTS; number += 1) {
+      this.requestCount += 1;
+      this.harness.submitRequest(exampleRequest(`request-${this.requestCount}`), 4);
+      this.harness.timeline.runUntil(this.harness.timeline.now + 40);
+    }
+    this.harness.timeline.runUntil(this.harness.timeline.now + 5000);
+    return new Map(
+      [...this.countServed()].map(([name, count]) => [name, count - (before.get(name) ?? 0)]),
+    );
+  }
+
+  sum(served: ReadonlyMap<string, number>, names: readonly string[]): number {
+    return names.reduce((sum, name) => sum + (served.get(name) ?? 0), 0);
+  }
+
+  get evidence() {
+    const [state] = this.harness.entries;
+    return state === undefined ? [] : describeRollouts(state);
+  }
+
+  private countServed(): Map<string, number> {
+    return new Map(this.served);
+  }
+
+  private countSubmits(): void {
+    this.harness.engines.forEach((engine, name) => {
+      const submit = engine.submit.bind(engine);
+      engine.submit = (job) => {
+        this.served.set(name, (this.served.get(name) ?? 0) + 1);
+        submit(job);
+      };
+    });
+  }
+}
+
+test('the new version gets its share, on as few instances as the share needs', () => {
+  const pool = new Pool();
+  pool.apply({ share: 0.1 });
+  const served = pool.serve();
+  const nextCount = pool.sum(served, pool.next);
+  assert.ok(nextCount > REQUESTS * 0.05 && nextCount < REQUESTS * 0.16, `${nextCount}`);
+  const usedInstances = pool.next.filter((name) => (served.get(name) ?? 0) > 0);
+  assert.equal(usedInstances.length, 1);
+});
+
+// Guards against a version that gets requests without an order, or after it was taken back.
+test('a version that was taken back gets nothing, and the old one nothing once all has moved', () => {
+  const pool = new Pool();
+  pool.apply({ phase: 'rolledBack', share: 0 });
+  assert.equal(pool.sum(pool.serve(), pool.next), 0);
+  const moved = new Pool();
+  moved.apply({ share: 1 });
+  assert.equal(moved.sum(moved.serve(), moved.previous), 0);
+  moved.apply({ phase: 'done', share: 1 });
+  assert.equal(moved.sum(moved.serve(), moved.previous), 0);
+});
+
+// Guards against a pool that stands still until the first instance of the new version is listed.
+test('while no instance of the new version is listed, the old one serves all', () => {
+  const pool = new Pool();
+  pool.list(pool.previous);
+  pool.apply({ share: 1 });
+  assert.equal(pool.sum(pool.serve(), pool.previous), REQUESTS);
+});
+
+// Guards against callers who get the failures of a new version.
+test('a request that fails at the new version is tried at the old one, and counted for the new', () => {
+  const pool = new Pool();
+  pool.next.forEach((name) => pool.harness.failureByInstance.set(name, 'serverError'));
+  pool.apply({ share: 0.1 });
+  pool.serve();
+  const problems = [...pool.harness.outcomes.values()].filter(({ problem }) => problem);
+  assert.deepEqual(problems, []);
+  const [counted] = pool.evidence;
+  const [route] = counted?.routes ?? [];
+  assert.equal(route?.previous.bad, 0);
+  // After some failures the entry ejects the instance.
+  assert.ok((route?.next.bad ?? 0) >= 5, JSON.stringify(route));
+  assert.equal(route?.next.answers, route?.next.bad);
+  assert.equal(counted?.inProgressAtPrevious, 0);
+});
+
+// Guards against lost connections, of which each wave of reclaims has many, that are taken for faults
+// of the new version.
+test('lost connections are not counted for either version', () => {
+  const pool = new Pool();
+  pool.next.forEach((name) => pool.harness.failureByInstance.set(name, 'connectionLost'));
+  pool.apply({ share: 0.1 });
+  pool.serve();
+  assert.equal(pool.evidence[0]?.routes[0]?.next.bad, 0);
+});
--- a/packages/schema/src/errors/errorKinds.ts
+++ b/packages/schema/src/errors/errorKinds.ts
@@ -46,6 +46,8 @@
     'The call ran; its answer was too large to keep',
     'unknown',
   ),
+  rolloutRunning: defineKind(409, 'Another roll-out of this pool is running', 'no'),
+  rolloutInvalid: defineKind(400, 'The roll-out cannot be started', 'no'),
   revisionStale: defineKind(412, 'The table has changed since this revision', 'no'),
   preconditionMissing: defineKind(428, 'The change must name the revision it was made from', 'no'),
   bodyTooLarge: defineKind(413, 'The request body is too large', 'no'),
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -16,6 +16,7 @@
 export * from './tables/Configuration.js';
 export * from './tables/ConfigurationDelta.js';
 export * from './tables/checkTables.js';
+export * from './tables/Rollout.js';
 export * from './tables/pools.js';
 export * from './tables/routes.js';
 export * from './tables/workspaces.js';
--- a/packages/schema/src/logEvents/controllerLogEvents.ts
+++ b/packages/schema/src/logEvents/controllerLogEvents.ts
@@ -78,6 +78,7 @@
     'warn',
     'The platform refused an order for instances: none are available for now',
   ),
+  rolloutAdvanced: defineLogEvent(4090, 'info', 'A roll-out gets another share, or has ended'),
   usageReported: defineLogEvent(
     4080,
     'info',
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -36,5 +36,6 @@
     'info',
     'An operator’s whole configuration was acknowledged',
   ),
+  rolloutAcknowledged: defineLogEvent(3302, 'info', 'An operator’s roll-out was acknowledged'),
   operatorCallRefused: defineLogEvent(3301, 'warn', 'A call of an operator was refused'),
 } as const;
--- a/packages/schema/src/messages/backendServers.ts
+++ b/packages/schema/src/messages/backendServers.ts
@@ -22,6 +22,8 @@
   readonly goneAt?: EpochMilliseconds;
   /** Idempotency token of the start request, so that a resent request starts no second instance. */
   readonly startToken?: string;
+  /** Version of its software, if the platform states it. */
+  readonly version?: string;
   /** Requests that it runs at a time; overrides the `concurrency` of its instance class. */
   readonly concurrency?: number;
 }
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -5,6 +5,7 @@
  * repeated and reordered reports do no harm.
  */
 import type { Configuration } from '../tables/Configuration.js';
+import type { RolloutEvidence } from '../tables/Rollout.js';
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 
 /** A request that may have crashed backend servers, as one entry reports it. */
@@ -115,6 +116,8 @@
   readonly begun?: UsageCountsByWindow;
   /** Demand by route, from which controllers size the fleet. */
   readonly demand?: readonly RouteDemandReport[];
+  /** Answers of both versions, of each roll-out that runs. */
+  readonly rollouts?: readonly RolloutEvidence[];
   /** Suspects and quarantined digests, so that a resend through another entry runs isolated. */
   readonly suspects: readonly PeerSuspect[];
 }
--- a/packages/schema/src/messages/storeCommands.ts
+++ b/packages/schema/src/messages/storeCommands.ts
@@ -6,6 +6,7 @@
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 import type { Fault } from '../tables/checkTables.js';
 import type { TableName } from '../tables/Configuration.js';
+import type { Rollout } from '../tables/Rollout.js';
 import type { CallerBounds } from '../tables/workspaces.js';
 
 /** Replaces all rows of one table if the table is still at `baseRevision`. */
@@ -121,6 +122,28 @@
   readonly digests: readonly string[];
 }
 
+/**
+ * Orders a roll-out of a pool. A resend of the latest order of the pool gets the result of the first.
+ */
+export interface StartRolloutCommand {
+  readonly type: 'startRollout';
+  readonly pool: string;
+  readonly version: string;
+  readonly duration: Milliseconds;
+  /** Share of the requests that the new version gets at first. */
+  readonly share: number;
+}
+
+/** Changes the share of a running roll-out, or ends it. */
+export interface AdvanceRolloutCommand {
+  readonly type: 'advanceRollout';
+  readonly pool: string;
+  /** Identifies the roll-out. */
+  readonly startedAt: EpochMilliseconds;
+  readonly phase: Rollout['phase'];
+  readonly share: number;
+}
+
 /** A command as it is proposed to the log. */
 export type StoreCommand =
   | PutTableCommand
@@ -131,7 +154,9 @@
   | TakeLeaseCommand
   | ReleaseLeaseCommand
   | ReportCrashCommand
-  | SettleUsageCommand;
+  | SettleUsageCommand
+  | StartRolloutCommand
+  | AdvanceRolloutCommand;
 
 /** A command in the log, with a timestamp of the leader that never decreases along the log. */
 export interface StampedCommand {
@@ -187,10 +212,17 @@
   readonly counts: UsageCounts;
 }
 
+export type RolloutResult =
+  | { readonly type: 'rolloutAccepted'; readonly rollout: Rollout }
+  /** Another roll-out of the pool is running. */
+  | { readonly type: 'rolloutRunning'; readonly rollout: Rollout }
+  | { readonly type: 'rolloutInvalid'; readonly reason: string };
+
 export type CommandResult =
   | PutTableResult
   | ReplaceTablesResult
   | ClaimResult
   | LeaseResult
   | CrashResult
-  | SettleUsageResult;
+  | SettleUsageResult
+  | RolloutResult;
--- a/packages/schema/src/tables/Configuration.ts
+++ b/packages/schema/src/tables/Configuration.ts
@@ -3,6 +3,7 @@
  * and what operators set with them if they replace all tables together.
  */
 import type { Pool } from './pools.js';
+import type { Rollout } from './Rollout.js';
 import type { Route } from './routes.js';
 import type { CallerBounds, WorkspaceRow } from './workspaces.js';
 
@@ -22,6 +23,8 @@
   readonly pools: Table<Pool>;
   /** Set if operators replace all tables together. */
   readonly whole?: ConfigurationReplacement;
+  /** The latest roll-out of each pool that had one. */
+  readonly rollouts?: readonly Rollout[];
 }
 
 /** The additional contents of a configuration that replaced all tables together. */
--- a/packages/schema/src/tables/ConfigurationDelta.ts
+++ b/packages/schema/src/tables/ConfigurationDelta.ts
@@ -47,6 +47,7 @@
 ): Configuration | undefined {
   if (configuration.revision !== delta.fromRevision) return undefined;
   return {
+    ...configuration,
     revision: delta.toRevision,
     routes: applyTableDelta(configuration.routes, delta.routes),
     pools: applyTableDelta(configuration.pools, delta.pools),
--- a/packages/store-core/src/machine/applyCommand.ts
+++ b/packages/store-core/src/machine/applyCommand.ts
@@ -14,6 +14,7 @@
 import { pruneCrashes, reportCrash } from './quarantine.js';
 import { replaceTables } from './replaceTables.js';
 import { pruneChanges, putTable } from './putTable.js';
+import { advanceRollout, startRollout } from './rollouts.js';
 import { settleUsage } from './settleUsage.js';
 
 function runCommand(
@@ -40,6 +41,10 @@
       return reportCrash(state, at, command);
     case 'settleUsage':
       return settleUsage(state, command);
+    case 'startRollout':
+      return startRollout(state, at, command);
+    case 'advanceRollout':
+      return advanceRollout(state, command);
     default:
       return command satisfies never;
   }
--- a/packages/store-core/src/machine/replaceTables.ts
+++ b/packages/store-core/src/machine/replaceTables.ts
@@ -38,6 +38,7 @@
   return {
     ok: true,
     configuration: {
+      ...current,
       revision,
       routes: { revision, rows: routes.rows },
       pools: { revision, rows: pools.rows },
