--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -35,7 +35,10 @@
 class ManuallyAnsweredAdapter extends RelayAdapter {
   respond: (response: RelayResponse) => void = () => {};
 
+  sentCount = 0;
+
   override async send({ signal }: { signal: AbortSignal }): Promise<RelayResponse> {
+    this.sentCount += 1;
     return new Promise((resolve, reject) => {
       this.respond = resolve;
       signal.addEventListener('abort', () => reject(new Error('aborted')));
@@ -79,11 +82,13 @@
   streamIdleTimeout: 500,
 };
 
-function makeRunner() {
+function makeRunner({ hasCallerLeft = false } = {}) {
   const timers = new ManuallyFiredTimers();
   const adapter = new ManuallyAnsweredAdapter();
   const events: EntryEventPayload[] = [];
-  const response = new ServerResponse(new IncomingMessage(new Socket()));
+  const socket = new Socket();
+  const response = new ServerResponse(new IncomingMessage(socket));
+  if (hasCallerLeft) socket.destroy();
   const answer = new RelayAnswer('one', response, new UnusedProtocol(), undefined);
   const runner = new AttemptRunner({
     timers,
@@ -106,11 +111,22 @@
       answer,
     }),
     dispatch: (payload) => events.push(payload),
+    onCallerLeft: () => runner.cancel(startEffect.attemptId),
   });
   runner.start(startEffect);
   return { timers, adapter, events };
 }
 
+// Guards against requests that are sent to backend servers after their callers have left.
+test('an attempt whose caller has left is not sent', async () => {
+  const { adapter, events } = makeRunner({ hasCallerLeft: true });
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  assert.equal(adapter.sentCount, 0);
+  assert.deepEqual(events, []);
+});
+
 async function* makeBody(): AsyncGenerator<Uint8Array> {
   yield Buffer.from('bought');
 }
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -47,6 +47,8 @@
   readonly adapters: AdapterDirectory;
   findExchange(requestId: string): CallerExchange | undefined;
   dispatch(payload: EntryEventPayload): void;
+  /** Called when an attempt is to be sent whose caller has left; may cancel the attempt. */
+  onCallerLeft(requestId: string): void;
 }
 
 /** Event loop turns until bytes that are ready to be read, head then body, reach the attempt. */
@@ -195,6 +197,12 @@
     const { effect } = attempt;
     const exchange = this.options.findExchange(effect.requestId);
     if (exchange === undefined) return;
+    if (exchange.answer.hasCallerLeft) {
+      this.options.onCallerLeft(effect.requestId);
+      // The event loop handles this after the effects of the event that started the attempt.
+      await Promise.resolve();
+      if (attempt.isCancelled) return;
+    }
     attempt.timeout.start(effect.firstByteTimeout);
     exchange.answer.onBackpressureChange = (held) => {
       const { attemptId } = effect;
--- a/apps/entry/src/CallerAnswer.ts
+++ b/apps/entry/src/CallerAnswer.ts
@@ -26,6 +26,15 @@
     return this.response.destroyed || this.response.writableEnded;
   }
 
+  /**
+   * True once the caller has closed its connection. The response itself is closed some turns of the
+   * event loop later.
+   */
+  get hasCallerLeft(): boolean {
+    const { socket } = this.response.req;
+    return this.response.destroyed || socket.destroyed || socket.readableEnded;
+  }
+
   /** Number of tokens already sent to the caller; undefined if none or not streamed. */
   get tokensGiven(): number | undefined {
     return undefined;
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -155,6 +155,7 @@
       afterPendingInput,
       onRequest: ({ request }, arrivedAt) =>
         this.dispatch({ type: 'requestArrived', request, arrivedAt }),
+      onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
     });
     const { queuedRequests } = settings.limits;
     this.eventLoop = new EventLoop(
@@ -177,6 +178,7 @@
       adapters: this.adapters,
       findExchange: (requestId) => this.exchanges.get(requestId),
       dispatch,
+      onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
     });
     const context = this.makePeerContext();
     this.storeClient = new StoreClient(
--- a/apps/entry/src/RequestIntake.test.ts
+++ b/apps/entry/src/RequestIntake.test.ts
@@ -15,6 +15,8 @@
 
   readonly passedOn: { readonly requestId: string; readonly arrivedAt: number }[] = [];
 
+  readonly left: string[] = [];
+
   private pendingCallbacks: (() => void)[] = [];
 
   readonly intake = new RequestIntake({
@@ -25,9 +27,10 @@
       this.now += COST;
       this.passedOn.push({ requestId, arrivedAt });
     },
+    onCallerLeft: (requestId) => this.left.push(requestId),
   });
 
-  receive(requestId: string, answer = { isClosed: false }): void {
+  receive(requestId: string, answer = { hasCallerLeft: false }): void {
     this.intake.add({ request: { requestId }, answer } as unknown as CallerExchange);
   }
 
@@ -53,15 +56,16 @@
 test('after a stall, requests of callers that have left meanwhile are sent nowhere', () => {
   const process = new Process();
   process.delay = 1500;
-  const answers = [1, 2, 3, 4].map(() => ({ isClosed: false }));
+  const answers = [1, 2, 3, 4].map(() => ({ hasCallerLeft: false }));
   answers.forEach((answer, index) => process.receive(`request-${index + 1}`, answer));
   assert.deepEqual(process.requestIds, []);
   assert.equal(process.intake.remove('request-1'), true);
   answers.slice(1, 3).forEach((answer) => {
-    answer.isClosed = true;
+    answer.hasCallerLeft = true;
   });
   process.turn();
   assert.deepEqual(process.passedOn, [{ requestId: 'request-4', arrivedAt: -500 }]);
+  assert.deepEqual(process.left, ['request-2', 'request-3']);
 });
 
 // Guards against callers that wait for seconds in the queue of the listening socket, because only one
--- a/apps/entry/src/RequestIntake.ts
+++ b/apps/entry/src/RequestIntake.ts
@@ -18,9 +18,15 @@
 /** With a smaller delay the process counts as keeping up. */
 const MAX_DELAY_WHILE_KEEPING_UP_MILLISECONDS: Milliseconds = 100;
 
-/** How long requests are passed on before input is read again, or held for new connections. */
+/** How long requests are passed on before input is read again. */
 const SLICE_MILLISECONDS: Milliseconds = 50;
 
+/**
+ * How long requests are held at most while connections come in. Much longer than a slice: without
+ * requests the turns get shorter one after the other, and each accepts a connection.
+ */
+const MAX_ACCEPTING_MILLISECONDS: Milliseconds = 200;
+
 interface HeldRequest {
   readonly exchange: CallerExchange;
   readonly arrivedAt: MonotonicMilliseconds;
@@ -33,6 +39,8 @@
   afterPendingInput(callback: () => void): void;
   /** Called with each request, and when its caller may have sent it. */
   onRequest(exchange: CallerExchange, arrivedAt: MonotonicMilliseconds): void;
+  /** Called instead for a request whose caller has left meanwhile. */
+  onCallerLeft(requestId: string): void;
 }
 
 /** Input that is there now is read before the second of two `setImmediate` callbacks. */
@@ -96,17 +104,18 @@
     const isAccepting =
       hasAccepted &&
       acceptingSince !== undefined &&
-      this.options.readNow() - acceptingSince < SLICE_MILLISECONDS;
+      this.options.readNow() - acceptingSince < MAX_ACCEPTING_MILLISECONDS;
     if (!isAccepting) this.acceptingSince = undefined;
     return isAccepting;
   }
 
   private passOn(): void {
-    const { readNow, onRequest } = this.options;
+    const { readNow, onRequest, onCallerLeft } = this.options;
     const sliceEndsAt = readNow() + SLICE_MILLISECONDS;
     for (const [requestId, { exchange, arrivedAt }] of this.held) {
       this.held.delete(requestId);
-      if (!exchange.answer.isClosed) onRequest(exchange, arrivedAt);
+      if (exchange.answer.hasCallerLeft) onCallerLeft(requestId);
+      else onRequest(exchange, arrivedAt);
       if (readNow() >= sliceEndsAt) break;
     }
     if (this.held.size > 0) this.schedule();
--- a/apps/entry/src/leavingCallers.test.ts
+++ b/apps/entry/src/leavingCallers.test.ts
@@ -52,13 +52,14 @@
       counted.passedOn += 1;
       work(COST_MILLISECONDS);
     },
+    onCallerLeft: () => {},
   });
   server.on('connection', () => intake.recordConnection());
   server.on('request', ({ url: requestId = '' }, response) => {
     response.on('close', () => intake.remove(requestId));
     const answer = {
-      get isClosed() {
-        return response.destroyed;
+      get hasCallerLeft() {
+        return response.destroyed || response.req.socket.readableEnded;
       },
     };
     intake.add({ request: { requestId }, answer } as unknown as CallerExchange);
