--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,6 +61,11 @@
       '@typescript-eslint/no-floating-promises': 'off',
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { sourceType: 'commonjs' },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
   {
     files: ['tools/**'],
     rules: {
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,7 +1,9 @@
 /**
  * Bundles each program of `platform/` into one file under `target/`, because resolving and reading
- * several hundred modules would take most of the startup time.
+ * several hundred modules would take most of the startup time. The entry's bundle gets a code cache, see
+ * `platform/startEntry.cjs`.
  */
+import { execFileSync } from 'node:child_process';
 import { build } from 'esbuild';
 
 /** CommonJS libraries in an ES module bundle load built-in Node modules by `require`. */
@@ -10,15 +12,14 @@
   'const require = hornbeampondCreateRequire(import.meta.url);',
 ].join('\n');
 
-await build({
-  entryPoints: { entry: 'platform/dist/entryMain.js', store: 'platform/dist/storeMain.js' },
+/** The flags in `deploy/system.toml`, which a code cache depends on. */
+const NODE_FLAGS = ['--max-old-space-size=200'];
+
+const commonOptions = {
   outdir: 'target',
-  outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  banner: { js: banner },
   // An optional native addon.
   external: ['cbor-extract'],
   // Names are not minified, so that stack traces stay readable.
@@ -26,4 +27,24 @@
   minifyWhitespace: true,
   legalComments: 'none',
   logLevel: 'warning',
+};
+
+await build({
+  ...commonOptions,
+  entryPoints: { store: 'platform/dist/storeMain.js' },
+  outExtension: { '.js': '.mjs' },
+  format: 'esm',
+  banner: { js: banner },
+});
+await build({
+  ...commonOptions,
+  entryPoints: { entry: 'platform/dist/entryMain.js' },
+  outExtension: { '.js': '.cjs' },
+  format: 'cjs',
 });
+execFileSync(process.execPath, [
+  ...NODE_FLAGS,
+  'tools/makeCodeCache.cjs',
+  'target/entry.cjs',
+  'target/entry.cache',
+]);
