--- a/packages/controller-core/src/singleton/advanceRollouts.ts
+++ b/packages/controller-core/src/singleton/advanceRollouts.ts
@@ -24,7 +24,8 @@
   ).length;
 }
 
-function sumRoutes(byRoute: ReadonlyMap<string, VersionCounts>): Record<string, string> {
+/** Bad answers of all answers, of the old and then of the new version, by route. */
+function describeAnswers(byRoute: ReadonlyMap<string, VersionCounts>): Record<string, string> {
   return Object.fromEntries(
     [...byRoute].map(([route, { previous, next }]) => [
       route,
@@ -55,7 +56,7 @@
     {
       type: 'log',
       event: 'rolloutAdvanced',
-      fields: { ...fields, badOfAnswers: sumRoutes(byRoute) },
+      fields: { ...fields, badOfAnswers: describeAnswers(byRoute) },
     },
     { type: 'advanceRollout', command: { type: 'advanceRollout', pool, startedAt, phase, share } },
   ];
--- a/packages/schema/src/tables/Rollout.ts
+++ b/packages/schema/src/tables/Rollout.ts
@@ -5,8 +5,8 @@
  */
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 
-export const rolloutStates = ['running', 'done', 'rolledBack'] as const;
-export type RolloutPhase = (typeof rolloutStates)[number];
+export const rolloutPhases = ['running', 'done', 'rolledBack'] as const;
+export type RolloutPhase = (typeof rolloutPhases)[number];
 
 export interface Rollout {
   readonly pool: string;
