Reproduce: entries send more than the limit that a backend server names

Eight simulated entries in two data centres, four engines, 40 requests a second, one engine that names 1.4 a second: it gets 14 to 40 requests in 4 s where 13 are tolerated.

What its logs say (40 requests from second 8 to 12): each of the four entries of the engine's data centre logs 2240 within half a second; they send 13, 14, 7 and 6, each alone more than the 6 that 1.4 a second make; none is a second attempt.

--- a/packages/entry-core/src/driver/SimulatedEngine.ts
+++ b/packages/entry-core/src/driver/SimulatedEngine.ts
@@ -23,6 +23,13 @@
   stalled: boolean;
 }
 
+/** A request that has reached the engine, also one that it rejects. */
+export interface EngineArrival {
+  readonly at: number;
+  readonly entry: string;
+  readonly attemptId: string;
+}
+
 export interface EngineRates {
   readonly tokensPerMillisecond: number;
   readonly prefillTokensPerMillisecond: number;
@@ -58,6 +65,11 @@
   /** Rejects all new streams as busy. */
   busy = false;
 
+  /** Limit that the engine names in its answers; infinite if it names none. */
+  requestsPerSecond = Infinity;
+
+  readonly arrivals: EngineArrival[] = [];
+
   /** True if the process restarts immediately when it dies. */
   restartsImmediately = false;
 
--- a/packages/entry-core/src/driver/SimulatedEntry.ts
+++ b/packages/entry-core/src/driver/SimulatedEntry.ts
@@ -7,7 +7,8 @@
 import type { CallerRequest, EntryEventPayload, Timestamps } from '../entryEvents.js';
 import { makeEntryState, type EntryState } from '../EntryState.js';
 import { reduceEntry } from '../reduceEntry.js';
-import type { EngineListener } from './SimulatedEngine.js';
+import { isStatementOfInterest } from '../statements/receiveStatement.js';
+import type { EngineListener, SimulatedEngine } from './SimulatedEngine.js';
 import type { SimulatedCluster } from './SimulatedCluster.js';
 
 type Effect<Type extends EntryEffect['type']> = Extract<EntryEffect, { type: Type }>;
@@ -62,6 +63,9 @@
 
   readonly log: string[] = [];
 
+  /** When each backend server first named a limit in an answer to this entry. */
+  readonly toldLimitAt = new Map<string, number>();
+
   /** False simulates a stopped process: no event reaches the entry. */
   alive = true;
 
@@ -214,7 +218,9 @@
       return;
     }
     this.send({ type: 'attemptSent', attemptId });
+    engine.arrivals.push({ at: this.cluster.clock().now, entry: this.instance, attemptId });
     if (engine.busy) {
+      this.receiveStatement(engine);
       this.failAttempt(connection, 'busy', 'maybe');
       return;
     }
@@ -254,6 +260,7 @@
     if (!connection.hasFirstToken) {
       connection.hasFirstToken = true;
       caller.firstTokenAt ??= now;
+      this.receiveStatement(this.cluster.engine(connection.instance));
       this.send({ type: 'firstTokenReceived', attemptId });
     }
     if (position >= caller.tokens.length && caller.finalAnswers.length === 0)
@@ -263,6 +270,17 @@
     this.send({ type: 'attemptProgressed', attemptId, tokens: caller.tokens.length });
   }
 
+  /** Reads what the engine says about itself in the head of an answer. */
+  private receiveStatement({ instance, requestsPerSecond }: SimulatedEngine): void {
+    const statement = { instance, requestsPerSecond };
+    if (requestsPerSecond < Infinity && !this.toldLimitAt.has(instance)) {
+      this.toldLimitAt.set(instance, this.cluster.clock().now);
+    }
+    if (isStatementOfInterest(this.state, statement)) {
+      this.send({ type: 'serverStated', ...statement });
+    }
+  }
+
   private handleFinished(connection: Connection): void {
     const { attemptId, caller } = connection;
     if (this.connections.get(attemptId) !== connection) return;
@@ -311,6 +329,7 @@
     if (!this.cluster.probesAnswered) return;
     if (engine !== undefined && !engine.alive && engine.unreachableWhenDead) return;
     this.cluster.schedule(2, () => {
+      if (engine?.alive === true) this.receiveStatement(engine);
       this.send({ type: 'probeAnswered', instance, answered: engine?.alive === true });
     });
   }
