Tell a starting entry what the others know before its configuration

Cause: the answer to a subscription was applied in the order persisted state, configuration, quarantine, digest, and the configuration admits the requests that wait for it. So for a moment a starting entry sent to backend servers without knowing their limits, those that leave, the work of the others, or which requests are in quarantine.

Change: the configuration comes last. Test: the order, which was persisted state, configuration, quarantine, digest.

--- a/packages/transport/src/StoreSubscription.test.ts
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -71,12 +71,21 @@
   const revisions: number[] = [];
   const digests: { readonly sequence: number; readonly isWhole: boolean }[] = [];
   const gaps: DigestGap[] = [];
+  const order: string[] = [];
   const subscription = new StoreSubscription({
     timers,
     report: REPORT,
     handlers: {
-      onConfiguration: ({ revision }) => revisions.push(revision),
-      onEntryDigest: ({ sequence }, isWhole) => digests.push({ sequence, isWhole }),
+      onConfiguration: ({ revision }) => {
+        order.push('configuration');
+        revisions.push(revision);
+      },
+      onEntryDigest: ({ sequence }, isWhole) => {
+        order.push('digest');
+        digests.push({ sequence, isWhole });
+      },
+      onQuarantine: () => order.push('quarantine'),
+      onPersistedState: () => order.push('persisted state'),
     },
     onDigestGap: (gap) => gaps.push(gap),
     readStores: () => [own, other],
@@ -84,7 +93,7 @@
   });
   subscription.subscribeIfNeeded();
   await flushPendingCallbacks();
-  return { timers, own, other, revisions, digests, gaps, subscription };
+  return { timers, own, other, revisions, digests, gaps, order, subscription };
 }
 
 /** Waits until answered requests have been handled. */
@@ -157,3 +166,10 @@
   assert.deepEqual(gaps, [{ expected: 12, received: 13 }]);
   assert.equal(own.subscriptions, 2);
 });
+
+// A starting entry admits the requests that wait for its configuration at the moment it gets one.
+// Guards against sending them to backend servers of which the other entries know better.
+test('a starting entry learns what the others know before it gets its configuration', async () => {
+  const { order } = await subscribeEntry();
+  assert.deepEqual(order, ['persisted state', 'quarantine', 'digest', 'configuration']);
+});
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -204,15 +204,15 @@
     subscription.isAnswered = true;
     this.failedStores.clear();
     this.resetInstanceList(response);
-    // Called before the configuration is applied, since waiting requests are then admitted.
+    // The configuration comes last, since it admits the requests that wait for it.
     this.options.handlers.onPersistedState?.(response.remembered);
-    this.handleUpdateResult(this.configurationFollower.applyConfiguration(response.configuration));
     this.options.handlers.onQuarantine?.(response.quarantine);
-    this.options.onMembers(response.stores);
     if (response.digest !== undefined) {
       subscription.digestSequence = response.digest.sequence;
       this.options.handlers.onEntryDigest?.(response.digest, true);
     }
+    this.handleUpdateResult(this.configurationFollower.applyConfiguration(response.configuration));
+    this.options.onMembers(response.stores);
     subscription.earlyPushes.forEach((push) => this.handlePush(push));
   }
 
