Log when a backend server asks an entry for rest

What callers saw: price questions refused, 34 of 132, while other engines had room; the users saw a server that had asked an entry for 3 s of rest get 6 and 11 requests from it in that time.

Cause of the gap: the platform's adapter turns a refusal into a failure and drops its Retry-After, so no line shows that a server asked for rest, for how long, and that an attempt went to it nevertheless. The hypotheses of the incident can't be told apart.

Change: the wish is one of the things a server says about itself (refusals with 429 and 503, also of probes); 2241 logs it with its length and what was left of an earlier one, 2010 names what is left of the rest of the chosen server. No choice depends on it yet.

--- a/packages/adapters/src/ServerStatement.ts
+++ b/packages/adapters/src/ServerStatement.ts
@@ -2,6 +2,7 @@
  * What a backend server says about itself in the head of an answer. It says it in every answer,
  * also in refusals and in answers to probes, so an adapter reports it apart from the outcome.
  */
+import type { Milliseconds } from '@hornbeampond/schema';
 
 /** Load that a backend server reports along with an answer. */
 export interface RelayLoad {
@@ -16,6 +17,8 @@
    * limit; missing if its value cannot be read, which changes nothing.
    */
   readonly requestsPerSecond?: number;
+  /** For how long the server wants nothing from this entry; missing if it does not ask for rest. */
+  readonly restFor?: Milliseconds;
   /** The headers that cannot be read, with their values, for the log. */
   readonly unreadable?: string;
 }
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -28,6 +28,7 @@
 import { makeSlownessState, type SlownessState } from './slowness/SlownessState.js';
 import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
 import { ServerRateLimits } from './statements/ServerRateLimits.js';
+import { ServerRests } from './statements/ServerRests.js';
 
 /** Settings that stay fixed for the lifetime of an entry process. */
 export interface EntryIdentity {
@@ -66,6 +67,7 @@
   readonly membership: MembershipState;
   readonly workReports: WorkReports;
   readonly rateLimits: ServerRateLimits;
+  readonly rests: ServerRests;
   /** Prompt prefixes restored from a store for backend servers that are not listed yet. */
   readonly persistedPrefixes: Map<string, readonly string[]>;
   readonly rollouts: RolloutState;
@@ -115,6 +117,7 @@
     membership: makeMembershipState(),
     workReports: new WorkReports(),
     rateLimits: new ServerRateLimits(),
+    rests: new ServerRests(),
     persistedPrefixes: new Map(),
     rollouts: makeRolloutState(),
     shutdown: makeShutdownState(),
--- a/packages/entry-core/src/backendServers/predictFirstTokenDelay.ts
+++ b/packages/entry-core/src/backendServers/predictFirstTokenDelay.ts
@@ -110,6 +110,7 @@
   const { measuredAt } = server.balancing;
   const { instance } = server.platformInstance;
   const requestsPerSecond = state.rateLimits.at(instance);
+  const restLeft = state.rests.remaining(instance, now);
   return {
     backendServer: instance,
     promptTokens: request.promptTokens,
@@ -120,6 +121,7 @@
     slowness: currentSlowness(server.balancing, now),
     ...(measuredAt === undefined ? {} : { loadAge: now - measuredAt }),
     ...(requestsPerSecond === Infinity ? {} : { requestsPerSecond }),
+    ...(restLeft === 0 ? {} : { restLeft }),
   };
 }
 
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -95,6 +95,8 @@
       readonly instance: string;
       /** Infinite if it names no limit; missing if what it says cannot be read. */
       readonly requestsPerSecond?: number;
+      /** For how long it wants nothing from this entry, if it has asked for rest. */
+      readonly restFor?: Milliseconds;
     }
   | { readonly type: 'drainsReceived'; readonly drains: DrainedInstances }
   | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
--- a/packages/entry-core/src/statements/receiveStatement.ts
+++ b/packages/entry-core/src/statements/receiveStatement.ts
@@ -2,13 +2,14 @@
  * Handles what a backend server says about itself, in an answer to this entry or to another one that
  * reports it.
  */
-import type { EntryReport, StatedRateLimit } from '@hornbeampond/schema';
+import type { EntryReport, Milliseconds, StatedRateLimit } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
-import type { EntryEvent } from '../entryEvents.js';
+import type { EntryEvent, Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/advanceReports.js';
 
 type ServerStatedEvent = Extract<EntryEvent, { type: 'serverStated' }>;
+type Statement = Omit<ServerStatedEvent, 'type' | keyof Timestamps>;
 
 /** A change by less than this fraction is reported to the other entries with the next report. */
 const URGENT_CHANGE_FRACTION = 0.1;
@@ -19,11 +20,9 @@
  */
 export function isStatementOfInterest(
   state: EntryState,
-  {
-    instance,
-    requestsPerSecond = Infinity,
-  }: Pick<ServerStatedEvent, 'instance' | 'requestsPerSecond'>,
+  { instance, requestsPerSecond = Infinity, restFor }: Statement,
 ): boolean {
+  if (restFor !== undefined) return true;
   return requestsPerSecond < Infinity || state.rateLimits.at(instance) < Infinity;
 }
 
@@ -67,8 +66,10 @@
   ];
 }
 
-export function receiveStatement(state: EntryState, event: ServerStatedEvent): EntryEffect[] {
-  const { instance, requestsPerSecond, wallNow } = event;
+function receiveLimit(
+  state: EntryState,
+  { instance, requestsPerSecond, wallNow }: ServerStatedEvent,
+): EntryEffect[] {
   if (requestsPerSecond === undefined) return [];
   // Newer than what is known, also if the clock of the entry that read that is ahead.
   const knownAt = state.rateLimits.statedAt(instance) ?? Number.NEGATIVE_INFINITY;
@@ -76,6 +77,27 @@
   return recordLimit(state, instance, { requestsPerSecond, statedAt }, 'answer');
 }
 
+/** Records that a backend server wants nothing from this entry for a while. */
+export function recordRest(
+  state: EntryState,
+  instance: string,
+  restFor: Milliseconds,
+): EntryEffect[] {
+  const { now } = state.clocks;
+  const previous = state.rests.remaining(instance, now);
+  state.rests.record(instance, now + restFor);
+  const fields = { backendServer: instance, restFor, previous };
+  return [{ type: 'log', event: 'restRequested', fields }];
+}
+
+export function receiveStatement(state: EntryState, event: ServerStatedEvent): EntryEffect[] {
+  const { instance, restFor } = event;
+  return [
+    ...receiveLimit(state, event),
+    ...(restFor === undefined ? [] : recordRest(state, instance, restFor)),
+  ];
+}
+
 /** Applies what another entry knows of limits. */
 export function receiveReportedLimits(
   state: EntryState,
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -30,6 +30,11 @@
     'info',
     'A backend server names a limit of requests per second, another one, or none any more',
   ),
+  restRequested: defineLogEvent(
+    2241,
+    'info',
+    'A backend server turned a request away and wants nothing from this entry for a while',
+  ),
   requestAwaitsConfiguration: defineLogEvent(
     2004,
     'debug',
