Send nothing to a backend server for as long as it has asked for rest

What callers saw: refusals and errors for 34 of 132 price questions while other engines had room; routes with one attempt gave them the 503 of the engine. What the backend server saw: 6 and 11 requests of an entry in 3 s of rest, where 2 are tolerated.

Cause: the wish of a server was taken for a property of the request that it had refused. The adapter dropped it; and where it was known (our own engines), it delayed the next attempt of that request, at whatever server, and nothing else. New requests went to the server as before, even more of them: a refusal ends within 5 ms, so that the server has nothing in progress and looks like the best choice. Two engines that refused everything got 125 and 47 of the 363 requests to engines in nine seconds.

Change: a rest belongs to the server and to the entry that was asked; the longest of several wishes holds. A resting server is left out by every choice: first and second attempts, last resorts, resumed and moved streams, canaries, waiting for a cache, targets of moves under way, probes of stalled streams. After the rest one request is sent as a trial, and the others follow once it is answered. A refused request is tried elsewhere without waiting for the rest. Where all servers of a pool rest, requests wait if that ends in time for them, and are refused at once otherwise, with the time to come back.

--- a/packages/entry-core/src/admission/decideAdmission.ts
+++ b/packages/entry-core/src/admission/decideAdmission.ts
@@ -19,6 +19,7 @@
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryState } from '../EntryState.js';
 import { checkAllowance } from '../limits/checkAllowance.js';
+import { timeUntilRested } from '../statements/restAllowance.js';
 import { limitKey, limitOf } from '../limits/limitOf.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { countQueuedRequests, getPoolQueue } from './AdmissionState.js';
@@ -133,6 +134,27 @@
   return { kind: 'deadlineUnreachable', detail, retryAfterMilliseconds, facts };
 }
 
+/** Refuses a request that no server can take; if all of them rest, until they have rested. */
+function refuseWithoutServer(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal {
+  const pool = accepted.pool.name;
+  const rest = timeUntilRested(state, pool);
+  const interval = makeQueuedRequest(state, accepted).cost / estimateSlots(state, pool);
+  const key = `rest/${pool}/${accepted.request.workspace}`;
+  return {
+    kind: 'noBackendServer',
+    detail: `Pool "${pool}" has no backend server that can take the request`,
+    retryAfterMilliseconds:
+      rest > 0
+        ? assignRetryAfter(state, key, rest, interval, now)
+        : NO_BACKEND_SERVER_RETRY_AFTER_MILLISECONDS,
+    facts: { pool, rest },
+  };
+}
+
 function refuseLateStart(
   state: EntryState,
   accepted: RequestState,
@@ -179,14 +201,7 @@
   const overLimit = refuseOverLimit(state, accepted, now);
   if (overLimit !== undefined) return toDecision(overLimit);
   const placement = placeRequest(state, accepted, now);
-  if (placement.type === 'none') {
-    return toDecision({
-      kind: 'noBackendServer',
-      detail: `Pool "${accepted.pool.name}" has no backend server`,
-      retryAfterMilliseconds: NO_BACKEND_SERVER_RETRY_AFTER_MILLISECONDS,
-      facts: { pool: accepted.pool.name },
-    });
-  }
+  if (placement.type === 'none') return toDecision(refuseWithoutServer(state, accepted, now));
   if (placement.type === 'start') {
     const { server } = placement;
     return toDecision(refuseLateStart(state, accepted, server, now), server);
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -9,6 +9,7 @@
 import { getPoolState } from '../backendServers/getPoolState.js';
 import type { EntryState } from '../EntryState.js';
 import { sumAllowedRates } from '../statements/rateAllowance.js';
+import { timeUntilRested } from '../statements/restAllowance.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { getPoolQueue } from './AdmissionState.js';
 import type { QueuedRequest } from './FairQueue.js';
@@ -43,7 +44,7 @@
 export function predictWait(state: EntryState, queued: QueuedRequest): Milliseconds {
   const pool = queued.requestState.pool.name;
   const ahead = getPoolQueue(state, pool).workAhead(queued);
-  return (ahead + queued.cost) / estimateSlots(state, pool);
+  return timeUntilRested(state, pool) + (ahead + queued.cost) / estimateSlots(state, pool);
 }
 
 /**
--- a/packages/entry-core/src/attempts/chooseServerForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseServerForAttempt.ts
@@ -7,6 +7,7 @@
 import { chooseBackendServer, type ChoiceOptions } from '../backendServers/chooseBackendServer.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { timeUntilRested } from '../statements/restAllowance.js';
 import { findTemporarilyExcludedInstances } from './findExcludedInstances.js';
 
 /** Prefers a backend server that was not tried yet, then any other than the last one tried. */
@@ -52,13 +53,16 @@
 /**
  * True if a request that no server can take now may wait. Every request waits for a temporarily
  * excluded server. A started one also waits for a full or failed server and, for a limited time,
- * for replacements in an empty pool, so that it survives the reclaim of a whole pool.
+ * for replacements in an empty pool, so that it survives the reclaim of a whole pool. None waits for
+ * servers that all want nothing until its deadline has passed.
  */
 export function canWaitForBackendServer(
   state: EntryState,
   requestState: RequestState,
   now: MonotonicMilliseconds,
 ): boolean {
+  const restedAt = now + timeUntilRested(state, requestState.pool.name);
+  if (restedAt >= requestState.wholeAnswerDueAt) return false;
   if (hasTemporarilyExcludedServer(state, requestState, now)) return true;
   if (requestState.attemptsStarted === 0) return false;
   requestState.waitingForServerSince ??= now;
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -11,6 +11,7 @@
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { recordVersionFailure } from '../rollouts/recordVersionAnswer.js';
+import { recordRest } from '../statements/receiveStatement.js';
 import type { AttemptState } from './AttemptState.js';
 import { removeAttempt, removeCacheMove } from './releaseAttempts.js';
 import { failInterruptedAnswer, retryRequest } from './retryRequest.js';
@@ -110,7 +111,6 @@
     reason: retryReasonByFailure[event.failure],
     instance: attempt.instance,
     exemptFromBudget: countLossAndCheckExemption(requestState, event),
-    retryAfter: event.retryAfter,
     recompute:
       requestState.maybeSent === true ? recomputeReasonByFailure[event.failure] : undefined,
   };
@@ -122,10 +122,13 @@
   attempt: AttemptState,
   event: AttemptFailedEvent,
 ): EntryEffect[] {
+  const { retryAfter } = event;
+  const restEffects =
+    retryAfter === undefined ? [] : recordRest(state, attempt.instance, retryAfter);
   const requestState = state.requests.get(attempt.requestId);
   if (requestState === undefined || requestState.attemptId !== attempt.attemptId) {
     removeAttempt(state, attempt);
-    return [];
+    return restEffects;
   }
   recordVersionFailure(state, requestState, attempt, event.failure);
   const lossEffects = recordLoss(state, requestState, attempt, event);
@@ -134,6 +137,7 @@
   recordFailureInRequest(requestState, attempt, event);
   return [
     logFailure(attempt, event),
+    ...restEffects,
     ...lossEffects,
     ...retryOrFail(state, requestState, attempt, event),
   ];
--- a/packages/entry-core/src/attempts/findExcludedInstances.ts
+++ b/packages/entry-core/src/attempts/findExcludedInstances.ts
@@ -28,16 +28,20 @@
 
 /**
  * All excluded backend servers, including those that are down, taken out of service, of another
- * version than the request uses, or left to other entries by the limit that they name.
+ * version than the request uses, left to other entries by the limit that they name, or resting.
+ *
+ * @param restedBy - Servers whose rest is over by then are not excluded for it.
  */
 export function findExcludedInstances(
   state: EntryState,
   requestState: RequestState,
   now: MonotonicMilliseconds,
+  restedBy = now,
 ): Set<string> {
   const instances = findTemporarilyExcludedInstances(state, requestState, now);
   state.quarantine.down.forEach((_, instance) => instances.add(instance));
   findInstancesOfOtherVersion(state, requestState).forEach((instance) => instances.add(instance));
+  state.rests.listResting(restedBy).forEach((instance) => instances.add(instance));
   listInstancesOutsideRateLimit(state).forEach((instance) => instances.add(instance));
   state.drains.forEach((drains) => drains.instances.forEach((instance) => instances.add(instance)));
   return instances;
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -90,6 +90,7 @@
   state.retries.waiting.delete(requestId);
   server.attemptIds.add(attemptId);
   countTowardsRateLimit(state, server);
+  state.rests.startTrial(instance, attemptId);
   state.attempts.set(attemptId, {
     attemptId,
     requestId,
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -5,7 +5,6 @@
 import { requiresClaim } from '@hornbeampond/schema';
 import type {
   ErrorKind,
-  Milliseconds,
   MonotonicMilliseconds,
   RecomputeReason,
   RetryReason,
@@ -30,8 +29,6 @@
   readonly instance: string;
   /** True if the retry uses no budget and starts without a back-off; see `failAttempt`. */
   readonly exemptFromBudget: boolean;
-  /** Delay that the backend server asked for. */
-  readonly retryAfter?: Milliseconds;
   /** Set if computed tokens were lost and have to be recomputed. */
   readonly recompute?: RecomputeReason;
 }
@@ -81,10 +78,9 @@
     const detail = `The route allows at most ${requestState.attemptsStarted} attempts`;
     return refuseRetry(state, requestState, 'attemptsUsedUp', 'backendServerFailed', detail);
   }
-  const backOff = cause.exemptFromBudget
+  const delay = cause.exemptFromBudget
     ? 0
     : drawBackOff(state.retries, requestState.attemptsStarted);
-  const delay = Math.max(backOff, cause.retryAfter ?? 0);
   if (now + delay >= requestState.wholeAnswerDueAt) {
     const detail = 'The deadline is too near for another attempt';
     return refuseRetry(state, requestState, 'deadlineTooNear', 'deadlineExceeded', detail);
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -12,6 +12,7 @@
 import { failRequest } from '../requests/endRequest.js';
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { timeUntilRested } from '../statements/restAllowance.js';
 import { chooseServerForAttempt, canWaitForBackendServer } from './chooseServerForAttempt.js';
 import { launchAttempt } from './launchAttempt.js';
 
@@ -48,7 +49,8 @@
     ...(requestState.attemptsStarted === 0 ? [] : countRefusedRetry('noOtherBackendServer')),
     ...failRequest(state, requestState, 'noBackendServer', detail, {
       ran: determineRan(requestState),
-      retryAfterMilliseconds: NO_SERVER_RETRY_AFTER_MILLISECONDS,
+      retryAfterMilliseconds:
+        timeUntilRested(state, requestState.pool.name) || NO_SERVER_RETRY_AFTER_MILLISECONDS,
     }),
   ];
 }
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -80,7 +80,9 @@
     // removed.
     else server.platformInstance = { ...server.platformInstance, state: 'leaving' };
   });
-  state.rateLimits.retainOnly((instance) => listedInstances.has(instance), state.clocks.wallNow);
+  const isListed = (instance: string) => listedInstances.has(instance);
+  state.rateLimits.retainOnly(isListed, state.clocks.wallNow);
+  state.rests.retainOnly(isListed, now);
   refreshConcurrencyLimits(state);
   rebuildCandidateGroups(state);
 }
--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -52,6 +52,13 @@
   return Math.min(accepted.wholeAnswerDueAt, pauseEndsAt);
 }
 
+/** Until when the request is served, if need be late. */
+function lastServedAt(accepted: RequestState): MonotonicMilliseconds {
+  const { firstTokenAt, lateFirstTokenDueAt } = accepted;
+  const dueAt = nextTokenDueAt(accepted);
+  return firstTokenAt === undefined ? Math.max(dueAt, lateFirstTokenDueAt) : dueAt;
+}
+
 interface ScoredServer {
   readonly server: BackendServerState;
   readonly firstTokenDelay: Milliseconds;
@@ -286,14 +293,21 @@
   group: CandidateGroup,
   accepted: RequestState,
 ): boolean {
-  const isEligible = makeEligibilityCheck(state, accepted);
+  const isEligible = makeEligibilityCheck(state, accepted, state.clocks.now);
   // A server that is only at the limit it names may have no room for long.
   return group.candidates.some((server) => isEligible(server) && isWithinRateLimit(state, server));
 }
 
-/** Returns a predicate: can the request be sent to this server, now or once it has capacity? */
-function makeEligibilityCheck(state: EntryState, accepted: RequestState) {
-  const excluded = findExcludedInstances(state, accepted, state.clocks.now);
+/**
+ * Returns a predicate: can the request be sent to this server, once it has capacity and, by
+ * `restedBy`, has rested?
+ */
+function makeEligibilityCheck(
+  state: EntryState,
+  accepted: RequestState,
+  restedBy: MonotonicMilliseconds,
+) {
+  const excluded = findExcludedInstances(state, accepted, state.clocks.now, restedBy);
   return (server: BackendServerState) => {
     const { instance } = server.platformInstance;
     return (
@@ -302,10 +316,10 @@
   };
 }
 
-/** True if some backend server that was not tried yet can take the request, now or later. */
+/** True if some backend server that was not tried yet can take the request in time. */
 export function hasUntriedServer(state: EntryState, accepted: RequestState): boolean {
   const pool = getPoolState(state, accepted.pool.name);
-  const isEligible = makeEligibilityCheck(state, accepted);
+  const isEligible = makeEligibilityCheck(state, accepted, lastServedAt(accepted));
   return pool.groups.some(
     (group) => group.candidates.some(isEligible) || [...group.ejected].some(isEligible),
   );
--- a/packages/entry-core/src/backendServers/hasCapacity.ts
+++ b/packages/entry-core/src/backendServers/hasCapacity.ts
@@ -1,6 +1,6 @@
 /**
  * Whether a request fits under a backend server's concurrency limit, within the rate that it names
- * as its limit, and into its prefill queue now.
+ * as its limit, and into its prefill queue now. A server that has rested takes one at first.
  * Does not check whether the server accepts new work.
  */
 import type { EntryState } from '../EntryState.js';
@@ -8,6 +8,7 @@
 import type { BackendServerState } from './BackendServerState.js';
 import { estimateInProgress } from './estimateInProgress.js';
 import { isWithinRateLimit } from '../statements/rateAllowance.js';
+import { isOnTrial } from '../statements/restAllowance.js';
 import type { PoolState } from './PoolState.js';
 import { isPrefillQueueFull } from './predictFirstTokenDelay.js';
 import { currentLimit } from './BalancingState.js';
@@ -28,6 +29,6 @@
   const maxUtilization = accepted.isLate === true ? MAX_UTILIZATION_FOR_LATE_REQUESTS : 1;
   const maxInProgress = Math.max(1, Math.floor(limit * maxUtilization));
   if (estimateInProgress(state, server) >= maxInProgress) return false;
-  if (!isWithinRateLimit(state, server)) return false;
+  if (isOnTrial(state, server) || !isWithinRateLimit(state, server)) return false;
   return !isPrefillQueueFull(state, pool, server, accepted);
 }
--- a/packages/entry-core/src/backendServers/observeAttempt.ts
+++ b/packages/entry-core/src/backendServers/observeAttempt.ts
@@ -78,6 +78,7 @@
 
 function observeFirstToken(state: EntryState, context: AttemptContext): void {
   const { attempt, accepted, server, pool, now } = context;
+  state.rests.finishTrial(attempt.instance, attempt.attemptId);
   const pending = server.balancing.pendingPrompts.get(attempt.attemptId);
   if (pending === undefined) return;
   server.balancing.pendingPrompts.delete(attempt.attemptId);
@@ -123,6 +124,7 @@
   const { attempt, accepted, server, pool, now } = context;
   observeEnd(context);
   recordSuccess(server);
+  state.rests.finishTrial(attempt.instance, attempt.attemptId);
   const utilization = estimateInProgress(state, server) / currentLimit(server.balancing, now);
   const isBusy = utilization >= BUSY_FRACTION_OF_LIMIT;
   pool.recordServiceTime(accepted.route.name, now - attempt.startedAt, isBusy);
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -141,6 +141,7 @@
       readonly tokens: number;
       /** True if the caller has received bytes of an answer that cannot be resumed. */
       readonly answerStarted: boolean;
+      /** For how long the backend server wants nothing from this entry, if it has asked for rest. */
       readonly retryAfter?: Milliseconds;
     }
   | {
--- a/packages/entry-core/src/quarantine/probeStalledServers.ts
+++ b/packages/entry-core/src/quarantine/probeStalledServers.ts
@@ -9,6 +9,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { isWithinRateLimit } from '../statements/rateAllowance.js';
+import { isResting } from '../statements/restAllowance.js';
 import { addUnresolvedLoss } from './addUnresolvedLoss.js';
 import { probeBackendServer } from './probeBackendServer.js';
 
@@ -30,8 +31,8 @@
 }
 
 /**
- * Returns the backend servers with a stalled stream that are not being probed, down or leaving, and
- * whose limits on requests per second allow a probe.
+ * Returns the backend servers with a stalled stream that are not being probed, down or leaving,, and
+ * which want a probe: they are not resting, and within the limits on requests per second.
  * Also sets `stallProbedAt` of the stalled attempts, including those at leaving servers.
  */
 function collectInstancesToProbe(state: EntryState, now: MonotonicMilliseconds): Set<string> {
@@ -43,7 +44,8 @@
     attempt.stallProbedAt = now;
     const server = state.backendServers.get(instance);
     if (state.reclaims.leaving.has(instance) || server === undefined) return;
-    if (isWithinRateLimit(state, server)) instances.add(instance);
+    if (isResting(state, server) || !isWithinRateLimit(state, server)) return;
+    instances.add(instance);
   });
   return instances;
 }
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -14,6 +14,7 @@
 import type { EntryEvent, Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { isResting } from '../statements/restAllowance.js';
 import { estimateMoveDuration } from './recoveryCosts.js';
 import { migrateToServer, resumeElsewhere } from './resumeElsewhere.js';
 import type { CacheMove } from './ReclaimState.js';
@@ -61,13 +62,14 @@
   return [{ type: 'moveCache', requestId, attemptId, nextAttemptId, from, to: toTarget }];
 }
 
-/** Returns the server unless it is unlisted, leaving, down or being probed. */
+/** Returns the server unless it is unlisted, leaving, down, being probed or resting. */
 function findUsableServer(state: EntryState, instance: string): BackendServerState | undefined {
   const server = state.backendServers.get(instance);
   const { down, unresolvedLosses } = state.quarantine;
-  const isUsable =
-    server?.goneAt === undefined && !down.has(instance) && !unresolvedLosses.has(instance);
-  return isUsable ? server : undefined;
+  if (server === undefined || server.goneAt !== undefined || isResting(state, server)) {
+    return undefined;
+  }
+  return down.has(instance) || unresolvedLosses.has(instance) ? undefined : server;
 }
 
 /**
