Give no new work to a backend server that says that it leaves

What callers saw: nothing yet.

Cause: the same as that of the rests: what a server says of itself in an answer reached no decision. Only the platform's list and reclaim notices took a server out of the choice.

Change: a departure is kept by server, told to the other entries at once and in each report (a starting one gets it with its first digest), and holds until the server has not been listed for a minute. Streams in progress go on there. The same cause elsewhere: a request could wait for servers that were all leaving (only a reclaim notice counted), and a stream could be moved to a target that had become leaving meanwhile. Both now ask the same question, whether the server stays.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -580,11 +580,11 @@
       configurationRevision: this.revision,
       openStreams: this.exchanges.size,
       backendServers: [...state.backendServers.values()].map(
-        ({ platformInstance, goneAt, attemptIds }) => ({
+        ({ platformInstance, goneAt, isLeaving, attemptIds }) => ({
           instance: platformInstance.instance,
           pool: platformInstance.pool,
           dataCentre: platformInstance.dataCentre,
-          state: goneAt === undefined ? platformInstance.state : 'leaving',
+          state: goneAt === undefined && !isLeaving ? platformInstance.state : 'leaving',
           inProgress: attemptIds.size,
           eurosPerHour: this.findPrice(platformInstance),
         }),
--- a/packages/adapters/src/ServerStatement.ts
+++ b/packages/adapters/src/ServerStatement.ts
@@ -19,6 +19,8 @@
   readonly requestsPerSecond?: number;
   /** For how long the server wants nothing from this entry; missing if it does not ask for rest. */
   readonly restFor?: Milliseconds;
+  /** True if the server leaves. */
+  readonly isLeaving?: boolean;
   /** The headers that cannot be read, with their values, for the log. */
   readonly unreadable?: string;
 }
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -27,6 +27,7 @@
 import { makeRolloutState, type RolloutState } from './rollouts/RolloutState.js';
 import { makeSlownessState, type SlownessState } from './slowness/SlownessState.js';
 import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
+import { ServerDepartures } from './statements/ServerDepartures.js';
 import { ServerRateLimits } from './statements/ServerRateLimits.js';
 import { ServerRests } from './statements/ServerRests.js';
 
@@ -68,6 +69,7 @@
   readonly workReports: WorkReports;
   readonly rateLimits: ServerRateLimits;
   readonly rests: ServerRests;
+  readonly departures: ServerDepartures;
   /** Prompt prefixes restored from a store for backend servers that are not listed yet. */
   readonly persistedPrefixes: Map<string, readonly string[]>;
   readonly rollouts: RolloutState;
@@ -118,6 +120,7 @@
     workReports: new WorkReports(),
     rateLimits: new ServerRateLimits(),
     rests: new ServerRests(),
+    departures: new ServerDepartures(),
     persistedPrefixes: new Map(),
     rollouts: makeRolloutState(),
     shutdown: makeShutdownState(),
--- a/packages/entry-core/src/attempts/chooseServerForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseServerForAttempt.ts
@@ -3,7 +3,7 @@
  * wait if no server can take it now.
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
-import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { isStaying, type BackendServerState } from '../backendServers/BackendServerState.js';
 import { chooseBackendServer, type ChoiceOptions } from '../backendServers/chooseBackendServer.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
@@ -27,11 +27,10 @@
 /** Longest time that a started request waits while its pool is empty. */
 const MAX_EMPTY_POOL_WAIT_MILLISECONDS = 30_000;
 
-/** True if the pool has a backend server that is neither removed nor being reclaimed. */
+/** True if the pool has a backend server that stays. */
 function hasRemainingServer(state: EntryState, requestState: RequestState): boolean {
   return [...state.backendServers.values()].some(
-    ({ platformInstance, goneAt }) =>
-      platformInstance.pool === requestState.pool.name && goneAt === undefined,
+    (server) => server.platformInstance.pool === requestState.pool.name && isStaying(server),
   );
 }
 
@@ -43,10 +42,10 @@
 ): boolean {
   const excluded = findTemporarilyExcludedInstances(state, requestState, now);
   return [...state.backendServers.values()].some(
-    ({ platformInstance, goneAt }) =>
-      platformInstance.pool === requestState.pool.name &&
-      goneAt === undefined &&
-      excluded.has(platformInstance.instance),
+    (server) =>
+      server.platformInstance.pool === requestState.pool.name &&
+      isStaying(server) &&
+      excluded.has(server.platformInstance.instance),
   );
 }
 
--- a/packages/entry-core/src/backendServers/BackendServerState.ts
+++ b/packages/entry-core/src/backendServers/BackendServerState.ts
@@ -12,6 +12,8 @@
   platformInstance: PlatformInstance;
   /** When the instance goes away. It gets no new work from the reclaim notice on. */
   goneAt: EpochMilliseconds | undefined;
+  /** True once the server has said in an answer that it leaves; see `ServerDepartures`. */
+  isLeaving: boolean;
   /** Attempts of this entry in progress at the server. */
   readonly attemptIds: Set<string>;
   load: LoadReport | undefined;
@@ -20,7 +22,12 @@
   readonly balancing: BalancingState;
 }
 
-/** True if the instance is live and no reclaim notice has been received for it. */
+/** False if the server leaves, as the platform, a reclaim notice or the server itself says. */
+export function isStaying({ platformInstance, goneAt, isLeaving }: BackendServerState): boolean {
+  return platformInstance.state !== 'leaving' && goneAt === undefined && !isLeaving;
+}
+
+/** True if the server is live and stays. */
 export function acceptsNewWork(server: BackendServerState): boolean {
-  return server.platformInstance.state === 'live' && server.goneAt === undefined;
+  return server.platformInstance.state === 'live' && isStaying(server);
 }
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -29,6 +29,7 @@
   const server: BackendServerState = {
     platformInstance,
     goneAt: platformInstance.goneAt,
+    isLeaving: state.departures.has(platformInstance.instance),
     attemptIds: new Set(),
     load: undefined,
     loadReceivedAt: undefined,
@@ -83,6 +84,7 @@
   const isListed = (instance: string) => listedInstances.has(instance);
   state.rateLimits.retainOnly(isListed, state.clocks.wallNow);
   state.rests.retainOnly(isListed, now);
+  state.departures.retainOnly(isListed, now);
   refreshConcurrencyLimits(state);
   rebuildCandidateGroups(state);
 }
--- a/packages/entry-core/src/driver/SimulatedEngine.ts
+++ b/packages/entry-core/src/driver/SimulatedEngine.ts
@@ -67,6 +67,9 @@
   /** Rejects all new streams as busy. */
   busy = false;
 
+  /** True if the engine says in its answers that it leaves. */
+  isLeaving = false;
+
   /** For how long the engine, while it is busy, asks the entries that it rejects to rest. */
   restFor: number | undefined;
 
--- a/packages/entry-core/src/driver/SimulatedEntry.ts
+++ b/packages/entry-core/src/driver/SimulatedEntry.ts
@@ -274,10 +274,10 @@
 
   /** Reads what the engine says about itself in the head of an answer. */
   private receiveStatement(
-    { instance, requestsPerSecond }: SimulatedEngine,
+    { instance, requestsPerSecond, isLeaving }: SimulatedEngine,
     restFor?: number,
   ): void {
-    const statement = { instance, requestsPerSecond, restFor };
+    const statement = { instance, requestsPerSecond, restFor, isLeaving };
     if (requestsPerSecond < Infinity && !this.toldLimitAt.has(instance)) {
       this.toldLimitAt.set(instance, this.cluster.clock().now);
     }
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -97,6 +97,8 @@
       readonly requestsPerSecond?: number;
       /** For how long it wants nothing from this entry, if it has asked for rest. */
       readonly restFor?: Milliseconds;
+      /** True if it leaves. */
+      readonly isLeaving?: boolean;
     }
   | { readonly type: 'drainsReceived'; readonly drains: DrainedInstances }
   | { readonly type: 'cacheEventsReceived'; readonly events: readonly CacheEvent[] }
--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -94,6 +94,7 @@
 function makeReport(state: EntryState): EntryReport {
   const rollouts = describeRollouts(state);
   const rateLimits = state.rateLimits.describe();
+  const departures = state.departures.instances;
   const { instance, dataCentre, incarnation } = state.identity;
   state.membership.sequence += 1;
   return {
@@ -109,6 +110,7 @@
     ...(state.configuration.whole === undefined ? {} : buildWholeConfigurationFields(state)),
     ...(rollouts.length === 0 ? {} : { rollouts }),
     ...(Object.keys(rateLimits).length === 0 ? {} : { rateLimits }),
+    ...(departures.length === 0 ? {} : { departures }),
     leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
     suspects: [...listSuspects(state), ...listQuarantined(state)],
   };
--- a/packages/entry-core/src/membership/receivePeerReport.ts
+++ b/packages/entry-core/src/membership/receivePeerReport.ts
@@ -8,7 +8,7 @@
 import type { EntryState } from '../EntryState.js';
 import { updateLimitersFromReport } from '../limits/updateLimitersFromReport.js';
 import { receiveQuarantine } from '../quarantine/quarantineDigest.js';
-import { receiveReportedLimits } from '../statements/receiveStatement.js';
+import { receiveReportedStatements } from '../statements/receiveStatement.js';
 import { recordReclaimNotice } from '../reclaims/recordReclaimNotice.js';
 
 function isNewer(report: EntryReport, known: EntryReport | undefined): boolean {
@@ -41,7 +41,7 @@
   );
   return [
     ...leaving,
-    ...receiveReportedLimits(state, report),
+    ...receiveReportedStatements(state, report),
     ...receiveQuarantine(state, quarantine, timestamps),
   ];
 }
--- a/packages/entry-core/src/reclaims/migrateStreams.ts
+++ b/packages/entry-core/src/reclaims/migrateStreams.ts
@@ -6,6 +6,7 @@
  * Every call plans from the current state.
  */
 import { requiresClaim, type Milliseconds } from '@hornbeampond/schema';
+import { acceptsNewWork } from '../backendServers/BackendServerState.js';
 import type { AttemptState } from '../attempts/AttemptState.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timestamps } from '../entryEvents.js';
@@ -76,10 +77,7 @@
 
 function countTargets(state: EntryState, { requestState }: Stream): number {
   return [...state.backendServers.values()].filter(
-    ({ platformInstance, goneAt }) =>
-      platformInstance.pool === requestState.pool.name &&
-      platformInstance.state === 'live' &&
-      goneAt === undefined,
+    (server) => server.platformInstance.pool === requestState.pool.name && acceptsNewWork(server),
   ).length;
 }
 
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -9,7 +9,7 @@
 import { chooseServerForAttempt } from '../attempts/chooseServerForAttempt.js';
 import { makeAttemptTarget } from '../backendServers/makeAttemptTarget.js';
 import { removeCacheMove, reservationIdOf } from '../attempts/releaseAttempts.js';
-import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import { isStaying, type BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryEvent, Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
@@ -66,9 +66,7 @@
 function findUsableServer(state: EntryState, instance: string): BackendServerState | undefined {
   const server = state.backendServers.get(instance);
   const { down, unresolvedLosses } = state.quarantine;
-  if (server === undefined || server.goneAt !== undefined || isResting(state, server)) {
-    return undefined;
-  }
+  if (server === undefined || !isStaying(server) || isResting(state, server)) return undefined;
   return down.has(instance) || unresolvedLosses.has(instance) ? undefined : server;
 }
 
--- a/packages/entry-core/src/statements/receiveStatement.ts
+++ b/packages/entry-core/src/statements/receiveStatement.ts
@@ -20,9 +20,9 @@
  */
 export function isStatementOfInterest(
   state: EntryState,
-  { instance, requestsPerSecond = Infinity, restFor }: Statement,
+  { instance, requestsPerSecond = Infinity, restFor, isLeaving = false }: Statement,
 ): boolean {
-  if (restFor !== undefined) return true;
+  if (restFor !== undefined || (isLeaving && !state.departures.has(instance))) return true;
   return requestsPerSecond < Infinity || state.rateLimits.at(instance) < Infinity;
 }
 
@@ -90,20 +90,39 @@
   return [{ type: 'log', event: 'restRequested', fields }];
 }
 
+/** Takes a backend server that says that it leaves out of the choice, for good. */
+function recordLeaving(
+  state: EntryState,
+  instance: string,
+  source: 'answer' | string,
+): EntryEffect[] {
+  const isKnown = state.departures.has(instance);
+  state.departures.record(instance, state.clocks.now);
+  const server = state.backendServers.get(instance);
+  if (server !== undefined) server.isLeaving = true;
+  if (isKnown) return [];
+  if (source === 'answer') reportSoon(state);
+  return [{ type: 'log', event: 'serverLeaving', fields: { backendServer: instance, source } }];
+}
+
 export function receiveStatement(state: EntryState, event: ServerStatedEvent): EntryEffect[] {
-  const { instance, restFor } = event;
+  const { instance, restFor, isLeaving = false } = event;
   return [
+    ...(isLeaving ? recordLeaving(state, instance, 'answer') : []),
     ...receiveLimit(state, event),
     ...(restFor === undefined ? [] : recordRest(state, instance, restFor)),
   ];
 }
 
-/** Applies what another entry knows of limits. */
-export function receiveReportedLimits(
+/** Applies what backend servers have said to another entry and concerns all of them. */
+export function receiveReportedStatements(
   state: EntryState,
-  { instance: entry, rateLimits = {} }: EntryReport,
+  { instance: entry, rateLimits = {}, departures = [] }: EntryReport,
 ): EntryEffect[] {
-  return Object.entries(rateLimits).flatMap(([instance, limit]) =>
-    recordLimit(state, instance, limit, entry),
-  );
+  return [
+    ...departures.flatMap((instance) => recordLeaving(state, instance, entry)),
+    ...Object.entries(rateLimits).flatMap(([instance, limit]) =>
+      recordLimit(state, instance, limit, entry),
+    ),
+  ];
 }
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -35,6 +35,11 @@
     'info',
     'A backend server turned a request away and wants nothing from this entry for a while',
   ),
+  serverLeaving: defineLogEvent(
+    2242,
+    'info',
+    'A backend server says in its answers that it leaves; it gets no new work',
+  ),
   requestAwaitsConfiguration: defineLogEvent(
     2004,
     'debug',
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -104,6 +104,8 @@
   readonly inProgress: Readonly<Record<string, number>>;
   /** When each backend server under a reclaim notice will be reclaimed. */
   readonly leavingBackendServers: Readonly<Record<string, EpochMilliseconds>>;
+  /** Backend servers that have said that they leave, to this entry or to others. */
+  readonly departures?: readonly string[];
   /** What backend servers said lately about their limits, to this entry or to others. */
   readonly rateLimits?: Readonly<Record<string, StatedRateLimit>>;
   /** What each workspace has spent of its allowance at this entry since the process started. */
