Serve a request with the old version where the new one is left to other entries by its limits

Cause: during a roll-out a share of the requests is limited to a few instances of the new version. If the limits of these leave nothing to an entry, it went on to draw requests for them, which then found no server.

Change: such an instance counts as unusable, like one that is down, ejected or rests.

--- a/packages/entry-core/src/rollouts/chooseVersion.ts
+++ b/packages/entry-core/src/rollouts/chooseVersion.ts
@@ -6,17 +6,21 @@
 import { acceptsNewWork } from '../backendServers/BackendServerState.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { isOutsideRateLimit } from '../statements/rateAllowance.js';
 import { isResting } from '../statements/restAllowance.js';
 import type { PoolVersions } from './RolloutState.js';
 import type { VersionSide } from './VersionAnswers.js';
 
 const NO_INSTANCES: ReadonlySet<string> = new Set();
 
-/** False for an instance that is down, ejected or resting; its callers would wait for it. */
+/**
+ * False for an instance that is down, ejected, resting or left to other entries by its limit; callers
+ * would wait for it.
+ */
 function isUsable(state: EntryState, instance: string): boolean {
   const server = state.backendServers.get(instance);
   if (server === undefined || state.quarantine.down.has(instance)) return false;
-  if (isResting(state, server)) return false;
+  if (isResting(state, server) || isOutsideRateLimit(state, server)) return false;
   return acceptsNewWork(server) && server.balancing.ejectedUntil === undefined;
 }
 
--- a/packages/entry-core/src/rollouts/rollouts.test.ts
+++ b/packages/entry-core/src/rollouts/rollouts.test.ts
@@ -178,3 +178,28 @@
   pool.serve();
   assert.equal(pool.evidence[0]?.routes[0]?.next.bad, 0);
 });
+
+// Guards against callers that wait for instances of the new version that other entries use alone.
+test('while the limits of the new version leave nothing to this entry, the old one serves all', () => {
+  const pool = new Pool();
+  const report = {
+    type: 'entryReport',
+    dataCentre: 'dc-a',
+    incarnation: 1,
+    sequence: 1,
+    leaving: false,
+    revision: 1,
+    inProgress: {},
+    leavingBackendServers: {},
+    suspects: [],
+  } as const;
+  for (let number = 1; number <= 400; number += 1) {
+    const peer = { ...report, instance: `peer-${number}` };
+    pool.harness.send({ type: 'entryReported', report: peer });
+  }
+  pool.next.forEach((instance) =>
+    pool.harness.send({ type: 'serverStated', instance, requestsPerSecond: 0.1 }),
+  );
+  pool.apply({ share: 0.1 });
+  assert.equal(pool.sum(pool.serve(), pool.previous), REQUESTS);
+});
--- a/packages/entry-core/src/statements/rateAllowance.ts
+++ b/packages/entry-core/src/statements/rateAllowance.ts
@@ -53,7 +53,7 @@
 }
 
 /** True if the server's limit leaves nothing to this entry, now or later. */
-function isOutsideRateLimit(state: EntryState, server: BackendServerState): boolean {
+export function isOutsideRateLimit(state: EntryState, server: BackendServerState): boolean {
   return isRateLimited(state, server) && useShare(state, server).share === NO_SHARE;
 }
 
