Keep the retries of all entries together within what a pool tolerates

What a pool would see: with all of its servers refusing, 200 entries sent 2,164 second attempts for 2,401 first ones in 8 s, 64 entries 960 for 3,440.

Cause: what budgets earn (a tenth of the first attempts) adds up to a tenth of all requests, but what they save up adds up to ten retries for each route of each entry.

Change: budgets are kept by pool instead of by route, and the more entries there are the less each saves: 40 retries in all, at least one and at most ten an entry. An entry that has just started begins with five.

--- a/packages/entry-core/src/attempts/RetryState.ts
+++ b/packages/entry-core/src/attempts/RetryState.ts
@@ -7,7 +7,7 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 
-/** Retries that are still allowed for one route, or after failures of one backend server. */
+/** Retries that are still allowed in one pool, or after failures of one backend server. */
 export interface RetryBudget {
   remainingRetries: number;
 }
@@ -48,7 +48,7 @@
 export interface RetryState {
   policy: RecoveryPolicy;
   readonly generator: RandomGenerator;
-  readonly budgetsByRoute: Map<string, RetryBudget>;
+  readonly budgetsByPool: Map<string, RetryBudget>;
   readonly budgetsByInstance: Map<string, RetryBudget>;
   /** By request id. */
   readonly waiting: Map<string, WaitingRequest>;
@@ -68,7 +68,7 @@
   return {
     policy: fullRecoveryPolicy,
     generator: xoroshiro128plus(hashSeedText(seedText)),
-    budgetsByRoute: new Map(),
+    budgetsByPool: new Map(),
     budgetsByInstance: new Map(),
     waiting: new Map(),
   };
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -75,8 +75,10 @@
   const { requestId } = requestState.request;
   const { instance } = server.platformInstance;
   const pool = getPoolState(state, requestState.pool.name);
-  if (requestState.attemptsStarted === 0)
-    earnRetries(state.retries, requestState.route.name, instance);
+  if (requestState.attemptsStarted === 0) {
+    const { entryCount } = state.limits.concurrencyLimiter;
+    earnRetries(state.retries, { pool: requestState.pool.name, instance, entryCount });
+  }
   requestState.attemptsStarted += 1;
   const attemptId = attemptIdOf(requestId, requestState.attemptsStarted);
   const resumeFromTokens = state.retries.policy.resumeFromOffset ? requestState.tokens : 0;
--- a/packages/entry-core/src/attempts/retryBudget.ts
+++ b/packages/entry-core/src/attempts/retryBudget.ts
@@ -1,45 +1,79 @@
 /**
- * Retry budgets per route and per backend server: each first attempt adds a fraction of a retry to
+ * Retry budgets per pool and per backend server: each first attempt adds a fraction of a retry to
  * both, and each retry takes one from both unless it is exempt (see `failAttempt`). When either is
  * exhausted, failures are returned to the caller immediately. Without budgets, retries would
  * multiply the load on failing backend servers and keep them overloaded after the fault has ended.
+ *
+ * Each entry keeps its own budgets. What they earn adds up to a fraction of all requests. What they
+ * have saved up would add up to a multiple of it, so the more entries there are, the less each saves.
  */
 import type { RetryBudget, RetryState } from './RetryState.js';
 
 export const RETRIES_PER_FIRST_ATTEMPT = 0.1;
 
-/** Capacity of each retry budget; a new budget is full. */
+/** Most retries that one entry saves up for a pool or a backend server. */
 export const MAX_BUDGET_RETRIES = 10;
 
-function getOrCreateBudget(budgets: Map<string, RetryBudget>, name: string): RetryBudget {
+/** Retries that all entries together save up for a pool, if there are not more entries than that. */
+const MAX_SAVED_RETRIES_OF_ALL_ENTRIES = 40;
+
+/** An entry that has just started does not know yet how many there are. */
+const INITIAL_RETRIES = 5;
+
+/** What a retry is taken from. */
+export interface RetrySource {
+  readonly pool: string;
+  /** Where the attempt failed, or is sent for the first time. */
+  readonly instance: string;
+  /** Number of entries, including this one. */
+  readonly entryCount: number;
+}
+
+function maxSavedForPool(entryCount: number): number {
+  const share = MAX_SAVED_RETRIES_OF_ALL_ENTRIES / entryCount;
+  return Math.min(MAX_BUDGET_RETRIES, Math.max(1, share));
+}
+
+function getOrCreateBudget(
+  budgets: Map<string, RetryBudget>,
+  name: string,
+  initial: number,
+): RetryBudget {
   const existing = budgets.get(name);
   if (existing !== undefined) return existing;
-  const created = { remainingRetries: MAX_BUDGET_RETRIES };
+  const created = { remainingRetries: initial };
   budgets.set(name, created);
   return created;
 }
 
-export function earnRetries(retries: RetryState, route: string, instance: string): void {
-  [
-    getOrCreateBudget(retries.budgetsByRoute, route),
-    getOrCreateBudget(retries.budgetsByInstance, instance),
-  ].forEach((budget) => {
-    budget.remainingRetries = Math.min(
-      MAX_BUDGET_RETRIES,
-      budget.remainingRetries + RETRIES_PER_FIRST_ATTEMPT,
-    );
+/** The budgets of a pool and of a backend server, with the most that each saves up. */
+function findBudgets(
+  { budgetsByPool, budgetsByInstance }: RetryState,
+  { pool, instance, entryCount }: RetrySource,
+) {
+  return [
+    {
+      budget: getOrCreateBudget(budgetsByPool, pool, INITIAL_RETRIES),
+      max: maxSavedForPool(entryCount),
+    },
+    {
+      budget: getOrCreateBudget(budgetsByInstance, instance, MAX_BUDGET_RETRIES),
+      max: MAX_BUDGET_RETRIES,
+    },
+  ];
+}
+
+/** Adds what the first attempt of a request earns. */
+export function earnRetries(retries: RetryState, source: RetrySource): void {
+  findBudgets(retries, source).forEach(({ budget, max }) => {
+    budget.remainingRetries = Math.min(max, budget.remainingRetries + RETRIES_PER_FIRST_ATTEMPT);
   });
 }
 
-/**
- * Takes one retry from both budgets after a failure at `instance`; false if either is exhausted.
- */
-export function spendRetry(retries: RetryState, route: string, instance: string): boolean {
+/** Takes one retry from both budgets after a failure; false if either is exhausted. */
+export function spendRetry(retries: RetryState, source: RetrySource): boolean {
   if (!retries.policy.limitRetries) return true;
-  const budgets = [
-    getOrCreateBudget(retries.budgetsByRoute, route),
-    getOrCreateBudget(retries.budgetsByInstance, instance),
-  ];
+  const budgets = findBudgets(retries, source).map(({ budget }) => budget);
   if (budgets.some((budget) => budget.remainingRetries < 1)) return false;
   budgets.forEach((budget) => {
     budget.remainingRetries -= 1;
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -85,10 +85,9 @@
     const detail = 'The deadline is too near for another attempt';
     return refuseRetry(state, requestState, 'deadlineTooNear', 'deadlineExceeded', detail);
   }
-  if (
-    !cause.exemptFromBudget &&
-    !spendRetry(state.retries, requestState.route.name, cause.instance)
-  ) {
+  const { entryCount } = state.limits.concurrencyLimiter;
+  const source = { pool: requestState.pool.name, instance: cause.instance, entryCount };
+  if (!cause.exemptFromBudget && !spendRetry(state.retries, source)) {
     const detail = 'The backend server failed and the retry budget is exhausted';
     return refuseRetry(state, requestState, 'budgetSpent', 'backendServerFailed', detail);
   }
