Let only requests that can be tried elsewhere try a server after its rest

Cause: the first request after a rest went to the server whatever it was; and a server that refuses at once looks like the best choice.

Change: for a request after whose next attempt no other may follow, a server that has asked for rest and answered nothing since is the last choice, also behind one in another data centre.

--- a/packages/entry-core/src/backendServers/chooseBackendServer.ts
+++ b/packages/entry-core/src/backendServers/chooseBackendServer.ts
@@ -59,6 +59,11 @@
   return firstTokenAt === undefined ? Math.max(dueAt, lateFirstTokenDueAt) : dueAt;
 }
 
+/** True if no other attempt may follow the next one. */
+function isLastAttempt({ attemptsStarted, route }: RequestState): boolean {
+  return attemptsStarted + 1 >= (route.mostAttempts ?? Infinity);
+}
+
 interface ScoredServer {
   readonly server: BackendServerState;
   readonly firstTokenDelay: Milliseconds;
@@ -67,6 +72,8 @@
    * reduced by what later requests with the same prefix save.
    */
   readonly prefillCost: Milliseconds;
+  /** True if the server may refuse the request, and it could not be tried elsewhere afterwards. */
+  readonly isRisky: boolean;
   /**
    * The lowest cost wins: the delay of this request and the delay that it causes others, or with
    * `spreadEvenly` the utilization of the server.
@@ -74,6 +81,11 @@
   readonly cost: number;
 }
 
+/** True if one is the better choice: it is less risky or, if that is equal, has the lower cost. */
+function isBetter(one: ScoredServer, other: ScoredServer): boolean {
+  return one.isRisky === other.isRisky ? one.cost < other.cost : other.isRisky;
+}
+
 /** The server that is to prefill and cache a prefix shared by several requests. */
 interface AffinityTarget {
   readonly server: BackendServerState;
@@ -130,9 +142,9 @@
     const cost = this.spreadEvenly
       ? this.computeUtilization(server)
       : firstTokenDelay + prefillCost + this.estimateBatchCost(server);
-    if (this.best === undefined || cost < this.best.cost) {
-      this.best = { server, firstTokenDelay, prefillCost, cost };
-    }
+    const isRisky = this.state.rests.isUnproven(instance) && isLastAttempt(this.accepted);
+    const scored = { server, firstTokenDelay, prefillCost, isRisky, cost };
+    if (this.best === undefined || isBetter(scored, this.best)) this.best = scored;
   }
 
   /**
@@ -284,6 +296,9 @@
   if (bestLocal === undefined && hasUntriedServerIn(state, local, accepted)) return undefined;
   const bestRemote = search(state, accepted, remote, searchOptions);
   if (bestLocal === undefined || bestRemote === undefined) return (bestLocal ?? bestRemote)?.server;
+  if (bestLocal.isRisky !== bestRemote.isRisky) {
+    return (bestLocal.isRisky ? bestRemote : bestLocal).server;
+  }
   const remainingTime = nextTokenDueAt(accepted) - state.clocks.now;
   return (isRemoteBetter(bestLocal, bestRemote, remainingTime) ? bestRemote : bestLocal).server;
 }
--- a/packages/entry-core/src/statements/ServerRests.ts
+++ b/packages/entry-core/src/statements/ServerRests.ts
@@ -32,6 +32,11 @@
     this.rests.set(instance, { endsAt, trialAttemptId: undefined });
   }
 
+  /** True for a server that has asked for rest and answered no trial since. */
+  isUnproven(instance: string): boolean {
+    return this.rests.has(instance);
+  }
+
   /** The trial of a server whose rest is over; undefined if none is under way. */
   trialOf(instance: string): string | undefined {
     return this.rests.get(instance)?.trialAttemptId;
--- a/packages/entry-core/src/statements/rests.test.ts
+++ b/packages/entry-core/src/statements/rests.test.ts
@@ -5,6 +5,8 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { makeRequest, type SimulatedCluster } from '../driver/index.js';
+import { EntryHarness } from '../testing/EntryHarness.js';
+import { exampleRequest, examplePool, exampleRoute } from '../testing/examples.js';
 import { findRestViolations } from './testing/findRestViolations.js';
 import { makeCluster, runLoad } from './testing/runLoad.js';
 
@@ -105,6 +107,40 @@
   assert.ok(whole.length >= 8, `${whole.length} of 10 answers are whole`);
 });
 
+// Guards against callers that get the refusal of a trial because their route allows one attempt.
+test('a request that cannot be tried elsewhere is no trial while another server is free', () => {
+  const harness = new EntryHarness({
+    servers: 2,
+    speed: {
+      concurrency: 8,
+      prefillMillisecondsPerToken: 0.1,
+      decodeMillisecondsPerToken: 1,
+      cachedPrefixes: 10,
+    },
+    routes: [
+      exampleRoute({ name: 'once', match: { pathPrefix: '/once' }, mostAttempts: 1 }),
+      exampleRoute({ mostAttempts: 2 }),
+    ],
+    pool: examplePool(8),
+  });
+  /** Sends some requests at once and returns how many go to the server that has rested. */
+  const countTrials = (path: string) => {
+    const names = Array.from(
+      { length: 4 },
+      (_, number) => `${path}-${harness.timeline.now}-${number}`,
+    );
+    names.forEach((name) => harness.submitRequest(exampleRequest(name, { path }), 10));
+    const attempts = [...(harness.entries[0]?.attempts.values() ?? [])];
+    harness.timeline.runUntil(harness.timeline.now + 1000);
+    return attempts.filter(({ instance }) => instance === 'engine-0').length;
+  };
+  harness.send({ type: 'serverStated', instance: 'engine-0', restFor: 500 });
+  harness.timeline.runUntil(harness.timeline.now + 1000);
+  assert.equal(countTrials('/once/a'), 0);
+  assert.equal(countTrials('/v1/chat/completions'), 1);
+  assert.ok(countTrials('/once/a') > 0);
+});
+
 // Guards against a later, shorter wish that ends an earlier one too soon, and against a wish that
 // other entries take for theirs.
 test('a wish for rest holds to its end, and for the entry that was asked alone', () => {
