--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -31,6 +31,7 @@
   type ClaimResult,
   type EntrySettings,
   type Milliseconds,
+  type MonotonicMilliseconds,
   type PeerReport,
   type PlatformInstance,
   type ProcessAddress,
@@ -50,6 +51,7 @@
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { describeBackendServers } from './describeBackendServers.js';
 import { EntryPeers } from './EntryPeers.js';
+import { EventTimeWatch } from './EventTimeWatch.js';
 import { EntryPaths } from './paths/EntryPaths.js';
 import { InputClock } from './InputClock.js';
 import { RelayServer } from './RelayServer.js';
@@ -114,6 +116,8 @@
 
   private readonly exchanges = new Map<string, CallerExchange>();
 
+  private readonly eventTimeWatch: EventTimeWatch;
+
   private readonly inputClock: InputClock;
 
   private readonly requestIntake: RequestIntake;
@@ -161,6 +165,7 @@
     this.incarnation = timers.wallNow();
     this.logger = new Logger({ process: 'hornbeampond-entry', instance }, settings.logLevel);
     const readNow = () => timers.monotonicNow();
+    this.eventTimeWatch = new EventTimeWatch(readNow());
     this.inputClock = new InputClock(readNow, () => performance.eventLoopUtilization().idle);
     this.requestIntake = new RequestIntake({
       clock: this.inputClock,
@@ -392,6 +397,18 @@
   private dispatch(payload: EntryEventPayload): void {
     const now = this.timers.monotonicNow();
     this.eventLoop.dispatch({ ...payload, now, wallNow: this.timers.wallNow() });
+    this.recordEventTime(payload.type, now);
+  }
+
+  private recordEventTime(event: string, startedAt: MonotonicMilliseconds): void {
+    const now = this.timers.monotonicNow();
+    const duration = now - startedAt;
+    this.metrics.count({ metric: 'eventTime', label: event, amount: duration / 1000 });
+    const change = this.eventTimeWatch.record(event, duration, now);
+    if (change === undefined) return;
+    const { isBusy, ...fields } = change;
+    const suspects = this.eventLoop.state.quarantine.suspects.size;
+    this.logger.write(isBusy ? 'eventsTakeLong' : 'eventsTakeLittle', { ...fields, suspects });
   }
 
   private tick(): void {
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -123,6 +123,16 @@
     'warn',
     'A slow entry asks the load balancer to send callers elsewhere, or takes them again',
   ),
+  eventsTakeLong: defineLogEvent(
+    2303,
+    'warn',
+    'Handling events takes much of the time of this process',
+  ),
+  eventsTakeLittle: defineLogEvent(
+    2304,
+    'info',
+    'Handling events takes little of the time of this process again',
+  ),
   serverPathLost: defineLogEvent(
     2310,
     'warn',
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -128,6 +128,12 @@
     label: { name: 'route' },
     buckets: secondsBuckets,
   },
+  eventTime: {
+    name: 'hornbeampond_event_handling_seconds_total',
+    kind: 'counter',
+    help: 'Time for which this entry has handled events, by kind of event',
+    label: { name: 'event' },
+  },
   openStreams: {
     name: 'hornbeampond_open_streams',
     kind: 'gauge',
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -76,6 +76,8 @@
   readonly store: string;
   readonly reason: SubscriptionReason;
   readonly duration: Milliseconds;
+  /** Bytes that the store has sent meanwhile, most of them its answer. */
+  readonly bytes: number;
   /** The revision of the answer. */
   readonly revision?: number;
 }
@@ -111,6 +113,8 @@
   readonly store: StorePeer;
   readonly reason: SubscriptionReason;
   readonly requestedAt: MonotonicMilliseconds;
+  /** Bytes that the store had sent by then. */
+  readonly bytesBefore: number;
   /** True once the store has answered with its current state. */
   isAnswered: boolean;
   stated: StatedRevision | undefined;
@@ -262,6 +266,7 @@
       store,
       reason,
       requestedAt: this.options.timers.monotonicNow(),
+      bytesBefore: store.client.bytesReceived,
       isAnswered: false,
       stated: undefined,
       earlyPushes: [],
@@ -284,7 +289,7 @@
       },
       () => this.giveUp(subscription),
     );
-    this.watchProgress(subscription, store.client.bytesReceived);
+    this.watchProgress(subscription, subscription.bytesBefore);
   }
 
   /** Gives a subscription up whose store sends nothing; its answer may be long on a slow link. */
@@ -458,8 +463,10 @@
     return Math.max(0, this.options.timers.wallNow() - publishedAt);
   }
 
-  private describeOutcome({ store, reason, requestedAt }: Subscription): SubscriptionOutcome {
+  private describeOutcome(subscription: Subscription): SubscriptionOutcome {
+    const { store, reason, requestedAt, bytesBefore } = subscription;
     const duration = this.options.timers.monotonicNow() - requestedAt;
-    return { store: store.address.instance, reason, duration };
+    const bytes = store.client.bytesReceived - bytesBefore;
+    return { store: store.address.instance, reason, duration, bytes };
   }
 }
