Find suspects by their digest, and search for their servers in their slot only

Cause: every question whether a request is a suspect copied all suspects that all entries had reported, and it was asked for each attempt in progress, of each queued suspect, at each event. The work grows with entries x suspects x attempts.

Change: what peers report is kept by digest and by server (PeerSuspects); what holds for a whole event is found once for it (findIsolation); exclusions are asked of the sets where they stand (ExcludedInstances); a suspect is not searched a server for while none is left to its entry, and otherwise among those of its slot, which random samples of a large pool mostly missed.

--- a/packages/entry-core/src/admission/describeExclusions.ts
+++ b/packages/entry-core/src/admission/describeExclusions.ts
@@ -8,8 +8,8 @@
 import { getPoolState } from '../backendServers/getPoolState.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
-import { listInstancesOutsideSlot } from '../quarantine/listInstancesOutsideSlot.js';
-import { isSuspect, listInstancesRunningSuspects } from '../quarantine/suspects.js';
+import { findIsolation, isOutsideSlot } from '../quarantine/findIsolation.js';
+import { isSuspect, listInstancesRunningOwnSuspects } from '../quarantine/suspects.js';
 import { listInstancesOutsideRateLimit } from '../statements/rateAllowance.js';
 
 export const exclusionReasons = [
@@ -42,8 +42,10 @@
   const drained = new Set([...state.drains.values()].flatMap(({ instances }) => [...instances]));
   const { digest, requestId } = accepted.request;
   const isIsolated = state.retries.policy.isolateSuspects && isSuspect(state, digest);
-  const runningSuspects = isIsolated ? listInstancesRunningSuspects(state, requestId) : new Set();
-  const outsideSlot = new Set(isIsolated ? listInstancesOutsideSlot(state, now) : []);
+  const isolation = isIsolated ? findIsolation(state) : undefined;
+  const runningHere = isIsolated
+    ? listInstancesRunningOwnSuspects(state, requestId)
+    : new Set<string>();
   return {
     leaving: (_, server) => !acceptsNewWork(server),
     tried: (instance) => accepted.triedInstances.has(instance),
@@ -54,8 +56,9 @@
     rateLimited: (instance) => rateLimited.has(instance),
     otherVersion: (instance) => version.excluded.has(instance),
     drained: (instance) => drained.has(instance),
-    runningSuspect: (instance) => runningSuspects.has(instance),
-    outsideSlot: (instance) => outsideSlot.has(instance),
+    runningSuspect: (instance) =>
+      runningHere.has(instance) || isolation?.busyAtPeers.has(instance) === true,
+    outsideSlot: (instance) => isolation !== undefined && isOutsideSlot(isolation, instance),
   };
 }
 
--- a/packages/entry-core/src/attempts/chooseServerForAttempt.ts
+++ b/packages/entry-core/src/attempts/chooseServerForAttempt.ts
@@ -33,12 +33,8 @@
 const MAX_VERSION_WAIT_MILLISECONDS = 4000;
 
 /** True if a backend server that is only temporarily excluded could take the request later. */
-function hasTemporarilyExcludedServer(
-  state: EntryState,
-  requestState: RequestState,
-  now: MonotonicMilliseconds,
-): boolean {
-  const excluded = findTemporarilyExcludedInstances(state, requestState, now);
+function hasTemporarilyExcludedServer(state: EntryState, requestState: RequestState): boolean {
+  const excluded = findTemporarilyExcludedInstances(state, requestState);
   const version = chooseVersion(state, requestState);
   return [...state.backendServers.values()].some(
     (server) =>
@@ -63,7 +59,7 @@
 ): boolean {
   const restedAt = now + timeUntilRested(state, requestState.pool.name);
   if (restedAt >= requestState.wholeAnswerDueAt) return false;
-  if (hasTemporarilyExcludedServer(state, requestState, now)) return true;
+  if (hasTemporarilyExcludedServer(state, requestState)) return true;
   if (requestState.attemptsStarted === 0 && requestState.isTakenUp !== true) return false;
   requestState.waitingForServerSince ??= now;
   const waitedFor = now - requestState.waitingForServerSince;
--- a/packages/entry-core/src/attempts/findExcludedInstances.ts
+++ b/packages/entry-core/src/attempts/findExcludedInstances.ts
@@ -5,25 +5,25 @@
  */
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
-import { isSuspect, listInstancesRunningSuspects } from '../quarantine/suspects.js';
-import { listInstancesOutsideSlot } from '../quarantine/listInstancesOutsideSlot.js';
+import { findIsolation } from '../quarantine/findIsolation.js';
+import { isSuspect, listInstancesRunningOwnSuspects } from '../quarantine/suspects.js';
 import { chooseVersion } from '../rollouts/chooseVersion.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { listInstancesOutsideRateLimit } from '../statements/rateAllowance.js';
+import { ExcludedInstances } from './ExcludedInstances.js';
 
 /** Backend servers that are excluded for a short time and may take the request soon. */
 export function findTemporarilyExcludedInstances(
   state: EntryState,
-  requestState: RequestState,
-  now: MonotonicMilliseconds,
-): Set<string> {
-  const instances = new Set(state.quarantine.unresolvedLosses.keys());
-  const { digest, requestId } = requestState.request;
-  if (state.retries.policy.isolateSuspects && isSuspect(state, digest)) {
-    listInstancesRunningSuspects(state, requestId).forEach((instance) => instances.add(instance));
-    listInstancesOutsideSlot(state, now).forEach((instance) => instances.add(instance));
-  }
-  return instances;
+  { request: { digest, requestId } }: RequestState,
+): ExcludedInstances {
+  const excluded = new ExcludedInstances();
+  excluded.add(state.quarantine.unresolvedLosses);
+  if (!state.retries.policy.isolateSuspects || !isSuspect(state, digest)) return excluded;
+  excluded.isolation = findIsolation(state);
+  excluded.add(excluded.isolation.busyAtPeers);
+  excluded.add(listInstancesRunningOwnSuspects(state, requestId));
+  return excluded;
 }
 
 /**
@@ -39,12 +39,12 @@
   now: MonotonicMilliseconds,
   restedBy = now,
   version = chooseVersion(state, requestState),
-): Set<string> {
-  const instances = findTemporarilyExcludedInstances(state, requestState, now);
-  state.quarantine.down.forEach((_, instance) => instances.add(instance));
-  version.excluded.forEach((instance) => instances.add(instance));
-  state.rests.listResting(restedBy).forEach((instance) => instances.add(instance));
-  listInstancesOutsideRateLimit(state).forEach((instance) => instances.add(instance));
-  state.drains.forEach((drains) => drains.instances.forEach((instance) => instances.add(instance)));
-  return instances;
+): ExcludedInstances {
+  const excluded = findTemporarilyExcludedInstances(state, requestState);
+  excluded.add(state.quarantine.down);
+  excluded.add(version.excluded);
+  excluded.add(new Set(state.rests.listResting(restedBy)));
+  excluded.add(new Set(listInstancesOutsideRateLimit(state)));
+  state.drains.forEach(({ instances }) => excluded.add(new Set(instances)));
+  return excluded;
 }
--- a/packages/entry-core/src/backendServers/ServerSearch.ts
+++ b/packages/entry-core/src/backendServers/ServerSearch.ts
@@ -5,6 +5,7 @@
  * even, also when entries choose by the same old load reports.
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { ExcludedInstances } from '../attempts/ExcludedInstances.js';
 import { findExcludedInstances } from '../attempts/findExcludedInstances.js';
 import { chooseVersion, type VersionChoice } from '../rollouts/chooseVersion.js';
 import { acceptsNewWork, type BackendServerState } from './BackendServerState.js';
@@ -41,7 +42,7 @@
 
   private readonly version: VersionChoice;
 
-  private readonly excluded: ReadonlySet<string>;
+  private readonly excluded: ExcludedInstances;
 
   constructor(private readonly inputs: CostInputs) {
     const { state, accepted, now } = inputs;
@@ -78,6 +79,11 @@
       }
       return;
     }
+    const slotServers = this.excluded.isolation?.slotServers;
+    if (slotServers !== undefined) {
+      this.considerInstances(this.sample(slotServers), (server) => group.hasCandidate(server));
+      return;
+    }
     if (group.candidates.length <= MAX_FULL_SCAN_SERVERS) {
       for (const server of [...group.candidates]) this.consider(server);
       return;
--- a/packages/entry-core/src/membership/livePeers.ts
+++ b/packages/entry-core/src/membership/livePeers.ts
@@ -23,6 +23,8 @@
   state.membership.peers.forEach((peer, instance) => {
     const sinceLastReport = now - peer.receivedAt;
     peer.isReachable = sinceLastReport < PEER_TIMEOUT_MILLISECONDS;
-    if (sinceLastReport >= PEER_REPORT_EXPIRY_MILLISECONDS) state.membership.peers.delete(instance);
+    if (sinceLastReport < PEER_REPORT_EXPIRY_MILLISECONDS) return;
+    state.membership.peers.delete(instance);
+    state.quarantine.peerSuspects.remove(instance);
   });
 }
--- a/packages/entry-core/src/membership/receivePeerReport.ts
+++ b/packages/entry-core/src/membership/receivePeerReport.ts
@@ -33,6 +33,7 @@
     receivedAt: timestamps.now,
     isReachable: true,
   });
+  state.quarantine.peerSuspects.replace(report.instance, report.suspects);
   const quarantine = report.suspects.flatMap(({ digest, quarantinedUntil: until }) =>
     until === undefined ? [] : [{ digest, until }],
   );
--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -5,6 +5,8 @@
  * quarantined.
  */
 import type { EpochMilliseconds, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Timestamps } from '../entryEvents.js';
+import { PeerSuspects } from './PeerSuspects.js';
 
 /**
  * A request that may have crashed a backend server, as seen by this entry or reported by a peer.
@@ -60,11 +62,21 @@
   readonly endsAt: MonotonicMilliseconds;
 }
 
+/** Where suspects may run, as found at the event with these clocks. */
+export interface SuspectIsolation {
+  readonly clocks: Timestamps;
+  readonly busyAtPeers: ReadonlySet<string>;
+  /** Backend servers on which this entry may start suspects now; undefined for any. */
+  readonly slotServers?: readonly string[];
+  readonly inSlot?: ReadonlySet<string>;
+}
+
 export interface QuarantineState {
   /** Digests whose requests may not be sent to any backend server. */
   readonly quarantined: Map<string, QuarantinedDigest>;
   /** By digest. */
   readonly suspects: Map<string, Suspect>;
+  readonly peerSuspects: PeerSuspects;
   /** Losses being probed, by instance. */
   readonly unresolvedLosses: Map<string, ConnectionLoss>;
   /** Backend servers considered crashed or unreachable, by instance. */
@@ -78,16 +90,19 @@
   readonly massLossDigests: Map<string, MonotonicMilliseconds>;
   /** Incarnation that each backend server last reported in a probe answer, by instance. */
   readonly incarnations: Map<string, string>;
+  isolation: SuspectIsolation | undefined;
 }
 
 export function makeQuarantineState(): QuarantineState {
   return {
     quarantined: new Map(),
     suspects: new Map(),
+    peerSuspects: new PeerSuspects(),
     unresolvedLosses: new Map(),
     down: new Map(),
     lastCrashes: new Map(),
     massLossDigests: new Map(),
     incarnations: new Map(),
+    isolation: undefined,
   };
 }
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -8,6 +8,7 @@
 import { livePeers } from '../membership/livePeers.js';
 import { reportSoon } from '../membership/advanceReports.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { findIsolation } from './findIsolation.js';
 import type { ConnectionLoss, Suspect } from './QuarantineState.js';
 
 /** How long a request stays a suspect, and how long the digests of a mass loss are kept. */
@@ -21,15 +22,23 @@
   return livePeers(state).length === 0 ? 0 : ANNOUNCEMENT_DELAY_MILLISECONDS;
 }
 
-/**
- * Returns the suspects of all peers. Suspects of an unreachable peer are kept, without the
- * instance on which they run, which is no longer known.
- */
-function listPeerSuspects(state: EntryState): PeerSuspect[] {
-  return [...state.membership.peers.values()].flatMap(({ report, isReachable: live }) =>
-    live
-      ? report.suspects
-      : report.suspects.map((suspect) => ({ ...suspect, runningAt: undefined })),
+function isReachable(state: EntryState, entry: string): boolean {
+  return state.membership.peers.get(entry)?.isReachable === true;
+}
+
+/** Returns the suspects with this digest that peers have reported, by peer. */
+function findAtPeers(state: EntryState, digest: string): ReadonlyMap<string, PeerSuspect> {
+  return state.quarantine.peerSuspects.withDigest(digest);
+}
+
+/** True for some suspect with this digest at a peer that is reachable. */
+function hasReachablePeer(
+  state: EntryState,
+  digest: string,
+  matches: (suspect: PeerSuspect, entry: string) => boolean,
+): boolean {
+  return [...findAtPeers(state, digest)].some(
+    ([entry, suspect]) => isReachable(state, entry) && matches(suspect, entry),
   );
 }
 
@@ -39,9 +48,9 @@
  */
 export function collectCrashIds(state: EntryState, digest: string): Set<string> {
   const crashes = new Set(state.quarantine.suspects.get(digest)?.crashIds);
-  listPeerSuspects(state)
-    .filter((suspect) => suspect.digest === digest && suspect.crashes > 0)
-    .forEach(({ crashIds = ['unnamed'] }) => crashIds.forEach((crashId) => crashes.add(crashId)));
+  findAtPeers(state, digest).forEach(({ crashes: count, crashIds = ['unnamed'] }) => {
+    if (count > 0) crashIds.forEach((crashId) => crashes.add(crashId));
+  });
   return crashes;
 }
 
@@ -50,7 +59,7 @@
   const own = state.quarantine.suspects.get(digest);
   return (
     (own !== undefined && (own.isolationLifted !== true || own.lossInstance !== undefined)) ||
-    listPeerSuspects(state).some((suspect) => suspect.digest === digest)
+    findAtPeers(state, digest).size > 0
   );
 }
 
@@ -62,7 +71,7 @@
 function getOrAdoptSuspect(state: EntryState, digest: string, now: MonotonicMilliseconds): Suspect {
   const existing = state.quarantine.suspects.get(digest);
   if (existing !== undefined) return existing;
-  const reported = listPeerSuspects(state).filter((suspect) => suspect.digest === digest);
+  const reported = [...findAtPeers(state, digest).values()];
   const adopted = {
     digest,
     crashIds: collectCrashIds(state, digest),
@@ -82,21 +91,16 @@
  * pending; that peer runs it.
  */
 function isPendingAtEarlierPeer(state: EntryState, digest: string): boolean {
-  return [...state.membership.peers.values()].some(
-    ({ isReachable: live, report }) =>
-      live &&
-      report.instance < state.identity.instance &&
-      report.suspects.some((suspect) => suspect.digest === digest && suspect.pending === true),
+  return hasReachablePeer(
+    state,
+    digest,
+    ({ pending }, entry) => pending === true && entry < state.identity.instance,
   );
 }
 
 /** True if a reachable peer is still probing a loss that affected this request. */
 function isProbedByPeer(state: EntryState, digest: string): boolean {
-  return [...state.membership.peers.values()].some(
-    ({ isReachable: live, report }) =>
-      live &&
-      report.suspects.some((suspect) => suspect.digest === digest && suspect.judging === true),
-  );
+  return hasReachablePeer(state, digest, ({ judging }) => judging === true);
 }
 
 function runsHere(state: EntryState, digest: string): boolean {
@@ -107,9 +111,7 @@
 }
 
 function runsAtPeer(state: EntryState, digest: string): boolean {
-  return listPeerSuspects(state).some(
-    (suspect) => suspect.digest === digest && suspect.runningAt !== undefined,
-  );
+  return hasReachablePeer(state, digest, ({ runningAt }) => runningAt !== undefined);
 }
 
 /** True if a peer runs the same suspect, is to run it first, or is still probing its loss. */
@@ -123,7 +125,8 @@
 
 /**
  * True if the request is a suspect and must not start now: its loss is being probed, its report
- * has not reached the peers, another entry runs it first, or it is already running. Otherwise a
+ * has not reached the peers, no server is left to this entry for now, another entry runs it first,
+ * or it is already running. Otherwise a
  * poison request could crash several servers before its first crash is classified, and a resend
  * could run concurrently with the original. A caller who takes a stream up has lost the connection
  * to the other entry, so that one, which may be gone, is not waited for. Adopts suspects that only
@@ -138,14 +141,12 @@
   const { lossInstance, heldUntil = 0 } = getOrAdoptSuspect(state, digest, now);
   if (lossInstance !== undefined && state.quarantine.unresolvedLosses.has(lossInstance))
     return true;
-  if (heldUntil > now) return true;
+  if (heldUntil > now || findIsolation(state).slotServers?.length === 0) return true;
   return runsHere(state, digest) || (!isTakenUp && isHandledByPeer(state, digest));
 }
 
-/**
- * Returns the instances on which suspects other than this request are running, here or at peers.
- */
-export function listInstancesRunningSuspects(
+/** Returns the instances on which this entry runs suspects other than this request. */
+export function listInstancesRunningOwnSuspects(
   state: EntryState,
   excludedRequestId: string,
 ): Set<string> {
@@ -155,9 +156,6 @@
     if (digest === undefined || requestId === excludedRequestId) return;
     if (isSuspect(state, digest)) instances.add(instance);
   });
-  listPeerSuspects(state).forEach(({ runningAt }) => {
-    if (runningAt !== undefined) instances.add(runningAt);
-  });
   return instances;
 }
 
@@ -201,7 +199,5 @@
  * attribute a crash then.
  */
 export function peerHasSuspectAt(state: EntryState, instance: string): boolean {
-  return [...state.membership.peers.values()].some(({ report }) =>
-    report.suspects.some(({ runningAt }) => runningAt === instance),
-  );
+  return state.quarantine.peerSuspects.runningAt(instance).size > 0;
 }
