Let one entry report what all know of backend servers

Cause: every entry repeated in each report all that it knew of all servers, for as long as it held and a minute longer.

Change: what several entries know is reported by the first of them by name that is reachable; the others report what is newer. Nothing is agreed on: each entry compares with the last reports that it has. Limits, departures and reclaim notices had the same cause and go the same way.

--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -8,6 +8,7 @@
 import { buildDemandReports } from '../demand/buildDemandReports.js';
 import type { EntryState } from '../EntryState.js';
 import { describeRollouts } from '../rollouts/describeRollouts.js';
+import { listEarlierReports, omitReported } from './omitReported.js';
 import type { Suspect } from '../quarantine/QuarantineState.js';
 
 export const REPORT_INTERVAL_MILLISECONDS = 1000;
@@ -107,11 +108,38 @@
   };
 }
 
+/** What backend servers and the platform have said, as far as no other entry reports it. */
+function describeServers(
+  state: EntryState,
+): Pick<EntryReport, 'rateLimits' | 'brittleness' | 'departures' | 'leavingBackendServers'> {
+  const reports = listEarlierReports(state);
+  const rateLimits = omitReported(
+    state.rateLimits.describe(),
+    reports.map((report) => report.rateLimits ?? {}),
+    (own, reported) => own.requestsPerSecond === reported.requestsPerSecond,
+  );
+  const brittleness = omitReported(
+    state.brittleness.describe(),
+    reports.map((report) => report.brittleness ?? {}),
+    (own, reported) => own.survivedRejections === reported.survivedRejections,
+  );
+  const reportedDepartures = new Set(reports.flatMap((report) => report.departures ?? []));
+  const departures = state.departures.instances.filter((name) => !reportedDepartures.has(name));
+  const leavingBackendServers = omitReported(
+    Object.fromEntries(state.reclaims.leaving),
+    reports.map((report) => report.leavingBackendServers),
+    (own, reported) => reported <= own,
+  );
+  return {
+    ...(Object.keys(rateLimits).length === 0 ? {} : { rateLimits }),
+    ...(Object.keys(brittleness).length === 0 ? {} : { brittleness }),
+    ...(departures.length === 0 ? {} : { departures }),
+    leavingBackendServers,
+  };
+}
+
 function makeReport(state: EntryState): EntryReport {
   const rollouts = describeRollouts(state);
-  const rateLimits = state.rateLimits.describe();
-  const brittleness = state.brittleness.describe();
-  const departures = state.departures.instances;
   const { instance, dataCentre, incarnation } = state.identity;
   const { tunnelAddress, lost } = state.paths;
   state.membership.sequence += 1;
@@ -129,10 +157,7 @@
     inProgress: countInProgress(state),
     ...(state.configuration.whole === undefined ? {} : buildWholeConfigurationFields(state)),
     ...(rollouts.length === 0 ? {} : { rollouts }),
-    ...(Object.keys(rateLimits).length === 0 ? {} : { rateLimits }),
-    ...(Object.keys(brittleness).length === 0 ? {} : { brittleness }),
-    ...(departures.length === 0 ? {} : { departures }),
-    leavingBackendServers: Object.fromEntries(state.reclaims.leaving),
+    ...describeServers(state),
     suspects: [...listSuspects(state), ...listQuarantined(state)],
   };
 }
--- a/packages/entry-core/src/statements/repeatedStatements.test.ts
+++ b/packages/entry-core/src/statements/repeatedStatements.test.ts
@@ -85,3 +85,31 @@
     );
   });
 });
+
+// Guards against a statement that nobody reports any more once the entry that reported it is gone, or because
+// each entry takes the other for the one that does.
+test('what servers have said is reported by another entry once the one that did is gone', () => {
+  const cluster = new SimulatedCluster({ engines: { 'wien-a': 2 }, entries: 4 });
+  cluster.advance(1500);
+  const instance = 'wien-a-engine-1';
+  const findReporters = () =>
+    cluster.entries
+      .filter(({ alive }) => alive)
+      .map(({ state }) => state.membership.peers)
+      .flatMap((peers) => [...peers.values()])
+      .filter(({ isReachable, report }) => isReachable && instance in (report.brittleness ?? {}))
+      .map(({ report }) => report.instance);
+  cluster.entryAt(2).send({ type: 'serverStated', instance, survivedRejections: 4 });
+  cluster.advance(3000);
+  assert.deepEqual([...new Set(findReporters())], ['entry-1']);
+  cluster.entry.kill();
+  cluster.advance(6000);
+  assert.deepEqual([...new Set(findReporters())], ['entry-2']);
+  cluster.entryAt(3).send({ type: 'serverStated', instance, survivedRejections: 2 });
+  cluster.advance(3000);
+  assert.deepEqual([...new Set(findReporters())], ['entry-2']);
+  assert.deepEqual(
+    cluster.entries.slice(1).map(({ state }) => state.brittleness.at(instance)),
+    [2, 2, 2],
+  );
+});
