Send an entry that is behind the configuration ahead of all else

Cause: an entry that turns to a store gets everything in one answer, and uses the configuration in it last. With 58 entries the digest alone is some 300 kB; a full link or a loop that reads one window in a turn of 0.75 s needs seconds for it.

Change: a store pushes the configuration before its answer to a subscriber that has an older one, and the subscriber applies a complete configuration at once. A process that starts has none and waits for the rest, as before; one that is not behind is sent nothing more.

--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -13,6 +13,7 @@
   type PersistedEntryData,
   type SpendingReport,
   type StoreCommand,
+  type StorePush,
   type StoreRequest,
   type StoreResponse,
   type WorkReport,
@@ -38,6 +39,8 @@
 /** Election timeouts without a response from a member after which its disk may be assumed lost. */
 const LOST_MEMBER_ELECTION_TIMEOUTS = 4;
 
+type SubscribeRequest = Extract<StoreRequest, { type: 'subscribe' }>;
+
 export interface StoreRequestHandlerOptions {
   readonly timers: TimerService;
   readonly pendingRequests: PendingRequests;
@@ -96,22 +99,9 @@
         respond(this.makeConfigurationResponse());
         return;
       case 'subscribe':
-        this.earlySubscriptions.set(session, () => {
-          const { report, receivesDigests = false, acknowledgesDigests = false } = request;
-          const kind = {
-            role: report.role,
-            receivesDigests,
-            isStarting: request.isStarting ?? true,
-          };
-          const response = this.subscribedResponses.getOrMake(kind, () =>
-            this.makeSubscribedResponse(kind),
-          );
-          const abilities = { receivesDigests, acknowledgesDigests };
-          const { sequence: digestSequence } = digestPublisher;
-          const bytes = response.bytes.length;
-          subscribers.add(session, report, abilities, { digestSequence, bytes });
-          respond(response);
-        });
+        this.earlySubscriptions.set(session, () =>
+          this.answerSubscription(session, request, respond),
+        );
         this.answerEarlySubscriptions();
         return;
       case 'report':
@@ -174,6 +164,37 @@
     answers.forEach((answer) => answer());
   }
 
+  private answerSubscription(
+    session: PeerSession,
+    request: SubscribeRequest,
+    respond: RespondEncoded,
+  ): void {
+    const { subscribers, digestPublisher } = this.options;
+    const { report, receivesDigests = false, acknowledgesDigests = false } = request;
+    const { isStarting = true } = request;
+    if (!isStarting) this.sendConfigurationFirst(session, report);
+    const kind = { role: report.role, receivesDigests, isStarting };
+    const response = this.subscribedResponses.getOrMake(kind, () =>
+      this.makeSubscribedResponse(kind),
+    );
+    const abilities = { receivesDigests, acknowledgesDigests };
+    const { sequence: digestSequence } = digestPublisher;
+    const bytes = response.bytes.length;
+    subscribers.add(session, report, abilities, { digestSequence, bytes });
+    respond(response);
+  }
+
+  /**
+   * Sends the configuration to a subscriber that has an older one. The response holds all that this
+   * store knows, and on a full link or in a busy process it takes seconds.
+   */
+  private sendConfigurationFirst(session: PeerSession, { revision }: InstanceReport): void {
+    const { configuration } = this.options.readMachine();
+    if (configuration.revision <= revision) return;
+    const push: StorePush = { type: 'configuration', configuration };
+    session.push(push);
+  }
+
   /** Sends nothing more to a subscriber that follows another store now. */
   unsubscribe(session: PeerSession): void {
     this.earlySubscriptions.delete(session);
--- a/packages/transport/src/StoreSubscription.test.ts
+++ b/packages/transport/src/StoreSubscription.test.ts
@@ -243,6 +243,19 @@
   assert.equal(own.subscriptions, 2);
 });
 
+// The answer holds the whole state, and takes seconds on a full link or in a busy process. Guards against a
+// change of the configuration that has arrived before it and waits for it.
+test('a configuration that arrives ahead of the answer is in force at once', async () => {
+  const { timers, own, other, revisions, subscription } = await subscribeEntry();
+  other.answerDelay = 5000;
+  other.timers = timers;
+  other.revision = 4;
+  subscription.receivePush(own.address, { type: 'outOfTouch' });
+  const configuration = { ...emptyConfiguration, revision: 4 };
+  subscription.receivePush(other.address, { type: 'configuration', configuration });
+  assert.deepEqual(revisions, [3, 4]);
+});
+
 // A starting entry admits the requests that wait for its configuration at the moment it gets one.
 // Guards against sending them to backend servers of which the other entries know better.
 test('a starting entry learns what the others know before it gets its configuration', async () => {
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -206,7 +206,10 @@
   receivePush(address: ProcessAddress, push: StorePush): void {
     const { subscription } = this;
     if (subscription?.store.address !== address) return;
-    if (subscription.isAnswered) this.handlePush(push);
+    const isStarting = this.configurationFollower.newest === undefined;
+    // A complete configuration depends on nothing else, and a starting process waits for the rest.
+    const mayApply = push.type === 'configuration' && !isStarting;
+    if (subscription.isAnswered || mayApply) this.handlePush(push);
     else subscription.earlyPushes.push(push);
   }
 
