--- a/packages/entry-core/src/driver/SimulatedReportStore.ts
+++ b/packages/entry-core/src/driver/SimulatedReportStore.ts
@@ -21,6 +21,9 @@
   /** True if no digest leaves the store any more. */
   isSilent = false;
 
+  /** How long its digests are under way, or wait at the entry to be read. */
+  transitDelay: Milliseconds = 0;
+
   private readonly workTotals = new WorkTotals();
 
   private speedTotals = new SpeedTotals();
@@ -72,6 +75,7 @@
     const use = this.useTotals.takeSums(this.cluster.clock().now);
     const digest: EntryDigest = {
       sequence: this.sequence,
+      publishedAt: this.cluster.clock().wallNow,
       reports: this.reports,
       spending: [],
       ...(this.workTotals.takeChanges() ?? NO_CHANGES),
@@ -82,8 +86,12 @@
     };
     this.reports = [];
     this.computed = {};
-    this.cluster.entries.forEach((entry) =>
-      entry.send({ type: 'entryDigestReceived', digest, isWhole: digest.sequence === 1 }),
-    );
+    const isWhole = digest.sequence === 1;
+    const deliver = () =>
+      this.cluster.entries.forEach((entry) =>
+        entry.send({ type: 'entryDigestReceived', digest, isWhole }),
+      );
+    if (this.transitDelay === 0) deliver();
+    else this.cluster.schedule(this.transitDelay, deliver);
   }
 }
--- a/packages/entry-core/src/statements/brittleServers.test.ts
+++ b/packages/entry-core/src/statements/brittleServers.test.ts
@@ -24,12 +24,15 @@
 const BURST_FACTOR = 3;
 
 /** How the reports of the entries reach each other. */
-const reportPaths = ['soon', 'late', 'cutOff'] as const;
+const reportPaths = ['soon', 'late', 'inTransit', 'cutOff'] as const;
 type ReportPath = (typeof reportPaths)[number];
 
 /** Between two digests, where they are late: five times what is usual. */
 const LATE_DIGEST_MILLISECONDS = 250;
 
+/** How long digests are under way to an entry on a full link, or wait unread in a busy one. */
+const TRANSIT_MILLISECONDS = 750;
+
 const CUT_FROM_MILLISECONDS = 4000;
 const CUT_UNTIL_MILLISECONDS = 8000;
 
@@ -62,6 +65,9 @@
     reportsThroughStore: true,
     ...(reports === 'late' ? { digestDelayMilliseconds: LATE_DIGEST_MILLISECONDS } : {}),
   });
+  if (cluster.reportStore !== undefined && reports === 'inTransit') {
+    cluster.reportStore.transitDelay = TRANSIT_MILLISECONDS;
+  }
   cluster.advance(1500);
   const engines = [...cluster.engines.values()];
   const runStep = () => {
@@ -87,6 +93,7 @@
 
 [
   { entries: 8, enginesPerDataCentre: 2, seeds: [1, 2] },
+  { entries: 58, enginesPerDataCentre: 4, seeds: [1, 3] },
   { entries: 64, enginesPerDataCentre: 4, seeds: [3] },
 ].forEach(({ entries, enginesPerDataCentre, seeds }) => {
   reportPaths.forEach((reports) => {
