Divide the room of brittle servers for as long as news takes to arrive

What callers saw: brittle servers fell over under the requests that they had to reject (LIMIT), on a site with 58 entries that were behind.

Cause: an entry may use its part of the room until it has heard of the others, and took 0.1 s and the pause between digests for that. But with 58 entries each tells of its work every 250 ms, and on a full link or in a busy process digests arrive 0.75 s after they were sent without any pause between them. So the same room was divided several times over before anybody heard of it.

Change: the period is the interval of the work reports, the longest pause, the longest time that digests were under way or unread, by the clock of the store, and 50 ms. With 8 entries and digests at once it is what it was.

--- a/packages/entry-core/src/backendServers/WorkReports.ts
+++ b/packages/entry-core/src/backendServers/WorkReports.ts
@@ -27,6 +27,12 @@
 
 const MAX_REPORT_INTERVAL_MILLISECONDS: Milliseconds = 250;
 
+/** How long the changes of an entry's work wait for its next report, at most. */
+export function workReportInterval(entryCount: number): Milliseconds {
+  const intervals = Math.max(1, entryCount / MAX_ENTRIES_AT_MIN_INTERVAL);
+  return Math.min(MIN_REPORT_INTERVAL_MILLISECONDS * intervals, MAX_REPORT_INTERVAL_MILLISECONDS);
+}
+
 /** Sums of which nothing has been heard for this long are not used. */
 const SUMS_EXPIRY_MILLISECONDS: Milliseconds = 3000;
 
@@ -63,6 +69,8 @@
 
   private readonly pauses = new DecayingPeak();
 
+  private readonly transitTimes = new DecayingPeak();
+
   /** This entry's work that the sums include. */
   private includedWork: WorkByServer = new Map();
 
@@ -109,6 +117,11 @@
     return Math.min(SUMS_EXPIRY_MILLISECONDS, this.pauses.valueAt(now));
   }
 
+  /** The longest time that the last sums were under way from the store, or waited to be read. */
+  longestTransit(now: MonotonicMilliseconds): Milliseconds {
+    return Math.min(SUMS_EXPIRY_MILLISECONDS, this.transitTimes.valueAt(now));
+  }
+
   /** Marks this entry's own work at a backend server as changed since the last report. */
   markOwnWorkChanged(backendServer: string): void {
     this.changedServers.add(backendServer);
@@ -135,9 +148,8 @@
   ): DueWorkReport | undefined {
     const hasChanges = this.changedServers.size > 0 || this.prefilledPrefixes.size > 0;
     if (!hasChanges && !speeds.isDue && !isForced) return undefined;
-    const intervals = speeds.isUrgent ? 1 : Math.max(1, entryCount / MAX_ENTRIES_AT_MIN_INTERVAL);
-    const interval = MIN_REPORT_INTERVAL_MILLISECONDS * intervals;
-    const isDue = now - this.lastSentAt >= Math.min(interval, MAX_REPORT_INTERVAL_MILLISECONDS);
+    const interval = workReportInterval(speeds.isUrgent ? 1 : entryCount);
+    const isDue = now - this.lastSentAt >= interval;
     if (!isDue && !isForced) {
       return undefined;
     }
@@ -163,13 +175,16 @@
    * Applies the sums of a store.
    *
    * @param isWhole - True for the first sums after subscribing, which replace all others.
+   * @param transit - How long ago the store has sent them.
    */
   applySums(
     { work, included }: Pick<EntryDigest, 'work' | 'included'>,
     isWhole: boolean,
     ownInstance: string,
     now: MonotonicMilliseconds,
+    transit: Milliseconds = 0,
   ): void {
+    this.transitTimes.record(transit, now);
     this.pauses.record(now - (this.sumsReceivedAt ?? now), now);
     this.sumsReceivedAt = now;
     if (isWhole) {
--- a/packages/entry-core/src/backendServers/shareWork.ts
+++ b/packages/entry-core/src/backendServers/shareWork.ts
@@ -90,7 +90,10 @@
   isWhole: boolean,
   now: MonotonicMilliseconds,
 ): void {
-  state.workReports.applySums(digest, isWhole, state.identity.instance, now);
+  // The clocks of two processes differ a little, and one that is ahead would make it negative.
+  const { wallNow } = state.clocks;
+  const transit = Math.max(0, wallNow - (digest.publishedAt ?? wallNow));
+  state.workReports.applySums(digest, isWhole, state.identity.instance, now, transit);
   state.speeds.applyDigest(digest.speeds, isWhole, now);
   receiveUse(state, digest.use, isWhole, now);
   receiveComputedPrefixes(state, digest.computed, now);
--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -3,12 +3,13 @@
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { currentLimit } from '../backendServers/BalancingState.js';
 import { estimateInProgress } from '../backendServers/estimateInProgress.js';
+import { workReportInterval } from '../backendServers/WorkReports.js';
 import { hashFraction } from '../shares/hashFraction.js';
 import type { EntryState } from '../EntryState.js';
 import { mayOfferBrittle } from './mayOfferBrittle.js';
 
-/** Until others hear of a request, beside the pause between digests: a tick and the way. */
-const REPORT_DELAY_MILLISECONDS: Milliseconds = 100;
+/** Until others hear of a request, beside all that is measured: a tick and the way to the store. */
+const REPORT_DELAY_MILLISECONDS: Milliseconds = 50;
 
 /** Periods change in such steps, so that entries which measure pauses a little differently agree. */
 const PERIOD_STEP_MILLISECONDS: Milliseconds = 150;
@@ -25,7 +26,12 @@
 
 /** For how long the others may not have heard of a request. */
 function unknownPeriod(state: EntryState): Milliseconds {
-  const delay = REPORT_DELAY_MILLISECONDS + state.workReports.longestPause(state.clocks.now);
+  const { workReports, clocks } = state;
+  const delay =
+    REPORT_DELAY_MILLISECONDS +
+    workReportInterval(state.membership.peers.size + 1) +
+    workReports.longestPause(clocks.now) +
+    workReports.longestTransit(clocks.now);
   return Math.ceil(delay / PERIOD_STEP_MILLISECONDS) * PERIOD_STEP_MILLISECONDS;
 }
 
