--- a/apps/entry/src/CallProtocol.ts
+++ b/apps/entry/src/CallProtocol.ts
@@ -16,6 +16,7 @@
   | 'model'
   | 'resumption'
   | 'prefixDigests'
+  | 'sharedParts'
   | 'prefixTokens'
   | 'promptTokens'
   | 'maxTokens'
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -91,7 +91,18 @@
 /** Failures that a backend server answers after it has begun to run the request. */
 const failuresAfterBegin: readonly AttemptFailure[] = ['serverError', 'clientError'];
 
-function logFailure(attempt: AttemptState, event: AttemptFailedEvent): EntryEffect {
+/** The parts of a prompt may have ended a server that has written nothing of the answer yet. */
+function describeParts(state: EntryState, attempt: AttemptState, event: AttemptFailedEvent) {
+  const { sharedParts } = state.requests.get(attempt.requestId)?.request ?? {};
+  const mayHaveEndedServer = event.failure === 'connectionLost' && event.tokens === 0;
+  return mayHaveEndedServer && sharedParts !== undefined ? { parts: sharedParts } : {};
+}
+
+function logFailure(
+  state: EntryState,
+  attempt: AttemptState,
+  event: AttemptFailedEvent,
+): EntryEffect {
   const { requestId, instance, attemptId, version } = attempt;
   const { failure, sent, tokens } = event;
   return {
@@ -105,6 +116,7 @@
       failure,
       sent,
       tokens,
+      ...describeParts(state, attempt, event),
     },
   };
 }
@@ -165,11 +177,11 @@
   recordFailureInRequest(requestState, attempt, event);
   if (event.failure === 'silent') recordDuration(state, requestState, attempt, event.now);
   if (leaveRace(requestState, attempt.attemptId)) {
-    return [logFailure(attempt, event), ...restEffects, ...lossEffects];
+    return [logFailure(state, attempt, event), ...restEffects, ...lossEffects];
   }
   requestState.attemptId = undefined;
   return [
-    logFailure(attempt, event),
+    logFailure(state, attempt, event),
     ...versionEffects,
     ...restEffects,
     ...lossEffects,
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -56,6 +56,11 @@
   readonly digest: string;
   /** Digests of the prompt's prefixes, shortest first; used for cache affinity. */
   readonly prefixDigests: readonly string[];
+  /**
+   * Names of the parts of the prompt that other requests may hold too, in any place; the last part,
+   * which belongs to the request or its session, is not among them.
+   */
+  readonly sharedParts?: readonly string[];
   /** Number of tokens in each prefix, if the caller states it. */
   readonly prefixTokens?: readonly number[];
   /** Estimated number of prompt tokens; 0 for plain services. */
