--- a/packages/entry-core/src/driver/SimulatedEngine.ts
+++ b/packages/entry-core/src/driver/SimulatedEngine.ts
@@ -87,6 +87,9 @@
   /** Rejections for want of room in a second above which the engine falls over, as it states. */
   survivedRejections = Infinity;
 
+  /** Parts of prompts on which the engine crashes as soon as it begins to write an answer. */
+  poisonParts: ReadonlySet<string> = new Set();
+
   /** When the engine has fallen over. */
   readonly fellAt: number[] = [];
 
@@ -188,6 +191,10 @@
         this.die();
         return;
       }
+      if (request.sharedParts?.some((part) => this.poisonParts.has(part)) === true) {
+        this.die();
+        return;
+      }
       stream.nextTokenProgress -= 1;
       this.decodedTokens += 1;
       if (!stream.stalled)
