Quarantine the parts of prompts under which backend servers crash

Cause: requests are quarantined by the digest of method, path and body. Requests that share a part of their prompts and nothing else are never named.

Change: entries tell each other which requests had brought nothing when a server crashed, and which parts are past the beginning of an answer since. A part that is left in the crashes of three moments is quarantined, as a name beside the digests, in the reports and through the stores' log as it is.

Why it works: a poisoned part is in every crash that it causes and in no answer; a sound one, however common or rare, is in an answer soon or in few crashes.

--- a/packages/entry-core/src/advanceEntry.ts
+++ b/packages/entry-core/src/advanceEntry.ts
@@ -16,6 +16,8 @@
 import { advanceReports } from './membership/advanceReports.js';
 import { advanceSuspects } from './quarantine/advanceSuspects.js';
 import { advanceLosses } from './quarantine/classifyLoss.js';
+import { advancePartEvidence } from './quarantine/parts/advancePartEvidence.js';
+import { decidePostponedVerdicts } from './quarantine/postponedVerdicts.js';
 import { probeStalledServers } from './quarantine/probeStalledServers.js';
 import { advanceCacheMoves } from './reclaims/moveCache.js';
 import { advanceReclaims } from './reclaims/recordReclaimNotice.js';
@@ -34,6 +36,8 @@
     ...expireAwaitingConfiguration(state, timestamps.now),
     ...expireAwaitingAcknowledgement(state, timestamps),
     ...advanceLosses(state, timestamps),
+    ...advancePartEvidence(state, timestamps),
+    ...decidePostponedVerdicts(state, timestamps),
     ...leaveSlowServers(state, timestamps.now),
     ...probeStalledServers(state, timestamps.now),
     ...advanceCacheMoves(state, timestamps),
--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -24,6 +24,8 @@
   pausedByCaller?: boolean;
   /** When its backend server was last probed because this stream stalled. */
   stallProbedAt?: MonotonicMilliseconds;
+  /** True once the parts of its prompt are known to be sound. */
+  hasShownParts?: boolean;
   /** True while the shell holds the answer back, so the caller has received nothing of it. */
   isHeld?: boolean;
   /** True once the attempt has timed out but is kept, as its answer may still arrive first. */
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -9,6 +9,7 @@
 import { placeRequest } from '../admission/placeRequest.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { lastServedAt } from '../backendServers/nextTokenDueAt.js';
+import { findQuarantineEnd } from '../quarantine/quarantineDigest.js';
 import { isSuspect, mustDelaySuspect } from '../quarantine/suspects.js';
 import { failRequest } from '../requests/endRequest.js';
 import { determineRan } from '../requests/determineRan.js';
@@ -28,14 +29,14 @@
   requestState: RequestState,
   now: MonotonicMilliseconds,
 ): EntryEffect[] | undefined {
-  const quarantined = state.quarantine.quarantined.get(requestState.request.digest);
-  if (quarantined === undefined || quarantined.endsAt <= now) return undefined;
+  const endsAt = findQuarantineEnd(state, requestState);
+  if (endsAt === undefined || endsAt <= now) return undefined;
   const detail = 'The request is quarantined because it crashed backend servers';
   return [
     ...(requestState.attemptsStarted === 0 ? [] : countRefusedRetry('quarantined')),
     ...failRequest(state, requestState, 'quarantined', detail, {
       ran: determineRan(requestState),
-      retryAfterMilliseconds: quarantined.endsAt - now,
+      retryAfterMilliseconds: endsAt - now,
     }),
   ];
 }
--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -159,6 +159,7 @@
     ...(rollouts.length === 0 ? {} : { rollouts }),
     ...describeServers(state),
     suspects: [...listSuspects(state), ...listQuarantined(state)],
+    ...state.quarantine.ownCrashes.describe(state.clocks.now),
   };
 }
 
--- a/packages/entry-core/src/membership/receivePeerReport.ts
+++ b/packages/entry-core/src/membership/receivePeerReport.ts
@@ -7,6 +7,7 @@
 import type { Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { updateLimitersFromReport } from '../limits/updateLimitersFromReport.js';
+import { receivePartReport } from '../quarantine/parts/receivePartReport.js';
 import { receiveQuarantine } from '../quarantine/quarantineDigest.js';
 import { receiveReportedStatements } from '../statements/receiveStatement.js';
 import { recordReclaimNotice } from '../reclaims/recordReclaimNotice.js';
@@ -34,6 +35,7 @@
     isReachable: true,
   });
   state.quarantine.peerSuspects.replace(report.instance, report.suspects);
+  receivePartReport(state, report, timestamps.now);
   const quarantine = report.suspects.flatMap(({ digest, quarantinedUntil: until }) =>
     until === undefined ? [] : [{ digest, until }],
   );
--- a/packages/entry-core/src/paths/lostPaths.test.ts
+++ b/packages/entry-core/src/paths/lostPaths.test.ts
@@ -55,6 +55,7 @@
       ['two', request],
     ]),
     resetDigests: new Set(['one', 'two']),
+    unanswered: [],
   };
   assert.equal(hasRestarted(state, loss, { answered: true }), true);
   entry.send({ type: 'serverPathChanged', backendServer: instance, isLost: true });
--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -4,8 +4,16 @@
  * progress at a crash, are suspects. The digest of a request that is identified as the cause is
  * quarantined.
  */
-import type { EpochMilliseconds, Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type {
+  EpochMilliseconds,
+  Milliseconds,
+  MonotonicMilliseconds,
+  UnansweredRequest,
+} from '@hornbeampond/schema';
 import type { Timestamps } from '../entryEvents.js';
+import { OwnCrashes } from './parts/OwnCrashes.js';
+import { PartEvidence } from './parts/PartEvidence.js';
+import { QuarantinedParts } from './parts/QuarantinedParts.js';
 import { PeerSuspects } from './PeerSuspects.js';
 
 /**
@@ -45,6 +53,11 @@
   >;
   /** Digests of requests whose own connection was reset. */
   readonly resetDigests: Set<string>;
+  /**
+   * Requests in progress that had brought nothing, or hardly more; undefined if no request in progress
+   * named parts of its prompt.
+   */
+  readonly unanswered: readonly UnansweredRequest[] | undefined;
 }
 
 /** A backend server that is considered crashed or unreachable until it answers a probe. */
@@ -56,6 +69,13 @@
   readonly crashId: string;
 }
 
+/** A request that seems to have caused a crash, until it is known what other entries have seen. */
+export interface PostponedVerdict {
+  readonly backendServer: string;
+  readonly crashId: string;
+  readonly dueAt: MonotonicMilliseconds;
+}
+
 /** When the quarantine of one digest ends, by wall clock and by monotonic clock. */
 export interface QuarantinedDigest {
   readonly until: EpochMilliseconds;
@@ -72,8 +92,17 @@
 }
 
 export interface QuarantineState {
-  /** Digests whose requests may not be sent to any backend server. */
+  /**
+   * Digests whose requests may not be sent to any backend server, and keys of parts of prompts; see
+   * `toPartKey`.
+   */
   readonly quarantined: Map<string, QuarantinedDigest>;
+  /** The parts that are quarantined, for looking up prompts. */
+  readonly quarantinedParts: QuarantinedParts;
+  readonly partEvidence: PartEvidence;
+  readonly ownCrashes: OwnCrashes;
+  /** By digest. */
+  readonly postponedVerdicts: Map<string, PostponedVerdict>;
   /** By digest. */
   readonly suspects: Map<string, Suspect>;
   readonly peerSuspects: PeerSuspects;
@@ -96,6 +125,10 @@
 export function makeQuarantineState(): QuarantineState {
   return {
     quarantined: new Map(),
+    quarantinedParts: new QuarantinedParts(),
+    partEvidence: new PartEvidence(),
+    ownCrashes: new OwnCrashes(),
+    postponedVerdicts: new Map(),
     suspects: new Map(),
     peerSuspects: new PeerSuspects(),
     unresolvedLosses: new Map(),
--- a/packages/entry-core/src/quarantine/addUnresolvedLoss.ts
+++ b/packages/entry-core/src/quarantine/addUnresolvedLoss.ts
@@ -1,6 +1,7 @@
 /** Adds an unresolved connection loss, with the requests in progress on the backend server. */
-import type { MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds, UnansweredRequest } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
+import { isPastBeginning } from './parts/beginning.js';
 import type { ConnectionLoss } from './QuarantineState.js';
 
 function listRequestsInProgress(
@@ -23,6 +24,25 @@
   return requestsInProgress;
 }
 
+function listUnanswered(
+  state: EntryState,
+  instance: string,
+  now: MonotonicMilliseconds,
+  excludedAttemptId: string | undefined,
+): UnansweredRequest[] | undefined {
+  const attemptIds = [...(state.backendServers.get(instance)?.attemptIds ?? [])];
+  const withParts = attemptIds.flatMap((attemptId) => {
+    const attempt = state.attempts.get(attemptId);
+    const request = attempt && state.requests.get(attempt.requestId)?.request;
+    if (attemptId === excludedAttemptId || attempt === undefined) return [];
+    if (request?.sharedParts === undefined || request.sharedParts.length === 0) return [];
+    const unanswered = { digest: request.digest, parts: request.sharedParts };
+    return [{ unanswered, hasBegun: isPastBeginning(attempt, now) }];
+  });
+  if (withParts.length === 0) return undefined;
+  return withParts.flatMap(({ unanswered, hasBegun }) => (hasBegun ? [] : [unanswered]));
+}
+
 export function addUnresolvedLoss(
   state: EntryState,
   instance: string,
@@ -35,6 +55,7 @@
     openedAt: now,
     requestsInProgress,
     resetDigests: new Set<string>(),
+    unanswered: listUnanswered(state, instance, now, excludedAttemptId),
   };
   state.quarantine.unresolvedLosses.set(instance, loss);
   return loss;
--- a/packages/entry-core/src/quarantine/advanceSuspects.ts
+++ b/packages/entry-core/src/quarantine/advanceSuspects.ts
@@ -49,6 +49,8 @@
     if (until <= now) massLossDigests.delete(digest);
   });
   quarantined.forEach(({ endsAt }, digest) => {
-    if (endsAt <= now) quarantined.delete(digest);
+    if (endsAt > now) return;
+    quarantined.delete(digest);
+    state.quarantine.quarantinedParts.end(digest, now);
   });
 }
--- a/packages/entry-core/src/quarantine/attributeCrash.ts
+++ b/packages/entry-core/src/quarantine/attributeCrash.ts
@@ -8,11 +8,12 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import { quarantineDigest } from './quarantineDigest.js';
+import { isExplainedByParts } from './parts/recordCrashEvidence.js';
+import { convictRequest } from './convictRequest.js';
+import { findVerdictTime } from './postponedVerdicts.js';
 import type { ConnectionLoss } from './QuarantineState.js';
 import {
   getAnnouncementDelay,
-  exonerateSuspectsOf,
   collectCrashIds,
   peerHasSuspectAt,
   findPriorSuspects,
@@ -41,9 +42,9 @@
   digests: string[],
   crashId: string,
   now: MonotonicMilliseconds,
+  heldUntil = now + getAnnouncementDelay(state),
 ): void {
   const until = loss.openedAt + SUSPECT_LIFETIME_MILLISECONDS;
-  const heldUntil = now + getAnnouncementDelay(state);
   digests.forEach((digest) => {
     const crashIds = collectCrashIds(state, digest).add(crashId);
     const { exposure = 0, tokens = 0 } = loss.requestsInProgress.get(digest) ?? {};
@@ -60,19 +61,6 @@
   });
 }
 
-/**
- * Proposes one report for each crash of the identified request, listing no other digest. The store
- * quarantines a digest at its second reported crash; if all requests in progress were reported,
- * one that was in progress at two crashes by chance would be quarantined too.
- */
-function proposeCrashReports(digest: string, crashIds: ReadonlySet<string>): EntryEffect[] {
-  return [...crashIds].map((crashId) => {
-    const backendServer = crashId.slice(0, crashId.lastIndexOf('/'));
-    const command = { type: 'reportCrash', backendServer, crashId, digests: [digest] } as const;
-    return { type: 'proposeCommand', command };
-  });
-}
-
 /** Quarantines the request that caused the crash, or records suspects if it is not identified. */
 export function attributeCrash(
   state: EntryState,
@@ -82,6 +70,7 @@
 ): EntryEffect[] {
   const priorSuspects = findPriorSuspects(state, loss, crashId);
   removeProvisionalSuspects(state, loss.instance);
+  if (isExplainedByParts(state, loss)) return [];
   const poisonDigest = priorSuspects[0];
   // A peer runs a suspect on this server, and attributes the crash to that suspect.
   if (poisonDigest === undefined && peerHasSuspectAt(state, loss.instance)) return [];
@@ -93,10 +82,10 @@
     addSuspects(state, loss, priorSuspects, crashId, timestamps.now);
     return [];
   }
-  const crashIds = collectCrashIds(state, poisonDigest).add(crashId);
-  exonerateSuspectsOf(state, crashIds);
-  return [
-    ...proposeCrashReports(poisonDigest, crashIds),
-    ...quarantineDigest(state, poisonDigest, timestamps),
-  ];
+  const dueAt = findVerdictTime(state, poisonDigest, timestamps.now);
+  if (dueAt === undefined) return convictRequest(state, poisonDigest, crashId, timestamps);
+  addSuspects(state, loss, [poisonDigest], crashId, timestamps.now, dueAt);
+  const verdict = { backendServer: loss.instance, crashId, dueAt };
+  state.quarantine.postponedVerdicts.set(poisonDigest, verdict);
+  return [];
 }
--- a/packages/entry-core/src/quarantine/classifyLoss.ts
+++ b/packages/entry-core/src/quarantine/classifyLoss.ts
@@ -14,6 +14,7 @@
 import { failAttemptsAt } from './failAttemptsAt.js';
 import { hasRestarted, recordResetsWithoutCrash, type ProbeResult } from './hasRestarted.js';
 import { detectMassLoss } from './detectMassLoss.js';
+import { recordCrashEvidence } from './parts/recordCrashEvidence.js';
 import { probeBackendServer } from './probeBackendServer.js';
 import type { ConnectionLoss } from './QuarantineState.js';
 
@@ -69,6 +70,7 @@
   // Its next process may run on another machine.
   state.speeds.recordRestart(instance);
   state.quarantine.lastCrashes.set(instance, { crashId, confirmedAt: timestamps.now });
+  recordCrashEvidence(state, loss, crashId, timestamps);
   const mass = !result.answered && detectMassLoss(state, loss);
   // Also if the server has restarted, so that suspects do not return to it before its next probe.
   markDown(state, loss, crashId, timestamps.now);
--- a/packages/entry-core/src/quarantine/quarantineDigest.ts
+++ b/packages/entry-core/src/quarantine/quarantineDigest.ts
@@ -1,9 +1,9 @@
 /**
- * Quarantines the digest of a request that crashed backend servers. Until the quarantine ends,
- * requests with this digest are failed and sent to no backend server. Peers apply it when they
- * receive the next report of this entry.
+ * Quarantines the digest of a request that crashed backend servers, or parts of prompts under which they
+ * have crashed. Until the quarantine ends, such requests are failed and sent to no backend server.
+ * Peers apply it when they receive the next report of this entry.
  */
-import type { QuarantineRecord } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds, QuarantineRecord } from '@hornbeampond/schema';
 import { cancelAttempt } from '../attempts/releaseAttempts.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { Timestamps } from '../entryEvents.js';
@@ -12,6 +12,7 @@
 import { failRequest } from '../requests/endRequest.js';
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { parsePartKey } from './parts/partKey.js';
 import { exonerateSuspectsOf, collectCrashIds } from './suspects.js';
 
 /** How long a quarantine that this entry starts lasts, unless the store sets a later end. */
@@ -38,33 +39,55 @@
   ];
 }
 
-function failRequestsWithDigest(
+function failRequestsWith(
   state: EntryState,
-  digest: string,
+  key: string,
   endsAt: number,
   timestamps: Timestamps,
 ): EntryEffect[] {
+  const set = parsePartKey(key);
+  const isAffected = ({ request: { digest, sharedParts = [] }, pool }: RequestState) =>
+    set === undefined
+      ? digest === key
+      : set.pool === pool.name && set.parts.every((part) => sharedParts.includes(part));
   return [...state.requests.values()]
-    .filter(({ request }) => request.digest === digest)
+    .filter(isAffected)
     .flatMap((requestState) => failQuarantinedRequest(state, requestState, endsAt, timestamps));
 }
 
-export function quarantineDigest(
+function setQuarantine(state: EntryState, key: string, until: number, endsAt: number): void {
+  state.quarantine.quarantined.set(key, { until, endsAt });
+  state.quarantine.quarantinedParts.set(key, endsAt);
+}
+
+/** @param key - The digest of a request, or a name of parts; see `toPartKey`. */
+export function quarantineKey(
   state: EntryState,
-  digest: string,
+  key: string,
   timestamps: Timestamps,
 ): EntryEffect[] {
   const endsAt = timestamps.now + LOCAL_QUARANTINE_MILLISECONDS;
   const until = timestamps.wallNow + LOCAL_QUARANTINE_MILLISECONDS;
-  state.quarantine.quarantined.set(digest, { until, endsAt });
-  state.quarantine.suspects.delete(digest);
+  setQuarantine(state, key, until, endsAt);
+  state.quarantine.suspects.delete(key);
   reportSoon(state);
   return [
-    { type: 'log', event: 'requestQuarantined', fields: { digest, until } },
-    ...failRequestsWithDigest(state, digest, endsAt, timestamps),
+    { type: 'log', event: 'requestQuarantined', fields: { digest: key, until } },
+    ...failRequestsWith(state, key, endsAt, timestamps),
   ];
 }
 
+/** When the quarantine of a request ends; undefined if it is not quarantined. */
+export function findQuarantineEnd(
+  { quarantine }: EntryState,
+  { request: { digest, sharedParts = [] }, pool }: RequestState,
+): MonotonicMilliseconds | undefined {
+  return (
+    quarantine.quarantined.get(digest)?.endsAt ??
+    quarantine.quarantinedParts.endOf(pool.name, sharedParts)
+  );
+}
+
 /**
  * Applies the quarantines of the store or of a peer. They only add to or extend those of this
  * entry. Other suspects of the same crashes are exonerated.
@@ -79,8 +102,8 @@
     const existing = state.quarantine.quarantined.get(digest);
     if (endsAt <= timestamps.now || (existing !== undefined && existing.endsAt >= endsAt))
       return [];
-    state.quarantine.quarantined.set(digest, { until, endsAt });
+    setQuarantine(state, digest, until, endsAt);
     exonerateSuspectsOf(state, collectCrashIds(state, digest));
-    return failRequestsWithDigest(state, digest, endsAt, timestamps);
+    return failRequestsWith(state, digest, endsAt, timestamps);
   });
 }
--- a/packages/entry-core/src/quarantine/suspects.ts
+++ b/packages/entry-core/src/quarantine/suspects.ts
@@ -174,6 +174,15 @@
   });
 }
 
+/** Exonerates suspects that were in progress at crashes of these backend servers only. */
+export function exonerateSuspectsAt(state: EntryState, servers: ReadonlySet<string>): void {
+  const crashIds = [...state.quarantine.suspects.values()].flatMap((suspect) => [
+    ...suspect.crashIds,
+  ]);
+  const isThere = (crashId: string) => servers.has(crashId.slice(0, crashId.lastIndexOf('/')));
+  exonerateSuspectsOf(state, new Set(crashIds.filter(isThere)));
+}
+
 function isIsolationLifted(state: EntryState, digest: string): boolean {
   return state.quarantine.suspects.get(digest)?.isolationLifted === true;
 }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -29,6 +29,7 @@
 import { reportSoon } from './membership/advanceReports.js';
 import { receivePathChange } from './paths/receivePathChange.js';
 import { receiveProbeAnswer } from './quarantine/classifyLoss.js';
+import { observeBeginnings } from './quarantine/parts/observeBeginnings.js';
 import { receiveQuarantine } from './quarantine/quarantineDigest.js';
 import { recordListedReclaimNotices, recordReclaimNotice } from './reclaims/recordReclaimNotice.js';
 import { receiveCacheMoved } from './reclaims/receiveCacheMoved.js';
@@ -42,6 +43,7 @@
   state.clocks = { now: event.now, wallNow: event.wallNow };
   const affected = findAffectedIds(state, event);
   const observed = observeAttempt(state, event);
+  observeBeginnings(state, event);
   const endedClaim = findClaimOfEndedAttempt(state, event);
   const effects = [...observed, ...dispatchEvent(state, event)];
   effects.push(...reduceAdmission(state, event, affected));
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -111,6 +111,11 @@
     'warn',
     'A request that crashed backend servers was quarantined',
   ),
+  partsQuarantined: defineLogEvent(
+    2203,
+    'warn',
+    'Parts of prompts under which backend servers crashed were quarantined',
+  ),
   streamHandedOn: defineLogEvent(2211, 'info', 'A stream is migrated to another backend server'),
   entrySlow: defineLogEvent(
     2300,
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -32,6 +32,29 @@
   readonly quarantinedUntil?: EpochMilliseconds;
 }
 
+/** A request that had brought nothing of its answer when its backend server crashed. */
+export interface UnansweredRequest {
+  readonly digest: string;
+  /** The parts of its prompt that other requests may hold too. */
+  readonly parts: readonly string[];
+}
+
+/** What one entry has seen of the crash of a backend server. */
+export interface CrashEvidence {
+  readonly backendServer: string;
+  readonly pool: string;
+  readonly at: EpochMilliseconds;
+  readonly unanswered: readonly UnansweredRequest[];
+}
+
+/** A request with this part has got past the beginning of its answer in this pool. */
+export interface SoundPart {
+  readonly pool: string;
+  readonly part: string;
+  /** When its answer began. */
+  readonly at: EpochMilliseconds;
+}
+
 /** Amounts that each workspace has spent in the last seconds, one for each second, newest first. */
 export type SpendingBySecond = Readonly<Record<string, readonly number[]>>;
 
@@ -172,6 +195,10 @@
   readonly rollouts?: readonly RolloutEvidence[];
   /** Suspects and quarantined digests, so that a resend through another entry runs isolated. */
   readonly suspects: readonly PeerSuspect[];
+  /** Crashes of the last seconds that may be due to a part of a prompt. */
+  readonly crashEvidence?: readonly CrashEvidence[];
+  /** Parts that crashes have made suspect, and that this entry knows to be sound. */
+  readonly soundParts?: readonly SoundPart[];
 }
 
 /** Work of one entry at one backend server. */
