Say which response and which proof made a call count as not run

An operator could not tell why a caller was told that a call had not run: 2011 had only failure and sent, 2002 no status, 2003 no ran, and nothing said whether the caller got a server's own failure. 2011 now has the response's status, whether it declined the call, which call it named, and the proof; 2013 is new; two counters count proofs and failed answers.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -355,6 +355,7 @@
       type: 'attemptFinished',
       attemptId,
       tokens: 0,
+      status: response.status,
       ...(storedAnswer === undefined ? {} : { storedAnswer }),
     });
   }
@@ -412,7 +413,8 @@
     if (reportedAt === 0) reportFirstBytes();
     const { longestPause } = answer;
     const tokens = countAnswerTokens(answer, target);
-    dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause });
+    const { status } = response;
+    dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause, status });
   }
 
   /**
@@ -446,6 +448,8 @@
       attemptId,
       failure,
       sent: serverFailure?.sent ?? 'maybe',
+      ...(serverFailure?.proof === undefined ? {} : { proof: serverFailure.proof }),
+      ...(serverFailure?.response === undefined ? {} : { response: serverFailure.response }),
       tokens: countAnswerTokens(answer, attempt.effect.target),
       answerStarted: hasUnresumableStart(answer),
       ...(serverFailure?.retryAfter === undefined ? {} : { retryAfter: serverFailure.retryAfter }),
--- a/apps/entry/src/CallerAnswer.ts
+++ b/apps/entry/src/CallerAnswer.ts
@@ -40,6 +40,14 @@
     return undefined;
   }
 
+  /**
+   * Status of a backend server's failure answer that the caller gets if the call fails now; undefined
+   * if the caller gets an answer of this entry.
+   */
+  get backendServerStatus(): number | undefined {
+    return undefined;
+  }
+
   /** Ends the answer as complete. */
   abstract finish(): void;
 
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -506,6 +506,8 @@
         this.endExchange(requestId, ({ answer }) => {
           // The effect's `tokensGiven` may be out of date; the answer's is exact.
           const { tokensGiven } = answer;
+          const { backendServerStatus: status } = answer;
+          if (status !== undefined) this.logger.write('failurePassedOn', { requestId, status });
           const details = { retryAfterMilliseconds, ran, tokensGiven };
           answer.fail(new HornbeampondError(kind, detail, details));
         });
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -112,6 +112,10 @@
     this.lastFailureAnswer = { status, headers, body };
   }
 
+  override get backendServerStatus(): number | undefined {
+    return this.started ? undefined : this.lastFailureAnswer?.status;
+  }
+
   override finish(): void {
     if (this.isClosed) return;
     const body = Buffer.concat(this.bufferedChunks);
--- a/packages/adapters/src/BackendServerFailure.ts
+++ b/packages/adapters/src/BackendServerFailure.ts
@@ -2,7 +2,7 @@
  * The error that all adapters throw when a call to a backend server, the platform or the weight
  * store fails. It states the kind of failure and whether the call may have run.
  */
-import type { Milliseconds } from '@hornbeampond/schema';
+import type { Milliseconds, NotRunProof, ResponseFacts } from '@hornbeampond/schema';
 import ModernError from 'modern-errors';
 
 /**
@@ -34,8 +34,11 @@
   readonly failure?: BackendServerFailureKind;
   /** Defaults to `maybe`, the safe assumption. */
   readonly sent?: SentState;
+  /** Why the call is taken as not run; set if `sent` is `nothing`. */
+  readonly proof?: NotRunProof;
   /** HTTP status, if it caused the failure. */
   readonly status?: number;
+  readonly response?: ResponseFacts;
   /** Delay before a retry, if the server sent one. */
   readonly retryAfter?: Milliseconds;
   readonly cause?: unknown;
@@ -46,15 +49,22 @@
 
   readonly sent: SentState;
 
+  readonly proof: NotRunProof | undefined;
+
   readonly status: number | undefined;
 
+  readonly response: ResponseFacts | undefined;
+
   readonly retryAfter: Milliseconds | undefined;
 
   constructor(message: string, options: BackendServerFailureOptions = {}) {
     const { failure = 'connectionLost', sent = 'maybe', status, retryAfter, cause } = options;
+    const { proof, response } = options;
     super(message, cause === undefined ? {} : { cause });
     this.failure = failure;
     this.sent = sent;
+    this.proof = proof;
+    this.response = response;
     this.status = status;
     this.retryAfter = retryAfter;
   }
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -79,17 +79,25 @@
 function toFailure(cause: unknown, signal: AbortSignal, sent: SentState): BackendServerFailure {
   if (cause instanceof BackendServerFailure) return cause;
   const message = describeError(cause);
+  const proof = sent === 'nothing' ? ({ proof: 'nothingWritten' } as const) : {};
   if (cause instanceof ConnectError) {
-    return new BackendServerFailure(message, { failure: 'connectFailed', sent: 'nothing', cause });
+    const options = { failure: 'connectFailed', sent: 'nothing', proof: 'notConnected' } as const;
+    return new BackendServerFailure(message, { ...options, cause });
   }
   if (signal.aborted) {
     return new BackendServerFailure('the caller aborted the call', {
       failure: 'silent',
       sent,
+      ...proof,
       cause,
     });
   }
-  return new BackendServerFailure(message, { failure: classifyError(cause), sent, cause });
+  return new BackendServerFailure(message, {
+    failure: classifyError(cause),
+    sent,
+    ...proof,
+    cause,
+  });
 }
 
 type ResponseBody = Dispatcher.ResponseData['body'];
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -104,7 +104,7 @@
   event: AttemptFailedEvent,
 ): EntryEffect {
   const { requestId, instance, attemptId, version } = attempt;
-  const { failure, sent, tokens } = event;
+  const { failure, sent, proof, response, tokens } = event;
   return {
     type: 'log',
     event: 'attemptFailed',
@@ -115,12 +115,28 @@
       ...(version === undefined ? {} : { version }),
       failure,
       sent,
+      ...(proof === undefined ? {} : { proof }),
+      ...response,
       tokens,
       ...describeParts(state, attempt, event),
     },
   };
 }
 
+function reportFailure(
+  state: EntryState,
+  attempt: AttemptState,
+  event: AttemptFailedEvent,
+): EntryEffect[] {
+  const { proof, response } = event;
+  const effects = [logFailure(state, attempt, event)];
+  if (proof !== undefined) effects.push({ type: 'count', metric: 'attemptsNotRun', label: proof });
+  if (response !== undefined) {
+    effects.push({ type: 'count', metric: 'failedAnswers', label: String(response.status) });
+  }
+  return effects;
+}
+
 function retryOrFail(
   state: EntryState,
   requestState: RequestState,
@@ -177,11 +193,11 @@
   recordFailureInRequest(requestState, attempt, event);
   if (event.failure === 'silent') recordDuration(state, requestState, attempt, event.now);
   if (leaveRace(requestState, attempt.attemptId)) {
-    return [logFailure(state, attempt, event), ...restEffects, ...lossEffects];
+    return [...reportFailure(state, attempt, event), ...restEffects, ...lossEffects];
   }
   requestState.attemptId = undefined;
   return [
-    logFailure(state, attempt, event),
+    ...reportFailure(state, attempt, event),
     ...versionEffects,
     ...restEffects,
     ...lossEffects,
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -257,3 +257,31 @@
   entry.failAttempt(3, 'serverError', 'maybe');
   assert.deepEqual(Object.values(entry.state.usage.read()), [{ laden: 1 }]);
 });
+
+// Guards against a call that is taken as not run while log and metrics do not say by which proof.
+test('log and metrics of a failed attempt have the answer and the proof', () => {
+  const { state, submitRequest } = makeEntry(nonIdempotentRoute);
+  submitRequest();
+  const response = { status: 503, isDeclined: true, names: 'thisCall' } as const;
+  const effects = reduceEntry(state, {
+    type: 'attemptFailed',
+    attemptId: 'one.1',
+    failure: 'busy',
+    sent: 'nothing',
+    proof: 'declined',
+    response,
+    tokens: 0,
+    answerStarted: false,
+    now: 1000,
+    wallNow: 1_001_000,
+  });
+  const logged = effects.find(({ type }) => type === 'log');
+  assert.ok(logged?.type === 'log' && logged.event === 'attemptFailed');
+  const { proof, status, isDeclined, names } = logged.fields;
+  assert.deepEqual({ proof, status, isDeclined, names }, { proof: 'declined', ...response });
+  const counted = effects.flatMap((effect) =>
+    effect.type === 'count' ? [`${effect.metric} ${effect.label}`] : [],
+  );
+  assert.ok(counted.includes('attemptsNotRun declined'), counted.join());
+  assert.ok(counted.includes('failedAnswers 503'), counted.join());
+});
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -90,7 +90,7 @@
 function finishTimedOutAttempt(
   state: EntryState,
   requestState: RequestState | undefined,
-  { attemptId, longestPause }: AttemptFinishedEvent,
+  { attemptId, longestPause, status }: AttemptFinishedEvent,
 ): EntryEffect[] {
   state.attempts.delete(attemptId);
   if (
@@ -100,7 +100,7 @@
   ) {
     return countLateAnswer();
   }
-  return finishRequest(state, requestState, attemptId, longestPause);
+  return finishRequest(state, requestState, attemptId, { longestPause, status });
 }
 
 function finishAttempt(
@@ -120,7 +120,7 @@
   return [
     ...versionEffects,
     ...cancelled,
-    ...finishRequest(state, requestState, attempt.attemptId, event.longestPause),
+    ...finishRequest(state, requestState, attempt.attemptId, event),
   ];
 }
 
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -14,9 +14,11 @@
   LoadReport,
   Milliseconds,
   MonotonicMilliseconds,
+  NotRunProof,
   PlatformInstance,
   QuarantineRecord,
   PersistedEntryData,
+  ResponseFacts,
   SpendingReport,
   StoredAnswer,
   StreamOrigin,
@@ -178,6 +180,8 @@
       readonly longestPause?: Milliseconds;
       /** The answer of a call that must not be repeated, stored to answer resends of it. */
       readonly storedAnswer?: StoredAnswer;
+      /** Status of the answer, if the backend server chose it. */
+      readonly status?: number;
     }
   | {
       readonly type: 'attemptFailed';
@@ -185,6 +189,10 @@
       readonly failure: AttemptFailure;
       /** `nothing` means that certainly no byte of the call was sent. */
       readonly sent: 'nothing' | 'maybe';
+      /** Why the call is taken as not run. */
+      readonly proof?: NotRunProof;
+      /** What the backend server answered, if it did. */
+      readonly response?: ResponseFacts;
       /** Number of answer tokens that the caller may already have received. */
       readonly tokens: number;
       /** True if the caller has received bytes of an answer that cannot be resumed. */
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -14,6 +14,10 @@
   readonly ran?: RanStatus;
 }
 
+function describeRan({ ran }: ProblemFields): LogFields {
+  return ran === undefined ? {} : { ran };
+}
+
 /**
  * Refuses a request that was not accepted.
  *
@@ -61,7 +65,11 @@
       ...(tokens > 0 ? { tokensGiven: tokens } : {}),
     },
     { type: 'count', metric: 'refusals', label: kind },
-    { type: 'log', event: 'requestFailed', fields: { requestId, workspace, kind, detail } },
+    {
+      type: 'log',
+      event: 'requestFailed',
+      fields: { requestId, workspace, kind, detail, ...describeRan(problem) },
+    },
   ];
 }
 
@@ -75,12 +83,20 @@
   return { firstTokenIn: firstTokenAt - arrivedAt, firstTokenDueIn: firstTokenDueAt - arrivedAt };
 }
 
+/** What is logged of a complete answer. */
+export interface FinishedAnswer {
+  /** Status that the backend server chose. */
+  readonly status?: number | undefined;
+  /** The longest time between two events of the answer. */
+  readonly longestPause?: Milliseconds | undefined;
+}
+
 /** Ends an accepted request whose answer is complete; `attemptId` delivered it. */
 export function finishRequest(
   state: EntryState,
   accepted: RequestState,
   attemptId?: string,
-  longestPause?: Milliseconds,
+  { longestPause, status }: FinishedAnswer = {},
 ): EntryEffect[] {
   const { requestId, digest } = accepted.request;
   state.requests.delete(requestId);
@@ -92,7 +108,7 @@
     {
       type: 'log',
       event: 'requestFinished',
-      fields: { requestId, ...describeFirstTokenTimes(accepted), longestPause },
+      fields: { requestId, status, ...describeFirstTokenTimes(accepted), longestPause },
     },
   ];
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -17,6 +17,7 @@
 export * from './metrics.js';
 export * from './reasons.js';
 export * from './Reducer.js';
+export * from './ResponseFacts.js';
 export * from './settings/settings.js';
 export * from './tables/Configuration.js';
 export * from './tables/ConfigurationDelta.js';
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -13,6 +13,11 @@
     'debug',
     'A call that takes longer than usual is sent to another backend server as well',
   ),
+  failurePassedOn: defineLogEvent(
+    2013,
+    'info',
+    'The caller received the failure with which a backend server answered, with its status',
+  ),
   callerGone: defineLogEvent(2020, 'debug', 'The caller closed its connection'),
   answerReplayed: defineLogEvent(
     2021,
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -12,6 +12,7 @@
   hedgeRefusalReasons,
   lateAnswerReasons,
   recomputeReasons,
+  notRunProofs,
   retryReasons,
   retryRefusalReasons,
 } from './reasons.js';
@@ -85,6 +86,18 @@
     help: 'Failed attempts that were not retried, by reason',
     label: { name: 'reason', values: retryRefusalReasons },
   },
+  attemptsNotRun: {
+    name: 'hornbeampond_attempts_not_run_total',
+    kind: 'counter',
+    help: 'Failed attempts that were taken as not run by their backend server, by proof',
+    label: { name: 'proof', values: notRunProofs },
+  },
+  failedAnswers: {
+    name: 'hornbeampond_failed_answers_total',
+    kind: 'counter',
+    help: 'Failed attempts whose backend server answered, by the status of its answer',
+    label: { name: 'status' },
+  },
   hedges: {
     name: 'hornbeampond_hedges_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -28,6 +28,16 @@
 ] as const;
 export type RetryRefusalReason = (typeof retryRefusalReasons)[number];
 
+/** What an entry takes as proof that a backend server did not run a call. */
+export const notRunProofs = [
+  'notConnected',
+  'nothingWritten',
+  'errorCode',
+  'declined',
+  'status',
+] as const;
+export type NotRunProof = (typeof notRunProofs)[number];
+
 /** Why a call that took long was not sent to another backend server as well. */
 export const hedgeRefusalReasons = [
   'notMeasured',
