--- a/measure/src/processes/ProcessCluster.ts
+++ b/measure/src/processes/ProcessCluster.ts
@@ -10,11 +10,10 @@
 import { OperatorClient } from '@hornbeampond/ctl-app';
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
 import type { Pool, Route, ProcessAddress } from '@hornbeampond/schema';
-import type { FakeClusterInput } from '@hornbeampond/testing';
+import { ChildProcess, type FakeClusterInput } from '@hornbeampond/testing';
 import { digestKey, type PeerContext } from '@hornbeampond/transport';
 import { stringify } from 'smol-toml';
 import { request as httpRequest } from 'undici';
-import { ChildProcess } from './ChildProcess.js';
 import { DataCentreLinks } from './DataCentreLinks.js';
 import { findFreePort } from './findFreePorts.js';
 
@@ -153,7 +152,8 @@
 
   /** Starts a process again on its old settings and data. */
   async restart(name: string): Promise<void> {
-    await this.launch(name, this.find(name).options.binary);
+    const [binary = ''] = this.find(name).options.command;
+    await this.launch(name, binary);
     await this.find(name).waitForEvent('processReady');
   }
 
@@ -343,6 +343,7 @@
   private async launch(name: string, binary: string): Promise<void> {
     const settingsFile = join(this.folder, `${name}.toml`);
     const logFile = this.logFile(name);
-    this.processes.set(name, new ChildProcess({ name, binary, settingsFile, logFile }));
+    const command = [binary, '--settings', settingsFile];
+    this.processes.set(name, new ChildProcess({ name, command, logFile }));
   }
 }
--- a/measure/src/processes/ChildProcess.ts
+++ b/packages/testing/src/ChildProcess.ts
@@ -16,9 +16,10 @@
 
 export interface ChildProcessOptions {
   readonly name: string;
-  /** Path of the binary's JavaScript file. */
-  readonly binary: string;
-  readonly settingsFile: string;
+  /** JavaScript file of the program, and its arguments. */
+  readonly command: readonly string[];
+  /** Added to the environment of this process. */
+  readonly environment?: Readonly<Record<string, string>>;
   /** File that the process's log lines are added to. */
   readonly logFile: string;
 }
@@ -43,14 +44,11 @@
   private waiting: Waiting[] = [];
 
   constructor(readonly options: ChildProcessOptions) {
-    const { binary, settingsFile, logFile, name } = options;
-    this.child = spawn(
-      process.execPath,
-      ['--enable-source-maps', binary, '--settings', settingsFile],
-      {
-        stdio: ['ignore', 'pipe', 'pipe'],
-      },
-    );
+    const { command, environment = {}, logFile, name } = options;
+    this.child = spawn(process.execPath, ['--enable-source-maps', ...command], {
+      env: { ...process.env, ...environment },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     running.add(this.child);
     this.child.once('exit', () => running.delete(this.child));
     this.exited = once(this.child, 'exit').then(([code]) => code as number | null);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export { ChildProcess, type ChildProcessOptions, type LogLine } from './ChildProcess.js';
 export * from './exploreStates.js';
 export * from './fakes/CuttableConnector.js';
 export * from './fakes/FakeBackendServer.js';
