--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -15,4 +15,5 @@
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
 export * from './EngineModel.js';
+export { SeededRandom } from './SeededRandom.js';
 export * from './VirtualTimeline.js';
