--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export { ChildProcess, type ChildProcessOptions, type LogLine } from './ChildProcess.js';
 export * from './exploreStates.js';
 export * from './fakes/CuttableConnector.js';
 export * from './fakes/FakeBackendServer.js';
@@ -14,4 +15,5 @@
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
 export * from './EngineModel.js';
+export { SeededRandom } from './SeededRandom.js';
 export * from './VirtualTimeline.js';
