Never pass on a server's status that promises callers that nothing ran

Callers were told that their request had not run, and would not, although a backend server had run it: on the platform 408, 421, 429 and 503 are the system's promise, and the entry passed on whichever status a server had given after running a call.

Which statuses promise is the call protocol's to say. An answer with such a status counts as a failed attempt that may have run: it is retried where that is allowed, is never saved, and the caller gets an answer of the entry's own, without the server's stamp. The gate is before the head is accepted, so that streams and bodies too large to buffer pass through it as well. The head of a failure answer no longer replaces the one of another attempt. Failures that promise nothing still pass with their status.

--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -65,6 +65,10 @@
     throw new TypeError('this test parses no calls');
   }
 
+  override promisesNotRun(): boolean {
+    return false;
+  }
+
   override writeProblem(): void {}
 }
 
--- a/apps/entry/src/CallProtocol.ts
+++ b/apps/entry/src/CallProtocol.ts
@@ -35,6 +35,12 @@
   /** Parses the head of a request; throws a `HornbeampondError` if it is malformed. */
   abstract parseCall(message: IncomingMessage): ParsedCall;
 
+  /**
+   * True for statuses by which callers know that their request did not run and will not. Only this
+   * entry may answer with them: a backend server can run a call and answer with any status.
+   */
+  abstract promisesNotRun(status: number): boolean;
+
   /** Ends the response with a description of the error. */
   abstract writeProblem(response: ServerResponse, error: unknown, requestId?: string): void;
 }
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -3,7 +3,8 @@
  * is not an event stream is buffered up to a size limit; until the limit is exceeded, the call can be
  * retried on another server. An event stream is sent event by event, and another server can resume it
  * after the last event id. If the call fails before anything is sent, the caller receives the last
- * failure answer of a backend server, if one was saved.
+ * failure answer of a backend server, if one was saved. An answer whose status promises callers that
+ * their request did not run is never passed on: the backend server has run it.
  */
 import type { ServerResponse } from 'node:http';
 import type { HeaderLine, RelayResponse } from '@hornbeampond/adapters';
@@ -15,6 +16,8 @@
 /** Larger answers are sent as they arrive, to limit the memory that buffers use. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+const MIN_SERVER_ERROR_STATUS = 500;
+
 const LINE_END = '\r\n';
 const LAST_CHUNK = `0${LINE_END}${LINE_END}`;
 const HEXADECIMAL = 16;
@@ -106,9 +109,14 @@
     return this.write(this.framesChunks ? frameChunk(events.bytes) : events.bytes);
   }
 
+  /** True for an answer that is not passed on before the call has been retried, if at all. */
+  isFailure(status: number): boolean {
+    return status >= MIN_SERVER_ERROR_STATUS || this.protocol.promisesNotRun(status);
+  }
+
   /** Saves a failure answer, which is sent if the call fails before anything else is sent. */
   saveFailureAnswer({ status, headers }: RelayResponse, body: Buffer): void {
-    if (this.started) return;
+    if (this.started || this.protocol.promisesNotRun(status)) return;
     this.lastFailureAnswer = { status, headers, body };
   }
 
--- a/apps/entry/src/hedgedAnswers.test.ts
+++ b/apps/entry/src/hedgedAnswers.test.ts
@@ -84,6 +84,10 @@
     throw new TypeError('this test parses no calls');
   }
 
+  override promisesNotRun(): boolean {
+    return false;
+  }
+
   override writeProblem(response: ServerResponse): void {
     response.writeHead(502).end();
   }
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -1,14 +1,13 @@
 /**
- * Relays the body of an opaque answer to its caller. An answer with a 5xx status is not relayed but
- * saved, unless it is too large, and a `BackendServerFailure` is thrown, so that the reducer can
- * retry the call before the caller receives the answer.
+ * Relays the body of an opaque answer to its caller. A failure answer is not relayed but saved, unless
+ * it is too large or must not be passed on, and a `BackendServerFailure` is thrown, so that the reducer
+ * can retry the call before the caller receives the answer.
  */
 import { BackendServerFailure, type RelayResponse } from '@hornbeampond/adapters';
 import type { AnswerSink } from './HeldAnswer.js';
 import type { RelayAnswer } from './RelayAnswer.js';
 
 const OK_STATUS = 200;
-const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Larger failure answers are not saved. */
 const MAX_SAVED_FAILURE_BYTES = 64 * 1024;
@@ -50,8 +49,8 @@
       status: response.status,
     });
   }
+  if (answer.isFailure(response.status)) await saveFailureAndThrow(response, answer);
   sink.receiveHead(response);
-  if (response.status >= MIN_SERVER_ERROR_STATUS) await saveFailureAndThrow(response, answer);
   await response.body.forEach((bytes) => {
     if (callbacks.isCancelled()) return undefined;
     callbacks.onBytesReceived();
