Count a call as not run only by proof

Calls that may run once ran two or three times, or their callers got 503 while they ran. A refusal was believed before it was known to belong to the call: a late refusal of an earlier call on the same connection, with another ID or none, ended the attempt as "nothing sent", and the entry sent the call again. Any 421 counted too, also that of the very server that was meant, and so did four error codes that an established connection can report.

A failure can say "nothing sent" only by naming its proof, from a closed list: no connection was established, nothing was written, a response that names the call declines it, or another server, which says so, has the address.

--- a/packages/adapters/src/BackendServerFailure.ts
+++ b/packages/adapters/src/BackendServerFailure.ts
@@ -7,7 +7,7 @@
 
 /**
  * - `connectFailed`: no connection could be established.
- * - `busy`: the server accepts no more calls for now (status 429 or 503).
+ * - `busy`: the server accepts no more calls for now.
  * - `serverError`: the server answered with another 5xx status.
  * - `clientError`: the server answered with another 4xx status, or the call itself was invalid.
  *   A retry does not help.
@@ -32,9 +32,7 @@
 export interface BackendServerFailureOptions {
   /** Defaults to `connectionLost`. */
   readonly failure?: BackendServerFailureKind;
-  /** Defaults to `maybe`, the safe assumption. */
-  readonly sent?: SentState;
-  /** Why the call is taken as not run; set if `sent` is `nothing`. */
+  /** What proves that the call did not run. Without it, the call may have run. */
   readonly proof?: NotRunProof;
   /** HTTP status, if it caused the failure. */
   readonly status?: number;
@@ -58,11 +56,10 @@
   readonly retryAfter: Milliseconds | undefined;
 
   constructor(message: string, options: BackendServerFailureOptions = {}) {
-    const { failure = 'connectionLost', sent = 'maybe', status, retryAfter, cause } = options;
-    const { proof, response } = options;
+    const { failure = 'connectionLost', proof, status, response, retryAfter, cause } = options;
     super(message, cause === undefined ? {} : { cause });
     this.failure = failure;
-    this.sent = sent;
+    this.sent = proof === undefined ? 'maybe' : 'nothing';
     this.proof = proof;
     this.response = response;
     this.status = status;
--- a/packages/adapters/src/RelayAdapter.ts
+++ b/packages/adapters/src/RelayAdapter.ts
@@ -4,7 +4,8 @@
  *
  * No method retries or has a timeout of its own; the caller's `AbortSignal` is the only limit.
  * Every failure is a `BackendServerFailure`. Any status is an answer, unless the backend server
- * states that it did not run the call: that is the failure `busy` with nothing sent.
+ * states that it did not run the call: that is a failure with a proof that it was not run. A status
+ * alone never is.
  */
 import type { Milliseconds } from '@hornbeampond/schema';
 import type { ProbeResponse } from './ProbeResponse.js';
--- a/packages/adapters/src/http/EventDataSplitter.ts
+++ b/packages/adapters/src/http/EventDataSplitter.ts
@@ -23,7 +23,6 @@
     if (this.incompleteLine.length > MAX_LINE_CHARACTERS) {
       throw new BackendServerFailure('a line of the stream is too long', {
         failure: 'malformed',
-        sent: 'maybe',
       });
     }
     return lines
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -6,17 +6,14 @@
  * provably did not run if no byte was written to the socket.
  */
 import type { Socket } from 'node:net';
+import type { NotRunProof } from '@hornbeampond/schema';
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import {
   connectWithCallback,
   type ServerConnector,
   type ServerEndpoint,
 } from '../ServerConnector.js';
-import {
-  BackendServerFailure,
-  type BackendServerFailureKind,
-  type SentState,
-} from '../BackendServerFailure.js';
+import { BackendServerFailure, type BackendServerFailureKind } from '../BackendServerFailure.js';
 
 /** Idle connections are closed early, since an old one is more likely to be dead. */
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 4000;
@@ -76,28 +73,19 @@
   return isMalformed ? 'malformed' : 'connectionLost';
 }
 
-function toFailure(cause: unknown, signal: AbortSignal, sent: SentState): BackendServerFailure {
+function toFailure(cause: unknown, signal: AbortSignal, proof?: NotRunProof): BackendServerFailure {
   if (cause instanceof BackendServerFailure) return cause;
   const message = describeError(cause);
-  const proof = sent === 'nothing' ? ({ proof: 'nothingWritten' } as const) : {};
   if (cause instanceof ConnectError) {
-    const options = { failure: 'connectFailed', sent: 'nothing', proof: 'notConnected' } as const;
+    const options = { failure: 'connectFailed', proof: 'notConnected' } as const;
     return new BackendServerFailure(message, { ...options, cause });
   }
+  const proven = proof === undefined ? {} : { proof };
   if (signal.aborted) {
-    return new BackendServerFailure('the caller aborted the call', {
-      failure: 'silent',
-      sent,
-      ...proof,
-      cause,
-    });
+    const options = { failure: 'silent', ...proven, cause } as const;
+    return new BackendServerFailure('the caller aborted the call', options);
   }
-  return new BackendServerFailure(message, {
-    failure: classifyError(cause),
-    sent,
-    ...proof,
-    cause,
-  });
+  return new BackendServerFailure(message, { failure: classifyError(cause), ...proven, cause });
 }
 
 type ResponseBody = Dispatcher.ResponseData['body'];
@@ -111,7 +99,7 @@
   try {
     for await (const bytes of body.iterator({ destroyOnReturn: false })) yield bytes as Uint8Array;
   } catch (error) {
-    throw toFailure(error, signal, 'maybe');
+    throw toFailure(error, signal);
   } finally {
     if (!body.readableEnded) onUnfinished();
   }
@@ -227,12 +215,12 @@
     try {
       call.signal.throwIfAborted();
     } catch (error) {
-      throw toFailure(error, call.signal, 'nothing');
+      throw toFailure(error, call.signal, 'nothingWritten');
     }
     try {
       return makeAnswer(await this.pool.request(call), call.signal);
     } catch (error) {
-      throw toFailure(error, call.signal, 'maybe');
+      throw toFailure(error, call.signal);
     }
   }
 
@@ -258,8 +246,8 @@
       // Destroyed before `bytesWritten` is read, so that nothing is written afterwards. The socket counts
       // all that was written to it, so 0 proves that the call cannot have run.
       socket?.destroy();
-      const sent = socket === undefined || socket.bytesWritten === 0 ? 'nothing' : 'maybe';
-      throw toFailure(error, call.signal, sent);
+      const isUnwritten = socket === undefined || socket.bytesWritten === 0;
+      throw toFailure(error, call.signal, isUnwritten ? 'nothingWritten' : undefined);
     }
   }
 
--- a/packages/adapters/src/http/HttpEngineAdapter.ts
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -96,7 +96,6 @@
     if (!Number.isSafeInteger(tokens)) {
       throw new BackendServerFailure('x-cache-tokens is missing or not an integer', {
         failure: 'malformed',
-        sent: 'maybe',
       });
     }
     return { attemptId, tokens, bytes: await readBytes(answer, MAX_CACHE_BYTES) };
--- a/packages/adapters/src/http/HttpPlainServiceAdapter.ts
+++ b/packages/adapters/src/http/HttpPlainServiceAdapter.ts
@@ -58,7 +58,6 @@
     if (size > maxBytes) {
       throw new BackendServerFailure(`answer exceeds ${maxBytes} bytes`, {
         failure: 'malformed',
-        sent: 'maybe',
       });
     }
     yield bytes;
--- a/packages/adapters/src/http/readAnswer.ts
+++ b/packages/adapters/src/http/readAnswer.ts
@@ -19,7 +19,6 @@
     if (size > maxBytes) {
       throw new BackendServerFailure(`answer exceeds ${maxBytes} bytes`, {
         failure: 'malformed',
-        sent: 'maybe',
       });
     }
     chunks.push(chunk);
@@ -46,7 +45,6 @@
   const message = `status ${status}: ${text.slice(0, MAX_ERROR_TEXT_CHARACTERS)}`;
   throw new BackendServerFailure(message, {
     failure: classifyStatus(status),
-    sent: 'maybe',
     status,
     retryAfter: readRetryAfter(answer),
   });
@@ -60,7 +58,6 @@
   } catch (cause) {
     throw new BackendServerFailure('answer is not JSON', {
       failure: 'malformed',
-      sent: 'maybe',
       cause,
     });
   }
@@ -69,7 +66,6 @@
   const reason = parsed.error.issues[0]?.message ?? 'unknown';
   throw new BackendServerFailure(`answer does not match its schema: ${reason}`, {
     failure: 'malformed',
-    sent: 'maybe',
     cause: parsed.error,
   });
 }
--- a/packages/adapters/src/http/readCompletion.ts
+++ b/packages/adapters/src/http/readCompletion.ts
@@ -42,7 +42,6 @@
     if (finishReason === undefined) {
       throw new BackendServerFailure('the stream ended without a finish reason', {
         failure: 'malformed',
-        sent: 'maybe',
       });
     }
     return { type: 'end', finishReason, ...(usage === undefined ? {} : { usage }) };
@@ -66,6 +65,5 @@
   }
   throw new BackendServerFailure('the stream ended before [DONE]', {
     failure: 'connectionLost',
-    sent: 'maybe',
   });
 }
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -28,14 +28,16 @@
 ] as const;
 export type RetryRefusalReason = (typeof retryRefusalReasons)[number];
 
-/** What an entry takes as proof that a backend server did not run a call. */
-export const notRunProofs = [
-  'notConnected',
-  'nothingWritten',
-  'errorCode',
-  'declined',
-  'status',
-] as const;
+/**
+ * What proves that a backend server did not run a call. Nothing else does: a server may run a call and
+ * then answer with any status, and a connection may be lost with any error code.
+ *
+ * - `notConnected`: no connection was established.
+ * - `nothingWritten`: nothing was written to the call's own connection.
+ * - `declined`: a response that names the call states that it was not run.
+ * - `otherServer`: another server has the address, and it runs only calls that name it.
+ */
+export const notRunProofs = ['notConnected', 'nothingWritten', 'declined', 'otherServer'] as const;
 export type NotRunProof = (typeof notRunProofs)[number];
 
 /** Why a call that took long was not sent to another backend server as well. */
