Determine in one place whether a request that is ended has run

Eight places stated by themselves whether an accepted request had run, each one a place that can promise more than is known; one of them went by the number of attempts and not by what they sent. `failRequest` now determines it from the request's attempts, and only a claim, which knows of other entries, may state otherwise. A queued request whose attempts provably did not run now gets the promise (503 on the platform) where it got 502.

--- a/packages/entry-core/src/admission/displaceQueued.ts
+++ b/packages/entry-core/src/admission/displaceQueued.ts
@@ -5,7 +5,6 @@
 import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
-import { determineRan } from '../requests/determineRan.js';
 import { failRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { getPoolQueue } from './AdmissionState.js';
@@ -54,7 +53,6 @@
     'overloaded',
     'The queue is full, and a more urgent request takes the place',
     {
-      ran: determineRan(requestState),
       retryAfterMilliseconds:
         scheduleRetry(state, requestState, now) ??
         assignRetryAfter(state, key, interval, interval, now),
--- a/packages/entry-core/src/admission/failUnreachableDeadlines.ts
+++ b/packages/entry-core/src/admission/failUnreachableDeadlines.ts
@@ -93,9 +93,8 @@
   const retryAfterMilliseconds =
     scheduleRetry(state, requestState, now) ??
     assignRetryAfter(state, key, interval, interval, now);
-  const ran = requestState.attemptsStarted === 0 ? 'no' : 'unknown';
   const detail = 'The deadline can no longer be met';
-  const problem = { ran, retryAfterMilliseconds } as const;
+  const problem = { retryAfterMilliseconds };
   return failRequest(state, requestState, 'deadlineUnreachable', detail, problem);
 }
 
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -11,7 +11,6 @@
 import { isRunningFor, leaveRace } from '../hedging/race.js';
 import { recordLoss } from '../quarantine/recordLoss.js';
 import { failRequest } from '../requests/endRequest.js';
-import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { recordVersionFailure, recordVersionSilence } from '../rollouts/recordVersionAnswer.js';
 import { BRITTLE_REST_MILLISECONDS, isBrittle } from '../statements/brittleAllowance.js';
@@ -145,9 +144,7 @@
 ): EntryEffect[] {
   if (event.failure === 'clientError') {
     const detail = 'The backend server rejected the request';
-    return failRequest(state, requestState, 'backendServerFailed', detail, {
-      ran: determineRan(requestState),
-    });
+    return failRequest(state, requestState, 'backendServerFailed', detail);
   }
   if (event.answerStarted) return failInterruptedAnswer(state, requestState);
   keepTimedOutAttempt(state, requestState, attempt, event);
--- a/packages/entry-core/src/attempts/retryRequest.ts
+++ b/packages/entry-core/src/attempts/retryRequest.ts
@@ -15,7 +15,6 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { failRequest } from '../requests/endRequest.js';
-import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { drawBackOff } from './drawBackOff.js';
 import { spendRetry } from './retryBudget.js';
@@ -47,7 +46,6 @@
   return [
     { type: 'count', metric: 'retriesRefused', label: reason },
     ...failRequest(state, requestState, kind, detail, {
-      ran: determineRan(requestState),
       retryAfterMilliseconds: REFUSED_RETRY_AFTER_MILLISECONDS,
     }),
   ];
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -12,7 +12,6 @@
 import { findQuarantineEnd } from '../quarantine/quarantineDigest.js';
 import { isSuspect, mustDelaySuspect } from '../quarantine/suspects.js';
 import { failRequest } from '../requests/endRequest.js';
-import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { timeUntilRested } from '../statements/restAllowance.js';
 import { chooseServerForAttempt, canWaitForBackendServer } from './chooseServerForAttempt.js';
@@ -35,7 +34,6 @@
   return [
     ...(requestState.attemptsStarted === 0 ? [] : countRefusedRetry('quarantined')),
     ...failRequest(state, requestState, 'quarantined', detail, {
-      ran: determineRan(requestState),
       retryAfterMilliseconds: endsAt - now,
     }),
   ];
@@ -50,7 +48,6 @@
   return [
     ...(requestState.attemptsStarted === 0 ? [] : countRefusedRetry('noOtherBackendServer')),
     ...failRequest(state, requestState, 'noBackendServer', detail, {
-      ran: determineRan(requestState),
       retryAfterMilliseconds:
         timeUntilRested(state, requestState.pool.name) || NO_SERVER_RETRY_AFTER_MILLISECONDS,
     }),
--- a/packages/entry-core/src/quarantine/quarantineDigest.ts
+++ b/packages/entry-core/src/quarantine/quarantineDigest.ts
@@ -10,7 +10,6 @@
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/advanceReports.js';
 import { failRequest } from '../requests/endRequest.js';
-import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { parsePartKey } from './parts/partKey.js';
 import { exonerateSuspectsOf, collectCrashIds } from './suspects.js';
@@ -31,7 +30,7 @@
   const refusalCount = { type: 'count', metric: 'retriesRefused', label: 'quarantined' } as const;
   const detail = 'This request crashed backend servers and is quarantined for a limited time';
   const cancelled = requestState.route.idempotent ? cancelAttempt(state, requestState) : [];
-  const problem = { ran: determineRan(requestState), retryAfterMilliseconds: endsAt - now };
+  const problem = { retryAfterMilliseconds: endsAt - now };
   return [
     refusalCount,
     ...cancelled,
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -5,19 +5,17 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
+import { determineRan } from './determineRan.js';
 import { exonerateSuspect } from '../quarantine/suspects.js';
 import type { RequestState } from './RequestState.js';
 
 /** Optional fields of a problem answer. */
 export interface ProblemFields {
   readonly retryAfterMilliseconds?: Milliseconds;
+  /** For an accepted request this is determined from its attempts, unless its claim knows better. */
   readonly ran?: RanStatus;
 }
 
-function describeRan({ ran }: ProblemFields): LogFields {
-  return ran === undefined ? {} : { ran };
-}
-
 /**
  * Refuses a request that was not accepted.
  *
@@ -52,6 +50,8 @@
 ): EntryEffect[] {
   const { requestId, workspace } = accepted.request;
   const { tokens } = accepted;
+  // Before the attempts are released, which counts as sending.
+  const { ran = determineRan(accepted) } = problem;
   if (kind === 'deadlineExceeded') recordOutcome(state, accepted);
   state.requests.delete(requestId);
   return [
@@ -62,13 +62,14 @@
       kind,
       detail,
       ...problem,
+      ran,
       ...(tokens > 0 ? { tokensGiven: tokens } : {}),
     },
     { type: 'count', metric: 'refusals', label: kind },
     {
       type: 'log',
       event: 'requestFailed',
-      fields: { requestId, workspace, kind, detail, ...describeRan(problem) },
+      fields: { requestId, workspace, kind, detail, ran },
     },
   ];
 }
--- a/packages/entry-core/src/requests/enforceDeadlines.ts
+++ b/packages/entry-core/src/requests/enforceDeadlines.ts
@@ -6,7 +6,6 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
 import { failRequest, refuseRequest } from './endRequest.js';
-import { determineRan } from './determineRan.js';
 import type { RequestState } from './RequestState.js';
 
 const RETRY_AFTER_MILLISECONDS = 1000;
@@ -17,7 +16,6 @@
   );
   return overdue.flatMap((accepted) =>
     failRequest(state, accepted, 'deadlineExceeded', 'The answer was not complete in time', {
-      ran: determineRan(accepted),
       retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
     }),
   );
--- a/packages/entry-core/src/shutdown/advanceShutdown.ts
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -27,10 +27,9 @@
 }
 
 function failRemainingRequest(state: EntryState, accepted: RequestState): EntryEffect[] {
-  const ran = determineRan(accepted);
   const detail = 'This instance is stopping; send the request again to continue';
-  const kind = ran === 'no' ? 'draining' : 'answerCut';
-  const problem = { ran, retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+  const kind = determineRan(accepted) === 'no' ? 'draining' : 'answerCut';
+  const problem = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
   return failRequest(state, accepted, kind, detail, problem);
 }
 
