Promise nothing for a claimed call before the stores have answered

A request whose deadline passed while its claim was being opened was told `ran: no`, although an earlier request of its caller with the same key may be running the call at another entry. The state machine of the claim answers `unknown` there, as docs/design/claims-and-leases.md says, but the deadline of the request was enforced before it was asked. Until the stores answer, the call counts as possibly run for another request.

--- a/packages/entry-core/src/claims/applyClaimEffect.ts
+++ b/packages/entry-core/src/claims/applyClaimEffect.ts
@@ -34,7 +34,8 @@
   timestamps: Timestamps,
 ): EntryEffect[] {
   const effects = reduceClaimedCall(claim.call, event);
-  claim.requestState.mayRunForOtherRequest = claim.call.heldByOtherRequest;
+  const { heldByOtherRequest, phase } = claim.call;
+  claim.requestState.mayRunForOtherRequest = heldByOtherRequest || phase === 'opening';
   return effects.flatMap((effect) => applyClaimEffect(state, claim, effect, timestamps));
 }
 
--- a/packages/entry-core/src/claims/beginClaim.ts
+++ b/packages/entry-core/src/claims/beginClaim.ts
@@ -38,7 +38,7 @@
     throw new TypeError(`request ${requestId} cannot be claimed without an idempotency key`);
   if (isLogUnresponsive(state)) {
     const detail = 'No quorum of stores responds, so the call was not sent';
-    return failRequest(state, requestState, 'claimsUnavailable', detail, { ran: 'no' });
+    return failRequest(state, requestState, 'claimsUnavailable', detail);
   }
   const holder = state.identity.instance;
   const intent = { workspace, key: idempotencyKey, digest, holder };
@@ -46,5 +46,6 @@
   const { call, effects } = startClaimedCall(intent, requestId, timestamps.now, expiresAfter);
   const claim: RequestClaim = { call, requestState, resendAt: timestamps.now };
   state.claims.set(requestId, claim);
+  requestState.mayRunForOtherRequest = true;
   return effects.flatMap((effect) => applyClaimEffect(state, claim, effect, timestamps));
 }
--- a/packages/entry-core/src/claims/updateClaims.test.ts
+++ b/packages/entry-core/src/claims/updateClaims.test.ts
@@ -58,6 +58,16 @@
   assert.equal(state.claims.get('one')?.call.phase, 'releasing');
 });
 
+// Guards against `ran: no` for a call that an earlier request of its caller may be running at another entry:
+// until the stores answer, nothing shows that it is not.
+test('a request that times out before its claim is answered gets `ran: unknown`', () => {
+  const cluster = makeCluster();
+  submitRequest(cluster, 'one');
+  const effects = reduceEntry(cluster.entry.state, { type: 'tick', ...clocks, now: 10 * 60_000 });
+  const problem = effects.find((effect) => effect.type === 'answerProblem');
+  assert.deepEqual([problem?.kind, problem?.ran], ['deadlineExceeded', 'unknown']);
+});
+
 // Another request, present here only as the result `claimRunning`, still runs the call when the
 // deadline of this one passes. With `ran: no` the caller could send the call again and have it run
 // twice.
--- a/packages/entry-core/src/requests/RequestState.ts
+++ b/packages/entry-core/src/requests/RequestState.ts
@@ -46,7 +46,10 @@
   isCountedAsBegun?: boolean;
   /** True once an attempt may have sent a byte; see `determineRan`. */
   maybeSent?: boolean;
-  /** True while another attempt holds the claim of this call; see `determineRan`. */
+  /**
+   * True while another request holds the claim of this call, or may hold it because the stores have not
+   * answered yet; see `determineRan`.
+   */
   mayRunForOtherRequest?: boolean;
   /** How often this request has lost its backend server or connection. */
   lossCount?: number;
