Count an attempt that has answered in part as sent

The reducer believed "nothing sent" from an attempt whose first token, progress or claimed answer it had already seen, and sent a call that may run once again (random events of the review; no adapter does so today). These events now mark attempt and request as sent, so that no later failure can take it back.

--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -285,3 +285,15 @@
   assert.ok(counted.includes('attemptsNotRun declined'), counted.join());
   assert.ok(counted.includes('failedAnswers 503'), counted.join());
 });
+
+// Guards against a call that is sent again, or whose caller is told that it did not run, although its first
+// attempt has already answered in part.
+test('after the first token, no failure shows that a call did not run', () => {
+  for (const type of ['firstTokenReceived', 'attemptProgressed', 'answerClaimed'] as const) {
+    const { send, submitRequest, failAttempt } = makeEntry(nonIdempotentRoute);
+    submitRequest();
+    send({ type, attemptId: 'one.1', tokens: 1 });
+    const effects = failAttempt(1, 'busy', 'nothing');
+    assert.deepEqual(describeEffects(effects), ['backendServerFailed ran unknown'], type);
+  }
+});
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -40,6 +40,14 @@
 
 type AttemptFinishedEvent = Extract<EntryEvent, { type: 'attemptFinished' }>;
 
+/** After these events, no later failure can show that the attempt has not run. */
+const eventsOfSentAttempts: ReadonlySet<AttemptEvent['type']> = new Set([
+  'attemptSent',
+  'firstTokenReceived',
+  'attemptProgressed',
+  'answerClaimed',
+] as const);
+
 /** Counts an answer that is dropped because its request no longer waits for that attempt. */
 function countLateAnswer(): EntryEffect[] {
   return [{ type: 'count', metric: 'lateAnswers', label: 'attemptGivenUp' }];
@@ -131,10 +139,12 @@
   if (event.type === 'attemptFailed') return failAttempt(state, attempt, event);
   const requestState = state.requests.get(attempt.requestId);
   if (requestState === undefined || !isRunningFor(requestState, attempt)) return [];
+  if (eventsOfSentAttempts.has(event.type)) {
+    attempt.maybeSent = true;
+    requestState.maybeSent = true;
+  }
   switch (event.type) {
     case 'attemptSent':
-      attempt.maybeSent = true;
-      requestState.maybeSent = true;
       return [];
     case 'firstTokenReceived':
       return recordFirstToken(state, requestState, attempt, event);
