Take answers without a length for whole if their server closed them

Cause: an answer of a backend server may have neither a length nor chunks and end with its connection; one that is reset is not complete. libuv reports a reset that comes in one read with the last bytes as a normal end: the socket's hang-up event after a read that did not fill its buffer counts as the end, and the pending ECONNRESET is not read. So all such answers counted as truncated. Callers got 502 for calls that may not be repeated; streams were asked for again at another server.

Change: at the socket's end, before the socket is closed in turn, the operating system is asked for its peer. On Linux a reset leaves the socket in the state CLOSE, in which getpeername fails with ENOTCONN; a connection that only the peer has closed is in CLOSE_WAIT. CLOSE is never left and is reached without our own close only by a reset, a timeout or an abort. So a socket with a peer has ended by the server's FIN, after all bytes before it. The handle is asked and not socket.remoteAddress, which Node keeps once anything in the process has read it. Whatever is in doubt is incomplete: a reset after the FIN, a handle that cannot be asked, and every connection that DirectConnector has not opened. The other end of a tunnel is a process of the cluster, whose connections the operating system closes by a FIN when it is killed. Answers with a length or chunks are not watched, so that a kept-alive connection gathers no listeners.

Tests: the test "a body without a length is never treated as complete" had one call and held a reset only. The table that replaces it holds the same reset with the same expected failure, ten calls idle and ten busy, and adds a later reset and the closes. New: address read before, server that ends with unread bytes, kept-alive connection, tunnel. Each of these changes makes tests fail: cached address, always closed, never closed, tunnels trusted, framed bodies watched, check after the listener of net.

--- a/packages/adapters/src/ServerConnector.ts
+++ b/packages/adapters/src/ServerConnector.ts
@@ -19,6 +19,16 @@
 /** After this time without data the operating system sends keep-alive probes. */
 const KEEP_ALIVE_PROBE_DELAY_MILLISECONDS = 1000;
 
+const directConnections = new WeakSet<Socket>();
+
+/**
+ * True for a connection to the address of the backend server itself. The other end of a tunnel is a
+ * process of the cluster: if that is killed, the operating system closes the connection for it.
+ */
+export function isDirectConnection(socket: Socket): boolean {
+  return directConnections.has(socket);
+}
+
 /** Connects to the address itself, without a time limit of its own. */
 export class DirectConnector extends ServerConnector {
   override async connect({ host, port }: ServerEndpoint, signal?: AbortSignal): Promise<Socket> {
@@ -41,6 +51,7 @@
       socket.once('connect', () => {
         finish();
         socket.removeAllListeners('error');
+        directConnections.add(socket);
         resolve(socket);
       });
     });
