--- a/packages/transport/src/tunnels/joinSockets.ts
+++ b/packages/transport/src/tunnels/joinSockets.ts
@@ -1,6 +1,6 @@
 /**
  * Passes bytes between two sockets in both directions. How one of them ends is passed on too: a reset
- * stays a reset, since whoever reads an answer without a length would take a mere end for its end.
+ * stays a reset, unless Node reports it as a normal end because it came in one read with the last bytes.
  */
 import type { Socket } from 'node:net';
 
