Count streams that move to a brittle server among what others have not heard of

What callers could see: a brittle server falls over as many others leave at once.

Cause: an entry may use its part of the room that is left until the others have heard of it. A place that is reserved for a stream whose KV cache moves has no attempt, so it counted as one that all others know: each made the room smaller by one, and the entry's part was never used up.

Change: a move knows when it started, and counts like an attempt of that time.

--- a/packages/entry-core/src/reclaims/ReclaimState.ts
+++ b/packages/entry-core/src/reclaims/ReclaimState.ts
@@ -12,6 +12,7 @@
   readonly to: string;
   /** Number of answer tokens that the exported cache covers. */
   readonly tokens: number;
+  readonly startedAt: MonotonicMilliseconds;
   /** The move is considered failed at this time. */
   readonly dueAt: MonotonicMilliseconds;
 }
--- a/packages/entry-core/src/reclaims/moveCache.ts
+++ b/packages/entry-core/src/reclaims/moveCache.ts
@@ -53,6 +53,7 @@
     from: instance,
     to,
     tokens,
+    startedAt: now,
     dueAt: now + timeout,
   };
   state.reclaims.moves.set(requestId, move);
--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -35,15 +35,20 @@
   return Math.ceil(delay / PERIOD_STEP_MILLISECONDS) * PERIOD_STEP_MILLISECONDS;
 }
 
+/** Attempts of the period, and places that were reserved in it for streams that move to the server. */
 function countOwnRecent(
-  state: EntryState,
-  { attemptIds }: BackendServerState,
+  { attempts, reclaims, clocks }: EntryState,
+  { attemptIds, platformInstance }: BackendServerState,
   period: Milliseconds,
 ): number {
-  const since = state.clocks.now - period;
-  return [...attemptIds].filter(
-    (attemptId) => (state.attempts.get(attemptId)?.startedAt ?? since) > since,
-  ).length;
+  const since = clocks.now - period;
+  const recentAttempts = [...attemptIds].filter(
+    (attemptId) => (attempts.get(attemptId)?.startedAt ?? since) > since,
+  );
+  const recentMoves = [...reclaims.moves.values()].filter(
+    ({ to, startedAt }) => to === platformInstance.instance && startedAt > since,
+  );
+  return recentAttempts.length + recentMoves.length;
 }
 
 /** True for a server that is not brittle, or that has room for another request of this entry. */
--- a/packages/entry-core/src/statements/brittleServers.test.ts
+++ b/packages/entry-core/src/statements/brittleServers.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { SimulatedCluster, type SimulatedEngine } from '../driver/index.js';
+import { makeRequest, SimulatedCluster, type SimulatedEngine } from '../driver/index.js';
 import { isWithinBrittleRoom } from './brittleAllowance.js';
 import { mayOfferBrittle, type BrittleOffer } from './mayOfferBrittle.js';
 import { runLoad } from './testing/runLoad.js';
@@ -145,6 +145,33 @@
   assert.equal(mayOfferBrittle({ ...cutOff, own: 2 }), false);
 });
 
+// Guards against an entry that reserves the room of all others in one moment: many servers leave at once, and each
+// stream that moves away takes a place that nobody else has heard of.
+test('streams that move to a brittle server count among what others have not heard of', () => {
+  const sources = 8;
+  const entryCount = 8;
+  const cluster = new SimulatedCluster({
+    engines: { 'wien-a': sources, 'wien-b': 1 },
+    entries: entryCount,
+    reportsThroughStore: true,
+  });
+  cluster.advance(1500);
+  const { entry } = cluster;
+  const leaving = [...cluster.engines.keys()].filter((instance) => instance.startsWith('wien-a'));
+  for (let sent = 0; sent < 4 * sources; sent += 1) {
+    entry.submitRequest(makeRequest(`request-${sent}`, { promptTokens: 2000, maxTokens: 400 }));
+    cluster.advance(20);
+  }
+  cluster.advance(1000);
+  assert.ok(leaving.every((instance) => cluster.engine(instance).streams.size > 0));
+  const [instance = ''] = [...cluster.engines.keys()].filter((name) => !leaving.includes(name));
+  entry.send({ type: 'serverStated', instance, survivedRejections: SURVIVED_REJECTIONS });
+  cluster.reclaimByPlatformList(leaving, 2000);
+  const reserved = [...entry.state.reclaims.moves.values()].length;
+  const mostOfOneEntry = Math.ceil((CONCURRENCY * 0.8) / entryCount);
+  assert.ok(reserved >= 1 && reserved <= mostOfOneEntry, `${reserved} places of ${mostOfOneEntry}`);
+});
+
 function startEntry() {
   const cluster = new SimulatedCluster({ engines: { 'wien-a': 1 }, entries: 2 });
   cluster.advance(1500);
