Offer brittle servers no more than the slots that they state

What callers could see: brittle servers of a plain service fall over under requests that they have to reject.

Cause: the room of a brittle server is four fifths of its concurrency limit, which is that of its class. Servers state their slots in each answer, which nothing used: one with fewer than six was offered more than it takes, and each entry learnt it by a rejection of its own.

Change: the limit of a brittle server is never above the slots that it has stated. Other servers are chosen as before.

--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -1,5 +1,5 @@
 /** What this entry may offer to a backend server that says that it is brittle. */
-import type { Milliseconds } from '@hornbeampond/schema';
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { currentLimit } from '../backendServers/BalancingState.js';
 import { estimateInProgress } from '../backendServers/estimateInProgress.js';
@@ -51,6 +51,11 @@
   return recentAttempts.length + recentMoves.length;
 }
 
+/** The concurrency limit; never above the slots that the server itself has stated. */
+function knownLimit({ balancing, load }: BackendServerState, now: MonotonicMilliseconds): number {
+  return Math.min(currentLimit(balancing, now), load?.slots ?? Infinity);
+}
+
 /** True for a server that is not brittle, or that has room for another request of this entry. */
 export function isWithinBrittleRoom(state: EntryState, server: BackendServerState): boolean {
   const { instance } = server.platformInstance;
@@ -62,7 +67,7 @@
   const period = unknownPeriod(state);
   const periodName = isCutOff ? 'cut' : Math.floor(now / period);
   return mayOfferBrittle({
-    limit: currentLimit(server.balancing, now),
+    limit: knownLimit(server, now),
     inProgress: estimateInProgress(state, server),
     ownRecent: countOwnRecent(state, server, period),
     own: server.attemptIds.size,
--- a/packages/entry-core/src/statements/brittleServers.test.ts
+++ b/packages/entry-core/src/statements/brittleServers.test.ts
@@ -188,6 +188,20 @@
   return { cluster, entry, server, instance, state };
 }
 
+// Guards against a room that is taken for larger than the server's own, where nothing configures its slots:
+// each entry would learn it by a rejection of its own.
+test('a brittle server that states its slots is offered no more than four fifths of them', () => {
+  const { entry, server, instance, state } = startEntry();
+  server.balancing.limit = 32;
+  const { wallNow: measuredAt } = entry.state.clocks;
+  const report = { instance, measuredAt, running: 0, queued: 0, slots: 2 };
+  entry.send({ type: 'loadReported', report });
+  server.attemptIds.add('one').add('two');
+  assert.equal(isWithinBrittleRoom(entry.state, server), true);
+  state(4);
+  assert.equal(isWithinBrittleRoom(entry.state, server), false);
+});
+
 // Guards against decisions that change for servers which say nothing of the kind.
 test('a server that is not brittle is used as before', () => {
   const { entry, server, state } = startEntry();
