--- a/packages/entry-core/src/quarantine/poisonParts.test.ts
+++ b/packages/entry-core/src/quarantine/poisonParts.test.ts
@@ -24,13 +24,18 @@
   readonly place: number;
   readonly isIdempotent: boolean;
   readonly transit?: number;
+  /** Four times as many entries, servers and requests. */
+  readonly isLarger?: boolean;
 }
 
-function assertFewCrashes({ place, isIdempotent, transit = 0 }: PoisonedTime, seed: number): void {
+function assertFewCrashes(
+  { place, isIdempotent, transit = 0, isLarger = false }: PoisonedTime,
+  seed: number,
+): void {
   const traffic = new PoisonedTraffic({
-    entries: 6 + (seed % 2),
-    enginesPerDataCentre: 6 + seed,
-    requestsPerSecond: 20,
+    entries: isLarger ? 24 : 6 + (seed % 2),
+    enginesPerDataCentre: isLarger ? 12 : 6 + seed,
+    requestsPerSecond: isLarger ? 80 : 20,
     poisonEvery: 10,
     place,
     isIdempotent,
@@ -78,3 +83,9 @@
     seeds.forEach((seed) => assertFewCrashes(late, seed));
   });
 });
+
+// Guards against the same on larger sites, where a sound request is beside the part more often.
+test('a part costs no others where 24 entries hear of each other late', () => {
+  const late = { place: 1, isIdempotent: true, transit: TRANSIT_MILLISECONDS, isLarger: true };
+  assertFewCrashes(late, 1);
+});
--- a/packages/entry-core/src/quarantine/unrelatedCrashes.test.ts
+++ b/packages/entry-core/src/quarantine/unrelatedCrashes.test.ts
@@ -48,13 +48,20 @@
   });
 });
 
+function assertBothPartsFound(seed: number): void {
+  const poisonParts = [POISON_PART, 'venom'];
+  const traffic = new PoisonedTraffic({ ...common, poisonEvery: 6, poisonParts, seed });
+  traffic.run(20_000, true);
+  assert.deepEqual(listNamedParts(traffic.cluster), poisonParts, `seed ${seed}`);
+}
+
 test('two parts that crash servers at the same time are both found, and no other', () => {
-  [1, 2, 3].forEach((seed) => {
-    const poisonParts = [POISON_PART, 'venom'];
-    const traffic = new PoisonedTraffic({ ...common, poisonEvery: 6, poisonParts, seed });
-    traffic.run(20_000, true);
-    assert.deepEqual(listNamedParts(traffic.cluster), poisonParts, `seed ${seed}`);
-  });
+  [1, 2, 3].forEach(assertBothPartsFound);
+});
+
+// Guards against a sound part that is refused because it was beside the one or the other at three crashes.
+test('two parts that crash servers at the same time are both found, and no other (seed 19)', () => {
+  assertBothPartsFound(19);
 });
 
 // Guards against a part that is refused although the servers of this pool can bear it.
