--- a/packages/entry-core/src/statements/testing/brittleBursts.ts
+++ b/packages/entry-core/src/statements/testing/brittleBursts.ts
@@ -22,8 +22,10 @@
 const BURST_FACTOR = 3;
 
 /** How the reports of the entries reach each other. */
-export const reportPaths = ['soon', 'late', 'inTransit', 'cutOff'] as const;
-export type ReportPath = (typeof reportPaths)[number];
+const reportPaths = ['soon', 'late', 'inTransit', 'cutOff'] as const;
+
+/** With `cutOffBefore`, no entry hears from another that servers say that they are brittle. */
+export type ReportPath = (typeof reportPaths)[number] | 'cutOffBefore';
 
 /** Between two digests, where they are late: five times what is usual. */
 const LATE_DIGEST_MILLISECONDS = 250;
@@ -74,6 +76,10 @@
     runLoad(cluster, { requestsPerSecond, duration: STEP_MILLISECONDS });
     restartFallen(cluster, engines);
   };
+  if (cluster.reportStore !== undefined && reports === 'cutOffBefore') {
+    cluster.reportStore.isSilent = true;
+    runStep();
+  }
   engines.forEach((engine) => Object.assign(engine, { survivedRejections: SURVIVED_REJECTIONS }));
   for (let elapsed = 0; elapsed < SETTLING_MILLISECONDS; elapsed += STEP_MILLISECONDS) runStep();
   for (let elapsed = 0; elapsed < BRITTLE_MILLISECONDS; elapsed += STEP_MILLISECONDS) {
@@ -84,6 +90,9 @@
     if (cluster.reportStore !== undefined && reports === 'cutOff') {
       cluster.reportStore.isSilent = isCut;
     }
+    if (cluster.reportStore !== undefined && reports === 'cutOffBefore') {
+      cluster.reportStore.isSilent = elapsed < CUT_FROM_MILLISECONDS;
+    }
     runStep();
   }
   return engines.reduce((sum, { fellAt }) => sum + fellAt.length, 0);
