Keep crashes until the news of them can have arrived

What callers could see: on a large site whose entries hear of each other late, a part of prompts crashes servers without end, and a quarter of the sound requests is lost.

Cause: an entry keeps the newest 32 crashes, and compares a crash once the news of it can have arrived. With 58 entries and digests 0.75 s under way 32 crashes come sooner than that, so no crash was ever compared. The more servers crash, the less is found.

Change: 128 crashes are kept, and of those that are settled and not explained the newest 64 are compared.

--- a/packages/entry-core/src/quarantine/parts/PartEvidence.ts
+++ b/packages/entry-core/src/quarantine/parts/PartEvidence.ts
@@ -12,8 +12,12 @@
 import { chooseCulprits, type UnexplainedCrash } from './chooseCulprits.js';
 import type { PartSet } from './partKey.js';
 
-/** What is kept at most; the oldest crash goes first. All of it is compared after each crash. */
-const MAX_CRASHES = 32;
+/** What is kept at most; the oldest crash goes first. News of a crash may take a second or more. */
+const MAX_CRASHES = 128;
+
+/** The newest that are settled and not explained; comparing them takes time at each tick after a crash. */
+const MAX_COMPARED_CRASHES = 64;
+
 const MAX_PARTS_PER_CRASH = 256;
 const MAX_BEGUN_PARTS = 4096;
 
@@ -143,6 +147,7 @@
         .filter(({ requests }) =>
           [...requests.values()].every((parts) => !isExplained({ pool, parts })),
         )
+        .slice(-MAX_COMPARED_CRASHES)
         .map((crash) => this.toUnexplained(crash));
       const isKnown = (part: string) => isKnownCulprit(pool, part);
       return chooseCulprits(unexplained, isKnown).map((parts) => ({ pool, parts }));
