Failing test: attempts that timed out take no room at a brittle server

An attempt of an idempotent request that has timed out is kept running beside the next one, and its server runs it on; it is in none of the counts from which the room is divided and reported.

--- a/packages/entry-core/src/statements/brittleServers.test.ts
+++ b/packages/entry-core/src/statements/brittleServers.test.ts
@@ -66,6 +66,26 @@
   assert.ok(reserved >= 1 && reserved <= mostOfOneEntry, `${reserved} places of ${mostOfOneEntry}`);
 });
 
+// Guards against a server that answers again after a pause, and gets as many requests as it still runs: attempts that
+// timed out go on there beside those that follow them elsewhere.
+test('an attempt that timed out and runs on takes room at a brittle server', () => {
+  const cluster = new SimulatedCluster({ engines: { 'wien-a': 2 } });
+  cluster.advance(1500);
+  const { entry } = cluster;
+  entry.submitRequest(makeRequest('one', { maxTokens: 2000 }));
+  cluster.advance(10);
+  const engine = [...cluster.engines.values()].find(({ streams }) => streams.size > 0);
+  const server = entry.state.backendServers.get(engine?.instance ?? '');
+  assert.ok(engine !== undefined && server !== undefined);
+  engine.silentFor = 60_000;
+  server.balancing.limit = 1;
+  const { instance } = engine;
+  entry.send({ type: 'serverStated', instance, survivedRejections: SURVIVED_REJECTIONS });
+  cluster.advance(5000);
+  assert.equal(engine.streams.size, 1);
+  assert.equal(isWithinBrittleRoom(entry.state, server), false);
+});
+
 function startEntry() {
   const cluster = new SimulatedCluster({ engines: { 'wien-a': 1 }, entries: 2 });
   cluster.advance(1500);
