--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -1,5 +1,5 @@
 /** What this entry may offer to a backend server that says that it is brittle. */
-import type { Milliseconds } from '@hornbeampond/schema';
+import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { currentLimit } from '../backendServers/BalancingState.js';
 import { estimateInProgress } from '../backendServers/estimateInProgress.js';
@@ -35,15 +35,25 @@
   return Math.ceil(delay / PERIOD_STEP_MILLISECONDS) * PERIOD_STEP_MILLISECONDS;
 }
 
+/** Attempts of the period, and places that were reserved in it for streams that move to the server. */
 function countOwnRecent(
-  state: EntryState,
-  { attemptIds }: BackendServerState,
+  { attempts, reclaims, clocks }: EntryState,
+  { attemptIds, platformInstance }: BackendServerState,
   period: Milliseconds,
 ): number {
-  const since = state.clocks.now - period;
-  return [...attemptIds].filter(
-    (attemptId) => (state.attempts.get(attemptId)?.startedAt ?? since) > since,
-  ).length;
+  const since = clocks.now - period;
+  const recentAttempts = [...attemptIds].filter(
+    (attemptId) => (attempts.get(attemptId)?.startedAt ?? since) > since,
+  );
+  const recentMoves = [...reclaims.moves.values()].filter(
+    ({ to, startedAt }) => to === platformInstance.instance && startedAt > since,
+  );
+  return recentAttempts.length + recentMoves.length;
+}
+
+/** The concurrency limit; never above the slots that the server itself has stated. */
+function knownLimit({ balancing, load }: BackendServerState, now: MonotonicMilliseconds): number {
+  return Math.min(currentLimit(balancing, now), load?.slots ?? Infinity);
 }
 
 /** True for a server that is not brittle, or that has room for another request of this entry. */
@@ -57,7 +67,7 @@
   const period = unknownPeriod(state);
   const periodName = isCutOff ? 'cut' : Math.floor(now / period);
   return mayOfferBrittle({
-    limit: currentLimit(server.balancing, now),
+    limit: knownLimit(server, now),
     inProgress: estimateInProgress(state, server),
     ownRecent: countOwnRecent(state, server, period),
     own: server.attemptIds.size,
