Keep an attempt whose id an ended attempt had before

Callers that left after sending a request id a second time had their call run on at the backend server: its cancellation was lost. Cause: the first call with the id had been cancelled, and its attempt ended only after the second call had started one of the same name; removeAttempt deleted by name, so it deleted the newer attempt, and cancel() found none. It now deletes only the attempt that it removes.

Evidence: the new test found 0 running attempts instead of 1 before the change. It passes now, with the others of the file. The fix works because the map holds the newer object from its start on, and each attempt compares itself with what the map holds.

--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -37,11 +37,16 @@
 
   sentCount = 0;
 
+  abortedCount = 0;
+
   override async send({ signal }: { signal: AbortSignal }): Promise<RelayResponse> {
     this.sentCount += 1;
     return new Promise((resolve, reject) => {
       this.respond = resolve;
-      signal.addEventListener('abort', () => reject(new Error('aborted')));
+      signal.addEventListener('abort', () => {
+        this.abortedCount += 1;
+        reject(new Error('aborted'));
+      });
     });
   }
 
@@ -121,7 +126,7 @@
     onCallerLeft: () => runner.cancel(startEffect.attemptId),
   });
   runner.start(startEffect);
-  return { timers, adapter, events };
+  return { timers, adapter, events, runner };
 }
 
 // Guards against requests that are sent to backend servers after their callers have left.
@@ -167,3 +172,17 @@
     ['silent'],
   );
 });
+
+// Guards against a backend server that goes on with a call after its caller has left, because the
+// cancelled attempt of an earlier call with the same id ended in the meantime.
+test('an attempt can be cancelled after an earlier one with its id has ended', async () => {
+  const { adapter, runner } = makeRunner();
+  runner.cancel(startEffect.attemptId);
+  runner.start(startEffect);
+  await runEventLoopTurns(2);
+  assert.equal(runner.runningCount, 1);
+  runner.cancel(startEffect.attemptId);
+  await runEventLoopTurns(2);
+  assert.equal(adapter.abortedCount, 2);
+  assert.equal(runner.runningCount, 0);
+});
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -239,7 +239,9 @@
   private removeAttempt(attempt: RunningAttempt): void {
     attempt.timeout.close();
     attempt.cancelHedgeTimer();
-    this.attempts.delete(attempt.effect.attemptId);
+    const { attemptId } = attempt.effect;
+    // A call that uses the id of an ended one again may have started an attempt of the same name.
+    if (this.attempts.get(attemptId) === attempt) this.attempts.delete(attemptId);
   }
 
   /**
