Fail a queued request once when the event itself has ended it

Cause: a tick ends requests by deadline, shutdown or quarantine, but leaves them in their queues until capacity is given out; the search for unreachable deadlines, which runs before that, found them there, failed them again, and counted them as work ahead of the others.

The search now removes what has ended from a queue first, by the same check with which a queued request is skipped when capacity is given out.

--- a/packages/entry-core/src/admission/failUnreachableDeadlines.ts
+++ b/packages/entry-core/src/admission/failUnreachableDeadlines.ts
@@ -13,6 +13,7 @@
 import { estimateSlots, expectedFirstTokenDelay } from './predictWait.js';
 import { scheduleRetry } from './applyShare.js';
 import { assignRetryAfter } from './assignRetryAfter.js';
+import { removeAllEnded } from './removeEndedFromQueue.js';
 import { canServeLate, requeueAsLate } from './serveLate.js';
 
 /**
@@ -118,6 +119,8 @@
 ): EntryEffect[] {
   const effects: EntryEffect[] = [];
   for (const [pool, queue] of state.admission.queues) {
+    // Requests that the same event has ended would be failed twice, and count as work ahead.
+    removeAllEnded(state, queue);
     if (queue.size === 0) continue;
     const search = new UnreachableDeadlineSearch(state, pool, now);
     search.walk(queue);
--- a/packages/entry-core/src/admission/startQueuedRequests.ts
+++ b/packages/entry-core/src/admission/startQueuedRequests.ts
@@ -14,16 +14,14 @@
 import type { QueuedRequest } from './FairQueue.js';
 import { isWithinPortion } from './isWithinPortion.js';
 import { isLocalWaitTooLong } from './placeRequest.js';
+import { hasEnded } from './removeEndedFromQueue.js';
 import { shouldWaitForCache } from './shouldWaitForCache.js';
 import { orderQueueForServer } from './orderQueueForServer.js';
 import type { PoolQueue } from './PoolQueue.js';
 
 /** False for a request that has ended or has an attempt in progress. */
-function isStillQueued(state: EntryState, { requestState }: QueuedRequest): boolean {
-  return (
-    state.requests.get(requestState.request.requestId) === requestState &&
-    requestState.attemptId === undefined
-  );
+function isStillQueued(state: EntryState, queued: QueuedRequest): boolean {
+  return !hasEnded(state, queued) && queued.requestState.attemptId === undefined;
 }
 
 function findServer(
