Answer an operator's change of unknown outcome with changeUnsure

`unsure` is now changeUnsure (504, unknown); `unavailable`, and `notLeader` of a removal, stay as they were. The owners' protocol lets a call without a clear answer be sent again unchanged, and a 504 promises nothing there.

--- a/apps/entry/src/RolloutApi.ts
+++ b/apps/entry/src/RolloutApi.ts
@@ -13,7 +13,13 @@
   type RolloutResult,
   type StartRolloutCommand,
 } from '@hornbeampond/schema';
-import { authorizeOperator, readBody, writeJson, type StoreClient } from '@hornbeampond/transport';
+import {
+  authorizeOperator,
+  makeUnconfirmedChangeError,
+  readBody,
+  writeJson,
+  type StoreClient,
+} from '@hornbeampond/transport';
 
 const CHANGE_TIMEOUT_MILLISECONDS = 5000;
 const READ_TIMEOUT_MILLISECONDS = 3000;
@@ -95,11 +101,8 @@
 
   private async propose(command: StartRolloutCommand | AdvanceRolloutCommand): Promise<Rollout> {
     const outcome = await this.store.propose(command, CHANGE_TIMEOUT_MILLISECONDS);
-    if (outcome.type === 'unavailable') {
-      throw new HornbeampondError('storeUnavailable', 'The roll-out was not changed');
-    }
-    if (outcome.type === 'unsure') {
-      throw new HornbeampondError('changeUnsure', 'The roll-out may have been changed');
+    if (outcome.type !== 'result') {
+      throw makeUnconfirmedChangeError(outcome.type, 'The change of the roll-out');
     }
     const result = outcome.result as RolloutResult;
     if (result.type === 'rolloutAccepted') return result.rollout;
--- a/apps/entry/src/TableApi.ts
+++ b/apps/entry/src/TableApi.ts
@@ -12,7 +12,13 @@
   type PutTableResult,
   type TableName,
 } from '@hornbeampond/schema';
-import { authorizeOperator, readBody, writeJson, type StoreClient } from '@hornbeampond/transport';
+import {
+  authorizeOperator,
+  makeUnconfirmedChangeError,
+  readBody,
+  writeJson,
+  type StoreClient,
+} from '@hornbeampond/transport';
 
 /**
  * If a change has no result within this time, it is answered with `storeUnavailable`
@@ -96,12 +102,7 @@
       { type: 'putTable', table, baseRevision, changeId, rows },
       CHANGE_TIMEOUT_MILLISECONDS,
     );
-    if (outcome.type === 'unavailable') {
-      throw new HornbeampondError('storeUnavailable', 'The change was not made');
-    }
-    if (outcome.type === 'unsure') {
-      throw new HornbeampondError('changeUnsure', 'The change may have been made');
-    }
+    if (outcome.type !== 'result') throw makeUnconfirmedChangeError(outcome.type, 'The change');
     this.sendResult(outcome.result as PutTableResult, response);
   }
 
--- a/apps/store/src/OperatorRequestHandler.ts
+++ b/apps/store/src/OperatorRequestHandler.ts
@@ -1,7 +1,13 @@
 /** Handles operators' HTTP requests that make a store found or join a cluster or remove a member. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HornbeampondError, type OperatorKey, type StoreResponse } from '@hornbeampond/schema';
-import { authorizeOperator, readBody, writeJson } from '@hornbeampond/transport';
+import {
+  authorizeOperator,
+  makeUnconfirmedChangeError,
+  readBody,
+  writeJson,
+  type UnconfirmedOutcome,
+} from '@hornbeampond/transport';
 
 const MAX_BODY_BYTES = 4096;
 
@@ -20,6 +26,11 @@
   throw new HornbeampondError('badRequest', 'The body must name the "instance"');
 }
 
+/** Only these two responses say that nothing was done. */
+function classifyOutcome(type: StoreResponse['type']): UnconfirmedOutcome {
+  return type === 'unavailable' || type === 'notLeader' ? 'unavailable' : 'unsure';
+}
+
 export class OperatorRequestHandler {
   constructor(private readonly options: OperatorRequestHandlerOptions) {}
 
@@ -37,10 +48,9 @@
         this.options.requestJoin();
         break;
       case 'remove': {
-        const removed = await this.options.removeStore(parseInstance(body));
-        if (removed.type !== 'accepted') {
-          const detail = `The store was not removed: ${removed.type}`;
-          throw new HornbeampondError('storeUnavailable', detail);
+        const { type } = await this.options.removeStore(parseInstance(body));
+        if (type !== 'accepted') {
+          throw makeUnconfirmedChangeError(classifyOutcome(type), 'The removal of the store');
         }
         break;
       }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,6 +10,7 @@
 export * from './readBody.js';
 export * from './writeProblem.js';
 export * from './authorizeOperator.js';
+export * from './unconfirmedChange.js';
 export * from './digestKey.js';
 export { openTunnel, type TunnelOptions } from './tunnels/openTunnel.js';
 export { TunnelServer, type TunnelServerOptions } from './tunnels/TunnelServer.js';
