Write nothing but the answer on a connection whose later input cannot be parsed

Callers read "not run" (400 or 431, `ran: no`) as the answer to a request that was in progress, and the call was cancelled; in a stream the refusal stood among its events. Cause: bytes that are no request, a head over the limit or one not finished in time followed the request on its connection. Node reports these without a response object, and both servers for callers then wrote a refusal into the socket and ended it, whether or not an answer was open there.

refuseUnparsedInput, which both servers use now, keeps the open answers of each connection. With one open it writes nothing: the last answer gets `connection: close` if its head is not sent, and the connection is closed after it. Without one the refusal is as before (the relay server's now has a content type too), also if the error is in the body of the request itself. The input that follows no longer reaches Node's parser, which raised `clientError` for each piece: it is discarded up to 1 MiB, then left unread. It is not left unread from the start, because a caller that leaves would then not be noticed.

--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -4,19 +4,8 @@
  * fail these checks are refused here; all further decisions are the reducer's.
  */
 import { createHash } from 'node:crypto';
-import {
-  STATUS_CODES,
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
-import {
-  HornbeampondError,
-  toProblemDocument,
-  type EntrySettings,
-  type Milliseconds,
-} from '@hornbeampond/schema';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
 import { digestKey, readBody, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
@@ -32,6 +21,7 @@
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { parseCompletion } from './parseCompletion.js';
+import { refuseUnparsedInput } from './refuseUnparsedInput.js';
 
 /** A caller's request with its headers, body and answer. */
 export interface CallerExchange {
@@ -66,19 +56,6 @@
 
 const MAX_IDEMPOTENCY_KEY_CHARACTERS = 256;
 
-/** Formats the answer to a request that Node could not parse, which has no response object. */
-function formatRawProblemResponse(error: HornbeampondError): string {
-  const problem = toProblemDocument(error);
-  const body = JSON.stringify(problem);
-  const lines = [
-    `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status] ?? ''}`,
-    'content-type: application/problem+json',
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-  ];
-  return `${lines.join('\r\n')}\r\n\r\n${body}`;
-}
-
 export class CallerServer implements CallerListener {
   private readonly server: Server;
 
@@ -99,13 +76,7 @@
     });
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
     this.server.on('connection', () => options.onConnection());
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-      const kind = tooLarge ? 'headersTooLarge' : 'badRequest';
-      const problem = new HornbeampondError(kind, 'The request could not be read');
-      options.onRefused(problem);
-      if (socket.writable) socket.end(formatRawProblemResponse(problem));
-    });
+    refuseUnparsedInput(this.server, (error) => options.onRefused(error));
   }
 
   async listen(): Promise<number> {
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -5,11 +5,9 @@
  */
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   HornbeampondError,
-  toProblemDocument,
   type CallerBounds,
   type ListenAddress,
   type Milliseconds,
@@ -20,6 +18,7 @@
 import type { CallerListener } from './CallerListener.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
+import { refuseUnparsedInput } from './refuseUnparsedInput.js';
 
 export interface RelayServerOptions {
   readonly listen: ListenAddress;
@@ -55,11 +54,6 @@
 
 const HEAD_TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 1000;
 
-const statusLines = {
-  badRequest: '400 Bad Request',
-  headersTooLarge: '431 Request Header Fields Too Large',
-} as const;
-
 /** Size of the URL and the header lines. */
 function countHeadBytes({ rawHeaders, url = '' }: IncomingMessage): number {
   // Each name is followed by a colon and a space, each value by CRLF.
@@ -88,9 +82,7 @@
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
     this.server.on('connection', () => options.onConnection());
     this.server.requestTimeout = 0;
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
-      this.refuseUnparsedRequest(error, socket),
-    );
+    refuseUnparsedInput(this.server, (error) => options.onRefused(error));
     this.applyBounds();
   }
 
@@ -132,18 +124,6 @@
     this.options.protocol.writeProblem(response, error);
   }
 
-  /** Refuses a request that Node could not parse, which has no response object. */
-  private refuseUnparsedRequest(error: NodeJS.ErrnoException, socket: Socket): void {
-    const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'badRequest';
-    const problem = new HornbeampondError(kind, 'The request could not be read');
-    this.options.onRefused(problem);
-    if (!socket.writable) return;
-    const body = JSON.stringify(toProblemDocument(problem));
-    const length = Buffer.byteLength(body);
-    const head = `HTTP/1.1 ${statusLines[kind]}\r\ncontent-length: ${length}\r\nconnection: close`;
-    socket.end(`${head}\r\n\r\n${body}`);
-  }
-
   private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { protocol, onRequest, onCallerDisconnect } = this.options;
     if (this.isKeepAliveDisabled) response.setHeader('connection', 'close');
