Draw for a brittle server once for each period

While servers said that they were brittle, an entry spent a quarter of its processor time on MD5: each look at such a server hashed the names of server, entry and period anew, and a choice under load looks at up to 16 of them. Operators saw it as load; the simulated bursts of brittleServers.test.js took so long by it that the file ran into the limit of the test runner on a busy machine.

The draw is now kept with the server until its period is over. The hashed text is the same, so every decision is.

--- a/packages/entry-core/src/backendServers/BackendServerState.ts
+++ b/packages/entry-core/src/backendServers/BackendServerState.ts
@@ -7,6 +7,13 @@
 } from '@hornbeampond/schema';
 import type { BalancingState } from './BalancingState.js';
 
+/** Which entries may use the little room of a brittle server is drawn anew for each period. */
+export interface BrittleDraw {
+  readonly period: string;
+  /** From 0 to 1. */
+  readonly fraction: number;
+}
+
 export interface BackendServerState {
   /** The platform's latest record of the instance. */
   platformInstance: PlatformInstance;
@@ -20,6 +27,8 @@
   loadReceivedAt: MonotonicMilliseconds | undefined;
   /** What the choice among the servers of a pool is based on. */
   readonly balancing: BalancingState;
+  /** The last draw for this server if it is brittle. */
+  brittleDraw?: BrittleDraw;
 }
 
 /** False if the server leaves, as the platform, a reclaim notice or the server itself says. */
--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -46,6 +46,16 @@
   ).length;
 }
 
+/** The draw of a period; a choice of a server asks for up to 16 of them, of the same period mostly. */
+function drawFor(state: EntryState, server: BackendServerState, period: string): number {
+  if (server.brittleDraw?.period !== period) {
+    const { instance } = server.platformInstance;
+    const fraction = hashFraction(`${instance}/${state.identity.instance}/${period}`);
+    server.brittleDraw = { period, fraction };
+  }
+  return server.brittleDraw.fraction;
+}
+
 /** True for a server that is not brittle, or that has room for another request of this entry. */
 export function isWithinBrittleRoom(state: EntryState, server: BackendServerState): boolean {
   const { instance } = server.platformInstance;
@@ -55,7 +65,7 @@
   const ageOfSums = state.workReports.ageOfSums(now) ?? Infinity;
   const isCutOff = entryCount > 1 && ageOfSums > CUT_OFF_MILLISECONDS;
   const period = unknownPeriod(state);
-  const periodName = isCutOff ? 'cut' : Math.floor(now / period);
+  const periodName = isCutOff ? 'cut' : String(Math.floor(now / period));
   return mayOfferBrittle({
     limit: currentLimit(server.balancing, now),
     inProgress: estimateInProgress(state, server),
@@ -63,6 +73,6 @@
     own: server.attemptIds.size,
     entryCount,
     isCutOff,
-    draw: hashFraction(`${instance}/${state.identity.instance}/${periodName}`),
+    draw: drawFor(state, server, periodName),
   });
 }
