--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -4,7 +4,7 @@
  * retried on another server. An event stream is sent event by event, and another server can resume it
  * after the last event id. If the call fails before anything is sent, the caller receives the last
  * failure answer of a backend server, if one was saved. An answer whose status promises callers that
- * their request did not run is never passed on: the backend server has run it.
+ * their request did not run is never passed on: the backend server may have run it.
  */
 import type { ServerResponse } from 'node:http';
 import type { HeaderLine, RelayResponse } from '@hornbeampond/adapters';
--- a/apps/entry/src/relayBody.test.ts
+++ b/apps/entry/src/relayBody.test.ts
@@ -71,7 +71,7 @@
       const failure = await relayAndFail(answer, makeResponse(status, bytes, isStream));
       assert.ok(failure instanceof BackendServerFailure);
       assert.deepEqual([failure.failure, failure.sent], ['serverError', 'maybe']);
-      assert.deepEqual(failure.response, { status, isDeclined: false, names: 'thisCall' });
+      assert.deepEqual(failure.response, { status });
       assert.equal(response.statusCode, OWN_STATUS);
       assert.equal(response.getHeader('x-origin'), 'entry');
     }
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -32,7 +32,7 @@
   throw new BackendServerFailure(`the answer has status ${status}`, {
     failure: 'serverError',
     status,
-    response: { status, isDeclined: false, names: 'thisCall' },
+    response: { status },
   });
 }
 
--- a/packages/entry-core/src/attempts/opaqueCalls.test.ts
+++ b/packages/entry-core/src/attempts/opaqueCalls.test.ts
@@ -262,7 +262,7 @@
 test('log and metrics of a failed attempt have the answer and the proof', () => {
   const { state, submitRequest } = makeEntry(nonIdempotentRoute);
   submitRequest();
-  const response = { status: 503, isDeclined: true, names: 'thisCall' } as const;
+  const response = { status: 503, isDeclined: true, namedCall: 'thisCall' } as const;
   const effects = reduceEntry(state, {
     type: 'attemptFailed',
     attemptId: 'one.1',
@@ -277,8 +277,8 @@
   });
   const logged = effects.find(({ type }) => type === 'log');
   assert.ok(logged?.type === 'log' && logged.event === 'attemptFailed');
-  const { proof, status, isDeclined, names } = logged.fields;
-  assert.deepEqual({ proof, status, isDeclined, names }, { proof: 'declined', ...response });
+  const { proof, status, isDeclined, namedCall } = logged.fields;
+  assert.deepEqual({ proof, status, isDeclined, namedCall }, { proof: 'declined', ...response });
   const counted = effects.flatMap((effect) =>
     effect.type === 'count' ? [`${effect.metric} ${effect.label}`] : [],
   );
--- a/packages/entry-core/src/claims/updateClaims.test.ts
+++ b/packages/entry-core/src/claims/updateClaims.test.ts
@@ -68,6 +68,23 @@
   assert.deepEqual([problem?.kind, problem?.ran], ['deadlineExceeded', 'unknown']);
 });
 
+// Guards against the same after the stores have not answered a first try.
+test('a request whose claim is asked for again and times out gets `ran: unknown`', () => {
+  const cluster = makeCluster();
+  submitRequest(cluster, 'one');
+  const { state } = cluster.entry;
+  reduceEntry(state, {
+    type: 'claimAnswered',
+    requestId: 'one',
+    command: 'openClaim',
+    answer: { type: 'unsure' },
+    ...clocks,
+  });
+  const effects = reduceEntry(state, { type: 'tick', ...clocks, now: 10 * 60_000 });
+  const problem = effects.find((effect) => effect.type === 'answerProblem');
+  assert.deepEqual([problem?.kind, problem?.ran], ['deadlineExceeded', 'unknown']);
+});
+
 // Another request, present here only as the result `claimRunning`, still runs the call when the
 // deadline of this one passes. With `ran: no` the caller could send the call again and have it run
 // twice.
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -187,7 +187,7 @@
       readonly type: 'attemptFailed';
       readonly attemptId: string;
       readonly failure: AttemptFailure;
-      /** `nothing` means that certainly no byte of the call was sent. */
+      /** `nothing` means that the call certainly did not run and will not; `proof` says why. */
       readonly sent: 'nothing' | 'maybe';
       /** Why the call is taken as not run. */
       readonly proof?: NotRunProof;
--- a/packages/entry-core/src/requests/determineRan.ts
+++ b/packages/entry-core/src/requests/determineRan.ts
@@ -1,6 +1,6 @@
 /**
  * Determines whether a request that is being ended may have run. `no` is a guarantee: every attempt
- * has ended, none has sent a byte, and no other entry may be running the same call. While an
+ * has ended, each has proved that it did not run, and no other entry may be running the same call. While an
  * attempt is open, it may send its first byte at any moment.
  */
 import type { RanStatus } from '@hornbeampond/schema';
--- a/packages/schema/src/ResponseFacts.ts
+++ b/packages/schema/src/ResponseFacts.ts
@@ -6,7 +6,7 @@
 export interface ResponseFacts {
   /** HTTP status. */
   readonly status: number;
-  /** True if the response states that the call was not run. */
-  readonly isDeclined: boolean;
-  readonly names: NamedCall;
+  /** True if the response states that the call was not run; undefined for an answer to the call. */
+  readonly isDeclined?: boolean;
+  readonly namedCall?: NamedCall;
 }
