Test lost paths by the connector's own clock instead of the machine's

Cause: "when one path is lost, the others are found lost too" bounds the time of a connection through a tunnel by 240 ms of real time. On a loaded machine the event loop of the test stood still for most of that, and the test failed although the connector opened the tunnel at once.

Change: the connector and the relay get manual timers; sockets stay real. Time is advanced by 239 ms for each connection and then stands still, so a tunnel that is due at 240 ms or later is never opened.

As strict: the bounds are the same (none before 239 ms for a path believed whole, established before 1,000 ms, below 240 ms afterwards, the others found lost within 700 ms), in the time that the product decides by. What is no longer measured is how fast this machine runs a handshake on loopback.

--- a/apps/entry/src/paths/PathConnector.test.ts
+++ b/apps/entry/src/paths/PathConnector.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { setTimeout as wait } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as wait } from 'node:timers/promises';
 import { DirectConnector, ServerConnector, type ServerEndpoint } from '@hornbeampond/adapters';
 import type { TunnelPeer } from '@hornbeampond/entry-core';
-import { SystemTimerService } from '@hornbeampond/runtime';
-import { TunnelServer } from '@hornbeampond/transport';
+import { SystemTimerService, type TimerService } from '@hornbeampond/runtime';
+import { ManualTimerService } from '@hornbeampond/testing';
+import { openTunnel, TunnelServer } from '@hornbeampond/transport';
 import { PathConnector, type PathChange } from './PathConnector.js';
 
 const HOST = '127.0.0.1';
@@ -38,6 +39,7 @@
 async function startPaths(
   context: TestContext,
   reached: (instance: string) => boolean = () => true,
+  timers: TimerService = new SystemTimerService(),
 ) {
   const sockets = new Set<Socket>();
   const backends: Server[] = [];
@@ -54,7 +56,6 @@
       return { instance, host: HOST, port: (backend.address() as AddressInfo).port };
     }),
   );
-  const timers = new SystemTimerService();
   const tunnelled: string[] = [];
   const relay = new TunnelServer({
     cluster: CLUSTER,
@@ -98,13 +99,17 @@
   const [first] = servers;
   assert.ok(first !== undefined);
   const connect = async (server: ServerEndpoint = first) => {
-    const startedAt = performance.now();
     const socket = await connector.connect(server, AbortSignal.timeout(3000));
     socket.on('error', () => {});
     sockets.add(socket);
-    return performance.now() - startedAt;
   };
-  return { servers, direct, changes, renewed, tunnelled, connector, connect };
+  /** Opens a tunnel to the last server as another process does. */
+  const openOtherTunnel = async () => {
+    const ends = { cluster: CLUSTER, client: 'entry-3', backendServer: 'd' };
+    const options = { ...ends, address: peer.address, secret: SECRET };
+    sockets.add(await openTunnel(options, AbortSignal.timeout(3000)));
+  };
+  return { servers, direct, changes, renewed, tunnelled, connector, connect, openOtherTunnel };
 }
 
 // Guards against parts for lost paths that act where every path is whole.
@@ -120,17 +125,35 @@
   },
 );
 
+/** A connection through a tunnel takes less than the head start of a path that is believed whole. */
+const BELOW_HEAD_START_MILLISECONDS = 239;
+
+/** Enough turns for an aborted connection to be noticed by whoever opened it. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 4; turn += 1) await nextTurn();
+}
+
 // Guards against requests that wait for each lost path in turn, on connections that lead nowhere.
 test('when one path is lost, the others are found lost too', testOptions, async (context) => {
-  const { servers, direct, changes, renewed, connect } = await startPaths(context);
+  const timers = new ManualTimerService();
+  const paths = await startPaths(context, () => true, timers);
+  const { servers, direct, changes, renewed, tunnelled, connect, openOtherTunnel } = paths;
   ['a', 'b', 'c', 'd'].forEach((instance) => direct.hanging.add(instance));
-  const firstDelay = await connect();
-  assert.ok(firstDelay >= 240 && firstDelay < 1000, String(firstDelay));
-  await wait(700);
+  const first = connect();
+  timers.advance(BELOW_HEAD_START_MILLISECONDS);
+  // The relay accepts in order, so that it would have seen a tunnel that was opened earlier.
+  await openOtherTunnel();
+  assert.deepEqual(tunnelled, ['d']);
+  timers.advance(700);
+  await first;
+  timers.advance(700);
+  await settle();
   assert.deepEqual(renewed.sort(), ['a', 'b', 'c', 'd']);
   for (const server of servers) {
-    const delay = await connect(server);
-    assert.ok(delay < 240, String(delay));
+    const connected = connect(server);
+    // Time stands still from here on: a tunnel that is due later is never opened.
+    timers.advance(BELOW_HEAD_START_MILLISECONDS);
+    await connected;
   }
   const lost = changes.filter(({ isLost }) => isLost).map(({ backendServer }) => backendServer);
   assert.deepEqual(lost.sort(), ['a', 'b', 'c', 'd']);
