Suspect no request whose connection a crashed server refused

Cause: the first refused connection to a crashed server opens the loss with all requests that are then in progress there, itself left out, because nothing of it was sent. Requests that were connecting at the same time are refused a moment later, and stayed in the loss. At the crash they became suspects: they run apart from each other, new copies of them are refused with 503 noBackendServer, and at a second crash they could be quarantined, although no byte of them had reached a server. Seen in the trace of streamsOverVersions at a load of 38: two attempts failed with connectFailed (sent nothing, proof notConnected), and 2201 backendServerCrashed counted one of them as its only member. A loaded machine makes it likelier; any burst of two calls to a server that has just crashed is enough.

Change: the loss keeps its attempts, and each one that turns out to have been refused is removed. The requests in progress and the unanswered parts of prompts are listed from what remains, so that a copy that did reach the server stays a suspect.

Why it works: a refused connection proves that nothing was sent on it, also if another one was refused before. A refusal that arrives only after the loss is classified is as before; in the trace it came 39 ms after the first, and the loss was classified 89 ms after that.

--- a/packages/entry-core/src/paths/lostPaths.test.ts
+++ b/packages/entry-core/src/paths/lostPaths.test.ts
@@ -50,6 +50,7 @@
   const loss = {
     instance,
     openedAt: state.clocks.now,
+    attemptsInProgress: new Map(),
     requestsInProgress: new Map([
       ['one', request],
       ['two', request],
--- a/packages/entry-core/src/quarantine/QuarantineState.ts
+++ b/packages/entry-core/src/quarantine/QuarantineState.ts
@@ -42,12 +42,24 @@
   resetBefore?: boolean;
 }
 
+/** An attempt in progress on a backend server when a loss was recorded. */
+export interface AttemptInProgress {
+  readonly digest: string;
+  readonly exposure: Milliseconds;
+  readonly tokens: number;
+  readonly parts: readonly string[];
+  /** True if its answer was past its beginning. */
+  readonly hasBegun: boolean;
+}
+
 /** A lost, refused or stalled connection to a backend server, whose cause a probe is to show. */
 export interface ConnectionLoss {
   readonly instance: string;
   readonly openedAt: MonotonicMilliseconds;
-  /** Requests in progress on the server when the loss was recorded, by digest. */
-  readonly requestsInProgress: Map<
+  /** By attempt id; those whose connection turns out to have been refused are removed. */
+  readonly attemptsInProgress: Map<string, AttemptInProgress>;
+  /** Their requests, by digest. */
+  requestsInProgress: ReadonlyMap<
     string,
     { readonly exposure: Milliseconds; readonly tokens: number }
   >;
@@ -57,7 +69,7 @@
    * Requests in progress that had brought nothing, or hardly more; undefined if no request in progress
    * named parts of its prompt.
    */
-  readonly unanswered: readonly UnansweredRequest[] | undefined;
+  unanswered: readonly UnansweredRequest[] | undefined;
 }
 
 /** A backend server that is considered crashed or unreachable until it answers a probe. */
--- a/packages/entry-core/src/quarantine/addUnresolvedLoss.ts
+++ b/packages/entry-core/src/quarantine/addUnresolvedLoss.ts
@@ -2,61 +2,68 @@
 import type { MonotonicMilliseconds, UnansweredRequest } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
 import { isPastBeginning } from './parts/beginning.js';
-import type { ConnectionLoss } from './QuarantineState.js';
+import type { AttemptInProgress, ConnectionLoss } from './QuarantineState.js';
 
-function listRequestsInProgress(
+function listAttemptsInProgress(
   state: EntryState,
   instance: string,
   now: MonotonicMilliseconds,
-  excludedAttemptId: string | undefined,
-): ConnectionLoss['requestsInProgress'] {
-  const requestsInProgress: ConnectionLoss['requestsInProgress'] = new Map();
+): Map<string, AttemptInProgress> {
+  const attempts = new Map<string, AttemptInProgress>();
   state.backendServers.get(instance)?.attemptIds.forEach((attemptId) => {
     const attempt = state.attempts.get(attemptId);
     const request = attempt && state.requests.get(attempt.requestId)?.request;
     if (attempt === undefined || request === undefined) return;
-    if (attemptId === excludedAttemptId) return;
-    requestsInProgress.set(request.digest, {
+    attempts.set(attemptId, {
+      digest: request.digest,
       exposure: now - attempt.startedAt,
       tokens: attempt.tokens,
+      parts: request.sharedParts ?? [],
+      hasBegun: isPastBeginning(attempt, now),
     });
   });
-  return requestsInProgress;
+  return attempts;
+}
+
+function listRequestsInProgress(
+  attempts: ReadonlyMap<string, AttemptInProgress>,
+): ConnectionLoss['requestsInProgress'] {
+  return new Map(
+    [...attempts.values()].map(({ digest, exposure, tokens }) => [digest, { exposure, tokens }]),
+  );
 }
 
 function listUnanswered(
-  state: EntryState,
-  instance: string,
-  now: MonotonicMilliseconds,
-  excludedAttemptId: string | undefined,
+  attempts: ReadonlyMap<string, AttemptInProgress>,
 ): UnansweredRequest[] | undefined {
-  const attemptIds = [...(state.backendServers.get(instance)?.attemptIds ?? [])];
-  const withParts = attemptIds.flatMap((attemptId) => {
-    const attempt = state.attempts.get(attemptId);
-    const request = attempt && state.requests.get(attempt.requestId)?.request;
-    if (attemptId === excludedAttemptId || attempt === undefined) return [];
-    if (request?.sharedParts === undefined || request.sharedParts.length === 0) return [];
-    const unanswered = { digest: request.digest, parts: request.sharedParts };
-    return [{ unanswered, hasBegun: isPastBeginning(attempt, now) }];
-  });
+  const withParts = [...attempts.values()].filter(({ parts }) => parts.length > 0);
   if (withParts.length === 0) return undefined;
-  return withParts.flatMap(({ unanswered, hasBegun }) => (hasBegun ? [] : [unanswered]));
+  return withParts
+    .filter(({ hasBegun }) => !hasBegun)
+    .map(({ digest, parts }) => ({ digest, parts }));
 }
 
 export function addUnresolvedLoss(
   state: EntryState,
   instance: string,
   now: MonotonicMilliseconds,
-  excludedAttemptId?: string,
 ): ConnectionLoss {
-  const requestsInProgress = listRequestsInProgress(state, instance, now, excludedAttemptId);
+  const attemptsInProgress = listAttemptsInProgress(state, instance, now);
   const loss = {
     instance,
     openedAt: now,
-    requestsInProgress,
+    attemptsInProgress,
+    requestsInProgress: listRequestsInProgress(attemptsInProgress),
     resetDigests: new Set<string>(),
-    unanswered: listUnanswered(state, instance, now, excludedAttemptId),
+    unanswered: listUnanswered(attemptsInProgress),
   };
   state.quarantine.unresolvedLosses.set(instance, loss);
   return loss;
 }
+
+/** Removes an attempt of which nothing reached the server, so that it cannot have caused the loss. */
+export function removeFromLoss(loss: ConnectionLoss, attemptId: string): void {
+  if (!loss.attemptsInProgress.delete(attemptId)) return;
+  loss.requestsInProgress = listRequestsInProgress(loss.attemptsInProgress);
+  loss.unanswered = listUnanswered(loss.attemptsInProgress);
+}
--- a/packages/entry-core/src/quarantine/recordLoss.ts
+++ b/packages/entry-core/src/quarantine/recordLoss.ts
@@ -9,7 +9,7 @@
 import type { AttemptFailure } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { reportSoon } from '../membership/advanceReports.js';
-import { addUnresolvedLoss } from './addUnresolvedLoss.js';
+import { addUnresolvedLoss, removeFromLoss } from './addUnresolvedLoss.js';
 import { probeBackendServer } from './probeBackendServer.js';
 import { SUSPECT_LIFETIME_MILLISECONDS } from './suspects.js';
 import type { ConnectionLoss } from './QuarantineState.js';
@@ -61,12 +61,11 @@
   // A leaving server is expected to stop, and a server that is down has already been classified.
   if (state.reclaims.leaving.has(instance) || state.quarantine.down.has(instance)) return [];
   const existing = state.quarantine.unresolvedLosses.get(instance);
-  // Nothing of the refused request was sent, so it cannot have caused the loss.
-  const excludedAttemptId = event.failure === 'connectFailed' ? attempt.attemptId : undefined;
-  const loss = existing ?? addUnresolvedLoss(state, instance, event.now, excludedAttemptId);
+  const loss = existing ?? addUnresolvedLoss(state, instance, event.now);
   if (event.failure === 'connectionLost') loss.resetDigests.add(requestState.request.digest);
-  if (event.failure !== 'connectFailed')
-    addProvisionalSuspect(state, requestState.request, loss, event.now);
+  // Several requests may be connecting to a server that has crashed already.
+  if (event.failure === 'connectFailed') removeFromLoss(loss, attempt.attemptId);
+  else addProvisionalSuspect(state, requestState.request, loss, event.now);
   // A resend through another entry must not run until the loss is classified.
   reportSoon(state);
   return existing === undefined ? probeBackendServer(state, instance) : [];
