--- a/packages/adapters/src/ServerConnector.ts
+++ b/packages/adapters/src/ServerConnector.ts
@@ -58,11 +58,14 @@
   }
 }
 
+/** How the agents of Node and the connectors of undici take a connection. */
+export type ConnectionCallback = (error: Error | null, socket: Socket | null) => void;
+
 /** Calls back as the agents of Node and the connectors of undici expect it. */
 export function connectWithCallback(
   connector: ServerConnector,
   server: ServerEndpoint,
-  callback: (error: Error | null, socket: Socket | null) => void,
+  callback: ConnectionCallback,
   signal?: AbortSignal,
 ): void {
   connector.connect(server, signal).then(
