Add review case 1: hundreds of large configurations end all stores

The script sends changes of a configuration with 800 routes more, on real processes: in five of five runs the stores ran out of heap after some 300 changes and again at each start, and the acknowledged configuration was not read back for 25 s. Without the routes, 480 changes were acknowledged and read back.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/play.mjs"
