Log each rejection with what was assumed of the server and how old that was

Rejections of attempts that no request waits for any more left no line, and the others said neither what the server had stated of its load nor what the entry believed of it when it sent the request. 2014 and a counter say both; no decision changes.

--- a/measure/src/rollouts/SimulatedEntry.ts
+++ b/measure/src/rollouts/SimulatedEntry.ts
@@ -4,6 +4,7 @@
  * while it has no processor time at the end of that time.
  */
 import {
+  assumeRoom,
   chooseVersion,
   describeRollouts,
   makeEntryState,
@@ -126,6 +127,7 @@
       instance,
       version: server.platformInstance.version,
       startedAt: now,
+      assumedRoom: assumeRoom(this.state, server),
       latenessBefore: this.state.slowness.detector.totalLateness(now),
       resumedFromTokens: 0,
       maybeSent: true,
--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -1,5 +1,6 @@
 /** State of one attempt to serve a request on one backend server. */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { AssumedRoom } from '../statements/AssumedRoom.js';
 
 export interface AttemptState {
   readonly attemptId: string;
@@ -8,6 +9,8 @@
   /** Version of the instance when the attempt started. */
   readonly version: string | undefined;
   readonly startedAt: MonotonicMilliseconds;
+  /** What was assumed of the server when the attempt started. */
+  readonly assumedRoom: AssumedRoom;
   /** Tokens of the answer that earlier attempts had produced when this one started. */
   readonly resumedFromTokens: number;
   /** True once the backend server may have received a byte of the call. */
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -13,6 +13,7 @@
 import { failRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { recordVersionFailure, recordVersionSilence } from '../rollouts/recordVersionAnswer.js';
+import { describeStatedLoad } from '../statements/AssumedRoom.js';
 import { BRITTLE_REST_MILLISECONDS, isBrittle } from '../statements/brittleAllowance.js';
 import { recordRest } from '../statements/receiveStatement.js';
 import { releaseUnusedVersion } from '../streamVersions/boundVersion.js';
@@ -168,6 +169,35 @@
   return failure === 'busy' && isBrittle(state, instance) ? BRITTLE_REST_MILLISECONDS : undefined;
 }
 
+/** Logged for each rejection, also of attempts that no request waits for any more. */
+function reportRejection(
+  state: EntryState,
+  attempt: AttemptState,
+  { failure, now, response }: AttemptFailedEvent,
+  isAwaited: boolean,
+): EntryEffect[] {
+  if (failure !== 'busy') return [];
+  const { requestId, attemptId, instance, assumedRoom, startedAt } = attempt;
+  const { inProgress, limit, ...assumed } = assumedRoom;
+  const label = assumed.survivedRejections === undefined ? 'notBrittle' : 'brittle';
+  const fields = {
+    requestId,
+    attemptId,
+    backendServer: instance,
+    ...response,
+    isAwaited,
+    after: now - startedAt,
+    assumedInProgress: inProgress,
+    assumedLimit: limit,
+    ...assumed,
+    ...describeStatedLoad(state, instance),
+  };
+  return [
+    { type: 'count', metric: 'serverRejections', label },
+    { type: 'log', event: 'serverRejected', fields },
+  ];
+}
+
 export function failAttempt(
   state: EntryState,
   attempt: AttemptState,
@@ -175,9 +205,13 @@
 ): EntryEffect[] {
   const { retryAfter } = event;
   const restFor = retryAfter ?? restOfBrittleServer(state, attempt, event);
-  const restEffects = restFor === undefined ? [] : recordRest(state, attempt.instance, restFor);
   const requestState = state.requests.get(attempt.requestId);
-  if (requestState === undefined || !isRunningFor(requestState, attempt)) {
+  const isAwaited = requestState !== undefined && isRunningFor(requestState, attempt);
+  const restEffects = [
+    ...reportRejection(state, attempt, event, isAwaited),
+    ...(restFor === undefined ? [] : recordRest(state, attempt.instance, restFor)),
+  ];
+  if (!isAwaited) {
     removeAttempt(state, attempt);
     return restEffects;
   }
--- a/packages/entry-core/src/attempts/launchAttempt.ts
+++ b/packages/entry-core/src/attempts/launchAttempt.ts
@@ -17,6 +17,7 @@
 import { isSuspect } from '../quarantine/suspects.js';
 import { estimatePrefillDuration } from '../reclaims/recoveryCosts.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { assumeRoom } from '../statements/AssumedRoom.js';
 import { countTowardsRateLimit } from '../statements/rateAllowance.js';
 import { bindVersion } from '../streamVersions/boundVersion.js';
 import { earnRetries } from './retryBudget.js';
@@ -134,6 +135,7 @@
     instance,
     version,
     startedAt: now,
+    assumedRoom: assumeRoom(state, server),
     latenessBefore: state.slowness.detector.totalLateness(now),
     resumedFromTokens: resumeFromTokens,
     maybeSent: false,
--- a/packages/entry-core/src/backendServers/BackendServerState.ts
+++ b/packages/entry-core/src/backendServers/BackendServerState.ts
@@ -17,6 +17,8 @@
 export interface BackendServerState {
   /** The platform's latest record of the instance. */
   platformInstance: PlatformInstance;
+  /** When this entry first had the instance in its list. */
+  readonly listedAt: MonotonicMilliseconds;
   /** When the instance goes away. It gets no new work from the reclaim notice on. */
   goneAt: EpochMilliseconds | undefined;
   /** True once the server has said in an answer that it leaves; see `ServerDepartures`. */
--- a/packages/entry-core/src/backendServers/PrefixHashRing.test.ts
+++ b/packages/entry-core/src/backendServers/PrefixHashRing.test.ts
@@ -15,6 +15,7 @@
       host: '192.0.2.1',
       port: number,
     },
+    listedAt: 0,
     attemptIds: new Set(),
     balancing: makeBalancingState(8, undefined),
   } as unknown as BackendServerState;
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -28,6 +28,7 @@
 ): BackendServerState {
   const server: BackendServerState = {
     platformInstance,
+    listedAt: state.clocks.now,
     goneAt: platformInstance.goneAt,
     isLeaving: state.departures.has(platformInstance.instance),
     attemptIds: new Set(),
--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -18,6 +18,7 @@
   recordVersionFailure,
   recordVersionSuccess,
 } from './rollouts/recordVersionAnswer.js';
+export { assumeRoom } from './statements/AssumedRoom.js';
 export type { AttemptState } from './attempts/AttemptState.js';
 export type { RequestState } from './requests/RequestState.js';
 export { listTunnelPeers, type TunnelPeer } from './paths/listTunnelPeers.js';
--- a/packages/entry-core/src/statements/ServerBrittleness.ts
+++ b/packages/entry-core/src/statements/ServerBrittleness.ts
@@ -13,6 +13,11 @@
     return this.statements.get(instance)?.survivedRejections ?? Infinity;
   }
 
+  /** When the newest statement of a server was read; undefined if it has made none. */
+  statedAt(instance: string): EpochMilliseconds | undefined {
+    return this.statements.get(instance)?.statedAt;
+  }
+
   isBrittle(instance: string): boolean {
     return this.at(instance) < Infinity;
   }
--- a/packages/entry-core/src/statements/brittleServers.test.ts
+++ b/packages/entry-core/src/statements/brittleServers.test.ts
@@ -146,3 +146,46 @@
   const changes = entry.log.filter((line) => line.includes('brittlenessChanged'));
   assert.equal(changes.length, 2);
 });
+
+// Guards against rejections of which no entry says anything: whether they were for want of room, and what the entry
+// knew of the server, could not be told afterwards.
+test('each rejection is logged with what was assumed of the server, also if nobody waits for it', () => {
+  const cluster = new SimulatedCluster({ engines: { 'wien-a': 1 } });
+  cluster.advance(1500);
+  const { entry } = cluster;
+  const [engine] = cluster.engines.values();
+  assert.ok(engine !== undefined);
+  const { instance } = engine;
+  entry.send({ type: 'serverStated', instance, survivedRejections: SURVIVED_REJECTIONS });
+  engine.room = 0;
+  entry.submitRequest(makeRequest('awaited'));
+  entry.submitRequest(makeRequest('abandoned'));
+  const [attempt] = [...entry.state.attempts.values()].filter(
+    ({ requestId }) => requestId === 'abandoned',
+  );
+  assert.ok(attempt !== undefined);
+  entry.state.requests.delete('abandoned');
+  cluster.advance(20);
+  const lines = entry.log
+    .filter((line) => line.includes('serverRejected'))
+    .map((line) => JSON.parse(line.slice(line.indexOf('{'))) as Record<string, unknown>);
+  const assumed = {
+    backendServer: instance,
+    assumedLimit: CONCURRENCY,
+    survivedRejections: SURVIVED_REJECTIONS,
+    brittlenessAge: 0,
+    entryCount: 1,
+    listedFor: 1500,
+  };
+  const expected = [
+    { requestId: 'awaited', isAwaited: true, assumedInProgress: 1, ...assumed },
+    { requestId: 'abandoned', isAwaited: false, assumedInProgress: 2, ...assumed },
+  ];
+  const pick = (line: Record<string, unknown>, keys: string[]) =>
+    Object.fromEntries(keys.map((key) => [key, line[key]]));
+  assert.deepEqual(
+    expected.map((fields, position) => pick(lines[position] ?? {}, Object.keys(fields))),
+    expected,
+  );
+  assert.equal(entry.count('serverRejections/brittle'), 2);
+});
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -8,6 +8,11 @@
   requestFailed: defineLogEvent(2003, 'warn', 'An accepted request was ended with an error'),
   attemptStarted: defineLogEvent(2010, 'debug', 'A request was sent to a backend server'),
   attemptFailed: defineLogEvent(2011, 'info', 'An attempt at a backend server failed'),
+  serverRejected: defineLogEvent(
+    2014,
+    'info',
+    'A backend server rejected a request; what was assumed of it then, and what it said of its load',
+  ),
   attemptHedged: defineLogEvent(
     2012,
     'debug',
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -98,6 +98,12 @@
     help: 'Failed attempts whose backend server answered, by the status of its answer',
     label: { name: 'status' },
   },
+  serverRejections: {
+    name: 'hornbeampond_server_rejections_total',
+    kind: 'counter',
+    help: 'Requests that backend servers rejected, by whether the server was taken for brittle then',
+    label: { name: 'assumed', values: ['brittle', 'notBrittle'] },
+  },
   hedges: {
     name: 'hornbeampond_hedges_total',
     kind: 'counter',
