--- a/packages/entry-core/src/statements/testing/brittleBursts.ts
+++ b/packages/entry-core/src/statements/testing/brittleBursts.ts
@@ -3,12 +3,15 @@
 import { test } from 'node:test';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { SimulatedCluster, type SimulatedEngine } from '../../driver/index.js';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { SimulatedCluster, type CallerRecord, type SimulatedEngine } from '../../driver/index.js';
 import { runLoad } from './runLoad.js';
 
 const STEP_MILLISECONDS = 250;
 const SETTLING_MILLISECONDS = 3000;
 const BRITTLE_MILLISECONDS = 9000;
+/** Until the last callers have their answers. */
+const END_MILLISECONDS = 5000;
 const BACK_AFTER_MILLISECONDS = 4000;
 
 /** What an engine runs at a time, and how many may wait at first. */
@@ -36,28 +39,87 @@
 const CUT_FROM_MILLISECONDS = 4000;
 const CUT_UNTIL_MILLISECONDS = 8000;
 
+/** A reclaimed engine leaves after its notice; the one that replaces it takes as long to start. */
+const REPLACEMENT_INTERVAL_MILLISECONDS = 1250;
+const REPLACEMENT_MILLISECONDS = 1000;
+
 interface BrittleTime {
   readonly entries: number;
   readonly enginesPerDataCentre: number;
   readonly reports: ReportPath;
   readonly seed: number;
+  /** True if engines are reclaimed one after the other, and others with new names start for them. */
+  readonly areReplaced?: boolean;
+}
+
+/** Engines of which one is replaced from time to time by another with a new name. */
+class ReplacedEngines {
+  private readonly leaving = new Set<string>();
+
+  private dueAt = 0;
+
+  constructor(
+    private readonly cluster: SimulatedCluster,
+    private readonly random: RandomGenerator,
+    private readonly onStart: (engine: SimulatedEngine) => void,
+  ) {}
+
+  advance(): void {
+    const { now } = this.cluster.clock();
+    if (now < this.dueAt) return;
+    this.dueAt = now + REPLACEMENT_INTERVAL_MILLISECONDS;
+    const staying = [...this.cluster.engines.values()].filter(
+      ({ alive, instance }) => alive && !this.leaving.has(instance),
+    );
+    const replaced = staying[uniformInt(this.random, 0, staying.length - 1)];
+    if (replaced !== undefined) this.replace(replaced);
+  }
+
+  /** Engines that have fallen over come back, those that were reclaimed do not. */
+  returns({ instance }: SimulatedEngine): boolean {
+    return !this.leaving.has(instance);
+  }
+
+  private replace({ instance, dataCentre }: SimulatedEngine): void {
+    this.leaving.add(instance);
+    this.cluster.reclaimByPlatformList([instance], REPLACEMENT_MILLISECONDS);
+    const successor = `${dataCentre}-successor-${this.leaving.size}`;
+    this.cluster.startEngine(successor, dataCentre, REPLACEMENT_MILLISECONDS);
+    this.cluster.schedule(REPLACEMENT_MILLISECONDS, () =>
+      this.onStart(this.cluster.engine(successor)),
+    );
+  }
 }
 
 /** Restarts engines some seconds after they have fallen over. */
-function restartFallen(cluster: SimulatedCluster, engines: readonly SimulatedEngine[]): void {
+function restartFallen(
+  cluster: SimulatedCluster,
+  returns: (engine: SimulatedEngine) => boolean,
+): void {
   const { now } = cluster.clock();
-  engines.forEach((engine) => {
+  [...cluster.engines.values()].filter(returns).forEach((engine) => {
     const fellAt = engine.fellAt.at(-1);
     if (engine.alive || fellAt === undefined) return;
     if (now - fellAt > BACK_AFTER_MILLISECONDS) Object.assign(engine, { alive: true });
   });
 }
 
+export interface BrittleOutcome {
+  readonly falls: number;
+  readonly cluster: SimulatedCluster;
+}
+
 /**
  * Runs bursts of callers against engines that say that they are brittle, and let fewer and fewer wait
- * from three seconds later on. Returns how often they fall over from then on.
+ * from three seconds later on.
  */
-function countFalls({ entries, enginesPerDataCentre, reports, seed }: BrittleTime): number {
+export function runBrittleTime({
+  entries,
+  enginesPerDataCentre,
+  reports,
+  seed,
+  areReplaced = false,
+}: BrittleTime): BrittleOutcome {
   const random = xoroshiro128plus(seed);
   const cluster = new SimulatedCluster({
     engines: { 'wien-a': enginesPerDataCentre, 'wien-b': enginesPerDataCentre },
@@ -69,23 +131,30 @@
     cluster.reportStore.transitDelay = TRANSIT_MILLISECONDS;
   }
   cluster.advance(1500);
-  const engines = [...cluster.engines.values()];
+  const listEngines = () => [...cluster.engines.values()];
+  const engineCount = listEngines().length;
+  let room = Infinity;
+  const setRoom = (engine: SimulatedEngine) =>
+    Object.assign(engine, { survivedRejections: SURVIVED_REJECTIONS, room });
+  const replaced = new ReplacedEngines(cluster, random, setRoom);
   const runStep = () => {
     const factor = uniformInt(random, 0, 3) === 0 ? BURST_FACTOR : 1;
-    const requestsPerSecond = engines.length * REQUESTS_PER_SECOND_AND_ENGINE * factor;
+    const requestsPerSecond = engineCount * REQUESTS_PER_SECOND_AND_ENGINE * factor;
+    if (areReplaced) replaced.advance();
     runLoad(cluster, { requestsPerSecond, duration: STEP_MILLISECONDS });
-    restartFallen(cluster, engines);
+    restartFallen(cluster, (engine) => replaced.returns(engine));
   };
   if (cluster.reportStore !== undefined && reports === 'cutOffBefore') {
     cluster.reportStore.isSilent = true;
     runStep();
   }
-  engines.forEach((engine) => Object.assign(engine, { survivedRejections: SURVIVED_REJECTIONS }));
+  listEngines().forEach(setRoom);
   for (let elapsed = 0; elapsed < SETTLING_MILLISECONDS; elapsed += STEP_MILLISECONDS) runStep();
   for (let elapsed = 0; elapsed < BRITTLE_MILLISECONDS; elapsed += STEP_MILLISECONDS) {
     // Fewer and fewer may wait, while requests are under way.
     const waiting = Math.max(1, MAX_WAITING - Math.floor(elapsed / 1000));
-    engines.forEach((engine) => Object.assign(engine, { room: CONCURRENCY + waiting }));
+    room = CONCURRENCY + waiting;
+    listEngines().forEach(setRoom);
     const isCut = elapsed >= CUT_FROM_MILLISECONDS && elapsed < CUT_UNTIL_MILLISECONDS;
     if (cluster.reportStore !== undefined && reports === 'cutOff') {
       cluster.reportStore.isSilent = isCut;
@@ -95,7 +164,16 @@
     }
     runStep();
   }
-  return engines.reduce((sum, { fellAt }) => sum + fellAt.length, 0);
+  const falls = listEngines().reduce((sum, { fellAt }) => sum + fellAt.length, 0);
+  return { falls, cluster };
+}
+
+/** The part of all callers that got their whole answer, once the last ones have theirs. */
+export function measureServedFraction(cluster: SimulatedCluster): number {
+  cluster.advance(END_MILLISECONDS);
+  const callers = cluster.callers();
+  const isServed = ({ finalAnswers }: CallerRecord) => finalAnswers[0]?.type === 'whole';
+  return callers.filter(isServed).length / callers.length;
 }
 
 export interface BrittleBursts {
@@ -115,7 +193,7 @@
     test(`brittle servers stay up in bursts (${entries} entries, reports ${reports})`, () => {
       const tolerated = 2 + (2 * enginesPerDataCentre) / 10;
       seeds.forEach((seed) => {
-        const falls = countFalls({ entries, enginesPerDataCentre, reports, seed });
+        const { falls } = runBrittleTime({ entries, enginesPerDataCentre, reports, seed });
         assert.ok(
           falls <= tolerated,
           `${falls} falls with seed ${seed}, ${tolerated} are tolerated`,
