Count attempts that timed out and run on at brittle servers

An attempt that times out before its first token is kept, as its answer may still arrive; it was not counted at its server any more, neither by this entry nor in its reports, and its place was offered again. A brittle server that was silent for a while had to reject what came in its place. Such attempts now take room there until they end, for this entry and the others; at other servers nothing changes.

--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -18,7 +18,7 @@
 import { recordRest } from '../statements/receiveStatement.js';
 import { releaseUnusedVersion } from '../streamVersions/boundVersion.js';
 import type { AttemptState } from './AttemptState.js';
-import { removeAttempt, removeCacheMove } from './releaseAttempts.js';
+import { removeAttempt, removeCacheMove, retainTimedOutAttempt } from './releaseAttempts.js';
 import { failInterruptedAnswer, retryRequest } from './retryRequest.js';
 
 export type AttemptFailedEvent = Extract<EntryEvent, { type: 'attemptFailed' }>;
@@ -72,8 +72,7 @@
 ): void {
   if (event.failure !== 'silent' || requestState.tokens > 0 || event.answerStarted) return;
   if (!requestState.route.idempotent) return;
-  attempt.timedOut = true;
-  state.attempts.set(attempt.attemptId, attempt);
+  retainTimedOutAttempt(state, attempt);
   (requestState.timedOutAttemptIds ??= []).push(attempt.attemptId);
 }
 
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -19,7 +19,7 @@
 import { recordOrigin } from '../streamVersions/shareOrigins.js';
 import type { AttemptState } from './AttemptState.js';
 import { failAttempt } from './failAttempt.js';
-import { removeAttempt } from './releaseAttempts.js';
+import { removeAttempt, removeTimedOutAttempt } from './releaseAttempts.js';
 
 export { removeAttempt } from './releaseAttempts.js';
 
@@ -98,9 +98,10 @@
 function finishTimedOutAttempt(
   state: EntryState,
   requestState: RequestState | undefined,
+  attempt: AttemptState,
   { attemptId, longestPause, status }: AttemptFinishedEvent,
 ): EntryEffect[] {
-  state.attempts.delete(attemptId);
+  removeTimedOutAttempt(state, attempt);
   if (
     requestState === undefined ||
     requestState.firstTokenAt !== undefined ||
@@ -117,7 +118,7 @@
   event: AttemptFinishedEvent,
 ): EntryEffect[] {
   const requestState = state.requests.get(attempt.requestId);
-  if (attempt.timedOut) return finishTimedOutAttempt(state, requestState, event);
+  if (attempt.timedOut) return finishTimedOutAttempt(state, requestState, attempt, event);
   removeAttempt(state, attempt);
   if (requestState === undefined || !isRunningFor(requestState, attempt)) return countLateAnswer();
   const versionEffects = recordVersionSuccess(state, requestState, attempt, event.now);
--- a/packages/entry-core/src/attempts/releaseAttempts.ts
+++ b/packages/entry-core/src/attempts/releaseAttempts.ts
@@ -14,10 +14,27 @@
   state.attempts.delete(attempt.attemptId);
   const server = state.backendServers.get(attempt.instance);
   server?.attemptIds.delete(attempt.attemptId);
+  server?.timedOutAttemptIds.delete(attempt.attemptId);
   server?.balancing.pendingPrompts.delete(attempt.attemptId);
   state.workReports.markOwnWorkChanged(attempt.instance);
 }
 
+/** Keeps the state of a removed attempt that has timed out, as its answer may still arrive. */
+export function retainTimedOutAttempt(state: EntryState, attempt: AttemptState): void {
+  attempt.timedOut = true;
+  state.attempts.set(attempt.attemptId, attempt);
+  state.backendServers.get(attempt.instance)?.timedOutAttemptIds.add(attempt.attemptId);
+}
+
+/** Removes an attempt that was retained after its time-out. */
+export function removeTimedOutAttempt(state: EntryState, attempt: AttemptState): void {
+  const { attemptId, instance } = attempt;
+  state.attempts.delete(attemptId);
+  state.backendServers.get(instance)?.timedOutAttemptIds.delete(attemptId);
+  // Only there others have heard of it; see `countOwnInProgress`.
+  if (state.brittleness.isBrittle(instance)) state.workReports.markOwnWorkChanged(instance);
+}
+
 /** Cancels the current attempt of a request. It may have sent bytes, so `maybeSent` is set. */
 export function cancelAttempt(state: EntryState, requestState: RequestState): EntryEffect[] {
   const { attemptId } = requestState;
@@ -82,7 +99,10 @@
   const effects = requiresClaim(requestState.route) ? [] : cancelAttempt(state, requestState);
   effects.push(...releaseHedge(state, requestState, answeredBy));
   requestState.timedOutAttemptIds?.forEach((attemptId) => {
-    if (state.attempts.delete(attemptId)) effects.push({ type: 'cancelAttempt', attemptId });
+    const attempt = state.attempts.get(attemptId);
+    if (attempt === undefined) return;
+    removeTimedOutAttempt(state, attempt);
+    effects.push({ type: 'cancelAttempt', attemptId });
   });
   return effects;
 }
--- a/packages/entry-core/src/backendServers/BackendServerState.ts
+++ b/packages/entry-core/src/backendServers/BackendServerState.ts
@@ -23,8 +23,10 @@
   goneAt: EpochMilliseconds | undefined;
   /** True once the server has said in an answer that it leaves; see `ServerDepartures`. */
   isLeaving: boolean;
-  /** Attempts of this entry in progress at the server. */
+  /** Attempts of this entry in progress at the server, without those that have timed out. */
   readonly attemptIds: Set<string>;
+  /** Attempts that have timed out and may still run there, as their answers may still arrive first. */
+  readonly timedOutAttemptIds: Set<string>;
   load: LoadReport | undefined;
   loadReceivedAt: MonotonicMilliseconds | undefined;
   /** What the choice among the servers of a pool is based on. */
--- a/packages/entry-core/src/backendServers/PrefixHashRing.test.ts
+++ b/packages/entry-core/src/backendServers/PrefixHashRing.test.ts
@@ -17,6 +17,7 @@
     },
     listedAt: 0,
     attemptIds: new Set(),
+    timedOutAttemptIds: new Set(),
     balancing: makeBalancingState(8, undefined),
   } as unknown as BackendServerState;
 }
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -32,6 +32,7 @@
     goneAt: platformInstance.goneAt,
     isLeaving: state.departures.has(platformInstance.instance),
     attemptIds: new Set(),
+    timedOutAttemptIds: new Set(),
     load: undefined,
     loadReceivedAt: undefined,
     balancing: makeBalancingState(findConcurrency(state, platformInstance), slowStartAt),
--- a/packages/entry-core/src/backendServers/estimateInProgress.ts
+++ b/packages/entry-core/src/backendServers/estimateInProgress.ts
@@ -8,6 +8,7 @@
 import type { EpochMilliseconds, LoadReport, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryState } from '../EntryState.js';
 import type { BackendServerState } from './BackendServerState.js';
+import { countOwnInProgress } from './countOwnInProgress.js';
 import type { EndedAttempt } from './BalancingState.js';
 
 /** Limit per server; when it is exceeded, the older half is dropped. */
@@ -81,12 +82,12 @@
 export function estimateInProgress(state: EntryState, server: BackendServerState): number {
   if (isPeerWorkKnown(state)) {
     return (
-      server.attemptIds.size +
+      countOwnInProgress(state, server) +
       state.workReports.peerWorkAt(server.platformInstance.instance).inProgress
     );
   }
   const { measuredAt, otherEntriesInProgress, ownInProgressAtMeasurement } = server.balancing;
-  const own = server.attemptIds.size;
+  const own = countOwnInProgress(state, server);
   const { now } = state.clocks;
   const isReportFresh =
     measuredAt !== undefined && now - measuredAt <= MAX_LOAD_REPORT_AGE_MILLISECONDS;
--- a/packages/entry-core/src/backendServers/shareWork.ts
+++ b/packages/entry-core/src/backendServers/shareWork.ts
@@ -11,6 +11,7 @@
 import { mustReportUse, receiveUse, takeDueUse } from '../admission/reportUse.js';
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryState } from '../EntryState.js';
+import { countOwnInProgress } from './countOwnInProgress.js';
 import { getPoolState } from './getPoolState.js';
 import { countOwnPendingTokens } from './predictFirstTokenDelay.js';
 
@@ -18,7 +19,7 @@
   const server = state.backendServers.get(backendServer);
   if (server === undefined) return { inProgress: 0, promptTokens: 0 };
   return {
-    inProgress: server.attemptIds.size,
+    inProgress: countOwnInProgress(state, server),
     promptTokens: Math.round(countOwnPendingTokens(server)),
   };
 }
--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { currentLimit } from '../backendServers/BalancingState.js';
+import { countOwnInProgress } from '../backendServers/countOwnInProgress.js';
 import { estimateInProgress } from '../backendServers/estimateInProgress.js';
 import { workReportInterval } from '../backendServers/WorkReports.js';
 import { hashFraction } from '../shares/hashFraction.js';
@@ -80,7 +81,7 @@
     limit: knownLimit(server, now),
     inProgress: estimateInProgress(state, server),
     ownRecent: countOwnRecent(state, server, period),
-    own: server.attemptIds.size,
+    own: countOwnInProgress(state, server),
     entryCount,
     isCutOff,
     draw: drawFor(state, server, periodName),
