Tell all entries what a rejection by a brittle server shows of its room

Brittle servers that had less room than slots, as where long prompts fill their memory, fell over once each with 58 entries: each entry learnt it by a rejection of its own, four of them within 70 ms, and the logged assumptions (2014) show that all sent at the same moment, when their part of the room was drawn anew.

A rejection is now reported to the other entries at once, as the part of the concurrency limit that may be used; it holds for the server and, until they reject something themselves, for the others of its pool, and fades between 10 and 30 s later. Entries change the periods of their draws one after the other.

Servers that do not say that they are brittle are not concerned.

--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -37,6 +37,7 @@
 import { ServerDepartures } from './statements/ServerDepartures.js';
 import { ServerSpeeds } from './speeds/ServerSpeeds.js';
 import { ServerRateLimits } from './statements/ServerRateLimits.js';
+import { ServerRejections } from './statements/ServerRejections.js';
 import { ServerRests } from './statements/ServerRests.js';
 
 /** Settings that stay fixed for the lifetime of an entry process. */
@@ -83,6 +84,7 @@
   readonly speeds: ServerSpeeds;
   readonly rateLimits: ServerRateLimits;
   readonly brittleness: ServerBrittleness;
+  readonly rejections: ServerRejections;
   readonly rests: ServerRests;
   readonly departures: ServerDepartures;
   /** Prompt prefixes restored from a store for backend servers that are not listed yet. */
@@ -142,6 +144,7 @@
     speeds: new ServerSpeeds(),
     rateLimits: new ServerRateLimits(),
     brittleness: new ServerBrittleness(),
+    rejections: new ServerRejections(),
     rests: new ServerRests(),
     departures: new ServerDepartures(),
     persistedPrefixes: new Map(),
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -15,6 +15,7 @@
 import { recordVersionFailure, recordVersionSilence } from '../rollouts/recordVersionAnswer.js';
 import { describeStatedLoad } from '../statements/AssumedRoom.js';
 import { BRITTLE_REST_MILLISECONDS, isBrittle } from '../statements/brittleAllowance.js';
+import { learnFromRejection } from '../statements/receiveRejection.js';
 import { recordRest } from '../statements/receiveStatement.js';
 import { releaseUnusedVersion } from '../streamVersions/boundVersion.js';
 import type { AttemptState } from './AttemptState.js';
@@ -169,7 +170,7 @@
 }
 
 /** Logged for each rejection, also of attempts that no request waits for any more. */
-function reportRejection(
+function receiveRejection(
   state: EntryState,
   attempt: AttemptState,
   { failure, now, response }: AttemptFailedEvent,
@@ -194,6 +195,7 @@
   return [
     { type: 'count', metric: 'serverRejections', label },
     { type: 'log', event: 'serverRejected', fields },
+    ...learnFromRejection(state, attempt),
   ];
 }
 
@@ -207,7 +209,7 @@
   const requestState = state.requests.get(attempt.requestId);
   const isAwaited = requestState !== undefined && isRunningFor(requestState, attempt);
   const restEffects = [
-    ...reportRejection(state, attempt, event, isAwaited),
+    ...receiveRejection(state, attempt, event, isAwaited),
     ...(restFor === undefined ? [] : recordRest(state, attempt.instance, restFor)),
   ];
   if (!isAwaited) {
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -88,6 +88,7 @@
   const isListed = (instance: string) => listedInstances.has(instance);
   state.rateLimits.retainOnly(isListed, state.clocks.wallNow);
   state.brittleness.applyList(instances, state.clocks);
+  state.rejections.retainRecent(now);
   state.speeds.retainOnly(isListed, now);
   state.rests.retainOnly(isListed, now);
   state.departures.retainOnly(isListed, now);
--- a/packages/entry-core/src/membership/advanceReports.ts
+++ b/packages/entry-core/src/membership/advanceReports.ts
@@ -111,7 +111,10 @@
 /** What backend servers and the platform have said, as far as no other entry reports it. */
 function describeServers(
   state: EntryState,
-): Pick<EntryReport, 'rateLimits' | 'brittleness' | 'departures' | 'leavingBackendServers'> {
+): Pick<
+  EntryReport,
+  'rateLimits' | 'brittleness' | 'rejections' | 'departures' | 'leavingBackendServers'
+> {
   const reports = listEarlierReports(state);
   const rateLimits = omitReported(
     state.rateLimits.describe(),
@@ -123,6 +126,11 @@
     reports.map((report) => report.brittleness ?? {}),
     (own, reported) => own.survivedRejections === reported.survivedRejections,
   );
+  const rejections = omitReported(
+    state.rejections.describe(state.clocks.now),
+    reports.map((report) => report.rejections ?? {}),
+    (own, reported) => own.statedAt <= reported.statedAt,
+  );
   const reportedDepartures = new Set(reports.flatMap((report) => report.departures ?? []));
   const departures = state.departures.instances.filter((name) => !reportedDepartures.has(name));
   const leavingBackendServers = omitReported(
@@ -133,6 +141,7 @@
   return {
     ...(Object.keys(rateLimits).length === 0 ? {} : { rateLimits }),
     ...(Object.keys(brittleness).length === 0 ? {} : { brittleness }),
+    ...(Object.keys(rejections).length === 0 ? {} : { rejections }),
     ...(departures.length === 0 ? {} : { departures }),
     leavingBackendServers,
   };
--- a/packages/entry-core/src/membership/receivePeerReport.ts
+++ b/packages/entry-core/src/membership/receivePeerReport.ts
@@ -9,6 +9,7 @@
 import { updateLimitersFromReport } from '../limits/updateLimitersFromReport.js';
 import { receivePartReport } from '../quarantine/parts/receivePartReport.js';
 import { receiveQuarantine } from '../quarantine/quarantineDigest.js';
+import { receiveReportedRejections } from '../statements/receiveRejection.js';
 import { receiveReportedStatements } from '../statements/receiveStatement.js';
 import { recordReclaimNotice } from '../reclaims/recordReclaimNotice.js';
 
@@ -45,6 +46,7 @@
   return [
     ...leaving,
     ...receiveReportedStatements(state, report),
+    ...receiveReportedRejections(state, report),
     ...receiveQuarantine(state, quarantine, timestamps),
   ];
 }
--- /dev/null
+++ b/packages/entry-core/src/statements/ServerRejections.ts
@@ -0,0 +1,99 @@
+/**
+ * What rejections by brittle backend servers have shown of their room: that it ends before the concurrency
+ * limit, as where long prompts fill the memory of an engine. One rejection teaches all entries, or each of
+ * them would learn it by one of its own, which together are more than the server survives. It also teaches
+ * them about the other servers of the pool, which get work of the same kind, until those reject something
+ * themselves. What was learnt fades, since the room may have grown again.
+ */
+import type {
+  EpochMilliseconds,
+  Milliseconds,
+  MonotonicMilliseconds,
+  StatedRejection,
+} from '@hornbeampond/schema';
+
+/** What was learnt holds as it is for this long, and has faded after the time below. */
+const HOLD_MILLISECONDS: Milliseconds = 10_000;
+const FADED_AFTER_MILLISECONDS: Milliseconds = 30_000;
+
+/** Longer than others report it, so that none of their reports brings back what has faded. */
+const RETENTION_MILLISECONDS: Milliseconds = 60_000;
+
+/** An entry that knows little of the others takes the server for emptier than it was. */
+const MIN_DECREASE_FACTOR = 0.7;
+
+interface LearntRoom extends StatedRejection {
+  readonly pool: string;
+  readonly learntAt: MonotonicMilliseconds;
+}
+
+function hasFaded({ learntAt }: LearntRoom, now: MonotonicMilliseconds): boolean {
+  return now - learntAt >= FADED_AFTER_MILLISECONDS;
+}
+
+function fade({ learntAt, usableFraction }: LearntRoom, now: MonotonicMilliseconds): number {
+  const sinceHold = Math.max(0, now - learntAt - HOLD_MILLISECONDS);
+  const fading = FADED_AFTER_MILLISECONDS - HOLD_MILLISECONDS;
+  return usableFraction + (1 - usableFraction) * Math.min(1, sinceHold / fading);
+}
+
+export class ServerRejections {
+  /** By instance. */
+  private readonly rooms = new Map<string, LearntRoom>();
+
+  /** The part of a server's concurrency limit that may be used, from 0 to 1. */
+  usableFraction(instance: string, pool: string, now: MonotonicMilliseconds): number {
+    if (this.rooms.size === 0) return 1;
+    const own = this.rooms.get(instance);
+    if (own !== undefined && !hasFaded(own, now)) return fade(own, now);
+    const fractions = [...this.rooms.values()]
+      .filter((room) => room.pool === pool)
+      .map((room) => fade(room, now));
+    return Math.min(1, ...fractions);
+  }
+
+  /**
+   * What a rejection that this entry got shows.
+   *
+   * @param usedFraction - Part of the concurrency limit that was in use, as far as it is known.
+   */
+  learn(
+    { instance, pool }: { readonly instance: string; readonly pool: string },
+    usedFraction: number,
+    { now, wallNow }: { readonly now: MonotonicMilliseconds; readonly wallNow: EpochMilliseconds },
+  ): StatedRejection {
+    const known = this.usableFraction(instance, pool, now);
+    const usableFraction = Math.min(known, Math.max(usedFraction, known * MIN_DECREASE_FACTOR));
+    const previous = this.rooms.get(instance)?.statedAt ?? -Infinity;
+    return { usableFraction, statedAt: Math.max(wallNow, previous + 1) };
+  }
+
+  /** Records a rejection of a request of this entry or of another one; false if it is not news. */
+  record(
+    { instance, pool }: { readonly instance: string; readonly pool: string },
+    stated: StatedRejection,
+    now: MonotonicMilliseconds,
+  ): boolean {
+    const previous = this.rooms.get(instance);
+    if (previous !== undefined && previous.statedAt >= stated.statedAt) return false;
+    this.rooms.set(instance, { ...stated, pool, learntAt: now });
+    return true;
+  }
+
+  /** What has not faded, for this entry's report to the others. */
+  describe(now: MonotonicMilliseconds): Readonly<Record<string, StatedRejection>> {
+    const recent = [...this.rooms].filter(([, room]) => !hasFaded(room, now));
+    return Object.fromEntries(
+      recent.map(([instance, { usableFraction, statedAt }]) => [
+        instance,
+        { usableFraction, statedAt },
+      ]),
+    );
+  }
+
+  retainRecent(now: MonotonicMilliseconds): void {
+    this.rooms.forEach(({ learntAt }, instance) => {
+      if (now - learntAt >= RETENTION_MILLISECONDS) this.rooms.delete(instance);
+    });
+  }
+}
--- a/packages/entry-core/src/statements/brittleAllowance.ts
+++ b/packages/entry-core/src/statements/brittleAllowance.ts
@@ -1,5 +1,5 @@
 /** What this entry may offer to a backend server that says that it is brittle. */
-import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import type { Milliseconds } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import { currentLimit } from '../backendServers/BalancingState.js';
 import { countOwnInProgress } from '../backendServers/countOwnInProgress.js';
@@ -52,9 +52,16 @@
   return recentAttempts.length + recentMoves.length;
 }
 
-/** The concurrency limit; never above the slots that the server itself has stated. */
-function knownLimit({ balancing, load }: BackendServerState, now: MonotonicMilliseconds): number {
-  return Math.min(currentLimit(balancing, now), load?.slots ?? Infinity);
+/**
+ * The concurrency limit as far as rejections have not shown less room; never above the slots that the server
+ * itself has stated.
+ */
+function knownLimit(
+  { rejections, clocks }: EntryState,
+  { platformInstance: { instance, pool }, balancing, load }: BackendServerState,
+): number {
+  const usable = balancing.maxLimit * rejections.usableFraction(instance, pool, clocks.now);
+  return Math.min(currentLimit(balancing, clocks.now), usable, load?.slots ?? Infinity);
 }
 
 /** The draw of a period; a choice of a server asks for up to 16 of them, of the same period mostly. */
@@ -67,6 +74,11 @@
   return server.brittleDraw.fraction;
 }
 
+/** Entries change periods one after the other: those that are drawn together would send at the same moment. */
+function nameOfPeriod({ identity, clocks }: EntryState, period: Milliseconds): string {
+  return String(Math.floor(clocks.now / period + hashFraction(identity.instance)));
+}
+
 /** True for a server that is not brittle, or that has room for another request of this entry. */
 export function isWithinBrittleRoom(state: EntryState, server: BackendServerState): boolean {
   const { instance } = server.platformInstance;
@@ -76,9 +88,9 @@
   const ageOfSums = state.workReports.ageOfSums(now) ?? Infinity;
   const isCutOff = entryCount > 1 && ageOfSums > CUT_OFF_MILLISECONDS;
   const period = unknownPeriod(state);
-  const periodName = isCutOff ? 'cut' : String(Math.floor(now / period));
+  const periodName = isCutOff ? 'cut' : nameOfPeriod(state, period);
   return mayOfferBrittle({
-    limit: knownLimit(server, now),
+    limit: knownLimit(state, server),
     inProgress: estimateInProgress(state, server),
     ownRecent: countOwnRecent(state, server, period),
     own: countOwnInProgress(state, server),
--- a/packages/entry-core/src/statements/testing/brittleBursts.ts
+++ b/packages/entry-core/src/statements/testing/brittleBursts.ts
@@ -50,6 +50,8 @@
   readonly seed: number;
   /** True if engines are reclaimed one after the other, and others with new names start for them. */
   readonly areReplaced?: boolean;
+  /** Part of the slots for which there is room, as where prompts fill the memory; 1 by default. */
+  readonly roomFraction?: number;
 }
 
 /** Engines of which one is replaced from time to time by another with a new name. */
@@ -119,6 +121,7 @@
   reports,
   seed,
   areReplaced = false,
+  roomFraction = 1,
 }: BrittleTime): BrittleOutcome {
   const random = xoroshiro128plus(seed);
   const cluster = new SimulatedCluster({
@@ -153,7 +156,7 @@
   for (let elapsed = 0; elapsed < BRITTLE_MILLISECONDS; elapsed += STEP_MILLISECONDS) {
     // Fewer and fewer may wait, while requests are under way.
     const waiting = Math.max(1, MAX_WAITING - Math.floor(elapsed / 1000));
-    room = CONCURRENCY + waiting;
+    room = Math.floor(CONCURRENCY * roomFraction) + waiting;
     listEngines().forEach(setRoom);
     const isCut = elapsed >= CUT_FROM_MILLISECONDS && elapsed < CUT_UNTIL_MILLISECONDS;
     if (cluster.reportStore !== undefined && reports === 'cutOff') {
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -50,6 +50,11 @@
     'info',
     'A backend server says that it falls over if it has to reject too much, or no longer says so',
   ),
+  rejectionLearnt: defineLogEvent(
+    2246,
+    'info',
+    'A rejection by a brittle backend server, of this entry or of another one, bounds what it gets',
+  ),
   restRequested: defineLogEvent(
     2241,
     'info',
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -145,6 +145,14 @@
   readonly statedAt: EpochMilliseconds;
 }
 
+/** What the last rejection by a brittle backend server showed of its room. */
+export interface StatedRejection {
+  /** Part of the server's concurrency limit that may be used. */
+  readonly usableFraction: number;
+  /** When an entry got it, by the clock of that entry. */
+  readonly statedAt: EpochMilliseconds;
+}
+
 /** The state of one entry, for other entries, stores and controllers. */
 export interface EntryReport extends SpendingTimes {
   readonly type: 'entryReport';
@@ -171,6 +179,8 @@
   readonly rateLimits?: Readonly<Record<string, StatedRateLimit>>;
   /** What backend servers said lately about their brittleness, to this entry or to others. */
   readonly brittleness?: Readonly<Record<string, StatedBrittleness>>;
+  /** Last rejections by brittle backend servers, of requests of this entry or of others. */
+  readonly rejections?: Readonly<Record<string, StatedRejection>>;
   /** What each workspace has spent of its allowance at this entry since the process started. */
   readonly spent?: Readonly<Record<string, number>>;
   /**
