End calls whose servers send bytes without end

A server in trouble may send bytes that are no answer until the caller closes, in a head or a body. What entries did, on real connections: the body of a refusal was read for ever, with a connection and processor time, after its caller had long been answered; empty lines and interim heads before an answer, failure answers and an event without end were read until the deadline, the last into memory.

An answer with status 200 and a body without end is relayed until the deadline, as before.

--- a/apps/entry/src/EventStreamSplitter.ts
+++ b/apps/entry/src/EventStreamSplitter.ts
@@ -4,6 +4,11 @@
  * sends that event from its beginning.
  */
 
+import { BackendServerFailure } from '@hornbeampond/adapters';
+
+/** A longer event counts as one that never ends. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 const LINE_FEED = 0x0a;
 const ID_FIELD = 'id:';
 
@@ -61,6 +66,11 @@
       count += 1;
     }
     this.rest = all.subarray(end);
+    if (this.rest.length > MAX_EVENT_BYTES) {
+      throw new BackendServerFailure('an event of the stream is too long', {
+        failure: 'malformed',
+      });
+    }
     const complete = all.subarray(0, end);
     return { bytes: complete, lastId: findLastId(complete), count };
   }
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -21,19 +21,22 @@
 
 async function saveFailureAndThrow(response: RelayResponse, answer: RelayAnswer): Promise<never> {
   const { status, body } = response;
+  const failure = new BackendServerFailure(`the answer has status ${status}`, {
+    failure: 'serverError',
+    status,
+    response: { status },
+  });
   const chunks: Uint8Array[] = [];
   let bytes = 0;
   await body.forEach((chunk) => {
     bytes += chunk.length;
-    if (bytes <= MAX_SAVED_FAILURE_BYTES) chunks.push(chunk);
+    // Its end is not awaited: it may have none.
+    if (bytes > MAX_SAVED_FAILURE_BYTES) throw failure;
+    chunks.push(chunk);
     return undefined;
   });
-  if (bytes <= MAX_SAVED_FAILURE_BYTES) answer.saveFailureAnswer(response, Buffer.concat(chunks));
-  throw new BackendServerFailure(`the answer has status ${status}`, {
-    failure: 'serverError',
-    status,
-    response: { status },
-  });
+  answer.saveFailureAnswer(response, Buffer.concat(chunks));
+  throw failure;
 }
 
 /** @param sink - Receives the answer: `answer` itself, or what holds it back for `answer`. */
