Answer requests whose answers cannot be written

Statuses below 200 and above 599 are now failures of the server, in the adapters of both kinds: a retry where the call may be repeated, 502 otherwise. Whatever else throws while an answer is ended, OpenExchanges ends it by a problem document or a closed connection; an attempt that cannot be started has failed; a request that the reducer fails to handle is ended. 2015 names the effect, the request and what threw.

--- a/apps/entry/src/CallerAnswer.ts
+++ b/apps/entry/src/CallerAnswer.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import { toProblemDocument, type StoredAnswer } from '@hornbeampond/schema';
+import { HornbeampondError, toProblemDocument, type StoredAnswer } from '@hornbeampond/schema';
 import { writeProblem } from '@hornbeampond/transport';
 
 export abstract class CallerAnswer {
@@ -58,7 +58,27 @@
   fail(error: unknown): void {
     if (this.isClosed) return;
     if (this.started) this.abort(error);
-    else writeProblem(this.response, error, this.requestId);
+    else this.writeProblem(error);
+  }
+
+  /**
+   * Ends an answer that could not be written, in whatever state it is: by a problem document while nothing
+   * has been sent, or else by closing the connection.
+   */
+  breakOff(): void {
+    if (this.isClosed) return;
+    const detail = 'The answer of the backend server could not be passed on';
+    const error = new HornbeampondError('backendServerFailed', detail);
+    try {
+      if (this.started) this.abort(error);
+      else this.writeProblem(error);
+    } catch {
+      this.response.destroy();
+    }
+  }
+
+  protected writeProblem(error: unknown): void {
+    writeProblem(this.response, error, this.requestId);
   }
 
   /** Sends the stored answer of an earlier run of the same call. */
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -50,10 +50,12 @@
 import type { CallerListener } from './CallerListener.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { describeBackendServers } from './describeBackendServers.js';
+import { describeFailedEffect } from './describeFailedEffect.js';
 import { EntryPeers } from './EntryPeers.js';
 import { EventTimeWatch } from './EventTimeWatch.js';
 import { EntryPaths } from './paths/EntryPaths.js';
 import { InputClock } from './InputClock.js';
+import { OpenExchanges } from './OpenExchanges.js';
 import { RelayServer } from './RelayServer.js';
 import { afterPendingInput, RequestIntake } from './RequestIntake.js';
 import { StateSharing } from './StateSharing.js';
@@ -114,7 +116,10 @@
 
   private readonly adapters: AdapterDirectory;
 
-  private readonly exchanges = new Map<string, CallerExchange>();
+  private readonly exchanges = new OpenExchanges({
+    onCountChange: (count) => this.metrics.setGauge('openStreams', count),
+    dispatch: (payload) => this.dispatch(payload),
+  });
 
   private readonly eventTimeWatch: EventTimeWatch;
 
@@ -185,8 +190,8 @@
         usageWindow: dependencies.opaqueCalls?.usageWindow,
       }),
       reduceEntry,
-      (effect) => this.runEffect(effect),
-      (error, event) => this.logUnexpectedError(error, event.type),
+      (effect) => this.applyEffect(effect),
+      (error, event) => this.recoverFromEvent(error, event),
     );
     const dispatch = (payload: EntryEventPayload) => this.dispatch(payload);
     const statementReceiver = new StatementReceiver({
@@ -215,7 +220,7 @@
     this.attemptRunner = new AttemptRunner({
       timers,
       adapters: this.adapters,
-      findExchange: (requestId) => this.exchanges.get(requestId),
+      findExchange: (requestId) => this.exchanges.find(requestId),
       dispatch,
       onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
     });
@@ -465,8 +470,7 @@
   }
 
   private receiveRequest(exchange: CallerExchange): void {
-    this.exchanges.set(exchange.request.requestId, exchange);
-    this.metrics.setGauge('openStreams', this.exchanges.size);
+    this.exchanges.add(exchange);
     this.requestIntake.add(exchange);
   }
 
@@ -474,15 +478,21 @@
     const wasHeld = this.requestIntake.remove(requestId);
     if (!wasHeld) this.dispatch({ type: 'callerGone', requestId });
     // A claimed call goes on without its caller, since its outcome is recorded.
-    if (!this.eventLoop.state.requests.has(requestId)) this.endExchange(requestId, () => {});
+    if (!this.eventLoop.state.requests.has(requestId)) this.exchanges.end(requestId, () => {});
   }
 
-  private endExchange(requestId: string, writeEnd: (exchange: CallerExchange) => void): void {
-    const exchange = this.exchanges.get(requestId);
-    if (exchange === undefined) return;
-    this.exchanges.delete(requestId);
-    this.metrics.setGauge('openStreams', this.exchanges.size);
-    writeEnd(exchange);
+  private applyEffect(effect: EntryEffect): void {
+    try {
+      this.runEffect(effect);
+    } catch (error) {
+      this.logger.write('effectFailed', describeFailedEffect(effect, error));
+      this.exchanges.endAfterFailedEffect(effect);
+    }
+  }
+
+  private recoverFromEvent(error: unknown, event: EntryEvent): void {
+    this.logUnexpectedError(error, event.type);
+    this.exchanges.endAfterFailedEvent(event, error);
   }
 
   private runEffect(effect: EntryEffect): void {
@@ -499,11 +509,11 @@
         return;
       case 'finishAnswer':
         if (effect.attemptId !== undefined) this.attemptRunner.passOnAnswer(effect.attemptId);
-        this.endExchange(effect.requestId, ({ answer }) => answer.finish());
+        this.exchanges.end(effect.requestId, ({ answer }) => answer.finish());
         return;
       case 'answerProblem': {
         const { kind, detail, requestId, retryAfterMilliseconds, ran } = effect;
-        this.endExchange(requestId, ({ answer }) => {
+        this.exchanges.end(requestId, ({ answer }) => {
           // The effect's `tokensGiven` may be out of date; the answer's is exact.
           const { tokensGiven } = answer;
           const { backendServerStatus: status } = answer;
@@ -514,7 +524,7 @@
         return;
       }
       case 'replayAnswer':
-        this.endExchange(effect.requestId, ({ answer }) => answer.replay(effect.answer));
+        this.exchanges.end(effect.requestId, ({ answer }) => answer.replay(effect.answer));
         return;
       case 'proposeClaim':
         void this.proposeClaim(effect);
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -139,7 +139,11 @@
     if (this.isClosed) return;
     if (this.started) this.abort();
     else if (this.lastFailureAnswer !== undefined) this.writeCompleteAnswer(this.lastFailureAnswer);
-    else this.protocol.writeProblem(this.response, error, this.requestId);
+    else this.writeProblem(error);
+  }
+
+  protected override writeProblem(error: unknown): void {
+    this.protocol.writeProblem(this.response, error, this.requestId);
   }
 
   protected override abort(): void {
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -14,6 +14,7 @@
   type ServerEndpoint,
 } from '../ServerConnector.js';
 import { BackendServerFailure, type BackendServerFailureKind } from '../BackendServerFailure.js';
+import { isFinalStatus } from '../isFinalStatus.js';
 
 /** Idle connections are closed early, since an old one is more likely to be dead. */
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 4000;
@@ -116,6 +117,10 @@
   // Without a listener, an error before the body is read would end the process. The reader still
   // receives the error.
   body.on('error', () => {});
+  if (!isFinalStatus(status)) {
+    body.destroy();
+    throw new BackendServerFailure(`there is no status ${status}`, { failure: 'malformed' });
+  }
   let isComplete = false;
   const onUnfinished = () => {
     if (isComplete) drain(body);
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -4,6 +4,7 @@
 export * from './PlatformAdapter.js';
 export * from './RelayAdapter.js';
 export * from './RelayBody.js';
+export * from './isFinalStatus.js';
 export * from './ServerConnector.js';
 export * from './ServerStatement.js';
 export * from './SingletonAdapter.js';
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -13,6 +13,11 @@
     'info',
     'A backend server rejected a request; what was assumed of it then, and what it said of its load',
   ),
+  effectFailed: defineLogEvent(
+    2015,
+    'error',
+    'An effect could not be performed; the request that it concerns is ended or retried',
+  ),
   attemptHedged: defineLogEvent(
     2012,
     'debug',
