Let a store whose disk was full serve again by itself

A log that has failed once is read-only for the life of the process, rightly, as a sync that is repeated proves nothing; but nothing ended the process.

A store now tries a failed disk four times a second: it cuts what was written after the last synced frame, syncs, and writes term and vote anew. Once that succeeds the process ends with 1 (3213) and is started again by the platform; it reads what the disk holds. Until then it is read-only and not ready.

--- a/apps/store/src/DiskOperations.ts
+++ b/apps/store/src/DiskOperations.ts
@@ -4,6 +4,7 @@
  * as consensus events.
  */
 import type { Logger, TimerService } from '@hornbeampond/runtime';
+import type { Milliseconds } from '@hornbeampond/schema';
 import {
   fillSnapshotPart,
   type Envelope,
@@ -21,8 +22,13 @@
   readonly logger: Logger;
   dispatch(event: ConsensusEventPayload): void;
   send(instance: string, envelope: Envelope): void;
+  /** Called once the disk takes writes again after a failure. */
+  onRestored(): void;
 }
 
+/** Between two tries to write to a disk that has failed. */
+const RESTORE_INTERVAL_MILLISECONDS: Milliseconds = 250;
+
 export class DiskOperations {
   /** Resolves once all operations requested so far have ended. */
   private allOperations: Promise<void> = Promise.resolve();
@@ -31,6 +37,8 @@
 
   private closed = false;
 
+  private hasFailed = false;
+
   constructor(private readonly options: DiskOperationsOptions) {
     this.snapshotCache = new SnapshotCache(options.timers);
   }
@@ -93,6 +101,22 @@
     const reason = error instanceof Error ? error.message : String(error);
     this.options.logger.write('diskFailed', { reason });
     this.options.dispatch({ type: 'persistFailed', reason });
+    if (this.hasFailed) return;
+    this.hasFailed = true;
+    this.tryToRestore();
+  }
+
+  private tryToRestore(): void {
+    const { disk, timers, onRestored } = this.options;
+    timers.after(RESTORE_INTERVAL_MILLISECONDS, () => {
+      if (this.closed) return;
+      disk.restoreAfterFailure().then(
+        () => {
+          if (!this.closed) onRestored();
+        },
+        () => this.tryToRestore(),
+      );
+    });
   }
 
   private sendPart(effect: SendSnapshotEffect, snapshot: SavedSnapshot): void {
--- a/apps/store/src/FolderDisk.ts
+++ b/apps/store/src/FolderDisk.ts
@@ -60,6 +60,10 @@
     await replaceFile(new NodeFileSystem(), this.options.folder, ENTRY_STATE_FILE, state);
   }
 
+  override async restoreAfterFailure(): Promise<void> {
+    await this.openedLog.restoreAfterFailure();
+  }
+
   /** Gives the folder a new identity, as if it were empty. The disk must be closed. */
   async resetIdentity(): Promise<void> {
     await renewIdentity(this.options);
--- a/apps/store/src/StoreDisk.ts
+++ b/apps/store/src/StoreDisk.ts
@@ -34,5 +34,11 @@
 
   abstract savePersistedEntryState(state: PersistedEntryData): Promise<void>;
 
+  /**
+   * After a failed write, resolves once the disk takes writes again and the next start will find what was
+   * synced before the failure; rejects while it does not.
+   */
+  abstract restoreAfterFailure(): Promise<void>;
+
   abstract close(): Promise<void>;
 }
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -78,9 +78,10 @@
 /**
  * Why a store cannot continue. `diskRefused`: a peer has shown that the disk lacks data that this
  * store acknowledged, so it needs a new identity. `unexpectedError`: an event was not handled
- * completely, so the state may differ from that of the other stores.
+ * completely, so the state may differ from that of the other stores. `diskRestored`: the disk has failed
+ * a write and takes writes again; what this store holds in memory may be ahead of it.
  */
-export type StoreFailure = 'diskRefused' | 'unexpectedError';
+export type StoreFailure = 'diskRefused' | 'unexpectedError' | 'diskRestored';
 
 export interface StorePorts {
   readonly peers: number;
@@ -178,6 +179,7 @@
       logger: this.logger,
       dispatch: (event) => this.dispatch(event),
       send: (store, envelope) => this.peers.send(store, envelope),
+      onRestored: () => this.endAfterDiskFailure(),
     });
     this.joinRequests = new JoinRequests({
       timers,
@@ -224,7 +226,7 @@
     });
     this.operatorServer = new OperatorServer({
       metrics: this.metrics,
-      isReady: () => leaderHint(this.loop.state) !== undefined,
+      isReady: () => !this.loop.state.readOnly && leaderHint(this.loop.state) !== undefined,
       readStatus: async () => ({ stores: [this.readStatus()] }),
       handle: async (request, response, url) => operatorRequests.handle(request, response, url),
     });
@@ -451,6 +453,12 @@
     });
   }
 
+  /** Its supervisor starts it again, and it reads what the disk really holds. */
+  private endAfterDiskFailure(): void {
+    this.logger.write('diskRestored', {});
+    this.onFailure(this, 'diskRestored');
+  }
+
   private reportError(error: unknown, at: string): void {
     if (this.failed) return;
     this.failed = true;
--- a/apps/store/src/testing/MemoryDisk.ts
+++ b/apps/store/src/testing/MemoryDisk.ts
@@ -7,6 +7,9 @@
 import { StoreDisk, type DiskContents, type SavedSnapshot } from '../StoreDisk.js';
 
 export class MemoryDisk extends StoreDisk {
+  /** True makes every write of the log fail. */
+  isFull = false;
+
   private readonly identity = randomUUID();
 
   private runs = 0;
@@ -37,6 +40,7 @@
   }
 
   override async write({ vote, snapshot, truncateFrom, entries }: PersistEffect): Promise<void> {
+    if (this.isFull) throw new Error('ENOSPC');
     if (vote !== undefined) {
       this.term = vote.term;
       this.votedFor = vote.votedFor;
@@ -64,6 +68,10 @@
     this.entries = this.entries.filter((entry) => entry.index > throughIndex);
   }
 
+  override async restoreAfterFailure(): Promise<void> {
+    if (this.isFull) throw new Error('ENOSPC');
+  }
+
   override async close(): Promise<void> {
     // Nothing is open.
   }
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -132,10 +132,24 @@
       },
       this.timers,
       disk,
-      (_, failure) => this.failures.push(failure),
+      (_, failure) => {
+        if (failure === 'diskRestored') void this.restart(instance);
+        else this.failures.push(failure);
+      },
     );
   }
 
+  /** Starts a store again whose process has ended by itself, as its supervisor does. */
+  private async restart(instance: string): Promise<void> {
+    await this.close(instance);
+    await this.open(instance);
+  }
+
+  /** The disk of a store, in memory unless a test has given it another one. */
+  diskOf(instance: string): StoreDisk {
+    return this.findStore(instance).disk;
+  }
+
   async close(instance: string): Promise<void> {
     const store = this.findStore(instance);
     const { process } = store;
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -18,6 +18,11 @@
     'The leader refused the disk of this store as outdated',
   ),
   diskFailed: defineLogEvent(3203, 'error', 'A write to the disk failed'),
+  diskRestored: defineLogEvent(
+    3213,
+    'warn',
+    'The disk takes writes again after a failure; the process ends, to read it anew when it is started',
+  ),
   memoryUnreadable: defineLogEvent(
     3204,
     'warn',
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -227,6 +227,24 @@
     await this.runInOrder(() => this.discardSegments(throughIndex));
   }
 
+  /**
+   * After a failed write, resolves once the disk takes writes again and holds exactly what was synced before
+   * the failure. The log stays read-only: it is for the next run of the process to read.
+   */
+  async restoreAfterFailure(): Promise<void> {
+    await this.runInOrder(async () => {
+      const last = this.segments.at(-1);
+      // Bytes after it may be in the page cache alone, and would be read as if they had been synced.
+      if (last !== undefined) {
+        this.segmentFile ??= await this.fileSystem.open(join(this.folder, last.name));
+        await this.segmentFile.truncate(last.byteLength);
+        await this.segmentFile.sync();
+      }
+      // The file may hold a term and a vote whose sync failed.
+      await this.saveState(this.state);
+    });
+  }
+
   async close(): Promise<void> {
     await this.lastOperation;
     await this.segmentFile?.close();
