Learn a brittle server's room from the load that its rejection states

Real entries would always have fallen back on what they had assumed, and lowered the room by the whole 0.3. The test of it would give 0.7 in place of 0.875 so.

--- a/packages/entry-core/src/statements/receiveRejection.ts
+++ b/packages/entry-core/src/statements/receiveRejection.ts
@@ -1,5 +1,5 @@
 /** Learns from rejections by brittle backend servers, of requests of this entry or of others. */
-import type { EntryReport, LogFields } from '@hornbeampond/schema';
+import type { EntryReport, LogFields, Milliseconds } from '@hornbeampond/schema';
 import type { AttemptState } from '../attempts/AttemptState.js';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryEffect } from '../entryEffects.js';
@@ -7,6 +7,9 @@
 import { reportSoon } from '../membership/advanceReports.js';
 import { isBrittle } from './brittleAllowance.js';
 
+/** The load in the head of a rejection is received a little before the failure of its attempt. */
+const MAX_LOAD_AGE_MILLISECONDS: Milliseconds = 50;
+
 /**
  * Part of the concurrency limit that was in use when the server rejected the request: by what it has said in
  * that answer, or else by what was assumed when the request was sent.
@@ -16,8 +19,11 @@
   { balancing, load, loadReceivedAt }: BackendServerState,
   { assumedRoom }: AttemptState,
 ): number {
-  const isLoadStated = load !== undefined && loadReceivedAt === clocks.now;
-  const used = isLoadStated ? load.running + load.queued : assumedRoom.inProgress - 1;
+  const loadAge = clocks.now - (loadReceivedAt ?? -Infinity);
+  const used =
+    load !== undefined && loadAge <= MAX_LOAD_AGE_MILLISECONDS
+      ? load.running + load.queued
+      : assumedRoom.inProgress - 1;
   return used / balancing.maxLimit;
 }
 
--- a/packages/entry-core/src/statements/rejections.test.ts
+++ b/packages/entry-core/src/statements/rejections.test.ts
@@ -65,3 +65,27 @@
   assert.deepEqual(rejectAt(3), [0.7, 0.7, 0.7]);
   assert.deepEqual(rejectAt(Infinity), [1, 1, 1]);
 });
+
+// Guards against a room that is taken for much smaller than it is by an entry that knows little of the others' work.
+test('the load that a server states in its rejection shows its room', () => {
+  const cluster = new SimulatedCluster({ engines: { 'wien-a': 1 } });
+  cluster.advance(1500);
+  const { entry } = cluster;
+  const [listed] = entry.state.backendServers.values();
+  assert.ok(listed !== undefined);
+  const { instance, pool } = listed.platformInstance;
+  const rejectWithLoad = (running: number): number => {
+    entry.submitRequest(makeRequest(`rejected-${running}`));
+    const [attempt] = entry.state.attempts.values();
+    assert.ok(attempt !== undefined);
+    entry.send({ type: 'serverStated', instance, survivedRejections: 3 });
+    const { wallNow: measuredAt } = cluster.clock();
+    entry.send({ type: 'loadReported', report: { instance, measuredAt, running, queued: 1 } });
+    cluster.advance(10);
+    const { attemptId } = attempt;
+    const failure = { failure: 'busy', sent: 'nothing', proof: 'declined' } as const;
+    entry.send({ type: 'attemptFailed', attemptId, ...failure, tokens: 0, answerStarted: false });
+    return entry.state.rejections.usableFraction(instance, pool, cluster.clock().now);
+  };
+  assert.equal(rejectWithLoad(27), 28 / 32);
+});
