Await the pushed configuration in the test of full disks

The leader acknowledges, and another store pushes to the subscriber; the test read what had been pushed without waiting. It now waits for that revision, as long as for any change, and still fails if it never comes.

--- a/apps/store/src/fullDisks.test.ts
+++ b/apps/store/src/fullDisks.test.ts
@@ -53,6 +53,9 @@
   }
   changes += 1;
   await change(changes);
-  assert.equal(client.configurations.at(-1)?.revision, changes);
+  // The acknowledgement and the push take different ways.
+  await waitFor('the pushed configuration', () =>
+    client.configurations.at(-1)?.revision === changes ? true : undefined,
+  );
   assert.deepEqual(cluster.failures, []);
 });
