--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { computeByteOffsets } from './estimateEntryBytes.js';
 import type { Envelope, LogEntry, Membership, Sender, SnapshotHeader } from './consensusTypes.js';
 
 /**
@@ -72,11 +73,17 @@
   readonly maxUncommittedEntries: number;
   /** Number of entries that are applied between two snapshots. */
   readonly entriesPerSnapshot: number;
+  /** Estimated size of the applied entries at which a snapshot is due, however few they are. */
+  readonly bytesPerSnapshot: number;
   /**
    * Entries kept in memory below a snapshot, so that a member that misses only these needs no
    * snapshot.
    */
   readonly trailingEntries: number;
+  /** Estimated size of those entries beyond which the oldest are dropped. */
+  readonly trailingBytes: number;
+  /** Estimated size of all entries after the newest snapshot at which proposals are refused. */
+  readonly maxLogBytes: number;
   /**
    * Sends each new commit index to replicating peers immediately, at the cost of one message each.
    */
@@ -84,18 +91,28 @@
   readonly safeguards: Safeguards;
 }
 
+const MEBIBYTE = 1024 * 1024;
+
+/**
+ * The limits in bytes leave room in the smallest deployed store: a heap of 200 MB, where decoded
+ * entries take up to twice their estimate, and a disk of 128 MB, which also holds up to two segments
+ * of the log and two snapshots.
+ */
 export const defaultConsensusSettings: Omit<ConsensusSettings, 'cluster'> = {
   electionTimeout: 1000,
   heartbeatInterval: 150,
   maxEntriesPerAppend: 256,
-  maxBytesPerAppend: 4 * 1024 * 1024,
-  maxBytesPerSnapshotPart: 4 * 1024 * 1024,
+  maxBytesPerAppend: MEBIBYTE,
+  maxBytesPerSnapshotPart: 4 * MEBIBYTE,
   maxAppendsInFlight: 8,
   unreachableMemberTimeout: 10_000,
   leastVoters: 3,
   maxUncommittedEntries: 20_000,
   entriesPerSnapshot: 20_000,
+  bytesPerSnapshot: 16 * MEBIBYTE,
   trailingEntries: 2_000,
+  trailingBytes: 8 * MEBIBYTE,
+  maxLogBytes: 48 * MEBIBYTE,
   announceCommits: true,
   safeguards: allSafeguards,
 };
@@ -104,6 +121,10 @@
 export interface MemoryLog {
   base: { index: number; term: number; at: number };
   entries: LogEntry[];
+  /**
+   * Estimated bytes up to the base, and then up to and including each entry; only differences count.
+   */
+  byteOffsets: number[];
 }
 
 /** A membership and the index of the log entry or snapshot that introduced it. */
@@ -270,6 +291,7 @@
     log: {
       base: { index: snapshot.index, term: snapshot.term, at: snapshot.at },
       entries: [...restored.entries],
+      byteOffsets: computeByteOffsets(restored.entries),
     },
     memberships,
     snapshot,
--- a/packages/store-core/src/consensus/estimateEntryBytes.ts
+++ b/packages/store-core/src/consensus/estimateEntryBytes.ts
@@ -1,6 +1,7 @@
 /**
  * How large an entry is on the wire, roughly. Appends are bounded by it: a run of large tables in
- * one append could exceed the largest frame, and the peer would then never catch up.
+ * one append could exceed the largest frame, and the peer would then never catch up. So is the log,
+ * as a few hundred large tables would exhaust a store's memory.
  */
 import type { LogEntry } from './consensusTypes.js';
 
@@ -26,6 +27,17 @@
   return bytes;
 }
 
+/** Sums of the sizes of the first 0, 1, 2 and so on entries. */
+export function computeByteOffsets(entries: readonly LogEntry[]): number[] {
+  const offsets = [0];
+  let sum = 0;
+  entries.forEach((entry) => {
+    sum += estimateEntryBytes(entry);
+    offsets.push(sum);
+  });
+  return offsets;
+}
+
 /** The longest prefix of `entries` within `maxBytes`, but at least the first entry. */
 export function limitEntriesToBytes(entries: readonly LogEntry[], maxBytes: number): LogEntry[] {
   let sum = 0;
--- a/packages/store-core/src/consensus/memoryLog.ts
+++ b/packages/store-core/src/consensus/memoryLog.ts
@@ -4,6 +4,7 @@
  */
 import type { EntryBody, LogEntry } from './consensusTypes.js';
 import type { ConsensusState } from './ConsensusState.js';
+import { estimateEntryBytes } from './estimateEntryBytes.js';
 
 export function lastIndexOf(state: ConsensusState): number {
   return state.log.base.index + state.log.entries.length;
@@ -28,13 +29,25 @@
   return state.log.entries.slice(start, start + maxEntries);
 }
 
+/** Estimated size of the entries after `index`, up to and including `lastIndex`. */
+export function bytesAfter(
+  { log }: ConsensusState,
+  index: number,
+  lastIndex = log.base.index + log.entries.length,
+): number {
+  const offsetAt = (at: number) => log.byteOffsets[Math.max(0, at - log.base.index)] ?? 0;
+  return offsetAt(lastIndex) - offsetAt(index);
+}
+
 function markUnpersisted(state: ConsensusState, index: number): void {
   state.dirty.firstNewIndex = Math.min(state.dirty.firstNewIndex ?? index, index);
 }
 
 /** Appends an entry, made here or received from a leader. */
 export function appendEntry(state: ConsensusState, entry: LogEntry): void {
-  state.log.entries.push(entry);
+  const { entries, byteOffsets } = state.log;
+  byteOffsets.push((byteOffsets.at(-1) ?? 0) + estimateEntryBytes(entry));
+  entries.push(entry);
   markUnpersisted(state, entry.index);
   if (entry.body.type === 'membership') {
     state.memberships.push({ index: entry.index, membership: entry.body.membership });
@@ -68,6 +81,7 @@
     throw new Error(`A leader's log differs from the committed entry at index ${index}`);
   }
   state.log.entries.length = index - state.log.base.index - 1;
+  state.log.byteOffsets.length = state.log.entries.length + 1;
   state.memberships = state.memberships.filter((item) => item.index < index);
   state.dirty.truncateFrom = Math.min(state.dirty.truncateFrom ?? index, index);
   if (state.dirty.firstNewIndex !== undefined && state.dirty.firstNewIndex >= index) {
@@ -83,6 +97,8 @@
 export function compactLog(state: ConsensusState, index: number): void {
   const base = entryAt(state, index);
   if (base === undefined) return;
-  state.log.entries.splice(0, index - state.log.base.index);
+  const count = index - state.log.base.index;
+  state.log.entries.splice(0, count);
+  state.log.byteOffsets.splice(0, count);
   state.log.base = { index, term: base.term, at: base.at };
 }
--- a/packages/store-core/src/consensus/proposals.ts
+++ b/packages/store-core/src/consensus/proposals.ts
@@ -1,7 +1,7 @@
 /** Requests to change the log: commands and membership changes. Only a leader accepts them. */
 import type { MembershipChange, Proposal, UnavailableReason } from './consensusEvents.js';
 import type { ConsensusState } from './ConsensusState.js';
-import { appendNewEntry, lastIndexOf } from './memoryLog.js';
+import { appendNewEntry, bytesAfter, lastIndexOf } from './memoryLog.js';
 import { computeMembershipAfterChange, mayChangeMembership } from './membership.js';
 import { broadcastAppends, updatePeersAndBroadcastAppends } from './appends.js';
 import { leaderHint, leaderOf, reply } from './roles.js';
@@ -13,8 +13,13 @@
   else reply(context, requestId, { type: 'notLeader', leader: leaderHint(state) });
 }
 
+/** True if too many entries await their commit, or take too much room until the next snapshot. */
 function isBacklogged(state: ConsensusState): boolean {
-  return lastIndexOf(state) - state.commitIndex >= state.settings.maxUncommittedEntries;
+  const { maxUncommittedEntries, maxLogBytes } = state.settings;
+  return (
+    lastIndexOf(state) - state.commitIndex >= maxUncommittedEntries ||
+    bytesAfter(state, state.snapshot.index) >= maxLogBytes
+  );
 }
 
 export function propose(context: StepContext, proposals: readonly Proposal[]): void {
--- a/packages/store-core/src/consensus/snapshots.ts
+++ b/packages/store-core/src/consensus/snapshots.ts
@@ -13,7 +13,7 @@
 import type { SendSnapshotEffect } from './consensusEvents.js';
 import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
 import { commitThrough } from './commit.js';
-import { compactLog, entryAt, termAt } from './memoryLog.js';
+import { bytesAfter, compactLog, entryAt, termAt } from './memoryLog.js';
 import { membershipAt } from './membership.js';
 import { makeEnvelope } from './persistence.js';
 import { respondToAppend } from './receiveAppend.js';
@@ -119,15 +119,27 @@
   );
 }
 
+/** Multiple of `bytesPerSnapshot` from which on a snapshot does not wait for a transfer. */
+const MAX_POSTPONEMENT_FACTOR = 2;
+
+function isSnapshotDue(context: StepContext): boolean {
+  const { settings, appliedIndex, snapshot } = context.state;
+  const bytes = bytesAfter(context.state, snapshot.index, appliedIndex);
+  if (bytes >= MAX_POSTPONEMENT_FACTOR * settings.bytesPerSnapshot) return true;
+  const hasEnough =
+    appliedIndex - snapshot.index >= settings.entriesPerSnapshot ||
+    bytes >= settings.bytesPerSnapshot;
+  return hasEnough && !hasSnapshotTransferInProgress(context);
+}
+
 /**
- * Takes a snapshot once enough entries were applied, so that the log stays bounded. It must come
+ * Takes a snapshot once enough entries, or enough bytes of them, were applied, so that the log stays bounded. It must come
  * after the `persist` effect of the same event: if the snapshot reached the disk first, a crash
  * could leave it combined with entries that the event has dropped.
  */
 export function takeSnapshotIfDue(context: StepContext): void {
   const { state, effects } = context;
-  if (state.snapshotInProgress || state.readOnly || hasSnapshotTransferInProgress(context)) return;
-  if (state.appliedIndex - state.snapshot.index < state.settings.entriesPerSnapshot) return;
+  if (state.snapshotInProgress || state.readOnly || !isSnapshotDue(context)) return;
   const entry = entryAt(state, state.appliedIndex);
   if (entry === undefined) return;
   const header: SnapshotHeader = {
@@ -140,12 +152,25 @@
   effects.push({ type: 'takeSnapshot', header });
 }
 
-/** Records a snapshot that is on disk, and drops the log below it except for `trailingEntries`. */
+/** Index of the last entry to drop below a snapshot that ends at `snapshotIndex`. */
+function chooseBaseIndex(state: ConsensusState, snapshotIndex: number): number {
+  const { trailingEntries, trailingBytes } = state.settings;
+  let baseIndex = Math.max(state.log.base.index, snapshotIndex - trailingEntries);
+  while (baseIndex < snapshotIndex && bytesAfter(state, baseIndex, snapshotIndex) > trailingBytes) {
+    baseIndex += 1;
+  }
+  return baseIndex;
+}
+
+/**
+ * Records a snapshot that is on disk, and drops the log below it except for the last entries within
+ * `trailingEntries` and `trailingBytes`.
+ */
 export function applyCompaction({ state, effects }: StepContext, header: SnapshotHeader): void {
   state.snapshotInProgress = false;
   if (header.index <= state.snapshot.index) return;
   state.snapshot = header;
-  const baseIndex = Math.max(state.log.base.index, header.index - state.settings.trailingEntries);
+  const baseIndex = chooseBaseIndex(state, header.index);
   compactLog(state, baseIndex);
   const newestBelow = state.memberships.findLast((item) => item.index <= baseIndex);
   state.memberships = state.memberships.filter(
@@ -191,6 +216,7 @@
   state.log = {
     base: { index: header.index, term: header.term, at: header.at },
     entries: [],
+    byteOffsets: [0],
   };
   state.memberships = [{ index: header.index, membership: header.membership }];
   state.snapshot = header;
--- a/packages/store-core/src/consensus/testing/modelKeys.ts
+++ b/packages/store-core/src/consensus/testing/modelKeys.ts
@@ -117,7 +117,11 @@
   return {
     ...state,
     role: copyRole(state.role),
-    log: { base: { ...state.log.base }, entries: [...state.log.entries] },
+    log: {
+      base: { ...state.log.base },
+      entries: [...state.log.entries],
+      byteOffsets: [...state.log.byteOffsets],
+    },
     memberships: [...state.memberships],
     pendingRequests: [...state.pendingRequests],
     dirty: { ...state.dirty },
