--- a/apps/dev/src/testing/EntryChild.ts
+++ b/apps/dev/src/testing/EntryChild.ts
@@ -24,6 +24,9 @@
     });
     const [ports] = (await Promise.race([once(child, 'message'), ended])) as [EntryPorts];
     ended.catch(() => {});
+    // An entry that is left over when another one fails to start must not keep the test from ending.
+    child.unref();
+    child.channel?.unref();
     return new EntryChild(child, ports);
   }
 
--- a/packages/store-core/src/consensus/snapshots.ts
+++ b/packages/store-core/src/consensus/snapshots.ts
@@ -133,9 +133,9 @@
 }
 
 /**
- * Takes a snapshot once enough entries, or enough bytes of them, were applied, so that the log stays bounded. It must come
- * after the `persist` effect of the same event: if the snapshot reached the disk first, a crash
- * could leave it combined with entries that the event has dropped.
+ * Takes a snapshot once enough entries, or enough bytes of them, were applied, so that the log stays
+ * bounded. It must come after the `persist` effect of the same event: if the snapshot reached the
+ * disk first, a crash could leave it combined with entries that the event has dropped.
  */
 export function takeSnapshotIfDue(context: StepContext): void {
   const { state, effects } = context;
