Let rejections use the shared store of newest statements

ServerRejections repeated what NewestStatements does: the newest statement of a server holds, and a new one counts as read after it. It holds its rooms there now; NewestStatements gains `forget`, which its own `retainOnly` uses. The two inline types become PoolServer and Timestamps.

--- a/packages/entry-core/src/statements/NewestStatements.ts
+++ b/packages/entry-core/src/statements/NewestStatements.ts
@@ -23,6 +23,14 @@
     return this.statements.get(instance);
   }
 
+  get size(): number {
+    return this.statements.size;
+  }
+
+  get values(): Stated[] {
+    return [...this.statements.values()];
+  }
+
   get instances(): string[] {
     return [...this.statements.keys()];
   }
@@ -54,10 +62,17 @@
     isInForce: (statement: Stated) => boolean,
     wallNow: EpochMilliseconds,
   ): string[] {
-    const forgotten = [...this.statements].flatMap(([instance, statement]) => {
+    return this.forget((instance, statement) => {
       const isRecent = wallNow - statement.statedAt < ENDED_RETENTION_MILLISECONDS;
-      return isRecent || (isInForce(statement) && isListed(instance)) ? [] : [instance];
+      return !isRecent && !(isInForce(statement) && isListed(instance));
     });
+  }
+
+  /** Forgets the statements for which this is true; returns the names of their servers. */
+  forget(isForgotten: (instance: string, statement: Stated) => boolean): string[] {
+    const forgotten = [...this.statements].flatMap(([instance, statement]) =>
+      isForgotten(instance, statement) ? [instance] : [],
+    );
     forgotten.forEach((instance) => this.statements.delete(instance));
     return forgotten;
   }
--- a/packages/entry-core/src/statements/ServerBrittleness.ts
+++ b/packages/entry-core/src/statements/ServerBrittleness.ts
@@ -22,7 +22,8 @@
   lastListedAt: MonotonicMilliseconds;
 }
 
-type PoolOf = Pick<PlatformInstance, 'instance' | 'pool'>;
+/** A server and the pool that it serves in. */
+export type PoolServer = Pick<PlatformInstance, 'instance' | 'pool'>;
 
 function isInForce({ survivedRejections }: StatedBrittleness): boolean {
   return survivedRejections < Infinity;
@@ -79,7 +80,7 @@
   }
 
   /** Applies a list of all servers, and forgets those that left it long ago. */
-  applyList(listed: Iterable<PoolOf>, { now, wallNow }: Timestamps): void {
+  applyList(listed: Iterable<PoolServer>, { now, wallNow }: Timestamps): void {
     for (const { instance, pool } of listed) {
       this.knownInstances.set(instance, { pool, lastListedAt: now });
     }
--- a/packages/entry-core/src/statements/ServerRejections.ts
+++ b/packages/entry-core/src/statements/ServerRejections.ts
@@ -5,12 +5,10 @@
  * them about the other servers of the pool, which get work of the same kind, until those reject something
  * themselves. What was learnt fades, since the room may have grown again.
  */
-import type {
-  EpochMilliseconds,
-  Milliseconds,
-  MonotonicMilliseconds,
-  StatedRejection,
-} from '@hornbeampond/schema';
+import type { Milliseconds, MonotonicMilliseconds, StatedRejection } from '@hornbeampond/schema';
+import type { Timestamps } from '../entryEvents.js';
+import { NewestStatements } from './NewestStatements.js';
+import type { PoolServer } from './ServerBrittleness.js';
 
 /** What was learnt holds as it is for this long, and has faded after the time below. */
 const HOLD_MILLISECONDS: Milliseconds = 10_000;
@@ -38,15 +36,14 @@
 }
 
 export class ServerRejections {
-  /** By instance. */
-  private readonly rooms = new Map<string, LearntRoom>();
+  private readonly rooms = new NewestStatements<LearntRoom>();
 
   /** The part of a server's concurrency limit that may be used, from 0 to 1. */
   usableFraction(instance: string, pool: string, now: MonotonicMilliseconds): number {
     if (this.rooms.size === 0) return 1;
     const own = this.rooms.get(instance);
     if (own !== undefined && !hasFaded(own, now)) return fade(own, now);
-    const fractions = [...this.rooms.values()]
+    const fractions = this.rooms.values
       .filter((room) => room.pool === pool)
       .map((room) => fade(room, now));
     return Math.min(1, ...fractions);
@@ -58,31 +55,28 @@
    * @param usedFraction - Part of the concurrency limit that was in use, as far as it is known.
    */
   learn(
-    { instance, pool }: { readonly instance: string; readonly pool: string },
+    { instance, pool }: PoolServer,
     usedFraction: number,
-    { now, wallNow }: { readonly now: MonotonicMilliseconds; readonly wallNow: EpochMilliseconds },
+    { now, wallNow }: Timestamps,
   ): StatedRejection {
     const known = this.usableFraction(instance, pool, now);
     const usableFraction = Math.min(known, Math.max(usedFraction, known * MIN_DECREASE_FACTOR));
-    const previous = this.rooms.get(instance)?.statedAt ?? -Infinity;
-    return { usableFraction, statedAt: Math.max(wallNow, previous + 1) };
+    return { usableFraction, statedAt: this.rooms.timeOfNext(instance, wallNow) };
   }
 
   /** Records a rejection of a request of this entry or of another one; false if it is not news. */
   record(
-    { instance, pool }: { readonly instance: string; readonly pool: string },
+    { instance, pool }: PoolServer,
     stated: StatedRejection,
     now: MonotonicMilliseconds,
   ): boolean {
-    const previous = this.rooms.get(instance);
-    if (previous !== undefined && previous.statedAt >= stated.statedAt) return false;
-    this.rooms.set(instance, { ...stated, pool, learntAt: now });
-    return true;
+    return this.rooms.record(instance, { ...stated, pool, learntAt: now }) !== false;
   }
 
   /** What has not faded, for this entry's report to the others. */
   describe(now: MonotonicMilliseconds): Readonly<Record<string, StatedRejection>> {
-    const recent = [...this.rooms].filter(([, room]) => !hasFaded(room, now));
+    const rooms = Object.entries(this.rooms.describe());
+    const recent = rooms.filter(([, room]) => !hasFaded(room, now));
     return Object.fromEntries(
       recent.map(([instance, { usableFraction, statedAt }]) => [
         instance,
@@ -92,8 +86,6 @@
   }
 
   retainRecent(now: MonotonicMilliseconds): void {
-    this.rooms.forEach(({ learntAt }, instance) => {
-      if (now - learntAt >= RETENTION_MILLISECONDS) this.rooms.delete(instance);
-    });
+    this.rooms.forget((_, { learntAt }) => now - learntAt >= RETENTION_MILLISECONDS);
   }
 }
--- a/packages/entry-core/src/statements/receiveRejection.ts
+++ b/packages/entry-core/src/statements/receiveRejection.ts
@@ -27,7 +27,7 @@
   return used / balancing.maxLimit;
 }
 
-function logLearnt(instance: string, source: 'answer' | string, fields: LogFields): EntryEffect {
+function logLearnt(instance: string, source: string, fields: LogFields): EntryEffect {
   return {
     type: 'log',
     event: 'rejectionLearnt',
