Estimate large entries once at a start, and use the codec of the files

keepLargeCommandEncoded returned a new entry, so its size was estimated again, which decoded its command once more at each start. The known estimate is recorded for it. It uses the codec of frames instead of one of its own with the same options. No other behaviour changes.

--- a/packages/store-core/src/consensus/estimateEntryBytes.ts
+++ b/packages/store-core/src/consensus/estimateEntryBytes.ts
@@ -27,6 +27,11 @@
   return bytes;
 }
 
+/** Records the size of an entry that equals one whose size is known. */
+export function recordEntryBytes(entry: LogEntry, bytes: number): void {
+  cachedBytes.set(entry, bytes);
+}
+
 /** Sums of the sizes of the first 0, 1, 2 and so on entries. */
 export function computeByteOffsets(entries: readonly LogEntry[]): number[] {
   const offsets = [0];
--- a/packages/store-core/src/log/frames.ts
+++ b/packages/store-core/src/log/frames.ts
@@ -11,7 +11,8 @@
 const CHECKSUM_OFFSET = 8;
 const HEADER_BYTES = 16;
 
-const codec = new Encoder({ useRecords: false });
+/** Encodes the values in all files of the store. */
+export const codec = new Encoder({ useRecords: false });
 const { h64Raw } = await xxhash();
 
 /** The length seeds the checksum, so that a frame with a damaged length is invalid. */
