--- a/packages/adapters/src/http/readAnswer.ts
+++ b/packages/adapters/src/http/readAnswer.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '@hornbeampond/schema';
 import type { z } from 'zod';
 import { BackendServerFailure } from '../BackendServerFailure.js';
+import { readChunks } from '../readChunks.js';
 import type { HttpAnswer } from './HttpConnections.js';
 
 /** Size limit of a JSON, error or discarded answer. */
@@ -12,18 +13,9 @@
 
 /** Reads a complete answer; above `maxBytes` it is `malformed` and its connection is dropped. */
 export async function readBytes(answer: HttpAnswer, maxBytes: number): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of answer.body) {
-    size += chunk.byteLength;
-    if (size > maxBytes) {
-      throw new BackendServerFailure(`answer exceeds ${maxBytes} bytes`, {
-        failure: 'malformed',
-      });
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+  const message = `answer exceeds ${maxBytes} bytes`;
+  const makeTooLongError = () => new BackendServerFailure(message, { failure: 'malformed' });
+  return readChunks(answer.body, maxBytes, makeTooLongError);
 }
 
 function readRetryAfter(answer: HttpAnswer): Milliseconds | undefined {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -5,6 +5,7 @@
 export * from './RelayAdapter.js';
 export * from './RelayBody.js';
 export * from './isFinalStatus.js';
+export * from './readChunks.js';
 export * from './ServerConnector.js';
 export * from './ServerStatement.js';
 export * from './SingletonAdapter.js';
