--- a/apps/controller/src/ControllerProcess.ts
+++ b/apps/controller/src/ControllerProcess.ts
@@ -25,6 +25,7 @@
   EventLoop,
   Logger,
   Metrics,
+  describeError,
   runCommonEffect,
   type RunningProcess,
   type TimerService,
@@ -324,7 +325,6 @@
   }
 
   private reportError(error: unknown, at: string): void {
-    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    this.logger.write('unexpectedError', { at, reason });
+    this.logger.write('unexpectedError', { at, reason: describeError(error) });
   }
 }
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -20,6 +20,7 @@
   EventLoop,
   Logger,
   Metrics,
+  describeError,
   runCommonEffect,
   type RunningProcess,
   type TimerService,
@@ -606,8 +607,7 @@
   }
 
   private logUnexpectedError(error: unknown, at: string): void {
-    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    this.logger.write('unexpectedError', { at, reason });
+    this.logger.write('unexpectedError', { at, reason: describeError(error) });
   }
 
   private async readStatus(): Promise<unknown> {
--- a/apps/entry/src/describeFailedEffect.ts
+++ b/apps/entry/src/describeFailedEffect.ts
@@ -1,5 +1,6 @@
 /** Describes an effect that could not be performed, for the log. */
 import type { EntryEffect } from '@hornbeampond/entry-core';
+import { describeError } from '@hornbeampond/runtime';
 import type { LogFields } from '@hornbeampond/schema';
 
 export function describeFailedEffect(effect: EntryEffect, error: unknown): LogFields {
@@ -8,6 +9,6 @@
     ...('requestId' in effect ? { requestId: effect.requestId } : {}),
     ...('attemptId' in effect ? { attemptId: effect.attemptId } : {}),
     ...('target' in effect ? { backendServer: effect.target.instance } : {}),
-    reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    reason: describeError(error),
   };
 }
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -8,6 +8,7 @@
   EventLoop,
   Logger,
   Metrics,
+  describeError,
   type RunningProcess,
   type TimerService,
   type Unsubscribe,
@@ -462,8 +463,7 @@
   private reportError(error: unknown, at: string): void {
     if (this.failed) return;
     this.failed = true;
-    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    this.logger.write('unexpectedError', { at, reason });
+    this.logger.write('unexpectedError', { at, reason: describeError(error) });
     this.onFailure(this, 'unexpectedError');
   }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,3 +6,4 @@
 export * from './runBinary.js';
 export * from './runCommonEffect.js';
 export * from './EventLoop.js';
+export * from './describeError.js';
