--- a/apps/entry/src/StatementReceiver.test.ts
+++ b/apps/entry/src/StatementReceiver.test.ts
@@ -43,9 +43,9 @@
 test('unreadable statements of a server are logged once and all are counted', () => {
   const { receiver, lines, countUnreadable } = makeReceiver();
   ['3,1,8,0', '3,1,8,-1', '3,1,8,0'].forEach((value) =>
-    receiver.receive('engine-1', { unreadable: `x-replica-load: ${value}` }),
+    receiver.receive('engine-1', { unreadable: `load: ${value}` }),
   );
-  receiver.receive('engine-2', { unreadable: 'x-replica-load: x' });
+  receiver.receive('engine-2', { unreadable: 'load: x' });
   assert.equal(lines.length, 2);
   assert.equal(countUnreadable(), 4);
 });
