Tell in the log why an operator's call was not answered

The line 3301 held "No quorum of stores can be reached" whatever the cause: StoreClient dropped what the stores answered. RequestAttempts now records the last answer of each asked store, the open connections and the time. Status, body and promises are unchanged.

--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -15,6 +15,7 @@
   notRunProofs,
   retryReasons,
   retryRefusalReasons,
+  storeAnswerKinds,
 } from './reasons.js';
 import { versionAnswerKinds } from './tables/Rollout.js';
 
@@ -44,6 +45,12 @@
     help: 'Requests and changes answered with a problem document, by error kind',
     label: { name: 'kind', values: errorKinds },
   },
+  operatorCallsUnanswered: {
+    name: 'hornbeampond_operator_calls_unanswered_total',
+    kind: 'counter',
+    help: 'Operators’ calls that no store answered, by how the last attempt ended',
+    label: { name: 'cause', values: storeAnswerKinds },
+  },
   sharesRefused: {
     name: 'hornbeampond_shares_refused_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -98,3 +98,30 @@
 /** How a move of a stream's KV cache ended. */
 export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
 export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
+
+/** How an attempt to have a request answered by a store ended, as the process that asks saw it. */
+export const storeAnswerKinds = [
+  /** The store is not the leader, and named another store as the leader. */
+  'notLeader',
+  /** The store is not the leader, and knows none. */
+  'noLeaderKnown',
+  'readOnly',
+  'tooFewStores',
+  'logBacklog',
+  /** The stores have received no configuration yet. */
+  'nothingConfigured',
+  /** The store refused for another reason, which the log line states. */
+  'otherRefusal',
+  /** The store does not know whether the request was carried out. */
+  'unsure',
+  'noAnswer',
+  'connectionLost',
+  /** Stores are known, and no connection to any of them was open. */
+  'noConnection',
+  /** There was no store to ask. */
+  'noStore',
+  /** The client was closed, or its time was over, before an attempt. */
+  'notAsked',
+] as const;
+
+export type StoreAnswerKind = (typeof storeAnswerKinds)[number];
--- a/packages/transport/src/PeerClient.ts
+++ b/packages/transport/src/PeerClient.ts
@@ -13,6 +13,7 @@
   constructor(
     message: string,
     readonly sent: 'nothing' | 'maybe',
+    readonly failure: 'noConnection' | 'connectionLost' | 'noAnswer',
   ) {
     super(message);
   }
@@ -114,7 +115,7 @@
   ): Promise<unknown> {
     const { connection } = this;
     if (connection === undefined || !connection.isOpen) {
-      throw new PeerRequestError('not connected', 'nothing');
+      throw new PeerRequestError('not connected', 'nothing', 'noConnection');
     }
     return new Promise((resolve, reject) => {
       let cleanUp: () => void = () => {};
@@ -122,16 +123,16 @@
         cleanUp();
         resolve(response);
       });
-      const fail = (reason: string) => {
+      const fail = (reason: string, failure: PeerRequestError['failure']) => {
         cleanUp();
         connection.discardResponse(id);
-        reject(new PeerRequestError(reason, 'maybe'));
+        reject(new PeerRequestError(reason, 'maybe', failure));
       };
-      const onConnectionLost = () => fail('the connection was lost');
+      const onConnectionLost = () => fail('the connection was lost', 'connectionLost');
       let hasEnded = false;
       const cancelTimeout = this.context.timers.after(timeout, () =>
         afterPendingInput(() => {
-          if (!hasEnded) fail('no answer in time');
+          if (!hasEnded) fail('no answer in time', 'noAnswer');
         }),
       );
       cleanUp = () => {
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -27,6 +27,7 @@
 import { encodeSharedBody, encodeUnansweredRequest } from './FrameCodec.js';
 import { PeerClient, PeerRequestError } from './PeerClient.js';
 import type { PeerContext } from './PeerConnection.js';
+import { classifyRequestError, classifyStoreResponse, RequestAttempts } from './RequestAttempts.js';
 import {
   StoreSubscription,
   type StoreClientHandlers,
@@ -109,9 +110,17 @@
     this.stores = addresses.map((address) => this.connect(address));
   }
 
-  /** Runs a command through the log; resends it until it is answered or `timeout` has passed. */
-  async propose(command: StoreCommand, timeout: Milliseconds): Promise<ProposalOutcome> {
-    const outcome = await this.requestWithRetries({ type: 'propose', command }, timeout);
+  /**
+   * Runs a command through the log; resends it until it is answered or `timeout` has passed.
+   *
+   * @param attempts - Records how the attempts end, here and in the other linearizable calls.
+   */
+  async propose(
+    command: StoreCommand,
+    timeout: Milliseconds,
+    attempts?: RequestAttempts,
+  ): Promise<ProposalOutcome> {
+    const outcome = await this.requestWithRetries({ type: 'propose', command }, timeout, attempts);
     if (outcome.type !== 'answered') return outcome;
     if (outcome.response.type === 'result') {
       return { type: 'result', result: outcome.response.result };
@@ -120,8 +129,11 @@
   }
 
   /** Reads the tables, linearizably. */
-  async readConfiguration(timeout: Milliseconds): Promise<Configuration> {
-    const outcome = await this.requestWithRetries({ type: 'readConfiguration' }, timeout);
+  async readConfiguration(
+    timeout: Milliseconds,
+    attempts?: RequestAttempts,
+  ): Promise<Configuration> {
+    const outcome = await this.requestWithRetries({ type: 'readConfiguration' }, timeout, attempts);
     if (outcome.type === 'answered' && outcome.response.type === 'configuration') {
       return outcome.response.configuration;
     }
@@ -155,8 +167,8 @@
   }
 
   /** Reads the document with which an operator last replaced all tables, linearizably. */
-  async readDocument(timeout: Milliseconds): Promise<string> {
-    const outcome = await this.requestWithRetries({ type: 'readDocument' }, timeout);
+  async readDocument(timeout: Milliseconds, attempts?: RequestAttempts): Promise<string> {
+    const outcome = await this.requestWithRetries({ type: 'readDocument' }, timeout, attempts);
     if (outcome.type === 'answered' && outcome.response.type === 'document') {
       return outcome.response.document;
     }
@@ -376,6 +388,7 @@
   private async requestWithRetries(
     request: StoreRequest,
     timeout: Milliseconds,
+    attempts = new RequestAttempts(this.context.timers),
   ): Promise<
     | { readonly type: 'answered'; readonly response: StoreResponse }
     | { readonly type: 'unavailable' }
@@ -390,10 +403,13 @@
       remaining = deadline - timers.monotonicNow()
     ) {
       const store = this.chooseStore();
+      const open = this.stores.filter(({ client }) => client.isOpen).length;
+      attempts.recordConnections(open, this.stores.length);
       const attempt = await this.tryStore(
         store,
         request,
         Math.min(remaining, ATTEMPT_TIMEOUT_MILLISECONDS),
+        attempts,
       );
       if (attempt.type === 'answered') return attempt;
       mayHaveBeenSent ||= attempt.type === 'unsure';
@@ -414,14 +430,18 @@
     store: StoreConnection | undefined,
     request: StoreRequest,
     timeout: Milliseconds,
+    attempts: RequestAttempts,
   ): Promise<
     | { readonly type: 'answered'; readonly response: StoreResponse }
     | { readonly type: 'notSent' }
     | { readonly type: 'unsure' }
   > {
     if (store === undefined) return { type: 'notSent' };
+    const { instance } = store.address;
     try {
       const response = (await store.client.request(request, timeout)) as StoreResponse;
+      const answer = classifyStoreResponse(response);
+      if (answer !== undefined) attempts.recordAnswer(instance, answer);
       switch (response.type) {
         case 'notLeader':
           this.leaderInstance =
@@ -439,6 +459,7 @@
       }
     } catch (error) {
       this.leaderInstance = undefined;
+      attempts.recordAnswer(instance, classifyRequestError(error));
       const sent = error instanceof PeerRequestError ? error.sent : 'maybe';
       return { type: sent === 'nothing' ? 'notSent' : 'unsure' };
     }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -3,6 +3,7 @@
 export * from './PeerConnection.js';
 export * from './PeerServer.js';
 export * from './peerMessages.js';
+export * from './RequestAttempts.js';
 export * from './StoreClient.js';
 export { StoreSubscription, type StoreClientHandlers } from './StoreSubscription.js';
 export * from './OperatorServer.js';
