Log repeatedly that a store knows no leader or is read-only

A store that is no member or is read-only said so once, at its beginning, if at all, so the end of its log did not tell these cases apart. LeaderlessReports reads the state once an election timeout, writes 3214 with the inputs after four of them and then about every two seconds, and 3216 at the end. It needs no change of role, so a store with an empty disk is covered; a read-only store is too, whether or not it remembers a leader. Gauges show voters, voter or not, read-only and seconds without a leader. LeaderWatch, and with it all decisions, is unchanged.

--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -79,6 +79,11 @@
     return [...this.clients.values()];
   }
 
+  /** Names of the stores to which a connection is open. */
+  get connected(): readonly string[] {
+    return [...this.clients].filter(([, client]) => client.isOpen).map(([instance]) => instance);
+  }
+
   close(): void {
     this.clients.forEach((client) => client.close());
   }
--- a/apps/store/src/StoreProcess.test.ts
+++ b/apps/store/src/StoreProcess.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
 import type { ProcessAddress, StoreSettings } from '@hornbeampond/schema';
 import type { PersistEffect } from '@hornbeampond/store-core';
@@ -107,3 +108,20 @@
   client.close();
   await store.close();
 });
+
+// Guards against a store with an empty disk that shows nothing of it: it has no change of role to tell.
+test('a store that waits to be let in shows for how long, and that it is no voter', async (context) => {
+  const store = new StoreProcess(makeSettings([]), new SystemTimerService(), new MemoryDisk());
+  await store.start();
+  context.after(async () => store.close());
+  await wait(700);
+  const waiting = await store.metrics.toPrometheusText();
+  assert.match(waiting, /^hornbeampond_store_leaderless_seconds 0\.[3-9]/m);
+  assert.match(waiting, /^hornbeampond_store_is_voter 0$/m);
+  store.foundCluster();
+  await wait(700);
+  const founded = await store.metrics.toPrometheusText();
+  assert.match(founded, /^hornbeampond_store_leaderless_seconds 0$/m);
+  assert.match(founded, /^hornbeampond_store_is_voter 1$/m);
+  assert.match(founded, /^hornbeampond_store_voters 1$/m);
+});
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -54,10 +54,11 @@
 import { BacklogWatch } from './BacklogWatch.js';
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
 import { DiskOperations } from './DiskOperations.js';
-import { describeMembers, describeStore } from './describeStore.js';
+import { describeClusterPart, describeMembers, describeStore } from './describeStore.js';
 import { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import { InstanceListCache } from './InstanceListCache.js';
 import { JoinRequests } from './JoinRequests.js';
+import { LeaderlessReports } from './LeaderlessReports.js';
 import { LeaderWatch } from './LeaderWatch.js';
 import { PendingRequests } from './PendingRequests.js';
 import { PersistedEntryState } from './PersistedEntryState.js';
@@ -123,6 +124,11 @@
 
   private readonly leaderWatch: LeaderWatch;
 
+  private readonly leaderlessReports: LeaderlessReports;
+
+  /** Why a write to the disk failed last. */
+  private diskFailure: string | undefined;
+
   private readonly publisher: ConfigurationPublisher;
 
   private readonly persistedEntryState: PersistedEntryState;
@@ -161,6 +167,18 @@
         this.joinRequests.start();
       },
     });
+    this.leaderlessReports = new LeaderlessReports({
+      timers,
+      logger: this.logger,
+      metrics: this.metrics,
+      electionTimeout: settings.electionTimeoutMilliseconds,
+      readPart: () =>
+        describeClusterPart(this.loop.state, {
+          connected: this.peers.connected,
+          diskFailure: this.diskFailure,
+          hasFailed: this.failed,
+        }),
+    });
     this.publisher = new ConfigurationPublisher({
       timers,
       metrics: this.metrics,
@@ -246,6 +264,7 @@
     this.peers.updateMembers(memberAddresses(this.loop.state));
     this.dispatch({ type: 'started' });
     if (contents.isNew) this.joinRequests.start();
+    this.leaderlessReports.start();
     this.logger.write('processReady', { peers, operators });
     return { peers, operators };
   }
@@ -282,6 +301,7 @@
     this.closed = true;
     this.cancelWake();
     this.leaderWatch.stop();
+    this.leaderlessReports.stop();
     this.publisher.stop();
     this.persistedEntryState.close();
     this.digestPublisher.close();
@@ -319,6 +339,7 @@
 
   private dispatch(event: ConsensusEventPayload): void {
     if (this.closed || this.failed) return;
+    if (event.type === 'persistFailed') this.diskFailure = event.reason;
     const clocks = { now: this.timers.monotonicNow(), wallNow: this.timers.wallNow() };
     this.loop.dispatch({ ...event, ...clocks });
     this.requestHandler.answerEarlySubscriptions();
--- a/apps/store/src/describeStore.ts
+++ b/apps/store/src/describeStore.ts
@@ -8,6 +8,7 @@
   type ConsensusState,
   type MachineState,
 } from '@hornbeampond/store-core';
+import type { ClusterPart } from './LeaderlessReports.js';
 
 export interface StoreView {
   readonly instance: string;
@@ -26,6 +27,48 @@
   return { voters: listInstances('voter'), learners: listInstances('learner') };
 }
 
+/** What this store is by its own log. */
+export function describeMemberState(state: ConsensusState): 'voter' | 'learner' | 'none' {
+  const { members } = currentMembership(state);
+  return members.find(({ identity }) => identity === state.self.identity)?.role ?? 'none';
+}
+
+export interface ConnectionView {
+  readonly connected: readonly string[];
+  /** Why the last write to the disk failed. */
+  readonly diskFailure: string | undefined;
+  /** True after an event that was not handled completely. */
+  readonly hasFailed: boolean;
+}
+
+/** The store's part in its cluster, with the inputs of the log line about it. */
+export function describeClusterPart(state: ConsensusState, view: ConnectionView): ClusterPart {
+  const { term, readOnly, diskRefused, self } = state;
+  const { voters } = describeMembers(state);
+  const member = describeMemberState(state);
+  const leader = leaderHint(state);
+  const { connected, diskFailure, hasFailed } = view;
+  return {
+    isInOrder: leader !== undefined && !readOnly && !diskRefused && !hasFailed,
+    isReadOnly: readOnly,
+    isVoter: member === 'voter',
+    voterCount: voters.length,
+    leader,
+    fields: {
+      role: describeRole(state),
+      member,
+      readOnly,
+      ...(diskFailure === undefined ? {} : { diskFailure }),
+      diskRefused,
+      hasFailed,
+      term,
+      voters,
+      connected,
+      identity: self.identity,
+    },
+  };
+}
+
 export function describeStore(view: StoreView): StoreStatus {
   const { instance, state, machine, instances, wallNow } = view;
   const leader = leaderHint(state);
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -42,6 +42,16 @@
     'Much of what was pushed to a subscriber still waits to be sent',
   ),
   subscriberCaughtUp: defineLogEvent(3211, 'info', 'What was pushed to a subscriber has been sent'),
+  storeLeaderless: defineLogEvent(
+    3214,
+    'warn',
+    'The store has known no leader for some time, or takes no part in its cluster',
+  ),
+  storeLeaderKnown: defineLogEvent(
+    3216,
+    'info',
+    'The store knows a leader again and takes part in its cluster',
+  ),
   tablesReplaced: defineLogEvent(
     3300,
     'info',
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -175,6 +175,26 @@
     kind: 'gauge',
     help: 'Age of the last digest of entry reports when it was applied here',
   },
+  storeVoters: {
+    name: 'hornbeampond_store_voters',
+    kind: 'gauge',
+    help: 'Voters of the cluster by this store’s own log',
+  },
+  storeIsVoter: {
+    name: 'hornbeampond_store_is_voter',
+    kind: 'gauge',
+    help: '1 if this store is a voter by its own log, otherwise 0',
+  },
+  storeReadOnly: {
+    name: 'hornbeampond_store_read_only',
+    kind: 'gauge',
+    help: '1 while this store is read-only after a failed write, otherwise 0',
+  },
+  storeLeaderless: {
+    name: 'hornbeampond_store_leaderless_seconds',
+    kind: 'gauge',
+    help: 'Time for which this store has known no leader; 0 while it knows one',
+  },
   subscriberBacklog: {
     name: 'hornbeampond_subscriber_backlog_bytes',
     kind: 'gauge',
