--- a/apps/store/src/StoreProcess.test.ts
+++ b/apps/store/src/StoreProcess.test.ts
@@ -2,7 +2,6 @@
 import { once } from 'node:events';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { setTimeout as wait } from 'node:timers/promises';
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
 import type { ProcessAddress, StoreSettings } from '@hornbeampond/schema';
 import type { PersistEffect } from '@hornbeampond/store-core';
@@ -10,6 +9,7 @@
 import type { DiskContents } from './StoreDisk.js';
 import { StoreProcess, type StoreFailure } from './StoreProcess.js';
 import { MemoryDisk } from './testing/MemoryDisk.js';
+import { waitFor } from './testing/StoreCluster.js';
 import { LOOPBACK } from './testing/StoreLinks.js';
 
 function makeSettings(stores: ProcessAddress[]): StoreSettings {
@@ -109,19 +109,28 @@
   await store.close();
 });
 
+/** Waits until a gauge of the store's metrics has a value for which `matches` holds. */
+async function waitForGauge(
+  store: StoreProcess,
+  name: string,
+  matches: (value: number) => boolean,
+): Promise<void> {
+  await waitFor(name, async () => {
+    const text = await store.metrics.toPrometheusText();
+    const value = new RegExp(`^hornbeampond_${name} (.*)$`, 'm').exec(text)?.[1];
+    return value !== undefined && matches(Number(value)) ? true : undefined;
+  });
+}
+
 // Guards against a store with an empty disk that shows nothing of it: it has no change of role to tell.
 test('a store that waits to be let in shows for how long, and that it is no voter', async (context) => {
   const store = new StoreProcess(makeSettings([]), new SystemTimerService(), new MemoryDisk());
   await store.start();
   context.after(async () => store.close());
-  await wait(700);
-  const waiting = await store.metrics.toPrometheusText();
-  assert.match(waiting, /^hornbeampond_store_leaderless_seconds 0\.[3-9]/m);
-  assert.match(waiting, /^hornbeampond_store_is_voter 0$/m);
+  await waitForGauge(store, 'store_leaderless_seconds', (seconds) => seconds >= 0.3);
+  await waitForGauge(store, 'store_is_voter', (value) => value === 0);
   store.foundCluster();
-  await wait(700);
-  const founded = await store.metrics.toPrometheusText();
-  assert.match(founded, /^hornbeampond_store_leaderless_seconds 0$/m);
-  assert.match(founded, /^hornbeampond_store_is_voter 1$/m);
-  assert.match(founded, /^hornbeampond_store_voters 1$/m);
+  await waitForGauge(store, 'store_leaderless_seconds', (seconds) => seconds === 0);
+  await waitForGauge(store, 'store_is_voter', (value) => value === 1);
+  await waitForGauge(store, 'store_voters', (value) => value === 1);
 });
