--- a/packages/testing/src/ChildProcess.ts
+++ b/packages/testing/src/ChildProcess.ts
@@ -68,6 +68,11 @@
     return this.child.pid;
   }
 
+  /** Resolves with the exit code once the process has ended. */
+  get ended(): Promise<number | null> {
+    return this.exited;
+  }
+
   /** Resolves with the first log line of this event, past or to come. */
   async waitForEvent(event: string, patience = START_MILLISECONDS): Promise<LogLine> {
     const known = this.lines.find((line) => line.event === event);
