Write the last log lines of a process that ends by itself

endProcess flushes standard output and standard error within 500 ms and then exits with the code. Errors at the end are written to standard error without blocking.

--- a/apps/store/src/openFolderDisk.ts
+++ b/apps/store/src/openFolderDisk.ts
@@ -1,5 +1,5 @@
 /** Opens a store's disk, with its notices written to the log, and ends the process of a failed store. */
-import { exitCodes, type Logger } from '@hornbeampond/runtime';
+import { endProcess, exitCodes, type Logger } from '@hornbeampond/runtime';
 import type { StoreSettings } from '@hornbeampond/schema';
 import { FolderDisk } from './FolderDisk.js';
 import type { StoreFailure, StoreProcess } from './StoreProcess.js';
@@ -35,6 +35,6 @@
     await store.close();
     if (failure === 'diskRefused') await disk.resetIdentity();
   } finally {
-    process.exit(exitCodes.failed);
+    await endProcess(exitCodes.failed);
   }
 }
--- a/packages/runtime/src/Logger.ts
+++ b/packages/runtime/src/Logger.ts
@@ -2,10 +2,10 @@
  * Writes structured logs to standard output: one JSON object per line, with the number, name, level
  * and text of an event of the catalogue.
  */
-import { setTimeout } from 'node:timers/promises';
 import loglevel from 'loglevel';
 import { logEvents, type LogEventName, type LogFields, type LogLevel } from '@hornbeampond/schema';
 import { LineWriter, writeToDescriptor } from './LineWriter.js';
+import { settlesWithin } from './settlesWithin.js';
 
 /** Fields of every line of a process. */
 export interface LogContext {
@@ -17,16 +17,30 @@
 export type WriteLine = (line: string) => void;
 
 const STANDARD_OUTPUT = 1;
+const STANDARD_ERROR = 2;
 
 /** Shared by all loggers of the process, since its limits apply to the output as a whole. */
 const standardOutputWriter = new LineWriter(writeToDescriptor(STANDARD_OUTPUT));
 
+const standardErrorWriter = new LineWriter(writeToDescriptor(STANDARD_ERROR));
+
+/** Writes a line to standard error without blocking, as `process.stderr` does on a pipe that nobody reads. */
+export const writeErrorLine: WriteLine = standardErrorWriter.write;
+
 /** A stalled reader must not keep the process from ending. */
 const MAX_FLUSH_MILLISECONDS = 500;
 
-/** Resolves once pending writes are complete or a timeout has passed; for the end of a process. */
-export async function flushLogs(): Promise<void> {
-  await Promise.race([standardOutputWriter.waitUntilIdle(), setTimeout(MAX_FLUSH_MILLISECONDS)]);
+/**
+ * Resolves once pending writes are complete, with true, or a timeout has passed; for the end of a
+ * process.
+ */
+export async function flushLogs(): Promise<boolean> {
+  const written = Promise.all([
+    standardOutputWriter.waitUntilIdle(),
+    standardErrorWriter.waitUntilIdle(),
+  ]);
+  const { type } = await settlesWithin(written, MAX_FLUSH_MILLISECONDS);
+  return type === 'done';
 }
 
 export class Logger {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,3 +7,5 @@
 export * from './runCommonEffect.js';
 export * from './EventLoop.js';
 export * from './describeError.js';
+export * from './endProcess.js';
+export * from './settlesWithin.js';
--- a/packages/runtime/src/runBinary.ts
+++ b/packages/runtime/src/runBinary.ts
@@ -4,7 +4,8 @@
  */
 import { parseArgs } from 'node:util';
 import type { z } from 'zod';
-import { flushLogs } from './Logger.js';
+import { endProcess } from './endProcess.js';
+import { writeErrorLine } from './Logger.js';
 import { readSettings } from './readSettings.js';
 
 export const version = '0.1.0';
@@ -103,8 +104,9 @@
   try {
     running = await binary.start(settings);
   } catch (error) {
-    process.stderr.write(`${binary.name}: ${error instanceof Error ? error.message : error}\n`);
-    process.exit(exitCodes.failed);
+    writeErrorLine(`${binary.name}: ${error instanceof Error ? error.message : error}`);
+    await endProcess(exitCodes.failed);
+    return;
   }
   let isStopping = false;
   const stop = () => {
@@ -115,14 +117,11 @@
       .then(
         () => exitCodes.done,
         (error: unknown) => {
-          process.stderr.write(`${binary.name}: ${String(error)}\n`);
+          writeErrorLine(`${binary.name}: ${String(error)}`);
           return exitCodes.failed;
         },
       )
-      .then(async (code) => {
-        await flushLogs();
-        process.exit(code);
-      });
+      .then(async (code) => endProcess(code));
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
