Let a store with an empty disk reach the leader whatever its seeds name

Cause: a store that is no member asked only the stores of its settings (and of its own log) to add it. Only the leader adds; `notLeader` answers name it without an address and were dropped. While the leader was none of the seeds, a store with a lost disk never joined, and logged nothing. Each such loss was a voter less, until no quorum was left.

Change: answers to `addVoter` hold the members that the asked store knows, with term and index of its log (optional field). The joining store connects to them and asks them too, unless a store has answered as the leader within the interval; the connection also carries its answers to the leader's appends. On a connection that a member has opened to it, it pushes `requestMembers` and gets `members`; versions without these messages ignore them. What is learnt is bounded, the newest answer wins, and it is dropped once the store follows a leader and has applied an entry of its term.

--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -1,28 +1,56 @@
 /**
- * The connections from this store to the others: to the stores named in its settings and to the
- * members listed in the log.
+ * The connections from this store to the others: to the stores named in its settings, to the members
+ * listed in the log and, while it joins, to the members that it has learnt from others.
  */
-import type { ProcessAddress } from '@hornbeampond/schema';
+import type {
+  KnownMembers,
+  MembersAnswer,
+  MembersRequest,
+  ProcessAddress,
+} from '@hornbeampond/schema';
 import type { Envelope } from '@hornbeampond/store-core';
-import { PeerClient, type PeerContext } from '@hornbeampond/transport';
+import { PeerClient, type PeerClientHandlers, type PeerContext } from '@hornbeampond/transport';
+
+/** The part of `PeerClient` that stores use among themselves. */
+export type StorePeerClient = Pick<
+  PeerClient,
+  'address' | 'isOpen' | 'request' | 'push' | 'connectNow' | 'close'
+>;
+
+export interface NamedPeer {
+  readonly instance: string;
+  readonly client: StorePeerClient;
+}
+
+export interface StorePeersOptions {
+  /** The instance of this store. */
+  readonly self: string;
+  /**
+   * Stores of the settings. Their addresses take precedence over all others, since the operator of
+   * this instance knows how another store is reached from here.
+   */
+  readonly configured: readonly ProcessAddress[];
+  openClient(address: ProcessAddress, handlers: PeerClientHandlers): StorePeerClient;
+  /** The members that this store knows, for stores that join. */
+  readMembers(): KnownMembers;
+}
+
+/** Opens clients as `StorePeers` needs them. */
+export function makeOpenClient(context: PeerContext): StorePeersOptions['openClient'] {
+  return (address, handlers) => new PeerClient(address, context, handlers);
+}
 
 export class StorePeers {
-  private readonly clients = new Map<string, PeerClient>();
+  private readonly clients = new Map<string, StorePeerClient>();
+
+  private configured: readonly ProcessAddress[];
 
-  private configuredNames: ReadonlySet<string>;
+  private learnt: readonly ProcessAddress[] = [];
 
   private members: readonly ProcessAddress[] = [];
 
-  /**
-   * @param configured - Stores of the settings. Their addresses take precedence over those in the log,
-   *   since the operator of this instance knows how another store is reached from here.
-   */
-  constructor(
-    private readonly self: string,
-    private readonly context: PeerContext,
-    private configured: readonly ProcessAddress[],
-  ) {
-    this.configuredNames = new Set(configured.map(({ instance }) => instance));
+  constructor(private readonly options: StorePeersOptions) {
+    this.configured = options.configured;
   }
 
   /**
@@ -31,37 +59,57 @@
    * during which a leader could not reach this store.
    */
   open(): void {
-    this.configured.forEach((address) => this.connect(address));
+    this.update();
   }
 
   /** Replaces the stores of the settings. */
   setConfigured(addresses: readonly ProcessAddress[]): void {
     this.configured = addresses;
-    this.configuredNames = new Set(addresses.map(({ instance }) => instance));
-    this.open();
-    this.updateMembers(this.members);
+    this.update();
   }
 
-  /** Connects to each member; closes connections to stores that neither log nor settings name. */
+  /** Replaces the members that were learnt from others; they take precedence over those in the log. */
+  setLearnt(addresses: readonly ProcessAddress[]): void {
+    if (addresses.length === 0 && this.learnt.length === 0) return;
+    this.learnt = addresses;
+    this.update();
+  }
+
+  /** Connects to each member; closes connections to stores that nothing names. */
   updateMembers(addresses: readonly ProcessAddress[]): void {
     this.members = addresses;
-    const members = new Set(addresses.map(({ instance }) => instance));
+    this.update();
+  }
+
+  private update(): void {
+    const named = new Map<string, ProcessAddress>();
+    [...this.members, ...this.learnt, ...this.configured].forEach((address) =>
+      named.set(address.instance, address),
+    );
+    named.delete(this.options.self);
     this.clients.forEach((client, instance) => {
-      if (members.has(instance) || this.configuredNames.has(instance)) return;
+      if (named.has(instance)) return;
       client.close();
       this.clients.delete(instance);
     });
-    addresses
-      .filter(({ instance }) => !this.configuredNames.has(instance))
-      .forEach((address) => this.connect(address));
+    named.forEach((address) => this.connect(address));
   }
 
   private connect(address: ProcessAddress): void {
-    if (address.instance === this.self) return;
-    const existing = this.clients.get(address.instance);
+    const { instance } = address;
+    const existing = this.clients.get(instance);
     if (existing?.address.host === address.host && existing.address.port === address.port) return;
     existing?.close();
-    this.clients.set(address.instance, new PeerClient(address, this.context));
+    const client = this.options.openClient(address, {
+      onPush: (body) => this.receivePush(instance, body as Partial<MembersRequest>),
+    });
+    this.clients.set(instance, client);
+  }
+
+  private receivePush(instance: string, { type }: Partial<MembersRequest>): void {
+    if (type !== 'requestMembers') return;
+    const answer: MembersAnswer = { type: 'members', members: this.options.readMembers() };
+    this.clients.get(instance)?.push(answer);
   }
 
   /** Sends if connected; consensus sends lost messages again. */
@@ -75,8 +123,8 @@
   }
 
   /** All clients, for requests that only the leader can answer. */
-  get all(): readonly PeerClient[] {
-    return [...this.clients.values()];
+  get all(): readonly NamedPeer[] {
+    return [...this.clients].map(([instance, client]) => ({ instance, client }));
   }
 
   /** Names of the stores to which a connection is open. */
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -19,6 +19,7 @@
   type CommandResult,
   type DigestAcknowledgement,
   type EntryReport,
+  type MembersAnswer,
   type StampedCommand,
   type ProcessAddress,
   type StoreCommand,
@@ -33,6 +34,7 @@
   createConsensusState,
   currentMembership,
   defaultConsensusSettings,
+  hasCommittedInCurrentTerm,
   leaderHint,
   memberAddresses,
   reduceConsensus,
@@ -54,7 +56,12 @@
 import { BacklogWatch } from './BacklogWatch.js';
 import { ConfigurationPublisher } from './ConfigurationPublisher.js';
 import { DiskOperations } from './DiskOperations.js';
-import { describeClusterPart, describeMembers, describeStore } from './describeStore.js';
+import {
+  describeClusterPart,
+  describeKnownMembers,
+  describeMembers,
+  describeStore,
+} from './describeStore.js';
 import { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import { InstanceListCache } from './InstanceListCache.js';
 import { JoinRequests } from './JoinRequests.js';
@@ -63,7 +70,7 @@
 import { PendingRequests } from './PendingRequests.js';
 import { PersistedEntryState } from './PersistedEntryState.js';
 import { OperatorRequestHandler } from './OperatorRequestHandler.js';
-import { StorePeers } from './StorePeers.js';
+import { StorePeers, makeOpenClient } from './StorePeers.js';
 import { StoreRequestHandler } from './StoreRequestHandler.js';
 import { Subscribers } from './Subscribers.js';
 import type { DiskContents, StoreDisk } from './StoreDisk.js';
@@ -77,6 +84,9 @@
     : never
   : never;
 
+/** What other processes push to a store. */
+type ReceivedPush = Envelope | Unsubscription | DigestAcknowledgement | MembersAnswer;
+
 /**
  * Why a store cannot continue. `diskRefused`: a peer has shown that the disk lacks data that this
  * store acknowledged, so it needs a new identity. `unexpectedError`: an event was not handled
@@ -191,7 +201,12 @@
       timers,
       logger: this.logger,
     });
-    this.peers = new StorePeers(instance, context, settings.stores);
+    this.peers = new StorePeers({
+      self: instance,
+      configured: settings.stores,
+      openClient: makeOpenClient(context),
+      readMembers: () => describeKnownMembers(this.loop.state),
+    });
     this.diskOperations = new DiskOperations({
       disk,
       timers,
@@ -204,6 +219,8 @@
       timers,
       peers: this.peers,
       isNeeded: () => this.needsToJoin(),
+      isComplete: () => this.hasJoined(),
+      readOwnMembers: () => describeKnownMembers(this.loop.state),
       describeSelf: () => ({ ...this.address, identity: this.loop.state.self.identity }),
     });
     this.requestHandler = new StoreRequestHandler({
@@ -230,12 +247,17 @@
       leastVoters: settings.leastVoters,
     });
     this.peerServer = new PeerServer(context, {
-      onOpen: ({ peer }) => this.peers.reconnectNow(peer.instance),
-      onPush: (session, body) =>
-        this.receivePush(session, body as Envelope | Unsubscription | DigestAcknowledgement),
+      onOpen: (session) => {
+        this.peers.reconnectNow(session.peer.instance);
+        if (session.peer.role === 'store') this.joinRequests.addSession(session);
+      },
+      onPush: (session, body) => this.receivePush(session, body as ReceivedPush),
       onRequest: (session, body, respond) =>
         this.requestHandler.handle(session, body as StoreRequest, respond),
-      onClose: (session) => this.requestHandler.removeSession(session),
+      onClose: (session) => {
+        this.joinRequests.removeSession(session);
+        this.requestHandler.removeSession(session);
+      },
     });
     const operatorRequests = new OperatorRequestHandler({
       operatorKeys: settings.operatorKeys,
@@ -345,15 +367,26 @@
     this.requestHandler.answerEarlySubscriptions();
   }
 
-  private receivePush(
-    session: PeerSession,
-    message: Envelope | Unsubscription | DigestAcknowledgement,
-  ): void {
-    if ('type' in message) {
-      if (message.type === 'unsubscribe') this.requestHandler.unsubscribe(session);
-      else this.requestHandler.acknowledgeDigest(session, message);
-    } else if (session.peer.role === 'store')
-      this.dispatch({ type: 'received', envelope: message });
+  private receivePush(session: PeerSession, message: ReceivedPush): void {
+    const isStore = session.peer.role === 'store';
+    if (!('type' in message)) {
+      if (isStore) this.dispatch({ type: 'received', envelope: message });
+      return;
+    }
+    switch (message.type) {
+      case 'unsubscribe':
+        this.requestHandler.unsubscribe(session);
+        return;
+      case 'digestApplied':
+        this.requestHandler.acknowledgeDigest(session, message);
+        return;
+      case 'members':
+        if (isStore) this.joinRequests.learn(message.members);
+        return;
+      default:
+        // A message of a newer version.
+        message satisfies never;
+    }
   }
 
   private isMember(): boolean {
@@ -374,6 +407,15 @@
     return !this.isMember() || leaderHint(state) === undefined;
   }
 
+  /**
+   * True if this store is a member that follows a leader of the present term and has applied an entry
+   * of it, so that the leader is among the members of its log.
+   */
+  private hasJoined(): boolean {
+    const { state } = this.loop;
+    return !this.needsToJoin() && this.isMember() && hasCommittedInCurrentTerm(state);
+  }
+
   private applyEffect(effect: ConsensusEffect): void {
     // A partly applied log entry leaves a state that no other store has, so nothing that depends on it
     // may be sent or written before the process ends.
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -28,6 +28,7 @@
   type MachineState,
 } from '@hornbeampond/store-core';
 import type { PeerSession } from '@hornbeampond/transport';
+import { describeKnownMembers } from './describeStore.js';
 import type { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import type { InstanceListCache } from './InstanceListCache.js';
 import type { PendingRequests, Respond, RespondEncoded } from './PendingRequests.js';
@@ -142,7 +143,7 @@
         respond({ type: 'status', status: readStatus() });
         return;
       case 'addVoter':
-        this.addVoter(request, respond);
+        this.addVoter(request, (response) => respond(this.withKnownMembers(response)));
         return;
       case 'removeVoter':
         this.removeInstance(request.instance, respond);
@@ -271,6 +272,12 @@
     }
   }
 
+  /** Adds the members that this store knows, so that the joining store can ask these too. */
+  private withKnownMembers(response: StoreResponse): StoreResponse {
+    const members = describeKnownMembers(this.options.readState());
+    return { ...response, members } as StoreResponse;
+  }
+
   /**
    * True if this store leads and the member has responded recently or is this store. Without this check
    * a second store, started by mistake with the member's name and an empty folder, would replace it.
--- a/apps/store/src/describeStore.ts
+++ b/apps/store/src/describeStore.ts
@@ -1,8 +1,16 @@
 /** Describes a store for operators: its role, its view of the log and its state machine. */
-import type { EpochMilliseconds, InstanceReport, StoreStatus } from '@hornbeampond/schema';
+import type {
+  EpochMilliseconds,
+  InstanceReport,
+  KnownMembers,
+  StoreStatus,
+} from '@hornbeampond/schema';
 import {
   currentMembership,
+  lastIndexOf,
+  lastTermOf,
   leaderHint,
+  memberAddresses,
   describeRole,
   quarantineAt,
   type ConsensusState,
@@ -69,6 +77,16 @@
   };
 }
 
+/** Describes the members for a store that asks to join. */
+export function describeKnownMembers(state: ConsensusState): KnownMembers {
+  return {
+    leader: leaderHint(state),
+    stores: memberAddresses(state),
+    lastTerm: lastTermOf(state),
+    lastIndex: lastIndexOf(state),
+  };
+}
+
 export function describeStore(view: StoreView): StoreStatus {
   const { instance, state, machine, instances, wallNow } = view;
   const leader = leaderHint(state);
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -44,6 +44,8 @@
   process: StoreProcess | undefined;
   /** 0 until its first start. */
   port: number;
+  /** The stores that its settings name; if undefined, those of the cluster. */
+  seeds: readonly string[] | undefined;
 }
 
 /** A client together with every configuration that it received, in order. */
@@ -68,6 +70,7 @@
   private constructor(
     dataCentres: readonly string[],
     private readonly silentStoreMilliseconds: Milliseconds,
+    private readonly seeds: readonly string[] | undefined,
   ) {
     this.stores = dataCentres.map((dataCentre, position) => ({
       instance: `store-${position + 1}`,
@@ -75,15 +78,20 @@
       disk: new MemoryDisk(),
       process: undefined,
       port: 0,
+      seeds: undefined,
     }));
   }
 
-  /** Starts one store for each given data centre; resolves once all of them are voters. */
+  /**
+   * Starts one store for each given data centre; resolves once all of them are voters. The settings of
+   * each store name the given seeds, or all others.
+   */
   static async start(
     dataCentres: readonly string[],
     silentStoreMilliseconds: Milliseconds = 0,
+    seeds?: readonly string[],
   ): Promise<StoreCluster> {
-    const cluster = new StoreCluster(dataCentres, silentStoreMilliseconds);
+    const cluster = new StoreCluster(dataCentres, silentStoreMilliseconds, seeds);
     for (const { instance } of cluster.stores) await cluster.open(instance);
     cluster.findStore('store-1').process?.foundCluster();
     await cluster.waitForVoters(dataCentres.length);
@@ -100,6 +108,35 @@
     this.links.setPort(instance, store.port);
   }
 
+  /** The seeds in the settings of one store from its next start on. */
+  setSeeds(instance: string, seeds: readonly string[]): void {
+    this.findStore(instance).seeds = seeds;
+  }
+
+  /** Changes the seeds of a running store, as a changed boot file does. */
+  useSeeds(instance: string, seeds: readonly string[]): void {
+    this.setSeeds(instance, seeds);
+    this.findStore(instance).process?.useStores(this.addressesOf(seeds));
+  }
+
+  /** Adds a store with a name of its own, to be opened. */
+  add(instance: string, seeds: readonly string[]): void {
+    const dataCentre = 'wien-a';
+    const disk = new MemoryDisk();
+    this.stores.push({ instance, dataCentre, disk, process: undefined, port: 0, seeds });
+  }
+
+  /** Closes and starts stores in turn until `instance` leads, or one of the given ones. */
+  async makeLeader(...instances: string[]): Promise<string> {
+    for (;;) {
+      const leader = await this.waitForLeader();
+      if (instances.includes(leader)) return leader;
+      await this.close(leader);
+      await this.waitForLeader(leader);
+      await this.open(leader);
+    }
+  }
+
   /** Starts a second process with the name of a running store, on an empty disk. */
   async openDuplicate(instance: string): Promise<StoreProcess> {
     const process = await this.makeProcess(this.findStore(instance), new MemoryDisk(), 0);
@@ -227,6 +264,12 @@
     }
   }
 
+  /** The instances of the voters, as seen by one store. */
+  async readVoters(observer: string): Promise<readonly string[]> {
+    const statuses = await this.readStatus();
+    return statuses.find(({ instance }) => instance === observer)?.voters ?? [];
+  }
+
   private findStore(instance: string): TestStore {
     const store = this.stores.find((known) => known.instance === instance);
     if (store === undefined) throw new Error(`no store ${instance}`);
@@ -242,7 +285,10 @@
   }
 
   private async addressesSeenFrom(instance: string): Promise<ProcessAddress[]> {
-    const others = this.stores.filter((store) => store.instance !== instance);
+    const seeds = this.findStore(instance).seeds ?? this.seeds;
+    const others = this.stores.filter(
+      (store) => store.instance !== instance && (seeds?.includes(store.instance) ?? true),
+    );
     return Promise.all(
       others.map(async (store) => ({
         ...this.addressOf(store),
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -86,6 +86,19 @@
   readonly identity: string;
 }
 
+/** What a store knows of the members of its log, for a store that asks to join. */
+export interface KnownMembers {
+  /** The instance that leads, if the store knows one. */
+  readonly leader?: string | undefined;
+  readonly stores: readonly VoterAddress[];
+  /**
+   * Of the last entry of its log. Of two answers that differ, the one with the greater term, or in the
+   * same term with the greater index, is newer.
+   */
+  readonly lastTerm: number;
+  readonly lastIndex: number;
+}
+
 /** State of one store and its view of the cluster, for operators. */
 export interface StoreStatus {
   readonly instance: string;
@@ -133,14 +146,29 @@
       readonly revision?: number;
       /** In answers to the report of an instance: true if the store keeps origins of streams. */
       readonly keepsStreamOrigins?: boolean;
+      readonly members?: KnownMembers;
     }
   | { readonly type: 'streamOrigin'; readonly origin?: StreamOrigin | undefined }
-  /** This store is not the leader; nothing was done. */
-  | { readonly type: 'notLeader'; readonly leader?: string }
+  /** This store is not the leader; nothing was done. Answers to `addVoter` have `members`. */
+  | { readonly type: 'notLeader'; readonly leader?: string; readonly members?: KnownMembers }
   /** The request was not carried out and will not be. */
-  | { readonly type: 'unavailable'; readonly reason: string }
+  | { readonly type: 'unavailable'; readonly reason: string; readonly members?: KnownMembers }
   /** The command may have been committed or may still be; it should be resent unchanged. */
-  | { readonly type: 'unsure'; readonly reason: string };
+  | { readonly type: 'unsure'; readonly reason: string; readonly members?: KnownMembers };
+
+/**
+ * What a joining store pushes on a connection that another store has opened to it, as it may know no
+ * address of that store. Stores of older versions ignore it.
+ */
+export interface MembersRequest {
+  readonly type: 'requestMembers';
+}
+
+/** The answer to `MembersRequest`, pushed on the same connection. */
+export interface MembersAnswer {
+  readonly type: 'members';
+  readonly members: KnownMembers;
+}
 
 /**
  * What a subscriber pushes to a store that it no longer follows. Stores of older versions ignore it and
--- a/packages/store-core/src/consensus/index.ts
+++ b/packages/store-core/src/consensus/index.ts
@@ -2,7 +2,7 @@
 export * from './consensusEvents.js';
 export * from './consensusTypes.js';
 export { currentMembership, memberAddresses, votersOf } from './membership.js';
-export { lastIndexOf } from './memoryLog.js';
+export { lastIndexOf, lastTermOf } from './memoryLog.js';
 export { reduceConsensus } from './reduceConsensus.js';
 export { makeElectionSeed } from './makeElectionSeed.js';
 export { fillSnapshotPart } from './snapshots.js';
