Mark a data folder whose identity was renewed

A store whose disk is refused gets a new identity, and at its next start its disk looked like one that was never used. Nothing on the disk said otherwise, so a first boot file made such a store found a second cluster.

The identity file now carries a mark, written together with each renewed identity. LogStore tells from it, or from files of another identity, that the folder was used (wasUsed). Files without the mark are read as before. An identity file that is damaged or holds no identity is reported, by a renewal too, and nothing is written. A disk with nothing but the vote of a founder counts as new: the vote is synced before the first entry, and a store ended in between neither founded nor joined.

--- a/apps/store/src/FolderDisk.ts
+++ b/apps/store/src/FolderDisk.ts
@@ -30,8 +30,8 @@
 
   override async open(): Promise<DiskContents> {
     this.log = await LogStore.open(this.options);
-    const { restored, isNew } = this.log;
-    return { restored, isNew, snapshot: await this.log.readSnapshot() };
+    const { restored, isNew, wasUsed } = this.log;
+    return { restored, isNew, wasUsed, snapshot: await this.log.readSnapshot() };
   }
 
   override async write(effect: PersistEffect): Promise<void> {
--- a/apps/store/src/StoreDisk.ts
+++ b/apps/store/src/StoreDisk.ts
@@ -13,6 +13,8 @@
   readonly snapshot: SavedSnapshot | undefined;
   /** True if the folder held nothing: this disk has never been part of a cluster. */
   readonly isNew: boolean;
+  /** True if this disk may have been part of a cluster under another identity; it founds none. */
+  readonly wasUsed: boolean;
 }
 
 export abstract class StoreDisk {
--- a/apps/store/src/testing/MemoryDisk.ts
+++ b/apps/store/src/testing/MemoryDisk.ts
@@ -10,6 +10,9 @@
   /** True makes every write of the log fail. */
   isFull = false;
 
+  /** True for a disk that has had another identity. */
+  wasUsed = false;
+
   private readonly identity = randomUUID();
 
   private runs = 0;
@@ -35,7 +38,8 @@
         entries: [...this.entries],
       },
       snapshot: this.snapshot,
-      isNew: this.term === 0 && this.entries.length === 0,
+      isNew: (this.term === 0 || this.votedFor === this.identity) && this.entries.length === 0,
+      wasUsed: this.wasUsed,
     };
   }
 
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -66,6 +66,8 @@
    */
   readonly instance: string;
   readonly identity: string;
+  /** True if an earlier identity of this folder was replaced. Missing in files of older versions. */
+  readonly isRenewed?: boolean;
 }
 
 /**
@@ -86,20 +88,38 @@
 
 const EMPTY_STATE: DiskState = { runs: 0, term: 0, firstSegment: 1, lastSegment: 0 };
 
-async function readOrCreateIdentity(
+function isIdentity(value: unknown): value is Identity {
+  if (typeof value !== 'object' || value === null) return false;
+  const { cluster, instance, identity, isRenewed = false } = value as Partial<Identity>;
+  const hasNames = [cluster, instance, identity].every((name) => typeof name === 'string');
+  return hasNames && identity !== '' && typeof isRenewed === 'boolean';
+}
+
+/** Undefined if the file is missing; throws if it is damaged or belongs to another store. */
+async function readIdentity(
   fileSystem: FileSystem,
   { folder, cluster, instance }: LogStoreOptions,
-): Promise<string> {
-  const stored = (await readWholeFile(fileSystem, folder, IDENTITY_FILE)) as Identity | undefined;
-  if (stored !== undefined) {
-    const { cluster: storedCluster, instance: storedInstance, identity } = stored;
-    if (storedCluster === cluster && storedInstance === instance) return identity;
-    throw makeDamagedLogError(
-      IDENTITY_FILE,
-      0,
-      `the file belongs to instance ${storedInstance} of cluster ${storedCluster}`,
-    );
-  }
+): Promise<Identity | undefined> {
+  const stored = await readWholeFile(fileSystem, folder, IDENTITY_FILE);
+  if (stored === undefined) return undefined;
+  if (!isIdentity(stored)) {
+    throw makeDamagedLogError(IDENTITY_FILE, 0, 'the file holds no identity');
+  }
+  if (stored.cluster === cluster && stored.instance === instance) return stored;
+  throw makeDamagedLogError(
+    IDENTITY_FILE,
+    0,
+    `the file belongs to instance ${stored.instance} of cluster ${stored.cluster}`,
+  );
+}
+
+async function readOrCreateIdentity(
+  fileSystem: FileSystem,
+  options: LogStoreOptions,
+): Promise<Identity> {
+  const { folder, cluster, instance } = options;
+  const stored = await readIdentity(fileSystem, options);
+  if (stored !== undefined) return stored;
   // A new identity would hide that this disk has acknowledged entries and votes.
   const names = await fileSystem.list(folder);
   const existingName = names.find((name) => /^(state|snapshot|log)-/.test(name));
@@ -109,23 +129,29 @@
       0,
       `the file is missing although ${existingName} exists`,
     );
-  const identity = randomUUID();
-  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, instance, identity });
-  return identity;
+  const created: Identity = { cluster, instance, identity: randomUUID() };
+  await replaceFile(fileSystem, folder, IDENTITY_FILE, created);
+  return created;
 }
 
 /**
  * Gives a folder a new identity, after peers have refused its disk because entries that the disk
  * had acknowledged are missing, or refused its run as outdated. The old files are kept for
- * inspection but not read again. Throws if a running process has the folder open.
+ * inspection but not read again. The file marks the new identity as a renewed one, so that the store
+ * does not take its disk for one that was never used. Throws if a running process has the folder open,
+ * or if the present identity is damaged or belongs to another store.
  */
 export async function renewIdentity(options: LogStoreOptions): Promise<void> {
   const fileSystem = options.fileSystem ?? new NodeFileSystem();
   const { folder, cluster, instance } = options;
   const lock = await FolderLock.acquire(fileSystem, folder);
-  const identity = randomUUID();
-  await replaceFile(fileSystem, folder, IDENTITY_FILE, { cluster, instance, identity });
-  await lock.release();
+  try {
+    await readIdentity(fileSystem, options);
+    const renewed: Identity = { cluster, instance, identity: randomUUID(), isRenewed: true };
+    await replaceFile(fileSystem, folder, IDENTITY_FILE, renewed);
+  } finally {
+    await lock.release();
+  }
 }
 
 export class LogStore {
@@ -141,6 +167,9 @@
 
   private identity = '';
 
+  /** True if this folder has had another identity. */
+  private hadOtherIdentity = false;
+
   private state = EMPTY_STATE;
 
   private segments: { name: string; number: number; byteLength: number; highestIndex: number }[] =
@@ -186,10 +215,22 @@
     return this.restoredState;
   }
 
-  /** True if the disk held no term, snapshot or entry when it was opened. */
+  /**
+   * True if the disk held no snapshot or entry when it was opened, and no term but that of a founding of
+   * a cluster that was interrupted: only a founder votes for itself without an entry.
+   */
   get isNew(): boolean {
-    const { term, snapshot, entries } = this.restoredState;
-    return term === 0 && snapshot === undefined && entries.length === 0;
+    const { term, votedFor, snapshot, entries } = this.restoredState;
+    const isEmpty = snapshot === undefined && entries.length === 0;
+    return isEmpty && (term === 0 || votedFor === this.identity);
+  }
+
+  /**
+   * True if this disk may have been part of a cluster under another identity: its identity was renewed,
+   * or the folder has files of another one.
+   */
+  get wasUsed(): boolean {
+    return this.hadOtherIdentity;
   }
 
   get readOnly(): boolean {
@@ -313,7 +354,12 @@
   }
 
   private async loadAndCountRun(): Promise<void> {
-    this.identity = await readOrCreateIdentity(this.fileSystem, this.options);
+    const { identity, isRenewed = false } = await readOrCreateIdentity(
+      this.fileSystem,
+      this.options,
+    );
+    this.identity = identity;
+    this.hadOtherIdentity = isRenewed || (await this.hasFilesOfOtherIdentity());
     const state = await readWholeFile(this.fileSystem, this.folder, this.fileNameOf('state'));
     if (state === undefined) await this.assertNoDataFiles();
     else this.state = state as DiskState;
@@ -365,6 +411,13 @@
     }
   }
 
+  private async hasFilesOfOtherIdentity(): Promise<boolean> {
+    const names = await this.fileSystem.list(this.folder);
+    return names.some(
+      (name) => /^(state|snapshot|log)-/.test(name) && !name.includes(this.identity),
+    );
+  }
+
   private async assertNoDataFiles(): Promise<void> {
     const names = await this.fileSystem.list(this.folder);
     const existingName = names.find(
