Found a cluster only if no other seed knows one

A store founded whenever its boot file said first start, it was the first of the seeds and its disk was empty. POST /store/found did not ask either.

The store now asks the other stores of its settings, in a field of readStatus. It founds at once if all of them support it, and after a second if a majority of the seeds does; a seed with members, a term or a used disk, or a message of consensus, ends the attempt, and the store joins. A seed supports one store at a time. Until it is decided the store asks nobody to let it in. Older versions are judged by term and members.

--- a/apps/store/src/OperatorRequestHandler.test.ts
+++ b/apps/store/src/OperatorRequestHandler.test.ts
@@ -16,7 +16,7 @@
 async function orderRemoval(context: TestContext, outcome: StoreResponse) {
   const handler = new OperatorRequestHandler({
     operatorKeys: [{ name: 'operator', keySha256: digestKey(KEY) }],
-    foundCluster: () => {},
+    foundCluster: async () => 'founded',
     requestJoin: () => {},
     removeStore: async () => outcome,
   });
--- a/apps/store/src/OperatorRequestHandler.ts
+++ b/apps/store/src/OperatorRequestHandler.ts
@@ -8,12 +8,13 @@
   writeJson,
   type UnconfirmedOutcome,
 } from '@hornbeampond/transport';
+import type { FoundingOutcome } from './Founding.js';
 
 const MAX_BODY_BYTES = 4096;
 
 export interface OperatorRequestHandlerOptions {
   readonly operatorKeys: readonly OperatorKey[];
-  foundCluster(): void;
+  foundCluster(): Promise<FoundingOutcome>;
   requestJoin(): void;
   removeStore(instance: string): Promise<StoreResponse>;
 }
@@ -26,6 +27,16 @@
   throw new HornbeampondError('badRequest', 'The body must name the "instance"');
 }
 
+function checkFounding(outcome: FoundingOutcome): void {
+  if (outcome === 'founded') return;
+  if (outcome === 'givenUp') {
+    const detail = 'This store or another one of its settings has been part of a cluster already';
+    throw new HornbeampondError('badRequest', detail);
+  }
+  const known = outcome === 'stopped' ? 'unavailable' : 'unsure';
+  throw makeUnconfirmedChangeError(known, 'The founding of the cluster');
+}
+
 /** Only these two responses say that nothing was done. */
 function classifyOutcome(type: StoreResponse['type']): UnconfirmedOutcome {
   return type === 'unavailable' || type === 'notLeader' ? 'unavailable' : 'unsure';
@@ -42,7 +53,7 @@
     const body = await readBody(request, MAX_BODY_BYTES);
     switch (operation) {
       case 'found':
-        this.options.foundCluster();
+        checkFounding(await this.options.foundCluster());
         break;
       case 'join':
         this.options.requestJoin();
--- a/apps/store/src/StorePeers.ts
+++ b/apps/store/src/StorePeers.ts
@@ -122,6 +122,12 @@
     this.clients.get(instance)?.connectNow();
   }
 
+  /** The clients of the other stores that the settings name, by instance. */
+  get configuredClients(): ReadonlyMap<string, StorePeerClient> {
+    const configured = new Set(this.configured.map(({ instance }) => instance));
+    return new Map([...this.clients].filter(([instance]) => configured.has(instance)));
+  }
+
   /** All clients, for requests that only the leader can answer. */
   get all(): readonly NamedPeer[] {
     return [...this.clients].map(([instance, client]) => ({ instance, client }));
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -31,6 +31,7 @@
 import {
   MachineState,
   applyCommand,
+  canFound,
   createConsensusState,
   currentMembership,
   defaultConsensusSettings,
@@ -63,6 +64,8 @@
   describeStore,
 } from './describeStore.js';
 import { EntryDigestPublisher } from './EntryDigestPublisher.js';
+import { Founding, type FoundingOutcome } from './Founding.js';
+import type { ClusterEvidence } from './decideFounding.js';
 import { InstanceListCache } from './InstanceListCache.js';
 import { JoinRequests } from './JoinRequests.js';
 import { LeaderlessReports } from './LeaderlessReports.js';
@@ -87,6 +90,9 @@
 /** What other processes push to a store. */
 type ReceivedPush = Envelope | Unsubscription | DigestAcknowledgement | MembersAnswer;
 
+/** An operator's call is answered within this time, so that its caller has not given up. */
+const OPERATOR_FOUNDING_MILLISECONDS = 3000;
+
 /**
  * Why a store cannot continue. `diskRefused`: a peer has shown that the disk lacks data that this
  * store acknowledged, so it needs a new identity. `unexpectedError`: an event was not handled
@@ -126,6 +132,8 @@
 
   private readonly joinRequests: JoinRequests;
 
+  private readonly founding: Founding;
+
   private readonly requestHandler: StoreRequestHandler;
 
   private address: ProcessAddress;
@@ -223,6 +231,17 @@
       readOwnMembers: () => describeKnownMembers(this.loop.state),
       describeSelf: () => ({ ...this.address, identity: this.loop.state.self.identity }),
     });
+    this.founding = new Founding({
+      timers,
+      logger: this.logger,
+      toleratesLoss: settings.leastVoters > 1,
+      listSeeds: () => this.peers.configuredClients,
+      describeSelf: () => ({ instance, identity: this.loop.state.self.identity }),
+      hasEarlierRun: () => this.loop.state.self.run.count > 1,
+      findEvidence: () => this.findClusterEvidence(),
+      foundCluster: () => this.foundCluster(),
+      onEnded: () => this.joinRequests.start(),
+    });
     this.requestHandler = new StoreRequestHandler({
       timers,
       pendingRequests: this.pendingRequests,
@@ -230,6 +249,7 @@
       readState: () => this.loop.state,
       readMachine: () => this.machine,
       readStatus: () => this.readStatus(),
+      answerCandidate: (candidate) => this.founding.answer(candidate),
       dispatch: (event) => this.dispatch(event),
       onEntryReport: (report) => {
         this.persistedEntryState.recordReport(report);
@@ -261,7 +281,7 @@
     });
     const operatorRequests = new OperatorRequestHandler({
       operatorKeys: settings.operatorKeys,
-      foundCluster: () => this.foundCluster(),
+      foundCluster: async () => this.founding.runFor(OPERATOR_FOUNDING_MILLISECONDS),
       requestJoin: () => this.joinRequests.start(),
       removeStore: async (removed) => this.requestHandler.removeVoter(removed),
     });
@@ -277,6 +297,7 @@
   async start(): Promise<StorePorts> {
     const contents = await this.disk.open(this.settings.instance);
     this.isNew = contents.isNew;
+    this.wasUsed = contents.wasUsed;
     this.loop = this.makeEventLoop(contents);
     await this.persistedEntryState.open();
     const peers = await this.peerServer.listen(this.settings.listen);
@@ -294,10 +315,30 @@
   /** True if the disk was empty at start. */
   isNew = false;
 
-  /** Founds a cluster with this store as its only member; throws if it has been part of a cluster. */
+  /** True if the disk may have been part of a cluster under another identity. */
+  private wasUsed = false;
+
+  /**
+   * Founds a cluster if the other stores of the settings know none. Until that is decided this store does
+   * not ask to join one: if it did, it could be a member of another cluster when it founds.
+   */
+  async foundIfNoneExists(): Promise<FoundingOutcome> {
+    return this.founding.run();
+  }
+
+  private findClusterEvidence(): ClusterEvidence | undefined {
+    const { state } = this.loop;
+    if (currentMembership(state).members.length > 0 || !canFound(state)) return 'member';
+    return this.wasUsed ? 'diskUsed' : undefined;
+  }
+
+  /**
+   * Founds a cluster with this store as its only member, without asking others; throws if it has been part
+   * of a cluster.
+   */
   foundCluster(): void {
     const { state } = this.loop;
-    if (state.term > 0 || this.isMember()) {
+    if (this.findClusterEvidence() !== undefined) {
       const detail = 'This store is part of a cluster already';
       throw new HornbeampondError('badRequest', detail);
     }
@@ -327,6 +368,7 @@
     this.publisher.stop();
     this.persistedEntryState.close();
     this.digestPublisher.close();
+    this.founding.stop();
     this.joinRequests.stop();
     this.diskOperations.stop();
     this.peers.close();
@@ -370,7 +412,7 @@
   private receivePush(session: PeerSession, message: ReceivedPush): void {
     const isStore = session.peer.role === 'store';
     if (!('type' in message)) {
-      if (isStore) this.dispatch({ type: 'received', envelope: message });
+      if (isStore) this.receiveEnvelope(message);
       return;
     }
     switch (message.type) {
@@ -389,6 +431,11 @@
     }
   }
 
+  private receiveEnvelope(envelope: Envelope): void {
+    this.founding.recordMessage();
+    this.dispatch({ type: 'received', envelope });
+  }
+
   private isMember(): boolean {
     const { state } = this.loop;
     return currentMembership(state).members.some(
@@ -403,7 +450,7 @@
    */
   private needsToJoin(): boolean {
     const { state } = this.loop;
-    if (state.readOnly || state.diskRefused) return false;
+    if (state.readOnly || state.diskRefused || this.founding.isRunning) return false;
     return !this.isMember() || leaderHint(state) === undefined;
   }
 
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -9,6 +9,7 @@
   type DigestAcknowledgement,
   type EntryDigest,
   type EntryReport,
+  type FoundingAnswer,
   type InstanceReport,
   type PersistedEntryData,
   type SpendingReport,
@@ -29,6 +30,7 @@
 } from '@hornbeampond/store-core';
 import type { PeerSession } from '@hornbeampond/transport';
 import { describeKnownMembers } from './describeStore.js';
+import type { FoundingCandidate } from './decideFounding.js';
 import type { EntryDigestPublisher } from './EntryDigestPublisher.js';
 import type { InstanceListCache } from './InstanceListCache.js';
 import type { PendingRequests, Respond, RespondEncoded } from './PendingRequests.js';
@@ -50,6 +52,7 @@
   readState(): ConsensusState;
   readMachine(): MachineState;
   readStatus(): StoreStatus;
+  answerCandidate(candidate: FoundingCandidate): FoundingAnswer;
   dispatch(event: ConsensusEventPayload): void;
   onEntryReport(report: EntryReport): void;
   onWorkReport(work: WorkReport): void;
@@ -140,7 +143,13 @@
         respond({ type: 'streamOrigin', origin: this.streamOrigins.find(request.requestId) });
         return;
       case 'readStatus':
-        respond({ type: 'status', status: readStatus() });
+        respond({
+          type: 'status',
+          status: readStatus(),
+          ...(request.foundingCandidate !== undefined && session.peer.role === 'store'
+            ? { founding: this.options.answerCandidate(request.foundingCandidate) }
+            : {}),
+        });
         return;
       case 'addVoter':
         this.addVoter(request, (response) => respond(this.withKnownMembers(response)));
--- a/apps/store/src/testing/StoreCluster.ts
+++ b/apps/store/src/testing/StoreCluster.ts
@@ -7,6 +7,7 @@
   ProcessAddress,
 } from '@hornbeampond/schema';
 import { StoreClient, type PeerContext } from '@hornbeampond/transport';
+import type { FoundingOutcome } from '../Founding.js';
 import type { StoreDisk } from '../StoreDisk.js';
 import { StoreProcess, type StoreFailure } from '../StoreProcess.js';
 import { MemoryDisk } from './MemoryDisk.js';
@@ -71,6 +72,7 @@
     dataCentres: readonly string[],
     private readonly silentStoreMilliseconds: Milliseconds,
     private readonly seeds: readonly string[] | undefined,
+    private readonly leastVoters: number,
   ) {
     this.stores = dataCentres.map((dataCentre, position) => ({
       instance: `store-${position + 1}`,
@@ -91,13 +93,25 @@
     silentStoreMilliseconds: Milliseconds = 0,
     seeds?: readonly string[],
   ): Promise<StoreCluster> {
-    const cluster = new StoreCluster(dataCentres, silentStoreMilliseconds, seeds);
+    const cluster = new StoreCluster(dataCentres, silentStoreMilliseconds, seeds, 1);
     for (const { instance } of cluster.stores) await cluster.open(instance);
     cluster.findStore('store-1').process?.foundCluster();
     await cluster.waitForVoters(dataCentres.length);
     return cluster;
   }
 
+  /** One store for each given data centre, none of them started. */
+  static prepare(dataCentres: readonly string[], leastVoters: number): StoreCluster {
+    return new StoreCluster(dataCentres, 0, undefined, leastVoters);
+  }
+
+  /** Lets a running store found a cluster if the others know none. */
+  async found(instance: string): Promise<FoundingOutcome> {
+    const { process } = this.findStore(instance);
+    if (process === undefined) throw new Error(`${instance} does not run`);
+    return process.foundIfNoneExists();
+  }
+
   /** Starts a store on its disk, or on the given one from now on. */
   async open(instance: string, disk?: StoreDisk): Promise<void> {
     const store = this.findStore(instance);
@@ -163,7 +177,7 @@
         dataFolder: 'none',
         electionTimeoutMilliseconds: 300,
         heartbeatMilliseconds: 50,
-        leastVoters: 1,
+        leastVoters: this.leastVoters,
         silentStoreMilliseconds: this.silentStoreMilliseconds,
         peerHeartbeatMilliseconds: 1000,
       },
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -36,6 +36,17 @@
     'warn',
     'A store that was unreachable for too long was removed',
   ),
+  foundingWaits: defineLogEvent(
+    3230,
+    'warn',
+    'This store may found a cluster and waits for the answers of the other stores',
+  ),
+  clusterFounded: defineLogEvent(3231, 'info', 'This store has founded a cluster'),
+  foundingGivenUp: defineLogEvent(
+    3232,
+    'warn',
+    'This store founds no cluster, as there is one already',
+  ),
   subscriberBehind: defineLogEvent(
     3210,
     'warn',
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -68,7 +68,11 @@
   /** Where streams began, for stores that have said that they keep this. */
   | { readonly type: 'shareStreamOrigins'; readonly origins: readonly StreamOrigin[] }
   | { readonly type: 'findStreamOrigin'; readonly requestId: string }
-  | { readonly type: 'readStatus' }
+  | {
+      readonly type: 'readStatus';
+      /** A store that asks whether it may found a cluster; stores of older versions ignore it. */
+      readonly foundingCandidate?: { readonly instance: string; readonly identity: string };
+    }
   /** Changes of the membership of the log. */
   | { readonly type: 'addVoter'; readonly voter: JoiningVoter }
   | { readonly type: 'removeVoter'; readonly instance: string };
@@ -121,6 +125,14 @@
   readonly quarantine: readonly QuarantineRecord[];
 }
 
+/** What a store answers another one that may found a cluster. */
+export interface FoundingAnswer {
+  /** True if it is, was or knows a member of a cluster. */
+  readonly knowsCluster: boolean;
+  /** True if it supports the founding, and for a while that of no other store. */
+  readonly supports: boolean;
+}
+
 export type StoreResponse =
   | { readonly type: 'result'; readonly result: CommandResult }
   | { readonly type: 'configuration'; readonly configuration: Configuration }
@@ -139,7 +151,12 @@
       readonly digest?: EntryDigest;
     }
   | { readonly type: 'document'; readonly version: number; readonly document: string }
-  | { readonly type: 'status'; readonly status: StoreStatus }
+  | {
+      readonly type: 'status';
+      readonly status: StoreStatus;
+      /** The answer to a store that asks whether it may found. */
+      readonly founding?: FoundingAnswer;
+    }
   | {
       readonly type: 'accepted';
       /** In answers to a report: the revision of the configuration that this store has. */
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -42,17 +42,26 @@
   announceRole(context);
 }
 
+/**
+ * True if the disk holds no entry and no term, or only the term of a founding that was interrupted: the
+ * vote is written before the first entry, and only a founder votes for itself without an entry.
+ */
+export function canFound(state: ConsensusState): boolean {
+  const hasFoundersVote = state.votedFor === state.self.identity;
+  return lastIndexOf(state) === 0 && (state.term === 0 || hasFoundersVote);
+}
+
 /**
  * Founds a cluster with this store as its only voter; all other members are added through the log.
- * Ignored on a disk that has a term or entries already.
+ * Ignored on a disk that has been part of a cluster.
  */
 function foundCluster(
   context: StepContext,
   event: Extract<ConsensusEvent, { type: 'found' }>,
 ): void {
   const { state, wallNow } = context;
-  if (state.term > 0 || lastIndexOf(state) > 0) return;
-  enterTerm(state, 1);
+  if (!canFound(state)) return;
+  enterTerm(state, state.term + 1);
   state.votedFor = state.self.identity;
   const membership = { members: [{ ...event.member, role: 'voter' as const }] };
   appendNewEntry(state, { type: 'membership', membership }, wallNow);
