End a failed store within a bounded time, whatever hangs

stopFailedStore waited without a bound for the store to close before it renewed the identity and ended the process. Behind a write that does not end (a stalled disk) the process stayed for good: it neither voted nor campaigned, its servers for stores were closed, and its server for operators' calls went on refusing.

Servers and disk now close beside each other, since neither needs the other, with 2 s in all; a part that does not close is logged (3220), and a process with a stalled file operation ends by SIGKILL, as process.exit waits for its thread. Nothing acknowledged depends on the close: it was synced before.

A refused disk gets a new identity only once all writes, those of the state of entries included, have ended and the lock is released. A failed close is repeated within the time, and LogStore.close releases the lock also where the segment could not be closed. Where it still fails the old identity stays: the next run of the process has to be refused again. What remains there: a run count that has passed the one known to the leader is judged by the last index of its log only, so a lost vote may go unnoticed.

--- a/apps/store/src/PersistedEntryState.ts
+++ b/apps/store/src/PersistedEntryState.ts
@@ -53,6 +53,8 @@
 
   private isWriting = false;
 
+  private lastWrite: Promise<void> = Promise.resolve();
+
   private cancelTimer: Unsubscribe = () => {};
 
   constructor(private readonly options: PersistedEntryStateOptions) {}
@@ -93,7 +95,7 @@
       logger.write('memoryUnreadable', { reason: String(error) });
     }
     this.cancelTimer = timers.every(WRITE_INTERVAL_MILLISECONDS, () => {
-      void this.write();
+      if (this.hasChanged && !this.isWriting) this.lastWrite = this.write();
     });
   }
 
@@ -132,12 +134,17 @@
     this.prefixes.retainOnly(instances);
   }
 
-  close(): void {
+  /** Writes no more. */
+  stop(): void {
     this.cancelTimer();
   }
 
+  /** Waits for the write under way. */
+  async finish(): Promise<void> {
+    await this.lastWrite;
+  }
+
   private async write(): Promise<void> {
-    if (!this.hasChanged || this.isWriting) return;
     this.isWriting = true;
     this.hasChanged = false;
     try {
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -361,18 +361,31 @@
   }
 
   async close(): Promise<void> {
+    await Promise.all([this.closeServers(), this.closeDisk()]);
+  }
+
+  /** Stops all work and closes all connections; nothing is dispatched or written from then on. */
+  async closeServers(): Promise<void> {
     this.closed = true;
     this.cancelWake();
     this.leaderWatch.stop();
     this.leaderlessReports.stop();
     this.publisher.stop();
-    this.persistedEntryState.close();
+    this.persistedEntryState.stop();
     this.digestPublisher.close();
     this.founding.stop();
     this.joinRequests.stop();
     this.diskOperations.stop();
     this.peers.close();
     await Promise.all([this.peerServer.close(), this.operatorServer.close()]);
+  }
+
+  /**
+   * Waits for the writes under way and closes the disk, once `closeServers` was called. May be called
+   * again after a failure.
+   */
+  async closeDisk(): Promise<void> {
+    await this.persistedEntryState.finish();
     await this.diskOperations.finish();
     await this.disk.close();
   }
--- a/apps/store/src/main.ts
+++ b/apps/store/src/main.ts
@@ -17,7 +17,7 @@
       new SystemTimerService(),
       disk,
       (failedStore, failure) => {
-        stopFailedStore(failedStore, disk, failure).catch(() => {});
+        void stopFailedStore(failedStore, disk, failure, logger);
       },
     );
     await store.start();
--- a/apps/store/src/openFolderDisk.ts
+++ b/apps/store/src/openFolderDisk.ts
@@ -1,6 +1,14 @@
 /** Opens a store's disk, with its notices written to the log, and ends the process of a failed store. */
-import { endProcess, exitCodes, type Logger } from '@hornbeampond/runtime';
-import type { StoreSettings } from '@hornbeampond/schema';
+import { setTimeout as wait } from 'node:timers/promises';
+import {
+  describeError,
+  endProcess,
+  exitCodes,
+  settlesWithin,
+  type Logger,
+  type Settlement,
+} from '@hornbeampond/runtime';
+import type { Milliseconds, StoreSettings } from '@hornbeampond/schema';
 import { FolderDisk } from './FolderDisk.js';
 import type { StoreFailure, StoreProcess } from './StoreProcess.js';
 
@@ -21,20 +29,53 @@
   });
 }
 
+/** For the parts of a failed store to close, all together. */
+const CLOSE_MILLISECONDS: Milliseconds = 2000;
+
+const RETRY_MILLISECONDS: Milliseconds = 100;
+
+/** Repeats work that fails until it succeeds; ends with the last failure once the time is over. */
+async function repeatWithin(work: () => Promise<void>, timeout: Milliseconds): Promise<Settlement> {
+  const endsAt = performance.now() + timeout;
+  for (;;) {
+    const settlement = await settlesWithin(work(), Math.max(0, endsAt - performance.now()));
+    const isOver = performance.now() + RETRY_MILLISECONDS > endsAt;
+    if (settlement.type !== 'failed' || isOver) return settlement;
+    await wait(RETRY_MILLISECONDS);
+  }
+}
+
+function logUnlessDone(logger: Logger, part: string, settlement: Settlement): void {
+  if (settlement.type === 'done') return;
+  const reason = settlement.type === 'failed' ? describeError(settlement.error) : 'timedOut';
+  logger.write('storePartNotClosed', { part, reason, timeout: CLOSE_MILLISECONDS });
+}
+
 /**
- * Closes the store and ends the process, which its supervisor is expected to restart. A refused disk
- * gets a new identity first, so that the store joins as an empty one and votes on nothing that its
- * disk has lost.
+ * Closes the store and ends the process within a bounded time, whatever hangs; its supervisor is
+ * expected to restart it. Nothing that was acknowledged waits for this: it was synced before.
+ *
+ * A refused disk gets a new identity first, so that the store joins as an empty one and votes on
+ * nothing that its disk has lost. The folder gets it only after all writes have ended and the lock is
+ * released. Where that does not happen in time, the old identity stays, and the next run of the process
+ * has to be refused again before it is renewed.
  */
 export async function stopFailedStore(
   store: StoreProcess,
   disk: FolderDisk,
   failure: StoreFailure,
+  logger: Logger,
 ): Promise<void> {
-  try {
-    await store.close();
-    if (failure === 'diskRefused') await disk.resetIdentity();
-  } finally {
-    await endProcess(exitCodes.failed);
+  const closingServers = settlesWithin(store.closeServers(), CLOSE_MILLISECONDS);
+  const closingDisk = repeatWithin(async () => store.closeDisk(), CLOSE_MILLISECONDS);
+  const [servers, closed] = await Promise.all([closingServers, closingDisk]);
+  logUnlessDone(logger, 'servers', servers);
+  logUnlessDone(logger, 'disk', closed);
+  let hasStalledWork = closed.type === 'timedOut';
+  if (failure === 'diskRefused' && closed.type === 'done') {
+    const renewed = await repeatWithin(async () => disk.resetIdentity(), CLOSE_MILLISECONDS);
+    logUnlessDone(logger, 'identity', renewed);
+    hasStalledWork = renewed.type === 'timedOut';
   }
+  await endProcess(exitCodes.failed, hasStalledWork);
 }
--- a/packages/schema/src/logEvents/storeLogEvents.ts
+++ b/packages/schema/src/logEvents/storeLogEvents.ts
@@ -29,6 +29,11 @@
     'The persisted state of entries could not be read',
   ),
   memoryNotKept: defineLogEvent(3205, 'warn', 'The state of entries could not be persisted'),
+  storePartNotClosed: defineLogEvent(
+    3220,
+    'warn',
+    'A part of a failed store did not close in time; the process ends without waiting for it',
+  ),
   storeMembersChanged: defineLogEvent(3206, 'info', 'Stores joined, became voters or were removed'),
   storeElectionFailed: defineLogEvent(3207, 'warn', 'An election ended without a leader'),
   silentStoreRemoved: defineLogEvent(
--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -287,9 +287,14 @@
 
   async close(): Promise<void> {
     await this.lastOperation;
-    await this.segmentFile?.close();
+    const file = this.segmentFile;
     this.segmentFile = undefined;
-    await this.lock.release();
+    try {
+      await file?.close();
+    } finally {
+      // A file that could not be closed is not written to any more; the lock would keep the folder in use.
+      await this.lock.release();
+    }
   }
 
   /** Runs an operation once all earlier ones have ended. */
