Restore a log after the close of a segment has failed

restoreAfterFailure used the handle that the failure had left. Where the close of a full segment was what failed, that handle is closed and each further try failed with EBADF: the store stayed read-only for good on a disk in order. It now opens the last segment anew for each try.

restoreAfterFailure.test: passes; with the former handle it fails with EBADF.

--- a/packages/store-core/src/log/LogStore.ts
+++ b/packages/store-core/src/log/LogStore.ts
@@ -276,9 +276,14 @@
       const last = this.segments.at(-1);
       // Bytes after it may be in the page cache alone, and would be read as if they had been synced.
       if (last !== undefined) {
-        this.segmentFile ??= await this.fileSystem.open(join(this.folder, last.name));
-        await this.segmentFile.truncate(last.byteLength);
-        await this.segmentFile.sync();
+        // Opened anew: the failure may have left a handle that is closed, or one of another segment.
+        const file = await this.fileSystem.open(join(this.folder, last.name));
+        try {
+          await file.truncate(last.byteLength);
+          await file.sync();
+        } finally {
+          await file.close();
+        }
       }
       // The file may hold a term and a vote whose sync failed.
       await this.saveState(this.state);
--- a/packages/store-core/src/log/restoreAfterFailure.test.ts
+++ b/packages/store-core/src/log/restoreAfterFailure.test.ts
@@ -1,6 +1,7 @@
 /** A log whose file operations fail for a while, wherever that strikes. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { OpenFile } from './FileSystem.js';
 import { LogStore } from './LogStore.js';
 import { MemoryFileSystem, type SurvivingWrites } from './testing/MemoryFileSystem.js';
 
@@ -76,3 +77,75 @@
     }
   });
 });
+
+interface CloseFault {
+  failsNextClose: boolean;
+}
+
+class HandleOfFailingClose extends OpenFile {
+  private isClosed = false;
+
+  constructor(
+    private readonly fault: CloseFault,
+    private readonly file: OpenFile,
+  ) {
+    super();
+  }
+
+  override async write(data: Uint8Array, position: number): Promise<void> {
+    this.assertOpen();
+    await this.file.write(data, position);
+  }
+
+  override async sync(): Promise<void> {
+    this.assertOpen();
+    await this.file.sync();
+  }
+
+  override async truncate(length: number): Promise<void> {
+    this.assertOpen();
+    await this.file.truncate(length);
+  }
+
+  override async close(): Promise<void> {
+    this.isClosed = true;
+    if (!this.fault.failsNextClose) return;
+    this.fault.failsNextClose = false;
+    throw new Error('EIO: i/o error, close');
+  }
+
+  private assertOpen(): void {
+    if (this.isClosed) throw new Error('EBADF: bad file descriptor');
+  }
+}
+
+/** Fails to close a file once, after which its handle is of no more use. */
+class FailingClose extends MemoryFileSystem {
+  failsNextClose = false;
+
+  override async open(path: string): Promise<OpenFile> {
+    return new HandleOfFailingClose(this, await super.open(path));
+  }
+}
+
+// Guards against a log that is never restored because it tries on with a handle that is closed.
+test('a log is restored after the close of a segment has failed', async () => {
+  const fileSystem = new FailingClose();
+  const store = await LogStore.open({ ...makeOptions(fileSystem), segmentBytes: 1 });
+  const write = async (index: number) =>
+    store.write({
+      type: 'persist',
+      batch: index,
+      entries: [makeEntry(index)],
+    } as unknown as Parameters<LogStore['write']>[0]);
+  await write(1);
+  fileSystem.failsNextClose = true;
+  await assert.rejects(write(2));
+  await store.restoreAfterFailure();
+  await store.close();
+  const { restored } = await LogStore.open(makeOptions(fileSystem));
+  assert.deepEqual(
+    restored.entries.map(({ index }) => index),
+    [1],
+  );
+});
