Write more than all buffers take in the test of an output that nobody reads

Its 1,500 lines are 273 KB, which the buffers of the pipe and of its reader may just take, so the output was flushed in time. The lines are longer now, some 1 MB in all; what is expected stays the same.

--- a/packages/runtime/src/endProcess.test.ts
+++ b/packages/runtime/src/endProcess.test.ts
@@ -48,7 +48,8 @@
 
 // Guards against a process that an output without a reader keeps from ending.
 test('a process whose output nobody reads ends', async () => {
-  const child = start('1500');
+  // More than the buffers of a pipe and of its reader take together.
+  const child = start('1500', '500');
   const { signal } = await waitForEnd(child);
   child.stdout?.destroy();
   assert.equal(signal, 'SIGKILL');
@@ -61,7 +62,7 @@
   try {
     const path = join(folder, 'pipe');
     execFileSync('mkfifo', [path]);
-    const child = start('1', path);
+    const child = start('1', '0', path);
     const { stdout } = child;
     assert.ok(stdout !== null);
     const [output, { signal }] = await Promise.all([text(stdout), waitForEnd(child)]);
