End a process that was held up with its exit code

A normal stop whose event loop stood still for 0.4 s or more while the last log lines were written ended by SIGKILL: the timer of the flush fired before the process learnt that the lines had been written.

--- a/packages/runtime/src/Logger.ts
+++ b/packages/runtime/src/Logger.ts
@@ -27,8 +27,12 @@
 /** Writes a line to standard error without blocking, as `process.stderr` does on a pipe that nobody reads. */
 export const writeErrorLine: WriteLine = standardErrorWriter.write;
 
-/** A stalled reader must not keep the process from ending. */
-const MAX_FLUSH_MILLISECONDS = 500;
+/**
+ * A stalled reader must not keep the process from ending. The time is waited in steps, since a process
+ * that was held up itself for a moment finds the whole time over before it learns of completed writes.
+ */
+const FLUSH_STEPS = 5;
+const FLUSH_STEP_MILLISECONDS = 100;
 
 /**
  * Resolves once pending writes are complete, with true, or a timeout has passed; for the end of a
@@ -39,8 +43,11 @@
     standardOutputWriter.waitUntilIdle(),
     standardErrorWriter.waitUntilIdle(),
   ]);
-  const { type } = await settlesWithin(written, MAX_FLUSH_MILLISECONDS);
-  return type === 'done';
+  for (let step = 0; step < FLUSH_STEPS; step += 1) {
+    const { type } = await settlesWithin(written, FLUSH_STEP_MILLISECONDS);
+    if (type === 'done') return true;
+  }
+  return false;
 }
 
 export class Logger {
