Ask connected stores before a cluster is founded

Of five stores, two seeds with empty disks founded a second cluster while two members of the real one restarted: the third member, no seed, was connected to both, but a founder asked its seeds alone and members send no consensus messages to stores that were removed.

--- a/apps/store/src/Founding.test.ts
+++ b/apps/store/src/Founding.test.ts
@@ -29,6 +29,7 @@
     hasEarlierRun: () => false,
     findEvidence: () => undefined,
     foundCluster: () => calls.push('found'),
+    askConnectedStores: () => {},
     onEnded: () => calls.push('ended'),
     ...options,
   });
--- a/apps/store/src/Founding.ts
+++ b/apps/store/src/Founding.ts
@@ -5,6 +5,7 @@
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type {
   FoundingAnswer,
+  KnownMembers,
   Milliseconds,
   MonotonicMilliseconds,
   StoreRequest,
@@ -50,6 +51,8 @@
   /** What the log and the disk of this store know of a cluster. */
   findEvidence(): ClusterEvidence | undefined;
   foundCluster(): void;
+  /** Asks the stores that have connected to this one, which may be no seeds, for the members they know. */
+  askConnectedStores(): void;
   /** Called when this store turns out not to found, or no longer tries to. */
   onEnded(): void;
 }
@@ -64,6 +67,7 @@
   readonly outcome: Promise<FoundingOutcome>;
   readonly cancelTimer: Unsubscribe;
   logDueAt: MonotonicMilliseconds;
+  connectedAskDueAt: MonotonicMilliseconds;
   resolve(outcome: FoundingOutcome): void;
 }
 
@@ -145,6 +149,11 @@
     this.hasReceivedMessage = true;
   }
 
+  /** Takes note of the members that a store knows, which may be none. */
+  recordMembers({ stores }: KnownMembers): void {
+    this.hasReceivedMessage ||= stores.length > 0;
+  }
+
   private get earlierRunUntil(): MonotonicMilliseconds {
     return this.options.hasEarlierRun() ? this.createdAt + PROMISE_MILLISECONDS : this.createdAt;
   }
@@ -169,6 +178,7 @@
       resolve,
       cancelTimer: timers.every(ASK_INTERVAL_MILLISECONDS, () => this.proceed()),
       logDueAt: startedAt + FIRST_LOG_MILLISECONDS,
+      connectedAskDueAt: startedAt,
     };
   }
 
@@ -179,6 +189,7 @@
     switch (decision.type) {
       case 'wait':
         this.askSeeds(candidacy);
+        this.askConnected(candidacy);
         this.logWaiting(candidacy);
         return;
       case 'found':
@@ -226,6 +237,13 @@
     });
   }
 
+  private askConnected(candidacy: Candidacy): void {
+    const now = this.options.timers.monotonicNow();
+    if (now < candidacy.connectedAskDueAt) return;
+    candidacy.connectedAskDueAt = now + REPEAT_MILLISECONDS;
+    this.options.askConnectedStores();
+  }
+
   private async askSeed(
     candidacy: Candidacy,
     seed: string,
--- a/apps/store/src/JoinRequests.ts
+++ b/apps/store/src/JoinRequests.ts
@@ -109,7 +109,7 @@
     this.hasLeaderAnswered = false;
     if (this.usesLearntMembers) {
       this.connectToLearntMembers();
-      this.sessions.forEach((session) => this.requestMembers(session));
+      this.requestMembersFromAll();
     }
     if (isNeeded) this.options.peers.all.forEach((peer) => this.sendRequest(peer));
   }
@@ -136,6 +136,11 @@
     peers.setLearnt(this.learntMembers.addressesBeside(readOwnMembers()));
   }
 
+  /** Asks all stores that have connected to this one for the members that they know. */
+  requestMembersFromAll(): void {
+    this.sessions.forEach((session) => this.requestMembers(session));
+  }
+
   private requestMembers(session: PeerSession): void {
     const request: MembersRequest = { type: 'requestMembers' };
     session.push(request);
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -19,6 +19,7 @@
   type CommandResult,
   type DigestAcknowledgement,
   type EntryReport,
+  type KnownMembers,
   type MembersAnswer,
   type StampedCommand,
   type ProcessAddress,
@@ -240,6 +241,7 @@
       hasEarlierRun: () => this.loop.state.self.run.count > 1,
       findEvidence: () => this.findClusterEvidence(),
       foundCluster: () => this.foundCluster(),
+      askConnectedStores: () => this.joinRequests.requestMembersFromAll(),
       onEnded: () => this.joinRequests.start(),
     });
     this.requestHandler = new StoreRequestHandler({
@@ -436,7 +438,7 @@
         this.requestHandler.acknowledgeDigest(session, message);
         return;
       case 'members':
-        if (isStore) this.joinRequests.learn(message.members);
+        if (isStore) this.receiveMembers(message.members);
         return;
       default:
         // A message of a newer version.
@@ -449,6 +451,11 @@
     this.dispatch({ type: 'received', envelope });
   }
 
+  private receiveMembers(members: KnownMembers): void {
+    this.founding.recordMembers(members);
+    this.joinRequests.learn(members);
+  }
+
   private isMember(): boolean {
     const { state } = this.loop;
     return currentMembership(state).members.some(
