Continue a stream only where its version is known

Callers saw: all entries were killed at once while, or just before, one software version replaced another.

Cause: origins were told to the stores only while versions were mixed, so nobody knew where the streams of a pool of one version had begun once its entries were gone. And an entry that had just started, which knows no list before its first one, took "no second version seen" for "there was none".

Versions are recorded as a history that says since when it is complete; stores keep it on their disks and hand it to entries that start. A stream of unknown origin goes on only if the history covers the time in which its caller may still be waiting and holds one version, and is bound to that version at its admission. Refusals and admissions log what they were decided by.

Why it works: a stream goes on only at the version that the entry which began it has stated, or where no other version can have begun it. What is lost leads to a refusal, never to a guess.

Test replaced: "origins are told only while servers of several versions are in use" asserted the fault. The new one is as strict about the number of messages: one a stream, none when a second version appears, none without stated versions. VersionIndex.test asks findOnlyVersion in place of hadSeveral, with the same expectations.

--- a/apps/store/src/PersistedEntryState.test.ts
+++ b/apps/store/src/PersistedEntryState.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Logger } from '@hornbeampond/runtime';
-import type { EntryReport, Milliseconds, PersistedEntryData } from '@hornbeampond/schema';
+import type {
+  EntryReport,
+  Milliseconds,
+  PersistedEntryData,
+  SharedInstance,
+} from '@hornbeampond/schema';
 import { ManualTimerService } from '@hornbeampond/testing';
 import { PersistedEntryState } from './PersistedEntryState.js';
 import { MemoryDisk } from './testing/MemoryDisk.js';
@@ -132,3 +137,46 @@
   assert.deepEqual([usage, prefixes], [[], computed]);
   assert.equal(spending?.windowReach, 8000);
 });
+
+function listServer(version: string): SharedInstance {
+  const place = { dataCentre: 'a', instanceClass: 'gpu', host: '127.0.0.1', port: 1 };
+  return { instance: `engine-${version}`, pool: 'engines', version, state: 'live', ...place };
+}
+
+// All processes lose power while one version replaces another. Guards against entries that start with
+// the first list that they receive, and take its version for the one that began all streams.
+test('versions that servers have had are restored after a power loss', async () => {
+  const disk = new MemoryDisk();
+  const before = makeState(disk);
+  await before.state.open();
+  assert.equal(before.state.contentsForEntries.versions, undefined);
+  before.state.recordInstanceList([listServer('v1')]);
+  before.timers.advance(1000);
+  await flushPromises();
+  before.state.recordInstanceList([listServer('v1')]);
+  before.timers.advance(250);
+  await flushPromises();
+  const after = makeState(disk);
+  after.timers.advance(4000);
+  await after.state.open();
+  const { history } = after.state.contentsForEntries.versions ?? {};
+  assert.deepEqual(history, {
+    knownFor: 4000,
+    lastListAge: 3000,
+    pools: { engines: [{ version: 'v1', age: 0, isListed: true }] },
+  });
+});
+
+// Guards against ages that are too short because the clock of the machine was set back.
+test('versions are not restored if the clock was set back', async () => {
+  const disk = new MemoryDisk();
+  const before = makeState(disk);
+  await before.state.open();
+  before.timers.advance(4000);
+  before.state.recordInstanceList([listServer('v1')]);
+  before.timers.advance(250);
+  await flushPromises();
+  const after = makeState(disk);
+  await after.state.open();
+  assert.equal(after.state.contentsForEntries.versions, undefined);
+});
--- a/apps/store/src/PersistedEntryState.ts
+++ b/apps/store/src/PersistedEntryState.ts
@@ -1,19 +1,25 @@
 /**
  * Saves to the store's disk what entries hold in memory only and need after all of them have lost
- * power: spent allowances, computed prompt prefixes, estimated delays and counts of started requests.
- * Without this state allowances would be spent twice, prompts computed again and usage undercounted.
+ * power: spent allowances, computed prompt prefixes, estimated delays, counts of started requests and the
+ * software versions that backend servers have had. Without this state allowances would be spent twice,
+ * prompts computed again and usage undercounted, and streams whose origin is lost could not go on.
  *
  * Saving is best effort: the state is written a few times a second and not replicated, and a store
  * that cannot read or write the state continues without it.
  */
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type {
-  EntryReport,
-  EntrySpending,
-  Milliseconds,
-  MonotonicMilliseconds,
-  PersistedEntryData,
-  WorkReport,
+import {
+  ageHistory,
+  groupVersions,
+  VersionHistory,
+  type EntryReport,
+  type EntrySpending,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type PersistedEntryData,
+  type PersistedVersions,
+  type SharedInstance,
+  type WorkReport,
 } from '@hornbeampond/schema';
 import { RecentPrefixes } from './RecentPrefixes.js';
 import type { StoreDisk } from './StoreDisk.js';
@@ -43,6 +49,8 @@
 
   private readonly usage = new RecentEntryUsage();
 
+  private readonly versions = new VersionHistory();
+
   /** The latest reported spending of each entry, by instance. */
   private readonly spendingByEntry = new Map<string, EntrySpending>();
 
@@ -60,15 +68,22 @@
   constructor(private readonly options: PersistedEntryStateOptions) {}
 
   get contents(): PersistedEntryData {
-    const { spending, delays } = this;
+    const { spending, delays, recordedVersions } = this;
     return {
       ...(spending === undefined ? {} : { spending }),
+      ...(recordedVersions === undefined ? {} : { versions: recordedVersions }),
       usage: this.usage.reports,
       delays,
       computed: this.prefixes.computed,
     };
   }
 
+  private get recordedVersions(): PersistedVersions | undefined {
+    const { timers } = this.options;
+    const history = this.versions.toMessage(timers.monotonicNow());
+    return history === undefined ? undefined : { at: timers.wallNow(), history };
+  }
+
   /**
    * What a starting entry uses of `contents`, limited in size: after a power loss hundreds of entries
    * request it at the same time, and their links are slow.
@@ -91,6 +106,7 @@
       this.delays = saved?.delays ?? {};
       this.prefixes.record(saved?.computed ?? {});
       saved?.usage.forEach((usage) => this.usage.record(usage));
+      this.adoptVersions(saved?.versions);
     } catch (error) {
       logger.write('memoryUnreadable', { reason: String(error) });
     }
@@ -129,9 +145,20 @@
     if (begun !== undefined) this.usage.record({ instance, incarnation, begun });
   }
 
-  /** Removes the prefixes of backend servers that are not among the listed instances. */
-  removeUnlistedInstances(instances: readonly string[]): void {
-    this.prefixes.retainOnly(instances);
+  /** Records the versions of the listed instances, and removes the prefixes of all others. */
+  recordInstanceList(instances: readonly SharedInstance[]): void {
+    this.hasChanged = true;
+    this.prefixes.retainOnly(instances.map(({ instance }) => instance));
+    this.versions.recordList(groupVersions(instances), this.options.timers.monotonicNow());
+  }
+
+  private adoptVersions(saved: PersistedVersions | undefined): void {
+    if (saved === undefined) return;
+    const { timers } = this.options;
+    const elapsed = timers.wallNow() - saved.at;
+    // The clock was set back: the ages are not known.
+    if (elapsed < 0) return;
+    this.versions.adopt(ageHistory(saved.history, elapsed), timers.monotonicNow());
   }
 
   /** Writes no more. */
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -261,7 +261,7 @@
       digestPublisher: this.digestPublisher,
       onWorkReport: (work) => this.persistedEntryState.recordWork(work),
       onSpendingReport: (spending) => this.persistedEntryState.recordSpending(spending),
-      onInstanceList: (instances) => this.persistedEntryState.removeUnlistedInstances(instances),
+      onInstanceList: (instances) => this.persistedEntryState.recordInstanceList(instances),
       readPersistedEntryState: (role) =>
         role === 'entry'
           ? this.persistedEntryState.contentsForEntries
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -12,6 +12,7 @@
   type FoundingAnswer,
   type InstanceReport,
   type PersistedEntryData,
+  type SharedInstance,
   type SpendingReport,
   type StoreCommand,
   type StorePush,
@@ -58,8 +59,7 @@
   onWorkReport(work: WorkReport): void;
   onSpendingReport(spending: SpendingReport): void;
   readonly instanceList: InstanceListCache;
-  /** Called with the names of all listed instances when the list arrives. */
-  onInstanceList(instances: readonly string[]): void;
+  onInstanceList(instances: readonly SharedInstance[]): void;
   /** Persisted state for a subscriber of this role. */
   readPersistedEntryState(role: InstanceReport['role']): PersistedEntryData;
   /** With fewer voters than this, changes of the tables are refused. */
@@ -118,7 +118,7 @@
         respond(this.makeAcceptedResponse());
         return;
       case 'shareInstances':
-        this.options.onInstanceList(request.instances.map(({ instance }) => instance));
+        this.options.onInstanceList(request.instances);
         subscribers.push({
           type: 'instances',
           ...this.options.instanceList.update(request.instances),
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -10,7 +10,6 @@
   type MonotonicMilliseconds,
   type Pool,
   type Route,
-  type StreamOrigin,
 } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
 import type { CallerRequest, Timestamps } from '../entryEvents.js';
@@ -27,6 +26,7 @@
 import {
   awaitOrigin,
   resolveOrigin,
+  type OriginResolution,
   UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS,
 } from '../streamVersions/resolveOrigin.js';
 import { acquireConcurrencySlot } from '../limits/releaseEndedRequests.js';
@@ -80,7 +80,7 @@
   pool: Pool,
   arrivedAt: MonotonicMilliseconds,
   wallNow: EpochMilliseconds,
-  origin: StreamOrigin | undefined,
+  binding: VersionBinding,
 ): RequestState {
   const index = getRouteIndex(state);
   const deadline = deadlineAt(route, wallNow, index.clock);
@@ -102,10 +102,31 @@
     triedInstances: new Set(),
     tokens: 0,
     firstTokenAt: undefined,
-    ...(origin === undefined ? {} : { boundVersion: { version: origin.version }, isTakenUp: true }),
+    ...binding,
   };
 }
 
+/** What a request that takes a stream up may use, as far as that is known before its first attempt. */
+type VersionBinding = Pick<RequestState, 'boundVersion' | 'isTakenUp'>;
+
+function bindBeforeAttempt(
+  state: EntryState,
+  resolution: OriginResolution,
+  pool: string,
+): VersionBinding {
+  switch (resolution.type) {
+    case 'known':
+      return { boundVersion: { version: resolution.origin.version }, isTakenUp: true };
+    case 'onlyVersion': {
+      // Bound now: another version may be listed by the time of the first attempt.
+      const version = state.versions.findOnlyVersion(pool, resolution.since);
+      return version === undefined ? {} : { boundVersion: { version } };
+    }
+    default:
+      return {};
+  }
+}
+
 /**
  * Counts the request as demand that the fleet is sized for, even if it is refused. Requests over a
  * workspace's allowance do not count: they would be refused by a larger fleet too, and instances
@@ -131,10 +152,14 @@
   return { resumes: resumption.firstRequestId ?? '', afterEvent: resumption.afterEvent };
 }
 
-function refuseContinuation(request: CallerRequest, route: Route, detail: string): EntryEffect[] {
+function refuseContinuation(
+  request: CallerRequest,
+  route: Route,
+  { detail, facts: known }: Extract<OriginResolution, { type: 'refused' }>,
+): EntryEffect[] {
   const retryAfterMilliseconds = UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS;
   const problem = { ran: 'no', retryAfterMilliseconds } as const;
-  const facts = { route: route.name, ...describeResumption(request) };
+  const facts = { route: route.name, ...describeResumption(request), ...known };
   return refuseRequest(request, 'versionUnavailable', detail, problem, facts);
 }
 
@@ -164,7 +189,7 @@
     const { firstRequestId } = resolution;
     return awaitOrigin(state, { request: arrived, firstRequestId, arrivedAt });
   }
-  if (resolution.type === 'refused') return refuseContinuation(request, route, resolution.detail);
+  if (resolution.type === 'refused') return refuseContinuation(request, route, resolution);
   const origin = resolution.type === 'known' ? resolution.origin : undefined;
   const poolName = origin?.pool ?? choosePool(route, state.random);
   const pool = getRouteIndex(state).pool(poolName);
@@ -179,7 +204,8 @@
     );
   }
   const { wallNow } = timestamps;
-  const accepted = makeRequestState(state, request, route, pool, arrivedAt, wallNow, origin);
+  const binding = bindBeforeAttempt(state, resolution, poolName);
+  const accepted = makeRequestState(state, request, route, pool, arrivedAt, wallNow, binding);
   const overdue = refuseOverdueArrival(accepted, timestamps.now);
   if (overdue !== undefined) return overdue;
   const decision = decideAdmission(state, accepted, timestamps.now);
@@ -225,7 +251,9 @@
         waited: Math.round(timestamps.now - arrivedAt),
         tokens: request.countedTokens,
         ...describeResumption(request),
-        ...(origin === undefined ? {} : { version: origin.version }),
+        ...(binding.boundVersion === undefined
+          ? {}
+          : { version: binding.boundVersion.version, origin: resolution.type }),
       },
     },
     ...(requiresClaim(route)
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -51,12 +51,11 @@
   }
 }
 
-/** Returns the pools that have servers of several software versions from now on. */
 export function applyInstanceList(
   state: EntryState,
   instances: readonly PlatformInstance[],
   now: MonotonicMilliseconds,
-): Set<string> {
+): void {
   // Servers in the first list were running before this entry: slow start would only hold back work
   // that they can take.
   const isFirstList = state.backendServers.size === 0;
@@ -93,7 +92,6 @@
   state.rests.retainOnly(isListed, now);
   state.departures.retainOnly(isListed, now);
   refreshConcurrencyLimits(state);
-  const newlyMixedPools = state.versions.update(state.backendServers.values(), now);
+  state.versions.update(state.backendServers.values(), now);
   rebuildCandidateGroups(state);
-  return newlyMixedPools;
 }
--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -3,13 +3,15 @@
  * due tasks run by due time and then in the order in which they were scheduled, so runs are
  * deterministic.
  */
-import type {
-  Configuration,
-  EntryReport,
-  PlatformInstance,
-  ReportCrashCommand,
-  StreamOrigin,
-  WorkReport,
+import {
+  groupVersions,
+  VersionHistory,
+  type Configuration,
+  type EntryReport,
+  type PlatformInstance,
+  type ReportCrashCommand,
+  type StreamOrigin,
+  type WorkReport,
 } from '@hornbeampond/schema';
 import type { CallerRequest, Timestamps } from '../entryEvents.js';
 import { SimulatedEntry, type CallerRecord } from './SimulatedEntry.js';
@@ -27,6 +29,9 @@
 const TICK_MILLISECONDS = 50;
 const FIND_ORIGIN_TIMEOUT_MILLISECONDS = 250;
 
+/** For how long the store has received lists when a simulation starts. */
+const EARLIER_HISTORY_MILLISECONDS = 3_600_000;
+
 export interface SimulatedClusterOptions {
   /** Number of engines in each data centre. */
   readonly engines: Readonly<Record<string, number>>;
@@ -110,6 +115,9 @@
 
   private readonly streamOrigins = new Map<string, StreamOrigin>();
 
+  /** The versions of servers as the store has recorded them on its disk. */
+  private versionHistory = new VersionHistory();
+
   constructor(options: SimulatedClusterOptions) {
     this.rates = { ...defaultEngineRates, ...options.rates };
     this.crashTokenByDigest = options.crashTokenByDigest ?? new Map();
@@ -125,6 +133,9 @@
         this.addEngine(`${dataCentre}-engine-${number}`, dataCentre, version);
       }
     });
+    const earlier = { knownFor: EARLIER_HISTORY_MILLISECONDS, lastListAge: 0, pools: {} };
+    this.versionHistory.adopt(earlier, this.now);
+    this.recordVersions();
     const dataCentres = Object.keys(options.engines);
     const configuration =
       options.configuration ??
@@ -154,9 +165,28 @@
     entry.send({ type: 'configurationReceived', configuration: this.configuration });
     const instances = [...this.platformInstances, ...this.startingInstances];
     entry.send({ type: 'instancesListed', instances });
+    this.sendVersionHistory(entry);
     return entry;
   }
 
+  private sendVersionHistory(entry: SimulatedEntry): void {
+    const history = this.versionHistory.toMessage(this.now);
+    if (!this.storeReachable || history === undefined) return;
+    const versions = { at: this.clock().wallNow, history };
+    const remembered = { usage: [], delays: {}, computed: {}, versions };
+    entry.send({ type: 'knowledgeRemembered', remembered });
+  }
+
+  /** Simulates the store with an empty disk. */
+  forgetVersions(): void {
+    this.versionHistory = new VersionHistory();
+  }
+
+  private recordVersions(): void {
+    const listed = [...this.platformInstances, ...this.startingInstances];
+    this.versionHistory.recordList(groupVersions(listed), this.now);
+  }
+
   /** Adds an engine and lists it on the platform. */
   addEngine(instance: string, dataCentre: string, version?: string): void {
     const engine = this.makeEngine(instance, dataCentre, version);
@@ -196,6 +226,11 @@
 
   private sendList(): void {
     const instances = [...this.platformInstances, ...this.startingInstances];
+    // An entry that runs shares each list with the store.
+    const sharing = this.entries.filter(
+      ({ alive, reachesPlatform, reachesStores }) => alive && reachesPlatform && reachesStores,
+    );
+    if (this.storeReachable && sharing.length > 0) this.recordVersions();
     this.entries
       .filter(({ reachesPlatform }) => reachesPlatform)
       .forEach((entry) => entry.send({ type: 'instancesListed', instances }));
--- a/packages/entry-core/src/membership/restorePersistedState.ts
+++ b/packages/entry-core/src/membership/restorePersistedState.ts
@@ -1,6 +1,6 @@
 /**
  * Restores, when an entry starts, the state that a store has persisted: spending, delays to the
- * first token and cached prefixes.
+ * first token, cached prefixes and the software versions that backend servers have had.
  */
 import type { MonotonicMilliseconds, PersistedEntryData } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
@@ -10,12 +10,13 @@
 
 export function restorePersistedState(
   state: EntryState,
-  { spending, delays, computed }: PersistedEntryData,
+  { spending, delays, computed, versions }: PersistedEntryData,
   { now, wallNow }: Timestamps,
 ): void {
   if (spending !== undefined) {
     state.limits.allowanceLimiter.restore(spending, state.identity.instance, now, wallNow);
   }
+  if (versions !== undefined) state.versions.adoptHistory(versions.history, now);
   Object.entries(delays).forEach(([pool, delay]) => {
     getPoolState(state, pool).firstTokenRegression.adopt(delay);
   });
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -37,7 +37,7 @@
 import { updateVersions } from './rollouts/updateVersions.js';
 import { startShutdown } from './shutdown/advanceShutdown.js';
 import { receiveStatement } from './statements/receiveStatement.js';
-import { shareAllOrigins, shareOriginsOfNewlyMixed } from './streamVersions/shareOrigins.js';
+import { shareAllOrigins } from './streamVersions/shareOrigins.js';
 
 export function reduceEntry(state: EntryState, event: EntryEvent): EntryEffect[] {
   state.clocks = { now: event.now, wallNow: event.wallNow };
@@ -78,11 +78,8 @@
   instances: readonly PlatformInstance[],
   timestamps: Timestamps,
 ): EntryEffect[] {
-  const newlyMixedPools = applyInstanceList(state, instances, timestamps.now);
-  return [
-    ...shareOriginsOfNewlyMixed(state, newlyMixedPools, timestamps.now),
-    ...recordListedReclaimNotices(state, instances, timestamps),
-  ];
+  applyInstanceList(state, instances, timestamps.now);
+  return recordListedReclaimNotices(state, instances, timestamps);
 }
 
 function dispatchEvent(state: EntryState, event: EntryEvent): EntryEffect[] {
--- a/packages/entry-core/src/streamVersions/StreamOrigins.ts
+++ b/packages/entry-core/src/streamVersions/StreamOrigins.ts
@@ -56,10 +56,10 @@
     return found === undefined || found.expiresAt <= now ? undefined : found;
   }
 
-  /** The origins in these pools, with the time for which each is still of use. */
-  list(pools: ReadonlySet<string>, now: MonotonicMilliseconds): StreamOrigin[] {
+  /** The origins with the time for which each is still of use. */
+  list(now: MonotonicMilliseconds): StreamOrigin[] {
     return [...this.known.values()]
-      .filter(({ origin, expiresAt }) => pools.has(origin.pool) && expiresAt > now)
+      .filter(({ expiresAt }) => expiresAt > now)
       .map(({ origin, expiresAt }) => ({ ...origin, lifetime: expiresAt - now }));
   }
 
--- a/packages/entry-core/src/streamVersions/VersionIndex.test.ts
+++ b/packages/entry-core/src/streamVersions/VersionIndex.test.ts
@@ -17,7 +17,7 @@
   const index = new VersionIndex();
   lists.forEach((versions, second) => index.update(listServers(versions), second * 1000));
   const seconds = lists.map((_versions, second) => second * 1000);
-  return seconds.findLast((since) => index.hadSeveral(POOL, since));
+  return seconds.findLast((since) => index.findOnlyVersion(POOL, since) === undefined);
 }
 
 // Guards against streams that began at a version whose servers are gone, and that go on at the next one
--- a/packages/entry-core/src/streamVersions/resolveOrigin.ts
+++ b/packages/entry-core/src/streamVersions/resolveOrigin.ts
@@ -1,11 +1,12 @@
 /**
  * Decides where a request may go whose caller asks for the rest of a stream. The entry that relayed the
  * beginning may be another one, or be gone, so what this entry does not know it asks the stores, which
- * keep the origins of streams while a pool has servers of several versions. A stream whose origin
- * nobody knows is refused while versions are mixed: any server would continue it, also a wrong one. So
- * is one that an entry cannot ask about while its list may miss a version.
+ * keep the origins of streams. A stream whose origin nobody knows goes on only if a single version can
+ * have begun it: any server would continue it, also a wrong one. An entry knows that for a time of which
+ * it, or a store before it, has received all lists.
  */
 import type {
+  LogFields,
   Milliseconds,
   MonotonicMilliseconds,
   Route,
@@ -15,17 +16,20 @@
 import type { CallerRequest, EntryEvent } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { listPools } from '../routing/choosePool.js';
+import { ORIGIN_MARGIN_MILLISECONDS } from './StreamOrigins.js';
 
 /** A store may learn the origin within this time, or a caller's other entry be reachable again. */
 export const UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
 export type OriginResolution =
-  /** No stream is taken up, or any server may continue it. */
+  /** No stream is taken up, or the platform states no versions. */
   | { readonly type: 'any' }
+  /** Nobody knows the origin, but only one version has been in use since `since`. */
+  | { readonly type: 'onlyVersion'; readonly since: MonotonicMilliseconds }
   | { readonly type: 'known'; readonly origin: StreamOrigin }
   /** The stores have to be asked. */
   | { readonly type: 'ask'; readonly firstRequestId: string }
-  | { readonly type: 'refused'; readonly detail: string };
+  | { readonly type: 'refused'; readonly detail: string; readonly facts: LogFields };
 
 export interface RequestAwaitingOrigin {
   readonly request: CallerRequest;
@@ -35,34 +39,49 @@
 
 const ANY: OriginResolution = { type: 'any' };
 
-const UNKNOWN_VERSION: OriginResolution = {
-  type: 'refused',
-  detail: 'It is not known which version began the stream',
-};
+function refuseUnknown(facts: LogFields): OriginResolution {
+  return { type: 'refused', detail: 'It is not known which version began the stream', facts };
+}
+
+/** How long ago a stream may have begun whose caller has not given up yet. */
+function maxStreamAge({ deadline }: Route, patience: Milliseconds = 0): Milliseconds {
+  return Math.max(deadline.wholeAnswerMilliseconds, patience) + ORIGIN_MARGIN_MILLISECONDS;
+}
 
 export function resolveOrigin(
   state: EntryState,
-  { resumption, workspace }: CallerRequest,
+  { resumption, workspace, patience }: CallerRequest,
   route: Route,
   now: MonotonicMilliseconds,
 ): OriginResolution {
   if (resumption === undefined || !route.idempotent) return ANY;
   const pools = listPools(route);
-  if (!pools.some((pool) => state.versions.areStated(pool))) return ANY;
+  const statedPools = pools.filter((pool) => state.versions.mayBeStated(pool));
+  if (statedPools.length === 0) return ANY;
   const { firstRequestId } = resumption;
+  let isConclusive = false;
   if (firstRequestId !== undefined) {
     const origin = state.streamOrigins.find(firstRequestId, workspace, now);
     if (origin !== undefined && pools.includes(origin.pool)) return { type: 'known', origin };
     if (origin !== undefined) {
-      return { type: 'refused', detail: `The stream began in pool "${origin.pool}"` };
+      const detail = `The stream began in pool "${origin.pool}"`;
+      return { type: 'refused', detail, facts: { pool: origin.pool } };
     }
     const unknown = state.streamOrigins.findUnknown(firstRequestId, now);
     if (unknown === undefined) return { type: 'ask', firstRequestId };
-    // Out of touch, with an old list: other entries may have begun streams at a version unknown here.
-    if (!unknown.isConclusive && !state.versions.isCurrent(now)) return UNKNOWN_VERSION;
+    isConclusive = unknown.isConclusive;
   }
-  const since = now - route.deadline.wholeAnswerMilliseconds;
-  return pools.some((pool) => state.versions.hadSeveral(pool, since)) ? UNKNOWN_VERSION : ANY;
+  // Out of touch, with an old list: other entries may have begun streams at a version unknown here.
+  const mayMissVersion = !isConclusive && !state.versions.isCurrent(now);
+  const since = now - maxStreamAge(route, patience);
+  const unclearPool = statedPools.find(
+    (pool) => mayMissVersion || state.versions.findOnlyVersion(pool, since) === undefined,
+  );
+  if (unclearPool === undefined) return { type: 'onlyVersion', since };
+  return refuseUnknown({
+    ...state.versions.describeVersions(unclearPool, since, now),
+    isConclusive,
+  });
 }
 
 /** Holds a request until the stores have answered. */
--- a/packages/entry-core/src/streamVersions/shareOrigins.ts
+++ b/packages/entry-core/src/streamVersions/shareOrigins.ts
@@ -1,7 +1,7 @@
 /**
  * Tells the stores where streams began, so that any entry can continue them at the same version when
- * this one is gone. A pool whose servers are all of one version needs no records. When a second version
- * appears, the streams that callers may still take up are told then.
+ * this one is gone. Streams of a pool whose servers are all of one version are told too: another version
+ * may replace it while all entries that know where they began are down.
  */
 import type { Milliseconds, MonotonicMilliseconds, StreamOrigin } from '@hornbeampond/schema';
 import type { AttemptState } from '../attempts/AttemptState.js';
@@ -33,19 +33,10 @@
   const lifetime = requestState.arrivedAt + returnTime - now;
   const origin = { requestId, workspace, pool, version, lifetime };
   state.streamOrigins.record(origin, now);
-  return state.versions.hadSeveral(pool, now - returnTime) ? shareWithStores([origin]) : [];
-}
-
-/** Tells the stores of all streams in pools that have servers of several versions from now on. */
-export function shareOriginsOfNewlyMixed(
-  state: EntryState,
-  pools: ReadonlySet<string>,
-  now: MonotonicMilliseconds,
-): EntryEffect[] {
-  return pools.size === 0 ? [] : shareWithStores(state.streamOrigins.list(pools, now));
+  return shareWithStores([origin]);
 }
 
 /** Tells a store that has just become reachable, and may have started without what it kept. */
 export function shareAllOrigins(state: EntryState, now: MonotonicMilliseconds): EntryEffect[] {
-  return shareWithStores(state.streamOrigins.list(state.versions.listMixedPools(), now));
+  return shareWithStores(state.streamOrigins.list(now));
 }
--- a/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
+++ b/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
@@ -89,17 +89,57 @@
   assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'again'));
 });
 
-// Guards against entries that send frames for streams of pools with one version, which need none.
-test('origins are told only while servers of several versions are in use', () => {
+// Guards against origins that are told late or again: a stream of a pool with one version is told too,
+// since another version may replace it while all entries are down, and told once, as it begins.
+test('the origin of each stream is told once, whether or not servers of several versions are in use', () => {
   const cluster = startCluster(['v1']);
   startStream(cluster);
-  assert.equal(cluster.originMessages, 0);
+  assert.equal(cluster.originMessages, 1);
   cluster.addEngine('wien-a-engine-9', 'wien-a', 'v2');
+  cluster.advance(1000);
   assert.equal(cluster.originMessages, 1);
   startStream(cluster, 'next');
   assert.equal(cluster.originMessages, 2);
 });
 
+// Guards against frames for streams that go on at any server.
+test('no origins are told where the platform states no versions', () => {
+  const cluster = new SimulatedCluster({ engines: { 'wien-a': 4 }, entries: 3 });
+  startStream(cluster);
+  assert.equal(cluster.originMessages, 0);
+});
+
+// Guards against an entry that knows versions from its own first list on only, and takes the version of
+// a stream that nobody knows for that one: the stores have lost their disks as well.
+test('a stream of unknown origin is refused until versions are known for as long as it may have run', () => {
+  const cluster = startCluster(['v1']);
+  const brokenOff = startStream(cluster);
+  cluster.entries.forEach((entry) => entry.kill());
+  cluster.forgetOrigins();
+  cluster.forgetVersions();
+  cluster.restartEntry(1);
+  const refused = cluster.entryAt(1).takeUp(brokenOff, 'again');
+  cluster.advance(300);
+  assert.equal(describeEnd(refused), 'versionUnavailable');
+});
+
+// Guards against a request that waits in a queue and is then sent to a version that was listed meanwhile.
+test('a stream of unknown origin stays with the only version at its arrival', () => {
+  const cluster = startCluster(['v1']);
+  const brokenOff = startStream(cluster);
+  cluster.entryAt(0).kill();
+  cluster.forgetOrigins();
+  const servers = [...cluster.engines.values()];
+  servers.forEach((engine) => engine.die());
+  const caller = cluster.entryAt(1).takeUp(brokenOff, 'again');
+  cluster.advance(100);
+  cluster.addEngine('wien-a-engine-9', 'wien-a', 'v2');
+  cluster.publishAliveEngines();
+  cluster.advance(10_000);
+  assert.deepEqual([...caller.versions], ['v1']);
+  assert.equal(caller.tokens.length, brokenOff.tokens.length);
+});
+
 // Guards against a store that starts anew and is not told what it kept, while the entries go one by one.
 test('a stream goes on whose origin the stores had lost', () => {
   const cluster = startCluster();
--- a/packages/schema/src/messages/entryMessages.ts
+++ b/packages/schema/src/messages/entryMessages.ts
@@ -10,6 +10,7 @@
 import type { EpochMilliseconds, Milliseconds, MonotonicMilliseconds } from '../units.js';
 import type { CapacityUse } from './capacityUse.js';
 import type { ServerSpeedsMessage } from './serverSpeeds.js';
+import type { VersionHistoryMessage } from './VersionHistory.js';
 
 /** A request that may have crashed backend servers, as one entry reports it. */
 export interface PeerSuspect {
@@ -117,6 +118,15 @@
   readonly delays: Readonly<Record<string, DelayRegressionState>>;
   /** Digests of prompt prefixes that were computed, by backend server. */
   readonly computed: Readonly<Record<string, readonly string[]>>;
+  /** Missing before the store has received a list, and from stores of older versions. */
+  readonly versions?: PersistedVersions;
+}
+
+/** The software versions of backend servers, as a store has recorded them. */
+export interface PersistedVersions {
+  /** When the ages were taken, by the clock of the store. */
+  readonly at: EpochMilliseconds;
+  readonly history: VersionHistoryMessage;
 }
 
 /** Number of requests that began to run, by number of the usage window and then by workspace. */
