Ask the stores again for an origin when its caller comes back

Callers saw: a stream that was refused because no store could be asked, with half a second until the next try, was refused again at that try without a question to the stores, although they could be reached by then.

Cause: the answer "not known" was remembered for 1 s, the caller was told 0.5 s. It is remembered only so that a request is asked for once when it is admitted after the answer.

Change: remembered for 250 ms, less than callers are told to wait.

Evidence: the new test in takenUpStreams.test got versionUnavailable without the change and goes on with it.

--- a/packages/entry-core/src/streamVersions/StreamOrigins.ts
+++ b/packages/entry-core/src/streamVersions/StreamOrigins.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds, MonotonicMilliseconds, StreamOrigin } from '@hornbeampond/schema';
 
-/** For how long it is remembered that no store knows an origin, so that it is asked for only once. */
-const UNKNOWN_LIFETIME_MILLISECONDS: Milliseconds = 1000;
+/**
+ * For how long it is remembered that no store knows an origin, so that it is asked for only once for a
+ * request. Less than `UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS`: who comes back then is asked for anew.
+ */
+const UNKNOWN_LIFETIME_MILLISECONDS: Milliseconds = 250;
 
 /** A caller may return shortly after its deadline by the clock of this process. */
 export const ORIGIN_MARGIN_MILLISECONDS: Milliseconds = 2000;
--- a/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
+++ b/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
@@ -165,6 +165,22 @@
   assert.equal(end?.type === 'problem' ? end.ran : undefined, 'no');
 });
 
+// Guards against a caller who comes back when it was told to and is refused by an answer that is old: the
+// stores can be asked again by then.
+test('a stream that was refused goes on after the stated time if the stores can be asked then', () => {
+  const cluster = startCluster();
+  const brokenOff = startStream(cluster);
+  cluster.entryAt(0).kill();
+  cluster.storeReachable = false;
+  const refused = cluster.entryAt(1).takeUp(brokenOff, 'again');
+  cluster.advance(300);
+  const [end] = refused.finalAnswers;
+  assert.ok(end?.type === 'problem' && end.retryAfterMilliseconds !== undefined);
+  cluster.storeReachable = true;
+  cluster.advance(end.at + end.retryAfterMilliseconds - cluster.clock().now);
+  assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'once more'));
+});
+
 const badReferences: Readonly<Record<string, Partial<StreamResumption>>> = {
   'that names no request': {},
   'that names an unknown request': { firstRequestId: 'nobody' },
