--- a/apps/store/src/testing/failedStoreMain.ts
+++ b/apps/store/src/testing/failedStoreMain.ts
@@ -1,6 +1,7 @@
 /**
- * Fails a store whose disk is refused, or takes writes again after a failure. The arguments are the data folder, what its disk does, and a named
- * pipe that nobody reads, whose opening waits as a write to a stalled disk does.
+ * Fails a store whose disk is refused, or takes writes again after a failure. The arguments are the data
+ * folder, what its disk does, and a named pipe that nobody reads, whose opening waits as a write to a
+ * stalled disk does.
  */
 import { open } from 'node:fs/promises';
 import { Logger, SystemTimerService } from '@hornbeampond/runtime';
