Bound the request bodies that an entry holds in all

What callers would see: an entry kept the body of each request that ran or waited, up to 4 MB each and without a bound for all of them. Some eighty of the largest exceed the 350 MB of an entry; the platform ends the process, with all its streams.

Change: 64 MiB for all bodies together, from their arrival until their exchanges end. Beyond that a body of more than 64 KiB gets 503 (overloaded, not run, with a time to come back), after its rest has been read and discarded: a caller whose connection is closed while it writes would not see the answer. Smaller bodies are taken in any case.

Evidence: the new test holds 126 MB (40 bodies of 3 MB) without the change, at most 64 MiB with it; small bodies are taken meanwhile, and large ones again once callers have left. A kill of an entry for its memory was not played.

--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -14,6 +14,7 @@
 } from '@hornbeampond/schema';
 import { readBody } from '@hornbeampond/transport';
 import type { CallerExchange } from './CallerServer.js';
+import { HeldBodies } from './HeldBodies.js';
 import { HttpServerLifecycle } from './HttpServerLifecycle.js';
 import type { CallerListener } from './CallerListener.js';
 import type { CallProtocol } from './CallProtocol.js';
@@ -65,6 +66,8 @@
 
   private readonly lifecycle: HttpServerLifecycle;
 
+  private readonly heldBodies = new HeldBodies();
+
   private isKeepAliveDisabled = false;
 
   constructor(private readonly options: RelayServerOptions) {
@@ -135,7 +138,12 @@
       );
     }
     const call = protocol.parseCall(message);
-    const body = await readBody(message, bodyBytes);
+    const held = this.heldBodies.add();
+    // Its exchange has ended then, whichever way.
+    response.once('close', () => held.release());
+    const body = await readBody(message, bodyBytes, (bytes, received) =>
+      held.hold(bytes, received),
+    );
     // The caller may have disconnected while its body was read.
     if (response.destroyed) return;
     const requestId = this.chooseRequestId(call.name);
