Keep a leader whose peers are still writing to their disks

What operators saw: with large configurations on a busy machine, changes without a clear answer for 4 to 12 s, again and again, and a read-back that took seconds.

Cause: a follower answers an append once it and all earlier writes are on its disk. Where a sync takes longer than the election timeout (400 ms on the users' platform), a leader hears of no peer in that time although all of them are there, takes itself for cut off and steps down; then the election has to wait for the same disks.

Change: a follower whose disk is behind answers an append at once that it has arrived. The answer claims nothing about the log, commits nothing, confirms no read and does not count for a member that is to be removed as unreachable; it only keeps the leader from stepping down. Disks that keep up see no further message.

--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -88,6 +88,8 @@
    * Sends each new commit index to replicating peers immediately, at the cost of one message each.
    */
   readonly announceCommits: boolean;
+  /** Answers the leader at once while the disk is behind, so that it stays the leader. */
+  readonly acknowledgesContact: boolean;
   readonly safeguards: Safeguards;
 }
 
@@ -114,6 +116,7 @@
   trailingBytes: 8 * MEBIBYTE,
   maxLogBytes: 48 * MEBIBYTE,
   announceCommits: true,
+  acknowledgesContact: true,
   safeguards: allSafeguards,
 };
 
@@ -146,7 +149,10 @@
   inFlight: number[];
   /** Number of the latest quorum round that this peer answered; see `reads.ts`. */
   round: number;
+  /** When the peer last answered an append, with what it has on its disk. */
   lastResponseAt: MonotonicMilliseconds;
+  /** The same, also if its disk is still at earlier writes. */
+  lastContactAt: MonotonicMilliseconds;
   snapshotSentAt: MonotonicMilliseconds;
   /** The snapshot being sent, and how many of its bytes were acknowledged. */
   snapshotIndex: number;
--- a/packages/store-core/src/consensus/appends.ts
+++ b/packages/store-core/src/consensus/appends.ts
@@ -19,6 +19,7 @@
     inFlight: [],
     round: 0,
     lastResponseAt: now,
+    lastContactAt: now,
     snapshotSentAt: 0,
     snapshotIndex: 0,
     acknowledgedSnapshotBytes: 0,
--- a/packages/store-core/src/consensus/consensusTypes.ts
+++ b/packages/store-core/src/consensus/consensusTypes.ts
@@ -93,6 +93,11 @@
   readonly type: 'appendResponse';
   readonly term: number;
   readonly round: number;
+  /**
+   * True if the responder has received an append, but is still writing earlier ones to its disk. Says
+   * nothing about its log, so `result` accepts nothing.
+   */
+  readonly isContactOnly?: boolean;
   /**
    * Last index on the responder's disk. If it is lower than an index acknowledged before, the disk
    * was replaced by an older copy.
--- a/packages/store-core/src/consensus/receiveAppend.ts
+++ b/packages/store-core/src/consensus/receiveAppend.ts
@@ -6,7 +6,7 @@
 import type { ConsensusState } from './ConsensusState.js';
 import { commitThrough } from './commit.js';
 import { appendEntry, lastIndexOf, termAt, truncateLog } from './memoryLog.js';
-import { sendWhenPersisted } from './persistence.js';
+import { sendNow, sendWhenPersisted } from './persistence.js';
 import { becomeFollower, resetElectionTimer } from './roles.js';
 import type { StepContext } from './StepContext.js';
 
@@ -26,6 +26,24 @@
   });
 }
 
+/**
+ * Tells the leader that its append has arrived, if the answer has to wait for earlier writes. Without
+ * this, a leader whose peers write slowly counts them as unreachable and steps down, and each large
+ * entry costs an election.
+ */
+function acknowledgeContact(context: StepContext, to: Sender): void {
+  const { state } = context;
+  if (!state.settings.acknowledgesContact || state.syncedBatch >= state.lastBatch) return;
+  sendNow(context, to, {
+    type: 'appendResponse',
+    term: state.term,
+    round: 0,
+    isContactOnly: true,
+    lastIndex: lastIndexOf(state),
+    result: { type: 'accepted', matchIndex: 0 },
+  });
+}
+
 /**
  * Accepts the sender of an append or a snapshot as the leader. Returns false if the disk of this
  * store has failed or was refused, or if the sender's term is outdated; an outdated sender is sent
@@ -77,6 +95,7 @@
 export function receiveAppend(context: StepContext, from: Sender, request: AppendRequest): void {
   const { state } = context;
   const { previousIndex, previousTerm, entries, round } = request;
+  acknowledgeContact(context, from);
   // Committed entries are the same at every leader, so an append that starts at or below the commit
   // index needs no check.
   const matchesLog =
--- a/packages/store-core/src/consensus/replication.ts
+++ b/packages/store-core/src/consensus/replication.ts
@@ -4,6 +4,7 @@
  * current term is committed once a quorum of voters has it on disk. After a conflict a peer's next
  * index goes back by a whole term at a time.
  */
+import type { MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { AppendResponse, Sender } from './consensusTypes.js';
 import type { ConsensusState, LeaderState, Progress } from './ConsensusState.js';
 import { broadcastAppends, updatePeersAndBroadcastAppends, sendAppends } from './appends.js';
@@ -152,6 +153,12 @@
   progress.inFlight = [];
 }
 
+/** A run that has not yet answered with what is on its disk is not counted. */
+function recordContact(progress: Progress, { run }: Sender, now: MonotonicMilliseconds): void {
+  const isKnownRun = progress.run?.count === run.count && progress.run.token === run.token;
+  if (isKnownRun && !progress.diskRefused) progress.lastContactAt = now;
+}
+
 export function receiveAppendResponse(
   context: StepContext,
   from: Sender,
@@ -165,8 +172,13 @@
   const leader = state.role;
   if (leader.type !== 'leader' || response.term !== state.term) return;
   const progress = leader.progress[from.identity];
-  if (progress === undefined || refuseUntrustedRun(context, progress, from, response.lastIndex))
+  if (progress === undefined) return;
+  if (response.isContactOnly === true) {
+    recordContact(progress, from, now);
     return;
+  }
+  if (refuseUntrustedRun(context, progress, from, response.lastIndex)) return;
+  progress.lastContactAt = now;
   progress.lastResponseAt = now;
   progress.round = Math.max(progress.round, response.round);
   const { result } = response;
@@ -180,8 +192,9 @@
 }
 
 /**
- * True if a quorum has responded within the election timeout. A leader without one steps down,
- * because its callers would wait while other stores elect a new leader.
+ * True if a quorum has responded within the election timeout, be it with its disk still at earlier
+ * writes. A leader without one steps down, because its callers would wait while other stores elect a
+ * new leader.
  *
  * Judged by when the timer was due. If it fires late, this process was held up, and responses that
  * have arrived since are not read yet: a leader that applies a long log after a restart would step
@@ -193,7 +206,7 @@
   return hasQuorum(state, (identity) => {
     if (identity === state.self.identity) return true;
     const progress = leader.progress[identity];
-    return progress !== undefined && dueAt - progress.lastResponseAt <= electionTimeout;
+    return progress !== undefined && dueAt - progress.lastContactAt <= electionTimeout;
   });
 }
 
