Send pre-votes without waiting for writes that are under way

What operators saw: without a leader on a busy machine, stores began elections again before the last ones had begun, for seconds; their pre-votes waited until earlier writes were on the disk, longer than the election timeout.

Cause: requests and answers of pre-votes went the way of votes, which must be on the disk first. A pre-vote changes no term and binds nobody.

Change: pre-votes and their answers are sent at once. Votes wait for the disk as before.

--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -7,7 +7,12 @@
 import type { Sender, VoteRequest, VoteResponse } from './consensusTypes.js';
 import { lastIndexOf, lastTermOf, appendNewEntry } from './memoryLog.js';
 import { hasQuorum, isVoter, otherMembers, quorumSize, votersOf } from './membership.js';
-import { sendToVotersWhenPersisted, sendWhenPersisted } from './persistence.js';
+import {
+  sendNow,
+  sendToVotersNow,
+  sendToVotersWhenPersisted,
+  sendWhenPersisted,
+} from './persistence.js';
 import { broadcastAppends, makeProgress } from './appends.js';
 import { announceRole, becomeFollower, enterTerm, resetElectionTimer } from './roles.js';
 import type { ConsensusState } from './ConsensusState.js';
@@ -19,13 +24,16 @@
 
 function requestVotes(context: StepContext, preVote: boolean, term: number): void {
   const { state } = context;
-  sendToVotersWhenPersisted(context, {
+  const request: VoteRequest = {
     type: 'voteRequest',
     preVote,
     term,
     lastIndex: lastIndexOf(state),
     lastTerm: lastTermOf(state),
-  });
+  };
+  // A pre-vote changes no term and binds nobody, so it does not wait for writes that are under way.
+  if (preVote) sendToVotersNow(context, request);
+  else sendToVotersWhenPersisted(context, request);
 }
 
 /** Reports that the previous pre-vote or election gave no leader, with the answer of each voter. */
@@ -145,7 +153,8 @@
       term: granted ? term : state.term,
       granted,
     };
-    sendWhenPersisted(context, from, response);
+    if (preVote) sendNow(context, from, response);
+    else sendWhenPersisted(context, from, response);
   };
   if (mustWithholdVote(context)) {
     respond(false);
