Revert "Send pre-votes without waiting for writes that are under way"

Not shown to be its effect, but plausible: while the disk takes longer than the election timeout, a pre-vote that waits for the writes under way also keeps a store from beginning election after election, each of which adds a write to the queue. What elections on slow disks need is a timeout that follows the disk.

--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -7,12 +7,7 @@
 import type { Sender, VoteRequest, VoteResponse } from './consensusTypes.js';
 import { lastIndexOf, lastTermOf, appendNewEntry } from './memoryLog.js';
 import { hasQuorum, isVoter, otherMembers, quorumSize, votersOf } from './membership.js';
-import {
-  sendNow,
-  sendToVotersNow,
-  sendToVotersWhenPersisted,
-  sendWhenPersisted,
-} from './persistence.js';
+import { sendToVotersWhenPersisted, sendWhenPersisted } from './persistence.js';
 import { broadcastAppends, makeProgress } from './appends.js';
 import { announceRole, becomeFollower, enterTerm, resetElectionTimer } from './roles.js';
 import type { ConsensusState } from './ConsensusState.js';
@@ -24,16 +19,13 @@
 
 function requestVotes(context: StepContext, preVote: boolean, term: number): void {
   const { state } = context;
-  const request: VoteRequest = {
+  sendToVotersWhenPersisted(context, {
     type: 'voteRequest',
     preVote,
     term,
     lastIndex: lastIndexOf(state),
     lastTerm: lastTermOf(state),
-  };
-  // A pre-vote changes no term and binds nobody, so it does not wait for writes that are under way.
-  if (preVote) sendToVotersNow(context, request);
-  else sendToVotersWhenPersisted(context, request);
+  });
 }
 
 /** Reports that the previous pre-vote or election gave no leader, with the answer of each voter. */
@@ -153,8 +145,7 @@
       term: granted ? term : state.term,
       granted,
     };
-    if (preVote) sendNow(context, from, response);
-    else sendWhenPersisted(context, from, response);
+    sendWhenPersisted(context, from, response);
   };
   if (mustWithholdVote(context)) {
     respond(false);
--- a/packages/store-core/src/consensus/persistence.ts
+++ b/packages/store-core/src/consensus/persistence.ts
@@ -45,18 +45,13 @@
   state.pendingMessages.push({ batch, instance: to.instance, envelope });
 }
 
-function listOtherVoters({ state }: StepContext): Recipient[] {
-  return otherMembers(state)
-    .filter(({ role }) => role === 'voter')
-    .map(({ identity, address }) => ({ instance: address.instance, identity }));
-}
-
-export function sendToVotersNow(context: StepContext, message: ConsensusMessage): void {
-  listOtherVoters(context).forEach((voter) => sendNow(context, voter, message));
-}
-
 export function sendToVotersWhenPersisted(context: StepContext, message: ConsensusMessage): void {
-  listOtherVoters(context).forEach((voter) => sendWhenPersisted(context, voter, message));
+  otherMembers(context.state)
+    .filter((member) => member.role === 'voter')
+    .forEach((member) => {
+      const { identity, address } = member;
+      sendWhenPersisted(context, { instance: address.instance, identity }, message);
+    });
 }
 
 function hasUnpersistedChanges({ state }: StepContext): boolean {
