Let an election go on while the disks write its votes

Cause: an election takes two writes in a row, at the candidate and at the voters. The election timer ran out before both were synced, the candidate began anew and dropped the votes that were on their way, and the other stores campaigned meanwhile. With syncs longer than the timeout this never ended. A new leader stepped down, too: contact of peers that were still writing was not counted before their first real answer.

Change: a candidate repeats its request each heartbeat; a voter whose vote is not yet on its disk says that it is there, and each such answer prolongs the election, for ten timeouts at most. Voters neither campaign nor help another candidate meanwhile. A candidate that is still writing its own vote repeats the pre-vote, and only stores whose own writes are slow hold back for it, so a disk that hangs does not hold up the others. Contact of a peer that has not answered a new leader yet keeps it in office. What is promised to be on a disk is unchanged.

--- a/packages/store-core/src/consensus/ConsensusState.ts
+++ b/packages/store-core/src/consensus/ConsensusState.ts
@@ -184,6 +184,10 @@
       votes: string[];
       /** Voters that denied their vote. */
       rejections: string[];
+      /** When the request of an election is sent again. */
+      nextRequestAt: MonotonicMilliseconds;
+      /** Until then answers of voters keep an election going; see `election.ts`. */
+      readonly extensibleUntil: MonotonicMilliseconds;
     }
   | {
       readonly type: 'leader';
@@ -238,7 +242,13 @@
   /** Number of the last batch sent to the disk, and of the last one synced. */
   lastBatch: number;
   syncedBatch: number;
-  unsyncedBatches: { readonly batch: number; lastIndex: number }[];
+  unsyncedBatches: {
+    readonly batch: number;
+    lastIndex: number;
+    readonly writtenAt: MonotonicMilliseconds;
+  }[];
+  /** How long recent writes took until they were synced; falls by half at most with each write. */
+  writeDuration: Milliseconds;
   /** Last index of this log that is on disk. */
   durableIndex: number;
   pendingMessages: PendingMessage[];
@@ -259,6 +269,8 @@
   electionDueAt: MonotonicMilliseconds;
   /** Until then this store grants no vote: it has received from a leader, or has just started. */
   voteAfter: MonotonicMilliseconds;
+  /** Until then it grants none but to the candidate it voted for, which is collecting votes. */
+  supportsCandidateUntil: MonotonicMilliseconds;
   /** State of the seeded random number generator. */
   random: readonly number[];
   wakeAt: MonotonicMilliseconds;
@@ -309,6 +321,7 @@
     lastBatch: 0,
     syncedBatch: 0,
     unsyncedBatches: [],
+    writeDuration: 0,
     durableIndex: restored.entries.at(-1)?.index ?? snapshot.index,
     pendingMessages: [],
     readOnly: false,
@@ -316,6 +329,7 @@
     diskRefused: false,
     electionDueAt: Number.MAX_SAFE_INTEGER,
     voteAfter: 0,
+    supportsCandidateUntil: 0,
     random: [...xoroshiro128plus(seed).getState()],
     wakeAt: Number.MAX_SAFE_INTEGER,
   };
--- a/packages/store-core/src/consensus/consensusTypes.ts
+++ b/packages/store-core/src/consensus/consensusTypes.ts
@@ -76,6 +76,11 @@
   /** The requested term if granted, otherwise the responder's term. */
   readonly term: number;
   readonly granted: boolean;
+  /**
+   * True if the responder has received the request and is still writing its vote to its disk. Not a
+   * vote, so `granted` is false.
+   */
+  readonly isContactOnly?: boolean;
 }
 
 export interface AppendRequest {
--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -3,29 +3,51 @@
  * that a voter that returns from a partition does not unseat a leader that still reaches a quorum.
  * A vote is granted once per term, only for a log at least as up to date as the voter's, and is
  * sent once it is on disk. The winner becomes leader and appends an entry of its own term.
+ *
+ * An election takes two writes, one at the candidate and one at the voters. If that is longer than the
+ * election timeout, elections that are begun anew at each timeout never end. So an election goes on
+ * while its voters answer: a candidate repeats its request, and a voter whose vote is not on its disk
+ * yet says that it is there, does not campaign itself and does not help others to.
  */
 import type { Sender, VoteRequest, VoteResponse } from './consensusTypes.js';
 import { lastIndexOf, lastTermOf, appendNewEntry } from './memoryLog.js';
 import { hasQuorum, isVoter, otherMembers, quorumSize, votersOf } from './membership.js';
-import { sendToVotersWhenPersisted, sendWhenPersisted } from './persistence.js';
+import {
+  currentWriteDuration,
+  isWriting,
+  sendNow,
+  sendToVotersNow,
+  sendToVotersWhenPersisted,
+  sendWhenPersisted,
+} from './persistence.js';
 import { broadcastAppends, makeProgress } from './appends.js';
 import { announceRole, becomeFollower, enterTerm, resetElectionTimer } from './roles.js';
-import type { ConsensusState } from './ConsensusState.js';
+import type { ConsensusState, RoleState } from './ConsensusState.js';
 import type { StepContext } from './StepContext.js';
 
+/**
+ * For how many election timeouts an election may be extended. A candidate whose disk hangs keeps the
+ * others from electing one of themselves for no longer than this.
+ */
+const MAX_EXTENSION_ELECTION_TIMEOUTS = 10;
+
+/** Slower disks take longer for the two writes of an election than the shortest election timer. */
+const SLOW_WRITE_FRACTION_OF_ELECTION_TIMEOUT = 0.5;
+
+type CandidateState = Extract<RoleState, { type: 'candidate' }>;
+
 function canCampaign(state: ConsensusState): boolean {
   return !state.readOnly && !state.diskRefused && isVoter(state, state.self.identity);
 }
 
-function requestVotes(context: StepContext, preVote: boolean, term: number): void {
-  const { state } = context;
-  sendToVotersWhenPersisted(context, {
-    type: 'voteRequest',
-    preVote,
-    term,
-    lastIndex: lastIndexOf(state),
-    lastTerm: lastTermOf(state),
-  });
+function makeVoteRequest(state: ConsensusState, preVote: boolean, term: number): VoteRequest {
+  const lastIndex = lastIndexOf(state);
+  return { type: 'voteRequest', preVote, term, lastIndex, lastTerm: lastTermOf(state) };
+}
+
+/** A pre-vote changes no term and binds nobody, so it does not wait for the disk. */
+function requestPreVotes(context: StepContext, term: number): void {
+  sendToVotersNow(context, makeVoteRequest(context.state, true, term));
 }
 
 /** Reports that the previous pre-vote or election gave no leader, with the answer of each voter. */
@@ -51,7 +73,12 @@
 
 /** Called when the election timer has expired. */
 export function startPreVote(context: StepContext): void {
-  const { state } = context;
+  const { state, now } = context;
+  if (isWriting(context) && canCampaign(state)) {
+    // Its vote would wait for these writes, and another store may have a faster disk.
+    state.electionDueAt = now + state.settings.heartbeatInterval;
+    return;
+  }
   resetElectionTimer(context);
   if (!canCampaign(state)) {
     // The leader hint is cleared; otherwise it would name an unreachable leader indefinitely.
@@ -59,20 +86,78 @@
     return;
   }
   reportFailedElection(context);
-  state.role = { type: 'candidate', preVote: true, votes: [state.self.identity], rejections: [] };
+  state.role = {
+    type: 'candidate',
+    preVote: true,
+    votes: [state.self.identity],
+    rejections: [],
+    nextRequestAt: Number.MAX_SAFE_INTEGER,
+    extensibleUntil: now,
+  };
   announceRole(context);
-  requestVotes(context, true, state.term + 1);
+  requestPreVotes(context, state.term + 1);
   countVotes(context);
 }
 
 function startElection(context: StepContext): void {
-  const { state } = context;
+  const { state, now } = context;
+  const { electionTimeout, heartbeatInterval } = state.settings;
   resetElectionTimer(context);
   enterTerm(state, state.term + 1);
   state.votedFor = state.self.identity;
-  state.role = { type: 'candidate', preVote: false, votes: [], rejections: [] };
+  state.role = {
+    type: 'candidate',
+    preVote: false,
+    votes: [],
+    rejections: [],
+    nextRequestAt: now + heartbeatInterval,
+    extensibleUntil: now + MAX_EXTENSION_ELECTION_TIMEOUTS * electionTimeout,
+  };
   announceRole(context);
-  requestVotes(context, false, state.term);
+  sendToVotersWhenPersisted(context, makeVoteRequest(state, false, state.term));
+}
+
+/**
+ * A store with a slow disk lets another one's election run; one with a faster disk may be elected before
+ * a candidate whose disk hangs has written its own vote.
+ */
+function isDiskSlow(context: StepContext): boolean {
+  const { electionTimeout } = context.state.settings;
+  return currentWriteDuration(context) > electionTimeout * SLOW_WRITE_FRACTION_OF_ELECTION_TIMEOUT;
+}
+
+/**
+ * A voter that refuses has voted for another store or has a newer log. Where disks are fast, a new election
+ * is then worth more than a vote that may be waiting for a disk that hangs.
+ */
+function mayBeExtended(context: StepContext, role: CandidateState): boolean {
+  const { state, now } = context;
+  const { rejections, extensibleUntil } = role;
+  const canStillWin = hasQuorum(state, (identity) => !rejections.includes(identity));
+  const isWorthWaiting = rejections.length === 0 || isDiskSlow(context);
+  return now < extensibleUntil && canStillWin && isWorthWaiting;
+}
+
+/**
+ * Called when the request of an election may be due again. Until the candidate's own vote is on its
+ * disk, it repeats the pre-vote instead, which only keeps the voters from campaigning.
+ */
+export function repeatVoteRequest(context: StepContext): void {
+  const { state, now } = context;
+  const { role } = state;
+  if (role.type !== 'candidate' || now < role.nextRequestAt) return;
+  if (!mayBeExtended(context, role)) {
+    role.nextRequestAt = Number.MAX_SAFE_INTEGER;
+    return;
+  }
+  role.nextRequestAt = now + state.settings.heartbeatInterval;
+  if (isWriting(context)) requestPreVotes(context, state.term);
+  else sendToVotersNow(context, makeVoteRequest(state, false, state.term));
+}
+
+/** Lets an election go on whose voters answer, so that slow disks do not end it. */
+function extendElection(context: StepContext, role: CandidateState): void {
+  if (mayBeExtended(context, role)) resetElectionTimer(context);
 }
 
 /** Counts this store's own vote once it is on disk. */
@@ -80,7 +165,7 @@
   const { state } = context;
   const { role, self } = state;
   if (role.type !== 'candidate' || role.preVote || role.votes.includes(self.identity)) return;
-  if (state.syncedBatch < state.lastBatch) return;
+  if (isWriting(context)) return;
   role.votes.push(self.identity);
   countVotes(context);
 }
@@ -122,6 +207,11 @@
   return state.role.type === 'leader' || now < state.voteAfter;
 }
 
+/** True while the candidate that this store voted for is collecting votes, and `candidate` is another. */
+function supportsOther({ state, now }: StepContext, candidate: string): boolean {
+  return now < state.supportsCandidateUntil && state.votedFor !== candidate;
+}
+
 function isLogUpToDate(state: ConsensusState, request: VoteRequest): boolean {
   if (!state.settings.safeguards.voteForNewerLog) return true;
   const lastTerm = lastTermOf(state);
@@ -138,32 +228,52 @@
   const { state } = context;
   if (state.readOnly || state.diskRefused) return;
   const { preVote, term } = request;
-  const respond = (granted: boolean) => {
-    const response: VoteResponse = {
-      type: 'voteResponse',
-      preVote,
-      term: granted ? term : state.term,
-      granted,
-    };
-    sendWhenPersisted(context, from, response);
-  };
-  if (mustWithholdVote(context)) {
-    respond(false);
-    return;
-  }
+  const isWithheld = mustWithholdVote(context) || supportsOther(context, from.identity);
   if (preVote) {
-    respond(term > state.term && isLogUpToDate(state, request));
+    const granted = !isWithheld && term > state.term && isLogUpToDate(state, request);
+    if (granted && isDiskSlow(context)) resetElectionTimer(context);
+    sendNow(context, from, makeVoteResponse(state, request, granted));
     return;
   }
-  if (term > state.term) becomeFollower(context, term);
+  if (!isWithheld && term > state.term) becomeFollower(context, term);
   const granted =
-    term === state.term && canVoteFor(state, from.identity) && isLogUpToDate(state, request);
-  if (granted) {
-    state.dirty.vote ||= state.votedFor !== from.identity;
-    state.votedFor = from.identity;
-    resetElectionTimer(context);
-  }
-  respond(granted);
+    !isWithheld &&
+    term === state.term &&
+    canVoteFor(state, from.identity) &&
+    isLogUpToDate(state, request);
+  if (granted) grantVote(context, from, request);
+  else sendWhenPersisted(context, from, makeVoteResponse(state, request, false));
+}
+
+function makeVoteResponse(
+  state: ConsensusState,
+  { preVote, term }: VoteRequest,
+  granted: boolean,
+): VoteResponse {
+  return { type: 'voteResponse', preVote, term: granted ? term : state.term, granted };
+}
+
+/** True if a vote for the candidate is to be sent once it is on disk. */
+function isVotePending(state: ConsensusState, candidate: string): boolean {
+  return state.pendingMessages.some(
+    ({ envelope: { to, message } }) =>
+      to === candidate &&
+      message.type === 'voteResponse' &&
+      message.granted &&
+      message.term === state.term,
+  );
+}
+
+/** Also called for the requests that a candidate repeats, as its vote may still be on its way to the disk. */
+function grantVote(context: StepContext, from: Sender, request: VoteRequest): void {
+  const { state, now } = context;
+  state.dirty.vote ||= state.votedFor !== from.identity;
+  state.votedFor = from.identity;
+  state.supportsCandidateUntil = now + state.settings.electionTimeout;
+  resetElectionTimer(context);
+  const response = makeVoteResponse(state, request, true);
+  if (!isVotePending(state, from.identity)) sendWhenPersisted(context, from, response);
+  else sendNow(context, from, { ...response, granted: false, isContactOnly: true });
 }
 
 export function receiveVoteResponse(
@@ -177,7 +287,14 @@
     return;
   }
   const { role } = state;
-  if (role.type !== 'candidate' || role.preVote !== response.preVote) return;
+  if (role.type !== 'candidate') return;
+  // A pre-vote for the term of an election is a repeated one, granted.
+  const isContact = response.isContactOnly === true || (response.preVote && response.granted);
+  if (!role.preVote && isContact && response.term === state.term) {
+    extendElection(context, role);
+    return;
+  }
+  if (role.preVote !== response.preVote || response.isContactOnly === true) return;
   if (!response.granted) {
     if (!role.rejections.includes(from.identity)) role.rejections.push(from.identity);
     return;
@@ -185,5 +302,6 @@
   const expectedTerm = role.preVote ? state.term + 1 : state.term;
   if (response.term !== expectedTerm || role.votes.includes(from.identity)) return;
   role.votes.push(from.identity);
+  if (!role.preVote) extendElection(context, role);
   countVotes(context);
 }
--- a/packages/store-core/src/consensus/persistence.ts
+++ b/packages/store-core/src/consensus/persistence.ts
@@ -3,6 +3,7 @@
  * acknowledgements that depend on a batch wait until the store process reports it synced. Otherwise
  * a store could vote twice in a term after a crash, or lack an entry that it acknowledged.
  */
+import type { Milliseconds } from '@hornbeampond/schema';
 import type { ConsensusMessage, Envelope } from './consensusTypes.js';
 import type { PersistEffect } from './consensusEvents.js';
 import { entriesFrom, lastIndexOf } from './memoryLog.js';
@@ -45,13 +46,29 @@
   state.pendingMessages.push({ batch, instance: to.instance, envelope });
 }
 
+function listOtherVoters({ state }: StepContext): Recipient[] {
+  return otherMembers(state)
+    .filter(({ role }) => role === 'voter')
+    .map(({ identity, address }) => ({ instance: address.instance, identity }));
+}
+
+export function sendToVotersNow(context: StepContext, message: ConsensusMessage): void {
+  listOtherVoters(context).forEach((voter) => sendNow(context, voter, message));
+}
+
 export function sendToVotersWhenPersisted(context: StepContext, message: ConsensusMessage): void {
-  otherMembers(context.state)
-    .filter((member) => member.role === 'voter')
-    .forEach((member) => {
-      const { identity, address } = member;
-      sendWhenPersisted(context, { instance: address.instance, identity }, message);
-    });
+  listOtherVoters(context).forEach((voter) => sendWhenPersisted(context, voter, message));
+}
+
+/** How long a write takes at present: recent ones, or one that is still under way. */
+export function currentWriteDuration({ state, now }: StepContext): Milliseconds {
+  const writtenAt = state.unsyncedBatches[0]?.writtenAt ?? now;
+  return Math.max(state.writeDuration, now - writtenAt);
+}
+
+/** True while the disk still writes changes that were made before. */
+export function isWriting({ state }: StepContext): boolean {
+  return state.syncedBatch < state.lastBatch;
 }
 
 function hasUnpersistedChanges({ state }: StepContext): boolean {
@@ -64,7 +81,7 @@
 /** Emits all changes since the last call as one batch for the disk. */
 export function flushChanges(context: StepContext): void {
   if (!hasUnpersistedChanges(context)) return;
-  const { state, effects } = context;
+  const { state, now, effects } = context;
   const { vote, truncateFrom, firstNewIndex, snapshot } = state.dirty;
   state.lastBatch += 1;
   const entries =
@@ -80,7 +97,11 @@
     entries,
   };
   effects.push(effect);
-  state.unsyncedBatches.push({ batch: state.lastBatch, lastIndex: lastIndexOf(state) });
+  state.unsyncedBatches.push({
+    batch: state.lastBatch,
+    lastIndex: lastIndexOf(state),
+    writtenAt: now,
+  });
   state.dirty = { vote: false };
 }
 
@@ -88,13 +109,14 @@
  * Records that all batches up to `batch` are synced, and sends the messages that waited for them.
  */
 export function completeBatches(context: StepContext, batch: number): void {
-  const { state, effects } = context;
+  const { state, now, effects } = context;
   if (state.readOnly) return;
   state.syncedBatch = Math.max(state.syncedBatch, Math.min(batch, state.lastBatch));
   state.unsyncedBatches
     .filter((write) => write.batch <= batch)
     .forEach((write) => {
       state.durableIndex = Math.max(state.durableIndex, write.lastIndex);
+      state.writeDuration = Math.max(state.writeDuration / 2, now - write.writtenAt);
     });
   state.unsyncedBatches = state.unsyncedBatches.filter((write) => write.batch > batch);
   const sendable = state.pendingMessages.filter((message) => message.batch <= batch);
--- a/packages/store-core/src/consensus/receiveAppend.ts
+++ b/packages/store-core/src/consensus/receiveAppend.ts
@@ -6,7 +6,7 @@
 import type { ConsensusState } from './ConsensusState.js';
 import { commitThrough } from './commit.js';
 import { appendEntry, lastIndexOf, termAt, truncateLog } from './memoryLog.js';
-import { sendNow, sendWhenPersisted } from './persistence.js';
+import { isWriting, sendNow, sendWhenPersisted } from './persistence.js';
 import { becomeFollower, resetElectionTimer } from './roles.js';
 import type { StepContext } from './StepContext.js';
 
@@ -33,7 +33,7 @@
  */
 function acknowledgeContact(context: StepContext, to: Sender): void {
   const { state } = context;
-  if (!state.settings.acknowledgesContact || state.syncedBatch >= state.lastBatch) return;
+  if (!state.settings.acknowledgesContact || !isWriting(context)) return;
   sendNow(context, to, {
     type: 'appendResponse',
     term: state.term,
--- a/packages/store-core/src/consensus/reduceConsensus.ts
+++ b/packages/store-core/src/consensus/reduceConsensus.ts
@@ -4,7 +4,7 @@
  * cluster, timers, disk results and refusals. Each step ends in the same way: changes go to the
  * disk as one batch, a snapshot is taken if due, and the next wake is scheduled.
  */
-import type { Reducer } from '@hornbeampond/schema';
+import type { MonotonicMilliseconds, Reducer } from '@hornbeampond/schema';
 import type { ConsensusEffect, ConsensusEvent } from './consensusEvents.js';
 import type { Envelope, Refusal } from './consensusTypes.js';
 import type { ConsensusState } from './ConsensusState.js';
@@ -13,6 +13,7 @@
   countOwnVote,
   receiveVoteRequest,
   receiveVoteResponse,
+  repeatVoteRequest,
   startPreVote,
 } from './election.js';
 import { followLeader, receiveAppend } from './receiveAppend.js';
@@ -76,6 +77,7 @@
   const leader = leaderOf(state);
   if (leader !== undefined) handleLeaderTimer(context, leader);
   else if (now >= state.electionDueAt) startPreVote(context);
+  else repeatVoteRequest(context);
 }
 
 function handlePersistFailure(context: StepContext): void {
@@ -189,8 +191,13 @@
   }
 }
 
+function findNextWake({ role, electionDueAt }: ConsensusState): MonotonicMilliseconds {
+  if (role.type === 'leader') return role.nextHeartbeatAt;
+  return role.type === 'candidate' ? Math.min(role.nextRequestAt, electionDueAt) : electionDueAt;
+}
+
 function scheduleWake({ state, effects }: StepContext): void {
-  const at = leaderOf(state)?.nextHeartbeatAt ?? state.electionDueAt;
+  const at = findNextWake(state);
   if (at === state.wakeAt) return;
   state.wakeAt = at;
   effects.push({ type: 'wake', at });
--- a/packages/store-core/src/consensus/replication.ts
+++ b/packages/store-core/src/consensus/replication.ts
@@ -153,10 +153,15 @@
   progress.inFlight = [];
 }
 
-/** A run that has not yet answered with what is on its disk is not counted. */
+/**
+ * A peer that has answered this leader is counted only in the same run: a later one may have an older
+ * disk. One that is still writing before its first answer has acknowledged nothing that could be
+ * missing; without it, a new leader whose peers write slowly would step down at once.
+ */
 function recordContact(progress: Progress, { run }: Sender, now: MonotonicMilliseconds): void {
-  const isKnownRun = progress.run?.count === run.count && progress.run.token === run.token;
-  if (isKnownRun && !progress.diskRefused) progress.lastContactAt = now;
+  const { run: knownRun } = progress;
+  const isSameRun = knownRun?.count === run.count && knownRun.token === run.token;
+  if ((knownRun === undefined || isSameRun) && !progress.diskRefused) progress.lastContactAt = now;
 }
 
 export function receiveAppendResponse(
--- a/packages/store-core/src/consensus/roles.ts
+++ b/packages/store-core/src/consensus/roles.ts
@@ -67,6 +67,7 @@
 export function enterTerm(state: ConsensusState, term: number): void {
   state.term = term;
   state.votedFor = undefined;
+  state.supportsCandidateUntil = 0;
   state.dirty.vote = true;
 }
 
--- a/packages/store-core/src/consensus/testing/modelCluster.ts
+++ b/packages/store-core/src/consensus/testing/modelCluster.ts
@@ -323,7 +323,7 @@
   if (!keepCopy) next.network = cluster.network.filter((other) => other !== message);
   const { state } = store;
   if (!keepClock && state !== undefined && message.envelope.message.type === 'voteRequest') {
-    store.now = Math.max(store.now, state.voteAfter);
+    store.now = Math.max(store.now, state.voteAfter, state.supportsCandidateUntil);
   }
   handleEvent(next, store, { type: 'received', envelope: message.envelope });
   return finishStep(next, store);
