Hold no body bytes after their exchange has ended, and bound those of both callers' servers

What callers could see: large requests refused with 503 although nothing was held. HeldBody.release ran at the close of the response, and bytes that were counted after it were never released; each such caller would have taken a part of the 64 MiB for good. Read in the code; with real connections it was not seen (Node drops what is unread at the close), so it is shown by a unit test alone, which fails without the change.

Change: a body that has been released takes nothing more. HeldBodies reads the body itself and chooses the refusal, whose reason only the entry knows; readBody only passes it on. CallerServer held bodies without a bound of all; it uses the same one.

--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -6,7 +6,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
-import { digestKey, readBody, writeProblem } from '@hornbeampond/transport';
+import { digestKey, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   digestPrefixes,
@@ -16,6 +16,7 @@
 } from '@hornbeampond/adapters';
 import type { CallerRequest } from '@hornbeampond/entry-core';
 import type { CallerAnswer } from './CallerAnswer.js';
+import { HeldBodies } from './HeldBodies.js';
 import { HttpServerLifecycle } from './HttpServerLifecycle.js';
 import type { CallerListener } from './CallerListener.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
@@ -63,6 +64,8 @@
 
   private readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
 
+  private readonly heldBodies = new HeldBodies();
+
   constructor(private readonly options: CallerServerOptions) {
     const { settings } = options;
     this.workspaceByKeyDigest = new Map(
@@ -105,7 +108,7 @@
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { settings } = this.options;
     const workspace = this.authenticate(request);
-    const body = await readBody(request, settings.limits.bodyBytes);
+    const body = await this.heldBodies.read(request, response, settings.limits.bodyBytes);
     const exchange = this.makeExchange(request, response, workspace, body);
     const { requestId } = exchange.request;
     response.on('close', () => {
--- a/apps/entry/src/HeldBodies.ts
+++ b/apps/entry/src/HeldBodies.ts
@@ -1,8 +1,11 @@
 /**
- * Counts the bytes of the request bodies that an entry holds, from their arrival until their exchanges
- * end. Each body is within the limit for callers, but a few dozen of the largest ones would fill the
- * memory of the process, which the platform then ends with all its streams.
+ * Reads request bodies, and counts the bytes of all that an entry holds, from their arrival until their
+ * exchanges end. Each body is within the limit for callers, but a few dozen of the largest ones would fill
+ * the memory of the process, which the platform then ends with all its streams.
  */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HornbeampondError, type Milliseconds } from '@hornbeampond/schema';
+import { readBody } from '@hornbeampond/transport';
 
 /** Beside a heap of 200 MB, in an entry with 350 MB. */
 export const MAX_HELD_BODY_BYTES = 64 * 1024 * 1024;
@@ -10,24 +13,41 @@
 /** Smaller bodies are taken in any case: their number is limited as that of the requests is. */
 const SMALL_BODY_BYTES = 64 * 1024;
 
+/** The largest bodies are sent on and answered within about this time. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 1000;
+
+function makeRefusal(): HornbeampondError {
+  const details = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+  return new HornbeampondError('overloaded', 'There is no room for the body', details);
+}
+
 /** The bytes of one body. */
 export class HeldBody {
   private bytes = 0;
 
+  private isReleased = false;
+
   constructor(private readonly all: HeldBodies) {}
 
-  /** Returns false, and holds nothing any more, if there is no room for these bytes. */
-  hold(bytes: number, receivedBytes: number): boolean {
-    if (receivedBytes > SMALL_BODY_BYTES && this.all.bytes + bytes > MAX_HELD_BODY_BYTES) {
+  /**
+   * Counts the next bytes, of a body of which `receivedBytes` have come by then. Returns the refusal if there
+   * is no room for them, and holds nothing from then on. What still arrives after the exchange has ended is
+   * not held either: nothing would release it.
+   */
+  hold(bytes: number, receivedBytes: number): HornbeampondError | undefined {
+    const hasRoom =
+      receivedBytes <= SMALL_BODY_BYTES || this.all.bytes + bytes <= MAX_HELD_BODY_BYTES;
+    if (this.isReleased || !hasRoom) {
       this.release();
-      return false;
+      return makeRefusal();
     }
     this.bytes += bytes;
     this.all.bytes += bytes;
-    return true;
+    return undefined;
   }
 
   release(): void {
+    this.isReleased = true;
     this.all.bytes -= this.bytes;
     this.bytes = 0;
   }
@@ -40,4 +60,15 @@
   add(): HeldBody {
     return new HeldBody(this);
   }
+
+  /** Reads a body and holds it until the response has ended, whichever way. */
+  async read(
+    message: IncomingMessage,
+    response: ServerResponse,
+    maxBytes: number,
+  ): Promise<Buffer> {
+    const held = this.add();
+    response.once('close', () => held.release());
+    return readBody(message, maxBytes, (bytes, received) => held.hold(bytes, received));
+  }
 }
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -12,7 +12,6 @@
   type ListenAddress,
   type Milliseconds,
 } from '@hornbeampond/schema';
-import { readBody } from '@hornbeampond/transport';
 import type { CallerExchange } from './CallerServer.js';
 import { HeldBodies } from './HeldBodies.js';
 import { HttpServerLifecycle } from './HttpServerLifecycle.js';
@@ -138,12 +137,7 @@
       );
     }
     const call = protocol.parseCall(message);
-    const held = this.heldBodies.add();
-    // Its exchange has ended then, whichever way.
-    response.once('close', () => held.release());
-    const body = await readBody(message, bodyBytes, (bytes, received) =>
-      held.hold(bytes, received),
-    );
+    const body = await this.heldBodies.read(message, response, bodyBytes);
     // The caller may have disconnected while its body was read.
     if (response.destroyed) return;
     const requestId = this.chooseRequestId(call.name);
--- a/apps/entry/src/heldBodies.test.ts
+++ b/apps/entry/src/heldBodies.test.ts
@@ -12,7 +12,7 @@
 import { writeProblem } from '@hornbeampond/transport';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
 import type { CallerExchange } from './CallerServer.js';
-import { MAX_HELD_BODY_BYTES } from './HeldBodies.js';
+import { HeldBodies, MAX_HELD_BODY_BYTES } from './HeldBodies.js';
 import { RelayServer } from './RelayServer.js';
 
 const HOST = '127.0.0.1';
@@ -21,6 +21,8 @@
 const SMALL_REQUESTS = 20;
 const TIMEOUT_MILLISECONDS = 20_000;
 const UNAVAILABLE = 503;
+const LEAVING_ROUNDS = 6;
+const LEAVE_AFTER_MILLISECONDS = 40;
 
 const bounds = {
   headerBytes: 16 * 1024,
@@ -90,6 +92,16 @@
     return this.held.reduce((sum, { body }) => sum + body.length, 0);
   }
 
+  /** Begins to send a body, and returns what makes its caller leave. */
+  sendPart(body: Buffer): () => void {
+    const headers = { 'content-length': body.length };
+    const { port, agent } = this;
+    const outgoing = sendRequest({ host: HOST, port, agent, method: 'POST', headers });
+    outgoing.on('error', () => {});
+    outgoing.write(body.subarray(0, body.length / 2));
+    return () => outgoing.destroy();
+  }
+
   /** Sends a body, and returns what makes its caller leave. */
   send(body: Buffer): () => void {
     const { port, agent } = this;
@@ -135,3 +147,31 @@
   await server.until(() => server.held.length === SMALL_REQUESTS + 1);
   assert.equal(server.held.length, SMALL_REQUESTS + 1);
 });
+
+// Guards against bytes that nothing releases: callers who leave while they send their bodies would use up
+// the room for all bodies, and each later large body would be refused until the entry restarts.
+test('bytes that arrive after the exchange has ended are not held', () => {
+  const bodies = new HeldBodies();
+  const body = bodies.add();
+  assert.equal(body.hold(LARGE_BYTES, LARGE_BYTES), undefined);
+  body.release();
+  assert.equal(body.hold(LARGE_BYTES, 2 * LARGE_BYTES)?.kind, 'overloaded');
+  body.release();
+  assert.equal(bodies.bytes, 0);
+});
+
+// Guards against the same with real connections.
+test('callers who leave while they send their bodies leave no bytes behind', async (context) => {
+  const server = await HoldingServer.start(context);
+  const large = Buffer.alloc(LARGE_BYTES);
+  for (let round = 0; round < LEAVING_ROUNDS; round += 1) {
+    const leave = Array.from({ length: LARGE_REQUESTS }, () => server.sendPart(large));
+    await wait(LEAVE_AFTER_MILLISECONDS);
+    leave.forEach((leaveNow) => leaveNow());
+  }
+  const refusals = server.refusals.length;
+  for (let number = 0; number < SMALL_REQUESTS; number += 1) server.send(large);
+  await server.until(() => server.held.length === SMALL_REQUESTS);
+  assert.equal(server.held.length, SMALL_REQUESTS);
+  assert.equal(server.refusals.length, refusals);
+});
