--- a/packages/entry-core/src/streamVersions/VersionIndex.ts
+++ b/packages/entry-core/src/streamVersions/VersionIndex.ts
@@ -3,7 +3,6 @@
  * instances, so that the servers on which a stream may go on are found without a search of the pool.
  */
 import {
-  groupVersions,
   VersionHistory,
   type LogFields,
   type Milliseconds,
@@ -34,15 +33,18 @@
   update(servers: Iterable<BackendServerState>, now: MonotonicMilliseconds): void {
     this.pools = new Map();
     this.lastUpdatedAt = now;
-    const listed = [...servers].map(({ platformInstance }) => platformInstance);
-    for (const { pool, version, instance } of listed) {
+    for (const { platformInstance } of servers) {
+      const { pool, version, instance } = platformInstance;
       const byVersion: InstancesByVersion = this.pools.get(pool) ?? new Map();
       this.pools.set(pool, byVersion);
       const instances = byVersion.get(version);
       if (instances === undefined) byVersion.set(version, [instance]);
       else instances.push(instance);
     }
-    this.history.recordList(groupVersions(listed), now);
+    const versions = [...this.pools].map(
+      ([pool, byVersion]) => [pool, new Set(byVersion.keys())] as const,
+    );
+    this.history.recordList(new Map(versions), now);
   }
 
   /** Adds the versions that a store has recorded, also from before this entry started. */
