--- a/packages/store-core/src/consensus/election.ts
+++ b/packages/store-core/src/consensus/election.ts
@@ -76,6 +76,7 @@
   const { state, now } = context;
   if (isWriting(context) && canCampaign(state)) {
     // Its vote would wait for these writes, and another store may have a faster disk.
+    if (state.role.type === 'follower') becomeFollower(context, state.term);
     state.electionDueAt = now + state.settings.heartbeatInterval;
     return;
   }
--- a/packages/store-core/src/consensus/slowDisks.test.ts
+++ b/packages/store-core/src/consensus/slowDisks.test.ts
@@ -66,6 +66,13 @@
   assert.equal(written.violation, undefined);
 });
 
+// Guards against operators who are sent to a leader that is gone, for as long as a disk hangs.
+test('a store that hears no leader while its disk is writing names none', () => {
+  const writing = deliverAll(propose(makeLedCluster()));
+  const cluster = fireTimer({ ...writing, network: [] }, 'b');
+  assert.deepEqual(cluster.voters.b?.state?.role, { type: 'follower', leader: undefined });
+});
+
 // Guards against a leader that stays without a quorum: its callers would wait for it.
 test('a leader without an answer of its peers steps down', () => {
   const cluster = passHeartbeats(deliverAll(propose(makeLedCluster())), true);
