--- a/packages/store-core/src/consensus/testing/SlowDiskCluster.ts
+++ b/packages/store-core/src/consensus/testing/SlowDiskCluster.ts
@@ -8,9 +8,7 @@
 import {
   advanceClock,
   deliver,
-  findLeader,
   makeCluster,
-  propose,
   syncDisk,
   type ModelCluster,
   type ModelClusterOptions,
@@ -57,15 +55,6 @@
     return this.now - startedAt;
   }
 
-  proposeAtLeader(): void {
-    const leader = findLeader(this.cluster);
-    if (leader !== undefined) this.cluster = propose(this.cluster, leader.instance);
-  }
-
-  get highestTerm(): number {
-    return Math.max(...Object.values(this.cluster.voters).map(({ state }) => state?.term ?? 0));
-  }
-
   private step(): void {
     this.now += STEP_MILLISECONDS;
     Object.keys(this.cluster.voters).forEach((instance) => {
