Log and count how the version of a stream is found that is taken up

After an answer of two versions, the log of an entry said only that a request was accepted, at debug level: a stream of known origin could not be told from one whose version was concluded from lists, nor an old list from a new one. Event 2007 names how the version was found, the versions known, whether they are complete, the age of the list and whether the stores' answer was conclusive; a counter has the three ways. What still cannot be told apart: the time at which a list was read from that at which it was handled, and a server that started again under its name with another version.

--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -160,7 +160,24 @@
   const retryAfterMilliseconds = UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS;
   const problem = { ran: 'no', retryAfterMilliseconds } as const;
   const facts = { route: route.name, ...describeResumption(request), ...known };
-  return refuseRequest(request, 'versionUnavailable', detail, problem, facts);
+  return [
+    { type: 'count', metric: 'streamsTakenUp', label: 'unknown' },
+    ...refuseRequest(request, 'versionUnavailable', detail, problem, facts),
+  ];
+}
+
+/** Reports by what knowledge a stream goes on, and how old that is. */
+function reportTakeUp(
+  { requestId, resumption }: CallerRequest,
+  resolution: OriginResolution,
+): EntryEffect[] {
+  if (resolution.type !== 'known' && resolution.type !== 'onlyVersion') return [];
+  const { type: origin, facts } = resolution;
+  const fields = { requestId, resumes: resumption?.firstRequestId ?? '', origin, ...facts };
+  return [
+    { type: 'count', metric: 'streamsTakenUp', label: origin },
+    { type: 'log', event: 'streamTakenUp', fields },
+  ];
 }
 
 function countByPriority(
@@ -240,6 +257,7 @@
       ? countByPriority('capacityLent', accepted)
       : []),
     { type: 'count', metric: 'requestsAccepted', label: route.name },
+    ...reportTakeUp(request, resolution),
     {
       type: 'log',
       event: 'requestAccepted',
--- a/packages/entry-core/src/streamVersions/entryOutOfStep.test.ts
+++ b/packages/entry-core/src/streamVersions/entryOutOfStep.test.ts
@@ -25,6 +25,8 @@
   readonly begunAtNewVersion: number;
   readonly ofTwoVersions: number;
   readonly goneOn: number;
+  /** How often the version was found in each way at the entry at which they are taken up. */
+  readonly findings: Readonly<Record<string, number>>;
 }
 
 function startCluster(): SimulatedCluster {
@@ -52,6 +54,12 @@
   return callers;
 }
 
+function readFindings(cluster: SimulatedCluster): Record<string, number> {
+  const prefix = 'streamsTakenUp/';
+  const counts = [...cluster.entryAt(1).counts].filter(([name]) => name.startsWith(prefix));
+  return Object.fromEntries(counts.map(([name, count]) => [name.slice(prefix.length), count]));
+}
+
 /** Kills the entry that began the streams, and takes them up at the other one. */
 function takeUpElsewhere(cluster: SimulatedCluster, streams: readonly CallerRecord[]): Outcome {
   cluster.entryAt(0).kill();
@@ -65,6 +73,7 @@
     ofTwoVersions: takenUp.filter(({ versions }) => versions.size > 1).length,
     goneOn: takenUp.filter(({ tokens }, number) => tokens.length > (tokensBefore[number] ?? 0))
       .length,
+    findings: readFindings(cluster),
   };
 }
 
@@ -137,6 +146,22 @@
   assertNoneJoined(takeUpElsewhere(cluster, streams), 'before the next list');
 });
 
+// Guards against logs and metrics in which a stream of known origin cannot be told from one whose version
+// was concluded from lists.
+test('it is counted how the version of a stream was found that is taken up', () => {
+  const known = startCluster();
+  assert.deepEqual(takeUpElsewhere(known, startStreams(known)).findings, { known: STREAMS });
+  const forgotten = startCluster();
+  const streams = startStreams(forgotten);
+  forgotten.forgetOrigins();
+  assert.deepEqual(takeUpElsewhere(forgotten, streams).findings, { onlyVersion: STREAMS });
+  const mixed = startCluster();
+  releaseVersion(mixed);
+  const unknown = startStreams(mixed);
+  mixed.forgetOrigins();
+  assert.deepEqual(takeUpElsewhere(mixed, unknown).findings, { unknown: STREAMS });
+});
+
 // Guards against safety that is bought by refusals: nothing has joined, or the origins are known.
 const harmless: Readonly<Record<string, (cluster: SimulatedCluster) => void>> = {
   'while another version joins': releaseVersion,
--- a/packages/entry-core/src/streamVersions/resolveOrigin.ts
+++ b/packages/entry-core/src/streamVersions/resolveOrigin.ts
@@ -25,8 +25,12 @@
   /** No stream is taken up, or the platform states no versions. */
   | { readonly type: 'any' }
   /** Nobody knows the origin, but only one version has been in use since `since`. */
-  | { readonly type: 'onlyVersion'; readonly since: MonotonicMilliseconds }
-  | { readonly type: 'known'; readonly origin: StreamOrigin }
+  | {
+      readonly type: 'onlyVersion';
+      readonly since: MonotonicMilliseconds;
+      readonly facts: LogFields;
+    }
+  | { readonly type: 'known'; readonly origin: StreamOrigin; readonly facts: LogFields }
   /** The stores have to be asked. */
   | { readonly type: 'ask'; readonly firstRequestId: string }
   | { readonly type: 'refused'; readonly detail: string; readonly facts: LogFields };
@@ -62,7 +66,10 @@
   let isConclusive = false;
   if (firstRequestId !== undefined) {
     const origin = state.streamOrigins.find(firstRequestId, workspace, now);
-    if (origin !== undefined && pools.includes(origin.pool)) return { type: 'known', origin };
+    if (origin !== undefined && pools.includes(origin.pool)) {
+      const { pool, version } = origin;
+      return { type: 'known', origin, facts: { pool, version } };
+    }
     if (origin !== undefined) {
       const detail = `The stream began in pool "${origin.pool}"`;
       return { type: 'refused', detail, facts: { pool: origin.pool } };
@@ -77,11 +84,12 @@
   const unclearPool = statedPools.find(
     (pool) => mayMissVersion || state.versions.findOnlyVersion(pool, since) === undefined,
   );
-  if (unclearPool === undefined) return { type: 'onlyVersion', since };
-  return refuseUnknown({
-    ...state.versions.describeVersions(unclearPool, since, now),
+  const [firstPool = ''] = statedPools;
+  const facts = {
+    ...state.versions.describeVersions(unclearPool ?? firstPool, since, now),
     isConclusive,
-  });
+  };
+  return unclearPool === undefined ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
 }
 
 /** Holds a request until the stores have answered. */
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -6,6 +6,11 @@
   requestRefused: defineLogEvent(2001, 'info', 'A request was refused before it ran'),
   requestFinished: defineLogEvent(2002, 'debug', 'A request was answered completely'),
   requestFailed: defineLogEvent(2003, 'warn', 'An accepted request was ended with an error'),
+  streamTakenUp: defineLogEvent(
+    2007,
+    'info',
+    'A stream goes on that broke off; how its version was found, and how old that knowledge is',
+  ),
   attemptStarted: defineLogEvent(2010, 'debug', 'A request was sent to a backend server'),
   attemptFailed: defineLogEvent(2011, 'info', 'An attempt at a backend server failed'),
   serverRejected: defineLogEvent(
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -16,6 +16,7 @@
   retryReasons,
   retryRefusalReasons,
   storeAnswerKinds,
+  streamOriginFindings,
 } from './reasons.js';
 import { versionAnswerKinds } from './tables/Rollout.js';
 
@@ -51,6 +52,12 @@
     help: 'Operators’ calls that no store answered, by how the last attempt ended',
     label: { name: 'cause', values: storeAnswerKinds },
   },
+  streamsTakenUp: {
+    name: 'hornbeampond_streams_taken_up_total',
+    kind: 'counter',
+    help: 'Requests for the rest of a stream, by how the version was found that began it',
+    label: { name: 'origin', values: streamOriginFindings },
+  },
   sharesRefused: {
     name: 'hornbeampond_shares_refused_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -99,6 +99,17 @@
 export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
 export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
 
+/** How the version of a stream was found whose caller asks for the rest of it. */
+export const streamOriginFindings = [
+  /** This entry or a store knows where the stream began. */
+  'known',
+  /** Nobody knows, and only one version can have begun it. */
+  'onlyVersion',
+  /** Nobody knows, and several versions can have begun it, or some that this entry does not know. */
+  'unknown',
+] as const;
+export type StreamOriginFinding = (typeof streamOriginFindings)[number];
+
 /** How an attempt to have a request answered by a store ended, as the process that asks saw it. */
 export const storeAnswerKinds = [
   /** The store is not the leader, and named another store as the leader. */
