Let a stream of unknown origin go on only after a list that was asked for since its caller came

The entry took the age of its reading for the age of what it had read, and a list without another version for proof that no version had begun streams since. No list that an entry has at hand can prove that: servers of a new version begin streams as soon as one entry lists them.

Now an entry that finds no origin reads the platform's list itself, once the list cannot lag behind the moment in which the caller asked, and lets the stream go on only if that list and the history show a single version. The list is ordered after the beginning of the stream by cause, so no clock, socket, freeze or suspension can make it older than it looks; lists that other processes have read do not count. If it cannot be read within half a second, the caller is refused and told when to return. Stores that do not know an origin now say which versions they have recorded, so that an entry which was out of touch learns what it missed, and gaps between lists count by the wall clock too, since the monotonic clock stands still while a machine is suspended. Streams of known origin are served as before.

--- a/apps/entry/src/BackendServerWatcher.test.ts
+++ b/apps/entry/src/BackendServerWatcher.test.ts
@@ -62,9 +62,12 @@
 
   listedCount = 0;
 
+  /** What the entries were told of lists, with the times at which they were asked for. */
+  readonly listEvents: { readonly type: string; readonly readAt: number | undefined }[] = [];
+
   private readonly watchers: BackendServerWatcher[];
 
-  constructor(count: number) {
+  constructor(count: number, listLagMilliseconds = 0) {
     const { timers, platform } = this;
     this.watchers = Array.from({ length: count }, () => {
       const watcher: BackendServerWatcher = new BackendServerWatcher({
@@ -78,9 +81,12 @@
         timers,
         logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
         pollMilliseconds: 1000,
+        listLagMilliseconds,
         readConfiguration: () => emptyConfiguration,
-        dispatch: ({ type }) => {
-          if (type === 'instancesListed') this.listedCount += 1;
+        dispatch: (event) => {
+          if (event.type !== 'instancesListed' && event.type !== 'instancesUnread') return;
+          if (event.type === 'instancesListed') this.listedCount += 1;
+          this.listEvents.push({ type: event.type, readAt: event.readAt });
         },
         shareInstances: (instances) => this.sendList(instances),
         countEntries: () => count,
@@ -93,6 +99,10 @@
     await Promise.all(this.watchers.map(async (watcher) => watcher.start()));
   }
 
+  readForRequests(): void {
+    this.watchers.forEach((watcher) => watcher.readForRequests());
+  }
+
   sendList(instances: readonly PlatformInstance[], age = 0): void {
     this.watchers.forEach((watcher) => watcher.receiveInstances(instances, age));
   }
@@ -166,3 +176,43 @@
   await entries.advance(200);
   assert.equal(entries.platform.readCount, 1);
 });
+
+// Guards against an entry that takes a list for new because it has just arrived: it may have waited in a
+// socket or at a store.
+test('a list that another process has read says nothing of the time at which it was asked for', async () => {
+  const entries = new SimulatedEntries(1);
+  await entries.start();
+  entries.sendList([instance]);
+  assert.deepEqual(entries.listEvents, [{ type: 'instancesListed', readAt: undefined }]);
+});
+
+// Guards against a list that lags: asked for at once, it may lack a server that other entries use.
+test('a list that is read for requests shows what is listed when they ask', async () => {
+  const lag = 800;
+  const entries = new SimulatedEntries(1, lag);
+  await entries.start();
+  entries.sendList([instance]);
+  const askedAt = entries.timers.monotonicNow();
+  entries.readForRequests();
+  entries.readForRequests();
+  await entries.advance(lag);
+  assert.equal(entries.platform.readCount, 0);
+  await entries.advance(100);
+  assert.equal(entries.platform.readCount, 1);
+  const [, listed] = entries.listEvents;
+  assert.equal(listed?.type, 'instancesListed');
+  assert.ok((listed?.readAt ?? -Infinity) >= askedAt);
+});
+
+// Guards against requests that wait for a list until their deadline.
+test('requests that wait for a list are told that it cannot be read', async () => {
+  const entries = new SimulatedEntries(1);
+  entries.platform.isDown = true;
+  await entries.start();
+  const askedAt = entries.timers.monotonicNow();
+  entries.readForRequests();
+  await entries.advance(100);
+  const [unread] = entries.listEvents;
+  assert.equal(unread?.type, 'instancesUnread');
+  assert.ok((unread?.readAt ?? -Infinity) >= askedAt);
+});
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -8,7 +8,12 @@
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import type { AttemptTarget, EntryEventPayload } from '@hornbeampond/entry-core';
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type { Configuration, Milliseconds, PlatformInstance } from '@hornbeampond/schema';
+import type {
+  Configuration,
+  Milliseconds,
+  MonotonicMilliseconds,
+  PlatformInstance,
+} from '@hornbeampond/schema';
 import { CacheEventReader } from './CacheEventReader.js';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 
@@ -18,6 +23,8 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly pollMilliseconds: Milliseconds;
+  /** How much older the list may be than the moment in which the platform is asked for it. */
+  readonly listLagMilliseconds: Milliseconds;
   readConfiguration(): Configuration;
   dispatch(payload: EntryEventPayload): void;
   /** Sends the list to the other entries. If undefined, this entry polls at every interval. */
@@ -41,6 +48,12 @@
 /** Spreads the first polls of entries that start together. */
 const INITIAL_POLL_SPREAD_MILLISECONDS: Milliseconds = 400;
 
+/** Callers wait for the rest of a stream, so a list that is read for them is given up early. */
+const READ_FOR_REQUEST_TIMEOUT_MILLISECONDS: Milliseconds = 500;
+
+/** Timers may fire a little early. */
+const TIMER_MARGIN_MILLISECONDS: Milliseconds = 5;
+
 export class BackendServerWatcher {
   private instances: readonly PlatformInstance[] = [];
 
@@ -51,6 +64,9 @@
   /** True while polls are scheduled; used only with `shareInstances`. */
   private isStarted = false;
 
+  /** True while a read for requests is scheduled and has not begun. */
+  private isReadScheduled = false;
+
   private readonly cacheEventReader = new CacheEventReader();
 
   constructor(private readonly options: BackendServerWatcherOptions) {}
@@ -67,6 +83,20 @@
     await this.poll();
   }
 
+  /**
+   * Reads the list for requests that need one which shows what is listed now. It begins once the list
+   * cannot lag behind that any more.
+   */
+  readForRequests(): void {
+    if (this.isReadScheduled) return;
+    this.isReadScheduled = true;
+    const { timers, listLagMilliseconds } = this.options;
+    timers.after(listLagMilliseconds + TIMER_MARGIN_MILLISECONDS, () => {
+      this.isReadScheduled = false;
+      void this.readAnew();
+    });
+  }
+
   /** Handles a list that another process read `age` milliseconds ago. */
   receiveInstances(instances: readonly PlatformInstance[], age: Milliseconds): void {
     const { pollMilliseconds } = this.options;
@@ -116,28 +146,51 @@
   }
 
   private async pollPlatform(): Promise<void> {
-    const { platform, dispatch, pollMilliseconds, shareInstances } = this.options;
-    const signal = AbortSignal.timeout(pollMilliseconds * 2);
     try {
-      const [instances, notices] = await Promise.all([
-        platform.listInstances(signal),
-        platform.readNotices(signal),
-      ]);
-      this.applyInstances(instances);
-      notices.forEach(({ instance, goneAt }) => {
-        dispatch({ type: 'reclaimNoticed', instance, goneAt });
-      });
-      shareInstances?.(instances);
+      await this.readPlatform(this.options.pollMilliseconds * 2);
     } catch (error) {
       this.logPlatformUnreachable(error);
     }
   }
 
-  private applyInstances(instances: readonly PlatformInstance[]): void {
+  private async readAnew(): Promise<void> {
+    const { readAt } = this;
+    try {
+      await this.readPlatform(READ_FOR_REQUEST_TIMEOUT_MILLISECONDS);
+    } catch (error) {
+      this.logPlatformUnreachable(error);
+      this.options.dispatch({ type: 'instancesUnread', readAt });
+    }
+  }
+
+  /** A list that is asked for now holds all that the platform had listed at this time. */
+  private get readAt(): MonotonicMilliseconds {
+    return this.options.timers.monotonicNow() - this.options.listLagMilliseconds;
+  }
+
+  private async readPlatform(timeout: Milliseconds): Promise<void> {
+    const { platform, dispatch, shareInstances } = this.options;
+    const { readAt } = this;
+    const signal = AbortSignal.timeout(timeout);
+    const [instances, notices] = await Promise.all([
+      platform.listInstances(signal),
+      platform.readNotices(signal),
+    ]);
+    this.applyInstances(instances, readAt);
+    notices.forEach(({ instance, goneAt }) => {
+      dispatch({ type: 'reclaimNoticed', instance, goneAt });
+    });
+    shareInstances?.(instances);
+  }
+
+  private applyInstances(
+    instances: readonly PlatformInstance[],
+    readAt?: MonotonicMilliseconds,
+  ): void {
     const { adapters, dispatch } = this.options;
     this.instances = instances;
     this.cacheEventReader.retainOnly(instances.map(({ instance }) => instance));
-    dispatch({ type: 'instancesListed', instances });
+    dispatch({ type: 'instancesListed', instances, ...(readAt === undefined ? {} : { readAt }) });
     adapters.retainOnly(instances.flatMap((instance) => this.findTarget(instance) ?? []));
   }
 
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -272,6 +272,7 @@
       timers,
       logger: this.logger,
       pollMilliseconds: settings.platform.pollMilliseconds,
+      listLagMilliseconds: settings.platform.listLagMilliseconds,
       readConfiguration,
       dispatch,
       countEntries: () => this.eventLoop.state.membership.peers.size + 1,
@@ -543,6 +544,9 @@
       case 'findStreamOrigin':
         this.sharing.run(effect);
         return;
+      case 'readInstances':
+        this.watcher.readForRequests();
+        return;
       case 'configurationApplied':
         this.callerListener.applyBounds?.();
         this.storeClient.updateReport(this.makeInstanceReport(effect.revision));
--- a/apps/store/src/PersistedEntryState.ts
+++ b/apps/store/src/PersistedEntryState.ts
@@ -19,6 +19,7 @@
   type PersistedEntryData,
   type PersistedVersions,
   type SharedInstance,
+  type VersionHistoryMessage,
   type WorkReport,
 } from '@hornbeampond/schema';
 import { RecentPrefixes } from './RecentPrefixes.js';
@@ -78,9 +79,14 @@
     };
   }
 
+  /** The versions that backend servers have had; undefined before the first list. */
+  get versionHistory(): VersionHistoryMessage | undefined {
+    return this.versions.toMessage(this.options.timers.monotonicNow());
+  }
+
   private get recordedVersions(): PersistedVersions | undefined {
     const { timers } = this.options;
-    const history = this.versions.toMessage(timers.monotonicNow());
+    const history = this.versionHistory;
     return history === undefined ? undefined : { at: timers.wallNow(), history };
   }
 
@@ -149,7 +155,8 @@
   recordInstanceList(instances: readonly SharedInstance[]): void {
     this.hasChanged = true;
     this.prefixes.retainOnly(instances.map(({ instance }) => instance));
-    this.versions.recordList(groupVersions(instances), this.options.timers.monotonicNow());
+    const { timers } = this.options;
+    this.versions.recordList(groupVersions(instances), timers.monotonicNow(), timers.wallNow());
   }
 
   private adoptVersions(saved: PersistedVersions | undefined): void {
--- a/apps/store/src/StoreProcess.ts
+++ b/apps/store/src/StoreProcess.ts
@@ -262,6 +262,7 @@
       onWorkReport: (work) => this.persistedEntryState.recordWork(work),
       onSpendingReport: (spending) => this.persistedEntryState.recordSpending(spending),
       onInstanceList: (instances) => this.persistedEntryState.recordInstanceList(instances),
+      readVersionHistory: () => this.persistedEntryState.versionHistory,
       readPersistedEntryState: (role) =>
         role === 'entry'
           ? this.persistedEntryState.contentsForEntries
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -20,6 +20,7 @@
   type StoreResponse,
   type WorkReport,
   type StoreStatus,
+  type VersionHistoryMessage,
 } from '@hornbeampond/schema';
 import {
   currentMembership,
@@ -60,6 +61,8 @@
   onSpendingReport(spending: SpendingReport): void;
   readonly instanceList: InstanceListCache;
   onInstanceList(instances: readonly SharedInstance[]): void;
+  /** The versions that backend servers have had; undefined before the first list. */
+  readVersionHistory(): VersionHistoryMessage | undefined;
   /** Persisted state for a subscriber of this role. */
   readPersistedEntryState(role: InstanceReport['role']): PersistedEntryData;
   /** With fewer voters than this, changes of the tables are refused. */
@@ -140,7 +143,7 @@
         respond(this.makeAcceptedResponse());
         return;
       case 'findStreamOrigin':
-        respond({ type: 'streamOrigin', origin: this.streamOrigins.find(request.requestId) });
+        respond(this.makeOriginResponse(request.requestId));
         return;
       case 'readStatus':
         respond({
@@ -329,6 +332,12 @@
     return { type: 'configuration', configuration: this.options.readMachine().configuration };
   }
 
+  private makeOriginResponse(requestId: string): StoreResponse {
+    const origin = this.streamOrigins.find(requestId);
+    if (origin !== undefined) return { type: 'streamOrigin', origin };
+    return { type: 'streamOrigin', history: this.options.readVersionHistory() };
+  }
+
   private makeDocumentResponse(): StoreResponse {
     const { configuration, document } = this.options.readMachine();
     const version = configuration.whole?.version;
--- a/packages/entry-core/src/EntryState.ts
+++ b/packages/entry-core/src/EntryState.ts
@@ -30,7 +30,7 @@
 import { makeSlownessState, type SlownessState } from './slowness/SlownessState.js';
 import { makeShareState, type ShareState } from './shares/ShareState.js';
 import { makeShutdownState, type ShutdownState } from './shutdown/ShutdownState.js';
-import type { RequestAwaitingOrigin } from './streamVersions/resolveOrigin.js';
+import type { HeldTakeUp } from './streamVersions/heldTakeUps.js';
 import { StreamOrigins } from './streamVersions/StreamOrigins.js';
 import { VersionIndex } from './streamVersions/VersionIndex.js';
 import { ServerBrittleness } from './statements/ServerBrittleness.js';
@@ -64,7 +64,10 @@
   /** Requests held until a store acknowledges earlier spending, by request id. */
   readonly requestsAwaitingAcknowledgement: Map<string, RequestAwaitingAcknowledgement>;
   /** Requests for the rest of a stream, held until the stores say where it began, by request id. */
-  readonly requestsAwaitingOrigin: Map<string, RequestAwaitingOrigin>;
+  readonly takeUpsAwaitingOrigin: Map<string, HeldTakeUp>;
+
+  /** Those whose origin no store knows, until the list has been read anew. */
+  readonly takeUpsAwaitingList: Map<string, HeldTakeUp>;
   /** Accepted requests without a final answer, by request id. */
   readonly requests: Map<string, RequestState>;
   /** Attempts that have not ended, by attempt id. */
@@ -128,7 +131,8 @@
     backendServers: new Map(),
     requestsAwaitingConfiguration: new Map(),
     requestsAwaitingAcknowledgement: new Map(),
-    requestsAwaitingOrigin: new Map(),
+    takeUpsAwaitingOrigin: new Map(),
+    takeUpsAwaitingList: new Map(),
     requests: new Map(),
     attempts: new Map(),
     claims: new Map(),
--- a/packages/entry-core/src/admission/admitAfterAcknowledgement.ts
+++ b/packages/entry-core/src/admission/admitAfterAcknowledgement.ts
@@ -18,8 +18,8 @@
   awaiting: readonly RequestAwaitingAcknowledgement[],
   timestamps: Timestamps,
 ): EntryEffect[] {
-  return awaiting.flatMap(({ request, arrivedAt, waitsUntil }) => {
-    const admitted = admitRequest(state, request, timestamps, arrivedAt, waitsUntil);
+  return awaiting.flatMap(({ request, ...earlier }) => {
+    const admitted = admitRequest(state, request, timestamps, earlier);
     observeAttemptStarts(state, admitted, timestamps.now);
     return admitted;
   });
--- a/packages/entry-core/src/admission/admitAfterConfiguration.ts
+++ b/packages/entry-core/src/admission/admitAfterConfiguration.ts
@@ -11,7 +11,7 @@
 
 export function admitAfterConfiguration(state: EntryState, timestamps: Timestamps): EntryEffect[] {
   return takeAwaitingConfiguration(state).flatMap(({ request, arrivedAt }) => {
-    const admitted = admitRequest(state, request, timestamps, arrivedAt);
+    const admitted = admitRequest(state, request, timestamps, { arrivedAt });
     observeAttemptStarts(state, admitted, timestamps.now);
     return admitted;
   });
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -24,11 +24,11 @@
 import { findRoute } from '../routing/findRoute.js';
 import { getRouteIndex } from '../routing/getRouteIndex.js';
 import {
-  awaitOrigin,
   resolveOrigin,
   type OriginResolution,
   UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS,
 } from '../streamVersions/resolveOrigin.js';
+import { awaitList, awaitOrigin, type TakeUp } from '../streamVersions/heldTakeUps.js';
 import { acquireConcurrencySlot } from '../limits/releaseEndedRequests.js';
 import { spendAllowance } from '../limits/checkAllowance.js';
 import { acknowledgementDueAt, awaitAcknowledgement } from './awaitAcknowledgement.js';
@@ -187,13 +187,22 @@
   return [{ type: 'count', metric, label: `${pool.name}/${route.priority}` }];
 }
 
+/** What is kept of a request between the decisions on it, if it is held. */
+export interface EarlierDecision {
+  readonly arrivedAt?: MonotonicMilliseconds | undefined;
+  /** When its wait for an acknowledgement of spending ends. */
+  readonly waitsUntil?: MonotonicMilliseconds;
+  readonly takeUp?: TakeUp;
+}
+
 export function admitRequest(
   state: EntryState,
   arrived: CallerRequest,
   timestamps: Timestamps,
-  arrivedAt = timestamps.now,
-  waitsUntil = acknowledgementDueAt(state, timestamps.now),
+  earlier: EarlierDecision = {},
 ): EntryEffect[] {
+  const { arrivedAt = timestamps.now, takeUp = { askedAt: timestamps.now } } = earlier;
+  const { waitsUntil = acknowledgementDueAt(state, timestamps.now) } = earlier;
   if (state.refusesNewRequests) {
     return refuseRequest(arrived, 'draining', 'This instance is shutting down');
   }
@@ -201,11 +210,10 @@
   const resolved = resolveRoute(state, arrived);
   if (resolved.type === 'refused') return resolved.effects;
   const { route, request } = resolved;
-  const resolution = resolveOrigin(state, request, route, timestamps.now);
-  if (resolution.type === 'ask') {
-    const { firstRequestId } = resolution;
-    return awaitOrigin(state, { request: arrived, firstRequestId, arrivedAt });
-  }
+  const resolution = resolveOrigin(state, request, route, takeUp);
+  const held = { request: arrived, arrivedAt, takeUp };
+  if (resolution.type === 'askStores') return awaitOrigin(state, held, resolution.firstRequestId);
+  if (resolution.type === 'readList') return awaitList(state, held);
   if (resolution.type === 'refused') return refuseContinuation(request, route, resolution);
   const origin = resolution.type === 'known' ? resolution.origin : undefined;
   const poolName = origin?.pool ?? choosePool(route, state.random);
@@ -228,9 +236,9 @@
   const decision = decideAdmission(state, accepted, timestamps.now);
   if (decision.type === 'refused' && decision.refusal.awaitsAcknowledgement === true) {
     const { workspace } = request;
-    const awaiting = { request: arrived, workspace, arrivedAt, waitsUntil };
-    const held = awaitAcknowledgement(state, awaiting, timestamps.now);
-    if (held !== undefined) return held;
+    const awaiting = { ...held, workspace, waitsUntil };
+    const waiting = awaitAcknowledgement(state, awaiting, timestamps.now);
+    if (waiting !== undefined) return waiting;
   }
   recordDemand(state, accepted, decision, timestamps);
   if (decision.type === 'refused') {
--- a/packages/entry-core/src/admission/awaitAcknowledgement.ts
+++ b/packages/entry-core/src/admission/awaitAcknowledgement.ts
@@ -5,9 +5,9 @@
  */
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { EntryEffect } from '../entryEffects.js';
-import type { CallerRequest } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { TICK_INTERVAL_MILLISECONDS } from '../slowness/LoopDelayDetector.js';
+import type { HeldTakeUp } from '../streamVersions/heldTakeUps.js';
 import { reportUnreportedSpending } from '../limits/checkAllowance.js';
 
 const MAX_WAIT_MILLISECONDS: Milliseconds = 250;
@@ -15,10 +15,8 @@
 /** The wait of an entry that is short of processor time, and reads acknowledgements late, ends here. */
 const MAX_WAIT_OF_SLOW_ENTRY_MILLISECONDS: Milliseconds = 600;
 
-export interface RequestAwaitingAcknowledgement {
-  readonly request: CallerRequest;
+export interface RequestAwaitingAcknowledgement extends HeldTakeUp {
   readonly workspace: string;
-  readonly arrivedAt: MonotonicMilliseconds;
   /** Counts from the first decision: a slow entry may decide long after the arrival. */
   readonly waitsUntil: MonotonicMilliseconds;
 }
--- a/packages/entry-core/src/backendServers/applyInstanceList.ts
+++ b/packages/entry-core/src/backendServers/applyInstanceList.ts
@@ -54,8 +54,9 @@
 export function applyInstanceList(
   state: EntryState,
   instances: readonly PlatformInstance[],
-  now: MonotonicMilliseconds,
+  readAt?: MonotonicMilliseconds,
 ): void {
+  const { now } = state.clocks;
   // Servers in the first list were running before this entry: slow start would only hold back work
   // that they can take.
   const isFirstList = state.backendServers.size === 0;
@@ -92,6 +93,6 @@
   state.rests.retainOnly(isListed, now);
   state.departures.retainOnly(isListed, now);
   refreshConcurrencyLimits(state);
-  state.versions.update(state.backendServers.values(), now);
+  state.versions.update(state.backendServers.values(), state.clocks, readAt);
   rebuildCandidateGroups(state);
 }
--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -13,7 +13,7 @@
   type StreamOrigin,
   type WorkReport,
 } from '@hornbeampond/schema';
-import type { CallerRequest, Timestamps } from '../entryEvents.js';
+import type { CallerRequest, EntryEventPayload, Timestamps } from '../entryEvents.js';
 import { SimulatedEntry, type CallerRecord } from './SimulatedEntry.js';
 import {
   SimulatedEngine,
@@ -28,6 +28,8 @@
 const STEP_MILLISECONDS = 10;
 const TICK_MILLISECONDS = 50;
 const FIND_ORIGIN_TIMEOUT_MILLISECONDS = 250;
+const READ_LIST_MILLISECONDS = 20;
+const READ_LIST_TIMEOUT_MILLISECONDS = 500;
 
 /** For how long the store has received lists when a simulation starts. */
 const EARLIER_HISTORY_MILLISECONDS = 3_600_000;
@@ -63,6 +65,12 @@
   readonly listIntervalMilliseconds?: number;
 }
 
+/** What the stores answer an entry that asks where a stream began. */
+type OriginAnswer = Omit<
+  Extract<EntryEventPayload, { type: 'streamOriginAnswered' }>,
+  'type' | 'requestId'
+>;
+
 interface Task {
   readonly dueAt: number;
   readonly run: () => void;
@@ -163,8 +171,7 @@
   private startEntry(number: number): SimulatedEntry {
     const entry = this.makeEntry(number);
     entry.send({ type: 'configurationReceived', configuration: this.configuration });
-    const instances = [...this.platformInstances, ...this.startingInstances];
-    entry.send({ type: 'instancesListed', instances });
+    entry.send({ type: 'instancesListed', instances: this.listedInstances });
     this.sendVersionHistory(entry);
     return entry;
   }
@@ -183,8 +190,8 @@
   }
 
   private recordVersions(): void {
-    const listed = [...this.platformInstances, ...this.startingInstances];
-    this.versionHistory.recordList(groupVersions(listed), this.now);
+    const { now, wallNow } = this.clock();
+    this.versionHistory.recordList(groupVersions(this.listedInstances), now, wallNow);
   }
 
   /** Adds an engine and lists it on the platform. */
@@ -225,7 +232,7 @@
   }
 
   private sendList(): void {
-    const instances = [...this.platformInstances, ...this.startingInstances];
+    const instances = this.listedInstances;
     // An entry that runs shares each list with the store.
     const sharing = this.entries.filter(
       ({ alive, reachesPlatform, reachesStores }) => alive && reachesPlatform && reachesStores,
@@ -372,13 +379,37 @@
   findOrigin(
     from: SimulatedEntry,
     requestId: string,
-    onAnswer: (origin: StreamOrigin | undefined, isConclusive: boolean) => void,
+    onAnswer: (answer: OriginAnswer) => void,
   ): void {
     if (this.storeReachable && from.reachesStores) {
-      this.schedule(2, () => onAnswer(this.streamOrigins.get(requestId), true));
+      this.schedule(2, () => {
+        const history = this.versionHistory.toMessage(this.now);
+        const histories = history === undefined ? [] : [history];
+        onAnswer({ origin: this.streamOrigins.get(requestId), isConclusive: true, histories });
+      });
       return;
     }
-    this.schedule(FIND_ORIGIN_TIMEOUT_MILLISECONDS, () => onAnswer(undefined, false));
+    this.schedule(FIND_ORIGIN_TIMEOUT_MILLISECONDS, () =>
+      onAnswer({ origin: undefined, isConclusive: false, histories: [] }),
+    );
+  }
+
+  /** Simulates an entry that reads the list of the platform, or waits for it in vain. */
+  readList(from: SimulatedEntry): void {
+    const readAt = this.now;
+    if (from.reachesPlatform) {
+      this.schedule(READ_LIST_MILLISECONDS, () =>
+        from.send({ type: 'instancesListed', instances: this.listedInstances, readAt }),
+      );
+      return;
+    }
+    this.schedule(READ_LIST_TIMEOUT_MILLISECONDS, () =>
+      from.send({ type: 'instancesUnread', readAt }),
+    );
+  }
+
+  private get listedInstances(): readonly PlatformInstance[] {
+    return [...this.platformInstances, ...this.startingInstances];
   }
 
   /** Simulates a store that quarantines a digest at the second different crash reported for it. */
--- a/packages/entry-core/src/driver/SimulatedEntry.ts
+++ b/packages/entry-core/src/driver/SimulatedEntry.ts
@@ -192,6 +192,9 @@
       case 'findStreamOrigin':
         this.findOrigin(effect);
         return;
+      case 'readInstances':
+        this.cluster.readList(this);
+        return;
       case 'count':
         this.addCount(effect);
         return;
@@ -210,8 +213,8 @@
   }
 
   private findOrigin({ requestId, firstRequestId }: Effect<'findStreamOrigin'>): void {
-    this.cluster.findOrigin(this, firstRequestId, (origin, isConclusive) =>
-      this.send({ type: 'streamOriginAnswered', requestId, origin, isConclusive }),
+    this.cluster.findOrigin(this, firstRequestId, (answer) =>
+      this.send({ type: 'streamOriginAnswered', requestId, ...answer }),
     );
   }
 
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -111,6 +111,11 @@
       readonly requestId: string;
       readonly firstRequestId: string;
     }
+  /**
+   * Reads the platform's list of instances anew. The result is `instancesListed` or `instancesUnread`,
+   * whose `readAt` is not before this effect.
+   */
+  | { readonly type: 'readInstances' }
   /** A newer configuration has taken effect. */
   | { readonly type: 'configurationApplied'; readonly revision: number }
   /** Asks the load balancer to send new connections elsewhere, or here again. */
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -23,6 +23,7 @@
   StoredAnswer,
   StreamOrigin,
   WorkReport,
+  VersionHistoryMessage,
 } from '@hornbeampond/schema';
 import type { ClaimCommand } from './claims/ClaimedCallState.js';
 
@@ -106,7 +107,17 @@
       /** For how long the store has had it; missing where that is not known. */
       readonly age?: Milliseconds | undefined;
     }
-  | { readonly type: 'instancesListed'; readonly instances: readonly PlatformInstance[] }
+  | {
+      readonly type: 'instancesListed';
+      readonly instances: readonly PlatformInstance[];
+      /**
+       * The list holds what the platform had listed at this time: this process asked for it then, or
+       * later by as much as the list may lag. Undefined if another process has read it.
+       */
+      readonly readAt?: MonotonicMilliseconds;
+    }
+  /** The list that was asked for at this time could not be read. */
+  | { readonly type: 'instancesUnread'; readonly readAt: MonotonicMilliseconds }
   | {
       readonly type: 'reclaimNoticed';
       readonly instance: string;
@@ -223,6 +234,8 @@
       readonly origin?: StreamOrigin | undefined;
       /** False if a store that could not be asked may know the origin. */
       readonly isConclusive: boolean;
+      /** The versions that stores have recorded which do not know the origin. */
+      readonly histories?: readonly VersionHistoryMessage[];
     }
   /** A store can be reached that did not get the origins of streams before. */
   | { readonly type: 'originStoreJoined' }
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -1,15 +1,10 @@
 /** The entry's reducer: applies one event to the state and returns the resulting effects. */
-import {
-  assertNever,
-  type Configuration,
-  type Milliseconds,
-  type PlatformInstance,
-} from '@hornbeampond/schema';
+import { assertNever, type Configuration, type Milliseconds } from '@hornbeampond/schema';
 import { advanceEntry } from './advanceEntry.js';
 import { admitAfterAcknowledgement } from './admission/admitAfterAcknowledgement.js';
 import { admitRequest } from './admission/admitRequest.js';
 import { admitAfterConfiguration } from './admission/admitAfterConfiguration.js';
-import { admitAfterOrigin } from './admission/admitAfterOrigin.js';
+import { admitAfterList, admitAfterOrigin } from './admission/admitAfterOrigin.js';
 import { reduceAttempts } from './attempts/reduceAttempts.js';
 import { findAffectedIds, reduceAdmission } from './admission/reduceAdmission.js';
 import { receiveLoadReport } from './backendServers/estimateInProgress.js';
@@ -75,11 +70,14 @@
 
 function receiveInstanceList(
   state: EntryState,
-  instances: readonly PlatformInstance[],
-  timestamps: Timestamps,
+  event: Extract<EntryEvent, { type: 'instancesListed' }>,
 ): EntryEffect[] {
-  applyInstanceList(state, instances, timestamps.now);
-  return recordListedReclaimNotices(state, instances, timestamps);
+  const { instances, readAt } = event;
+  applyInstanceList(state, instances, readAt);
+  const effects = recordListedReclaimNotices(state, instances, event);
+  return readAt === undefined
+    ? effects
+    : [...effects, ...admitAfterList(state, readAt, true, event)];
 }
 
 function dispatchEvent(state: EntryState, event: EntryEvent): EntryEffect[] {
@@ -87,7 +85,9 @@
     case 'configurationReceived':
       return receiveConfiguration(state, event.configuration, event.age, event);
     case 'instancesListed':
-      return receiveInstanceList(state, event.instances, event);
+      return receiveInstanceList(state, event);
+    case 'instancesUnread':
+      return admitAfterList(state, event.readAt, false, event);
     case 'reclaimNoticed':
       return recordReclaimNotice(state, event.instance, event.goneAt, event);
     case 'loadReported':
@@ -107,7 +107,7 @@
       receiveCacheEvents(state, event.events, event.now);
       return [];
     case 'requestArrived':
-      return admitRequest(state, event.request, event, event.arrivedAt);
+      return admitRequest(state, event.request, event, { arrivedAt: event.arrivedAt });
     case 'streamOriginAnswered':
       return admitAfterOrigin(state, event);
     case 'originStoreJoined':
--- a/packages/entry-core/src/requests/handleCallerDisconnect.ts
+++ b/packages/entry-core/src/requests/handleCallerDisconnect.ts
@@ -10,7 +10,8 @@
 export function handleCallerDisconnect(state: EntryState, requestId: string): EntryEffect[] {
   state.requestsAwaitingConfiguration.delete(requestId);
   state.requestsAwaitingAcknowledgement.delete(requestId);
-  state.requestsAwaitingOrigin.delete(requestId);
+  state.takeUpsAwaitingOrigin.delete(requestId);
+  state.takeUpsAwaitingList.delete(requestId);
   const accepted = state.requests.get(requestId);
   if (accepted === undefined || requiresClaim(accepted.route)) return [];
   state.requests.delete(requestId);
--- a/packages/entry-core/src/shutdown/advanceShutdown.ts
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -53,7 +53,8 @@
   const heldRequests =
     state.requestsAwaitingConfiguration.size +
     state.requestsAwaitingAcknowledgement.size +
-    state.requestsAwaitingOrigin.size;
+    state.takeUpsAwaitingOrigin.size +
+    state.takeUpsAwaitingList.size;
   const inProgress = state.requests.size + heldRequests > 0 || mustWaitForClaims;
   if (!state.refusesNewRequests || inProgress || shutdown.readyReported) return effects;
   shutdown.readyReported = true;
--- a/packages/entry-core/src/streamVersions/VersionIndex.test.ts
+++ b/packages/entry-core/src/streamVersions/VersionIndex.test.ts
@@ -15,7 +15,9 @@
 /** Applies one list each second, and returns when the pool last had servers of several versions. */
 function lastMixedAt(lists: readonly (readonly string[])[]): number | undefined {
   const index = new VersionIndex();
-  lists.forEach((versions, second) => index.update(listServers(versions), second * 1000));
+  lists.forEach((versions, second) =>
+    index.update(listServers(versions), { now: second * 1000, wallNow: second * 1000 }),
+  );
   const seconds = lists.map((_versions, second) => second * 1000);
   return seconds.findLast((since) => index.findOnlyVersion(POOL, since) === undefined);
 }
--- a/packages/entry-core/src/streamVersions/VersionIndex.ts
+++ b/packages/entry-core/src/streamVersions/VersionIndex.ts
@@ -11,15 +11,13 @@
   type VersionHistoryMessage,
 } from '@hornbeampond/schema';
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
+import type { Timestamps } from '../entryEvents.js';
 
 /** Servers whose version the platform does not state are kept under `undefined`. */
 type InstancesByVersion = Map<ServerVersion, string[]>;
 
-/**
- * Lists arrive each second, and at most 2.5 s apart while one poll fails. Servers are listed for seconds
- * while they start, so none of another version has begun a stream and lost it within this time.
- */
-const MAX_LIST_AGE_MILLISECONDS: Milliseconds = 3000;
+/** Lists arrive each second, and at most 2.5 s apart while one poll fails. */
+const MAX_LIST_GAP_MILLISECONDS: Milliseconds = 3000;
 
 const NO_INSTANCES: readonly string[] = [];
 
@@ -28,11 +26,23 @@
 
   private lastUpdatedAt: MonotonicMilliseconds = -Infinity;
 
-  private readonly history = new VersionHistory();
+  /** When this entry asked for the newest list that it has read itself. */
+  private readAt: MonotonicMilliseconds = -Infinity;
+
+  private readonly history = new VersionHistory(MAX_LIST_GAP_MILLISECONDS);
 
-  update(servers: Iterable<BackendServerState>, now: MonotonicMilliseconds): void {
+  /**
+   * @param readAt - When this entry asked for the list; undefined if another process has read it, since
+   *   it may have waited anywhere on its way.
+   */
+  update(
+    servers: Iterable<BackendServerState>,
+    { now, wallNow }: Timestamps,
+    readAt: MonotonicMilliseconds = -Infinity,
+  ): void {
     this.pools = new Map();
     this.lastUpdatedAt = now;
+    this.readAt = Math.max(this.readAt, readAt);
     for (const { platformInstance } of servers) {
       const { pool, version, instance } = platformInstance;
       const byVersion: InstancesByVersion = this.pools.get(pool) ?? new Map();
@@ -44,7 +54,7 @@
     const versions = [...this.pools].map(
       ([pool, byVersion]) => [pool, new Set(byVersion.keys())] as const,
     );
-    this.history.recordList(new Map(versions), now);
+    this.history.recordList(new Map(versions), now, wallNow);
   }
 
   /** Adds the versions that a store has recorded, also from before this entry started. */
@@ -52,9 +62,9 @@
     this.history.adopt(history, now);
   }
 
-  /** True if the list is recent enough to hold each version that has begun streams. */
-  isCurrent(now: MonotonicMilliseconds): boolean {
-    return now - this.lastUpdatedAt <= MAX_LIST_AGE_MILLISECONDS;
+  /** True if this entry has read a list that it asked for at or after `since`. */
+  isReadSince(since: MonotonicMilliseconds): boolean {
+    return this.readAt >= since;
   }
 
   /** False if the platform states no version for any server that the pool has had. */
--- a/packages/entry-core/src/streamVersions/resolveOrigin.ts
+++ b/packages/entry-core/src/streamVersions/resolveOrigin.ts
@@ -3,7 +3,9 @@
  * beginning may be another one, or be gone, so what this entry does not know it asks the stores, which
  * keep the origins of streams. A stream whose origin nobody knows goes on only if a single version can
  * have begun it: any server would continue it, also a wrong one. An entry knows that for a time of which
- * it, or a store before it, has received all lists.
+ * it, or a store before it, has received all lists, up to the last list that it has read itself. That one
+ * has to be asked for after the caller has asked: an earlier list may lack the version that began the
+ * stream, and a list that another process has read may be older than it looks.
  */
 import type {
   LogFields,
@@ -12,10 +14,10 @@
   Route,
   StreamOrigin,
 } from '@hornbeampond/schema';
-import type { EntryEffect } from '../entryEffects.js';
-import type { CallerRequest, EntryEvent } from '../entryEvents.js';
+import type { CallerRequest } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { listPools } from '../routing/choosePool.js';
+import type { TakeUp } from './heldTakeUps.js';
 import { ORIGIN_MARGIN_MILLISECONDS } from './StreamOrigins.js';
 
 /** A store may learn the origin within this time, or a caller's other entry be reachable again. */
@@ -32,15 +34,11 @@
     }
   | { readonly type: 'known'; readonly origin: StreamOrigin; readonly facts: LogFields }
   /** The stores have to be asked. */
-  | { readonly type: 'ask'; readonly firstRequestId: string }
+  | { readonly type: 'askStores'; readonly firstRequestId: string }
+  /** A new list has to be read, to see whether a version has joined. */
+  | { readonly type: 'readList' }
   | { readonly type: 'refused'; readonly detail: string; readonly facts: LogFields };
 
-export interface RequestAwaitingOrigin {
-  readonly request: CallerRequest;
-  readonly firstRequestId: string;
-  readonly arrivedAt: MonotonicMilliseconds;
-}
-
 const ANY: OriginResolution = { type: 'any' };
 
 function refuseUnknown(facts: LogFields): OriginResolution {
@@ -56,14 +54,15 @@
   state: EntryState,
   { resumption, workspace, patience }: CallerRequest,
   route: Route,
-  now: MonotonicMilliseconds,
+  takeUp: TakeUp,
 ): OriginResolution {
   if (resumption === undefined || !route.idempotent) return ANY;
   const pools = listPools(route);
   const statedPools = pools.filter((pool) => state.versions.mayBeStated(pool));
   if (statedPools.length === 0) return ANY;
+  const { now } = state.clocks;
   const { firstRequestId } = resumption;
-  let isConclusive = false;
+  let { isConclusive = false } = takeUp;
   if (firstRequestId !== undefined) {
     const origin = state.streamOrigins.find(firstRequestId, workspace, now);
     if (origin !== undefined && pools.includes(origin.pool)) {
@@ -75,44 +74,25 @@
       return { type: 'refused', detail, facts: { pool: origin.pool } };
     }
     const unknown = state.streamOrigins.findUnknown(firstRequestId, now);
-    if (unknown === undefined) return { type: 'ask', firstRequestId };
-    isConclusive = unknown.isConclusive;
+    if (takeUp.isConclusive === undefined) {
+      if (unknown === undefined) return { type: 'askStores', firstRequestId };
+      isConclusive = unknown.isConclusive;
+    }
   }
-  // Out of touch, with an old list: other entries may have begun streams at a version unknown here.
-  const mayMissVersion = !isConclusive && !state.versions.isCurrent(now);
-  const since = now - maxStreamAge(route, patience);
+  const since = takeUp.askedAt - maxStreamAge(route, patience);
+  const isListOld = !state.versions.isReadSince(takeUp.askedAt);
   const unclearPool = statedPools.find(
-    (pool) => mayMissVersion || state.versions.findOnlyVersion(pool, since) === undefined,
+    (pool) => state.versions.findOnlyVersion(pool, since) === undefined,
   );
+  if (unclearPool === undefined && isListOld && takeUp.isListUnread !== true) {
+    return { type: 'readList' };
+  }
   const [firstPool = ''] = statedPools;
   const facts = {
     ...state.versions.describeVersions(unclearPool ?? firstPool, since, now),
     isConclusive,
+    isListOld,
   };
-  return unclearPool === undefined ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
-}
-
-/** Holds a request until the stores have answered. */
-export function awaitOrigin(state: EntryState, awaiting: RequestAwaitingOrigin): EntryEffect[] {
-  const { request, firstRequestId } = awaiting;
-  const { requestId } = request;
-  state.requestsAwaitingOrigin.set(requestId, awaiting);
-  return [
-    { type: 'findStreamOrigin', requestId, firstRequestId },
-    { type: 'log', event: 'requestAwaitsOrigin', fields: { requestId, resumes: firstRequestId } },
-  ];
-}
-
-/** Takes back a request for which the stores have answered, and records what they know. */
-export function receiveOrigin(
-  state: EntryState,
-  { requestId, origin, isConclusive, now }: Extract<EntryEvent, { type: 'streamOriginAnswered' }>,
-): RequestAwaitingOrigin | undefined {
-  const awaiting = state.requestsAwaitingOrigin.get(requestId);
-  if (awaiting === undefined) return undefined;
-  state.requestsAwaitingOrigin.delete(requestId);
-  if (origin !== undefined) state.streamOrigins.record(origin, now);
-  // Also if it is of another workspace, which is then refused like one that nobody knows.
-  state.streamOrigins.recordUnknown(awaiting.firstRequestId, isConclusive, now);
-  return awaiting;
+  const isOnlyVersion = unclearPool === undefined && !isListOld;
+  return isOnlyVersion ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
 }
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -100,6 +100,11 @@
     'debug',
     'A request for the rest of a stream waits until the stores have said which version began it',
   ),
+  requestAwaitsList: defineLogEvent(
+    2008,
+    'debug',
+    'A request for the rest of a stream waits until the list shows whether a version has joined',
+  ),
   requestQueued: defineLogEvent(2100, 'debug', 'A request waits for a backend server'),
   requestLate: defineLogEvent(
     2102,
--- a/packages/schema/src/messages/VersionHistory.test.ts
+++ b/packages/schema/src/messages/VersionHistory.test.ts
@@ -5,7 +5,7 @@
 const POOL = 'engines';
 
 function record(history: VersionHistory, versions: readonly string[], now: number): void {
-  history.recordList(new Map([[POOL, new Set(versions)]]), now);
+  history.recordList(new Map([[POOL, new Set(versions)]]), now, now);
 }
 
 function makeHistory(lists: readonly (readonly string[])[]): VersionHistory {
--- a/packages/schema/src/messages/VersionHistory.ts
+++ b/packages/schema/src/messages/VersionHistory.ts
@@ -4,7 +4,7 @@
  * can have begun it. Entries that start adopt what a store has recorded: their own first list does not
  * show a version whose servers left while no entry ran.
  */
-import type { Milliseconds, MonotonicMilliseconds } from '../units.js';
+import type { EpochMilliseconds, Milliseconds, MonotonicMilliseconds } from '../units.js';
 import type { PlatformInstance } from './backendServers.js';
 
 /** Undefined if the platform does not state the version of a server. */
@@ -55,12 +55,21 @@
 
   private lastListAt: MonotonicMilliseconds | undefined;
 
+  /** Undefined if the last list is one that was adopted. */
+  private lastListWallAt: EpochMilliseconds | undefined;
+
+  /** @param maxListGap - Without lists for longer than this, the versions before are not complete. */
+  constructor(private readonly maxListGap: Milliseconds = MAX_LIST_GAP_MILLISECONDS) {}
+
   /** Records a list of the platform. */
-  recordList(versionsByPool: VersionsByPool, now: MonotonicMilliseconds): void {
-    const { lastListAt } = this;
-    const isAfterGap = lastListAt === undefined || now - lastListAt > MAX_LIST_GAP_MILLISECONDS;
-    if (isAfterGap) this.knownSince = now;
+  recordList(
+    versionsByPool: VersionsByPool,
+    now: MonotonicMilliseconds,
+    wallNow: EpochMilliseconds,
+  ): void {
+    if (this.timeSinceLastList(now, wallNow) > this.maxListGap) this.knownSince = now;
     this.lastListAt = now;
+    this.lastListWallAt = wallNow;
     versionsByPool.forEach((versions, name) => {
       const pool = this.getPool(name);
       // A version that is listed no more may have begun streams until this list.
@@ -123,6 +132,12 @@
     return new Set([...(listed ?? []), ...used.map(([version]) => version)]);
   }
 
+  /** The monotonic clock does not count the time in which the machine was suspended. */
+  private timeSinceLastList(now: MonotonicMilliseconds, wallNow: EpochMilliseconds): Milliseconds {
+    const { lastListAt = -Infinity, lastListWallAt = wallNow } = this;
+    return Math.max(now - lastListAt, wallNow - lastListWallAt);
+  }
+
   private getPool(name: string): PoolHistory {
     const existing = this.pools.get(name);
     if (existing !== undefined) return existing;
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationDelta } from '../tables/ConfigurationDelta.js';
 import type { EpochMilliseconds, Milliseconds } from '../units.js';
 import type { SharedInstance, InstanceListDelta } from './backendServers.js';
+import type { VersionHistoryMessage } from './VersionHistory.js';
 import type {
   EntryDigest,
   EntryReport,
@@ -165,7 +166,12 @@
       readonly keepsStreamOrigins?: boolean;
       readonly members?: KnownMembers;
     }
-  | { readonly type: 'streamOrigin'; readonly origin?: StreamOrigin | undefined }
+  | {
+      readonly type: 'streamOrigin';
+      readonly origin?: StreamOrigin | undefined;
+      /** Without an origin: the versions that the store has recorded, if it has received a list. */
+      readonly history?: VersionHistoryMessage | undefined;
+    }
   /** This store is not the leader; nothing was done. Answers to `addVoter` have `members`. */
   | { readonly type: 'notLeader'; readonly leader?: string; readonly members?: KnownMembers }
   /** The request was not carried out and will not be. */
--- a/packages/schema/src/reference/settingMeanings.ts
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -39,6 +39,8 @@
 const platformMeanings = {
   'platform.url': 'base address of the platform’s API',
   'platform.pollMilliseconds': 'pause between two requests for the list of instances',
+  'platform.listLagMilliseconds':
+    'how much older the list may be than the moment in which the platform is asked for it',
 };
 
 export const storeMeanings: Readonly<Record<string, string>> = {
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -52,6 +52,8 @@
   /** Base address of the platform's API. */
   url: z.url({ protocol: /^https?$/ }),
   pollMilliseconds: millisecondsSchema(50, 60_000).default(1000),
+  /** How much older the list may be than the moment in which it is asked for. */
+  listLagMilliseconds: millisecondsSchema(0, 60_000).default(0),
 });
 
 export const workspaceSchema = z.strictObject({
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -19,6 +19,7 @@
   StoreResponse,
   StoreStatus,
   StreamOrigin,
+  VersionHistoryMessage,
   VoterAddress,
   WorkReport,
 } from '@hornbeampond/schema';
@@ -59,6 +60,15 @@
   readonly origin: StreamOrigin | undefined;
   /** False if a store that has not answered may know the origin. */
   readonly isConclusive: boolean;
+  /** The versions that the stores have recorded which answered that they do not know it. */
+  readonly histories: readonly VersionHistoryMessage[];
+}
+
+/** The stores that have answered a question for an origin, and what they said instead of it. */
+interface OriginSearch {
+  readonly requestId: string;
+  readonly answered: Set<StoreConnection>;
+  readonly histories: VersionHistoryMessage[];
 }
 
 export class StoreClient {
@@ -232,22 +242,24 @@
   async findStreamOrigin(requestId: string, timeout: Milliseconds): Promise<OriginAnswer> {
     const { timers } = this.context;
     const endsAt = timers.monotonicNow() + timeout;
-    const answered = new Set<StoreConnection>();
+    const search: OriginSearch = { requestId, answered: new Set(), histories: [] };
+    const { answered, histories } = search;
     for (
       let timeLeft = timeout;
       timeLeft > 0 && !this.isClosed;
       timeLeft = endsAt - timers.monotonicNow()
     ) {
       const asked = this.listOriginStores().filter((store) => !answered.has(store));
-      const origin = await this.askForOrigin(requestId, asked, answered, timeLeft);
-      if (origin !== undefined) return { origin, isConclusive: true };
+      const origin = await StoreClient.askForOrigin(search, asked, timeLeft);
+      if (origin !== undefined) return { origin, isConclusive: true, histories };
       // With one copy at a store that has not answered, the other copy would have been found.
       const copies = Math.min(ORIGIN_COPIES, this.stores.length);
-      if (this.stores.length - answered.size < copies)
-        return { origin: undefined, isConclusive: true };
+      if (this.stores.length - answered.size < copies) {
+        return { origin: undefined, isConclusive: true, histories };
+      }
       await timers.wait(Math.min(RETRY_DELAY_MILLISECONDS, timeLeft));
     }
-    return { origin: undefined, isConclusive: false };
+    return { origin: undefined, isConclusive: false, histories };
   }
 
   /** Sends the report of this instance to the stores, and with later subscriptions. */
@@ -303,10 +315,9 @@
   }
 
   /** Resolves with the first origin, or with undefined once no store that is asked can say more. */
-  private async askForOrigin(
-    requestId: string,
+  private static async askForOrigin(
+    { requestId, answered, histories }: OriginSearch,
     stores: readonly StoreConnection[],
-    answered: Set<StoreConnection>,
     timeout: Milliseconds,
   ): Promise<StreamOrigin | undefined> {
     const request: StoreRequest = { type: 'findStreamOrigin', requestId };
@@ -315,6 +326,9 @@
       const response = (await store.client.requestEncoded(body, timeout)) as StoreResponse;
       answered.add(store);
       if (response.type === 'streamOrigin' && response.origin !== undefined) return response.origin;
+      if (response.type === 'streamOrigin' && response.history !== undefined) {
+        histories.push(response.history);
+      }
       throw new Error('the store does not know the origin');
     });
     return Promise.any(answers).catch(() => undefined);
--- a/packages/transport/src/streamOrigins.test.ts
+++ b/packages/transport/src/streamOrigins.test.ts
@@ -8,6 +8,7 @@
   StoreRequest,
   StoreResponse,
   StreamOrigin,
+  VersionHistoryMessage,
 } from '@hornbeampond/schema';
 import { PeerServer, type PeerSession } from './PeerServer.js';
 import { StoreClient } from './StoreClient.js';
@@ -34,7 +35,7 @@
   };
 }
 
-const UNKNOWN = { origin: undefined, isConclusive: true };
+const UNKNOWN = { origin: undefined, isConclusive: true, histories: [] };
 
 function makeOrigin(requestId: string): StreamOrigin {
   return { requestId, workspace: 'laden', pool: 'drafting', version: 'v1', lifetime: 5000 };
@@ -45,6 +46,8 @@
   /** A store of an older version knows neither the requests nor that it could keep origins. */
   readonly isOld?: boolean;
   readonly isSilent?: boolean;
+  /** The versions that it has recorded. */
+  readonly history?: VersionHistoryMessage;
 }
 
 /** A store as far as origins go. */
@@ -82,7 +85,8 @@
     } else if (request.type === 'shareStreamOrigins') {
       request.origins.forEach((origin) => this.origins.set(origin.requestId, origin));
     } else if (request.type === 'findStreamOrigin' && !isSilent) {
-      respond({ type: 'streamOrigin', origin: this.origins.get(request.requestId) });
+      const { history } = this.options;
+      respond({ type: 'streamOrigin', origin: this.origins.get(request.requestId), history });
     }
   }
 }
@@ -162,6 +166,7 @@
   assert.deepEqual(await client.findStreamOrigin('request-1', TIMEOUT_MILLISECONDS), {
     origin: makeOrigin('request-1'),
     isConclusive: true,
+    histories: [],
   });
   const [old] = stores;
   assert.ok(old !== undefined);
@@ -199,6 +204,23 @@
   assert.equal(origin?.version, 'v1');
 });
 
+// Guards against an entry that was out of touch and goes by the versions of its own lists, while a store
+// has recorded one that came meanwhile.
+test('stores that do not know an origin say which versions there were', async (context) => {
+  const history: VersionHistoryMessage = {
+    knownFor: 60_000,
+    lastListAge: 500,
+    pools: { drafting: [{ version: 'v2', age: 0, isListed: true }] },
+  };
+  const { client } = await start(context, [
+    { dataCentre: 'wien-a', history },
+    { dataCentre: 'wien-b' },
+    { dataCentre: 'stpoelten' },
+  ]);
+  const { histories } = await client.findStreamOrigin('nobody', WAIT_LIMIT_MILLISECONDS);
+  assert.deepEqual(histories, [history]);
+});
+
 // Guards against callers who wait for the whole time whenever one store is down.
 test('an origin that nobody knows is not waited for while one store is down', async (context) => {
   const { client, stores } = await start(context, [
@@ -225,6 +247,6 @@
     }));
     const { client } = await start(context, stores);
     const answer = await client.findStreamOrigin('nobody', TIMEOUT_MILLISECONDS);
-    assert.deepEqual(answer, { origin: undefined, isConclusive: false });
+    assert.deepEqual(answer, { origin: undefined, isConclusive: false, histories: [] });
   });
 }
