Ignore a list of servers that was read before the latest one

A list that waits in a process that stands still, or on a connection that is cut for a moment, replaced a newer one at the stores and at all entries: a server that leaves was shown as taking new work again, and a version that had joined as gone, until the next list. Processes of older versions state no time, and their lists are taken as before.

--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -206,8 +206,9 @@
     this.isListing = true;
     try {
       const signal = AbortSignal.timeout(PLATFORM_TIMEOUT_MILLISECONDS);
+      const readAt = timers.wallNow();
       const instances = await platform.listInstances(signal);
-      this.store.shareInstances(toSharedInstances(instances, timers.wallNow()));
+      this.store.shareInstances(toSharedInstances(instances, timers.wallNow()), readAt);
       this.dispatch({ type: 'instancesListed', instances });
     } catch (error) {
       logger.write('platformUnreachable', { reason: String(error) });
--- a/apps/entry/src/BackendServerWatcher.test.ts
+++ b/apps/entry/src/BackendServerWatcher.test.ts
@@ -103,8 +103,8 @@
     this.watchers.forEach((watcher) => watcher.readForRequests());
   }
 
-  sendList(instances: readonly PlatformInstance[], age = 0): void {
-    this.watchers.forEach((watcher) => watcher.receiveInstances(instances, age));
+  sendList(instances: readonly PlatformInstance[], age = 0, readAt?: number): void {
+    this.watchers.forEach((watcher) => watcher.receiveInstances(instances, age, readAt));
   }
 
   /** Advances the clock in steps; each step lets started reads complete. */
@@ -216,3 +216,14 @@
   assert.equal(unread?.type, 'instancesUnread');
   assert.ok((unread?.readAt ?? -Infinity) >= askedAt);
 });
+
+// Guards against the same list, older than the last one, that comes from another store.
+test('a list is ignored that was read before the last one received', async () => {
+  const entries = new SimulatedEntries(1);
+  await entries.start();
+  entries.sendList([instance], 0, 3000);
+  entries.sendList([], 0, 2000);
+  assert.equal(entries.listedCount, 1);
+  entries.sendList([], 0, 3500);
+  assert.equal(entries.listedCount, 2);
+});
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -8,11 +8,13 @@
 import type { PlatformAdapter } from '@hornbeampond/adapters';
 import type { AttemptTarget, EntryEventPayload } from '@hornbeampond/entry-core';
 import type { Logger, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type {
-  Configuration,
-  Milliseconds,
-  MonotonicMilliseconds,
-  PlatformInstance,
+import {
+  isOlderList,
+  type Configuration,
+  type EpochMilliseconds,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type PlatformInstance,
 } from '@hornbeampond/schema';
 import { CacheEventReader } from './CacheEventReader.js';
 import type { AdapterDirectory } from './AdapterDirectory.js';
@@ -27,8 +29,14 @@
   readonly listLagMilliseconds: Milliseconds;
   readConfiguration(): Configuration;
   dispatch(payload: EntryEventPayload): void;
-  /** Sends the list to the other entries. If undefined, this entry polls at every interval. */
-  readonly shareInstances?: (instances: readonly PlatformInstance[]) => void;
+  /**
+   * Sends the list to the other entries, with the time at which the platform was asked for it. If
+   * undefined, this entry polls at every interval.
+   */
+  readonly shareInstances?: (
+    instances: readonly PlatformInstance[],
+    readAt: EpochMilliseconds,
+  ) => void;
   /** The number of entries that may poll when the list is overdue, including this one. */
   countEntries(): number;
 }
@@ -61,6 +69,9 @@
 
   private isPolling = false;
 
+  /** When the platform was asked for the newest received list, by the clock of its reader. */
+  private newestReceivedReadAt: EpochMilliseconds | undefined;
+
   /** True while polls are scheduled; used only with `shareInstances`. */
   private isStarted = false;
 
@@ -97,8 +108,18 @@
     });
   }
 
-  /** Handles a list that another process read `age` milliseconds ago. */
-  receiveInstances(instances: readonly PlatformInstance[], age: Milliseconds): void {
+  /**
+   * Handles a list that another process read `age` milliseconds ago.
+   *
+   * @param readAt - When it asked the platform for it, by its clock, if it says so.
+   */
+  receiveInstances(
+    instances: readonly PlatformInstance[],
+    age: Milliseconds,
+    readAt?: EpochMilliseconds,
+  ): void {
+    if (isOlderList(readAt, this.newestReceivedReadAt)) return;
+    this.newestReceivedReadAt = readAt;
     const { pollMilliseconds } = this.options;
     const uncappedSpread = this.options.countEntries() * MEAN_POLL_SPACING_MILLISECONDS;
     const spread = Math.min(MAX_POLL_SPREAD_MILLISECONDS, uncappedSpread);
@@ -169,8 +190,9 @@
   }
 
   private async readPlatform(timeout: Milliseconds): Promise<void> {
-    const { platform, dispatch, shareInstances } = this.options;
+    const { platform, dispatch, shareInstances, timers } = this.options;
     const { readAt } = this;
+    const readWallAt = timers.wallNow();
     const signal = AbortSignal.timeout(timeout);
     const [instances, notices] = await Promise.all([
       platform.listInstances(signal),
@@ -180,7 +202,7 @@
     notices.forEach(({ instance, goneAt }) => {
       dispatch({ type: 'reclaimNoticed', instance, goneAt });
     });
-    shareInstances?.(instances);
+    shareInstances?.(instances, readWallAt);
   }
 
   private applyInstances(
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -30,6 +30,7 @@
   HornbeampondError,
   assertNever,
   type ClaimResult,
+  type EpochMilliseconds,
   type EntrySettings,
   type Milliseconds,
   type MonotonicMilliseconds,
@@ -238,8 +239,10 @@
         onEntryDigest: (digest, isWhole) =>
           dispatch({ type: 'entryDigestReceived', digest, isWhole }),
         onEntryReport: (report) => dispatch({ type: 'entryReported', report }),
-        onInstanceList: (instances, age) =>
-          this.watcher.receiveInstances(fromSharedInstances(instances, timers.wallNow()), age),
+        onInstanceList: (instances, age, readAt) => {
+          const received = fromSharedInstances(instances, timers.wallNow());
+          this.watcher.receiveInstances(received, age, readAt);
+        },
         onPersistedState: (remembered) => dispatch({ type: 'knowledgeRemembered', remembered }),
         onWorkReport: (work) => dispatch({ type: 'workReported', work }),
         onSpendingReport: (spending) => dispatch({ type: 'spendingReported', spending }),
@@ -277,7 +280,7 @@
       dispatch,
       countEntries: () => this.eventLoop.state.membership.peers.size + 1,
       ...(this.exchangesReportsThroughStores
-        ? { shareInstances: (instances) => this.shareInstances(instances) }
+        ? { shareInstances: (instances, readAt) => this.shareInstances(instances, readAt) }
         : {}),
     });
     this.callerListener = this.makeCallerListener();
@@ -462,8 +465,8 @@
     }
   }
 
-  private shareInstances(instances: readonly PlatformInstance[]): void {
-    this.storeClient.shareInstances(toSharedInstances(instances, this.timers.wallNow()));
+  private shareInstances(instances: readonly PlatformInstance[], readAt: EpochMilliseconds): void {
+    this.storeClient.shareInstances(toSharedInstances(instances, this.timers.wallNow()), readAt);
   }
 
   private makeRequestId(): string {
--- a/apps/store/src/InstanceListCache.ts
+++ b/apps/store/src/InstanceListCache.ts
@@ -4,13 +4,22 @@
  * cluster and entries that each read the list would exceed it.
  */
 import type { TimerService } from '@hornbeampond/runtime';
-import type {
-  Milliseconds,
-  MonotonicMilliseconds,
-  SharedInstance,
-  InstanceListDelta,
+import {
+  isOlderList,
+  type EpochMilliseconds,
+  type Milliseconds,
+  type MonotonicMilliseconds,
+  type SharedInstance,
+  type InstanceListDelta,
 } from '@hornbeampond/schema';
 
+/** The latest list, as a subscriber gets it first. */
+interface LatestList {
+  readonly instances: SharedInstance[];
+  readonly instancesAge: Milliseconds;
+  readonly instancesReadAt?: EpochMilliseconds | undefined;
+}
+
 /** Compares as text: both come from the same codec, with their fields in the same order. */
 function isEqual(one: SharedInstance | undefined, other: SharedInstance): boolean {
   return JSON.stringify(one) === JSON.stringify(other);
@@ -19,23 +28,36 @@
 export class InstanceListCache {
   private instances = new Map<string, SharedInstance>();
 
-  private readAt: MonotonicMilliseconds | undefined;
+  private receivedAt: MonotonicMilliseconds | undefined;
+
+  /** When the platform was asked for it, by the clock of the process that read it. */
+  private readAt: EpochMilliseconds | undefined;
 
   constructor(private readonly timers: TimerService) {}
 
   /** The latest list and its age, or undefined before the first list. */
-  get latest(): { instances: SharedInstance[]; instancesAge: Milliseconds } | undefined {
-    if (this.readAt === undefined) return undefined;
-    const instancesAge = this.timers.monotonicNow() - this.readAt;
-    return { instances: [...this.instances.values()], instancesAge };
+  get latest(): LatestList | undefined {
+    if (this.receivedAt === undefined) return undefined;
+    const instancesAge = this.timers.monotonicNow() - this.receivedAt;
+    const instances = [...this.instances.values()];
+    return { instances, instancesAge, instancesReadAt: this.readAt };
   }
 
-  /** Replaces the list and returns its differences from the previous one. */
-  update(instances: readonly SharedInstance[]): InstanceListDelta {
+  /**
+   * Replaces the list and returns its differences from the previous one, or undefined if the previous
+   * one is newer.
+   */
+  update(
+    instances: readonly SharedInstance[],
+    readAt?: EpochMilliseconds,
+  ): InstanceListDelta | undefined {
+    if (isOlderList(readAt, this.readAt)) return undefined;
     const before = this.instances;
     this.instances = new Map(instances.map((instance) => [instance.instance, instance]));
-    this.readAt = this.timers.monotonicNow();
+    this.receivedAt = this.timers.monotonicNow();
+    this.readAt = readAt;
     return {
+      readAt,
       changed: instances.filter((instance) => !isEqual(before.get(instance.instance), instance)),
       gone: [...before.keys()].filter((name) => !this.instances.has(name)),
     };
--- a/apps/store/src/StoreRequestHandler.ts
+++ b/apps/store/src/StoreRequestHandler.ts
@@ -121,11 +121,7 @@
         respond(this.makeAcceptedResponse());
         return;
       case 'shareInstances':
-        this.options.onInstanceList(request.instances);
-        subscribers.push({
-          type: 'instances',
-          ...this.options.instanceList.update(request.instances),
-        });
+        this.receiveInstanceList(request);
         respond(this.makeAcceptedResponse());
         return;
       case 'shareWork':
@@ -332,6 +328,17 @@
     return { type: 'configuration', configuration: this.options.readMachine().configuration };
   }
 
+  private receiveInstanceList({
+    instances,
+    readAt,
+  }: Extract<StoreRequest, { type: 'shareInstances' }>): void {
+    const { instanceList, onInstanceList, subscribers } = this.options;
+    const delta = instanceList.update(instances, readAt);
+    if (delta === undefined) return;
+    onInstanceList(instances);
+    subscribers.push({ type: 'instances', ...delta });
+  }
+
   private makeOriginResponse(requestId: string): StoreResponse {
     const origin = this.streamOrigins.find(requestId);
     if (origin !== undefined) return { type: 'streamOrigin', origin };
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -13,6 +13,7 @@
 export * from './messages/storeCommands.js';
 export * from './messages/UseTotals.js';
 export * from './messages/VersionHistory.js';
+export * from './messages/isOlderList.js';
 export * from './messages/WorkTotals.js';
 export * from './messages/storeMessages.js';
 export * from './metrics.js';
--- a/packages/schema/src/messages/backendServers.ts
+++ b/packages/schema/src/messages/backendServers.ts
@@ -36,6 +36,8 @@
 
 /** Differences between two successive readings of the platform's list. */
 export interface InstanceListDelta {
+  /** When the platform was asked for the list; missing from processes of older versions. */
+  readonly readAt?: EpochMilliseconds | undefined;
   readonly changed: readonly SharedInstance[];
   /** Names of instances that are no longer listed. */
   readonly gone: readonly string[];
--- a/packages/schema/src/messages/storeMessages.ts
+++ b/packages/schema/src/messages/storeMessages.ts
@@ -62,7 +62,12 @@
   /** A report of an entry, for the subscribers of the store. */
   | { readonly type: 'shareReport'; readonly report: EntryReport }
   /** The platform's list as a process has just read it, for the subscribers of the store. */
-  | { readonly type: 'shareInstances'; readonly instances: readonly SharedInstance[] }
+  | {
+      readonly type: 'shareInstances';
+      readonly instances: readonly SharedInstance[];
+      /** When the platform was asked for it, by the sender's clock; missing from older versions. */
+      readonly readAt?: EpochMilliseconds;
+    }
   /** What an entry sends between two reports, for the subscribers of the store. */
   | { readonly type: 'shareSpending'; readonly spending: SpendingReport }
   | { readonly type: 'shareWork'; readonly work: WorkReport }
@@ -148,6 +153,8 @@
       /** The last reading of the platform's list and its age; missing before the first one. */
       readonly instances?: readonly SharedInstance[];
       readonly instancesAge?: Milliseconds;
+      /** When the platform was asked for that list. */
+      readonly instancesReadAt?: EpochMilliseconds | undefined;
       /** What entries have reported; the digests that follow are changes to it. */
       readonly digest?: EntryDigest;
     }
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -7,6 +7,7 @@
 import type {
   CommandResult,
   Configuration,
+  EpochMilliseconds,
   EntryReport,
   InstanceReport,
   Milliseconds,
@@ -194,9 +195,13 @@
     this.sendToAll({ type: 'shareReport', report }, onAcknowledged);
   }
 
-  /** Sends the instance list, as just read from the platform, to all subscribers of the stores. */
-  shareInstances(instances: readonly SharedInstance[]): void {
-    this.sendToAll({ type: 'shareInstances', instances });
+  /**
+   * Sends the instance list, as just read from the platform, to all subscribers of the stores.
+   *
+   * @param readAt - When the platform was asked for it.
+   */
+  shareInstances(instances: readonly SharedInstance[], readAt: EpochMilliseconds): void {
+    this.sendToAll({ type: 'shareInstances', instances, readAt });
   }
 
   /**
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -53,8 +53,16 @@
   onUsage?(usage: readonly EntryUsage[]): void;
   onWorkReport?(work: WorkReport): void;
   onSpendingReport?(spending: SpendingReport): void;
-  /** The instance list of the platform, as read by another process, and its age. */
-  onInstanceList?(instances: readonly SharedInstance[], age: Milliseconds): void;
+  /**
+   * The instance list of the platform, as read by another process, and its age.
+   *
+   * @param readAt - When the platform was asked for it, by the clock of that process, if it says so.
+   */
+  onInstanceList?(
+    instances: readonly SharedInstance[],
+    age: Milliseconds,
+    readAt: EpochMilliseconds | undefined,
+  ): void;
   /** A store that keeps origins of streams can be reached now and could not before. */
   onOriginStore?(): void;
   /** State of earlier entries that a store has kept for entries that start. */
@@ -343,9 +351,11 @@
   private resetInstanceList({
     instances,
     instancesAge = 0,
+    instancesReadAt,
   }: Extract<StoreResponse, { type: 'subscribed' }>): void {
     this.instanceListFollower.reset(instances);
-    if (instances !== undefined) this.options.handlers.onInstanceList?.(instances, instancesAge);
+    if (instances === undefined) return;
+    this.options.handlers.onInstanceList?.(instances, instancesAge, instancesReadAt);
   }
 
   private handlePush(push: StorePush): void {
@@ -376,7 +386,7 @@
         handlers.onEntryReport?.(push.report);
         return;
       case 'instances':
-        handlers.onInstanceList?.(this.instanceListFollower.applyDelta(push), 0);
+        handlers.onInstanceList?.(this.instanceListFollower.applyDelta(push), 0, push.readAt);
         return;
       case 'work':
         push.reports.forEach((report) => handlers.onWorkReport?.(report));
