Bound how often entries read the list for streams of unknown origin

After a loss of all entries and stores each of 200 entries could read all pages of the list again for each caller that returns, beyond the rate that the platform accepts, so that the polls which all of them need would be refused. An entry now reads the list for requests as seldom as it would poll it beside the others, ten times a second in all; in between such callers are refused.

--- a/apps/entry/src/BackendServerWatcher.test.ts
+++ b/apps/entry/src/BackendServerWatcher.test.ts
@@ -204,6 +204,24 @@
   assert.ok((listed?.readAt ?? -Infinity) >= askedAt);
 });
 
+// Guards against a rush of calls to the platform, which then refuses the polls that all entries need.
+test('many entries whose requests keep asking for a list read it a few times a second in all', async () => {
+  const entries = new SimulatedEntries(50, 800);
+  await entries.start();
+  const seconds = 20;
+  for (let second = 0; second < seconds; second += 1) {
+    entries.sendList([instance]);
+    entries.readForRequests();
+    await entries.advance(500);
+    entries.readForRequests();
+    await entries.advance(500);
+  }
+  const { readCount } = entries.platform;
+  assert.ok(readCount <= 50 + seconds * 10, String(readCount));
+  const unread = entries.listEvents.filter(({ type }) => type === 'instancesUnread');
+  assert.ok(unread.length > 0);
+});
+
 // Guards against requests that wait for a list until their deadline.
 test('requests that wait for a list are told that it cannot be read', async () => {
   const entries = new SimulatedEntries(1);
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -78,6 +78,8 @@
   /** True while a read for requests is scheduled and has not begun. */
   private isReadScheduled = false;
 
+  private nextReadForRequestsAt: MonotonicMilliseconds = -Infinity;
+
   private readonly cacheEventReader = new CacheEventReader();
 
   constructor(private readonly options: BackendServerWatcherOptions) {}
@@ -96,7 +98,8 @@
 
   /**
    * Reads the list for requests that need one which shows what is listed now. It begins once the list
-   * cannot lag behind that any more.
+   * cannot lag behind that any more. After a loss of all entries and stores many entries may need one
+   * at a time, so that it is not read if this entry has read it for requests a short time ago.
    */
   readForRequests(): void {
     if (this.isReadScheduled) return;
@@ -104,10 +107,16 @@
     const { timers, listLagMilliseconds } = this.options;
     timers.after(listLagMilliseconds + TIMER_MARGIN_MILLISECONDS, () => {
       this.isReadScheduled = false;
-      void this.readAnew();
+      if (timers.monotonicNow() >= this.nextReadForRequestsAt) void this.readAnew();
+      else this.options.dispatch({ type: 'instancesUnread', readAt: this.readAt });
     });
   }
 
+  /** Polls of all entries together are no closer than this on average. */
+  private get pollSpacing(): Milliseconds {
+    return this.options.countEntries() * MEAN_POLL_SPACING_MILLISECONDS;
+  }
+
   /**
    * Handles a list that another process read `age` milliseconds ago.
    *
@@ -121,8 +130,7 @@
     if (isOlderList(readAt, this.newestReceivedReadAt)) return;
     this.newestReceivedReadAt = readAt;
     const { pollMilliseconds } = this.options;
-    const uncappedSpread = this.options.countEntries() * MEAN_POLL_SPACING_MILLISECONDS;
-    const spread = Math.min(MAX_POLL_SPREAD_MILLISECONDS, uncappedSpread);
+    const spread = Math.min(MAX_POLL_SPREAD_MILLISECONDS, this.pollSpacing);
     const isFresh = age <= pollMilliseconds * OVERDUE_POLL_INTERVALS;
     // Without any list, as after a start in a partition, an overdue one is better than none.
     if (!isFresh && this.instances.length > 0) return;
@@ -176,6 +184,7 @@
 
   private async readAnew(): Promise<void> {
     const { readAt } = this;
+    this.nextReadForRequestsAt = this.options.timers.monotonicNow() + this.pollSpacing;
     try {
       await this.readPlatform(READ_FOR_REQUEST_TIMEOUT_MILLISECONDS);
     } catch (error) {
