--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -5,7 +5,6 @@
 import {
   requiresClaim,
   type EpochMilliseconds,
-  type LogFields,
   type Milliseconds,
   type MonotonicMilliseconds,
   type Pool,
@@ -23,11 +22,7 @@
 import { deadlineAt } from '../routing/deadlineAt.js';
 import { findRoute } from '../routing/findRoute.js';
 import { getRouteIndex } from '../routing/getRouteIndex.js';
-import {
-  resolveOrigin,
-  type OriginResolution,
-  UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS,
-} from '../streamVersions/resolveOrigin.js';
+import { resolveOrigin, type OriginResolution } from '../streamVersions/resolveOrigin.js';
 import { awaitList, awaitOrigin, type TakeUp } from '../streamVersions/heldTakeUps.js';
 import { acquireConcurrencySlot } from '../limits/releaseEndedRequests.js';
 import { spendAllowance } from '../limits/checkAllowance.js';
@@ -35,6 +30,7 @@
 import { awaitConfiguration } from './awaitConfiguration.js';
 import { displaceQueued } from './displaceQueued.js';
 import { recordArrival } from './reportUse.js';
+import { describeResumption, refuseContinuation, reportTakeUp } from './reportTakeUp.js';
 import { markLate } from './serveLate.js';
 import { decideAdmission, type AdmissionDecision } from './decideAdmission.js';
 
@@ -146,40 +142,6 @@
   if (asksForCapacity) recordArrival(state, accepted, now);
 }
 
-/** What a log line says of a request that takes a stream up. */
-function describeResumption({ resumption }: CallerRequest): LogFields {
-  if (resumption === undefined) return {};
-  return { resumes: resumption.firstRequestId ?? '', afterEvent: resumption.afterEvent };
-}
-
-function refuseContinuation(
-  request: CallerRequest,
-  route: Route,
-  { detail, facts: known }: Extract<OriginResolution, { type: 'refused' }>,
-): EntryEffect[] {
-  const retryAfterMilliseconds = UNKNOWN_ORIGIN_RETRY_AFTER_MILLISECONDS;
-  const problem = { ran: 'no', retryAfterMilliseconds } as const;
-  const facts = { route: route.name, ...describeResumption(request), ...known };
-  return [
-    { type: 'count', metric: 'streamsTakenUp', label: 'unknown' },
-    ...refuseRequest(request, 'versionUnavailable', detail, problem, facts),
-  ];
-}
-
-/** Reports by what knowledge a stream goes on, and how old that is. */
-function reportTakeUp(
-  { requestId, resumption }: CallerRequest,
-  resolution: OriginResolution,
-): EntryEffect[] {
-  if (resolution.type !== 'known' && resolution.type !== 'onlyVersion') return [];
-  const { type: origin, facts } = resolution;
-  const fields = { requestId, resumes: resumption?.firstRequestId ?? '', origin, ...facts };
-  return [
-    { type: 'count', metric: 'streamsTakenUp', label: origin },
-    { type: 'log', event: 'streamTakenUp', fields },
-  ];
-}
-
 function countByPriority(
   metric: 'sharesRefused' | 'capacityLent',
   { pool, route }: RequestState,
--- a/packages/entry-core/src/streamVersions/resolveOrigin.ts
+++ b/packages/entry-core/src/streamVersions/resolveOrigin.ts
@@ -50,49 +50,65 @@
   return Math.max(deadline.wholeAnswerMilliseconds, patience) + ORIGIN_MARGIN_MILLISECONDS;
 }
 
+/** Undefined if this entry does not know the origin. */
+function findKnown(
+  state: EntryState,
+  { resumption, workspace }: CallerRequest,
+  pools: readonly string[],
+): OriginResolution | undefined {
+  const { firstRequestId = '' } = resumption ?? {};
+  const origin = state.streamOrigins.find(firstRequestId, workspace, state.clocks.now);
+  if (origin === undefined) return undefined;
+  const { pool, version } = origin;
+  if (pools.includes(pool)) return { type: 'known', origin, facts: { pool, version } };
+  return { type: 'refused', detail: `The stream began in pool "${pool}"`, facts: { pool } };
+}
+
+/** Decides on a stream whose origin nobody knows, by the versions that its pools have had. */
+function resolveByVersions(
+  { versions, clocks: { now } }: EntryState,
+  pools: readonly string[],
+  maxAge: Milliseconds,
+  { askedAt, isListUnread = false, isConclusive = false }: TakeUp,
+): OriginResolution {
+  const since = askedAt - maxAge;
+  const isListOld = !versions.isReadSince(askedAt);
+  const unclearPool = pools.find((pool) => versions.findOnlyVersion(pool, since) === undefined);
+  if (unclearPool === undefined && isListOld && !isListUnread) return { type: 'readList' };
+  const [firstPool = ''] = pools;
+  const facts = {
+    ...versions.describeVersions(unclearPool ?? firstPool, since, now),
+    isConclusive,
+    isListOld,
+  };
+  const isOnlyVersion = unclearPool === undefined && !isListOld;
+  return isOnlyVersion ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
+}
+
 export function resolveOrigin(
   state: EntryState,
-  { resumption, workspace, patience }: CallerRequest,
+  request: CallerRequest,
   route: Route,
   takeUp: TakeUp,
 ): OriginResolution {
+  const { resumption, patience } = request;
   if (resumption === undefined || !route.idempotent) return ANY;
   const pools = listPools(route);
   const statedPools = pools.filter((pool) => state.versions.mayBeStated(pool));
   if (statedPools.length === 0) return ANY;
-  const { now } = state.clocks;
+  const known = findKnown(state, request, pools);
+  if (known !== undefined) return known;
   const { firstRequestId } = resumption;
-  let { isConclusive = false } = takeUp;
-  if (firstRequestId !== undefined) {
-    const origin = state.streamOrigins.find(firstRequestId, workspace, now);
-    if (origin !== undefined && pools.includes(origin.pool)) {
-      const { pool, version } = origin;
-      return { type: 'known', origin, facts: { pool, version } };
-    }
-    if (origin !== undefined) {
-      const detail = `The stream began in pool "${origin.pool}"`;
-      return { type: 'refused', detail, facts: { pool: origin.pool } };
-    }
-    const unknown = state.streamOrigins.findUnknown(firstRequestId, now);
-    if (takeUp.isConclusive === undefined) {
-      if (unknown === undefined) return { type: 'askStores', firstRequestId };
-      isConclusive = unknown.isConclusive;
-    }
-  }
-  const since = takeUp.askedAt - maxStreamAge(route, patience);
-  const isListOld = !state.versions.isReadSince(takeUp.askedAt);
-  const unclearPool = statedPools.find(
-    (pool) => state.versions.findOnlyVersion(pool, since) === undefined,
-  );
-  if (unclearPool === undefined && isListOld && takeUp.isListUnread !== true) {
-    return { type: 'readList' };
+  let { isConclusive } = takeUp;
+  if (firstRequestId !== undefined && isConclusive === undefined) {
+    // The stores may have answered a moment ago, when another request named this stream.
+    const unknown = state.streamOrigins.findUnknown(firstRequestId, state.clocks.now);
+    if (unknown === undefined) return { type: 'askStores', firstRequestId };
+    isConclusive = unknown.isConclusive;
   }
-  const [firstPool = ''] = statedPools;
-  const facts = {
-    ...state.versions.describeVersions(unclearPool ?? firstPool, since, now),
-    isConclusive,
-    isListOld,
-  };
-  const isOnlyVersion = unclearPool === undefined && !isListOld;
-  return isOnlyVersion ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
+  const maxAge = maxStreamAge(route, patience);
+  return resolveByVersions(state, statedPools, maxAge, {
+    ...takeUp,
+    ...(isConclusive === undefined ? {} : { isConclusive }),
+  });
 }
