Bound the wait for a list, and drop a list that a suspension has made old

A read now begins when it is due for the last caller that came before it was sent, and another one is scheduled for those that come later, whether or not the first has been answered; each entry may read twice at once at eight entries, and as often as it would poll in the long run. A list whose answer took longer than its time limit by the wall clock is dropped, the age of a store's list counts by both clocks, and held callers are refused once the entry takes no more requests.

--- a/apps/controller/src/SingletonProcess.ts
+++ b/apps/controller/src/SingletonProcess.ts
@@ -208,6 +208,10 @@
       const signal = AbortSignal.timeout(PLATFORM_TIMEOUT_MILLISECONDS);
       const readAt = timers.wallNow();
       const instances = await platform.listInstances(signal);
+      // Timers do not count the time in which the machine was suspended.
+      if (timers.wallNow() - readAt > PLATFORM_TIMEOUT_MILLISECONDS) {
+        throw new Error('the list has become too old');
+      }
       this.store.shareInstances(toSharedInstances(instances, timers.wallNow()), readAt);
       this.dispatch({ type: 'instancesListed', instances });
     } catch (error) {
--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -59,6 +59,9 @@
 /** Callers wait for the rest of a stream, so a list that is read for them is given up early. */
 const READ_FOR_REQUEST_TIMEOUT_MILLISECONDS: Milliseconds = 500;
 
+/** Of all entries together, after a pause; a platform takes some forty calls a second. */
+const MAX_READS_AT_ONCE = 16;
+
 /** Timers may fire a little early. */
 const TIMER_MARGIN_MILLISECONDS: Milliseconds = 5;
 
@@ -78,7 +81,13 @@
   /** True while a read for requests is scheduled and has not begun. */
   private isReadScheduled = false;
 
-  private nextReadForRequestsAt: MonotonicMilliseconds = -Infinity;
+  /** When a list may be asked for that shows what was listed when requests last needed one. */
+  private readDueAt: MonotonicMilliseconds = -Infinity;
+
+  /** Reads for requests, less those that are long enough ago. */
+  private recentReads = 0;
+
+  private readsCountedAt: MonotonicMilliseconds = -Infinity;
 
   private readonly cacheEventReader = new CacheEventReader();
 
@@ -99,19 +108,39 @@
   /**
    * Reads the list for requests that need one which shows what is listed now. It begins once the list
    * cannot lag behind that any more. After a loss of all entries and stores many entries may need one
-   * at a time, so that it is not read if this entry has read it for requests a short time ago.
+   * at a time, so that it is not read if this entry has read it for requests often of late.
    */
   readForRequests(): void {
-    if (this.isReadScheduled) return;
-    this.isReadScheduled = true;
     const { timers, listLagMilliseconds } = this.options;
-    timers.after(listLagMilliseconds + TIMER_MARGIN_MILLISECONDS, () => {
+    this.readDueAt = timers.monotonicNow() + listLagMilliseconds + TIMER_MARGIN_MILLISECONDS;
+    if (!this.isReadScheduled) this.scheduleReadForRequests();
+  }
+
+  private scheduleReadForRequests(): void {
+    const { timers } = this.options;
+    const dueAt = this.readDueAt;
+    this.isReadScheduled = true;
+    timers.after(dueAt - timers.monotonicNow(), () => {
       this.isReadScheduled = false;
-      if (timers.monotonicNow() >= this.nextReadForRequestsAt) void this.readAnew();
+      if (this.takeReadAllowance()) void this.readAnew();
       else this.options.dispatch({ type: 'instancesUnread', readAt: this.readAt });
+      // For requests that came too late for this one.
+      if (this.readDueAt > dueAt) this.scheduleReadForRequests();
     });
   }
 
+  /** False if this entry has read the list for requests too often of late. */
+  private takeReadAllowance(): boolean {
+    const now = this.options.timers.monotonicNow();
+    const most = Math.max(1, Math.floor(MAX_READS_AT_ONCE / this.options.countEntries()));
+    const regained = (now - this.readsCountedAt) / this.pollSpacing;
+    this.recentReads = Math.max(0, this.recentReads - regained);
+    this.readsCountedAt = now;
+    if (this.recentReads > most - 1) return false;
+    this.recentReads += 1;
+    return true;
+  }
+
   /** Polls of all entries together are no closer than this on average. */
   private get pollSpacing(): Milliseconds {
     return this.options.countEntries() * MEAN_POLL_SPACING_MILLISECONDS;
@@ -184,7 +213,6 @@
 
   private async readAnew(): Promise<void> {
     const { readAt } = this;
-    this.nextReadForRequestsAt = this.options.timers.monotonicNow() + this.pollSpacing;
     try {
       await this.readPlatform(READ_FOR_REQUEST_TIMEOUT_MILLISECONDS);
     } catch (error) {
@@ -207,6 +235,8 @@
       platform.listInstances(signal),
       platform.readNotices(signal),
     ]);
+    // Timers do not count the time in which the machine was suspended.
+    if (timers.wallNow() - readWallAt > timeout) throw new Error('the list has become too old');
     this.applyInstances(instances, readAt);
     notices.forEach(({ instance, goneAt }) => {
       dispatch({ type: 'reclaimNoticed', instance, goneAt });
--- a/apps/store/src/InstanceListCache.test.ts
+++ b/apps/store/src/InstanceListCache.test.ts
@@ -67,3 +67,22 @@
   assert.notEqual(cache.update([makeInstance('b')]), undefined);
   assert.notEqual(cache.update([makeInstance('c')], 500), undefined);
 });
+
+/** The clocks of a machine that may be suspended: the monotonic one does not count that time. */
+class SuspendableTimers extends ManualTimerService {
+  suspendedFor = 0;
+
+  override wallNow(): number {
+    return super.wallNow() + this.suspendedFor;
+  }
+}
+
+// Guards against entries that take the list of a store which was suspended for a new one.
+test('the age of a list counts the time in which the store was suspended', () => {
+  const timers = new SuspendableTimers();
+  const cache = new InstanceListCache(timers);
+  cache.update([]);
+  timers.advance(500);
+  timers.suspendedFor = 60_000;
+  assert.ok((cache.latest?.instancesAge ?? 0) >= 60_000, String(cache.latest?.instancesAge));
+});
--- a/apps/store/src/InstanceListCache.ts
+++ b/apps/store/src/InstanceListCache.ts
@@ -30,6 +30,8 @@
 
   private receivedAt: MonotonicMilliseconds | undefined;
 
+  private receivedWallAt: EpochMilliseconds = 0;
+
   /** When the platform was asked for it, by the clock of the process that read it. */
   private readAt: EpochMilliseconds | undefined;
 
@@ -38,7 +40,11 @@
   /** The latest list and its age, or undefined before the first list. */
   get latest(): LatestList | undefined {
     if (this.receivedAt === undefined) return undefined;
-    const instancesAge = this.timers.monotonicNow() - this.receivedAt;
+    // The monotonic clock does not count the time in which the machine was suspended.
+    const instancesAge = Math.max(
+      this.timers.monotonicNow() - this.receivedAt,
+      this.timers.wallNow() - this.receivedWallAt,
+    );
     const instances = [...this.instances.values()];
     return { instances, instancesAge, instancesReadAt: this.readAt };
   }
@@ -55,6 +61,7 @@
     const before = this.instances;
     this.instances = new Map(instances.map((instance) => [instance.instance, instance]));
     this.receivedAt = this.timers.monotonicNow();
+    this.receivedWallAt = this.timers.wallNow();
     this.readAt = readAt;
     return {
       readAt,
--- a/packages/entry-core/src/admission/admitAfterOrigin.ts
+++ b/packages/entry-core/src/admission/admitAfterOrigin.ts
@@ -7,12 +7,7 @@
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryEvent, Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
-import {
-  readNextList,
-  receiveOrigin,
-  takeAwaitingList,
-  type HeldTakeUp,
-} from '../streamVersions/heldTakeUps.js';
+import { receiveOrigin, takeAwaitingList, type HeldTakeUp } from '../streamVersions/heldTakeUps.js';
 import { admitRequest } from './admitRequest.js';
 
 function admitHeld(
@@ -38,11 +33,10 @@
   isRead: boolean,
   timestamps: Timestamps,
 ): EntryEffect[] {
-  const admitted = takeAwaitingList(state, readAt).flatMap((held) => {
+  return takeAwaitingList(state, readAt).flatMap((held) => {
     const takeUp = { ...held.takeUp, ...(isRead ? {} : { isListUnread: true }) };
     const effects = admitHeld(state, { ...held, takeUp }, timestamps);
     observeAttemptStarts(state, effects, timestamps.now);
     return effects;
   });
-  return [...admitted, ...readNextList(state)];
 }
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -112,8 +112,8 @@
       readonly firstRequestId: string;
     }
   /**
-   * Reads the platform's list of instances anew. The result is `instancesListed` or `instancesUnread`,
-   * whose `readAt` is not before this effect.
+   * Reads the platform's list of instances anew. Each of these effects leads to an `instancesListed` or
+   * `instancesUnread` whose `readAt` is not before it; one may answer several.
    */
   | { readonly type: 'readInstances' }
   /** A newer configuration has taken effect. */
--- a/packages/entry-core/src/shutdown/advanceShutdown.ts
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -8,9 +8,10 @@
 import type { EntryEvent, Timestamps } from '../entryEvents.js';
 import type { EntryState } from '../EntryState.js';
 import { reportAtOnce } from '../membership/advanceReports.js';
-import { failRequest } from '../requests/endRequest.js';
+import { failRequest, refuseRequest } from '../requests/endRequest.js';
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { takeAllHeld } from '../streamVersions/heldTakeUps.js';
 
 /** Short, because another entry can serve the caller immediately. */
 const RETRY_AFTER_MILLISECONDS = 100;
@@ -42,11 +43,22 @@
   ];
 }
 
+/** The caller of a request that is held can be served at another entry at once. */
+function refuseHeldRequests(state: EntryState): EntryEffect[] {
+  const problem = { ran: 'no', retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS } as const;
+  return takeAllHeld(state).flatMap(({ request }) =>
+    refuseRequest(request, 'draining', 'This instance is shutting down', problem),
+  );
+}
+
 export function advanceShutdown(state: EntryState, { now }: Timestamps): EntryEffect[] {
   const { shutdown } = state;
   if (!shutdown.started) return [];
   state.refusesNewRequests = shutdown.acceptUntil <= now;
-  const effects = shutdown.endAt <= now ? failRemainingRequests(state) : [];
+  const effects = [
+    ...(state.refusesNewRequests ? refuseHeldRequests(state) : []),
+    ...(shutdown.endAt <= now ? failRemainingRequests(state) : []),
+  ];
   // Until the stores have recorded the outcome of a claimed call, a resend of it would be answered
   // with `ran: 'unknown'`.
   const mustWaitForClaims = state.claims.size > 0 && now < shutdown.endAt;
--- a/packages/entry-core/src/streamVersions/heldTakeUps.test.ts
+++ b/packages/entry-core/src/streamVersions/heldTakeUps.test.ts
@@ -116,3 +116,16 @@
   assert.ok(again.every(({ versions }) => versions.size === 1));
   assert.ok(again.every((caller) => describeEnd(caller) === 'versionUnavailable'));
 });
+
+// Guards against callers who wait at an entry that stops until their list cannot be read any more.
+test('callers that wait for a list are sent elsewhere once the entry takes no more requests', () => {
+  const cluster = startCluster();
+  const stream = loseStream(cluster);
+  const entry = cluster.entryAt(1);
+  entry.reachesPlatform = false;
+  const again = entry.takeUp(stream, 'again');
+  cluster.advance(ORIGIN_ANSWERED_MILLISECONDS);
+  entry.send({ type: 'shutdownStarted', acceptUntil: cluster.clock().now });
+  cluster.advance(100);
+  assert.equal(describeEnd(again), 'draining');
+});
--- a/packages/entry-core/src/streamVersions/heldTakeUps.ts
+++ b/packages/entry-core/src/streamVersions/heldTakeUps.ts
@@ -53,10 +53,10 @@
   event: Extract<EntryEvent, { type: 'streamOriginAnswered' }>,
 ): HeldTakeUp | undefined {
   const { requestId, origin, isConclusive, histories = [], now } = event;
-  // Versions that this entry has missed while it was out of touch.
-  histories.forEach((history) => state.versions.adoptHistory(history, now));
   const held = state.takeUpsAwaitingOrigin.get(requestId);
   if (held === undefined) return undefined;
+  // Versions that this entry has missed while it was out of touch.
+  histories.forEach((history) => state.versions.adoptHistory(history, now, held.takeUp.askedAt));
   state.takeUpsAwaitingOrigin.delete(requestId);
   if (origin !== undefined) state.streamOrigins.record(origin, now);
   // Also if it is of another workspace, which is then refused like one that nobody knows.
@@ -79,7 +79,10 @@
   return due;
 }
 
-/** Asks for another list while requests are held that came after the last one was asked for. */
-export function readNextList(state: EntryState): EntryEffect[] {
-  return state.takeUpsAwaitingList.size === 0 ? [] : [{ type: 'readInstances' }];
+/** Takes back all held requests, to refuse them. */
+export function takeAllHeld(state: EntryState): readonly HeldTakeUp[] {
+  const held = [state.takeUpsAwaitingOrigin, state.takeUpsAwaitingList];
+  const all = held.flatMap((takeUps) => [...takeUps.values()]);
+  held.forEach((takeUps) => takeUps.clear());
+  return all;
 }
