Count the holes of a version history at every hop

The review joined streams in tests: a history that had waited on its way bridged any gap in its reader's lists (8 streams), a store without lists for 4 s undid the gap that an entry had seen (4 streams), a store that had been suspended vouched for the time in which it was, and one that had dropped versions did not say so. A store that had been away made entries refuse streams although they had all lists, and a split pool that had never had a server made all of them be refused (24 of 24).

A history now counts from the moment in which it was asked for, by the clock that has gone further; a gap of ten seconds is passed over only between the last list before a start and the first one after it, and 3 s otherwise, at stores too; what was dropped is not complete for its reader; the lists of the reader itself say until when a version was listed; a pool without servers has begun no stream.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -243,7 +243,8 @@
           const received = fromSharedInstances(instances, timers.wallNow());
           this.watcher.receiveInstances(received, age, readAt);
         },
-        onPersistedState: (remembered) => dispatch({ type: 'knowledgeRemembered', remembered }),
+        onPersistedState: (remembered, askedAt) =>
+          dispatch({ type: 'knowledgeRemembered', remembered, askedAt }),
         onWorkReport: (work) => dispatch({ type: 'workReported', work }),
         onSpendingReport: (spending) => dispatch({ type: 'spendingReported', spending }),
         // Only callers of opaque calls take up streams.
--- a/apps/store/src/PersistedEntryState.ts
+++ b/apps/store/src/PersistedEntryState.ts
@@ -81,7 +81,8 @@
 
   /** The versions that backend servers have had; undefined before the first list. */
   get versionHistory(): VersionHistoryMessage | undefined {
-    return this.versions.toMessage(this.options.timers.monotonicNow());
+    const { timers } = this.options;
+    return this.versions.toMessage(timers.monotonicNow(), timers.wallNow());
   }
 
   private get recordedVersions(): PersistedVersions | undefined {
@@ -165,7 +166,9 @@
     const elapsed = timers.wallNow() - saved.at;
     // The clock was set back: the ages are not known.
     if (elapsed < 0) return;
-    this.versions.adopt(ageHistory(saved.history, elapsed), timers.monotonicNow());
+    const now = timers.monotonicNow();
+    const history = ageHistory(saved.history, elapsed);
+    this.versions.adopt(history, now, { askedAt: now, isStarting: true });
   }
 
   /** Writes no more. */
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -123,6 +123,12 @@
   }
 }
 
+/** The pool in which the stream began that a request takes up, if that is known. */
+function findPoolOfStream(resolution: OriginResolution): string | undefined {
+  if (resolution.type === 'known') return resolution.origin.pool;
+  return resolution.type === 'onlyVersion' ? resolution.pool : undefined;
+}
+
 /**
  * Counts the request as demand that the fleet is sized for, even if it is refused. Requests over a
  * workspace's allowance do not count: they would be refused by a larger fleet too, and instances
@@ -177,8 +183,7 @@
   if (resolution.type === 'askStores') return awaitOrigin(state, held, resolution.firstRequestId);
   if (resolution.type === 'readList') return awaitList(state, held);
   if (resolution.type === 'refused') return refuseContinuation(request, route, resolution);
-  const origin = resolution.type === 'known' ? resolution.origin : undefined;
-  const poolName = origin?.pool ?? choosePool(route, state.random);
+  const poolName = findPoolOfStream(resolution) ?? choosePool(route, state.random);
   const pool = getRouteIndex(state).pool(poolName);
   if (pool === undefined) {
     return refuseRequest(request, 'noBackendServer', `Pool "${poolName}" does not exist`);
--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -142,7 +142,7 @@
       }
     });
     const earlier = { knownFor: EARLIER_HISTORY_MILLISECONDS, lastListAge: 0, pools: {} };
-    this.versionHistory.adopt(earlier, this.now);
+    this.versionHistory.adopt(earlier, this.now, { askedAt: this.now, isStarting: true });
     this.recordVersions();
     const dataCentres = Object.keys(options.engines);
     const configuration =
@@ -177,9 +177,10 @@
   }
 
   private sendVersionHistory(entry: SimulatedEntry): void {
-    const history = this.versionHistory.toMessage(this.now);
+    const { now, wallNow } = this.clock();
+    const history = this.versionHistory.toMessage(now, wallNow);
     if (!this.storeReachable || history === undefined) return;
-    const versions = { at: this.clock().wallNow, history };
+    const versions = { at: wallNow, history };
     const remembered = { usage: [], delays: {}, computed: {}, versions };
     entry.send({ type: 'knowledgeRemembered', remembered });
   }
@@ -383,7 +384,8 @@
   ): void {
     if (this.storeReachable && from.reachesStores) {
       this.schedule(2, () => {
-        const history = this.versionHistory.toMessage(this.now);
+        const { now, wallNow } = this.clock();
+        const history = this.versionHistory.toMessage(now, wallNow);
         const histories = history === undefined ? [] : [history];
         onAnswer({ origin: this.streamOrigins.get(requestId), isConclusive: true, histories });
       });
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -242,7 +242,12 @@
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineRecord[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
   /** State of the entries that a store has persisted. */
-  | { readonly type: 'knowledgeRemembered'; readonly remembered: PersistedEntryData }
+  | {
+      readonly type: 'knowledgeRemembered';
+      readonly remembered: PersistedEntryData;
+      /** When the store was asked for it; now if it is missing. */
+      readonly askedAt?: MonotonicMilliseconds;
+    }
   | { readonly type: 'workReported'; readonly work: WorkReport }
   | { readonly type: 'spendingReported'; readonly spending: SpendingReport }
   | {
--- a/packages/entry-core/src/membership/restorePersistedState.ts
+++ b/packages/entry-core/src/membership/restorePersistedState.ts
@@ -11,12 +11,13 @@
 export function restorePersistedState(
   state: EntryState,
   { spending, delays, computed, versions }: PersistedEntryData,
+  askedAt: MonotonicMilliseconds,
   { now, wallNow }: Timestamps,
 ): void {
   if (spending !== undefined) {
     state.limits.allowanceLimiter.restore(spending, state.identity.instance, now, wallNow);
   }
-  if (versions !== undefined) state.versions.adoptHistory(versions.history, now);
+  if (versions !== undefined) state.versions.adoptHistory(versions.history, now, askedAt);
   Object.entries(delays).forEach(([pool, delay]) => {
     getPoolState(state, pool).firstTokenRegression.adopt(delay);
   });
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -132,7 +132,7 @@
     case 'entryReported':
       return receivePeerReport(state, event.report, event);
     case 'knowledgeRemembered':
-      restorePersistedState(state, event.remembered, event);
+      restorePersistedState(state, event.remembered, event.askedAt ?? event.now, event);
       return [];
     case 'workReported':
       receiveWorkReport(state, event.work, event.now);
--- a/packages/entry-core/src/streamVersions/VersionIndex.ts
+++ b/packages/entry-core/src/streamVersions/VersionIndex.ts
@@ -5,7 +5,6 @@
 import {
   VersionHistory,
   type LogFields,
-  type Milliseconds,
   type MonotonicMilliseconds,
   type ServerVersion,
   type VersionHistoryMessage,
@@ -16,9 +15,6 @@
 /** Servers whose version the platform does not state are kept under `undefined`. */
 type InstancesByVersion = Map<ServerVersion, string[]>;
 
-/** Lists arrive each second, and at most 2.5 s apart while one poll fails. */
-const MAX_LIST_GAP_MILLISECONDS: Milliseconds = 3000;
-
 const NO_INSTANCES: readonly string[] = [];
 
 export class VersionIndex {
@@ -29,7 +25,10 @@
   /** When this entry asked for the newest list that it has read itself. */
   private readAt: MonotonicMilliseconds = -Infinity;
 
-  private readonly history = new VersionHistory(MAX_LIST_GAP_MILLISECONDS);
+  /** True once a store has said which versions there were before this entry started. */
+  private hasAdopted = false;
+
+  private readonly history = new VersionHistory();
 
   /**
    * @param readAt - When this entry asked for the list; undefined if another process has read it, since
@@ -57,9 +56,18 @@
     this.history.recordList(new Map(versions), now, wallNow);
   }
 
-  /** Adds the versions that a store has recorded, also from before this entry started. */
-  adoptHistory(history: VersionHistoryMessage, now: MonotonicMilliseconds): void {
-    this.history.adopt(history, now);
+  /**
+   * Adds the versions that a store has recorded, at first also from before this entry started.
+   *
+   * @param askedAt - When the store was asked for them.
+   */
+  adoptHistory(
+    history: VersionHistoryMessage,
+    now: MonotonicMilliseconds,
+    askedAt: MonotonicMilliseconds,
+  ): void {
+    this.history.adopt(history, now, { askedAt, isStarting: !this.hasAdopted });
+    this.hasAdopted = true;
   }
 
   /** True if this entry has read a list that it asked for at or after `since`. */
@@ -73,6 +81,12 @@
     return versions.size === 0 || [...versions].some((version) => version !== undefined);
   }
 
+  /** True if the pool has had no servers since then, so that none has begun a stream. */
+  isUnusedSince(pool: string, since: MonotonicMilliseconds): boolean {
+    const { history } = this;
+    return history.isComplete(pool, since) && history.listVersions(pool, since).size === 0;
+  }
+
   /** True if the listed servers of the pool are of several versions, or some of an unknown one. */
   hasSeveral(pool: string): boolean {
     return (this.pools.get(pool)?.size ?? 0) > 1;
--- a/packages/entry-core/src/streamVersions/resolveOrigin.ts
+++ b/packages/entry-core/src/streamVersions/resolveOrigin.ts
@@ -30,6 +30,8 @@
   | {
       readonly type: 'onlyVersion';
       readonly since: MonotonicMilliseconds;
+      /** The pool that began the stream, if only one can have. */
+      readonly pool: string | undefined;
       readonly facts: LogFields;
     }
   | { readonly type: 'known'; readonly origin: StreamOrigin; readonly facts: LogFields }
@@ -72,17 +74,22 @@
   { askedAt, isListUnread = false, isConclusive = false }: TakeUp,
 ): OriginResolution {
   const since = askedAt - maxAge;
+  const usedPools = pools.filter((pool) => !versions.isUnusedSince(pool, since));
   const isListOld = !versions.isReadSince(askedAt);
-  const unclearPool = pools.find((pool) => versions.findOnlyVersion(pool, since) === undefined);
+  const unclearPool = (usedPools.length === 0 ? pools : usedPools).find(
+    (pool) => versions.findOnlyVersion(pool, since) === undefined,
+  );
   if (unclearPool === undefined && isListOld && !isListUnread) return { type: 'readList' };
-  const [firstPool = ''] = pools;
+  const [firstPool = '', ...otherPools] = usedPools;
   const facts = {
     ...versions.describeVersions(unclearPool ?? firstPool, since, now),
     isConclusive,
     isListOld,
   };
   const isOnlyVersion = unclearPool === undefined && !isListOld;
-  return isOnlyVersion ? { type: 'onlyVersion', since, facts } : refuseUnknown(facts);
+  if (!isOnlyVersion) return refuseUnknown(facts);
+  const pool = otherPools.length === 0 ? firstPool : undefined;
+  return { type: 'onlyVersion', since, pool, facts };
 }
 
 export function resolveOrigin(
--- a/packages/schema/src/messages/VersionHistory.ts
+++ b/packages/schema/src/messages/VersionHistory.ts
@@ -31,10 +31,24 @@
 }
 
 /**
- * Without lists for longer than this, a version may have come, begun streams and gone unseen: servers are
- * listed for seconds before and while they serve. Restarts of all processes take less.
+ * Without lists for longer than this, a version may have come, begun streams and gone unseen. Lists arrive
+ * each second, and at most 2.5 s apart while one poll fails.
  */
-export const MAX_LIST_GAP_MILLISECONDS: Milliseconds = 10_000;
+export const MAX_LIST_GAP_MILLISECONDS: Milliseconds = 3000;
+
+/**
+ * The same between the last list that an earlier process has recorded and the first one of a process that
+ * starts: restarts of all processes take less, and while none runs no stream begins.
+ */
+export const MAX_RESTART_GAP_MILLISECONDS: Milliseconds = 10_000;
+
+/** How a history comes to a process that adopts it. */
+export interface HistoryOrigin {
+  /** When this process asked for it: how long the answer was under way is not known. */
+  readonly askedAt: MonotonicMilliseconds;
+  /** True if this process starts, and the history tells of the time before. */
+  readonly isStarting: boolean;
+}
 
 /** Of one pool; more are in use within the time of a stream only if each release lasts seconds. */
 const MAX_VERSIONS = 16;
@@ -55,19 +69,18 @@
 
   private lastListAt: MonotonicMilliseconds | undefined;
 
-  /** Undefined if the last list is one that was adopted. */
+  /** Undefined if the last list is one that an earlier process has recorded. */
   private lastListWallAt: EpochMilliseconds | undefined;
 
-  /** @param maxListGap - Without lists for longer than this, the versions before are not complete. */
-  constructor(private readonly maxListGap: Milliseconds = MAX_LIST_GAP_MILLISECONDS) {}
-
   /** Records a list of the platform. */
   recordList(
     versionsByPool: VersionsByPool,
     now: MonotonicMilliseconds,
     wallNow: EpochMilliseconds,
   ): void {
-    if (this.timeSinceLastList(now, wallNow) > this.maxListGap) this.knownSince = now;
+    const maxGap =
+      this.lastListWallAt === undefined ? MAX_RESTART_GAP_MILLISECONDS : MAX_LIST_GAP_MILLISECONDS;
+    if (this.timeSinceLastList(now, wallNow) > maxGap) this.knownSince = now;
     this.lastListAt = now;
     this.lastListWallAt = wallNow;
     versionsByPool.forEach((versions, name) => {
@@ -80,19 +93,25 @@
   }
 
   /** Adds what another process has recorded. */
-  adopt(message: VersionHistoryMessage, now: MonotonicMilliseconds): void {
+  adopt(
+    message: VersionHistoryMessage,
+    now: MonotonicMilliseconds,
+    { askedAt, isStarting }: HistoryOrigin,
+  ): void {
     const knownSince = now - message.knownFor;
-    const lastListAt = now - message.lastListAge;
+    const lastListAt = askedAt - message.lastListAge;
+    const maxGap = isStarting ? MAX_RESTART_GAP_MILLISECONDS : MAX_LIST_GAP_MILLISECONDS;
+    const listedUntil = this.findListedUntil(now - message.lastListAge, now);
     if (this.lastListAt === undefined) {
       this.knownSince = knownSince;
       this.lastListAt = lastListAt;
-    } else if (this.knownSince - lastListAt <= MAX_LIST_GAP_MILLISECONDS) {
+    } else if (this.knownSince - lastListAt <= maxGap) {
       this.knownSince = Math.min(this.knownSince, knownSince);
     }
     Object.entries(message.pools).forEach(([name, records]) => {
       const pool = this.getPool(name);
       records.forEach(({ version, age, isListed }) => {
-        const lastUsedAt = isListed ? now : now - age;
+        const lastUsedAt = isListed ? listedUntil : now - age;
         const known = pool.lastUsedAt.get(version) ?? -Infinity;
         pool.lastUsedAt.set(version, Math.max(known, lastUsedAt));
       });
@@ -102,7 +121,10 @@
   }
 
   /** Undefined before the first list. */
-  toMessage(now: MonotonicMilliseconds): VersionHistoryMessage | undefined {
+  toMessage(
+    now: MonotonicMilliseconds,
+    wallNow: EpochMilliseconds,
+  ): VersionHistoryMessage | undefined {
     if (this.lastListAt === undefined) return undefined;
     const pools = [...this.pools].map(([name, { lastUsedAt, listed }]) => {
       const records = [...lastUsedAt].map(([version, usedAt]): VersionRecord => ({
@@ -112,9 +134,10 @@
       }));
       return [name, records] as const;
     });
+    const completeSince = [...this.pools.values()].map((pool) => pool.completeSince);
     return {
-      knownFor: now - this.knownSince,
-      lastListAge: now - this.lastListAt,
+      knownFor: now - Math.max(this.knownSince, ...completeSince),
+      lastListAge: this.timeSinceLastList(now, wallNow),
       pools: Object.fromEntries(pools),
     };
   }
@@ -132,6 +155,19 @@
     return new Set([...(listed ?? []), ...used.map(([version]) => version)]);
   }
 
+  /**
+   * Until when versions may have begun streams that another process had on its last list: the lists of
+   * this process that are newer say so.
+   */
+  private findListedUntil(
+    otherLastListAt: MonotonicMilliseconds,
+    now: MonotonicMilliseconds,
+  ): MonotonicMilliseconds {
+    const { lastListAt } = this;
+    const isNewer = lastListAt === undefined || otherLastListAt > lastListAt;
+    return isNewer ? now : Math.max(this.knownSince, otherLastListAt);
+  }
+
   /** The monotonic clock does not count the time in which the machine was suspended. */
   private timeSinceLastList(now: MonotonicMilliseconds, wallNow: EpochMilliseconds): Milliseconds {
     const { lastListAt = -Infinity, lastListWallAt = wallNow } = this;
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -65,8 +65,12 @@
   ): void;
   /** A store that keeps origins of streams can be reached now and could not before. */
   onOriginStore?(): void;
-  /** State of earlier entries that a store has kept for entries that start. */
-  onPersistedState?(remembered: PersistedEntryData): void;
+  /**
+   * State of earlier entries that a store has kept for entries that start.
+   *
+   * @param askedAt - When this process asked for it.
+   */
+  onPersistedState?(remembered: PersistedEntryData, askedAt: MonotonicMilliseconds): void;
 }
 
 /** The sequences of two digests between which others are missing. */
@@ -332,7 +336,7 @@
     this.failedStores.clear();
     this.resetInstanceList(response);
     // The configuration comes last, since it admits the requests that wait for it.
-    this.options.handlers.onPersistedState?.(response.remembered);
+    this.options.handlers.onPersistedState?.(response.remembered, subscription.requestedAt);
     this.options.handlers.onQuarantine?.(response.quarantine);
     if (response.digest !== undefined) {
       subscription.digestSequence = response.digest.sequence;
