--- a/packages/testing/src/ChildProcess.ts
+++ b/packages/testing/src/ChildProcess.ts
@@ -98,6 +98,11 @@
     await this.exited;
   }
 
+  /** Tells it that its settings have changed; one that has just ended is not told. */
+  reload(): void {
+    this.child.kill('SIGHUP');
+  }
+
   /** Asks for a graceful shutdown and resolves with the exit code. */
   async terminate(): Promise<number | null> {
     this.child.kill('SIGTERM');
