--- a/apps/entry/src/BackendServerWatcher.ts
+++ b/apps/entry/src/BackendServerWatcher.ts
@@ -18,6 +18,7 @@
 } from '@hornbeampond/schema';
 import { CacheEventReader } from './CacheEventReader.js';
 import type { AdapterDirectory } from './AdapterDirectory.js';
+import { RequestedListReads } from './RequestedListReads.js';
 
 export interface BackendServerWatcherOptions {
   readonly platform: PlatformAdapter;
@@ -59,12 +60,6 @@
 /** Callers wait for the rest of a stream, so a list that is read for them is given up early. */
 const READ_FOR_REQUEST_TIMEOUT_MILLISECONDS: Milliseconds = 500;
 
-/** Of all entries together, after a pause; a platform takes some forty calls a second. */
-const MAX_READS_AT_ONCE = 16;
-
-/** Timers may fire a little early. */
-const TIMER_MARGIN_MILLISECONDS: Milliseconds = 5;
-
 export class BackendServerWatcher {
   private instances: readonly PlatformInstance[] = [];
 
@@ -78,20 +73,23 @@
   /** True while polls are scheduled; used only with `shareInstances`. */
   private isStarted = false;
 
-  /** True while a read for requests is scheduled and has not begun. */
-  private isReadScheduled = false;
-
-  /** When a list may be asked for that shows what was listed when requests last needed one. */
-  private readDueAt: MonotonicMilliseconds = -Infinity;
-
-  /** Reads for requests, less those that are long enough ago. */
-  private recentReads = 0;
+  /** The `readAt` of the newest list that this entry has read itself. */
+  private newestOwnReadAt: MonotonicMilliseconds = -Infinity;
 
-  private readsCountedAt: MonotonicMilliseconds = -Infinity;
+  private readonly requestedReads: RequestedListReads;
 
   private readonly cacheEventReader = new CacheEventReader();
 
-  constructor(private readonly options: BackendServerWatcherOptions) {}
+  constructor(private readonly options: BackendServerWatcherOptions) {
+    this.requestedReads = new RequestedListReads({
+      ...options,
+      readSpacing: () => this.pollSpacing,
+      read: () => {
+        void this.readAnew();
+      },
+      refuse: () => options.dispatch({ type: 'instancesUnread', readAt: this.readAt }),
+    });
+  }
 
   /** Starts the timer. Without `shareInstances`, also polls once and resolves after that. */
   async start(): Promise<void> {
@@ -105,40 +103,9 @@
     await this.poll();
   }
 
-  /**
-   * Reads the list for requests that need one which shows what is listed now. It begins once the list
-   * cannot lag behind that any more. After a loss of all entries and stores many entries may need one
-   * at a time, so that it is not read if this entry has read it for requests often of late.
-   */
+  /** Reads the list for requests that need one which shows what is listed now. */
   readForRequests(): void {
-    const { timers, listLagMilliseconds } = this.options;
-    this.readDueAt = timers.monotonicNow() + listLagMilliseconds + TIMER_MARGIN_MILLISECONDS;
-    if (!this.isReadScheduled) this.scheduleReadForRequests();
-  }
-
-  private scheduleReadForRequests(): void {
-    const { timers } = this.options;
-    const dueAt = this.readDueAt;
-    this.isReadScheduled = true;
-    timers.after(dueAt - timers.monotonicNow(), () => {
-      this.isReadScheduled = false;
-      if (this.takeReadAllowance()) void this.readAnew();
-      else this.options.dispatch({ type: 'instancesUnread', readAt: this.readAt });
-      // For requests that came too late for this one.
-      if (this.readDueAt > dueAt) this.scheduleReadForRequests();
-    });
-  }
-
-  /** False if this entry has read the list for requests too often of late. */
-  private takeReadAllowance(): boolean {
-    const now = this.options.timers.monotonicNow();
-    const most = Math.max(1, Math.floor(MAX_READS_AT_ONCE / this.options.countEntries()));
-    const regained = (now - this.readsCountedAt) / this.pollSpacing;
-    this.recentReads = Math.max(0, this.recentReads - regained);
-    this.readsCountedAt = now;
-    if (this.recentReads > most - 1) return false;
-    this.recentReads += 1;
-    return true;
+    this.requestedReads.request();
   }
 
   /** Polls of all entries together are no closer than this on average. */
@@ -237,6 +204,9 @@
     ]);
     // Timers do not count the time in which the machine was suspended.
     if (timers.wallNow() - readWallAt > timeout) throw new Error('the list has become too old');
+    // Another read may have begun later and ended sooner.
+    if (readAt < this.newestOwnReadAt) return;
+    this.newestOwnReadAt = readAt;
     this.applyInstances(instances, readAt);
     notices.forEach(({ instance, goneAt }) => {
       dispatch({ type: 'reclaimNoticed', instance, goneAt });
