Check the range of each field of a listed server where it is decoded

Callers got 502 beside sound servers where the list held an entry with an id that no header can hold, and entries sent requests to ports 0 and 99999 and to hosts that are no address, logged crashes there and asked for tunnels. The decoder checked types only: any text was a name, any digits a port, any number a removal time or a number of slots. Each field has a range now; an entry outside of it, or nested deeper than 32, is skipped and reported by reason.

Event 2031 was written each second and said only how many rows were skipped. It names the reasons and five names now, and the same rows once a minute; a counter has the reasons.

--- a/apps/controller/src/ControllerProcess.ts
+++ b/apps/controller/src/ControllerProcess.ts
@@ -6,6 +6,7 @@
 import {
   HttpPlatformAdapter,
   HttpWeightStoreAdapter,
+  SkippedInstanceReport,
   type PlatformAdapter,
   type WeightStoreAdapter,
 } from '@hornbeampond/adapters';
@@ -110,6 +111,9 @@
       this.makeInstanceReport(0),
     );
     this.platform = new HttpPlatformAdapter(settings.platform.url);
+    const { logger, metrics } = this;
+    const skippedInstances = new SkippedInstanceReport({ timers, logger, metrics });
+    this.platform.onSkipped = (skipped) => skippedInstances.record(skipped);
     this.weightStore =
       settings.weightStore === undefined
         ? undefined
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -3,7 +3,11 @@
  * the reducer and carries out the effects it returns. It also starts and shuts down the process.
  */
 import { performance } from 'node:perf_hooks';
-import type { PlatformAdapter, ServerConnector } from '@hornbeampond/adapters';
+import {
+  SkippedInstanceReport,
+  type PlatformAdapter,
+  type ServerConnector,
+} from '@hornbeampond/adapters';
 import {
   TICK_INTERVAL_MILLISECONDS,
   makeEntryState,
@@ -202,6 +206,12 @@
       dispatch,
       countUnreadable: () => this.metrics.count({ metric: 'unreadableStatements' }),
     });
+    const skippedInstances = new SkippedInstanceReport({
+      timers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    dependencies.platform.onSkipped = (skipped) => skippedInstances.record(skipped);
     this.paths = new EntryPaths({
       settings,
       timers,
--- a/packages/adapters/src/PlatformAdapter.ts
+++ b/packages/adapters/src/PlatformAdapter.ts
@@ -4,7 +4,7 @@
  *
  * No method retries or has a timeout of its own. Every failure is a `BackendServerFailure`.
  */
-import type { EpochMilliseconds, PlatformInstance } from '@hornbeampond/schema';
+import type { EpochMilliseconds, PlatformInstance, SkippedInstance } from '@hornbeampond/schema';
 
 export interface InstanceStart {
   readonly pool: string;
@@ -26,6 +26,9 @@
 }
 
 export abstract class PlatformAdapter {
+  /** Called after each reading of the list with the rows that name no instance to use, if there are any. */
+  onSkipped: (skipped: readonly SkippedInstance[]) => void = () => {};
+
   /** Lists live and leaving instances; the list may be seconds old. */
   abstract listInstances(signal: AbortSignal): Promise<readonly PlatformInstance[]>;
 
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -9,6 +9,7 @@
 export * from './ServerConnector.js';
 export * from './ServerStatement.js';
 export * from './SingletonAdapter.js';
+export * from './SkippedInstanceReport.js';
 export * from './WeightStoreAdapter.js';
 export * from './ProbeResponse.js';
 export { connectionHeaders } from './http/connectionHeaders.js';
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,6 +7,7 @@
 export * from './messages/backendServers.js';
 export * from './messages/capacityUse.js';
 export * from './messages/entryMessages.js';
+export * from './messages/instanceFields.js';
 export * from './messages/serverSpeeds.js';
 export * from './messages/DecayingSums.js';
 export * from './messages/SpeedTotals.js';
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -43,7 +43,7 @@
   instancesUnreadable: defineLogEvent(
     2031,
     'warn',
-    'Invalid rows of the list of instances were skipped',
+    'Invalid rows of the list of instances are skipped, by reason; the same rows are named once a minute',
   ),
   statementUnreadable: defineLogEvent(
     2032,
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -17,6 +17,7 @@
   retryRefusalReasons,
   storeAnswerKinds,
   streamOriginFindings,
+  unreadableInstanceReasons,
 } from './reasons.js';
 import { versionAnswerKinds } from './tables/Rollout.js';
 
@@ -292,6 +293,12 @@
     kind: 'gauge',
     help: 'Backend servers whose stated time factors are contradicted by their answers',
   },
+  unreadableInstances: {
+    name: 'hornbeampond_unreadable_instances_total',
+    kind: 'counter',
+    help: 'Rows of the list of instances that were skipped, at each reading of the list, by reason',
+    label: { name: 'reason', values: unreadableInstanceReasons },
+  },
   unreadableStatements: {
     name: 'hornbeampond_unreadable_statements_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -110,6 +110,28 @@
 ] as const;
 export type StreamOriginFinding = (typeof streamOriginFindings)[number];
 
+/** Why a row of the list of instances names no instance to use: the first field that is not in its range. */
+export const unreadableInstanceReasons = [
+  /** Its bytes are no JSON; the rest of the list is read without it. */
+  'bytes',
+  /** It is nested deeper than any row is. */
+  'nesting',
+  /** It is a value without fields. */
+  'noFields',
+  'name',
+  'pool',
+  'address',
+  'dataCentre',
+  'version',
+  'concurrency',
+  'state',
+  'instanceClass',
+  'goneAt',
+  /** Another row names the same instance. */
+  'listedTwice',
+] as const;
+export type UnreadableInstanceReason = (typeof unreadableInstanceReasons)[number];
+
 /** How an attempt to have a request answered by a store ended, as the process that asks saw it. */
 export const storeAnswerKinds = [
   /** The store is not the leader, and named another store as the leader. */
