Bound the slots of a listed server by the bound of the pools table

The bound of 65,535 that the decoder got was another one than that of the operators' pools table, 100,000 requests at a time, so an operator could state a number that the list could not.

--- a/packages/schema/src/messages/instanceFields.ts
+++ b/packages/schema/src/messages/instanceFields.ts
@@ -4,16 +4,11 @@
  */
 import * as z from 'zod';
 import type { UnreadableInstanceReason } from '../reasons.js';
+import { MAX_CONCURRENCY } from '../tables/pools.js';
 
 /** Longer than any host name; a longer text would not fit into every head and log line. */
 const MAX_TEXT_LENGTH = 256;
 
-/**
- * One process has at most this many connections to one address, since each needs a port of its own, and
- * a request in progress occupies a connection.
- */
-const MAX_CONCURRENCY = 65_535;
-
 /** Notices are given minutes ahead; a timer holds 24 days at most. */
 export const MAX_NOTICE_MILLISECONDS = 7 * 24 * 60 * 60 * 1000;
 
@@ -31,6 +26,7 @@
 
 export const instanceVersionSchema = z.string().max(MAX_TEXT_LENGTH).regex(textPattern);
 
+/** The same bound as that of operators' pools table. */
 export const instanceConcurrencySchema = z.number().int().min(1).max(MAX_CONCURRENCY);
 
 /** Time until an instance is removed; below zero if it should have been removed already. */
--- a/packages/schema/src/tables/pools.ts
+++ b/packages/schema/src/tables/pools.ts
@@ -7,6 +7,9 @@
 
 const MAX_POOLS = 2000;
 
+/** Requests that any backend server runs at a time; it also bounds what the list of instances states. */
+export const MAX_CONCURRENCY = 100_000;
+
 export const poolKinds = ['modelEngine', 'plainService'] as const;
 export type PoolKind = (typeof poolKinds)[number];
 
@@ -16,7 +19,7 @@
   eurosPerHour: z.number().min(0).max(10_000),
   reclaimable: z.boolean(),
   /** Requests that one backend server of this class can run at a time without slowing down. */
-  concurrency: z.number().int().min(1).max(100_000),
+  concurrency: z.number().int().min(1).max(MAX_CONCURRENCY),
   /** Tokens of prompts and answers that a model engine of this class holds in its memory. */
   memoryTokens: z.number().int().min(1).max(1_000_000_000).optional(),
 });
