Read each row of the own API's list of instances and notices by itself

A controller, or an entry that reads this project's own API, lost the whole list or all reclaim notices at each reading while one row had a field missing or of another type, and listed rows with names that no header can hold and with hosts that are no address. The whole answer was checked by one schema. Each row is decoded by itself now, with the ranges that the platform's reader has, and the others are logged and counted by reason. The choice between two rows of one name is the same class in both readers.

--- a/packages/adapters/src/PlatformAdapter.ts
+++ b/packages/adapters/src/PlatformAdapter.ts
@@ -26,7 +26,7 @@
 }
 
 export abstract class PlatformAdapter {
-  /** Called after each reading of the list with the rows that name no instance to use, if there are any. */
+  /** Called after each reading of instances or notices with the rows that cannot be used, if there are any. */
   onSkipped: (skipped: readonly SkippedInstance[]) => void = () => {};
 
   /** Lists live and leaving instances; the list may be seconds old. */
--- a/packages/adapters/src/http/HttpPlatformAdapter.ts
+++ b/packages/adapters/src/http/HttpPlatformAdapter.ts
@@ -7,13 +7,15 @@
  * - `DELETE /instances/NAME`; 404 if the instance does not exist.
  * - `GET /notices` returns `{notices: [{instance, goneAt}]}` with all notices in force.
  */
-import type { PlatformInstance } from '@hornbeampond/schema';
+import type { PlatformInstance, SkippedInstance } from '@hornbeampond/schema';
+import { KnownInstances } from '../KnownInstances.js';
 import {
   PlatformAdapter,
   type InstanceStart,
   type InstanceStartResult,
   type ReclaimNotice,
 } from '../PlatformAdapter.js';
+import { decodeInstanceRows, decodeNotices } from './decodeInstanceRows.js';
 import { HttpConnections } from './HttpConnections.js';
 import {
   MAX_JSON_BYTES,
@@ -30,6 +32,8 @@
 export class HttpPlatformAdapter extends PlatformAdapter {
   private readonly connections: HttpConnections;
 
+  private readonly known = new KnownInstances();
+
   /** @param url - Base URL of the API; only its origin is used. */
   constructor(url: string) {
     super();
@@ -38,7 +42,11 @@
 
   override async listInstances(signal: AbortSignal): Promise<readonly PlatformInstance[]> {
     const answer = await this.connections.send({ method: 'GET', path: '/instances', signal });
-    return (await readJson(instanceListSchema, answer)).instances;
+    const { instances: rows } = await readJson(instanceListSchema, answer);
+    const skipped: SkippedInstance[] = [];
+    const instances = this.known.update(decodeInstanceRows(rows, skipped), skipped);
+    if (skipped.length > 0) this.onSkipped(skipped);
+    return instances;
   }
 
   override async startInstance(
@@ -73,7 +81,11 @@
 
   override async readNotices(signal: AbortSignal): Promise<readonly ReclaimNotice[]> {
     const answer = await this.connections.send({ method: 'GET', path: '/notices', signal });
-    return (await readJson(noticesSchema, answer)).notices;
+    const { notices: rows } = await readJson(noticesSchema, answer);
+    const skipped: SkippedInstance[] = [];
+    const notices = decodeNotices(rows, skipped);
+    if (skipped.length > 0) this.onSkipped(skipped);
+    return notices;
   }
 
   override async close(): Promise<void> {
--- a/packages/adapters/src/http/wireSchemas.ts
+++ b/packages/adapters/src/http/wireSchemas.ts
@@ -1,5 +1,5 @@
 /** Schemas of the JSON answers that the HTTP adapters read. Unknown keys are dropped. */
-import { instanceStates } from '@hornbeampond/schema';
+import { instanceNameSchema, instancePlaceSchema, instanceStates } from '@hornbeampond/schema';
 import * as z from 'zod';
 
 const countSchema = z.number().int().min(0);
@@ -32,28 +32,38 @@
   result: z.enum(['done', 'refusedAsOld', 'failed']),
 });
 
+/** The latest time that a date can hold, in milliseconds since 1970. */
+const MAX_EPOCH_MILLISECONDS = 8.64e15;
+
+const epochSchema = z.number().min(0).max(MAX_EPOCH_MILLISECONDS);
+
+/** The last label of a host name has a letter, or it would be an address. */
+const hostSchema = z.union([z.ipv4(), z.ipv6(), z.hostname().regex(/[a-z][^.]*$/i)]);
+
 export const platformInstanceSchema = z.object({
-  instance: z.string(),
-  dataCentre: z.string(),
-  instanceClass: z.string(),
-  pool: z.string(),
+  instance: instanceNameSchema,
+  dataCentre: instancePlaceSchema,
+  instanceClass: instancePlaceSchema,
+  pool: instancePlaceSchema,
   state: z.enum(instanceStates),
-  host: z.string(),
+  host: hostSchema,
   port: z.number().int().min(0).max(65_535),
-  goneAt: z.number().optional(),
+  goneAt: epochSchema.optional(),
   startToken: z.string().optional(),
 });
 
-export const instanceListSchema = z.object({ instances: z.array(platformInstanceSchema) });
+/** The rows are decoded one by one. */
+export const instanceListSchema = z.object({ instances: z.array(z.unknown()) });
 
 export const instanceStartSchema = z.union([
   z.object({ instance: platformInstanceSchema }),
   z.object({ refused: z.string() }),
 ]);
 
-export const noticesSchema = z.object({
-  notices: z.array(z.object({ instance: z.string(), goneAt: z.number() })),
-});
+export const noticeSchema = z.object({ instance: instanceNameSchema, goneAt: epochSchema });
+
+/** The rows are decoded one by one. */
+export const noticesSchema = z.object({ notices: z.array(z.unknown()) });
 
 export const loadPermissionSchema = z.union([
   z.object({ granted: z.literal(true) }),
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,5 +1,6 @@
 export * from './BackendServerFailure.js';
 export * from './EngineAdapter.js';
+export * from './KnownInstances.js';
 export * from './PlainServiceAdapter.js';
 export * from './PlatformAdapter.js';
 export * from './RelayAdapter.js';
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -127,6 +127,9 @@
   'state',
   'instanceClass',
   'goneAt',
+  'startToken',
+  /** A reclaim notice that names no instance or no time. */
+  'notice',
   /** Another row names the same instance. */
   'listedTwice',
 ] as const;
