--- a/packages/schema/src/messages/instanceFields.ts
+++ b/packages/schema/src/messages/instanceFields.ts
@@ -13,7 +13,8 @@
 export const MAX_NOTICE_MILLISECONDS = 7 * 24 * 60 * 60 * 1000;
 
 /** What the value of an HTTP header holds unchanged: Latin-1 that neither begins nor ends with a blank. */
-const headerValuePattern = /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
+export const headerValuePattern =
+  /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
 
 /** Any letters, without control characters, line ends and halves of surrogate pairs. */
 const textPattern = /^[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]*$/u;
