--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,5 +1,6 @@
 export * from './BackendServerFailure.js';
 export * from './EngineAdapter.js';
+export * from './KnownInstances.js';
 export * from './PlainServiceAdapter.js';
 export * from './PlatformAdapter.js';
 export * from './RelayAdapter.js';
@@ -9,6 +10,7 @@
 export * from './ServerConnector.js';
 export * from './ServerStatement.js';
 export * from './SingletonAdapter.js';
+export * from './SkippedInstanceReport.js';
 export * from './WeightStoreAdapter.js';
 export * from './ProbeResponse.js';
 export { connectionHeaders } from './http/connectionHeaders.js';
