Show event streams whose lines end with CR alone

The format of event streams knows three line ends: CR and LF, LF, and CR alone. Of a stream with CR alone the entry recognises no event: callers get nothing of it, each call is tried three times and ends 502.

--- a/apps/entry/src/EventStreamSplitter.test.ts
+++ b/apps/entry/src/EventStreamSplitter.test.ts
@@ -39,3 +39,61 @@
     { seed: 11, numRuns: 500 },
   );
 });
+
+// Streams may end their lines with CR alone. Guards against streams of which nothing is passed on.
+test('events whose lines end with CR alone are returned at once', () => {
+  const text = 'id: 1\rdata: a\r\rid: 2\rdata: b\r\r';
+  assert.deepEqual(pushAll([text]), { text, count: 2, lastId: '2', pending: '' });
+  assert.deepEqual(pushAll([`${text}id: 3\rdata`]), {
+    text,
+    count: 2,
+    lastId: '2',
+    pending: 'id: 3\rdata',
+  });
+});
+
+const lineEnds = ['\n', '\r\n', '\r'] as const;
+
+/** Events whose lines end in one way, or a different one for each line. */
+const mixedStreams = fc
+  .array(fc.constantFrom(...lineEnds), { minLength: 3, maxLength: 12 })
+  .map((ends) => {
+    const endOf = (line: number) => ends[line % ends.length] ?? '\n';
+    const events = [1, 2, 3, 4].map((id) => {
+      const line = id * 3;
+      // CR and LF of two line ends would be one line end.
+      const last = endOf(line + 1) === '\r' ? '\r' : endOf(line + 2);
+      return `id: ${id}${endOf(line)}data: e${id}${endOf(line + 1)}${last}`;
+    });
+    return events.join('');
+  });
+
+// Guards against a CR at the end of a chunk whose LF in the next one is taken for another line end.
+test('each form of line end is known wherever the chunks end', () => {
+  fc.assert(
+    fc.property(
+      mixedStreams,
+      fc.array(fc.integer({ min: 0, max: 80 }), { maxLength: 12 }),
+      (events, offsets) => {
+        // The next event shows that no LF follows the last CR.
+        const text = `${events}id: 5`;
+        const ends = offsets.map((offset) => Math.min(offset, text.length));
+        const cuts = [0, ...ends.sort((a, b) => a - b), text.length];
+        const parts = cuts.slice(1).map((end, index) => text.slice(cuts[index], end));
+        const result = pushAll(parts);
+        const passed = { text: events, count: 4, lastId: '4', pending: 'id: 5' };
+        assert.deepEqual(result, passed);
+      },
+    ),
+    { seed: 11, numRuns: 2000 },
+  );
+});
+
+['\n', '\r\n', '\r'].forEach((lineEnd) => {
+  const events = `id: 1${lineEnd}data: a${lineEnd}${lineEnd}`.repeat(2);
+  // Guards against whole streams that count as broken off, because their last byte is held back.
+  test(`a stream whose lines end with ${JSON.stringify(lineEnd)} leaves nothing at its end`, () => {
+    const { text, count, pending } = pushAll([...events]);
+    assert.deepEqual({ text, count, pending }, { text: events, count: 2, pending: '' });
+  });
+});
