Recognise events whose lines end with CR alone

Callers got nothing of such a stream: each call was tried three times and ended 502, or 504 without chunks, because the splitter looked for line feeds only. It now knows the three line ends of the format.

A CR that is the last byte so far may be the first half of a line end. After a line that ended with CR alone it is taken for a whole one, so that an event is passed on at once and a whole stream leaves nothing at its end. An LF that follows nevertheless is passed on with the next bytes and begins no line. After LF or CR and LF the next byte is waited for, as before.

--- a/apps/entry/src/EventStreamSplitter.ts
+++ b/apps/entry/src/EventStreamSplitter.ts
@@ -10,9 +10,21 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = 'id:';
 
-/** The events, possibly none, that a call of `push` completes. */
+/** `cutCarriageReturn` is the last byte so far, so that an LF which belongs to it may follow. */
+type LineEndKind = 'lineFeed' | 'carriageReturn' | 'cutCarriageReturn';
+
+interface LineEnd {
+  readonly kind: LineEndKind;
+  /** Offset of its first byte. */
+  readonly at: number;
+  /** Offset of the next line. */
+  readonly next: number;
+}
+
+/** The events, possibly none, that a call of `push` completes, and the rest of the last line end before. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
   /** The last id among the events; undefined if none has an id. */
@@ -20,16 +32,55 @@
   readonly count: number;
 }
 
-/** Offset just after the empty line that ends the event at `from`; -1 if it is incomplete. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    const nextByte = bytes[at + 1];
-    if (nextByte === LINE_FEED) return at + 2;
-    if (nextByte === 0x0d && bytes[at + 2] === LINE_FEED) return at + 3;
+/** Finds the ends of lines in one direction: CR and LF, LF, or CR alone. */
+class LineEndFinder {
+  private lineFeed = 0;
+
+  private carriageReturn = 0;
+
+  constructor(private readonly bytes: Buffer) {
+    this.lineFeed = bytes.indexOf(LINE_FEED);
+    this.carriageReturn = bytes.indexOf(CARRIAGE_RETURN);
+  }
+
+  /** The first line end at or after an offset, which must not be before that of the last call. */
+  find(from: number): LineEnd | undefined {
+    const { bytes } = this;
+    if (this.lineFeed >= 0 && this.lineFeed < from) this.lineFeed = bytes.indexOf(LINE_FEED, from);
+    if (this.carriageReturn >= 0 && this.carriageReturn < from) {
+      this.carriageReturn = bytes.indexOf(CARRIAGE_RETURN, from);
+    }
+    const { lineFeed, carriageReturn: at } = this;
+    if (at < 0 || (lineFeed >= 0 && lineFeed < at)) {
+      return lineFeed < 0 ? undefined : { kind: 'lineFeed', at: lineFeed, next: lineFeed + 1 };
+    }
+    if (lineFeed === at + 1) return { kind: 'lineFeed', at, next: at + 2 };
+    const kind = at + 1 === bytes.length ? 'cutCarriageReturn' : 'carriageReturn';
+    return { kind, at, next: at + 1 };
+  }
+}
+
+/**
+ * Offset just after the empty line that ends the event at `from`; -1 if it is incomplete. If a CR is the last
+ * byte, the line before it decides whether the line end is complete: a stream with CR alone may send nothing
+ * more until its next event.
+ */
+function findEventEnd(lines: LineEndFinder, from: number): number {
+  let previous = lines.find(from);
+  if (previous === undefined) return -1;
+  for (let line = lines.find(previous.next); line !== undefined; line = lines.find(line.next)) {
+    const isEmpty = line.at === previous.next;
+    const isComplete = line.kind !== 'cutCarriageReturn' || previous.kind === 'carriageReturn';
+    if (isEmpty && isComplete) return line.next;
+    previous = line;
   }
   return -1;
 }
 
+function isLineEnd(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
 /** The last id in complete events; undefined if none has one. */
 function findLastId(events: Buffer): string | undefined {
   for (
@@ -37,9 +88,10 @@
     at >= 0;
     at = at === 0 ? -1 : events.lastIndexOf(ID_FIELD, at - 1)
   ) {
-    if (at === 0 || events[at - 1] === LINE_FEED) {
-      const line = events.toString('latin1', at + ID_FIELD.length, events.indexOf(LINE_FEED, at));
-      return line.replace(/^ /, '').replace(/\r$/, '');
+    if (at === 0 || isLineEnd(events[at - 1])) {
+      const valueAt = at + ID_FIELD.length;
+      const length = events.subarray(valueAt).findIndex(isLineEnd);
+      return events.toString('latin1', valueAt, valueAt + length).replace(/^ /, '');
     }
   }
   return undefined;
@@ -52,6 +104,9 @@
 export class EventStreamSplitter {
   private rest: Buffer = Buffer.alloc(0);
 
+  /** True if the last event was returned with a CR at its end, to which an LF may belong that follows. */
+  private mayLineFeedFollow = false;
+
   /** Bytes of the event that is still incomplete. */
   get pendingBytes(): Buffer {
     return this.rest;
@@ -59,10 +114,11 @@
 
   push(bytes: Uint8Array): CompleteEvents {
     const all = this.rest.length === 0 ? toBuffer(bytes) : Buffer.concat([this.rest, bytes]);
-    let end = 0;
+    const lines = new LineEndFinder(all);
+    let end = this.skipLineFeed(all);
     let count = 0;
-    for (let eventEnd = findEventEnd(all, 0); eventEnd >= 0; eventEnd = findEventEnd(all, end)) {
-      end = eventEnd;
+    for (let at = findEventEnd(lines, end); at >= 0; at = findEventEnd(lines, end)) {
+      end = at;
       count += 1;
     }
     this.rest = all.subarray(end);
@@ -72,6 +128,14 @@
       });
     }
     const complete = all.subarray(0, end);
+    if (end > 0) this.mayLineFeedFollow = end === all.length && all[end - 1] === CARRIAGE_RETURN;
     return { bytes: complete, lastId: findLastId(complete), count };
   }
+
+  /** Offset at which the next event begins. */
+  private skipLineFeed(bytes: Buffer): number {
+    if (!this.mayLineFeedFollow || bytes.length === 0) return 0;
+    this.mayLineFeedFollow = false;
+    return bytes[0] === LINE_FEED ? 1 : 0;
+  }
 }
--- a/apps/entry/src/RelayAnswer.test.ts
+++ b/apps/entry/src/RelayAnswer.test.ts
@@ -153,3 +153,17 @@
   await wait(50);
   assert.equal(hasEnded, true);
 });
+
+// Guards against a byte that is lost because it comes after the event that it belongs to was sent.
+test('a line feed that comes after the CR of an event is sent', async (context) => {
+  const socket = await connectTo(context, async (answer) => {
+    receiveHead(answer);
+    for (const part of ['id: 1\rdata: one\r\r', '\n']) {
+      await answer.writeBytes(Buffer.from(part));
+      await wait(2);
+    }
+    answer.finish();
+  });
+  const { body } = await receive(socket, `${GET}connection: close\r\n\r\n`);
+  assert.equal(body, '11\r\nid: 1\rdata: one\r\r\r\n1\r\n\n\r\n0\r\n\r\n');
+});
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -102,7 +102,7 @@
   writeBytes(bytes: Uint8Array): Promise<void> | undefined {
     if (this.head?.isStream !== true) return this.bufferOrWrite(bytes);
     const events = this.splitter.push(bytes);
-    if (events.count === 0) return undefined;
+    if (events.bytes.length === 0) return undefined;
     this.writeHead();
     this.lastEventId = events.lastId ?? this.lastEventId;
     this.eventsSent += events.count;
