Take an answer without a length for whole only if its server has closed it

Callers of plain services were given half an answer, or an empty one, as whole when the connection of an answer with neither a length nor chunks was reset after the head: undici finishes its parser on ECONNRESET as on an end. A reset that comes in one read with the last bytes is reported by Node as an end as well.

The adapters now know which connection carried a call. At the end of such a body its connection must have ended by a close of the server, which is told by its socket still having a peer; the check was in platform/ and is shared now. Through a tunnel such a body is never whole, as in the relay adapter.

The tests of the adapters, watchBodyEnd, MessageBody and unframedStreams pass.

--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -7,14 +7,16 @@
  */
 import type { Socket } from 'node:net';
 import type { NotRunProof } from '@hornbeampond/schema';
-import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import { buildConnector, Pool, type Dispatcher } from 'undici';
 import {
   connectWithCallback,
+  isDirectConnection,
   type ServerConnector,
   type ServerEndpoint,
 } from '../ServerConnector.js';
 import { BackendServerFailure, type BackendServerFailureKind } from '../BackendServerFailure.js';
 import { isFinalStatus } from '../isFinalStatus.js';
+import { CallConnection, ConnectionClient, isClosedByServer } from './CallConnections.js';
 
 /** Idle connections are closed early, since an old one is more likely to be dead. */
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 4000;
@@ -28,6 +30,9 @@
  */
 const DRAIN_TIMEOUT_MILLISECONDS = 1000;
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
 /** Error of the connector; it proves that the call had no connection to be written to. */
@@ -91,14 +96,28 @@
 
 type ResponseBody = Dispatcher.ResponseData['body'];
 
-/** Reads a body and calls `onUnfinished` if the reader stops or fails before its end. */
+/** True if the end of the body can be detected while the connection stays open. */
+function isFramed(method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean {
+  const isBodyless = method === 'HEAD' || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
+  const encoding = [headers['transfer-encoding'] ?? ''].flat().join(',').toLowerCase();
+  return isBodyless || headers['content-length'] !== undefined || encoding.includes('chunked');
+}
+
+interface BodyOptions {
+  readonly signal: AbortSignal;
+  /** Asked at the end of the body. */
+  isWhole(): boolean;
+  /** Called if the reader stops or fails before the end of the body. */
+  onUnfinished(): void;
+}
+
 async function* readBody(
   body: ResponseBody,
-  signal: AbortSignal,
-  onUnfinished: () => void,
+  { signal, isWhole, onUnfinished }: BodyOptions,
 ): AsyncGenerator<Uint8Array> {
   try {
     for await (const bytes of body.iterator({ destroyOnReturn: false })) yield bytes as Uint8Array;
+    if (!isWhole()) throw new BackendServerFailure('the response body may be incomplete');
   } catch (error) {
     throw toFailure(error, signal);
   } finally {
@@ -112,7 +131,12 @@
   body.dump({ limit: Infinity, signal }).catch(() => {});
 }
 
-function makeAnswer(data: Dispatcher.ResponseData, signal: AbortSignal): HttpAnswer {
+/** @param isClosedNormally - True once the server has closed the connection of the answer and not reset it. */
+function makeAnswer(
+  data: Dispatcher.ResponseData,
+  { method, signal }: HttpCall,
+  isClosedNormally: () => boolean,
+): HttpAnswer {
   const { statusCode: status, headers, body } = data;
   // Without a listener, an error before the body is read would end the process. The reader still
   // receives the error.
@@ -129,7 +153,9 @@
   const markComplete = () => {
     isComplete = true;
   };
-  return { status, headers, body: readBody(body, signal, onUnfinished), markComplete };
+  const isWhole = () => isFramed(method, data) || isClosedNormally();
+  const options = { signal, isWhole, onUnfinished };
+  return { status, headers, body: readBody(body, options), markComplete };
 }
 
 /** How the connections to a backend server are opened. */
@@ -193,7 +219,7 @@
 export class HttpConnections {
   private pool: Pool;
 
-  private readonly singleCallClients = new Set<Client>();
+  private readonly singleCallClients = new Set<ConnectionClient>();
 
   /** Pools that `renew` has replaced, until the last call on them has ended. */
   private readonly replacedPools = new Set<Pool>();
@@ -206,7 +232,7 @@
    */
   constructor(
     private readonly origin: string,
-    path?: ConnectionPath,
+    private readonly path?: ConnectionPath,
   ) {
     this.connect = makeBaseConnector(path);
     this.pool = this.openPool();
@@ -223,7 +249,7 @@
       throw toFailure(error, call.signal, 'nothingWritten');
     }
     try {
-      return makeAnswer(await this.pool.request(call), call.signal);
+      return await this.request(this.pool, call);
     } catch (error) {
       throw toFailure(error, call.signal);
     }
@@ -235,16 +261,14 @@
     const connect = makeSingleUseConnector(this.connect, (opened) => {
       socket = opened;
     });
-    const client = new Client(this.origin, { ...noTimeouts, pipelining: 1, connect });
+    const client = new ConnectionClient(this.origin, { ...noTimeouts, pipelining: 1, connect });
     this.singleCallClients.add(client);
     try {
       call.signal.throwIfAborted();
-      const data = await client.request({ ...call, reset: true });
-      data.body.once('close', () => {
+      return await this.request(client, { ...call, reset: true }, () => {
         this.singleCallClients.delete(client);
         void client.destroy();
       });
-      return makeAnswer(data, call.signal);
     } catch (error) {
       this.singleCallClients.delete(client);
       await client.destroy();
@@ -271,12 +295,35 @@
     await Promise.all(dispatchers.map(async (dispatcher) => dispatcher.destroy()));
   }
 
+  private async request(
+    dispatcher: Dispatcher,
+    call: HttpCall & { readonly reset?: boolean },
+    onBodyClosed?: () => void,
+  ): Promise<HttpAnswer> {
+    const connection = new CallConnection();
+    const options = { ...call, connection };
+    const data = await dispatcher.request(options);
+    // Now, because the client may open another connection before the body is read.
+    const { socket } = connection;
+    if (onBodyClosed !== undefined) data.body.once('close', onBodyClosed);
+    return makeAnswer(data, call, () => socket !== undefined && this.isClosedNormally(socket));
+  }
+
+  /** Never true for a tunnel, whose other end is closed also if its process is killed. */
+  private isClosedNormally(socket: Socket): boolean {
+    return isClosedByServer(socket) && (this.path === undefined || isDirectConnection(socket));
+  }
+
   private openPool(): Pool {
     return new Pool(this.origin, {
       ...noTimeouts,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
-      connect: makeConnector(this.connect, () => {}),
+      factory: (origin, options) =>
+        new ConnectionClient(origin, {
+          ...options,
+          connect: makeConnector(this.connect, () => {}),
+        }),
     });
   }
 }
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -4,6 +4,7 @@
 export * from './PlatformAdapter.js';
 export * from './RelayAdapter.js';
 export * from './RelayBody.js';
+export * from './hasPeer.js';
 export * from './isFinalStatus.js';
 export * from './readChunks.js';
 export * from './ServerConnector.js';
