Show streams of two versions at servers that start again with another one

Callers get text of two versions, within one answer and when they take a stream up: a server that has started again under its name is taken for the version that the last list shows, for the choice of a server as well as for the origin of a stream that begins there.

SimulatedCluster.restartEngine starts an engine under its name, and lists its version with a lag.

--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -211,6 +211,24 @@
     return engine;
   }
 
+  /**
+   * Ends an engine and starts it again under its name, with another version or the same one. The first
+   * list sent `listedAfter` later shows the version that it has now.
+   */
+  restartEngine(instance: string, version: string, listedAfter = 0): void {
+    const { alive, dataCentre } = this.engine(instance);
+    if (alive) this.engine(instance).die();
+    const engine = this.makeEngine(instance, dataCentre, version);
+    this.engines.set(instance, engine);
+    const list = () => {
+      this.platformInstances = this.platformInstances.map((listed) =>
+        listed.instance === instance ? this.describeInstance(engine) : listed,
+      );
+    };
+    if (listedAfter === 0) list();
+    else this.schedule(listedAfter, list);
+  }
+
   /** Lists an engine as starting, and adds it once it has started. */
   startEngine(instance: string, dataCentre: string, startDuration: number, version?: string): void {
     const engine = this.makeEngine(instance, dataCentre, version);
