Test that stores which start anew are told the origins of streams again

Entries tell origins of streams that broke off as well, and those that they have learnt from a store.

--- a/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
+++ b/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
@@ -312,3 +312,31 @@
     assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'again'));
   });
 }
+
+// Guards against a store that starts anew and is told of the streams that still run only: the callers of
+// those that broke off are the ones who come back.
+test('a stream that broke off goes on whose origin the stores had lost', () => {
+  const cluster = startCluster();
+  const brokenOff = startStream(cluster);
+  cluster.disconnectCaller(0);
+  cluster.advance(1000);
+  cluster.forgetOrigins();
+  cluster.entryAt(0).send({ type: 'originStoreJoined' });
+  cluster.advance(50);
+  cluster.entryAt(0).kill();
+  assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'again'));
+});
+
+// Guards against a store that is told by the entry alone that began a stream, which is gone by then.
+test('a stream goes on whose origin the stores had lost, and an entry had asked for', () => {
+  const cluster = startCluster();
+  const first = startStream(cluster);
+  cluster.entryAt(0).kill();
+  const second = cluster.entryAt(1).takeUp(first, 'second');
+  while (second.tokens.length < first.tokens.length + 10) cluster.advance(10);
+  cluster.forgetOrigins();
+  cluster.entryAt(1).send({ type: 'originStoreJoined' });
+  cluster.advance(50);
+  cluster.entryAt(1).kill();
+  assertGoesOn(cluster, cluster.entryAt(2).takeUp(second, 'third'));
+});
