Tell the origins of streams again when a store that keeps them is lost

A store that went and did not come back left one copy of each origin that it had kept. The entry that knows them tells them again when it loses the connection. The test of the copies failed before (one copy was left) and passes.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -260,7 +260,7 @@
         // Only callers of opaque calls take up streams.
         ...(dependencies.opaqueCalls === undefined
           ? {}
-          : { onOriginStore: () => dispatch({ type: 'originStoreJoined' }) }),
+          : { onOriginStores: () => dispatch({ type: 'originStoresChanged' }) }),
       },
       this.makeInstanceReport(0),
       this.exchangesReportsThroughStores,
--- a/apps/store/src/restartedOriginStores.test.ts
+++ b/apps/store/src/restartedOriginStores.test.ts
@@ -35,7 +35,7 @@
       timers: new SystemTimerService(),
       logger: new Logger({ process: 'test', instance }, 'error'),
     },
-    { onOriginStore: () => client.shareStreamOrigins(known) },
+    { onOriginStores: () => client.shareStreamOrigins(known) },
     report,
   );
   return client;
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -237,8 +237,8 @@
       /** The versions that stores have recorded which do not know the origin. */
       readonly histories?: readonly VersionHistoryMessage[];
     }
-  /** A store can be reached that did not get the origins of streams before. */
-  | { readonly type: 'originStoreJoined' }
+  /** Other stores keep the origins of streams than before: one can be reached, or is gone. */
+  | { readonly type: 'originStoresChanged' }
   | { readonly type: 'quarantineReceived'; readonly quarantine: readonly QuarantineRecord[] }
   | { readonly type: 'entryReported'; readonly report: EntryReport }
   /** State of the entries that a store has persisted. */
--- a/packages/entry-core/src/reduceEntry.ts
+++ b/packages/entry-core/src/reduceEntry.ts
@@ -110,7 +110,7 @@
       return admitRequest(state, event.request, event, { arrivedAt: event.arrivedAt });
     case 'streamOriginAnswered':
       return admitAfterOrigin(state, event);
-    case 'originStoreJoined':
+    case 'originStoresChanged':
       return shareAllOrigins(state, event.now);
     case 'callerGone':
       return handleCallerDisconnect(state, event.requestId);
--- a/packages/entry-core/src/streamVersions/randomStreamVersions.test.ts
+++ b/packages/entry-core/src/streamVersions/randomStreamVersions.test.ts
@@ -206,7 +206,7 @@
     const entry = this.cluster.entryAt(position);
     entry.reachesPlatform = isInTouch;
     entry.reachesStores = isInTouch;
-    if (isInTouch) entry.send({ type: 'originStoreJoined' });
+    if (isInTouch) entry.send({ type: 'originStoresChanged' });
   }
 
   scheduleFaults(): void {
@@ -222,7 +222,7 @@
   private setStoreReachable(isReachable: boolean): void {
     this.cluster.storeReachable = isReachable;
     if (isReachable)
-      this.cluster.entries.forEach((entry) => entry.send({ type: 'originStoreJoined' }));
+      this.cluster.entries.forEach((entry) => entry.send({ type: 'originStoresChanged' }));
   }
 
   private drawEngine(): string | undefined {
--- a/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
+++ b/packages/entry-core/src/streamVersions/takenUpStreams.test.ts
@@ -145,7 +145,7 @@
   const cluster = startCluster();
   const brokenOff = startStream(cluster);
   cluster.forgetOrigins();
-  cluster.entryAt(0).send({ type: 'originStoreJoined' });
+  cluster.entryAt(0).send({ type: 'originStoresChanged' });
   cluster.advance(50);
   cluster.entryAt(0).kill();
   assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'again'));
@@ -321,7 +321,7 @@
   cluster.disconnectCaller(0);
   cluster.advance(1000);
   cluster.forgetOrigins();
-  cluster.entryAt(0).send({ type: 'originStoreJoined' });
+  cluster.entryAt(0).send({ type: 'originStoresChanged' });
   cluster.advance(50);
   cluster.entryAt(0).kill();
   assertGoesOn(cluster, cluster.entryAt(1).takeUp(brokenOff, 'again'));
@@ -335,7 +335,7 @@
   const second = cluster.entryAt(1).takeUp(first, 'second');
   while (second.tokens.length < first.tokens.length + 10) cluster.advance(10);
   cluster.forgetOrigins();
-  cluster.entryAt(1).send({ type: 'originStoreJoined' });
+  cluster.entryAt(1).send({ type: 'originStoresChanged' });
   cluster.advance(50);
   cluster.entryAt(1).kill();
   assertGoesOn(cluster, cluster.entryAt(2).takeUp(second, 'third'));
--- a/packages/transport/src/StoreClient.ts
+++ b/packages/transport/src/StoreClient.ts
@@ -316,7 +316,7 @@
     if (response.type !== 'accepted' || response.keepsStreamOrigins !== true) return;
     if (store.abilities.keepsStreamOrigins) return;
     store.abilities.keepsStreamOrigins = true;
-    this.handlers.onOriginStore?.();
+    this.handlers.onOriginStores?.();
   }
 
   /** Resolves with the first origin, or with undefined once no store that is asked can say more. */
@@ -349,7 +349,7 @@
   private reportTo(address: ProcessAddress): void {
     const { report } = this.subscription;
     const store = this.stores.find((known) => known.address === address);
-    if (this.handlers.onOriginStore === undefined || report === undefined) return;
+    if (this.handlers.onOriginStores === undefined || report === undefined) return;
     if (store === undefined) return;
     const request: StoreRequest = { type: 'report', report };
     store.client.request(request, BROADCAST_TIMEOUT_MILLISECONDS).then(
@@ -397,8 +397,11 @@
       },
       onPush: (body) => this.subscription.receivePush(address, body as StorePush),
       onClose: () => {
+        const { keepsStreamOrigins } = abilities;
         abilities.keepsStreamOrigins = false;
         this.subscription.handleDisconnect(address);
+        // The copies that it had are made again at the stores that are left.
+        if (keepsStreamOrigins && !this.isClosed) this.handlers.onOriginStores?.();
       },
     });
     return { address, client, abilities };
--- a/packages/transport/src/StoreSubscription.ts
+++ b/packages/transport/src/StoreSubscription.ts
@@ -63,8 +63,8 @@
     age: Milliseconds,
     readAt: EpochMilliseconds | undefined,
   ): void;
-  /** A store that keeps origins of streams can be reached now and could not before. */
-  onOriginStore?(): void;
+  /** Other stores that keep origins of streams can be reached than before. */
+  onOriginStores?(): void;
   /**
    * State of earlier entries that a store has kept for entries that start.
    *
--- a/packages/transport/src/originCopies.test.ts
+++ b/packages/transport/src/originCopies.test.ts
@@ -138,7 +138,7 @@
     const client: StoreClient = new StoreClient(
       this.listAddresses(numbers),
       contextOf('entry-1', 'centre-1', 'entry'),
-      { onOriginStore: () => client.shareStreamOrigins(known()) },
+      { onOriginStores: () => client.shareStreamOrigins(known()) },
       report,
     );
     this.clients.push(client);
--- a/packages/transport/src/streamOrigins.test.ts
+++ b/packages/transport/src/streamOrigins.test.ts
@@ -108,7 +108,7 @@
   }
   let joined = 0;
   const handlers = {
-    onOriginStore: () => {
+    onOriginStores: () => {
       joined += 1;
     },
   };
