--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -5,7 +5,11 @@
  * without failing the run; its result is printed. An unfiltered run fails if a listed name matches
  * no test, so that a renamed test does not hide its known fault. A line that begins with
  * `played day: ` names a fault that no test shows; it is only printed.
+ *
+ * Files named `*.serial.test.ts` run after all others, one at a time: they press a process to its limits,
+ * and other load would change what they see.
  */
+import { once } from 'node:events';
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
 import { dirname, join, relative } from 'node:path';
 import { run } from 'node:test';
@@ -56,18 +60,19 @@
   process.exit(1);
 }
 
-const stream = run({ files, concurrency: 6, timeout: 240_000 });
-stream.on('test:pass', (test) => {
+function recordPass(test) {
   if (test.details.type === 'suite') return;
   passed += 1;
   if (knownRed.includes(test.name)) passedKnown.add(test.name);
-});
-stream.on('test:fail', (test) => {
+}
+
+function recordFailure(test) {
   if (test.details.type === 'suite') return;
   if (knownRed.includes(test.name)) failedKnown.add(test.name);
   else failed.push(`${relative(root, test.file ?? '')}: ${test.name}`);
-});
-stream.on('end', () => {
+}
+
+function printVerdict() {
   const isKnown = (name) => failedKnown.has(name) || passedKnown.has(name);
   const unknown = filters.length === 0 ? knownRed.filter((name) => !isKnown(name)) : [];
   failedKnown.forEach((name) => console.log(`known red, failed and passed over: ${name}`));
@@ -79,5 +84,22 @@
   failed.forEach((name) => console.log(`failed: ${name}`));
   console.log(`${passed} passed, ${failed.length} failed`);
   process.exitCode = failed.length > 0 || unknown.length > 0 ? 1 : 0;
-});
-stream.compose(spec).pipe(process.stdout);
+}
+
+async function runFiles(group, concurrency) {
+  if (group.length === 0) return;
+  const stream = run({ files: group, concurrency, timeout: 240_000 });
+  stream.on('test:pass', recordPass);
+  stream.on('test:fail', recordFailure);
+  const ended = once(stream, 'end');
+  stream.compose(spec).pipe(process.stdout, { end: false });
+  await ended;
+}
+
+const isSerial = (path) => path.endsWith('.serial.test.js');
+await runFiles(
+  files.filter((path) => !isSerial(path)),
+  6,
+);
+await runFiles(files.filter(isSerial), 1);
+printVerdict();
