Join the small pieces of a body as they arrive

One caller ended an entry with a body in chunks of one byte, inside the limit of 4 MB: each chunk was kept as an object of its own, which also kept the read that it came with, so a byte took hundreds.

--- a/packages/transport/src/readBody.ts
+++ b/packages/transport/src/readBody.ts
@@ -1,6 +1,7 @@
 /** Reads a request body up to a size limit. */
 import type { IncomingMessage } from 'node:http';
 import { HornbeampondError } from '@hornbeampond/schema';
+import { BodyBytes } from './BodyBytes.js';
 
 /**
  * Decides whether there is room for the next bytes of a body, of which `receivedBytes` have come by then;
@@ -18,7 +19,7 @@
   maxBytes: number,
   holdBytes: HoldBytes = () => undefined,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
+  const body = new BodyBytes();
   let receivedBytes = 0;
   let refusal: HornbeampondError | undefined;
   for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -27,9 +28,9 @@
       throw new HornbeampondError('bodyTooLarge', `The body is above ${maxBytes} bytes`);
     }
     refusal ??= holdBytes(chunk.length, receivedBytes);
-    if (refusal === undefined) chunks.push(chunk);
-    else chunks.length = 0;
+    if (refusal === undefined) body.add(chunk);
+    else body.clear();
   }
   if (refusal !== undefined) throw refusal;
-  return Buffer.concat(chunks, receivedBytes);
+  return body.join();
 }
