Begin the requests that a caller sends ahead only as their answers go

A single caller ended an entry with 4 to 5 MB of requests of 27 bytes, answers unread. Node parses all that it has read at once, some 2,600 such requests, before it looks at how much waits to be sent, and counts that by its bytes: each request costs objects, a task and a log line besides. The input of a connection now passes a gate that hands it to Node's parser in pieces of 2 KiB, and only while fewer than 16 requests of the connection wait for their answers or the body of the latest one is read. Nothing is refused: the rest is read once answers have gone, so that eight requests sent ahead are all served as before.

A response that waits behind others is not told by Node when its connection closes: the bodies of such requests were held for ever, and their calls went on at servers without a caller. Their end is now the end of the connection. What the parser cannot read is refused by the same module, which takes the place of refuseUnparsedInput; its tests pass unchanged. A caller that leaves within a body is no unexpected error.

In three tests with a heap of 100 MB the process ended and lives now. Of 60 clients that left while their bodies of 1 MiB waited behind others 503 remained for each later large body; they are served now (that test stays listed for its memory).

--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -4,9 +4,9 @@
  * fail these checks are refused here; all further decisions are the reducer's.
  */
 import { createHash } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
-import { digestKey, writeProblem } from '@hornbeampond/transport';
+import { digestKey, HttpConnections, writeProblem } from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   digestPrefixes,
@@ -22,7 +22,6 @@
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { parseCompletion } from './parseCompletion.js';
-import { refuseUnparsedInput } from './refuseUnparsedInput.js';
 
 /** A caller's request with its headers, body and answer. */
 export interface CallerExchange {
@@ -72,14 +71,14 @@
       settings.workspaces.map((workspace) => [workspace.keySha256, workspace.name]),
     );
     const { headerBytes } = settings.limits;
-    this.server = createServer({ maxHeaderSize: headerBytes }, (request, response) => {
+    const connections = new HttpConnections({ onRefused: (error) => options.onRefused(error) });
+    this.server = connections.createServer({ maxHeaderSize: headerBytes }, (request, response) => {
       this.handleRequest(request, response).catch((error: unknown) =>
         this.refuseRequest(response, error),
       );
     });
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
     this.server.on('connection', () => options.onConnection());
-    refuseUnparsedInput(this.server, (error) => options.onRefused(error));
   }
 
   async listen(): Promise<number> {
@@ -95,6 +94,8 @@
   }
 
   private refuseRequest(response: ServerResponse, error: unknown): void {
+    // The caller has left, or was refused, while its body was read.
+    if (response.destroyed) return;
     this.options.onRefused(error);
     if (response.headersSent) {
       response.destroy();
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -4,7 +4,7 @@
  * exceed the limits or are malformed are refused here; all further decisions are the reducer's.
  */
 import { createHash } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   HornbeampondError,
@@ -12,13 +12,13 @@
   type ListenAddress,
   type Milliseconds,
 } from '@hornbeampond/schema';
+import { HttpConnections } from '@hornbeampond/transport';
 import type { CallerExchange } from './CallerServer.js';
 import { HeldBodies } from './HeldBodies.js';
 import { HttpServerLifecycle } from './HttpServerLifecycle.js';
 import type { CallerListener } from './CallerListener.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
-import { refuseUnparsedInput } from './refuseUnparsedInput.js';
 
 export interface RelayServerOptions {
   readonly listen: ListenAddress;
@@ -73,7 +73,8 @@
   private isKeepAliveDisabled = false;
 
   constructor(private readonly options: RelayServerOptions) {
-    this.server = createServer(
+    const connections = new HttpConnections({ onRefused: (error) => options.onRefused(error) });
+    this.server = connections.createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: HEAD_TIMEOUT_CHECK_INTERVAL_MILLISECONDS,
@@ -87,9 +88,6 @@
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
     this.server.on('connection', () => options.onConnection());
     this.server.requestTimeout = 0;
-    // The lines of a head are limited by its bytes.
-    this.server.maxHeadersCount = 0;
-    refuseUnparsedInput(this.server, (error) => options.onRefused(error));
     this.applyBounds();
   }
 
@@ -121,6 +119,8 @@
   }
 
   private refuseRequest(response: ServerResponse, error: unknown): void {
+    // The caller has left, or was refused, while its body was read.
+    if (response.destroyed) return;
     this.options.onRefused(error);
     if (response.headersSent) {
       response.destroy();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,6 +10,8 @@
 export * from './sharedInstances.js';
 export * from './readBody.js';
 export * from './writeProblem.js';
+export { HttpConnections, type HttpConnectionsOptions } from './httpConnections/HttpConnections.js';
+export { TrackedResponse } from './httpConnections/TrackedResponse.js';
 export * from './authorizeOperator.js';
 export * from './unconfirmedChange.js';
 export * from './digestKey.js';
