Count what callers make an entry hold by what it costs, and bound it

Crowds of clients that kept to the limits in bytes ended an entry: a line of four bytes costs a hundred times that in objects, bodies up to 64 KiB were counted by nobody, and a head was limited to 256 kB of what the parser made of it, sixteen times the configured bound, for each connection.

One account now holds the estimated memory of all connections, in two kinds: objects (connections, heads by their bytes and lines, requests) and buffers (bodies, input that waits, answers gathered and not taken). Both are bounded by the memory of the process, which the platform names and other deployments set (`limits.memoryMegabytes`). While one is used up, connections that hold at least twice as much as the one that asks make room for it, so ordinary callers come last; a request that holds as much as the others gets 503 with Retry-After before it has run, and one whose head takes more than 64 KiB is closed. A head is limited by the bytes that came, also by empty lines before it, and is refused with 431 soon after the configured bound.

Large bodies are refused beyond 64 MB as before, and beyond less on machines with under 350 MB. Closed connections are counted by reason, and logged with what was refused in one line a second at most.

--- a/apps/entry/src/CallerServer.ts
+++ b/apps/entry/src/CallerServer.ts
@@ -5,8 +5,20 @@
  */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { HornbeampondError, type EntrySettings, type Milliseconds } from '@hornbeampond/schema';
-import { digestKey, HttpConnections, writeProblem } from '@hornbeampond/transport';
+import {
+  HornbeampondError,
+  type CallerBounds,
+  type CallerCloseReason,
+  type EntrySettings,
+  type Milliseconds,
+} from '@hornbeampond/schema';
+import {
+  digestKey,
+  HttpConnections,
+  writeProblem,
+  type HeldBytes,
+  type TrackedResponse,
+} from '@hornbeampond/transport';
 import type { TimerService } from '@hornbeampond/runtime';
 import {
   digestPrefixes,
@@ -22,6 +34,7 @@
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { parseCompletion } from './parseCompletion.js';
+import type { CallerConnectionLimits } from './chooseConnectionLimits.js';
 
 /** A caller's request with its headers, body and answer. */
 export interface CallerExchange {
@@ -47,6 +60,11 @@
   onCallerDisconnect(requestId: string): void;
   /** Called for requests that are refused before they reach the reducer. */
   onRefused(error: unknown): void;
+  readonly limits: CallerConnectionLimits;
+  /** Called once for each connection that is closed without an answer. */
+  onClosing(reason: CallerCloseReason): void;
+  /** Called at intervals with the memory that all connections take. */
+  onMeasured(held: HeldBytes): void;
 }
 
 export const COMPLETIONS_PATH = '/v1/chat/completions';
@@ -56,6 +74,9 @@
 
 const MAX_IDEMPOTENCY_KEY_CHARACTERS = 256;
 
+/** How long callers may take. */
+const TIME_BOUNDS = { headerMilliseconds: 60_000, idleMilliseconds: 60_000 };
+
 export class CallerServer implements CallerListener {
   private readonly server: Server;
 
@@ -63,20 +84,34 @@
 
   private readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
 
-  private readonly heldBodies = new HeldBodies();
+  private readonly heldBodies: HeldBodies;
+
+  private readonly connections: HttpConnections;
 
   constructor(private readonly options: CallerServerOptions) {
-    const { settings } = options;
+    const { settings, limits, timers, onRefused, onClosing, onMeasured } = options;
+    this.heldBodies = new HeldBodies(limits.bodyBytes);
     this.workspaceByKeyDigest = new Map(
       settings.workspaces.map((workspace) => [workspace.keySha256, workspace.name]),
     );
-    const { headerBytes } = settings.limits;
-    const connections = new HttpConnections({ onRefused: (error) => options.onRefused(error) });
-    this.server = connections.createServer({ maxHeaderSize: headerBytes }, (request, response) => {
-      this.handleRequest(request, response).catch((error: unknown) =>
-        this.refuseRequest(response, error),
-      );
+    const { headerBytes, bodyBytes } = settings.limits;
+    const bounds: CallerBounds = { ...TIME_BOUNDS, headerBytes, bodyBytes };
+    this.connections = new HttpConnections({
+      timers,
+      limits,
+      readBounds: () => bounds,
+      onRefused,
+      onClosing,
+      onMeasured,
     });
+    this.server = this.connections.createServer(
+      { maxHeaderSize: headerBytes },
+      (request, response) => {
+        this.handleRequest(request, response).catch((error: unknown) =>
+          this.refuseRequest(response, error),
+        );
+      },
+    );
     this.lifecycle = new HttpServerLifecycle(this.server, options.timers);
     this.server.on('connection', () => options.onConnection());
   }
@@ -91,6 +126,7 @@
 
   async close(timeout: Milliseconds): Promise<void> {
     await this.lifecycle.close(timeout);
+    this.connections.close();
   }
 
   private refuseRequest(response: ServerResponse, error: unknown): void {
@@ -106,10 +142,13 @@
     writeProblem(response, error);
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleRequest(request: IncomingMessage, response: TrackedResponse): Promise<void> {
     const { settings } = this.options;
+    if (response.refusal !== undefined) throw response.refusal;
     const workspace = this.authenticate(request);
-    const body = await this.heldBodies.read(request, response, settings.limits.bodyBytes);
+    const connection = this.connections.find(request.socket);
+    const { bodyBytes } = settings.limits;
+    const body = await this.heldBodies.read(request, response, bodyBytes, connection);
     const exchange = this.makeExchange(request, response, workspace, body);
     const { requestId } = exchange.request;
     response.on('close', () => {
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -33,6 +33,7 @@
 import {
   HornbeampondError,
   assertNever,
+  type CallerCloseReason,
   type ClaimResult,
   type EpochMilliseconds,
   type EntrySettings,
@@ -47,14 +48,17 @@
   OperatorServer,
   StoreClient,
   toSharedInstances,
+  type HeldBytes,
   type PeerContext,
 } from '@hornbeampond/transport';
 import { AdapterDirectory, type MakeAdapter } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
 import { BackendServerWatcher } from './BackendServerWatcher.js';
 import type { CallProtocol } from './CallProtocol.js';
+import { CallerConnectionReport } from './CallerConnectionReport.js';
 import type { CallerListener } from './CallerListener.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
+import { chooseConnectionLimits } from './chooseConnectionLimits.js';
 import { describeBackendServers } from './describeBackendServers.js';
 import { describeFailedEffect } from './describeFailedEffect.js';
 import { EntryPeers } from './EntryPeers.js';
@@ -141,6 +145,8 @@
 
   private readonly callerListener: CallerListener;
 
+  private readonly callerReport: CallerConnectionReport;
+
   private readonly operatorServer: OperatorServer;
 
   private readonly peers: EntryPeers;
@@ -176,6 +182,7 @@
     this.incarnation = timers.wallNow();
     this.logger = new Logger({ process: 'hornbeampond-entry', instance }, settings.logLevel);
     const readNow = () => timers.monotonicNow();
+    this.callerReport = new CallerConnectionReport(this.logger, this.metrics);
     this.eventTimeWatch = new EventTimeWatch(readNow());
     this.inputClock = new InputClock(readNow, () => performance.eventLoopUtilization().idle);
     this.requestIntake = new RequestIntake({
@@ -330,7 +337,10 @@
       onConnection: () => this.requestIntake.recordConnection(),
       onRequest: (exchange: CallerExchange) => this.receiveRequest(exchange),
       onCallerDisconnect: (requestId: string) => this.endCallOfLeftCaller(requestId),
+      limits: chooseConnectionLimits(settings.limits),
       onRefused: (error: unknown) => this.countRefusal(error),
+      onClosing: (reason: CallerCloseReason) => this.callerReport.recordClose(reason),
+      onMeasured: (held: HeldBytes) => this.callerReport.recordHeld(held),
     };
     if (opaqueCalls === undefined) return new CallerServer({ ...commonOptions, settings });
     return new RelayServer({
@@ -619,6 +629,7 @@
   }
 
   private countRefusal(error: unknown): void {
+    this.callerReport.recordRefusal(error);
     const kind = error instanceof HornbeampondError ? error.kind : 'internalError';
     this.metrics.count({ metric: 'refusals', label: kind });
     if (kind === 'internalError') this.logUnexpectedError(error, 'request');
--- a/apps/entry/src/HeldBodies.ts
+++ b/apps/entry/src/HeldBodies.ts
@@ -5,12 +5,15 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HornbeampondError, type Milliseconds } from '@hornbeampond/schema';
-import { readBody } from '@hornbeampond/transport';
+import { readBody, type HttpConnection } from '@hornbeampond/transport';
 
 /** Beside a heap of 200 MB, in an entry with 350 MB. */
 export const MAX_HELD_BODY_BYTES = 64 * 1024 * 1024;
 
-/** Smaller bodies are taken in any case: their number is limited as that of the requests is. */
+/**
+ * Smaller bodies are refused only once callers hold more than all large bodies may take, and those that
+ * hold most make room for them first.
+ */
 const SMALL_BODY_BYTES = 64 * 1024;
 
 /** The largest bodies are sent on and answered within about this time. */
@@ -27,7 +30,10 @@
 
   private isReleased = false;
 
-  constructor(private readonly all: HeldBodies) {}
+  constructor(
+    private readonly all: HeldBodies,
+    private readonly connection?: HttpConnection,
+  ) {}
 
   /**
    * Counts the next bytes, of a body of which `receivedBytes` have come by then. Returns the refusal if there
@@ -35,9 +41,9 @@
    * not held either: nothing would release it.
    */
   hold(bytes: number, receivedBytes: number): HornbeampondError | undefined {
-    const hasRoom =
-      receivedBytes <= SMALL_BODY_BYTES || this.all.bytes + bytes <= MAX_HELD_BODY_BYTES;
-    if (this.isReleased || !hasRoom) {
+    const isSmall = receivedBytes <= SMALL_BODY_BYTES;
+    const hasRoom = isSmall || this.all.bytes + bytes <= this.all.maxBytes;
+    if (this.isReleased || !hasRoom || this.connection?.holdBody(bytes) === false) {
       this.release();
       return makeRefusal();
     }
@@ -49,6 +55,7 @@
   release(): void {
     this.isReleased = true;
     this.all.bytes -= this.bytes;
+    this.connection?.releaseBody(this.bytes);
     this.bytes = 0;
   }
 }
@@ -57,8 +64,11 @@
   /** Of all bodies together. */
   bytes = 0;
 
-  add(): HeldBody {
-    return new HeldBody(this);
+  /** @param maxBytes - Large bodies are refused beyond it. */
+  constructor(readonly maxBytes = MAX_HELD_BODY_BYTES) {}
+
+  add(connection?: HttpConnection): HeldBody {
+    return new HeldBody(this, connection);
   }
 
   /** Reads a body and holds it until the response has ended, whichever way. */
@@ -66,8 +76,9 @@
     message: IncomingMessage,
     response: ServerResponse,
     maxBytes: number,
+    connection?: HttpConnection,
   ): Promise<Buffer> {
-    const held = this.add();
+    const held = this.add(connection);
     response.once('close', () => held.release());
     return readBody(message, maxBytes, (bytes, received) => held.hold(bytes, received));
   }
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -9,6 +9,7 @@
 import type { ServerResponse } from 'node:http';
 import type { HeaderLine, RelayResponse } from '@hornbeampond/adapters';
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
+import { TrackedResponse } from '@hornbeampond/transport';
 import { CallerAnswer } from './CallerAnswer.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { EventStreamSplitter } from './EventStreamSplitter.js';
@@ -91,7 +92,7 @@
   receiveHead({ status, headers, isStream }: RelayResponse): void {
     this.splitter = new EventStreamSplitter();
     this.bufferedChunks = [];
-    this.bufferedBytes = 0;
+    this.setBufferedBytes(0);
     if (!this.started) this.head = { status, headers, isStream };
   }
 
@@ -127,6 +128,7 @@
   override finish(): void {
     if (this.isClosed) return;
     const body = Buffer.concat(this.bufferedChunks);
+    this.setBufferedBytes(0);
     if (!this.started && this.head?.isStream === false) {
       this.writeCompleteAnswer({ ...this.head, body });
       return;
@@ -163,14 +165,20 @@
   private bufferOrWrite(bytes: Uint8Array): Promise<void> | undefined {
     if (this.started) return this.write(bytes);
     this.bufferedChunks.push(bytes);
-    this.bufferedBytes += bytes.length;
+    this.setBufferedBytes(this.bufferedBytes + bytes.length);
     if (this.bufferedBytes <= MAX_BUFFERED_BYTES) return undefined;
     this.writeHead();
     const bufferedBody = Buffer.concat(this.bufferedChunks);
     this.bufferedChunks = [];
+    this.setBufferedBytes(0);
     return this.write(bufferedBody);
   }
 
+  private setBufferedBytes(bytes: number): void {
+    this.bufferedBytes = bytes;
+    if (this.response instanceof TrackedResponse) this.response.setGatheredBytes(bytes);
+  }
+
   private writeCompleteAnswer({ status, headers, body }: CompleteAnswer): void {
     const lines = headers.filter(([name]) => name.toLowerCase() !== 'content-length');
     this.response.writeHead(status, [...lines, ['content-length', String(body.length)]].flat());
--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -9,10 +9,12 @@
 import {
   HornbeampondError,
   type CallerBounds,
+  type CallerCloseReason,
   type ListenAddress,
   type Milliseconds,
 } from '@hornbeampond/schema';
-import { HttpConnections } from '@hornbeampond/transport';
+import { HttpConnections, type HeldBytes, type TrackedResponse } from '@hornbeampond/transport';
+import type { CallerConnectionLimits } from './chooseConnectionLimits.js';
 import type { CallerExchange } from './CallerServer.js';
 import { HeldBodies } from './HeldBodies.js';
 import { HttpServerLifecycle } from './HttpServerLifecycle.js';
@@ -30,12 +32,17 @@
   makeRequestId(): string;
   /** True if a request with this id is in progress. */
   isInProgress(requestId: string): boolean;
+  readonly limits: CallerConnectionLimits;
   /** Called with each connection that is accepted. */
   onConnection(): void;
   onRequest(exchange: CallerExchange): void;
   onCallerDisconnect(requestId: string): void;
   /** Called for requests that are refused before they reach the reducer. */
   onRefused(error: unknown): void;
+  /** Called once for each connection that is closed without an answer. */
+  onClosing(reason: CallerCloseReason): void;
+  /** Called at intervals with the memory that all connections take. */
+  onMeasured(held: HeldBytes): void;
 }
 
 /** Limit for Node's parser. The configured `headerBytes` is checked after the head is parsed. */
@@ -68,13 +75,24 @@
 
   private readonly lifecycle: HttpServerLifecycle;
 
-  private readonly heldBodies = new HeldBodies();
+  private readonly heldBodies: HeldBodies;
+
+  private readonly connections: HttpConnections;
 
   private isKeepAliveDisabled = false;
 
   constructor(private readonly options: RelayServerOptions) {
-    const connections = new HttpConnections({ onRefused: (error) => options.onRefused(error) });
-    this.server = connections.createServer(
+    const { limits, timers, onRefused, onClosing, onMeasured } = options;
+    this.heldBodies = new HeldBodies(limits.bodyBytes);
+    this.connections = new HttpConnections({
+      timers,
+      limits,
+      readBounds: () => this.bounds,
+      onRefused,
+      onClosing,
+      onMeasured,
+    });
+    this.server = this.connections.createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: HEAD_TIMEOUT_CHECK_INTERVAL_MILLISECONDS,
@@ -112,6 +130,7 @@
 
   async close(timeout: Milliseconds): Promise<void> {
     await this.lifecycle.close(timeout);
+    this.connections.close();
   }
 
   private get bounds(): CallerBounds {
@@ -131,9 +150,10 @@
     this.options.protocol.writeProblem(response, error);
   }
 
-  private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleRequest(message: IncomingMessage, response: TrackedResponse): Promise<void> {
     const { protocol, onRequest, onCallerDisconnect } = this.options;
     if (this.isKeepAliveDisabled) response.setHeader('connection', 'close');
+    if (response.refusal !== undefined) throw response.refusal;
     const { headerBytes, bodyBytes } = this.bounds;
     if (countHeadBytes(message) > headerBytes) {
       throw new HornbeampondError(
@@ -142,7 +162,8 @@
       );
     }
     const call = protocol.parseCall(message);
-    const body = await this.heldBodies.read(message, response, bodyBytes);
+    const connection = this.connections.find(message.socket);
+    const body = await this.heldBodies.read(message, response, bodyBytes, connection);
     // The caller may have disconnected while its body was read.
     if (response.destroyed) return;
     const requestId = this.chooseRequestId(call.name);
--- a/apps/entry/src/heldBodies.test.ts
+++ b/apps/entry/src/heldBodies.test.ts
@@ -12,6 +12,7 @@
 import { writeProblem } from '@hornbeampond/transport';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
 import type { CallerExchange } from './CallerServer.js';
+import { chooseConnectionLimits } from './chooseConnectionLimits.js';
 import { HeldBodies, MAX_HELD_BODY_BYTES } from './HeldBodies.js';
 import { RelayServer } from './RelayServer.js';
 
@@ -72,7 +73,10 @@
         holding.requests += 1;
         return `request-${holding.requests}`;
       },
+      limits: chooseConnectionLimits({ memoryMegabytes: 350 }),
       onConnection: () => {},
+      onClosing: () => {},
+      onMeasured: () => {},
       onRequest: (exchange) => holding.held.push(exchange),
       onCallerDisconnect: (requestId) => {
         const position = holding.held.findIndex(({ request }) => request.requestId === requestId);
--- a/apps/entry/src/unparsedInput.test.ts
+++ b/apps/entry/src/unparsedInput.test.ts
@@ -15,6 +15,7 @@
 import type { CallerListener } from './CallerListener.js';
 import { CallerServer, type CallerExchange } from './CallerServer.js';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
+import { chooseConnectionLimits } from './chooseConnectionLimits.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
 import { PlainAnswer } from './PlainAnswer.js';
 import { RelayAnswer } from './RelayAnswer.js';
@@ -66,7 +67,10 @@
 
   readonly callbacks = {
     timers: new SystemTimerService(),
+    limits: chooseConnectionLimits({ memoryMegabytes: 350 }),
     onConnection: () => {},
+    onClosing: () => {},
+    onMeasured: () => {},
     makeRequestId: () => `made-${this.exchanges.length}`,
     onRequest: (exchange: CallerExchange) => {
       this.exchanges.push(exchange);
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -39,6 +39,11 @@
     'debug',
     'A resent call got the stored answer of its first run',
   ),
+  callersRefused: defineLogEvent(
+    2022,
+    'info',
+    'Input of callers was refused before it was a request, or their connections closed; at most one line a second',
+  ),
   platformUnreachable: defineLogEvent(2030, 'warn', 'The list of instances could not be read'),
   instancesUnreadable: defineLogEvent(
     2031,
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -4,6 +4,7 @@
  */
 import { errorKinds } from './errors/errorKinds.js';
 import {
+  callerCloseReasons,
   drainReasons,
   fleetRetryReasons,
   ejectionReasons,
@@ -47,6 +48,18 @@
     help: 'Requests and changes answered with a problem document, by error kind',
     label: { name: 'kind', values: errorKinds },
   },
+  callerConnectionsClosed: {
+    name: 'hornbeampond_caller_connections_closed_total',
+    kind: 'counter',
+    help: 'Connections of callers that were closed without an answer, by reason',
+    label: { name: 'reason', values: callerCloseReasons },
+  },
+  callerMemory: {
+    name: 'hornbeampond_caller_memory_bytes',
+    kind: 'gauge',
+    help: 'Estimated memory that the connections of callers take, by kind',
+    label: { name: 'kind' },
+  },
   operatorCallsUnanswered: {
     name: 'hornbeampond_operator_calls_unanswered_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -161,3 +161,11 @@
 ] as const;
 
 export type StoreAnswerKind = (typeof storeAnswerKinds)[number];
+
+/**
+ * Why the connection of a caller was closed without an answer.
+ *
+ * - `memoryShort`: it held more than others while there was no room.
+ */
+export const callerCloseReasons = ['memoryShort'] as const;
+export type CallerCloseReason = (typeof callerCloseReasons)[number];
--- a/packages/schema/src/reference/settingMeanings.ts
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -70,6 +70,8 @@
   'limits.answerBytes':
     'maximum size of a buffered answer: generated text, or the answer of a claimed call',
   'limits.queuedRequests': 'maximum number of accepted requests that wait for a backend server',
+  'limits.memoryMegabytes':
+    'memory of the process; what callers may make it hold in objects, bodies and unread answers is at most a third of it',
   balancerDelayMilliseconds: 'how long new requests are accepted after `/readyz` reports not ready',
   shutdownMilliseconds: 'time after `SIGTERM` at which the platform ends the instance',
 };
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -117,6 +117,8 @@
         .max(1024 * 1024 * 1024)
         .default(64 * 1024 * 1024),
       queuedRequests: z.number().int().min(1).max(1_000_000).default(2000),
+      /** Callers may make the process hold a part of it. */
+      memoryMegabytes: z.number().int().min(64).max(1_000_000).default(350),
     })
     .prefault({}),
   /** How long the load balancer may send requests after `/readyz` reports not ready. */
--- a/packages/transport/src/httpConnections/HttpConnection.ts
+++ b/packages/transport/src/httpConnections/HttpConnection.ts
@@ -1,9 +1,19 @@
 /**
- * One connection of a caller. Its input is parsed only while few of its requests wait for their answers.
+ * One connection of a caller: what it makes the process hold, and how many of its requests wait for their
+ * answers. Its input is parsed only while few of its requests wait,
+ * and its head is limited by the bytes that came, whatever the parser makes of them.
  */
 import type { Socket } from 'node:net';
-import type { HornbeampondError } from '@hornbeampond/schema';
+import {
+  HornbeampondError,
+  type CallerBounds,
+  type CallerCloseReason,
+  type Milliseconds,
+} from '@hornbeampond/schema';
 import { formatRefusal } from './formatRefusal.js';
+import { HeadMeter } from './HeadMeter.js';
+import { CONNECTION_HEAP_BYTES, estimateHeadHeap, REQUEST_HEAP_BYTES } from './heldCosts.js';
+import type { HeldKind, HeldMemory, MemoryHolder } from './HeldMemory.js';
 import { InputGate } from './InputGate.js';
 import {
   observeResponses,
@@ -14,6 +24,15 @@
 /** A caller that sends more requests ahead has the others read once answers have gone. */
 const MAX_WAITING_REQUESTS = 16;
 
+/** Added to the limit for heads: request line, line ends and the rest of a piece are counted with it. */
+const HEAD_MARGIN_BYTES = 1024;
+
+/** What takes more is not worth the memory for its refusal while there is none. */
+const MAX_REFUSED_HEAP_BYTES = 64 * 1024;
+
+/** When a refused caller may come back. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 1000;
+
 /**
  * Input that is discarded before a connection is no longer read. It is read up to then so that callers
  * which leave are noticed.
@@ -22,8 +41,17 @@
 
 export interface HttpConnectionOptions {
   readonly socket: Socket;
+  readonly memory: HeldMemory;
+  readBounds(): CallerBounds;
   /** Called once for each connection whose input is refused. */
   onRefused(error: HornbeampondError): void;
+  /** Called if the connection is closed without an answer. */
+  onClosing(reason: CallerCloseReason): void;
+}
+
+function makeNoRoomError(): HornbeampondError {
+  const details = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+  return new HornbeampondError('overloaded', 'There is no room for the request', details);
 }
 
 /** False while the body is read: an error is then one of the request itself. */
@@ -31,20 +59,36 @@
   return req.complete || headersSent;
 }
 
-export class HttpConnection implements ResponseObserver {
+export class HttpConnection implements MemoryHolder, ResponseObserver {
+  readonly held: Record<HeldKind, number> = { heap: CONNECTION_HEAP_BYTES, buffers: 0 };
+
   /** Responses that are not closed, in the order of their requests. */
   private readonly responses = new Set<TrackedResponse>();
 
   private readonly gate: InputGate;
 
+  private readonly meter = new HeadMeter();
+
+  /** The part of `held` that the unfinished head takes. */
+  private headHeap = 0;
+
+  /** The part of `held` that waiting input and unread answers take. */
+  private waitingBytes = 0;
+
   private latest: TrackedResponse | undefined;
 
   private isRefused = false;
 
   constructor(private readonly options: HttpConnectionOptions) {
-    const { socket } = options;
+    const { socket, memory } = options;
+    memory.add(this);
     observeResponses(socket, this);
-    this.gate = new InputGate({ socket, canParse: () => this.canParse });
+    this.gate = new InputGate({
+      socket,
+      canParse: () => this.canParse,
+      accept: (piece) => this.acceptInput(piece),
+      onParsed: () => this.countInput(),
+    });
     socket.once('close', () => this.handleClose());
   }
 
@@ -57,13 +101,42 @@
     return this.responses.size < MAX_WAITING_REQUESTS || this.isReadingBody;
   }
 
+  /** Counts bytes of a body; false if there is no room for them. */
+  holdBody(bytes: number): boolean {
+    return this.options.memory.change(this, 'buffers', bytes);
+  }
+
+  releaseBody(bytes: number): void {
+    this.options.memory.change(this, 'buffers', -bytes);
+  }
+
+  evict(): void {
+    const { socket, onClosing } = this.options;
+    if (socket.destroyed) return;
+    onClosing('memoryShort');
+    this.gate.end();
+    socket.destroy();
+  }
+
   onResponse(response: TrackedResponse): void {
+    const { memory } = this.options;
+    const lines = response.req.rawHeaders.length / 2;
+    response.heldHeap = REQUEST_HEAP_BYTES + estimateHeadHeap(this.meter.bytes, lines);
+    this.meter.reset();
     this.latest = response;
     this.responses.add(response);
+    memory.change(this, 'heap', -this.headHeap);
+    this.headHeap = 0;
     response.once('close', () => this.handleResponseClose(response));
+    if (!memory.change(this, 'heap', response.heldHeap)) this.refuseResponse(response);
   }
 
-  /** Refuses input that cannot be read as a request. */
+  onWritten(): void {
+    const unread = [...this.responses].reduce((sum, one) => sum + one.unsentBytes, 0);
+    this.countWaiting(unread + this.gate.waitingBytes);
+  }
+
+  /** Refuses input that cannot be read as a request or that takes too much. */
   refuse(error: HornbeampondError): void {
     const { socket, onRefused } = this.options;
     if (this.isRefused) return;
@@ -85,14 +158,55 @@
     }
   }
 
+  /**
+   * Refuses a request for which there is no room. It takes its memory until its refusal is sent, so that
+   * nothing after it is parsed, and one that takes much is closed without an answer.
+   */
+  private refuseResponse(response: TrackedResponse): void {
+    response.refusal = makeNoRoomError();
+    this.options.memory.count(this, 'heap', response.heldHeap);
+    this.gate.end();
+    if (response.heldHeap > MAX_REFUSED_HEAP_BYTES) this.evict();
+  }
+
+  /** Counts input that belongs to no request yet; refuses it if it is too much for a head. */
+  private acceptInput(piece: Buffer): boolean {
+    if (this.isReadingBody) return true;
+    this.meter.add(piece);
+    const { headerBytes } = this.options.readBounds();
+    if (this.meter.bytes <= headerBytes + HEAD_MARGIN_BYTES + piece.length) return true;
+    const detail = `The request head is larger than ${headerBytes} bytes`;
+    this.refuse(new HornbeampondError('headersTooLarge', detail));
+    return false;
+  }
+
+  private countInput(): void {
+    const { memory } = this.options;
+    const { heap } = this.meter;
+    const hasRoom = heap === this.headHeap || memory.change(this, 'heap', heap - this.headHeap);
+    if (hasRoom) this.headHeap = heap;
+    else if (heap > MAX_REFUSED_HEAP_BYTES) this.evict();
+    else this.refuse(makeNoRoomError());
+    this.onWritten();
+  }
+
+  private countWaiting(bytes: number): void {
+    if (bytes === this.waitingBytes) return;
+    const hasRoom = this.options.memory.change(this, 'buffers', bytes - this.waitingBytes);
+    if (hasRoom) this.waitingBytes = bytes;
+    else if (bytes > this.waitingBytes) this.evict();
+  }
+
   private handleResponseClose(response: TrackedResponse): void {
     if (!this.responses.delete(response)) return;
+    this.options.memory.change(this, 'heap', -response.heldHeap);
     if (this.latest === response && response.req.complete) this.latest = undefined;
     this.gate.continue();
   }
 
   private handleClose(): void {
     this.gate.end();
+    this.options.memory.remove(this);
     [...this.responses].forEach((response) => response.closeUnsent());
   }
 
--- a/packages/transport/src/httpConnections/HttpConnections.test.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.test.ts
@@ -5,10 +5,21 @@
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { HornbeampondError } from '@hornbeampond/schema';
+import { SystemTimerService } from '@hornbeampond/runtime';
+import type { CallerCloseReason, HornbeampondError } from '@hornbeampond/schema';
+import { CONNECTION_HEAP_BYTES } from './heldCosts.js';
 import { HttpConnections } from './HttpConnections.js';
 import type { TrackedResponse } from './TrackedResponse.js';
 
+const MEBIBYTE = 1024 * 1024;
+
+const bounds = {
+  headerBytes: 2048,
+  bodyBytes: MEBIBYTE,
+  headerMilliseconds: 300,
+  idleMilliseconds: 300,
+};
+
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 /** A server that answers when it is told to. */
@@ -17,25 +28,37 @@
 
   readonly refusals: string[] = [];
 
+  readonly closes: CallerCloseReason[] = [];
+
+  private readonly connections: HttpConnections;
+
   private readonly server: Server;
 
-  constructor() {
-    const connections = new HttpConnections({
+  constructor(heap = 16 * MEBIBYTE) {
+    this.connections = new HttpConnections({
+      timers: new SystemTimerService(),
+      limits: { held: { heap, buffers: MEBIBYTE } },
+      readBounds: () => bounds,
       onRefused: ({ kind }: HornbeampondError) => this.refusals.push(kind),
+      onClosing: (reason) => this.closes.push(reason),
     });
-    this.server = connections.createServer({}, (request, response) => {
+    this.server = this.connections.createServer({}, (request, response) => {
       request.resume();
       this.responses.push(response);
     });
   }
 
-  static async start(context: TestContext) {
-    const server = new TestServer();
+  static async start(context: TestContext, heap?: number) {
+    const server = new TestServer(heap);
     await server.listen();
     context.after(() => server.close());
     return server;
   }
 
+  get held(): number {
+    return this.connections.memory.total.heap;
+  }
+
   connect(): Socket {
     const socket = connect((this.server.address() as AddressInfo).port, '127.0.0.1');
     socket.on('error', () => {});
@@ -48,6 +71,7 @@
   }
 
   private close(): void {
+    this.connections.close();
     this.server.closeAllConnections();
     this.server.close();
   }
@@ -57,6 +81,15 @@
   while (!isReached()) await wait(5);
 }
 
+async function readAll(socket: Socket): Promise<string> {
+  let received = '';
+  socket.setEncoding('latin1').on('data', (text: string) => {
+    received += text;
+  });
+  await once(socket, 'close');
+  return received;
+}
+
 // Guards against a process that begins each request that a caller has sent ahead.
 test('requests sent ahead begin while few of them wait for their answers', async (context) => {
   const server = await TestServer.start(context);
@@ -93,6 +126,36 @@
   socket.destroy();
   await until(() => closed === 5);
   await wait(20);
-  assert.equal(closed, 5);
+  assert.deepEqual([closed, server.held], [5, 0]);
   assert.ok(server.responses.every(({ destroyed }) => destroyed));
 });
+
+const endless = {
+  'a head over the limit': `GET / HTTP/1.1\r\nX: ${'a'.repeat(8000)}`,
+  'empty lines without end': '\r\n'.repeat(4000),
+};
+
+Object.entries(endless).forEach(([name, input]) => {
+  // Guards against input that the parser skips or gathers without a limit.
+  test(`${name} is refused`, async (context) => {
+    const server = await TestServer.start(context);
+    const socket = server.connect();
+    socket.write(input);
+    assert.match(await readAll(socket), /^HTTP\/1.1 431 /);
+    assert.deepEqual(server.refusals, ['headersTooLarge']);
+  });
+});
+
+// Guards against requests that are begun without room for them.
+test('a request for which there is no room carries its refusal', async (context) => {
+  const server = await TestServer.start(context, 100 * 1024);
+  const sockets = Array.from({ length: 8 }, () => server.connect());
+  await until(() => server.held === sockets.length * CONNECTION_HEAP_BYTES);
+  sockets.forEach((socket) => socket.write(REQUEST));
+  await until(() => server.responses.length === sockets.length);
+  const refused = server.responses.filter(({ refusal }) => refusal !== undefined);
+  assert.deepEqual([server.responses.length, refused.length], [8, 6]);
+  assert.ok(refused.every(({ refusal }) => refusal?.kind === 'overloaded'));
+  refused.forEach((response) => response.writeHead(503, { connection: 'close' }).end());
+  await until(() => server.held <= 100 * 1024);
+});
--- a/packages/transport/src/httpConnections/HttpConnections.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.ts
@@ -1,4 +1,7 @@
-/** All connections of callers to one HTTP server. */
+/**
+ * All connections of callers to one HTTP server. They hold together no more memory than the process has for
+ * them: those that hold most make room.
+ */
 import {
   createServer,
   type IncomingMessage,
@@ -7,20 +10,48 @@
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import { HornbeampondError } from '@hornbeampond/schema';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import {
+  HornbeampondError,
+  type CallerBounds,
+  type CallerCloseReason,
+  type Milliseconds,
+} from '@hornbeampond/schema';
+import { HeldMemory, type HeldBytes } from './HeldMemory.js';
 import { HttpConnection } from './HttpConnection.js';
 import { TrackedResponse } from './TrackedResponse.js';
 
+const MEASURE_INTERVAL_MILLISECONDS: Milliseconds = 1000;
+
+export interface ConnectionLimits {
+  /** Memory that all connections together may take. */
+  readonly held: HeldBytes;
+}
+
 export type TrackedListener = (request: IncomingMessage, response: TrackedResponse) => void;
 
 export interface HttpConnectionsOptions {
+  readonly timers: TimerService;
+  readonly limits: ConnectionLimits;
+  readBounds(): CallerBounds;
   onRefused(error: HornbeampondError): void;
+  /** Called once for each connection that is closed without an answer. */
+  onClosing(reason: CallerCloseReason): void;
+  /** Called at intervals with the memory held by all connections. */
+  onMeasured?(held: HeldBytes): void;
 }
 
 export class HttpConnections {
+  readonly memory: HeldMemory;
+
   private readonly connections = new Map<Socket, HttpConnection>();
 
-  constructor(private readonly options: HttpConnectionsOptions) {}
+  private readonly stopMeasuring: Unsubscribe;
+
+  constructor(private readonly options: HttpConnectionsOptions) {
+    this.memory = new HeldMemory(options.limits.held);
+    this.stopMeasuring = options.timers.every(MEASURE_INTERVAL_MILLISECONDS, () => this.measure());
+  }
 
   /** Makes a server whose connections are limited by this object. */
   createServer(serverOptions: ServerOptions, listener: TrackedListener): Server {
@@ -40,9 +71,25 @@
     return server;
   }
 
+  /** The connection of a request; undefined if it has been closed. */
+  find(socket: Socket): HttpConnection | undefined {
+    return this.connections.get(socket);
+  }
+
+  close(): void {
+    this.stopMeasuring();
+  }
+
   private accept(socket: Socket): void {
-    const { onRefused } = this.options;
-    this.connections.set(socket, new HttpConnection({ socket, onRefused }));
+    const { readBounds, onRefused, onClosing } = this.options;
+    const { memory } = this;
+    const options = { socket, memory, readBounds, onRefused, onClosing };
+    this.connections.set(socket, new HttpConnection(options));
     socket.once('close', () => this.connections.delete(socket));
   }
+
+  private measure(): void {
+    this.connections.forEach((connection) => connection.onWritten());
+    this.options.onMeasured?.(this.memory.total);
+  }
 }
--- a/packages/transport/src/httpConnections/InputGate.ts
+++ b/packages/transport/src/httpConnections/InputGate.ts
@@ -14,6 +14,10 @@
   readonly socket: Socket;
   /** False while no further request may begin. */
   canParse(): boolean;
+  /** Called with each piece before it is parsed; it is dropped, with all that follows, if false. */
+  accept(piece: Buffer): boolean;
+  /** Called after each piece. */
+  onParsed(): void;
 }
 
 export class InputGate {
@@ -47,6 +51,11 @@
     socket.on('resume', () => this.parseWaiting());
   }
 
+  /** Bytes that are read and not parsed yet. */
+  get waitingBytes(): number {
+    return this.waiting.reduce((sum, { length }) => sum + length, 0);
+  }
+
   /**
    * Goes on where `canParse` was false. Not at once: a caller that sends many requests ahead would
    * otherwise keep the process from all others until they are served.
@@ -74,7 +83,7 @@
     this.isParsing = true;
     // Node must not get input while it has paused the connection.
     while (this.waiting.length > 0 && !socket.isPaused() && !socket.destroyed && canParse()) {
-      this.parse?.call(socket, this.takePiece());
+      this.parsePiece(this.takePiece());
     }
     this.isParsing = false;
     if (canParse() || this.isEnded) return;
@@ -82,6 +91,13 @@
     socket.pause();
   }
 
+  private parsePiece(piece: Buffer): void {
+    const { socket, accept, onParsed } = this.options;
+    if (!accept(piece)) return;
+    this.parse?.call(socket, piece);
+    onParsed();
+  }
+
   private takePiece(): Buffer {
     const [first = Buffer.alloc(0)] = this.waiting;
     if (first.length <= PIECE_BYTES) this.waiting.shift();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,7 +10,13 @@
 export * from './sharedInstances.js';
 export * from './readBody.js';
 export * from './writeProblem.js';
-export { HttpConnections, type HttpConnectionsOptions } from './httpConnections/HttpConnections.js';
+export { heldKinds, type HeldBytes, type HeldKind } from './httpConnections/HeldMemory.js';
+export type { HttpConnection } from './httpConnections/HttpConnection.js';
+export {
+  HttpConnections,
+  type ConnectionLimits,
+  type HttpConnectionsOptions,
+} from './httpConnections/HttpConnections.js';
 export { TrackedResponse } from './httpConnections/TrackedResponse.js';
 export * from './authorizeOperator.js';
 export * from './unconfirmedChange.js';
