Take places back from callers that were refused or do not go on

A caller that was refused kept its place for ever: its connection was half closed and waited for the caller to close the other half. Empty lines after a request reset the time of an idle connection, a body that stopped had no time at all, and a caller that read nothing of its answer kept both.

A refused caller has 1 s to read the refusal and to leave. The time for a head begins with the first byte after a request, empty lines count, and it does not run while the entry itself leaves the input unread behind unanswered requests, for which Node's own timer, now off, blamed the caller. Nothing but empty lines in that time, or nothing at all, ends the connection without an answer, since nobody waits for one. A body of which nothing comes for the configured idle time is refused with 408, which says that the request has not run and never will. A caller that takes nothing of its answer for 60 s is closed. A process that was held up reads the input that is there before it counts the time.

--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -59,8 +59,6 @@
 /** Added to `idleMilliseconds`, so that a connection is not closed just as the caller reuses it. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 1000;
 
-const HEAD_TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 1000;
-
 /** A colon between name and value, and CRLF; spaces are not required. */
 const BYTES_BESIDE_HEADER = 3;
 
@@ -93,10 +91,7 @@
       onMeasured,
     });
     this.server = this.connections.createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        connectionsCheckingInterval: HEAD_TIMEOUT_CHECK_INTERVAL_MILLISECONDS,
-      },
+      { maxHeaderSize: MAX_HEAD_BYTES },
       (request, response) => {
         this.handleRequest(request, response).catch((error: unknown) =>
           this.refuseRequest(response, error),
@@ -110,8 +105,7 @@
   }
 
   applyBounds(): void {
-    const { headerMilliseconds, idleMilliseconds } = this.bounds;
-    this.server.headersTimeout = headerMilliseconds;
+    const { idleMilliseconds } = this.bounds;
     this.server.keepAliveTimeout = idleMilliseconds + KEEP_ALIVE_MARGIN_MILLISECONDS;
   }
 
--- a/packages/schema/src/errors/errorKinds.ts
+++ b/packages/schema/src/errors/errorKinds.ts
@@ -51,6 +51,7 @@
   revisionStale: defineKind(412, 'The table has changed since this revision', 'no'),
   preconditionMissing: defineKind(428, 'The change must name the revision it was made from', 'no'),
   bodyTooLarge: defineKind(413, 'The request body is too large', 'no'),
+  bodyTimeout: defineKind(408, 'The request body was not sent in time', 'no', true),
   headersTooLarge: defineKind(431, 'The request headers are too large', 'no'),
   idempotencyKeyReused: defineKind(422, 'This Idempotency-Key was used with another body', 'no'),
   changeIdReused: defineKind(422, 'This change id was used with another change', 'no'),
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -166,6 +166,8 @@
  * Why the connection of a caller was closed without an answer.
  *
  * - `memoryShort`: it held more than others while there was no room.
+ * - `headTimeout`: nothing but empty lines came in the time for a head.
+ * - `answerUnread`: the caller did not read its answer.
  */
-export const callerCloseReasons = ['memoryShort'] as const;
+export const callerCloseReasons = ['memoryShort', 'headTimeout', 'answerUnread'] as const;
 export type CallerCloseReason = (typeof callerCloseReasons)[number];
--- a/packages/transport/src/httpConnections/HttpConnection.ts
+++ b/packages/transport/src/httpConnections/HttpConnection.ts
@@ -1,14 +1,16 @@
 /**
- * One connection of a caller: what it makes the process hold, and how many of its requests wait for their
- * answers. Its input is parsed only while few of its requests wait,
+ * One connection of a caller: what it makes the process hold, how many of its requests wait for their
+ * answers, and since when it has not gone on. Its input is parsed only while few of its requests wait,
  * and its head is limited by the bytes that came, whatever the parser makes of them.
  */
 import type { Socket } from 'node:net';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import {
   HornbeampondError,
   type CallerBounds,
   type CallerCloseReason,
   type Milliseconds,
+  type MonotonicMilliseconds,
 } from '@hornbeampond/schema';
 import { formatRefusal } from './formatRefusal.js';
 import { HeadMeter } from './HeadMeter.js';
@@ -27,6 +29,12 @@
 /** Added to the limit for heads: request line, line ends and the rest of a piece are counted with it. */
 const HEAD_MARGIN_BYTES = 1024;
 
+/** A refused caller has this long to read the refusal and to close its connection. */
+const LINGER_MILLISECONDS: Milliseconds = 1000;
+
+/** A caller that takes nothing of its answer for so long has stopped reading. */
+const UNREAD_ANSWER_MILLISECONDS: Milliseconds = 60_000;
+
 /** What takes more is not worth the memory for its refusal while there is none. */
 const MAX_REFUSED_HEAP_BYTES = 64 * 1024;
 
@@ -41,6 +49,7 @@
 
 export interface HttpConnectionOptions {
   readonly socket: Socket;
+  readonly timers: TimerService;
   readonly memory: HeldMemory;
   readBounds(): CallerBounds;
   /** Called once for each connection whose input is refused. */
@@ -62,6 +71,9 @@
 export class HttpConnection implements MemoryHolder, ResponseObserver {
   readonly held: Record<HeldKind, number> = { heap: CONNECTION_HEAP_BYTES, buffers: 0 };
 
+  /** When input came last, or the connection was accepted. */
+  lastInputAt: MonotonicMilliseconds;
+
   /** Responses that are not closed, in the order of their requests. */
   private readonly responses = new Set<TrackedResponse>();
 
@@ -75,12 +87,21 @@
   /** The part of `held` that waiting input and unread answers take. */
   private waitingBytes = 0;
 
+  private sentBytes = 0;
+
+  private lastSentAt: MonotonicMilliseconds;
+
   private latest: TrackedResponse | undefined;
 
   private isRefused = false;
 
+  private stopLingering: Unsubscribe = () => {};
+
   constructor(private readonly options: HttpConnectionOptions) {
-    const { socket, memory } = options;
+    const { socket, memory, timers } = options;
+    this.lastInputAt = timers.monotonicNow();
+    this.lastSentAt = this.lastInputAt;
+    this.meter.startedAt = this.lastInputAt;
     memory.add(this);
     observeResponses(socket, this);
     this.gate = new InputGate({
@@ -111,9 +132,13 @@
   }
 
   evict(): void {
+    this.close('memoryShort');
+  }
+
+  close(reason: CallerCloseReason): void {
     const { socket, onClosing } = this.options;
     if (socket.destroyed) return;
-    onClosing('memoryShort');
+    onClosing(reason);
     this.gate.end();
     socket.destroy();
   }
@@ -136,7 +161,7 @@
     this.countWaiting(unread + this.gate.waitingBytes);
   }
 
-  /** Refuses input that cannot be read as a request or that takes too much. */
+  /** Refuses input that cannot be read as a request, that takes too much or that takes too long. */
   refuse(error: HornbeampondError): void {
     const { socket, onRefused } = this.options;
     if (this.isRefused) return;
@@ -149,6 +174,7 @@
     const lastAnswer = [...this.responses].filter(isOpenAnswer).at(-1);
     if (lastAnswer === undefined) {
       socket.end(formatRefusal(error));
+      this.linger();
     } else if (socket.readableEnded) {
       // The caller has left within a head.
       socket.end();
@@ -158,6 +184,28 @@
     }
   }
 
+  /** Ends what has not gone on for too long. */
+  checkProgress(now: MonotonicMilliseconds): void {
+    const { socket, readBounds } = this.options;
+    const { headerMilliseconds, idleMilliseconds } = readBounds();
+    this.onWritten();
+    const sentBytes = socket.bytesWritten - socket.writableLength;
+    if (sentBytes !== this.sentBytes || socket.writableLength === 0) this.lastSentAt = now;
+    this.sentBytes = sentBytes;
+    if (now - this.lastSentAt > UNREAD_ANSWER_MILLISECONDS) this.close('answerUnread');
+    if (this.isRefused || socket.destroyed) return;
+    if (this.isReadingBody) {
+      if (now - this.lastInputAt <= idleMilliseconds) return;
+      this.refuse(
+        new HornbeampondError('bodyTimeout', 'The rest of the body has not come in time'),
+      );
+    } else if (this.canParse && now - (this.meter.startedAt ?? now) > headerMilliseconds) {
+      // Nobody waits for an answer to empty lines.
+      if (this.meter.isBlank) this.close('headTimeout');
+      else this.refuse(new HornbeampondError('badRequest', 'The head has not come in time'));
+    }
+  }
+
   /**
    * Refuses a request for which there is no room. It takes its memory until its refusal is sent, so that
    * nothing after it is parsed, and one that takes much is closed without an answer.
@@ -171,8 +219,10 @@
 
   /** Counts input that belongs to no request yet; refuses it if it is too much for a head. */
   private acceptInput(piece: Buffer): boolean {
+    const now = this.options.timers.monotonicNow();
+    this.lastInputAt = now;
     if (this.isReadingBody) return true;
-    this.meter.add(piece);
+    this.meter.add(piece, now);
     const { headerBytes } = this.options.readBounds();
     if (this.meter.bytes <= headerBytes + HEAD_MARGIN_BYTES + piece.length) return true;
     const detail = `The request head is larger than ${headerBytes} bytes`;
@@ -201,15 +251,22 @@
     if (!this.responses.delete(response)) return;
     this.options.memory.change(this, 'heap', -response.heldHeap);
     if (this.latest === response && response.req.complete) this.latest = undefined;
+    this.meter.restart(this.options.timers.monotonicNow());
     this.gate.continue();
   }
 
   private handleClose(): void {
+    this.stopLingering();
     this.gate.end();
     this.options.memory.remove(this);
     [...this.responses].forEach((response) => response.closeUnsent());
   }
 
+  private linger(): void {
+    const { socket, timers } = this.options;
+    this.stopLingering = timers.after(LINGER_MILLISECONDS, () => socket.destroy());
+  }
+
   /** Takes the input away from Node's parser, which would report an error for each piece of it. */
   private discardInput(): void {
     const { socket } = this.options;
--- a/packages/transport/src/httpConnections/HttpConnections.test.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.test.ts
@@ -137,7 +137,7 @@
 
 Object.entries(endless).forEach(([name, input]) => {
   // Guards against input that the parser skips or gathers without a limit.
-  test(`${name} is refused`, async (context) => {
+  test(`${name} is refused, and the connection closed by the server`, async (context) => {
     const server = await TestServer.start(context);
     const socket = server.connect();
     socket.write(input);
@@ -146,6 +146,53 @@
   });
 });
 
+// Guards against a refused caller that keeps its place because it never closes its half.
+test('a refused caller that does not leave is closed', async (context) => {
+  const server = await TestServer.start(context);
+  const socket = server.connect();
+  socket.write('no request\r\n\r\n');
+  socket.pause();
+  await until(() => server.refusals.length === 1 && server.held === 0);
+  assert.deepEqual(server.refusals, ['badRequest']);
+});
+
+const slow = {
+  'a head that stops': { input: 'GET / HTTP/1.1\r\nHo', answer: /^HTTP\/1.1 400 / },
+  'a body that stops': {
+    input: 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n1234',
+    answer: /^HTTP\/1.1 408 [^]*"ran":"no"/,
+  },
+  'nothing but empty lines': { input: '\r\n\r\n', answer: /^$/ },
+  'nothing at all': { input: '', answer: /^$/ },
+};
+
+Object.entries(slow).forEach(([name, { input, answer }]) => {
+  // Guards against places that are held by callers that do not go on.
+  test(`the connection of a caller that sends ${name} is closed`, async (context) => {
+    const server = await TestServer.start(context);
+    const socket = server.connect();
+    if (input !== '') socket.write(input);
+    assert.match(await readAll(socket), answer);
+    await until(() => server.held === 0);
+  });
+});
+
+// Guards against a caller that is blamed for the time in which its input was not read.
+test('a head that waits behind unanswered requests has its time afterwards', async (context) => {
+  const server = await TestServer.start(context);
+  const socket = server.connect();
+  const sent = 100;
+  socket.write(REQUEST.repeat(sent));
+  await wait(2 * bounds.headerMilliseconds + 1500);
+  socket.resume();
+  for (let answered = 0; answered < sent; answered += 1) {
+    await until(() => server.responses.length > answered);
+    server.responses[answered]?.end('done');
+  }
+  assert.deepEqual(server.refusals, []);
+  assert.equal(socket.destroyed, false);
+});
+
 // Guards against requests that are begun without room for them.
 test('a request for which there is no room carries its refusal', async (context) => {
   const server = await TestServer.start(context, 100 * 1024);
--- a/packages/transport/src/httpConnections/HttpConnections.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.ts
@@ -21,7 +21,7 @@
 import { HttpConnection } from './HttpConnection.js';
 import { TrackedResponse } from './TrackedResponse.js';
 
-const MEASURE_INTERVAL_MILLISECONDS: Milliseconds = 1000;
+const CHECK_INTERVAL_MILLISECONDS: Milliseconds = 1000;
 
 export interface ConnectionLimits {
   /** Memory that all connections together may take. */
@@ -46,11 +46,14 @@
 
   private readonly connections = new Map<Socket, HttpConnection>();
 
-  private readonly stopMeasuring: Unsubscribe;
+  private readonly stopChecks: Unsubscribe;
 
   constructor(private readonly options: HttpConnectionsOptions) {
     this.memory = new HeldMemory(options.limits.held);
-    this.stopMeasuring = options.timers.every(MEASURE_INTERVAL_MILLISECONDS, () => this.measure());
+    this.stopChecks = options.timers.every(CHECK_INTERVAL_MILLISECONDS, () =>
+      // A process that was held up has input to read that came in time.
+      setImmediate(() => setImmediate(() => this.check())),
+    );
   }
 
   /** Makes a server whose connections are limited by this object. */
@@ -62,6 +65,8 @@
     );
     // The lines of a head are limited by its bytes.
     server.maxHeadersCount = 0;
+    // Counted here, since a head may wait for answers before it.
+    server.headersTimeout = 0;
     server.on('connection', (socket) => this.accept(socket));
     server.on('clientError', ({ code }: NodeJS.ErrnoException, socket) => {
       const kind = code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'badRequest';
@@ -77,19 +82,26 @@
   }
 
   close(): void {
-    this.stopMeasuring();
+    this.stopChecks();
   }
 
   private accept(socket: Socket): void {
-    const { readBounds, onRefused, onClosing } = this.options;
-    const { memory } = this;
-    const options = { socket, memory, readBounds, onRefused, onClosing };
-    this.connections.set(socket, new HttpConnection(options));
+    const { timers, readBounds, onRefused, onClosing } = this.options;
+    const connection = new HttpConnection({
+      socket,
+      timers,
+      memory: this.memory,
+      readBounds,
+      onRefused,
+      onClosing,
+    });
+    this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
   }
 
-  private measure(): void {
-    this.connections.forEach((connection) => connection.onWritten());
+  private check(): void {
+    const now = this.options.timers.monotonicNow();
+    this.connections.forEach((connection) => connection.checkProgress(now));
     this.options.onMeasured?.(this.memory.total);
   }
 }
