Keep descriptors for servers and stores when callers use up theirs

A crowd that only opened connections took all descriptors of an entry: ordinary calls got 503 while the crowd stayed, since no connection to a server could be opened, and there was no bound but the kernel's. Callers have three fifths of the descriptors now, of which the platform names the number and other deployments set it (`limits.descriptors`). Beyond that, the connection that has been idle for longest makes room for the new one, or the one that has waited for longest for the rest of a body; the new one is closed if there is neither. A request that is passed on is never closed for it.

With 4,100 descriptors, callers have 2,460 connections.

--- a/apps/entry/src/heldBodies.test.ts
+++ b/apps/entry/src/heldBodies.test.ts
@@ -73,7 +73,7 @@
         holding.requests += 1;
         return `request-${holding.requests}`;
       },
-      limits: chooseConnectionLimits({ memoryMegabytes: 350 }),
+      limits: chooseConnectionLimits({ memoryMegabytes: 350, descriptors: 4096 }),
       onConnection: () => {},
       onClosing: () => {},
       onMeasured: () => {},
--- a/apps/entry/src/unparsedInput.test.ts
+++ b/apps/entry/src/unparsedInput.test.ts
@@ -67,7 +67,7 @@
 
   readonly callbacks = {
     timers: new SystemTimerService(),
-    limits: chooseConnectionLimits({ memoryMegabytes: 350 }),
+    limits: chooseConnectionLimits({ memoryMegabytes: 350, descriptors: 4096 }),
     onConnection: () => {},
     onClosing: () => {},
     onMeasured: () => {},
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -166,8 +166,14 @@
  * Why the connection of a caller was closed without an answer.
  *
  * - `memoryShort`: it held more than others while there was no room.
+ * - `tooManyConnections`: it was idle for longest, or there was no idle one.
  * - `headTimeout`: nothing but empty lines came in the time for a head.
  * - `answerUnread`: the caller did not read its answer.
  */
-export const callerCloseReasons = ['memoryShort', 'headTimeout', 'answerUnread'] as const;
+export const callerCloseReasons = [
+  'memoryShort',
+  'tooManyConnections',
+  'headTimeout',
+  'answerUnread',
+] as const;
 export type CallerCloseReason = (typeof callerCloseReasons)[number];
--- a/packages/schema/src/reference/settingMeanings.ts
+++ b/packages/schema/src/reference/settingMeanings.ts
@@ -72,6 +72,8 @@
   'limits.queuedRequests': 'maximum number of accepted requests that wait for a backend server',
   'limits.memoryMegabytes':
     'memory of the process; what callers may make it hold in objects, bodies and unread answers is at most a third of it',
+  'limits.descriptors':
+    'descriptors that the process may open; callers may have three fifths of them as connections',
   balancerDelayMilliseconds: 'how long new requests are accepted after `/readyz` reports not ready',
   shutdownMilliseconds: 'time after `SIGTERM` at which the platform ends the instance',
 };
--- a/packages/schema/src/settings/settings.ts
+++ b/packages/schema/src/settings/settings.ts
@@ -119,6 +119,8 @@
       queuedRequests: z.number().int().min(1).max(1_000_000).default(2000),
       /** Callers may make the process hold a part of it. */
       memoryMegabytes: z.number().int().min(64).max(1_000_000).default(350),
+      /** Callers get a part of them. */
+      descriptors: z.number().int().min(64).max(10_000_000).default(4096),
     })
     .prefault({}),
   /** How long the load balancer may send requests after `/readyz` reports not ready. */
--- a/packages/transport/src/httpConnections/HttpConnection.ts
+++ b/packages/transport/src/httpConnections/HttpConnection.ts
@@ -113,6 +113,11 @@
     socket.once('close', () => this.handleClose());
   }
 
+  /** True if no request is in progress. */
+  get isIdle(): boolean {
+    return this.responses.size === 0;
+  }
+
   /** True while the body of the latest request is not complete. */
   get isReadingBody(): boolean {
     return this.latest !== undefined && !this.latest.req.complete;
--- a/packages/transport/src/httpConnections/HttpConnections.test.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.test.ts
@@ -34,10 +34,10 @@
 
   private readonly server: Server;
 
-  constructor(heap = 16 * MEBIBYTE) {
+  constructor(connections = 100, heap = 16 * MEBIBYTE) {
     this.connections = new HttpConnections({
       timers: new SystemTimerService(),
-      limits: { held: { heap, buffers: MEBIBYTE } },
+      limits: { connections, held: { heap, buffers: MEBIBYTE } },
       readBounds: () => bounds,
       onRefused: ({ kind }: HornbeampondError) => this.refusals.push(kind),
       onClosing: (reason) => this.closes.push(reason),
@@ -48,8 +48,8 @@
     });
   }
 
-  static async start(context: TestContext, heap?: number) {
-    const server = new TestServer(heap);
+  static async start(context: TestContext, connections?: number, heap?: number) {
+    const server = new TestServer(connections, heap);
     await server.listen();
     context.after(() => server.close());
     return server;
@@ -193,9 +193,24 @@
   assert.equal(socket.destroyed, false);
 });
 
+// Guards against a crowd that uses up the descriptors which the process needs for other work.
+test('the connection that is idle for longest makes room for a new one', async (context) => {
+  const server = await TestServer.start(context, 3);
+  const sockets = [server.connect(), server.connect(), server.connect()];
+  await Promise.all(sockets.map(async (socket) => once(socket, 'connect')));
+  const [busy] = sockets;
+  busy?.write(REQUEST);
+  await until(() => server.responses.length === 1);
+  const next = server.connect();
+  next.write(REQUEST);
+  await until(() => server.responses.length === 2);
+  assert.deepEqual(server.closes, ['tooManyConnections']);
+  assert.equal(busy?.destroyed, false);
+});
+
 // Guards against requests that are begun without room for them.
 test('a request for which there is no room carries its refusal', async (context) => {
-  const server = await TestServer.start(context, 100 * 1024);
+  const server = await TestServer.start(context, 100, 100 * 1024);
   const sockets = Array.from({ length: 8 }, () => server.connect());
   await until(() => server.held === sockets.length * CONNECTION_HEAP_BYTES);
   sockets.forEach((socket) => socket.write(REQUEST));
--- a/packages/transport/src/httpConnections/HttpConnections.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.ts
@@ -1,6 +1,6 @@
 /**
- * All connections of callers to one HTTP server. They hold together no more memory than the process has for
- * them: those that hold most make room.
+ * All connections of callers to one HTTP server. They hold together no more memory and no more descriptors
+ * than the process has for them: those that hold most, or have been idle for longest, make room.
  */
 import {
   createServer,
@@ -24,6 +24,8 @@
 const CHECK_INTERVAL_MILLISECONDS: Milliseconds = 1000;
 
 export interface ConnectionLimits {
+  /** Connections at the same time. */
+  readonly connections: number;
   /** Memory that all connections together may take. */
   readonly held: HeldBytes;
 }
@@ -86,7 +88,7 @@
   }
 
   private accept(socket: Socket): void {
-    const { timers, readBounds, onRefused, onClosing } = this.options;
+    const { timers, limits, readBounds, onRefused, onClosing } = this.options;
     const connection = new HttpConnection({
       socket,
       timers,
@@ -97,6 +99,19 @@
     });
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
+    if (this.connections.size > limits.connections) this.closeLeastUseful(connection);
+  }
+
+  /** Closes the connection that has been idle for longest, or waits for the rest of a body; or else the new one. */
+  private closeLeastUseful(newest: HttpConnection): void {
+    const others = [...this.connections.values()].filter((one) => one !== newest);
+    const idle = others.filter(({ isIdle }) => isIdle);
+    const stopped = idle.length > 0 ? idle : others.filter(({ isReadingBody }) => isReadingBody);
+    const oldest = stopped.reduce<HttpConnection | undefined>(
+      (found, one) => (found === undefined || one.lastInputAt < found.lastInputAt ? one : found),
+      undefined,
+    );
+    (oldest ?? newest).close('tooManyConnections');
   }
 
   private check(): void {
