--- a/apps/entry/src/RelayServer.ts
+++ b/apps/entry/src/RelayServer.ts
@@ -45,7 +45,7 @@
   onMeasured(held: HeldBytes): void;
 }
 
-/** Limit for Node's parser. The configured `headerBytes` is checked after the head is parsed. */
+/** Limit for Node's parser; what has come of a head is limited by the configured `headerBytes` before. */
 const MAX_HEAD_BYTES = 256 * 1024;
 
 /** Used if the configuration has no `callerBounds`. */
