Leave a connection paused while Node has paused it for unsent answers

One client that sends 400 requests ahead and reads answers of 300 KiB slowly ended the process: when the first answers had gone, the gate resumed a connection that Node itself had paused because of the bytes that waited, and Node's parser ended with ERR_INTERNAL_ASSERTION. The gate neither parses nor resumes while Node's own pause lasts; Node resumes the connection once answers are sent, and the gate goes on then.

The new test ends with the assertion without the fix, and passes with it; a script with the same crowd gets all 400 answers whole.

--- a/packages/transport/src/httpConnections/InputGate.ts
+++ b/packages/transport/src/httpConnections/InputGate.ts
@@ -20,6 +20,11 @@
   onParsed(piece: Buffer): void;
 }
 
+/** True while answers wait that Node counts as too many bytes; its parser fails on input then. */
+function isPausedByNode(socket: Socket): boolean {
+  return (socket as Socket & { readonly _paused?: boolean })._paused === true;
+}
+
 export class InputGate {
   private readonly parse: Parse | undefined;
 
@@ -69,7 +74,8 @@
       this.isScheduled = false;
       if (!this.hasPaused || !this.options.canParse()) return;
       this.hasPaused = false;
-      this.options.socket.resume();
+      // Node resumes what it has paused itself, once answers are sent.
+      if (!isPausedByNode(this.options.socket)) this.options.socket.resume();
     });
   }
 
@@ -84,7 +90,7 @@
     if (this.isEnded || this.isParsing) return;
     this.isParsing = true;
     // Node must not get input while it has paused the connection.
-    while (this.waiting.length > 0 && !socket.isPaused() && !socket.destroyed && canParse()) {
+    while (this.waiting.length > 0 && !this.isHeld && canParse()) {
       this.parsePiece(this.takePiece());
     }
     this.isParsing = false;
@@ -93,6 +99,11 @@
     socket.pause();
   }
 
+  private get isHeld(): boolean {
+    const { socket } = this.options;
+    return socket.isPaused() || isPausedByNode(socket) || socket.destroyed;
+  }
+
   private parsePiece(piece: Buffer): void {
     const { socket, accept, onParsed } = this.options;
     if (!accept(piece)) return;
