Log orders that stop runs, and what shows that an answer has ended

Nothing told apart a stream that finished by itself, one whose run the entry had ordered to stop, and one whose server closed by itself: the entry logged 2002 for all, and no order. Orders to move a cache and their answers are logged (2016, 2017) and counted (hornbeampond_stop_orders_total); 2002 says whether the length or chunks or only the close of the connection showed the end; 2011 and hornbeampond_incomplete_answers_total say why an answer is not whole. Bodies report how they ended in place of only that they ended. No decision is changed.

--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -3,9 +3,9 @@
 import { Socket } from 'node:net';
 import { test } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { RelayAdapter, RelayBody, type RelayResponse } from '@hornbeampond/adapters';
+import { RelayAdapter, RelayBody, type BodyEnd, type RelayResponse } from '@hornbeampond/adapters';
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
-import { TimerService } from '@hornbeampond/runtime';
+import { Logger, Metrics, TimerService } from '@hornbeampond/runtime';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner, type StartAttemptEffect } from './AttemptRunner.js';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
@@ -100,6 +100,8 @@
   if (hasCallerLeft) socket.destroy();
   const answer = new RelayAnswer('one', response, new UnusedProtocol(), undefined);
   const runner = new AttemptRunner({
+    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
+    metrics: new Metrics(),
     timers,
     adapters: new AdapterDirectory(
       () => ({ kind: 'relay', adapter }),
@@ -140,8 +142,11 @@
 });
 
 class SingleChunkBody extends RelayBody {
-  override async forEach(receive: (chunk: Uint8Array) => Promise<void> | undefined): Promise<void> {
+  override async forEach(
+    receive: (chunk: Uint8Array) => Promise<void> | undefined,
+  ): Promise<BodyEnd> {
     await receive(Buffer.from('bought'));
+    return { shownBy: 'framing' };
   }
 }
 
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -6,7 +6,8 @@
  */
 import { BackendServerFailure } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
-import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type { Logger, Metrics, TimerService, Unsubscribe } from '@hornbeampond/runtime';
+import type { StopOrderOutcome } from '@hornbeampond/schema';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 import type { CallerExchange } from './CallerServer.js';
 import type { CallerAnswer } from './CallerAnswer.js';
@@ -51,6 +52,8 @@
 export interface AttemptRunnerOptions {
   readonly timers: TimerService;
   readonly adapters: AdapterDirectory;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
   findExchange(requestId: string): CallerExchange | undefined;
   dispatch(payload: EntryEventPayload): void;
   /** Called when an attempt is to be sent whose caller has left; may cancel the attempt. */
@@ -167,13 +170,17 @@
       return;
     }
     attempt.isMovingCache = true;
+    const reportAnswer = this.reportOrder({ requestId, attemptId, from, to });
     try {
       const signal = AbortSignal.timeout(RELAY_CACHE_MOVE_TIMEOUT_MILLISECONDS);
       const cacheHandle = await adapters.getRelayAdapter(from).moveCache({ headers, to, signal });
+      reportAnswer('carriedOut');
       // The dispatch starts the next attempt synchronously, and that attempt reads the handle.
       this.movedCacheHandles.set(nextAttemptId, cacheHandle);
       dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
-    } catch {
+    } catch (error) {
+      const isProvenUndone = error instanceof BackendServerFailure && error.sent === 'nothing';
+      reportAnswer(isProvenUndone ? 'notCarriedOut' : 'unknown', error);
       // If the failed move has ended the stream, the stream's error is reported below.
       dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
     }
@@ -184,6 +191,26 @@
     }
   }
 
+  /** Logs an order to stop a run; the result logs and counts what is known of it in the end. */
+  private reportOrder({
+    requestId,
+    attemptId,
+    from: { instance: from },
+    to: { instance: to },
+  }: Pick<MoveCacheEffect, 'requestId' | 'attemptId' | 'from' | 'to'>) {
+    const { logger, metrics, timers } = this.options;
+    const orderedAt = timers.monotonicNow();
+    const fields = { requestId, attemptId, backendServer: from, to };
+    logger.write('cacheMoveOrdered', fields);
+    return (outcome: StopOrderOutcome, error?: unknown) => {
+      const after = timers.monotonicNow() - orderedAt;
+      const { status } = error instanceof BackendServerFailure ? error : {};
+      const reason = error === undefined ? {} : { reason: String(error) };
+      logger.write('cacheMoveAnswered', { ...fields, outcome, after, status, ...reason });
+      metrics.count({ metric: 'stopOrders', label: outcome });
+    };
+  }
+
   /** Passes on the answer of an attempt that has won, if it was held back. */
   passOnAnswer(attemptId: string): void {
     this.attempts
@@ -392,7 +419,7 @@
         ...(isStream ? { isEventStream: true } : {}),
       });
     let reportedAt = 0;
-    await relayBody(response, answer, this.makeSink(attempt, answer), {
+    const end = await relayBody(response, answer, this.makeSink(attempt, answer), {
       isCancelled: () => attempt.isCancelled,
       onBytesReceived: () => {
         attempt.timeout.stop();
@@ -412,11 +439,18 @@
       },
     });
     if (attempt.isCancelled) return;
+    // A connection that ends cleanly can still end in the middle of an event.
+    if (answer.hasPartialEvent) {
+      throw new BackendServerFailure('the stream ended inside an event', {
+        incomplete: 'partialEvent',
+      });
+    }
     if (reportedAt === 0) reportFirstBytes();
     const { longestPause } = answer;
     const tokens = countAnswerTokens(answer, target);
     const { status } = response;
-    dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause, status });
+    const endShownBy = end.shownBy;
+    dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause, status, endShownBy });
   }
 
   /**
@@ -452,6 +486,7 @@
       sent: serverFailure?.sent ?? 'maybe',
       ...(serverFailure?.proof === undefined ? {} : { proof: serverFailure.proof }),
       ...(serverFailure?.response === undefined ? {} : { response: serverFailure.response }),
+      ...(serverFailure?.incomplete === undefined ? {} : { incomplete: serverFailure.incomplete }),
       tokens: countAnswerTokens(answer, attempt.effect.target),
       answerStarted: hasUnresumableStart(answer),
       ...(serverFailure?.retryAfter === undefined ? {} : { retryAfter: serverFailure.retryAfter }),
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -239,6 +239,8 @@
     this.attemptRunner = new AttemptRunner({
       timers,
       adapters: this.adapters,
+      logger: this.logger,
+      metrics: this.metrics,
       findExchange: (requestId) => this.exchanges.find(requestId),
       dispatch,
       onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
--- a/apps/entry/src/hedgedAnswers.test.ts
+++ b/apps/entry/src/hedgedAnswers.test.ts
@@ -9,9 +9,11 @@
   BackendServerFailure,
   RelayAdapter,
   RelayBody,
+  type BodyEnd,
   type RelayResponse,
 } from '@hornbeampond/adapters';
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
+import { Logger, Metrics } from '@hornbeampond/runtime';
 import { ManualTimerService } from '@hornbeampond/testing';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner, type StartAttemptEffect } from './AttemptRunner.js';
@@ -28,12 +30,15 @@
 
   fail: (error: Error) => void = () => {};
 
-  override async forEach(receive: (chunk: Uint8Array) => Promise<void> | undefined): Promise<void> {
+  override async forEach(
+    receive: (chunk: Uint8Array) => Promise<void> | undefined,
+  ): Promise<BodyEnd> {
     this.receive = receive;
     await new Promise<void>((resolve, reject) => {
       this.end = resolve;
       this.fail = reject;
     });
+    return { shownBy: 'framing' };
   }
 
   push(text: string): void {
@@ -156,6 +161,8 @@
     answer.finish();
   };
   const runner = new AttemptRunner({
+    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
+    metrics: new Metrics(),
     timers,
     adapters: new AdapterDirectory(
       ({ instance }) => ({ kind: 'relay', adapter: servers[instance === 'server-1' ? 0 : 1] }),
--- a/apps/entry/src/hedgedPlainAnswers.test.ts
+++ b/apps/entry/src/hedgedPlainAnswers.test.ts
@@ -6,6 +6,7 @@
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
 import { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
+import { Logger, Metrics } from '@hornbeampond/runtime';
 import { ManualTimerService } from '@hornbeampond/testing';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
@@ -53,6 +54,8 @@
   const events: EntryEventPayload[] = [];
   const request = { requestId: 'one', workspace: 'laden', method: 'GET', path: '/' };
   const runner = new AttemptRunner({
+    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
+    metrics: new Metrics(),
     timers: new ManualTimerService(),
     adapters: new AdapterDirectory(
       ({ instance }) => ({
--- a/apps/entry/src/relayBody.test.ts
+++ b/apps/entry/src/relayBody.test.ts
@@ -3,7 +3,12 @@
 import { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import { test } from 'node:test';
-import { BackendServerFailure, RelayBody, type RelayResponse } from '@hornbeampond/adapters';
+import {
+  BackendServerFailure,
+  RelayBody,
+  type BodyEnd,
+  type RelayResponse,
+} from '@hornbeampond/adapters';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
 import { relayBody } from './relayBody.js';
@@ -33,8 +38,11 @@
     super();
   }
 
-  override async forEach(receive: (chunk: Uint8Array) => Promise<void> | undefined): Promise<void> {
+  override async forEach(
+    receive: (chunk: Uint8Array) => Promise<void> | undefined,
+  ): Promise<BodyEnd> {
     await receive(this.bytes);
+    return { shownBy: 'framing' };
   }
 }
 
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -3,7 +3,7 @@
  * it is too large or must not be passed on, and a `BackendServerFailure` is thrown, so that the reducer
  * can retry the call before the caller receives the answer.
  */
-import { BackendServerFailure, type RelayResponse } from '@hornbeampond/adapters';
+import { BackendServerFailure, type BodyEnd, type RelayResponse } from '@hornbeampond/adapters';
 import type { AnswerSink } from './HeldAnswer.js';
 import type { RelayAnswer } from './RelayAnswer.js';
 
@@ -39,13 +39,17 @@
   throw failure;
 }
 
-/** @param sink - Receives the answer: `answer` itself, or what holds it back for `answer`. */
+/**
+ * Resolves at the end of the body, with what shows it; whether the answer is whole is yet to be judged.
+ *
+ * @param sink - Receives the answer: `answer` itself, or what holds it back for `answer`.
+ */
 export async function relayBody(
   response: RelayResponse,
   answer: RelayAnswer,
   sink: AnswerSink<RelayResponse>,
   callbacks: RelayCallbacks,
-): Promise<void> {
+): Promise<BodyEnd> {
   if (answer.started && !(response.isStream && response.status === OK_STATUS)) {
     throw new BackendServerFailure('the answer cannot continue the one already started', {
       failure: 'malformed',
@@ -54,7 +58,7 @@
   }
   if (answer.isFailure(response.status)) await saveFailureAndThrow(response, answer);
   sink.receiveHead(response);
-  await response.body.forEach((bytes) => {
+  return response.body.forEach((bytes) => {
     if (callbacks.isCancelled()) return undefined;
     callbacks.onBytesReceived();
     const held = sink.writeBytes(bytes);
@@ -62,7 +66,4 @@
     callbacks.onBytesWritten();
     return undefined;
   });
-  if (callbacks.isCancelled()) return;
-  // A connection that ends cleanly can still end in the middle of an event.
-  if (answer.hasPartialEvent) throw new BackendServerFailure('the stream ended inside an event');
 }
--- a/apps/entry/src/unparsedInput.test.ts
+++ b/apps/entry/src/unparsedInput.test.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { RelayBody } from '@hornbeampond/adapters';
+import { RelayBody, type BodyEnd } from '@hornbeampond/adapters';
 import { SystemTimerService } from '@hornbeampond/runtime';
 import type { CallerBounds, EntrySettings } from '@hornbeampond/schema';
 import { digestKey, writeProblem } from '@hornbeampond/transport';
@@ -50,8 +50,11 @@
 }
 
 class EmptyBody extends RelayBody {
-  override async forEach(receive: (chunk: Uint8Array) => Promise<void> | undefined): Promise<void> {
+  override async forEach(
+    receive: (chunk: Uint8Array) => Promise<void> | undefined,
+  ): Promise<BodyEnd> {
     await receive(Buffer.alloc(0));
+    return { shownBy: 'framing' };
   }
 }
 
--- a/packages/adapters/src/BackendServerFailure.ts
+++ b/packages/adapters/src/BackendServerFailure.ts
@@ -2,7 +2,12 @@
  * The error that all adapters throw when a call to a backend server, the platform or the weight
  * store fails. It states the kind of failure and whether the call may have run.
  */
-import type { Milliseconds, NotRunProof, ResponseFacts } from '@hornbeampond/schema';
+import type {
+  IncompleteAnswerReason,
+  Milliseconds,
+  NotRunProof,
+  ResponseFacts,
+} from '@hornbeampond/schema';
 import ModernError from 'modern-errors';
 
 /**
@@ -37,6 +42,8 @@
   /** HTTP status, if it caused the failure. */
   readonly status?: number;
   readonly response?: ResponseFacts;
+  /** Why an answer that has begun is not whole. */
+  readonly incomplete?: IncompleteAnswerReason;
   /** Delay before a retry, if the server sent one. */
   readonly retryAfter?: Milliseconds;
   readonly cause?: unknown;
@@ -53,15 +60,19 @@
 
   readonly response: ResponseFacts | undefined;
 
+  readonly incomplete: IncompleteAnswerReason | undefined;
+
   readonly retryAfter: Milliseconds | undefined;
 
   constructor(message: string, options: BackendServerFailureOptions = {}) {
-    const { failure = 'connectionLost', proof, status, response, retryAfter, cause } = options;
+    const { failure = 'connectionLost', proof, status, response } = options;
+    const { incomplete, retryAfter, cause } = options;
     super(message, cause === undefined ? {} : { cause });
     this.failure = failure;
     this.sent = proof === undefined ? 'maybe' : 'nothing';
     this.proof = proof;
     this.response = response;
+    this.incomplete = incomplete;
     this.status = status;
     this.retryAfter = retryAfter;
   }
--- a/packages/entry-core/src/attempts/failAttempt.ts
+++ b/packages/entry-core/src/attempts/failAttempt.ts
@@ -104,7 +104,7 @@
   event: AttemptFailedEvent,
 ): EntryEffect {
   const { requestId, instance, attemptId, version } = attempt;
-  const { failure, sent, proof, response, tokens } = event;
+  const { failure, sent, proof, response, incomplete, tokens } = event;
   return {
     type: 'log',
     event: 'attemptFailed',
@@ -117,6 +117,7 @@
       sent,
       ...(proof === undefined ? {} : { proof }),
       ...response,
+      ...(incomplete === undefined ? {} : { incomplete }),
       tokens,
       ...describeParts(state, attempt, event),
     },
@@ -128,12 +129,15 @@
   attempt: AttemptState,
   event: AttemptFailedEvent,
 ): EntryEffect[] {
-  const { proof, response } = event;
+  const { proof, response, incomplete } = event;
   const effects = [logFailure(state, attempt, event)];
   if (proof !== undefined) effects.push({ type: 'count', metric: 'attemptsNotRun', label: proof });
   if (response !== undefined) {
     effects.push({ type: 'count', metric: 'failedAnswers', label: String(response.status) });
   }
+  if (incomplete !== undefined) {
+    effects.push({ type: 'count', metric: 'incompleteAnswers', label: incomplete });
+  }
   return effects;
 }
 
--- a/packages/entry-core/src/attempts/reduceAttempts.ts
+++ b/packages/entry-core/src/attempts/reduceAttempts.ts
@@ -99,7 +99,7 @@
   state: EntryState,
   requestState: RequestState | undefined,
   attempt: AttemptState,
-  { attemptId, longestPause, status }: AttemptFinishedEvent,
+  { attemptId, longestPause, status, endShownBy }: AttemptFinishedEvent,
 ): EntryEffect[] {
   removeTimedOutAttempt(state, attempt);
   if (
@@ -109,7 +109,7 @@
   ) {
     return countLateAnswer();
   }
-  return finishRequest(state, requestState, attemptId, { longestPause, status });
+  return finishRequest(state, requestState, attemptId, { longestPause, status, endShownBy });
 }
 
 function finishAttempt(
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -3,6 +3,8 @@
  * not pass through the reducer, only events such as the first token, progress, end or failure.
  */
 import type {
+  AnswerEndEvidence,
+  IncompleteAnswerReason,
   CacheEvent,
   ClaimResult,
   Configuration,
@@ -193,6 +195,8 @@
       readonly storedAnswer?: StoredAnswer;
       /** Status of the answer, if the backend server chose it. */
       readonly status?: number;
+      /** What shows that the answer has ended, for the log. */
+      readonly endShownBy?: AnswerEndEvidence;
     }
   | {
       readonly type: 'attemptFailed';
@@ -204,6 +208,8 @@
       readonly proof?: NotRunProof;
       /** What the backend server answered, if it did. */
       readonly response?: ResponseFacts;
+      /** Why its answer is not whole, if that is why the attempt failed. */
+      readonly incomplete?: IncompleteAnswerReason;
       /** Number of answer tokens that the caller may already have received. */
       readonly tokens: number;
       /** True if the caller has received bytes of an answer that cannot be resumed. */
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -1,5 +1,11 @@
 /** The ways to give a request its final answer: refuse, fail or finish it. */
-import type { ErrorKind, LogFields, Milliseconds, RanStatus } from '@hornbeampond/schema';
+import type {
+  AnswerEndEvidence,
+  ErrorKind,
+  LogFields,
+  Milliseconds,
+  RanStatus,
+} from '@hornbeampond/schema';
 import { releaseAttempts } from '../attempts/releaseAttempts.js';
 import { recordOutcome } from '../hedging/observeDurations.js';
 import type { EntryEffect } from '../entryEffects.js';
@@ -90,6 +96,8 @@
   readonly status?: number | undefined;
   /** The longest time between two events of the answer. */
   readonly longestPause?: Milliseconds | undefined;
+  /** What shows that the answer has ended. */
+  readonly endShownBy?: AnswerEndEvidence | undefined;
 }
 
 /** Ends an accepted request whose answer is complete; `attemptId` delivered it. */
@@ -97,7 +105,7 @@
   state: EntryState,
   accepted: RequestState,
   attemptId?: string,
-  { longestPause, status }: FinishedAnswer = {},
+  { longestPause, status, endShownBy }: FinishedAnswer = {},
 ): EntryEffect[] {
   const { requestId, digest } = accepted.request;
   state.requests.delete(requestId);
@@ -109,7 +117,13 @@
     {
       type: 'log',
       event: 'requestFinished',
-      fields: { requestId, status, ...describeFirstTokenTimes(accepted), longestPause },
+      fields: {
+        requestId,
+        status,
+        ...describeFirstTokenTimes(accepted),
+        longestPause,
+        ...(endShownBy === undefined ? {} : { endShownBy }),
+      },
     },
   ];
 }
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -33,6 +33,16 @@
     'info',
     'The caller received the failure with which a backend server answered, with its status',
   ),
+  cacheMoveOrdered: defineLogEvent(
+    2016,
+    'info',
+    'A backend server is ordered to stop a run and to move its KV cache',
+  ),
+  cacheMoveAnswered: defineLogEvent(
+    2017,
+    'info',
+    'The order to move a KV cache was answered or given up; what is known of it',
+  ),
   callerGone: defineLogEvent(2020, 'debug', 'The caller closed its connection'),
   answerReplayed: defineLogEvent(
     2021,
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -9,6 +9,8 @@
   fleetRetryReasons,
   ejectionReasons,
   cacheMoveOutcomes,
+  incompleteAnswerReasons,
+  stopOrderOutcomes,
   hedgeOutcomes,
   hedgeRefusalReasons,
   lateAnswerReasons,
@@ -162,6 +164,18 @@
     help: 'Moves of KV cache from backend servers under a reclaim notice, by outcome',
     label: { name: 'outcome', values: cacheMoveOutcomes },
   },
+  stopOrders: {
+    name: 'hornbeampond_stop_orders_total',
+    kind: 'counter',
+    help: 'Orders to backend servers that stop a run, to move its KV cache, by what is known of them',
+    label: { name: 'outcome', values: stopOrderOutcomes },
+  },
+  incompleteAnswers: {
+    name: 'hornbeampond_incomplete_answers_total',
+    kind: 'counter',
+    help: 'Answers of backend servers that began and are not whole, by reason',
+    label: { name: 'reason', values: incompleteAnswerReasons },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -95,6 +95,30 @@
 ] as const;
 export type EjectionReason = (typeof ejectionReasons)[number];
 
+/** What shows that an answer has ended. */
+export const answerEndEvidence = ['framing', 'close'] as const;
+export type AnswerEndEvidence = (typeof answerEndEvidence)[number];
+
+/** Why an answer that has begun is not whole. */
+export const incompleteAnswerReasons = [
+  /** Its length or chunks show that bytes are missing. */
+  'cut',
+  /** It has neither, and its connection was reset, or may have been. */
+  'reset',
+  /** It is a stream that ended inside an event. */
+  'partialEvent',
+] as const;
+export type IncompleteAnswerReason = (typeof incompleteAnswerReasons)[number];
+
+/**
+ * What is known of an order that stops a run.
+ *
+ * - `notCarriedOut`: it is proved that its backend server did not stop the run because of it.
+ * - `unknown`: it may have been carried out, or still be.
+ */
+export const stopOrderOutcomes = ['carriedOut', 'notCarriedOut', 'unknown'] as const;
+export type StopOrderOutcome = (typeof stopOrderOutcomes)[number];
+
 /** How a move of a stream's KV cache ended. */
 export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
 export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
