Judge whether an answer is whole in one place that knows the orders to stop its run

What callers saw: a stream with neither a length nor chunks ended as complete after a part, because the entry had ordered the last move of its cache; the server stops the run first and closes the connection without the end.

Cause: the close of the connection was judged by the body of one message, which knows no orders. Two layers above, only the error of a stream was held back while its cache was moved, not its end, and only until the order had been answered or given up; an order that was sent may stop its run later.

The end of a run waits for the answers of its orders, at most 2 s, as its errors did. CacheMover takes the moves out of AttemptRunner.

--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -5,11 +5,12 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { RelayAdapter, RelayBody, type BodyEnd, type RelayResponse } from '@hornbeampond/adapters';
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
-import { Logger, Metrics, TimerService } from '@hornbeampond/runtime';
+import { TimerService } from '@hornbeampond/runtime';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner, type StartAttemptEffect } from './AttemptRunner.js';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
+import { StopOrders } from './StopOrders.js';
 
 /** Timers that the test fires itself. */
 class ManuallyFiredTimers extends TimerService {
@@ -100,8 +101,8 @@
   if (hasCallerLeft) socket.destroy();
   const answer = new RelayAnswer('one', response, new UnusedProtocol(), undefined);
   const runner = new AttemptRunner({
-    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
-    metrics: new Metrics(),
+    stopOrders: new StopOrders(),
+    findMovedCache: () => undefined,
     timers,
     adapters: new AdapterDirectory(
       () => ({ kind: 'relay', adapter }),
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -1,25 +1,24 @@
 /**
  * Runs attempts: sends calls to backend servers, relays the answers to callers and dispatches events
- * to the reducer (first token, progress, end, failure). It also cancels attempts and moves their KV
- * caches. Output of a cancelled attempt is discarded, and the answer of an attempt beside which another
+ * to the reducer (first token, progress, end, failure). It also cancels attempts. Output of a cancelled attempt is discarded, and the answer of an attempt beside which another
  * may run is held back until it has won, so a caller never receives interleaved bytes of two attempts.
  */
-import { BackendServerFailure } from '@hornbeampond/adapters';
+import { BackendServerFailure, type BodyEnd } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
-import type { Logger, Metrics, TimerService, Unsubscribe } from '@hornbeampond/runtime';
-import type { StopOrderOutcome } from '@hornbeampond/schema';
+import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 import type { CallerExchange } from './CallerServer.js';
 import type { CallerAnswer } from './CallerAnswer.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
+import { findIncompleteness } from './findIncompleteness.js';
 import { HeldAnswer, type AnswerSink } from './HeldAnswer.js';
 import { PlainAnswer, type PlainAnswerHead } from './PlainAnswer.js';
 import { RelayAnswer } from './RelayAnswer.js';
 import { RestartableTimeout } from './RestartableTimeout.js';
 import { relayBody } from './relayBody.js';
+import type { StopOrders } from './StopOrders.js';
 
 export type StartAttemptEffect = Extract<EntryEffect, { type: 'startAttempt' }>;
-type MoveCacheEffect = Extract<EntryEffect, { type: 'moveCache' }>;
 
 /** Shortest time between two progress events of an attempt. */
 const MIN_PROGRESS_INTERVAL_MILLISECONDS = 100;
@@ -28,21 +27,11 @@
 
 const CANCEL_TIMEOUT_MILLISECONDS = 2000;
 
-/** Shorter than for engines, because an opaque call's stream is paused during the move. */
-const RELAY_CACHE_MOVE_TIMEOUT_MILLISECONDS = 2000;
-
-/** Limit for the export and the import of a KV cache together. */
-const CACHE_MOVE_TIMEOUT_MILLISECONDS = 30_000;
-
 interface RunningAttempt {
   readonly effect: StartAttemptEffect;
   readonly abortController: AbortController;
   isCancelled: boolean;
   hasTimedOut: boolean;
-  /** True while the KV cache of an opaque call is being moved, which ends its stream early. */
-  isMovingCache: boolean;
-  /** The error with which the stream ended during the move. */
-  errorDuringMove?: unknown;
   readonly timeout: RestartableTimeout;
   /** Passes on the answer if it is held back. */
   passOnAnswer: () => Promise<void> | undefined;
@@ -52,8 +41,9 @@
 export interface AttemptRunnerOptions {
   readonly timers: TimerService;
   readonly adapters: AdapterDirectory;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
+  readonly stopOrders: StopOrders;
+  /** The moved cache from which an attempt that is being started continues. */
+  findMovedCache(attemptId: string): string | undefined;
   findExchange(requestId: string): CallerExchange | undefined;
   dispatch(payload: EntryEventPayload): void;
   /** Called when an attempt is to be sent whose caller has left; may cancel the attempt. */
@@ -89,9 +79,6 @@
 export class AttemptRunner {
   private readonly attempts = new Map<string, RunningAttempt>();
 
-  /** Handles of moved KV caches, by the id of the attempt that continues with the cache. */
-  private readonly movedCacheHandles = new Map<string, string>();
-
   constructor(private readonly options: AttemptRunnerOptions) {}
 
   get runningCount(): number {
@@ -104,7 +91,6 @@
       abortController: new AbortController(),
       isCancelled: false,
       hasTimedOut: false,
-      isMovingCache: false,
       timeout: new RestartableTimeout(this.options.timers, () => this.endSilentAttempt(attempt)),
       passOnAnswer: () => undefined,
       cancelHedgeTimer: () => {},
@@ -113,14 +99,31 @@
     this.startHedgeTimer(attempt);
     this.run(attempt).then(
       () => this.removeAttempt(attempt),
-      (error: unknown) => {
-        this.removeAttempt(attempt);
-        if (attempt.isMovingCache) attempt.errorDuringMove = error;
-        else if (!attempt.isCancelled) this.reportFailure(attempt, error);
-      },
+      async (error: unknown) => this.endFailedAttempt(attempt, error),
     );
   }
 
+  private async endFailedAttempt(attempt: RunningAttempt, error: unknown): Promise<void> {
+    const call = this.options.findExchange(attempt.effect.requestId);
+    attempt.timeout.close();
+    attempt.cancelHedgeTimer();
+    const answered = call && this.waitForStopOrders(attempt, call);
+    if (answered !== undefined) await answered;
+    this.removeAttempt(attempt);
+    if (!attempt.isCancelled) this.reportFailure(attempt, error);
+  }
+
+  /**
+   * Returns a promise if an order to stop the attempt's run is out. A run ends before its order is answered,
+   * and the answer decides whether the call goes on from the moved cache.
+   */
+  private waitForStopOrders(
+    { effect }: RunningAttempt,
+    call: CallerExchange,
+  ): Promise<unknown> | undefined {
+    return this.options.stopOrders.waitForAnswers(call, effect.target.instance);
+  }
+
   /** Cancels an attempt immediately. */
   cancel(attemptId: string): void {
     const attempt = this.attempts.get(attemptId);
@@ -137,80 +140,6 @@
       .catch(() => {});
   }
 
-  /** Moves the KV cache of an attempt to another backend server and dispatches the result. */
-  async moveCache(move: MoveCacheEffect): Promise<void> {
-    const { adapters, dispatch } = this.options;
-    const { requestId, attemptId, nextAttemptId, from, to } = move;
-    if (adapters.getOrCreate(from).kind === 'relay') {
-      await this.moveRelayCache(move);
-      return;
-    }
-    const signal = AbortSignal.timeout(CACHE_MOVE_TIMEOUT_MILLISECONDS);
-    try {
-      const cache = await adapters.getEngineAdapter(from).exportCache(attemptId, signal);
-      await adapters
-        .getEngineAdapter(to)
-        .importCache({ ...cache, attemptId: nextAttemptId }, signal);
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
-    } catch {
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
-    }
-  }
-
-  /**
-   * Moves the KV cache of an opaque call. The move ends the call's stream, so an error of the stream
-   * is held back until the move has succeeded or failed.
-   */
-  private async moveRelayCache({ requestId, attemptId, nextAttemptId, from, to }: MoveCacheEffect) {
-    const { adapters, dispatch, findExchange } = this.options;
-    const attempt = this.attempts.get(attemptId);
-    const headers = findExchange(requestId)?.forwardedHeaders;
-    if (attempt === undefined || headers === undefined) {
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
-      return;
-    }
-    attempt.isMovingCache = true;
-    const reportAnswer = this.reportOrder({ requestId, attemptId, from, to });
-    try {
-      const signal = AbortSignal.timeout(RELAY_CACHE_MOVE_TIMEOUT_MILLISECONDS);
-      const cacheHandle = await adapters.getRelayAdapter(from).moveCache({ headers, to, signal });
-      reportAnswer('carriedOut');
-      // The dispatch starts the next attempt synchronously, and that attempt reads the handle.
-      this.movedCacheHandles.set(nextAttemptId, cacheHandle);
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
-    } catch (error) {
-      const isProvenUndone = error instanceof BackendServerFailure && error.sent === 'nothing';
-      reportAnswer(isProvenUndone ? 'notCarriedOut' : 'unknown', error);
-      // If the failed move has ended the stream, the stream's error is reported below.
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
-    }
-    attempt.isMovingCache = false;
-    this.movedCacheHandles.delete(nextAttemptId);
-    if (attempt.errorDuringMove !== undefined && !attempt.isCancelled) {
-      this.reportFailure(attempt, attempt.errorDuringMove);
-    }
-  }
-
-  /** Logs an order to stop a run; the result logs and counts what is known of it in the end. */
-  private reportOrder({
-    requestId,
-    attemptId,
-    from: { instance: from },
-    to: { instance: to },
-  }: Pick<MoveCacheEffect, 'requestId' | 'attemptId' | 'from' | 'to'>) {
-    const { logger, metrics, timers } = this.options;
-    const orderedAt = timers.monotonicNow();
-    const fields = { requestId, attemptId, backendServer: from, to };
-    logger.write('cacheMoveOrdered', fields);
-    return (outcome: StopOrderOutcome, error?: unknown) => {
-      const after = timers.monotonicNow() - orderedAt;
-      const { status } = error instanceof BackendServerFailure ? error : {};
-      const reason = error === undefined ? {} : { reason: String(error) };
-      logger.write('cacheMoveAnswered', { ...fields, outcome, after, status, ...reason });
-      metrics.count({ metric: 'stopOrders', label: outcome });
-    };
-  }
-
   /** Passes on the answer of an attempt that has won, if it was held back. */
   passOnAnswer(attemptId: string): void {
     this.attempts
@@ -397,7 +326,7 @@
     const { attemptId, target, workspace, timeLeft, priority, streamIdleTimeout } = attempt.effect;
     const { dispatch, adapters, timers } = this.options;
     const { method, path } = exchange.request;
-    const continueFrom = this.movedCacheHandles.get(attemptId);
+    const continueFrom = this.options.findMovedCache(attemptId);
     const response = await adapters.getRelayAdapter(target).send({
       method,
       path,
@@ -437,14 +366,9 @@
       onBytesWritten: () => {
         if (!attempt.isCancelled) attempt.timeout.start(streamIdleTimeout);
       },
+      requireWhole: async (bodyEnd) => this.requireWhole(attempt, exchange, answer, bodyEnd),
     });
     if (attempt.isCancelled) return;
-    // A connection that ends cleanly can still end in the middle of an event.
-    if (answer.hasPartialEvent) {
-      throw new BackendServerFailure('the stream ended inside an event', {
-        incomplete: 'partialEvent',
-      });
-    }
     if (reportedAt === 0) reportFirstBytes();
     const { longestPause } = answer;
     const tokens = countAnswerTokens(answer, target);
@@ -453,6 +377,23 @@
     dispatch({ type: 'attemptFinished', attemptId, tokens, longestPause, status, endShownBy });
   }
 
+  /** Throws if the answer is not whole. Its end may have to wait for the answer to an order. */
+  private async requireWhole(
+    attempt: RunningAttempt,
+    call: CallerExchange,
+    { hasPartialEvent }: RelayAnswer,
+    bodyEnd: BodyEnd,
+  ): Promise<void> {
+    attempt.timeout.stop();
+    if (bodyEnd.shownBy === 'close') await this.waitForStopOrders(attempt, call);
+    if (attempt.isCancelled) return;
+    const { instance } = attempt.effect.target;
+    const mayHaveBeenStopped = this.options.stopOrders.mayHaveStopped(call, instance);
+    const incomplete = findIncompleteness({ bodyEnd, hasPartialEvent, mayHaveBeenStopped });
+    if (incomplete === undefined) return;
+    throw new BackendServerFailure(`the answer is not whole (${incomplete})`, { incomplete });
+  }
+
   /**
    * Returns the caller's headers without `host` and the caller's key, which backend servers must
    * not see, and adds the request id and the workspace.
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -53,6 +53,7 @@
 } from '@hornbeampond/transport';
 import { AdapterDirectory, type MakeAdapter } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
+import { CacheMover } from './CacheMover.js';
 import { BackendServerWatcher } from './BackendServerWatcher.js';
 import type { CallProtocol } from './CallProtocol.js';
 import { CallerConnectionReport } from './CallerConnectionReport.js';
@@ -69,6 +70,7 @@
 import { RelayServer } from './RelayServer.js';
 import { afterPendingInput, RequestIntake } from './RequestIntake.js';
 import { StateSharing } from './StateSharing.js';
+import { StopOrders } from './StopOrders.js';
 import { StatementReceiver } from './StatementReceiver.js';
 import { RolloutApi } from './RolloutApi.js';
 import { TableApi } from './TableApi.js';
@@ -141,6 +143,8 @@
 
   private readonly attemptRunner: AttemptRunner;
 
+  private readonly cacheMover: CacheMover;
+
   private readonly storeClient: StoreClient;
 
   private readonly callerListener: CallerListener;
@@ -236,12 +240,23 @@
       this.paths.connector,
     );
     const readConfiguration = () => this.eventLoop.state.configuration;
-    this.attemptRunner = new AttemptRunner({
+    const stopOrders = new StopOrders();
+    const findExchange = (requestId: string) => this.exchanges.find(requestId);
+    this.cacheMover = new CacheMover({
       timers,
       adapters: this.adapters,
       logger: this.logger,
       metrics: this.metrics,
-      findExchange: (requestId) => this.exchanges.find(requestId),
+      stopOrders,
+      findExchange,
+      dispatch,
+    });
+    this.attemptRunner = new AttemptRunner({
+      timers,
+      adapters: this.adapters,
+      stopOrders,
+      findExchange,
+      findMovedCache: (attemptId) => this.cacheMover.findMovedCache(attemptId),
       dispatch,
       onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
     });
@@ -533,7 +548,7 @@
         this.attemptRunner.cancel(effect.attemptId);
         return;
       case 'moveCache':
-        void this.attemptRunner.moveCache(effect);
+        void this.cacheMover.move(effect);
         return;
       case 'finishAnswer':
         if (effect.attemptId !== undefined) this.attemptRunner.passOnAnswer(effect.attemptId);
--- /dev/null
+++ b/apps/entry/src/StopOrders.ts
@@ -0,0 +1,60 @@
+/**
+ * The orders with which this entry stops runs of a call at backend servers, kept for as long as the call is
+ * open. An order may stop its run at any later time, whatever has been answered to it, unless it is proved
+ * that its backend server did not carry it out.
+ */
+import type { StopOrderOutcome } from '@hornbeampond/schema';
+import type { CallerExchange } from './CallerServer.js';
+
+/** One order; its outcome is undefined until it has been answered or given up. */
+export class StopOrder {
+  outcome: StopOrderOutcome | undefined;
+
+  /** Resolves once the order has an outcome. */
+  readonly ended: Promise<void>;
+
+  private resolveEnded: () => void = () => {};
+
+  constructor() {
+    this.ended = new Promise((resolve) => {
+      this.resolveEnded = resolve;
+    });
+  }
+
+  end(outcome: StopOrderOutcome): void {
+    this.outcome = outcome;
+    this.resolveEnded();
+  }
+}
+
+export class StopOrders {
+  /**
+   * By call and instance. Backend servers know a run by its call, so an order sent for an earlier attempt
+   * of the call may stop a later one at the same server.
+   */
+  private readonly ordersByCall = new WeakMap<CallerExchange, Map<string, StopOrder[]>>();
+
+  /** Must be called before the order is sent. */
+  add(call: CallerExchange, instance: string): StopOrder {
+    const order = new StopOrder();
+    const ordersByInstance = this.ordersByCall.get(call) ?? new Map<string, StopOrder[]>();
+    ordersByInstance.set(instance, [...(ordersByInstance.get(instance) ?? []), order]);
+    this.ordersByCall.set(call, ordersByInstance);
+    return order;
+  }
+
+  /** Returns a promise if an order is out for a run of the call; it resolves once all are answered. */
+  waitForAnswers(call: CallerExchange, instance: string): Promise<unknown> | undefined {
+    const pending = this.list(call, instance).filter(({ outcome }) => outcome === undefined);
+    return pending.length === 0 ? undefined : Promise.all(pending.map(({ ended }) => ended));
+  }
+
+  /** True unless no order was sent, or each is proved not to have been carried out. */
+  mayHaveStopped(call: CallerExchange, instance: string): boolean {
+    return this.list(call, instance).some(({ outcome }) => outcome !== 'notCarriedOut');
+  }
+
+  private list(call: CallerExchange, instance: string): readonly StopOrder[] {
+    return this.ordersByCall.get(call)?.get(instance) ?? [];
+  }
+}
--- /dev/null
+++ b/apps/entry/src/findIncompleteness.ts
@@ -0,0 +1,26 @@
+/**
+ * Judges whether the answer to an opaque call that has ended without an error is whole. No other place decides
+ * this. An answer with neither a length nor chunks ends with its connection, so a part of it looks whole if
+ * anything else has ended it.
+ */
+import type { BodyEnd } from '@hornbeampond/adapters';
+import type { IncompleteAnswerReason } from '@hornbeampond/schema';
+
+export interface EndedAnswer {
+  readonly bodyEnd: BodyEnd;
+  /** True if the answer is a stream and its last event has no end. */
+  readonly hasPartialEvent: boolean;
+  /** True if its run may have been stopped on order of this entry. */
+  readonly mayHaveBeenStopped: boolean;
+}
+
+/** Returns why the answer is not whole, or undefined if it is. */
+export function findIncompleteness({
+  bodyEnd,
+  hasPartialEvent,
+  mayHaveBeenStopped,
+}: EndedAnswer): IncompleteAnswerReason | undefined {
+  if (hasPartialEvent) return 'partialEvent';
+  if (bodyEnd.shownBy === 'framing') return undefined;
+  return mayHaveBeenStopped ? 'runStopped' : undefined;
+}
--- a/apps/entry/src/hedgedAnswers.test.ts
+++ b/apps/entry/src/hedgedAnswers.test.ts
@@ -13,12 +13,12 @@
   type RelayResponse,
 } from '@hornbeampond/adapters';
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
-import { Logger, Metrics } from '@hornbeampond/runtime';
 import { ManualTimerService } from '@hornbeampond/testing';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner, type StartAttemptEffect } from './AttemptRunner.js';
 import { CallProtocol, type ParsedCall } from './CallProtocol.js';
 import { RelayAnswer } from './RelayAnswer.js';
+import { StopOrders } from './StopOrders.js';
 
 const LARGE_BYTES = 400 * 1024;
 const HEDGE_AFTER_MILLISECONDS = 150;
@@ -161,8 +161,8 @@
     answer.finish();
   };
   const runner = new AttemptRunner({
-    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
-    metrics: new Metrics(),
+    stopOrders: new StopOrders(),
+    findMovedCache: () => undefined,
     timers,
     adapters: new AdapterDirectory(
       ({ instance }) => ({ kind: 'relay', adapter: servers[instance === 'server-1' ? 0 : 1] }),
--- a/apps/entry/src/hedgedPlainAnswers.test.ts
+++ b/apps/entry/src/hedgedPlainAnswers.test.ts
@@ -6,11 +6,11 @@
 import type { EntryEventPayload } from '@hornbeampond/entry-core';
 import { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
-import { Logger, Metrics } from '@hornbeampond/runtime';
 import { ManualTimerService } from '@hornbeampond/testing';
 import { AdapterDirectory } from './AdapterDirectory.js';
 import { AttemptRunner } from './AttemptRunner.js';
 import { PlainAnswer } from './PlainAnswer.js';
+import { StopOrders } from './StopOrders.js';
 
 async function* makeBody(text: string): AsyncGenerator<Uint8Array> {
   yield Buffer.from(text);
@@ -54,8 +54,8 @@
   const events: EntryEventPayload[] = [];
   const request = { requestId: 'one', workspace: 'laden', method: 'GET', path: '/' };
   const runner = new AttemptRunner({
-    logger: new Logger({ process: 'test', instance: 'entry-1' }, 'error'),
-    metrics: new Metrics(),
+    stopOrders: new StopOrders(),
+    findMovedCache: () => undefined,
     timers: new ManualTimerService(),
     adapters: new AdapterDirectory(
       ({ instance }) => ({
--- a/apps/entry/src/relayBody.test.ts
+++ b/apps/entry/src/relayBody.test.ts
@@ -46,7 +46,12 @@
   }
 }
 
-const callbacks = { isCancelled: () => false, onBytesReceived() {}, onBytesWritten() {} };
+const callbacks = {
+  isCancelled: () => false,
+  onBytesReceived() {},
+  onBytesWritten() {},
+  requireWhole: async () => Promise.resolve(),
+};
 
 function makeAnswer() {
   const response = new ServerResponse(new IncomingMessage(new Socket()));
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -17,9 +17,15 @@
   onBytesReceived(): void;
   /** Called once the caller can receive more. */
   onBytesWritten(): void;
+  /** Called at the end of a body; rejects if the answer is not whole. */
+  requireWhole(end: BodyEnd): Promise<void>;
 }
 
-async function saveFailureAndThrow(response: RelayResponse, answer: RelayAnswer): Promise<never> {
+async function saveFailureAndThrow(
+  response: RelayResponse,
+  answer: RelayAnswer,
+  { requireWhole }: RelayCallbacks,
+): Promise<never> {
   const { status, body } = response;
   const failure = new BackendServerFailure(`the answer has status ${status}`, {
     failure: 'serverError',
@@ -28,19 +34,20 @@
   });
   const chunks: Uint8Array[] = [];
   let bytes = 0;
-  await body.forEach((chunk) => {
+  const end = await body.forEach((chunk) => {
     bytes += chunk.length;
     // Its end is not awaited: it may have none.
     if (bytes > MAX_SAVED_FAILURE_BYTES) throw failure;
     chunks.push(chunk);
     return undefined;
   });
+  await requireWhole(end);
   answer.saveFailureAnswer(response, Buffer.concat(chunks));
   throw failure;
 }
 
 /**
- * Resolves at the end of the body, with what shows it; whether the answer is whole is yet to be judged.
+ * Resolves with what shows the end of the answer, once that is known to be whole.
  *
  * @param sink - Receives the answer: `answer` itself, or what holds it back for `answer`.
  */
@@ -56,9 +63,9 @@
       status: response.status,
     });
   }
-  if (answer.isFailure(response.status)) await saveFailureAndThrow(response, answer);
+  if (answer.isFailure(response.status)) await saveFailureAndThrow(response, answer, callbacks);
   sink.receiveHead(response);
-  return response.body.forEach((bytes) => {
+  const end = await response.body.forEach((bytes) => {
     if (callbacks.isCancelled()) return undefined;
     callbacks.onBytesReceived();
     const held = sink.writeBytes(bytes);
@@ -66,4 +73,6 @@
     callbacks.onBytesWritten();
     return undefined;
   });
+  if (!callbacks.isCancelled()) await callbacks.requireWhole(end);
+  return end;
 }
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -107,6 +107,8 @@
   'reset',
   /** It is a stream that ended inside an event. */
   'partialEvent',
+  /** It has neither, and an order of this entry may have stopped its run. */
+  'runStopped',
 ] as const;
 export type IncompleteAnswerReason = (typeof incompleteAnswerReasons)[number];
 
