--- a/packages/entry-core/src/driver/SimulatedCluster.ts
+++ b/packages/entry-core/src/driver/SimulatedCluster.ts
@@ -14,7 +14,12 @@
   type WorkReport,
 } from '@hornbeampond/schema';
 import type { CallerRequest, EntryEventPayload, Timestamps } from '../entryEvents.js';
-import { SimulatedEntry, type CallerRecord } from './SimulatedEntry.js';
+import {
+  SimulatedEntry,
+  type CallerRecord,
+  type SimulatedMoveAnswer,
+  type SimulatedMoveOrder,
+} from './SimulatedEntry.js';
 import {
   SimulatedEngine,
   expectedAnswer,
@@ -86,6 +91,12 @@
   /** True makes every cache move fail. */
   movesFail = false;
 
+  /** Decides how an order to move a KV cache is answered; by default after the time that it takes. */
+  answerMove: ((order: SimulatedMoveOrder) => SimulatedMoveAnswer) | undefined;
+
+  /** True if an order to move a KV cache stops the run, and its stream ends with the move. */
+  movesStopRuns = false;
+
   /** False leaves every probe unanswered. */
   probesAnswered = true;
 
--- a/packages/entry-core/src/driver/SimulatedEntry.ts
+++ b/packages/entry-core/src/driver/SimulatedEntry.ts
@@ -54,6 +54,21 @@
   timedOut: boolean;
 }
 
+/** An order to move a KV cache that the entry has sent. */
+export interface SimulatedMoveOrder {
+  readonly at: number;
+  readonly requestId: string;
+  readonly from: string;
+  readonly to: string;
+  isAnswered: boolean;
+}
+
+/** How an order to move a KV cache is answered. */
+export interface SimulatedMoveAnswer {
+  readonly after: number;
+  readonly moved: boolean;
+}
+
 const PROGRESS_INTERVAL_MILLISECONDS = 100;
 
 export class SimulatedEntry {
@@ -71,6 +86,12 @@
   /** When each backend server first named a limit in an answer to this entry. */
   readonly toldLimitAt = new Map<string, number>();
 
+  /** Orders to move KV caches, in the order in which they were sent. */
+  readonly moveOrders: SimulatedMoveOrder[] = [];
+
+  /** Attempts that continued a stream at an engine that held nothing of its KV cache. */
+  readonly resumedWithoutCache: string[] = [];
+
   /** False simulates a stopped process: no event reaches the entry. */
   alive = true;
 
@@ -317,6 +338,7 @@
     const isResumed = effect.resumeFromTokens > 0 || request.resumption !== undefined;
     const position = isResumed ? caller.tokens.length : 0;
     const cached = this.movedTokens.get(`${request.requestId}@${connection.instance}`) ?? 0;
+    if (isResumed && cached === 0) this.resumedWithoutCache.push(attemptId);
     const listener = this.listen(connection);
     const streamFields = {
       attemptId,
@@ -410,19 +432,34 @@
     if (streams?.get(attemptId)?.stalled !== true) streams?.delete(attemptId);
   }
 
-  private moveCache({ requestId, attemptId, from, to }: Effect<'moveCache'>): void {
+  private moveCache(effect: Effect<'moveCache'>): void {
+    const { requestId, attemptId, from, to } = effect;
     const caller = this.callers.get(requestId);
     if (caller === undefined) return;
     const tokens = caller.tokens.length;
     const cachedTokens = caller.request.promptTokens + tokens;
-    this.cluster.schedule(this.cluster.moveDuration(cachedTokens), () => {
+    const { now } = this.cluster.clock();
+    const order = { at: now, requestId, from: from.instance, to: to.instance, isAnswered: false };
+    this.moveOrders.push(order);
+    const answer = this.cluster.answerMove?.(order);
+    if (this.cluster.movesStopRuns) this.cluster.engine(from.instance).streams.delete(attemptId);
+    this.cluster.schedule(answer?.after ?? this.cluster.moveDuration(cachedTokens), () => {
+      order.isAnswered = true;
       const alive = (instance: string) => this.cluster.engines.get(instance)?.alive === true;
-      const moved = !this.cluster.movesFail && alive(from.instance) && alive(to.instance);
+      const succeeds = answer?.moved ?? (alive(from.instance) && alive(to.instance));
+      const moved = !this.cluster.movesFail && succeeds;
       if (moved) this.movedTokens.set(`${requestId}@${to.instance}`, cachedTokens);
       this.send({ type: 'cacheMoved', requestId, attemptId, moved, tokens });
+      if (this.cluster.movesStopRuns) this.loseStoppedStream(attemptId);
     });
   }
 
+  /** The end of a stream that a move has stopped is reported after the result of the move. */
+  private loseStoppedStream(attemptId: string): void {
+    const connection = this.connections.get(attemptId);
+    if (connection !== undefined) this.failAttempt(connection, 'connectionLost', 'maybe');
+  }
+
   private probe(instance: string): void {
     if (!this.cluster.probesAnswered) return;
     const fail = () => this.send({ type: 'probeAnswered', instance, answered: false });
