Let runs rest after failed orders to move their caches, and keep late orders

A failed order was followed by the next one for the same run in the same turn, and a move that was abandoned when it was due left its order out: the next order's move ended with the first one's answer. Moves are numbered. An overdue move stays until its order is answered, while other streams have their turn, and its cache is still used. A stopped run without a cache to continue from breaks off at once if the result says that the run has stopped. Orders and refusals are counted by reason.

--- a/packages/entry-core/src/attempts/AttemptState.ts
+++ b/packages/entry-core/src/attempts/AttemptState.ts
@@ -2,6 +2,12 @@
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import type { AssumedRoom } from '../statements/AssumedRoom.js';
 
+export interface FailedMoves {
+  readonly count: number;
+  /** No other order is sent before. */
+  readonly restsUntil: MonotonicMilliseconds;
+}
+
 export interface AttemptState {
   readonly attemptId: string;
   readonly requestId: string;
@@ -31,6 +37,8 @@
   hasShownParts?: boolean;
   /** True while the shell holds the answer back, so the caller has received nothing of it. */
   isHeld?: boolean;
+  /** Orders to move its KV cache that have failed. */
+  failedMoves?: FailedMoves;
   /** True once the attempt has timed out but is kept, as its answer may still arrive first. */
   timedOut: boolean;
 }
--- a/packages/entry-core/src/driver/SimulatedEntry.ts
+++ b/packages/entry-core/src/driver/SimulatedEntry.ts
@@ -58,8 +58,10 @@
 export interface SimulatedMoveOrder {
   readonly at: number;
   readonly requestId: string;
+  readonly attemptId: string;
   readonly from: string;
   readonly to: string;
+  readonly moveNumber: number;
   isAnswered: boolean;
 }
 
@@ -67,6 +69,8 @@
 export interface SimulatedMoveAnswer {
   readonly after: number;
   readonly moved: boolean;
+  /** True if the answer states that the run has stopped, and the end of its stream is lost. */
+  readonly runStopped?: boolean;
 }
 
 const PROGRESS_INTERVAL_MILLISECONDS = 100;
@@ -433,15 +437,24 @@
   }
 
   private moveCache(effect: Effect<'moveCache'>): void {
-    const { requestId, attemptId, from, to } = effect;
+    const { requestId, attemptId, moveNumber, from, to } = effect;
     const caller = this.callers.get(requestId);
     if (caller === undefined) return;
     const tokens = caller.tokens.length;
     const cachedTokens = caller.request.promptTokens + tokens;
     const { now } = this.cluster.clock();
-    const order = { at: now, requestId, from: from.instance, to: to.instance, isAnswered: false };
+    const order = {
+      at: now,
+      requestId,
+      attemptId,
+      from: from.instance,
+      to: to.instance,
+      moveNumber,
+      isAnswered: false,
+    };
     this.moveOrders.push(order);
     const answer = this.cluster.answerMove?.(order);
+    const runStopped = answer?.runStopped;
     if (this.cluster.movesStopRuns) this.cluster.engine(from.instance).streams.delete(attemptId);
     this.cluster.schedule(answer?.after ?? this.cluster.moveDuration(cachedTokens), () => {
       order.isAnswered = true;
@@ -449,8 +462,16 @@
       const succeeds = answer?.moved ?? (alive(from.instance) && alive(to.instance));
       const moved = !this.cluster.movesFail && succeeds;
       if (moved) this.movedTokens.set(`${requestId}@${to.instance}`, cachedTokens);
-      this.send({ type: 'cacheMoved', requestId, attemptId, moved, tokens });
-      if (this.cluster.movesStopRuns) this.loseStoppedStream(attemptId);
+      this.send({
+        type: 'cacheMoved',
+        requestId,
+        attemptId,
+        moveNumber,
+        moved,
+        tokens,
+        runStopped,
+      });
+      if (this.cluster.movesStopRuns && runStopped !== true) this.loseStoppedStream(attemptId);
     });
   }
 
--- a/packages/entry-core/src/driver/fixtures.ts
+++ b/packages/entry-core/src/driver/fixtures.ts
@@ -59,3 +59,11 @@
     pools: { revision: 1, rows: pools },
   };
 }
+
+/** The same tables with routes whose calls may not be repeated and are not claimed. */
+export function makeOnceOnlyConfiguration(wholeAnswerMilliseconds: Milliseconds): Configuration {
+  const configuration = makeConfiguration(wholeAnswerMilliseconds);
+  const onceOnly = { idempotent: false, claimed: false };
+  const rows = configuration.routes.rows.map((route) => ({ ...route, ...onceOnly }));
+  return { ...configuration, routes: { ...configuration.routes, rows } };
+}
--- a/packages/entry-core/src/entryEffects.ts
+++ b/packages/entry-core/src/entryEffects.ts
@@ -70,6 +70,8 @@
        * The attempt that will continue with the moved cache; the target stores it under this id.
        */
       readonly nextAttemptId: string;
+      /** Returned in `cacheMoved`. */
+      readonly moveNumber: number;
       readonly from: AttemptTarget;
       readonly to: AttemptTarget;
     }
--- a/packages/entry-core/src/entryEvents.ts
+++ b/packages/entry-core/src/entryEvents.ts
@@ -217,6 +217,10 @@
       readonly moved: boolean;
       /** The `attemptId` of the `moveCache` effect that this is the result of. */
       readonly attemptId?: string;
+      /** The `moveNumber` of that effect. */
+      readonly moveNumber?: number;
+      /** True if the order has ended the run at its source, whether or not the cache has moved. */
+      readonly runStopped?: boolean;
       /** Number of answer tokens in the moved cache, if the engine reports it. */
       readonly tokens?: number;
     }
--- a/packages/entry-core/src/reclaims/ReclaimState.ts
+++ b/packages/entry-core/src/reclaims/ReclaimState.ts
@@ -6,6 +6,8 @@
 
 /** A KV cache that is being moved to another backend server for one stream. */
 export interface CacheMove {
+  /** Distinguishes the moves of one stream. */
+  readonly number: number;
   readonly requestId: string;
   readonly attemptId: string;
   readonly from: string;
@@ -13,8 +15,19 @@
   /** Number of answer tokens that the exported cache covers. */
   readonly tokens: number;
   readonly startedAt: MonotonicMilliseconds;
-  /** The move is considered failed at this time. */
+  /** The move is overdue from this time on. */
   readonly dueAt: MonotonicMilliseconds;
+  /**
+   * True once the move is due or its target is lost. The order is still out, but other streams of the
+   * source do not wait for its answer.
+   */
+  isOverdue: boolean;
+}
+
+export interface SourceFailures {
+  readonly inRow: number;
+  /** The source gets no order before. */
+  readonly restsUntil: MonotonicMilliseconds;
 }
 
 export interface ReclaimState {
@@ -22,10 +35,14 @@
    * When each backend server stops running, by instance; known even before the instance is listed.
    */
   readonly leaving: Map<string, EpochMilliseconds>;
-  /** Cache moves in progress, by request id. */
+  /** Moves whose orders have not been answered, by request id; no run has two. */
   readonly moves: Map<string, CacheMove>;
+  /** Number of moves so far. */
+  movesStarted: number;
+  /** Orders that have failed in a row, by the instance that got them. */
+  readonly failuresBySource: Map<string, SourceFailures>;
 }
 
 export function makeReclaimState(): ReclaimState {
-  return { leaving: new Map(), moves: new Map() };
+  return { leaving: new Map(), moves: new Map(), movesStarted: 0, failuresBySource: new Map() };
 }
--- a/packages/entry-core/src/reclaims/migrateStreams.ts
+++ b/packages/entry-core/src/reclaims/migrateStreams.ts
@@ -21,6 +21,7 @@
   countTokensToRecompute,
 } from './recoveryCosts.js';
 import { startCacheMove } from './moveCache.js';
+import { countFailedMoves, isRestingFromMoves, isSourceResting } from './moveRests.js';
 import { resumeElsewhere } from './resumeElsewhere.js';
 
 interface Stream {
@@ -106,8 +107,26 @@
   return { moved, resumed };
 }
 
-function hasMoveFrom(state: EntryState, instance: string): boolean {
-  return [...state.reclaims.moves.values()].some(({ from }) => from === instance);
+/** True if the next cache move from this backend server has to wait. */
+function mustDelayMove(state: EntryState, instance: string): boolean {
+  if (isSourceResting(state, instance)) return true;
+  return [...state.reclaims.moves.values()].some(
+    ({ from, isOverdue }) => from === instance && !isOverdue,
+  );
+}
+
+/** Separates the streams whose caches may be moved now from those whose last moves have failed. */
+function groupByRest(state: EntryState, streams: readonly Stream[]) {
+  return {
+    ready: streams.filter(({ attempt }) => !isRestingFromMoves(state, attempt)),
+    resting: streams.filter(({ attempt }) => isRestingFromMoves(state, attempt)),
+  };
+}
+
+/** Each stream has its turn before one whose moves have failed is ordered again. */
+function chooseNextMove(moved: readonly Stream[]): Stream | undefined {
+  const leastFailures = Math.min(...moved.map(({ attempt }) => countFailedMoves(attempt)));
+  return moved.find(({ attempt }) => countFailedMoves(attempt) === leastFailures);
 }
 
 /** Resumes streams whose lead time has come, the one with most tokens left first. */
@@ -161,10 +180,11 @@
   );
   if (streams.length === 0) return [];
   const { withoutFirstToken, withFirstToken, plainService } = groupByProgress(streams);
+  const { ready, resting } = groupByRest(state, withFirstToken);
   const { moved, resumed } = state.retries.policy.moveCaches
-    ? planCacheMoves(withFirstToken, timeLeft)
-    : { moved: [], resumed: withFirstToken };
-  const next = hasMoveFrom(state, instance) ? undefined : moved[0];
+    ? planCacheMoves(ready, timeLeft)
+    : { moved: [], resumed: ready };
+  const next = mustDelayMove(state, instance) ? undefined : chooseNextMove(moved);
   return [
     ...withoutFirstToken.flatMap(({ requestState }) =>
       resumeElsewhere(state, requestState, 'reclaimNotice', timestamps),
@@ -174,7 +194,7 @@
       : startCacheMove(state, next.requestState, next.attempt, timestamps)),
     ...resumeDueStreams(
       state,
-      [...resumed, ...plainService].filter(isRepeatable),
+      [...resumed, ...resting, ...plainService].filter(isRepeatable),
       timeLeft,
       timestamps,
     ),
--- a/packages/entry-core/src/reclaims/moveOrders.test.ts
+++ b/packages/entry-core/src/reclaims/moveOrders.test.ts
@@ -4,8 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Configuration } from '@hornbeampond/schema';
-import { makeConfiguration } from '../driver/fixtures.js';
+import { makeConfiguration, makeOnceOnlyConfiguration } from '../driver/fixtures.js';
 import {
   makeRequest,
   SimulatedCluster,
@@ -24,16 +23,6 @@
 
 const WHOLE_ANSWER_MILLISECONDS = 60_000;
 
-function makeOnceOnlyConfiguration(): Configuration {
-  const configuration = makeConfiguration(WHOLE_ANSWER_MILLISECONDS);
-  const rows = configuration.routes.rows.map((route) => ({
-    ...route,
-    idempotent: false,
-    claimed: false,
-  }));
-  return { ...configuration, routes: { ...configuration.routes, rows } };
-}
-
 interface Play {
   readonly cluster: SimulatedCluster;
   readonly callers: readonly CallerRecord[];
@@ -43,7 +32,7 @@
 function startReclaim(
   streamCount: number,
   prepare: (cluster: SimulatedCluster) => void,
-  configuration = makeOnceOnlyConfiguration(),
+  configuration = makeOnceOnlyConfiguration(WHOLE_ANSWER_MILLISECONDS),
 ): Play {
   const cluster = new SimulatedCluster({ engines: { 'wien-a': 1 }, configuration });
   const callers = Array.from({ length: streamCount }, (_, position) =>
@@ -93,6 +82,8 @@
   test(`an engine that refuses moves after ${after} ms gets few orders for each run`, () => {
     const { cluster } = startReclaim(8, (prepared) => answerAfter(prepared, after, false));
     cluster.advance(NOTICE_MILLISECONDS - 100);
+    const firstOrders = cluster.entry.moveOrders.slice(0, 8);
+    assert.equal(new Set(firstOrders.map(({ requestId }) => requestId)).size, 8);
     const orders = groupByRequest(cluster.entry.moveOrders);
     assert.equal(orders.length, 8, 'each stream gets its turn');
     orders.forEach((ofRun) => assert.equal(ofRun.length <= MAX_ORDERS_OF_RUN, true));
@@ -201,3 +192,76 @@
     assert.equal(cluster.entry.state.reclaims.moves.size, 0);
   });
 });
+
+[true, false].forEach((moved) => {
+  // Guards against a caller that waits for its stream to time out, although the answer to the order says
+  // that its run has stopped.
+  test(`a stopped stream without a cache breaks off before its end arrives (moved: ${moved})`, () => {
+    const { cluster, callers } = startReclaim(1, (prepared) => {
+      Object.assign(prepared, {
+        movesStopRuns: true,
+        answerMove: () => ({ after: 300, moved, runStopped: true }),
+      });
+    });
+    const { now } = cluster.clock();
+    cluster.advance(100);
+    cluster.engine(cluster.entry.moveOrders[0]?.to ?? '').die();
+    cluster.publishAliveEngines();
+    cluster.runUntilAnswered();
+    const [answer] = callers.flatMap(({ finalAnswers }) => finalAnswers);
+    assert.ok(answer?.type === 'problem');
+    assert.equal(answer.at - now <= 400, true, `after ${answer.at - now} ms`);
+    assert.equal(cluster.entry.state.quarantine.suspects.size, 0);
+  });
+});
+
+// Guards against a stream that may be repeated and is lost with its stopped run, as no engine is left.
+test('a stopped stream that may be repeated waits for an engine', () => {
+  const { cluster, callers } = startReclaim(
+    1,
+    (prepared) => {
+      Object.assign(prepared, {
+        movesStopRuns: true,
+        answerMove: () => ({ after: 300, moved: false, runStopped: true }),
+      });
+    },
+    makeConfiguration(WHOLE_ANSWER_MILLISECONDS),
+  );
+  cluster.advance(100);
+  ['wien-b-engine-1', 'wien-b-engine-2'].forEach((name) => cluster.engine(name).die());
+  cluster.publishAliveEngines();
+  cluster.advance(1000);
+  cluster.addEngine('wien-b-engine-3', 'wien-b');
+  cluster.runUntilAnswered();
+  assert.deepEqual(cluster.findViolations(), []);
+  assert.deepEqual(listFinalAnswers(callers), ['whole']);
+});
+
+// Guards against an answer that ends another move than the one whose order it answers.
+test('the answer to an earlier move is ignored', () => {
+  const { cluster } = startReclaim(1, (prepared) => answerAfter(prepared, 300, true));
+  cluster.advance(50);
+  const [order] = cluster.entry.moveOrders;
+  assert.ok(order !== undefined);
+  const { requestId, moveNumber } = order;
+  const attemptId = `${requestId}.1`;
+  const answer = { type: 'cacheMoved', requestId, attemptId, moved: true } as const;
+  cluster.entry.send({ ...answer, moveNumber: moveNumber - 1 });
+  assert.equal(cluster.entry.count('cacheMoves/moved'), 0);
+  cluster.entry.send({ ...answer, moveNumber });
+  assert.equal(cluster.entry.count('cacheMoves/moved'), 1);
+});
+
+// Guards against orders and refusals that operators cannot see.
+test('orders and refusals to order again are counted by reason', () => {
+  const { cluster } = startReclaim(8, (prepared) => answerAfter(prepared, 1, false));
+  cluster.advance(NOTICE_MILLISECONDS - 100);
+  const { entry } = cluster;
+  assert.equal(entry.count('cacheMoveOrders/first'), 8);
+  const again = entry.moveOrders.length - 8;
+  assert.equal(entry.count('cacheMoveOrders/afterFailure'), again);
+  const rests = entry.count('cacheMovesRefused/streamResting');
+  const usedUp = entry.count('cacheMovesRefused/ordersUsedUp');
+  assert.equal(rests + usedUp, entry.moveOrders.length);
+  assert.notEqual(entry.count('cacheMovesRefused/sourceResting'), 0);
+});
--- a/packages/entry-core/src/reclaims/recordReclaimNotice.ts
+++ b/packages/entry-core/src/reclaims/recordReclaimNotice.ts
@@ -68,6 +68,7 @@
  */
 function removeExpiredNotice(state: EntryState, instance: string): void {
   state.reclaims.leaving.delete(instance);
+  state.reclaims.failuresBySource.delete(instance);
   const server = state.backendServers.get(instance);
   if (server?.platformInstance.state === 'live') server.goneAt = server.platformInstance.goneAt;
 }
--- a/packages/schema/src/metrics.ts
+++ b/packages/schema/src/metrics.ts
@@ -8,7 +8,9 @@
   drainReasons,
   fleetRetryReasons,
   ejectionReasons,
+  cacheMoveOrderKinds,
   cacheMoveOutcomes,
+  cacheMoveRefusalReasons,
   hedgeOutcomes,
   hedgeRefusalReasons,
   lateAnswerReasons,
@@ -162,6 +164,18 @@
     help: 'Moves of KV cache from backend servers under a reclaim notice, by outcome',
     label: { name: 'outcome', values: cacheMoveOutcomes },
   },
+  cacheMoveOrders: {
+    name: 'hornbeampond_cache_move_orders_total',
+    kind: 'counter',
+    help: 'Orders to backend servers to move KV cache, by whether an earlier one for the run has failed',
+    label: { name: 'kind', values: cacheMoveOrderKinds },
+  },
+  cacheMovesRefused: {
+    name: 'hornbeampond_cache_moves_refused_total',
+    kind: 'counter',
+    help: 'Orders to move KV cache that were put off or given up, by reason',
+    label: { name: 'reason', values: cacheMoveRefusalReasons },
+  },
   lateAnswers: {
     name: 'hornbeampond_late_answers_total',
     kind: 'counter',
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -99,6 +99,26 @@
 export const cacheMoveOutcomes = ['moved', 'failed', 'sourceLost', 'targetLost'] as const;
 export type CacheMoveOutcome = (typeof cacheMoveOutcomes)[number];
 
+/** Whether an order to move a stream's KV cache is the first one for its run. */
+export const cacheMoveOrderKinds = ['first', 'afterFailure'] as const;
+export type CacheMoveOrderKind = (typeof cacheMoveOrderKinds)[number];
+
+/**
+ * Why a backend server is not ordered to move a KV cache, for now or for good.
+ *
+ * - `orderUnanswered`: an order for the same run is out and late.
+ * - `streamResting`: an order for the same run has failed; another follows after a rest.
+ * - `ordersUsedUp`: as many orders for the same run have failed as are allowed.
+ * - `sourceResting`: the last orders to the server have all failed, whichever the run.
+ */
+export const cacheMoveRefusalReasons = [
+  'orderUnanswered',
+  'streamResting',
+  'ordersUsedUp',
+  'sourceResting',
+] as const;
+export type CacheMoveRefusalReason = (typeof cacheMoveRefusalReasons)[number];
+
 /** How the version of a stream was found whose caller asks for the rest of it. */
 export const streamOriginFindings = [
   /** This entry or a store knows where the stream began. */
