--- a/apps/entry/src/CacheMover.ts
+++ b/apps/entry/src/CacheMover.ts
@@ -54,7 +54,7 @@
   /** Moves the KV cache of an attempt to another backend server and dispatches the result. */
   async move(move: MoveCacheEffect): Promise<void> {
     const { adapters, dispatch } = this.options;
-    const { requestId, attemptId, nextAttemptId, from, to } = move;
+    const { requestId, attemptId, nextAttemptId, moveNumber, from, to } = move;
     if (adapters.getOrCreate(from).kind === 'relay') {
       await this.moveRelayCache(move);
       return;
@@ -65,26 +65,27 @@
       await adapters
         .getEngineAdapter(to)
         .importCache({ ...cache, attemptId: nextAttemptId }, signal);
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: true });
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moveNumber, moved: true });
     } catch {
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
+      dispatch({ type: 'cacheMoved', requestId, attemptId, moveNumber, moved: false });
     }
   }
 
   /** Moves the KV cache of an opaque call, which stops its run. */
   private async moveRelayCache(move: MoveCacheEffect): Promise<void> {
     const { dispatch, findExchange, stopOrders } = this.options;
-    const { requestId, attemptId, nextAttemptId, from } = move;
+    const { requestId, attemptId, nextAttemptId, moveNumber, from } = move;
+    const result = { type: 'cacheMoved', requestId, attemptId, moveNumber } as const;
     const call = findExchange(requestId);
     if (call?.forwardedHeaders === undefined) {
-      dispatch({ type: 'cacheMoved', requestId, attemptId, moved: false });
+      dispatch({ ...result, moved: false });
       return;
     }
     const order = stopOrders.add(call, from.instance);
     const { outcome, cacheHandle } = await this.sendOrder(move, call.forwardedHeaders);
     if (cacheHandle !== undefined) this.movedCacheHandles.set(nextAttemptId, cacheHandle);
     // The dispatch starts the next attempt synchronously, and that attempt reads the handle.
-    dispatch({ type: 'cacheMoved', requestId, attemptId, moved: cacheHandle !== undefined });
+    dispatch({ ...result, moved: cacheHandle !== undefined, runStopped: outcome === 'carriedOut' });
     this.movedCacheHandles.delete(nextAttemptId);
     // Ended last: by now the attempt whose run has stopped is cancelled if another one goes on.
     order.end(outcome);
