Take a close before the request was sent for a broken answer

The adapters that use undici took any close by the server for the end of an answer without a length. A close while bytes of the request still wait in the process is none now.

The four with 0.6 MB still fail: there the operating system has taken the whole request, though the server has read only its beginning.

--- a/packages/adapters/src/http/CallConnections.ts
+++ b/packages/adapters/src/http/CallConnections.ts
@@ -1,10 +1,12 @@
 /**
  * Knows which connection carried a call, and whether the server has closed that connection and not reset
- * it. `undici` takes a reset for the end of a body that has neither a length nor chunks.
+ * it. `undici` takes a reset for the end of a body that has neither a length nor chunks, and also a close
+ * that comes before the request was sent.
  */
 import type { Socket } from 'node:net';
 import { Client, type buildConnector, type Dispatcher } from 'undici';
 import { hasPeer } from '../hasPeer.js';
+import { hasUnsentBytes } from '../hasUnsentBytes.js';
 
 const closedByServer = new WeakSet<Socket>();
 
@@ -12,11 +14,14 @@
 function watchEnd(socket: Socket): void {
   // Must run before the listener of `net`, which closes the connection in turn.
   socket.prependOnceListener('end', () => {
-    if (hasPeer(socket)) closedByServer.add(socket);
+    if (hasPeer(socket) && !hasUnsentBytes(socket)) closedByServer.add(socket);
   });
 }
 
-/** True once the server has closed the connection after all bytes that were read from it. */
+/**
+ * True once the server has closed the connection after all bytes that were read from it. Never true if
+ * bytes of a request had not been sent by then.
+ */
 export function isClosedByServer(socket: Socket): boolean {
   return closedByServer.has(socket);
 }
