Ask the operating system for bytes that a peer has not received

Once Node has handed a request over, the operating system holds it for the server: 3 MB on loopback, while the server has read 64 kB. So a close before the request was sent still passed for the end of an answer where the request was shorter. Linux lists the unacknowledged bytes of each connection; a close acknowledges all that its sender received. The list is read only at the close of an answer with neither a length nor chunks, after a request above 64 KiB.

--- a/packages/adapters/src/http/CallConnections.ts
+++ b/packages/adapters/src/http/CallConnections.ts
@@ -10,11 +10,15 @@
 
 const closedByServer = new WeakSet<Socket>();
 
-/** Must be called before anything else listens to the end of the connection. */
-function watchEnd(socket: Socket): void {
+/**
+ * Must be called before anything else listens to the end of the connection.
+ *
+ * @param requestBytes - Returns the length of the body of the request that was sent last.
+ */
+function watchEnd(socket: Socket, requestBytes: () => number): void {
   // Must run before the listener of `net`, which closes the connection in turn.
   socket.prependOnceListener('end', () => {
-    if (hasPeer(socket) && !hasUnsentBytes(socket)) closedByServer.add(socket);
+    if (hasPeer(socket) && !hasUnsentBytes(socket, requestBytes())) closedByServer.add(socket);
   });
 }
 
@@ -43,17 +47,28 @@
 
 type Connect = buildConnector.connector;
 
+interface Newest {
+  socket?: Socket;
+  /** Length of the body of the newest call; there is one at a time. */
+  requestBytes: number;
+}
+
+/** Calls have no bodies of other kinds. */
+function countBytes(body: Dispatcher.DispatchOptions['body']): number {
+  return typeof body === 'string' || body instanceof Uint8Array ? Buffer.byteLength(body) : 0;
+}
+
 /** A client that knows its newest connection, and tells each call that it is the one that sends it. */
 export class ConnectionClient extends Client {
-  private readonly newest: { socket?: Socket };
+  private readonly newest: Newest;
 
   constructor(origin: string | URL, options: Client.Options & { readonly connect: Connect }) {
-    const newest: { socket?: Socket } = {};
+    const newest: Newest = { requestBytes: 0 };
     const connect: Connect = (target, callback) =>
       options.connect(target, (...outcome) => {
         const [, socket] = outcome;
         if (socket !== null) {
-          watchEnd(socket);
+          watchEnd(socket, () => newest.requestBytes);
           newest.socket = socket;
         }
         callback(...outcome);
@@ -68,6 +83,7 @@
 
   override dispatch(call: TrackedCall, handler: Dispatcher.DispatchHandler): boolean {
     call.connection?.dispatchedTo(this);
+    this.newest.requestBytes = countBytes(call.body);
     return super.dispatch(call, handler);
   }
 }
