--- a/apps/entry/src/findIncompleteness.test.ts
+++ b/apps/entry/src/findIncompleteness.test.ts
@@ -25,6 +25,12 @@
   assert.equal(findIncompleteness({ ...framed, mayHaveBeenStopped: true }), undefined);
 });
 
+// Guards against a part given as complete, because its server closed before it had the whole request.
+test('an answer that only a close ends is not whole if its request was not yet sent', () => {
+  const early: EndedAnswer = { ...whole, bodyEnd: { ...closed, hasSentRequest: false } };
+  assert.equal(findIncompleteness(early), 'requestNotSent');
+});
+
 // Guards against half an event that looks like the end of a stream.
 test('a stream that ends inside an event is not whole, however it ends', () => {
   [closed, { shownBy: 'framing' } as const].forEach((bodyEnd) =>
--- a/apps/entry/src/findIncompleteness.ts
+++ b/apps/entry/src/findIncompleteness.ts
@@ -22,5 +22,7 @@
 }: EndedAnswer): IncompleteAnswerReason | undefined {
   if (hasPartialEvent) return 'partialEvent';
   if (bodyEnd.shownBy === 'framing') return undefined;
+  // A server that closes within the request may reset the connection a moment later.
+  if (!bodyEnd.hasSentRequest) return 'requestNotSent';
   return mayHaveBeenStopped ? 'runStopped' : undefined;
 }
--- a/packages/adapters/src/RelayBody.ts
+++ b/packages/adapters/src/RelayBody.ts
@@ -11,7 +11,7 @@
   | { readonly shownBy: 'framing' }
   | {
       readonly shownBy: 'close';
-      /** True if the whole request had been sent when the answer began. */
+      /** True if the backend server had received the whole request by then. */
       readonly hasSentRequest: boolean;
     };
 
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -107,6 +107,8 @@
   'reset',
   /** It is a stream that ended inside an event. */
   'partialEvent',
+  /** It has neither, and its backend server closed its connection before it had the whole request. */
+  'requestNotSent',
   /** It has neither, and an order of this entry may have stopped its run. */
   'runStopped',
 ] as const;
