--- a/packages/adapters/src/readChunks.ts
+++ b/packages/adapters/src/readChunks.ts
@@ -1,15 +1,19 @@
+import { BodyBytes } from '@hornbeampond/runtime';
+
+function toBuffer({ buffer, byteOffset, byteLength }: Uint8Array): Buffer {
+  return Buffer.from(buffer, byteOffset, byteLength);
+}
+
 /** Reads a body to its end; stops with the given error once it is longer than `maxBytes`. */
 export async function readChunks(
   chunks: AsyncIterable<Uint8Array>,
   maxBytes: number,
   makeTooLongError: () => Error,
 ): Promise<Buffer> {
-  const read: Uint8Array[] = [];
-  let size = 0;
+  const body = new BodyBytes();
   for await (const chunk of chunks) {
-    size += chunk.byteLength;
-    if (size > maxBytes) throw makeTooLongError();
-    read.push(chunk);
+    if (body.length + chunk.byteLength > maxBytes) throw makeTooLongError();
+    body.add(toBuffer(chunk));
   }
-  return Buffer.concat(read);
+  return body.join();
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from './BodyBytes.js';
 export * from './Logger.js';
 export * from './Metrics.js';
 export * from './SystemTimerService.js';
--- a/packages/transport/src/readBody.ts
+++ b/packages/transport/src/readBody.ts
@@ -1,7 +1,7 @@
 /** Reads a request body up to a size limit. */
 import type { IncomingMessage } from 'node:http';
+import { BodyBytes } from '@hornbeampond/runtime';
 import { HornbeampondError } from '@hornbeampond/schema';
-import { BodyBytes } from './BodyBytes.js';
 
 /**
  * Decides whether there is room for the next bytes of a body, of which `receivedBytes` have come by then;
