Test what a long event costs and what is held after it

Cause: 64 streams with an event without end took 89 MB in buffers at an entry. Change: tests of the splitter with the longest event in chunks of one byte, and of what it holds after an event.

--- a/apps/entry/src/EventStreamSplitter.test.ts
+++ b/apps/entry/src/EventStreamSplitter.test.ts
@@ -97,3 +97,44 @@
     assert.deepEqual({ text, count, pending }, { text: events, count: 2, pending: '' });
   });
 });
+
+const KIBIBYTE = 1024;
+const MAX_EVENT_BYTES = 1024 * KIBIBYTE;
+const READ_BYTES = 64 * KIBIBYTE;
+
+/** Heartbeats of entries and the time limits of calls bear no longer standstill. */
+const MAX_STANDSTILL_MILLISECONDS = 1000;
+
+// Guards against an entry that stands still because it copies and searches a long event again with each
+// small chunk: a server that sends one without end would stop the requests of all clients.
+test('the longest event in chunks of one byte does not hold up the process', () => {
+  const splitter = new EventStreamSplitter();
+  const piece = Buffer.from('x');
+  const startedAt = performance.now();
+  let elapsed = 0;
+  for (
+    let count = 0;
+    count < MAX_EVENT_BYTES && elapsed < MAX_STANDSTILL_MILLISECONDS;
+    count += 1
+  ) {
+    splitter.push(piece);
+    elapsed = performance.now() - startedAt;
+  }
+  const { length } = splitter.pendingBytes;
+  assert.equal(length, MAX_EVENT_BYTES, `${length} bytes in ${elapsed} ms`);
+  assert.throws(() => splitter.push(piece), /too long/);
+});
+
+// Guards against open streams that each hold their last read, or their longest event, until the next one.
+test('a splitter holds no more than the incomplete event', () => {
+  const splitter = new EventStreamSplitter();
+  const ends = ['\n\n', '\n\nd', '\n\ndata: 1\n'];
+  ends.forEach((end) => {
+    splitter.push(Buffer.alloc(READ_BYTES, 'x'));
+    splitter.push(Buffer.from(end));
+    const { length, buffer } = splitter.pendingBytes;
+    // Small buffers are parts of a pool of Node's, which is shared.
+    const limit = Math.max(2 * length, Buffer.poolSize);
+    assert.ok(buffer.byteLength <= limit, `${buffer.byteLength} bytes for ${length}`);
+  });
+});
