--- a/apps/entry/src/EventStreamSplitter.test.ts
+++ b/apps/entry/src/EventStreamSplitter.test.ts
@@ -97,3 +97,52 @@
     assert.deepEqual({ text, count, pending }, { text: events, count: 2, pending: '' });
   });
 });
+
+const KIBIBYTE = 1024;
+const MAX_EVENT_BYTES = 1024 * KIBIBYTE;
+const READ_BYTES = 64 * KIBIBYTE;
+
+/** Processor time of an event; heartbeats of entries and the time limits of calls bear no longer standstill. */
+const MAX_EVENT_MILLISECONDS = 1000;
+
+const PIECES_PER_CHECK = 4 * KIBIBYTE;
+const MICROSECONDS_PER_MILLISECOND = 1000;
+
+function readProcessorMilliseconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MILLISECOND;
+}
+
+['', 'id: 1\ndata: ', 'id: 1\r\ndata: '].forEach((start) => {
+  // Guards against an entry that stands still because it copies and searches a long event again with each
+  // small chunk: a server that sends one without end would stop the requests of all clients.
+  test(`the longest event in chunks of one byte does not hold up the process, after ${JSON.stringify(start)}`, () => {
+    const splitter = new EventStreamSplitter();
+    const piece = Buffer.from('x');
+    if (start !== '') splitter.push(Buffer.from(start));
+    const startedAt = readProcessorMilliseconds();
+    let elapsed = 0;
+    for (let count = start.length; count < MAX_EVENT_BYTES; count += 1) {
+      splitter.push(piece);
+      if (count % PIECES_PER_CHECK === 0) elapsed = readProcessorMilliseconds() - startedAt;
+      if (elapsed > MAX_EVENT_MILLISECONDS) break;
+    }
+    const { length } = splitter.pendingBytes;
+    assert.equal(length, MAX_EVENT_BYTES, `${length} bytes in ${elapsed} ms`);
+    assert.throws(() => splitter.push(piece), /too long/);
+  });
+});
+
+// Guards against open streams that each hold their last read, or their longest event, until the next one.
+test('a splitter holds no more than the incomplete event', () => {
+  const splitter = new EventStreamSplitter();
+  const ends = ['\n\n', '\n\nd', '\n\ndata: 1\n'];
+  ends.forEach((end) => {
+    splitter.push(Buffer.alloc(READ_BYTES, 'x'));
+    splitter.push(Buffer.from(end));
+    const { length, buffer } = splitter.pendingBytes;
+    // Small buffers are parts of a pool of Node's, which is shared.
+    const limit = Math.max(2 * length, Buffer.poolSize);
+    assert.ok(buffer.byteLength <= limit, `${buffer.byteLength} bytes for ${length}`);
+  });
+});
