--- a/packages/entry-core/src/attempts/testing/PlainCalls.ts
+++ b/packages/entry-core/src/attempts/testing/PlainCalls.ts
@@ -14,6 +14,8 @@
 export interface AttemptEnd {
   readonly after: Milliseconds;
   readonly failure?: AttemptFailure;
+  /** `nothing` for a failure which proves that the attempt has not run. */
+  readonly sent?: 'nothing' | 'maybe';
 }
 
 export interface SentAttempt {
@@ -44,6 +46,8 @@
   readonly rollout?: Rollout;
   /** True to never report that a hedge is due, for comparison. */
   readonly ignoresHedges?: boolean;
+  /** For a whole answer, which is also in time until then. */
+  readonly deadlineMilliseconds?: Milliseconds;
   serve(attempt: SentAttempt): AttemptEnd;
 }
 
@@ -130,10 +134,11 @@
 
   private configure(): void {
     const { route, servers = 4, concurrency = 6, rollout } = this.options;
+    const { deadlineMilliseconds: wholeAnswerMilliseconds = DEADLINE_MILLISECONDS } = this.options;
     const deadline = {
-      firstTokenMilliseconds: TARGET_MILLISECONDS,
-      wholeAnswerMilliseconds: DEADLINE_MILLISECONDS,
-      lateFirstTokenMilliseconds: DEADLINE_MILLISECONDS,
+      firstTokenMilliseconds: this.options.deadlineMilliseconds ?? TARGET_MILLISECONDS,
+      wholeAnswerMilliseconds,
+      lateFirstTokenMilliseconds: wholeAnswerMilliseconds,
     };
     const row = exampleRoute({
       mostAttempts: 2,
@@ -229,18 +234,18 @@
     if (hedgeAfter !== undefined && this.options.ignoresHedges !== true) {
       this.timeline.after(hedgeAfter, () => this.send({ type: 'hedgeDue', attemptId }));
     }
-    const { after, failure } = this.options.serve(attempt);
-    this.timeline.after(after, () => this.endAttempt(attemptId, failure));
+    const end = this.options.serve(attempt);
+    this.timeline.after(end.after, () => this.endAttempt(attemptId, end));
   }
 
-  private endAttempt(attemptId: string, failure: AttemptFailure | undefined): void {
+  private endAttempt(attemptId: string, { failure, sent = 'maybe' }: AttemptEnd): void {
     if (!this.running.delete(attemptId)) return;
     if (failure === undefined) {
       this.send({ type: 'firstTokenReceived', attemptId });
       this.send({ type: 'attemptFinished', attemptId, tokens: 0 });
       return;
     }
-    const fields = { sent: 'maybe', tokens: 0, answerStarted: false } as const;
+    const fields = { sent, tokens: 0, answerStarted: false } as const;
     this.send({ type: 'attemptFailed', attemptId, failure, ...fields });
   }
 }
