Refuse requests that cannot end before the time limit of a shutdown

A stopping entry took requests until the moment at which it ended them all, so those that came or were sent on late were passed on and cut. It now compares the time that is left with the usual duration of the route (95th percentile, per token where the request states tokens) when a request arrives, and for those that wait at each tick and when they are sent on, first or again. A request that has not run is refused as draining, so that its caller can go to another entry. Durations are recorded for all routes, not only for those that may be hedged.

The margin before the limit is at most a twelfth of it: with a limit of 1 s, runs were cut after half of it. Answers in progress are ended at that time, not at the next tick.

--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -87,6 +87,9 @@
 /** Reserved before the shutdown time limit for writing the last answers. */
 const SHUTDOWN_MARGIN_MILLISECONDS = 500;
 
+/** Of a short time limit, answers in progress get all but this fraction. */
+const MAX_SHUTDOWN_MARGIN_FRACTION = 1 / 12;
+
 /** How long a stopping entry waits for others that use its tunnels to go elsewhere. */
 const TUNNEL_DRAIN_MILLISECONDS = 3000;
 
@@ -383,9 +386,8 @@
 
   /**
    * Shuts down gracefully: becomes unready, accepts requests for the load balancer's delay, then
-   * stops listening. The reducer ends what is still in progress `SHUTDOWN_MARGIN_MILLISECONDS` before
-   * the time limit. Closes once nothing is in progress; if the reducer does not report that, at the
-   * time limit.
+   * stops listening. The reducer ends what is still in progress shortly before the time limit. Closes
+   * once nothing is in progress; if the reducer does not report that, at the time limit.
    */
   async shutDown(): Promise<void> {
     const { balancerDelayMilliseconds, shutdownMilliseconds } = this.settings;
@@ -398,16 +400,23 @@
       cancelLimit = this.timers.after(shutdownMilliseconds, resolve);
     });
     const now = this.timers.monotonicNow();
-    const shutdownEndsAt = now + shutdownMilliseconds - SHUTDOWN_MARGIN_MILLISECONDS;
-    const drainMilliseconds = Math.max(0, shutdownMilliseconds - SHUTDOWN_MARGIN_MILLISECONDS);
+    const margin = Math.min(
+      SHUTDOWN_MARGIN_MILLISECONDS,
+      shutdownMilliseconds * MAX_SHUTDOWN_MARGIN_FRACTION,
+    );
+    const drainMilliseconds = shutdownMilliseconds - margin;
     const acceptUntil = now + Math.min(balancerDelayMilliseconds, drainMilliseconds);
     this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + drainMilliseconds });
     this.timers.after(acceptUntil - now, () => this.callerListener.stopListening());
+    // A regular tick could come up to an interval later, when little of the margin is left.
+    this.subscriptions.push(
+      this.timers.after(drainMilliseconds, () => this.dispatch({ type: 'tick' })),
+    );
     await drainedOrTimedOut;
-    const timeLeft = shutdownEndsAt - this.timers.monotonicNow();
+    const timeLeft = now + drainMilliseconds - this.timers.monotonicNow();
     await this.paths.drain(Math.min(TUNNEL_DRAIN_MILLISECONDS, timeLeft));
     cancelLimit();
-    await this.close(SHUTDOWN_MARGIN_MILLISECONDS);
+    await this.close(margin);
     this.logger.write('shutdownFinished', { requestsCut: this.exchanges.size });
   }
 
--- a/packages/entry-core/src/admission/admitRequest.ts
+++ b/packages/entry-core/src/admission/admitRequest.ts
@@ -141,7 +141,8 @@
   { now }: Timestamps,
 ): void {
   const refusal = decision.type === 'refused' ? decision.refusal : undefined;
-  if (refusal?.kind === 'allowanceSpent') return;
+  // The callers that a shutdown refuses are counted where they go.
+  if (refusal?.kind === 'allowanceSpent' || refusal?.kind === 'draining') return;
   state.demand.record(accepted.route.name, now);
   // A caller that ignores its retry time asks for nothing that it has not asked for already.
   const asksForCapacity = refusal?.kind !== 'limitReached' && refusal?.isEarly !== true;
--- a/packages/entry-core/src/admission/decideAdmission.ts
+++ b/packages/entry-core/src/admission/decideAdmission.ts
@@ -8,11 +8,13 @@
 import type { BackendServerState } from '../backendServers/BackendServerState.js';
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { refuseArrivalBeforeShutdown } from '../shutdown/refuseBeforeShutdown.js';
 import { canLend, decideByShare, refuseByShare, scheduleRetry } from './applyShare.js';
 import type { EarlyRefusal } from './EarlyRefusal.js';
 import { findDisplaceable } from './displaceQueued.js';
 import type { QueuedRequest } from './FairQueue.js';
 import { placeRequest, type Placement } from './placeRequest.js';
+import { makeQueuedRequest, PREDICTION_TOLERANCE, predictWait } from './predictWait.js';
 import { refuseLateInQueue, refuseOverQueue } from './refuseByQueue.js';
 import { refuseLateStart, refuseWithoutServer } from './refuseByServers.js';
 import { refuseOverAllowance, refuseOverLimit } from './refuseOverLimits.js';
@@ -102,6 +104,18 @@
   return late === undefined ? { type: 'admitted', server: undefined, displaced } : toDecision(late);
 }
 
+/** Refuses a request whose predicted wait would let the time limit of a shutdown cut it. */
+function refuseWaitBeforeShutdown(
+  state: EntryState,
+  accepted: RequestState,
+  now: MonotonicMilliseconds,
+): EarlyRefusal | undefined {
+  if (!state.shutdown.started) return undefined;
+  const predicted = predictWait(state, makeQueuedRequest(state, accepted));
+  const wait = predicted * (1 - PREDICTION_TOLERANCE);
+  return refuseArrivalBeforeShutdown(state, accepted, wait, now);
+}
+
 /**
  * Decides on a request; one that cannot meet its deadline is served late if that is still useful.
  */
@@ -110,8 +124,14 @@
   accepted: RequestState,
   now: MonotonicMilliseconds,
 ): AdmissionDecision {
+  const unfinishable = refuseArrivalBeforeShutdown(state, accepted, 0, now);
+  if (unfinishable !== undefined) return toDecision(unfinishable);
   const decision = decideWithoutLateService(state, accepted, now);
-  if (decision.type === 'admitted') return decision;
+  if (decision.type === 'admitted') {
+    if (decision.server !== undefined) return decision;
+    const tooLate = refuseWaitBeforeShutdown(state, accepted, now);
+    return tooLate === undefined ? decision : toDecision(tooLate);
+  }
   const { refusal } = decision;
   if (refusal.kind === 'deadlineUnreachable' && canServeLate(state, accepted, now)) {
     return { type: 'late' };
--- a/packages/entry-core/src/admission/failUnreachableDeadlines.ts
+++ b/packages/entry-core/src/admission/failUnreachableDeadlines.ts
@@ -10,18 +10,12 @@
 import { failRequest } from '../requests/endRequest.js';
 import type { FairQueue, QueuedRequest, WorkspaceQueue } from './FairQueue.js';
 import type { PoolQueue } from './PoolQueue.js';
-import { estimateSlots, expectedFirstTokenDelay } from './predictWait.js';
+import { estimateSlots, expectedFirstTokenDelay, PREDICTION_TOLERANCE } from './predictWait.js';
 import { scheduleRetry } from './applyShare.js';
 import { assignRetryAfter } from './assignRetryAfter.js';
 import { removeAllEnded } from './removeEndedFromQueue.js';
 import { canServeLate, requeueAsLate } from './serveLate.js';
 
-/**
- * The fraction of a predicted wait that is ignored, because predictions are noisy and a request
- * that is ended too early is lost as well.
- */
-const PREDICTION_TOLERANCE = 0.25;
-
 /** Finds the requests with an unreachable deadline in the queue of one pool. */
 class UnreachableDeadlineSearch {
   readonly found: QueuedRequest[] = [];
--- a/packages/entry-core/src/admission/predictWait.ts
+++ b/packages/entry-core/src/admission/predictWait.ts
@@ -17,6 +17,12 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/**
+ * The fraction of a predicted wait that is ignored, because predictions are noisy and a request
+ * that is ended too early is lost as well.
+ */
+export const PREDICTION_TOLERANCE = 0.25;
+
 /**
  * Number of slots of backend servers that serve this entry while requests are queued. If all of them
  * name limits on requests per second, it is the number of slots that requests at the allowed rates
--- a/packages/entry-core/src/attempts/startAttempt.ts
+++ b/packages/entry-core/src/attempts/startAttempt.ts
@@ -13,6 +13,7 @@
 import { isSuspect, mustDelaySuspect } from '../quarantine/suspects.js';
 import { failRequest } from '../requests/endRequest.js';
 import type { RequestState } from '../requests/RequestState.js';
+import { failBeforeShutdown } from '../shutdown/refuseBeforeShutdown.js';
 import { timeUntilRested } from '../statements/restAllowance.js';
 import { chooseServerForAttempt, canWaitForBackendServer } from './chooseServerForAttempt.js';
 import { launchAttempt } from './launchAttempt.js';
@@ -92,6 +93,8 @@
 ): EntryEffect[] {
   const refusal = refuseQuarantined(state, requestState, now);
   if (refusal !== undefined) return refusal;
+  const ended = failBeforeShutdown(state, requestState, now);
+  if (ended !== undefined) return ended;
   if (isTakenUpTooLate(requestState, now)) return failWithoutServer(state, requestState);
   if (state.retries.policy.isolateSuspects && mustDelaySuspect(state, requestState, now)) {
     waitForBackendServer(state, requestState, now);
--- a/packages/entry-core/src/hedging/observeDurations.ts
+++ b/packages/entry-core/src/hedging/observeDurations.ts
@@ -4,21 +4,26 @@
 import type { EntryState } from '../EntryState.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { canBeHedged } from './canBeHedged.js';
-import { getRouteDurations } from './HedgingState.js';
+import { getRouteDurations, getTokenDurations } from './HedgingState.js';
 
 /**
  * Records an attempt that has finished, timed out or lost against a hedge. Only first attempts count:
- * a hedge runs on the server that is least loaded at that moment, and its loser is cancelled early.
+ * a hedge runs on the server that is least loaded at that moment, and its loser is cancelled early. The
+ * rest of a stream says nothing about whole answers.
  */
 export function recordDuration(
   state: EntryState,
   requestState: RequestState,
-  { attemptId, startedAt }: AttemptState,
+  { attemptId, startedAt, firstTokenAt }: AttemptState,
   now: MonotonicMilliseconds,
 ): void {
-  if (state.slowness.detector.isSlow || !canBeHedged(requestState)) return;
-  if (attemptId !== attemptIdOf(requestState.request.requestId, 1)) return;
-  getRouteDurations(state.hedging, requestState.route.name).addSample(now - startedAt);
+  const { request, route } = requestState;
+  if (state.slowness.detector.isSlow || request.resumption !== undefined) return;
+  if (attemptId !== attemptIdOf(request.requestId, 1)) return;
+  getRouteDurations(state.hedging, route.name).addSample(now - startedAt);
+  if (request.maxTokens <= 0 || firstTokenAt === undefined) return;
+  const timePerToken = (now - firstTokenAt) / request.maxTokens;
+  getTokenDurations(state.hedging, route.name).addSample(timePerToken);
 }
 
 /** Records whether a request that has ended has missed its target. */
--- a/packages/entry-core/src/requests/endRequest.ts
+++ b/packages/entry-core/src/requests/endRequest.ts
@@ -40,13 +40,18 @@
   ];
 }
 
-/** Ends an accepted request with a problem. */
+/**
+ * Ends an accepted request with a problem.
+ *
+ * @param facts - The values the decision is based on, for the log.
+ */
 export function failRequest(
   state: EntryState,
   accepted: RequestState,
   kind: ErrorKind,
   detail: string,
   problem: ProblemFields = {},
+  facts: LogFields = {},
 ): EntryEffect[] {
   const { requestId, workspace } = accepted.request;
   const { tokens } = accepted;
@@ -69,7 +74,7 @@
     {
       type: 'log',
       event: 'requestFailed',
-      fields: { requestId, workspace, kind, detail, ran },
+      fields: { requestId, workspace, kind, detail, ran, ...facts },
     },
   ];
 }
--- a/packages/entry-core/src/shutdown/advanceShutdown.ts
+++ b/packages/entry-core/src/shutdown/advanceShutdown.ts
@@ -1,8 +1,9 @@
 /**
  * Graceful shutdown. The entry reports its shutdown to its peers, and until `acceptUntil` it still
  * accepts requests, because the load balancer has not noticed yet and callers would see a planned
- * shutdown as an outage. Streams then run to their end. What is still in progress shortly before
- * the platform's time limit gets a final answer with which the caller can continue elsewhere.
+ * shutdown as an outage. A request that is not expected to end in time is refused before it runs.
+ * Streams then run to their end. What is still in progress shortly before the platform's time limit
+ * gets a final answer with which the caller can continue elsewhere.
  */
 import type { EntryEffect } from '../entryEffects.js';
 import type { EntryEvent, Timestamps } from '../entryEvents.js';
@@ -12,9 +13,10 @@
 import { determineRan } from '../requests/determineRan.js';
 import type { RequestState } from '../requests/RequestState.js';
 import { takeAllHeld } from '../streamVersions/heldTakeUps.js';
-
-/** Short, because another entry can serve the caller immediately. */
-const RETRY_AFTER_MILLISECONDS = 100;
+import {
+  failWaitingBeforeShutdown,
+  SHUTDOWN_RETRY_AFTER_MILLISECONDS,
+} from './refuseBeforeShutdown.js';
 
 export function startShutdown(
   state: EntryState,
@@ -30,7 +32,7 @@
 function failRemainingRequest(state: EntryState, accepted: RequestState): EntryEffect[] {
   const detail = 'This instance is stopping; send the request again to continue';
   const kind = determineRan(accepted) === 'no' ? 'draining' : 'answerCut';
-  const problem = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+  const problem = { retryAfterMilliseconds: SHUTDOWN_RETRY_AFTER_MILLISECONDS };
   return failRequest(state, accepted, kind, detail, problem);
 }
 
@@ -45,7 +47,8 @@
 
 /** The caller of a request that is held can be served at another entry at once. */
 function refuseHeldRequests(state: EntryState): EntryEffect[] {
-  const problem = { ran: 'no', retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS } as const;
+  const retryAfterMilliseconds = SHUTDOWN_RETRY_AFTER_MILLISECONDS;
+  const problem = { ran: 'no', retryAfterMilliseconds } as const;
   return takeAllHeld(state).flatMap(({ request }) =>
     refuseRequest(request, 'draining', 'This instance is shutting down', problem),
   );
@@ -57,7 +60,9 @@
   state.refusesNewRequests = shutdown.acceptUntil <= now;
   const effects = [
     ...(state.refusesNewRequests ? refuseHeldRequests(state) : []),
-    ...(shutdown.endAt <= now ? failRemainingRequests(state) : []),
+    ...(shutdown.endAt <= now
+      ? failRemainingRequests(state)
+      : failWaitingBeforeShutdown(state, now)),
   ];
   // Until the stores have recorded the outcome of a claimed call, a resend of it would be answered
   // with `ran: 'unknown'`.
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -25,6 +25,7 @@
   'quarantined',
   'noOtherBackendServer',
   'attemptsUsedUp',
+  'shuttingDown',
 ] as const;
 export type RetryRefusalReason = (typeof retryRefusalReasons)[number];
 
