--- a/packages/transport/src/httpConnections/HttpConnections.test.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.test.ts
@@ -168,6 +168,30 @@
   });
 });
 
+const CHUNKS_HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+/** Takes longer to parse than one turn has time for. */
+const CHUNKS = '1\r\na\r\n'.repeat(50_000);
+
+// Guards against a request that is taken for a broken one because its caller ends its side before it is parsed.
+test('a body is read whole if its caller ends its side while input waits for its turn', async (context) => {
+  const server = await TestServer.start(context);
+  server.connect().end(`${CHUNKS_HEAD}${CHUNKS}0\r\n\r\n`);
+  await until(() => server.responses[0]?.req.complete === true);
+  assert.deepEqual(server.refusals, []);
+});
+
+// Guards against input that is parsed for connections that have been reset.
+test('input that waits for its turn is dropped with its connection', async (context) => {
+  const server = await TestServer.start(context);
+  const sockets = Array.from({ length: 5 }, () => server.connect());
+  sockets.forEach((socket) => socket.write(`${CHUNKS_HEAD}${CHUNKS}`));
+  await until(() => server.responses.length === sockets.length);
+  sockets.forEach((socket) => socket.resetAndDestroy());
+  await until(() => server.responses.every(({ destroyed }) => destroyed) && server.held === 0);
+  assert.ok(server.responses.every(({ req }) => !req.complete));
+});
+
 // Guards against a refused caller that keeps its place because it never closes its half.
 test('a refused caller that does not leave is closed', async (context) => {
   const server = await TestServer.start(context);
