Join the small chunks of an answer that is held

Cause: an answer that is buffered or held for a hedge kept each chunk as an object with the read that it came with: 29.8 and 28.3 MB for 256 KiB in chunks of one byte. Change: HeldAnswer and RelayAnswer collect the bytes with BodyBytes, which takes any Uint8Array.

--- a/apps/entry/src/HeldAnswer.ts
+++ b/apps/entry/src/HeldAnswer.ts
@@ -4,6 +4,8 @@
  * earlier: it then claims to be the only one first.
  */
 
+import { BodyBytes } from '@hornbeampond/runtime';
+
 /** Receives the answer of an attempt, head first. */
 export interface AnswerSink<Head> {
   receiveHead(head: Head): void;
@@ -17,9 +19,7 @@
 export class HeldAnswer<Head extends { readonly isStream?: boolean }> implements AnswerSink<Head> {
   private head: Head | undefined;
 
-  private chunks: Uint8Array[] = [];
-
-  private heldBytes = 0;
+  private held = new BodyBytes();
 
   private isPassedOn = false;
 
@@ -37,9 +37,8 @@
 
   writeBytes(bytes: Uint8Array): Promise<void> | undefined {
     if (this.isPassedOn) return this.sink.writeBytes(bytes);
-    this.chunks.push(bytes);
-    this.heldBytes += bytes.length;
-    if (this.head?.isStream !== true && this.heldBytes <= MAX_HELD_BYTES) return undefined;
+    this.held.add(bytes);
+    if (this.head?.isStream !== true && this.held.length <= MAX_HELD_BYTES) return undefined;
     return this.claim() ? this.passOn() : undefined;
   }
 
@@ -48,10 +47,8 @@
     if (this.isPassedOn || this.head === undefined) return undefined;
     this.isPassedOn = true;
     this.sink.receiveHead(this.head);
-    const { chunks } = this;
-    this.chunks = [];
-    const [first] = chunks;
-    if (first === undefined) return undefined;
-    return this.sink.writeBytes(chunks.length === 1 ? first : Buffer.concat(chunks));
+    const { held } = this;
+    this.held = new BodyBytes();
+    return held.length === 0 ? undefined : this.sink.writeBytes(held.join());
   }
 }
--- a/apps/entry/src/RelayAnswer.ts
+++ b/apps/entry/src/RelayAnswer.ts
@@ -8,6 +8,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { HeaderLine, RelayResponse } from '@hornbeampond/adapters';
+import { BodyBytes } from '@hornbeampond/runtime';
 import type { Milliseconds, MonotonicMilliseconds } from '@hornbeampond/schema';
 import { TrackedResponse } from '@hornbeampond/transport';
 import { CallerAnswer } from './CallerAnswer.js';
@@ -58,7 +59,7 @@
   /** True if this class frames the chunks of the stream instead of Node. */
   private framesChunks = false;
 
-  private bufferedChunks: Uint8Array[] = [];
+  private buffered = new BodyBytes();
 
   private bufferedBytes = 0;
 
@@ -91,7 +92,7 @@
    */
   receiveHead({ status, headers, isStream }: RelayResponse): void {
     this.splitter = new EventStreamSplitter();
-    this.bufferedChunks = [];
+    this.buffered = new BodyBytes();
     this.setBufferedBytes(0);
     if (!this.started) this.head = { status, headers, isStream };
   }
@@ -127,7 +128,7 @@
 
   override finish(): void {
     if (this.isClosed) return;
-    const body = Buffer.concat(this.bufferedChunks);
+    const body = this.buffered.join();
     this.setBufferedBytes(0);
     if (!this.started && this.head?.isStream === false) {
       this.writeCompleteAnswer({ ...this.head, body });
@@ -164,12 +165,12 @@
 
   private bufferOrWrite(bytes: Uint8Array): Promise<void> | undefined {
     if (this.started) return this.write(bytes);
-    this.bufferedChunks.push(bytes);
+    this.buffered.add(bytes);
     this.setBufferedBytes(this.bufferedBytes + bytes.length);
     if (this.bufferedBytes <= MAX_BUFFERED_BYTES) return undefined;
     this.writeHead();
-    const bufferedBody = Buffer.concat(this.bufferedChunks);
-    this.bufferedChunks = [];
+    const bufferedBody = this.buffered.join();
+    this.buffered = new BodyBytes();
     this.setBufferedBytes(0);
     return this.write(bufferedBody);
   }
--- a/packages/adapters/src/readChunks.ts
+++ b/packages/adapters/src/readChunks.ts
@@ -1,9 +1,5 @@
 import { BodyBytes } from '@hornbeampond/runtime';
 
-function toBuffer({ buffer, byteOffset, byteLength }: Uint8Array): Buffer {
-  return Buffer.from(buffer, byteOffset, byteLength);
-}
-
 /** Reads a body to its end; stops with the given error once it is longer than `maxBytes`. */
 export async function readChunks(
   chunks: AsyncIterable<Uint8Array>,
@@ -13,7 +9,7 @@
   const body = new BodyBytes();
   for await (const chunk of chunks) {
     if (body.length + chunk.byteLength > maxBytes) throw makeTooLongError();
-    body.add(toBuffer(chunk));
+    body.add(chunk);
   }
   return body.join();
 }
--- a/packages/runtime/src/BodyBytes.ts
+++ b/packages/runtime/src/BodyBytes.ts
@@ -13,6 +13,10 @@
 /** A caller may announce much and send little: no more than so many times what has come is allocated. */
 const MAX_EXPECTED_RATIO = 4;
 
+function toBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
 export class BodyBytes {
   /** Number of bytes collected. */
   length = 0;
@@ -30,7 +34,8 @@
   /** @param expectedBytes - The length of the whole body, 0 if it is not known. */
   constructor(private readonly expectedBytes = 0) {}
 
-  add(piece: Buffer): void {
+  add(bytes: Uint8Array): void {
+    const piece = Buffer.isBuffer(bytes) ? bytes : toBuffer(bytes);
     this.length += piece.length;
     if (piece.length >= MIN_KEPT_BYTES) {
       this.closeBlock();
