Read the framing of an answer as Node does

What callers could see: an answer with the encoding 'chunked, gzip' or one whose name only holds 'chunked' is read until its connection ends, but its end counted as shown by chunks, so that a reset, or a run that was stopped on order, left a part that looks whole.

--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -15,6 +15,7 @@
   type ServerEndpoint,
 } from '../ServerConnector.js';
 import { BackendServerFailure, type BackendServerFailureKind } from '../BackendServerFailure.js';
+import { isChunked } from '../isChunked.js';
 import { isFinalStatus } from '../isFinalStatus.js';
 import { CallConnection, ConnectionClient, isClosedByServer } from './CallConnections.js';
 
@@ -99,8 +100,8 @@
 /** True if the end of the body can be detected while the connection stays open. */
 function isFramed(method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean {
   const isBodyless = method === 'HEAD' || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
-  const encoding = [headers['transfer-encoding'] ?? ''].flat().join(',').toLowerCase();
-  return isBodyless || headers['content-length'] !== undefined || encoding.includes('chunked');
+  const encoding = [headers['transfer-encoding'] ?? ''].flat().join(',');
+  return isBodyless || headers['content-length'] !== undefined || isChunked(encoding);
 }
 
 interface BodyOptions {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,6 +7,7 @@
 export * from './RelayBody.js';
 export * from './hasPeer.js';
 export * from './hasUnsentBytes.js';
+export * from './isChunked.js';
 export * from './isFinalStatus.js';
 export * from './readChunks.js';
 export * from './ServerConnector.js';
