Judge the end of an answer by what this attempt has received

What callers saw: after an attempt that was cut inside its first event, a whole failure of the next server counted as a stream that ends inside an event: it was not kept for the caller, and its server was taken for lost.

Cause: the judge asked the answer of the call, which still holds the half event of the attempt before. A failure answer of a cancelled attempt is not kept any more either.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -3,14 +3,14 @@
  * to the reducer (first token, progress, end, failure). It also cancels attempts. Output of a cancelled attempt is discarded, and the answer of an attempt beside which another
  * may run is held back until it has won, so a caller never receives interleaved bytes of two attempts.
  */
-import { BackendServerFailure, type BodyEnd } from '@hornbeampond/adapters';
+import { BackendServerFailure } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
 import type { TimerService, Unsubscribe } from '@hornbeampond/runtime';
 import type { AdapterDirectory } from './AdapterDirectory.js';
 import type { CallerExchange } from './CallerServer.js';
 import type { CallerAnswer } from './CallerAnswer.js';
 import { CompletionAnswer } from './CompletionAnswer.js';
-import { findIncompleteness } from './findIncompleteness.js';
+import { findIncompleteness, type EndedAnswer } from './findIncompleteness.js';
 import { HeldAnswer, type AnswerSink } from './HeldAnswer.js';
 import { PlainAnswer, type PlainAnswerHead } from './PlainAnswer.js';
 import { RelayAnswer } from './RelayAnswer.js';
@@ -366,7 +366,8 @@
       onBytesWritten: () => {
         if (!attempt.isCancelled) attempt.timeout.start(streamIdleTimeout);
       },
-      requireWhole: async (bodyEnd) => this.requireWhole(attempt, exchange, answer, bodyEnd),
+      requireWhole: async (bodyEnd, hasPartialEvent) =>
+        this.requireWhole(attempt, exchange, { bodyEnd, hasPartialEvent }),
     });
     if (attempt.isCancelled) return;
     if (reportedAt === 0) reportFirstBytes();
@@ -381,8 +382,7 @@
   private async requireWhole(
     attempt: RunningAttempt,
     call: CallerExchange,
-    { hasPartialEvent }: RelayAnswer,
-    bodyEnd: BodyEnd,
+    { bodyEnd, hasPartialEvent }: Pick<EndedAnswer, 'bodyEnd' | 'hasPartialEvent'>,
   ): Promise<void> {
     attempt.timeout.stop();
     if (bodyEnd.shownBy === 'close') await this.waitForStopOrders(attempt, call);
--- a/apps/entry/src/relayBody.ts
+++ b/apps/entry/src/relayBody.ts
@@ -18,13 +18,13 @@
   /** Called once the caller can receive more. */
   onBytesWritten(): void;
   /** Called at the end of a body; rejects if the answer is not whole. */
-  requireWhole(end: BodyEnd): Promise<void>;
+  requireWhole(end: BodyEnd, hasPartialEvent: boolean): Promise<void>;
 }
 
 async function saveFailureAndThrow(
   response: RelayResponse,
   answer: RelayAnswer,
-  { requireWhole }: RelayCallbacks,
+  { isCancelled, requireWhole }: RelayCallbacks,
 ): Promise<never> {
   const { status, body } = response;
   const failure = new BackendServerFailure(`the answer has status ${status}`, {
@@ -41,8 +41,8 @@
     chunks.push(chunk);
     return undefined;
   });
-  await requireWhole(end);
-  answer.saveFailureAnswer(response, Buffer.concat(chunks));
+  await requireWhole(end, false);
+  if (!isCancelled()) answer.saveFailureAnswer(response, Buffer.concat(chunks));
   throw failure;
 }
 
@@ -65,14 +65,19 @@
   }
   if (answer.isFailure(response.status)) await saveFailureAndThrow(response, answer, callbacks);
   sink.receiveHead(response);
+  let hasBytes = false;
   const end = await response.body.forEach((bytes) => {
     if (callbacks.isCancelled()) return undefined;
+    hasBytes = true;
     callbacks.onBytesReceived();
     const held = sink.writeBytes(bytes);
     if (held !== undefined) return held.then(() => callbacks.onBytesWritten());
     callbacks.onBytesWritten();
     return undefined;
   });
-  if (!callbacks.isCancelled()) await callbacks.requireWhole(end);
+  if (callbacks.isCancelled()) return end;
+  // Otherwise the answer holds what an earlier attempt has left.
+  const hasPartialEvent = response.isStream && hasBytes && answer.hasPartialEvent;
+  await callbacks.requireWhole(end, hasPartialEvent);
   return end;
 }
