Report the end of a run before a refused order gives its move up

What callers saw: a stream that had ended whole before its order arrived was run again elsewhere, or broken off, although 404 proves that the order stopped nothing: the move was given up before the end that waited for the answer was reported, and an order that came after the end was asked as well.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -16,7 +16,7 @@
 import { RelayAnswer } from './RelayAnswer.js';
 import { RestartableTimeout } from './RestartableTimeout.js';
 import { relayBody } from './relayBody.js';
-import type { StopOrders } from './StopOrders.js';
+import { mayHaveStopped, waitForAnswers, type StopOrder, type StopOrders } from './StopOrders.js';
 
 export type StartAttemptEffect = Extract<EntryEffect, { type: 'startAttempt' }>;
 
@@ -107,21 +107,18 @@
     const call = this.options.findExchange(attempt.effect.requestId);
     attempt.timeout.close();
     attempt.cancelHedgeTimer();
-    const answered = call && this.waitForStopOrders(attempt, call);
+    const answered = call && waitForAnswers(this.listStopOrders(attempt, call));
     if (answered !== undefined) await answered;
     this.removeAttempt(attempt);
     if (!attempt.isCancelled) this.reportFailure(attempt, error);
   }
 
   /**
-   * Returns a promise if an order to stop the attempt's run is out. A run ends before its order is answered,
-   * and the answer decides whether the call goes on from the moved cache.
+   * The orders that may have stopped the attempt's run, which ends before its order is answered. The answer
+   * decides whether the call goes on from the moved cache.
    */
-  private waitForStopOrders(
-    { effect }: RunningAttempt,
-    call: CallerExchange,
-  ): Promise<unknown> | undefined {
-    return this.options.stopOrders.waitForAnswers(call, effect.target.instance);
+  private listStopOrders({ effect }: RunningAttempt, call: CallerExchange): readonly StopOrder[] {
+    return this.options.stopOrders.list(call, effect.target.instance);
   }
 
   /** Cancels an attempt immediately. */
@@ -385,10 +382,10 @@
     { bodyEnd, hasPartialEvent }: Pick<EndedAnswer, 'bodyEnd' | 'hasPartialEvent'>,
   ): Promise<void> {
     attempt.timeout.stop();
-    if (bodyEnd.shownBy === 'close') await this.waitForStopOrders(attempt, call);
+    const stopOrders = this.listStopOrders(attempt, call);
+    if (bodyEnd.shownBy === 'close') await waitForAnswers(stopOrders);
     if (attempt.isCancelled) return;
-    const { instance } = attempt.effect.target;
-    const mayHaveBeenStopped = this.options.stopOrders.mayHaveStopped(call, instance);
+    const mayHaveBeenStopped = mayHaveStopped(stopOrders);
     const incomplete = findIncompleteness({ bodyEnd, hasPartialEvent, mayHaveBeenStopped });
     if (incomplete === undefined) return;
     throw new BackendServerFailure(`the answer is not whole (${incomplete})`, { incomplete });
--- a/apps/entry/src/CacheMover.ts
+++ b/apps/entry/src/CacheMover.ts
@@ -2,6 +2,7 @@
  * Moves the KV caches of running attempts to other backend servers and dispatches the results. The move of an
  * opaque call stops its run, which is recorded before the order is sent.
  */
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { BackendServerFailure, type HeaderLine } from '@hornbeampond/adapters';
 import type { EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
 import type { Logger, Metrics, TimerService } from '@hornbeampond/runtime';
@@ -83,6 +84,11 @@
     }
     const order = stopOrders.add(call, from.instance);
     const { outcome, cacheHandle } = await this.sendOrder(move, call.forwardedHeaders);
+    if (outcome === 'notCarriedOut') {
+      // The end of its run that waits for this answer is reported before the move is given up.
+      order.end(outcome);
+      await nextTurn();
+    }
     if (cacheHandle !== undefined) this.movedCacheHandles.set(nextAttemptId, cacheHandle);
     // The dispatch starts the next attempt synchronously, and that attempt reads the handle.
     dispatch({ ...result, moved: cacheHandle !== undefined, runStopped: outcome === 'carriedOut' });
--- a/apps/entry/src/StopOrders.ts
+++ b/apps/entry/src/StopOrders.ts
@@ -38,23 +38,24 @@
   add(call: CallerExchange, instance: string): StopOrder {
     const order = new StopOrder();
     const ordersByInstance = this.ordersByCall.get(call) ?? new Map<string, StopOrder[]>();
-    ordersByInstance.set(instance, [...(ordersByInstance.get(instance) ?? []), order]);
+    ordersByInstance.set(instance, [...this.list(call, instance), order]);
     this.ordersByCall.set(call, ordersByInstance);
     return order;
   }
 
-  /** Returns a promise if an order is out for a run of the call; it resolves once all are answered. */
-  waitForAnswers(call: CallerExchange, instance: string): Promise<unknown> | undefined {
-    const pending = this.list(call, instance).filter(({ outcome }) => outcome === undefined);
-    return pending.length === 0 ? undefined : Promise.all(pending.map(({ ended }) => ended));
+  /** The orders so far for runs of a call at an instance. Later ones have not ended what has ended by now. */
+  list(call: CallerExchange, instance: string): readonly StopOrder[] {
+    return this.ordersByCall.get(call)?.get(instance) ?? [];
   }
+}
 
-  /** True unless no order was sent, or each is proved not to have been carried out. */
-  mayHaveStopped(call: CallerExchange, instance: string): boolean {
-    return this.list(call, instance).some(({ outcome }) => outcome !== 'notCarriedOut');
-  }
+/** Returns a promise if one of the orders is out; it resolves once all are answered. */
+export function waitForAnswers(orders: readonly StopOrder[]): Promise<unknown> | undefined {
+  const pending = orders.filter(({ outcome }) => outcome === undefined);
+  return pending.length === 0 ? undefined : Promise.all(pending.map(({ ended }) => ended));
+}
 
-  private list(call: CallerExchange, instance: string): readonly StopOrder[] {
-    return this.ordersByCall.get(call)?.get(instance) ?? [];
-  }
+/** True unless there was no order, or each is proved not to have been carried out. */
+export function mayHaveStopped(orders: readonly StopOrder[]): boolean {
+  return orders.some(({ outcome }) => outcome !== 'notCarriedOut');
 }
