--- a/apps/entry/src/AttemptRunner.test.ts
+++ b/apps/entry/src/AttemptRunner.test.ts
@@ -103,6 +103,7 @@
   const runner = new AttemptRunner({
     stopOrders: new StopOrders(),
     findMovedCache: () => undefined,
+    mayHaveEnded: () => false,
     timers,
     adapters: new AdapterDirectory(
       () => ({ kind: 'relay', adapter }),
--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -42,6 +42,8 @@
   readonly timers: TimerService;
   readonly adapters: AdapterDirectory;
   readonly stopOrders: StopOrders;
+  /** True if the platform may have ended the instance by now, as it has announced. */
+  mayHaveEnded(instance: string): boolean;
   /** The moved cache from which an attempt that is being started continues. */
   findMovedCache(attemptId: string): string | undefined;
   findExchange(requestId: string): CallerExchange | undefined;
@@ -385,8 +387,12 @@
     const stopOrders = this.listStopOrders(attempt, call);
     if (bodyEnd.shownBy === 'close') await waitForAnswers(stopOrders);
     if (attempt.isCancelled) return;
-    const mayHaveBeenStopped = mayHaveStopped(stopOrders);
-    const incomplete = findIncompleteness({ bodyEnd, hasPartialEvent, mayHaveBeenStopped });
+    const incomplete = findIncompleteness({
+      bodyEnd,
+      hasPartialEvent,
+      mayHaveBeenStopped: mayHaveStopped(stopOrders),
+      mayServerHaveEnded: this.options.mayHaveEnded(attempt.effect.target.instance),
+    });
     if (incomplete === undefined) return;
     throw new BackendServerFailure(`the answer is not whole (${incomplete})`, { incomplete });
   }
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -86,6 +86,9 @@
 
 const PROBE_TIMEOUT_MILLISECONDS = 1000;
 
+/** By how much more than the age of the list a reclaim may come earlier than announced. */
+const NOTICE_MARGIN_MILLISECONDS = 250;
+
 /** Reserved before the shutdown time limit for writing the last answers. */
 const SHUTDOWN_MARGIN_MILLISECONDS = 500;
 
@@ -259,6 +262,11 @@
       adapters: this.adapters,
       stopOrders,
       findExchange,
+      mayHaveEnded: (server) => {
+        const goneAt = this.eventLoop.state.reclaims.leaving.get(server) ?? Infinity;
+        const uncertainty = settings.platform.listLagMilliseconds + NOTICE_MARGIN_MILLISECONDS;
+        return timers.wallNow() >= goneAt - uncertainty;
+      },
       findMovedCache: (attemptId) => this.cacheMover.findMovedCache(attemptId),
       dispatch,
       onCallerLeft: (requestId) => this.endCallOfLeftCaller(requestId),
--- a/apps/entry/src/failureAfterPartialEvent.test.ts
+++ b/apps/entry/src/failureAfterPartialEvent.test.ts
@@ -111,6 +111,7 @@
   const runner = new AttemptRunner({
     stopOrders: new StopOrders(),
     findMovedCache: () => undefined,
+    mayHaveEnded: () => false,
     timers: new ManualTimerService(),
     adapters: new AdapterDirectory(
       ({ instance }) => ({ kind: 'relay', adapter: servers[instance === 'server-1' ? 0 : 1] }),
--- a/apps/entry/src/findIncompleteness.test.ts
+++ b/apps/entry/src/findIncompleteness.test.ts
@@ -8,6 +8,7 @@
   bodyEnd: closed,
   hasPartialEvent: false,
   mayHaveBeenStopped: false,
+  mayServerHaveEnded: false,
 };
 
 test('an answer whose server has closed its connection is whole', () => {
@@ -19,10 +20,18 @@
   assert.equal(findIncompleteness({ ...whole, mayHaveBeenStopped: true }), 'runStopped');
 });
 
+// Guards against a part that the caller gets as the whole answer, because the time of its server has come.
+test('an answer that only a close ends is not whole if its server may have been ended', () => {
+  assert.equal(findIncompleteness({ ...whole, mayServerHaveEnded: true }), 'serverEnded');
+});
+
 // Guards against whole answers that are broken off: a run that is stopped sends no end of its chunks.
 test('an answer whose length or chunks show its end is whole whatever was ordered', () => {
   const framed: EndedAnswer = { ...whole, bodyEnd: { shownBy: 'framing' } };
-  assert.equal(findIncompleteness({ ...framed, mayHaveBeenStopped: true }), undefined);
+  assert.equal(
+    findIncompleteness({ ...framed, mayHaveBeenStopped: true, mayServerHaveEnded: true }),
+    undefined,
+  );
 });
 
 // Guards against a part given as complete, because its server closed before it had the whole request.
--- a/apps/entry/src/findIncompleteness.ts
+++ b/apps/entry/src/findIncompleteness.ts
@@ -12,6 +12,8 @@
   readonly hasPartialEvent: boolean;
   /** True if its run may have been stopped on order of this entry. */
   readonly mayHaveBeenStopped: boolean;
+  /** True if the platform may have ended its backend server by now, as it has announced. */
+  readonly mayServerHaveEnded: boolean;
 }
 
 /** Returns why the answer is not whole, or undefined if it is. */
@@ -19,10 +21,13 @@
   bodyEnd,
   hasPartialEvent,
   mayHaveBeenStopped,
+  mayServerHaveEnded,
 }: EndedAnswer): IncompleteAnswerReason | undefined {
   if (hasPartialEvent) return 'partialEvent';
   if (bodyEnd.shownBy === 'framing') return undefined;
   // A server that closes within the request may reset the connection a moment later.
   if (!bodyEnd.hasSentRequest) return 'requestNotSent';
-  return mayHaveBeenStopped ? 'runStopped' : undefined;
+  if (mayHaveBeenStopped) return 'runStopped';
+  // The connections of a process that is ended are closed like those of one that has finished.
+  return mayServerHaveEnded ? 'serverEnded' : undefined;
 }
--- a/apps/entry/src/hedgedAnswers.test.ts
+++ b/apps/entry/src/hedgedAnswers.test.ts
@@ -163,6 +163,7 @@
   const runner = new AttemptRunner({
     stopOrders: new StopOrders(),
     findMovedCache: () => undefined,
+    mayHaveEnded: () => false,
     timers,
     adapters: new AdapterDirectory(
       ({ instance }) => ({ kind: 'relay', adapter: servers[instance === 'server-1' ? 0 : 1] }),
--- a/apps/entry/src/hedgedPlainAnswers.test.ts
+++ b/apps/entry/src/hedgedPlainAnswers.test.ts
@@ -56,6 +56,7 @@
   const runner = new AttemptRunner({
     stopOrders: new StopOrders(),
     findMovedCache: () => undefined,
+    mayHaveEnded: () => false,
     timers: new ManualTimerService(),
     adapters: new AdapterDirectory(
       ({ instance }) => ({
--- a/packages/schema/src/reasons.ts
+++ b/packages/schema/src/reasons.ts
@@ -112,6 +112,8 @@
   'requestNotSent',
   /** It has neither, and an order of this entry may have stopped its run. */
   'runStopped',
+  /** It has neither, and the time has come at which the platform was to end its backend server. */
+  'serverEnded',
 ] as const;
 export type IncompleteAnswerReason = (typeof incompleteAnswerReasons)[number];
 
