Take back the turns in which callers' input was parsed

A second review showed by tests that input which waits for its turn was invisible to all that asks about its connection: a shutdown and a crowd closed connections whose requests had been read, the wait did not count as delay, so servers were given more time than is left (588 to 595 ms), and callers that left with requests sent ahead were noticed only after their answers.

Also from this review: whether a server may have ended is asked at the end of the body and not after the wait for an order, a call that was proved unsent does not wait for orders, and the last tick of a shutdown comes after its time.

--- a/apps/entry/src/AttemptRunner.ts
+++ b/apps/entry/src/AttemptRunner.ts
@@ -1,7 +1,8 @@
 /**
  * Runs attempts: sends calls to backend servers, relays the answers to callers and dispatches events
- * to the reducer (first token, progress, end, failure). It also cancels attempts. Output of a cancelled attempt is discarded, and the answer of an attempt beside which another
- * may run is held back until it has won, so a caller never receives interleaved bytes of two attempts.
+ * to the reducer (first token, progress, end, failure). It also cancels attempts. Output of a cancelled
+ * attempt is discarded, and the answer of an attempt beside which another may run is held back until it
+ * has won, so a caller never receives interleaved bytes of two attempts.
  */
 import { BackendServerFailure } from '@hornbeampond/adapters';
 import type { AttemptFailure, EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
@@ -109,7 +110,10 @@
     const call = this.options.findExchange(attempt.effect.requestId);
     attempt.timeout.close();
     attempt.cancelHedgeTimer();
-    const answered = call && waitForAnswers(this.listStopOrders(attempt, call));
+    // A call that was not sent has no run that an order could move.
+    const hasRun = !(error instanceof BackendServerFailure && error.sent === 'nothing');
+    const stopOrders = call !== undefined && hasRun ? this.listStopOrders(attempt, call) : [];
+    const answered = waitForAnswers(stopOrders);
     if (answered !== undefined) await answered;
     this.removeAttempt(attempt);
     if (!attempt.isCancelled) this.reportFailure(attempt, error);
@@ -384,6 +388,7 @@
     { bodyEnd, hasPartialEvent }: Pick<EndedAnswer, 'bodyEnd' | 'hasPartialEvent'>,
   ): Promise<void> {
     attempt.timeout.stop();
+    const mayServerHaveEnded = this.options.mayHaveEnded(attempt.effect.target.instance);
     const stopOrders = this.listStopOrders(attempt, call);
     if (bodyEnd.shownBy === 'close') await waitForAnswers(stopOrders);
     if (attempt.isCancelled) return;
@@ -391,7 +396,7 @@
       bodyEnd,
       hasPartialEvent,
       mayHaveBeenStopped: mayHaveStopped(stopOrders),
-      mayServerHaveEnded: this.options.mayHaveEnded(attempt.effect.target.instance),
+      mayServerHaveEnded,
     });
     if (incomplete === undefined) return;
     throw new BackendServerFailure(`the answer is not whole (${incomplete})`, { incomplete });
--- a/apps/entry/src/EntryProcess.ts
+++ b/apps/entry/src/EntryProcess.ts
@@ -92,6 +92,9 @@
 /** Reserved before the shutdown time limit for writing the last answers. */
 const SHUTDOWN_MARGIN_MILLISECONDS = 500;
 
+/** A timer may fire by less than this too early. */
+const TIMER_TOLERANCE_MILLISECONDS = 1;
+
 /** Of a short time limit, answers in progress get all but this fraction. */
 const MAX_SHUTDOWN_MARGIN_FRACTION = 1 / 12;
 
@@ -434,8 +437,9 @@
     this.dispatch({ type: 'shutdownStarted', acceptUntil, endAt: now + drainMilliseconds });
     this.timers.after(acceptUntil - now, () => this.callerListener.stopListening());
     // A regular tick could come up to an interval later, when little of the margin is left.
+    const lastTickAfter = drainMilliseconds + TIMER_TOLERANCE_MILLISECONDS;
     this.subscriptions.push(
-      this.timers.after(drainMilliseconds, () => this.dispatch({ type: 'tick' })),
+      this.timers.after(lastTickAfter, () => this.dispatch({ type: 'tick' })),
     );
     await drainedOrTimedOut;
     const timeLeft = now + drainMilliseconds - this.timers.monotonicNow();
--- a/packages/transport/src/httpConnections/HttpConnection.ts
+++ b/packages/transport/src/httpConnections/HttpConnection.ts
@@ -17,7 +17,6 @@
 import { CONNECTION_HEAP_BYTES, estimateHeadHeap, REQUEST_HEAP_BYTES } from './heldCosts.js';
 import type { HeldKind, HeldMemory, MemoryHolder } from './HeldMemory.js';
 import { InputGate } from './InputGate.js';
-import type { InputTurns } from './InputTurns.js';
 import {
   observeResponses,
   type ResponseObserver,
@@ -52,7 +51,6 @@
   readonly socket: Socket;
   readonly timers: TimerService;
   readonly memory: HeldMemory;
-  readonly turns: InputTurns;
   readBounds(): CallerBounds;
   /** Called once for each connection whose input is refused. */
   onRefused(error: HornbeampondError): void;
@@ -100,7 +98,7 @@
   private stopLingering: Unsubscribe = () => {};
 
   constructor(private readonly options: HttpConnectionOptions) {
-    const { socket, memory, timers, turns } = options;
+    const { socket, memory, timers } = options;
     this.lastInputAt = timers.monotonicNow();
     this.lastSentAt = this.lastInputAt;
     this.meter.startedAt = this.lastInputAt;
@@ -108,12 +106,9 @@
     observeResponses(socket, this);
     this.gate = new InputGate({
       socket,
-      turns,
       canParse: () => this.canParse,
-      isBodyFull: () => this.isBodyFull,
       accept: (piece) => this.acceptInput(piece),
       onParsed: (piece) => this.countInput(piece),
-      onWaiting: () => this.onWritten(),
     });
     socket.once('close', () => this.handleClose());
   }
@@ -132,12 +127,6 @@
     return this.responses.size < MAX_WAITING_REQUESTS || this.isReadingBody;
   }
 
-  private get isBodyFull(): boolean {
-    if (this.latest === undefined || this.latest.req.complete) return false;
-    const { readableLength, readableHighWaterMark } = this.latest.req;
-    return readableLength >= readableHighWaterMark;
-  }
-
   /** Counts bytes of a body; false if there is no room for them. */
   holdBody(bytes: number): boolean {
     return this.options.memory.change(this, 'buffers', bytes);
@@ -213,11 +202,7 @@
     this.sentBytes = sentBytes;
     if (now - this.lastSentAt > UNREAD_ANSWER_MILLISECONDS) this.close('answerUnread');
     if (this.isRefused || socket.destroyed) return;
-    if (this.gate.isAwaitingTurn) {
-      // Its input has come.
-      this.lastInputAt = now;
-      this.meter.restart(now);
-    } else if (this.isReadingBody) {
+    if (this.isReadingBody) {
       if (now - this.lastInputAt <= idleMilliseconds) return;
       this.refuse(
         new HornbeampondError('bodyTimeout', 'The rest of the body has not come in time'),
--- a/packages/transport/src/httpConnections/HttpConnections.ts
+++ b/packages/transport/src/httpConnections/HttpConnections.ts
@@ -19,7 +19,6 @@
 } from '@hornbeampond/schema';
 import { HeldMemory, type HeldBytes } from './HeldMemory.js';
 import { HttpConnection } from './HttpConnection.js';
-import { InputTurns } from './InputTurns.js';
 import { TrackedResponse } from './TrackedResponse.js';
 
 const CHECK_INTERVAL_MILLISECONDS: Milliseconds = 1000;
@@ -47,15 +46,12 @@
 export class HttpConnections {
   readonly memory: HeldMemory;
 
-  private readonly turns: InputTurns;
-
   private readonly connections = new Map<Socket, HttpConnection>();
 
   private readonly stopChecks: Unsubscribe;
 
   constructor(private readonly options: HttpConnectionsOptions) {
     this.memory = new HeldMemory(options.limits.held);
-    this.turns = new InputTurns(options.timers);
     this.stopChecks = options.timers.every(CHECK_INTERVAL_MILLISECONDS, () =>
       // A process that was held up has input to read that came in time.
       setImmediate(() => setImmediate(() => this.check())),
@@ -97,7 +93,6 @@
       socket,
       timers,
       memory: this.memory,
-      turns: this.turns,
       readBounds,
       onRefused,
       onClosing,
