--- a/review/shared-2/Deployment.mjs
+++ b/review/shared-2/Deployment.mjs
@@ -307,6 +307,11 @@
 /** Runs a case; exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. */
 export async function runCase(deployment, play) {
   let code = 2;
+  // The script's own time limit ends it in this way.
+  process.once('SIGTERM', () => {
+    deployment.record('outOfTime');
+    deployment.close().then(() => process.exit(2));
+  });
   try {
     const { isBroken, verdict } = await play();
     deployment.record('verdict', { isBroken, verdict });
--- a/review/shared-2/Engine.mjs
+++ b/review/shared-2/Engine.mjs
@@ -16,6 +16,9 @@
 
   answered = 0;
 
+  /** Streams that it has begun since it started. */
+  begun = 0;
+
   /** Extra answers that it still sends, see `sendExtra`. */
   extras = 0;
 
@@ -24,17 +27,29 @@
 
   nextHandle = 1;
 
+  /** True while it leaves, which all its answers say. */
+  isLeaving = false;
+
   constructor(deployment, number, options) {
-    const { service, copyMilliseconds = 60, eventMilliseconds = 100 } = options;
+    const { service, versions = ['v1'], copyMilliseconds = 60, eventMilliseconds = 100 } = options;
     Object.assign(this, { deployment, service, copyMilliseconds, eventMilliseconds });
     this.id = `i-${number}`;
+    this.version = versions[number % versions.length];
     this.host = replicaHost(number);
     this.address = `${this.host}:${ports.replica}`;
-    this.server = createServer((request, response) => this.receive(request, response));
-    this.server.keepAliveTimeout = 20_000;
   }
 
   async start() {
+    this.isLeaving = false;
+    this.begun = 0;
+    this.copies.clear();
+    this.sockets = new Set();
+    this.server = createServer((request, response) => this.receive(request, response));
+    this.server.keepAliveTimeout = 20_000;
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
     await new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(ports.replica, this.host, resolve);
@@ -44,7 +59,7 @@
       service: this.service,
       address: this.address,
       zone: 'dakar-a',
-      version: 'v1',
+      version: this.version,
       slots: ROOM,
       state: 'ready',
       cold_remaining_ms: 0,
@@ -59,6 +74,18 @@
     this.server.closeAllConnections();
   }
 
+  /** Resets all connections; nothing listens any more. */
+  crash() {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  /** The platform does not list it any more. */
+  unlist() {
+    const { list } = this.deployment;
+    list.splice(list.indexOf(this.listed), 1);
+  }
+
   receive(request, response) {
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
@@ -79,7 +106,11 @@
   }
 
   get stateHeaders() {
-    return { 'x-replica-id': this.id, 'x-replica-load': `${this.runs.size},0,${ROOM}` };
+    return {
+      'x-replica-id': this.id,
+      'x-replica-load': `${this.runs.size},0,${ROOM}`,
+      ...(this.isLeaving ? { 'server-leaving': '1' } : {}),
+    };
   }
 
   /** A second answer arrives late, at the point where the next response is expected. */
@@ -139,6 +170,7 @@
       return;
     }
     copy.isUsed = true;
+    this.begun += 1;
     this.deployment.record('runs', { ...facts, memoryOf: copy.owner });
     const events = Number(headers['x-token-usage'].split(',')[1]) / 5;
     response.writeHead(200, {
