--- a/review/shared-2/Engine.mjs
+++ b/review/shared-2/Engine.mjs
@@ -187,7 +187,7 @@
     const run = { made: after, stop: () => {} };
     const timer = setInterval(() => {
       run.made += 1;
-      response.write(`id: ${run.made}\ndata: ${owner}/${run.made}\n\n`);
+      response.write(`id: ${run.made}\ndata: ${owner}/${run.made}@${this.version}\n\n`);
       if (run.made < events) return;
       clearInterval(timer);
       this.runs.delete(id);
