Log the handle and the connection of each answered order to move a cache

The line of an answered order (2017) named neither the handle nor the connection, so that these hypotheses gave the same log: an answer is taken for that to another order on its connection; the entry confuses the handles of two moves that are answered at the same time; the backend server returns a wrong handle.

2017 now holds the handle, the local port of the connection and how many calls were sent on it before. No behaviour changes.

--- a/apps/entry/src/CacheMover.ts
+++ b/apps/entry/src/CacheMover.ts
@@ -3,7 +3,7 @@
  * opaque call stops its run, which is recorded before the order is sent.
  */
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { BackendServerFailure, type HeaderLine } from '@hornbeampond/adapters';
+import { BackendServerFailure, type ConnectionUse, type HeaderLine } from '@hornbeampond/adapters';
 import type { EntryEffect, EntryEventPayload } from '@hornbeampond/entry-core';
 import type { Logger, Metrics, TimerService } from '@hornbeampond/runtime';
 import type { StopOrderOutcome } from '@hornbeampond/schema';
@@ -35,6 +35,11 @@
   readonly cacheHandle?: string;
 }
 
+/** What is logged of the answer to an order. */
+interface OrderAnswer extends OrderResult {
+  readonly error?: unknown;
+}
+
 /** Only a proof counts: a call that was sent may still be carried out. */
 function judgeFailedOrder(error: unknown): StopOrderOutcome {
   const isProvenUndone = error instanceof BackendServerFailure && error.sent === 'nothing';
@@ -105,13 +110,18 @@
     const reportAnswer = this.reportOrder(move);
     const { from, to } = move;
     const signal = AbortSignal.timeout(RELAY_CACHE_MOVE_TIMEOUT_MILLISECONDS);
+    let connection: ConnectionUse | undefined;
+    const onConnection = (use: ConnectionUse) => {
+      connection = use;
+    };
+    const order = { headers, to, signal, onConnection };
     try {
-      const cacheHandle = await adapters.getRelayAdapter(from).moveCache({ headers, to, signal });
-      reportAnswer('carriedOut');
+      const cacheHandle = await adapters.getRelayAdapter(from).moveCache(order);
+      reportAnswer({ outcome: 'carriedOut', cacheHandle }, connection);
       return { outcome: 'carriedOut', cacheHandle };
     } catch (error) {
       const outcome = judgeFailedOrder(error);
-      reportAnswer(outcome, error);
+      reportAnswer({ outcome, error }, connection);
       return { outcome };
     }
   }
@@ -122,11 +132,13 @@
     const orderedAt = timers.monotonicNow();
     const fields = { requestId, attemptId, backendServer: from.instance, to: to.instance };
     logger.write('cacheMoveOrdered', fields);
-    return (outcome: StopOrderOutcome, error?: unknown) => {
+    return (answer: OrderAnswer, connection: ConnectionUse | undefined) => {
+      const { outcome, cacheHandle, error } = answer;
       const after = timers.monotonicNow() - orderedAt;
       const { status } = error instanceof BackendServerFailure ? error : {};
       const reason = error === undefined ? {} : { reason: String(error) };
-      logger.write('cacheMoveAnswered', { ...fields, outcome, after, status, ...reason });
+      const evidence = { cacheHandle, ...connection, status, ...reason };
+      logger.write('cacheMoveAnswered', { ...fields, outcome, after, ...evidence });
       metrics.count({ metric: 'stopOrders', label: outcome });
     };
   }
--- a/packages/adapters/src/RelayAdapter.ts
+++ b/packages/adapters/src/RelayAdapter.ts
@@ -35,12 +35,22 @@
   readonly signal: AbortSignal;
 }
 
+/** The connection that carries a call, for logs. */
+export interface ConnectionUse {
+  /** Undefined if the connection was lost at once. */
+  readonly localPort: number | undefined;
+  /** Calls that were sent on the connection before. */
+  readonly callsBefore: number;
+}
+
 /** Request to move the KV cache of a running call to another backend server. */
 export interface RelayCacheMove {
   /** Headers of the call, by which the backend server identifies it. */
   readonly headers: readonly HeaderLine[];
   readonly to: { readonly host: string; readonly port: number };
   readonly signal: AbortSignal;
+  /** Called once the connection of the order is open. */
+  readonly onConnection?: (use: ConnectionUse) => void;
 }
 
 export interface RelayResponse {
--- a/packages/schema/src/logEvents/entryLogEvents.ts
+++ b/packages/schema/src/logEvents/entryLogEvents.ts
@@ -41,7 +41,7 @@
   cacheMoveAnswered: defineLogEvent(
     2017,
     'info',
-    'The order to move a KV cache was answered or given up; what is known of it',
+    'The order to move a KV cache was answered or given up; what is known of it and of its connection',
   ),
   callerGone: defineLogEvent(2020, 'debug', 'The caller closed its connection'),
   answerReplayed: defineLogEvent(
