--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answerProof.js';
 export * from './BackendServerFailure.js';
 export * from './EngineAdapter.js';
 export * from './KnownInstances.js';
