--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -12,6 +12,7 @@
 export { FakeServer, type FakeServerOptions } from './fakes/FakeServer.js';
 export * from './fakes/FakeWeightStore.js';
 export * from './fakes/generateToken.js';
+export * from './fakes/RepeatingServer.js';
 export * from './ManualTimerService.js';
 export * from './matchSnapshot.js';
 export * from './EngineModel.js';
