--- a/packages/adapters/src/answerProof.ts
+++ b/packages/adapters/src/answerProof.ts
@@ -31,5 +31,5 @@
   callId: string | undefined,
   namedCall: NamedCall | undefined,
 ): boolean {
-  return callId === undefined || namedCall === 'thisCall';
+  return namedCall === (callId === undefined ? 'noCall' : 'thisCall');
 }
