Send no call on a connection that has carried another call with its ID

After a first attempt that was answered 500, the second attempt ran and its caller got the 500 of the first; likewise if other calls were answered in between, or if two callers choose the same ID.

Each kept connection now remembers the IDs of all its calls (CarriedCalls). A call whose ID an idle connection has carried is sent on a connection of its own, and idle connections are no longer closed for it. The memory is bounded: a connection is replaced after 256 calls, and calls with IDs of more than 64 characters have connections of their own.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,5 +1,6 @@
 export * from './answerProof.js';
 export * from './BackendServerFailure.js';
+export * from './CarriedCalls.js';
 export * from './EngineAdapter.js';
 export * from './KnownInstances.js';
 export * from './PlainServiceAdapter.js';
