--- a/packages/testing/src/fakes/RepeatingServer.ts
+++ b/packages/testing/src/fakes/RepeatingServer.ts
@@ -33,6 +33,11 @@
   /** Connections that it has accepted. */
   connections = 0;
 
+  /** Sent before the answer to the next call, if that arrives on a connection that has carried another one. */
+  restOfAnswer = '';
+
+  private readonly sockets = new Set<Socket>();
+
   private readonly lastAnswers = new WeakMap<Socket, string>();
 
   private readonly server = createServer((request) => {
@@ -41,8 +46,10 @@
   });
 
   private constructor(private readonly script: AnswerScript) {
-    this.server.on('connection', () => {
+    this.server.on('connection', (socket) => {
       this.connections += 1;
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
     });
   }
 
@@ -68,12 +75,18 @@
     await closed;
   }
 
+  /** Sends bytes on all connections, which belong to no call if none waits. */
+  write(bytes: string): void {
+    this.sockets.forEach((socket) => socket.write(bytes));
+  }
+
   private answer(request: IncomingMessage): void {
     const { socket } = request;
     const lastAnswer = this.lastAnswers.get(socket);
     const answer = formatAnswer(this.script(request, this.calls));
     this.calls += 1;
     this.lastAnswers.set(socket, answer);
+    if (lastAnswer !== undefined) socket.write(this.restOfAnswer);
     socket.write(this.repeats && lastAnswer !== undefined ? lastAnswer + answer : answer);
   }
 }
