Keep a connection of the system's own interfaces only if answers name calls

After one extra answer callers got the completions and answers of other callers, every second one in the tests, and lists and notices were one read old.

Each call now has an ID in x-hornbeampond-call-id. A server that returns the header in its answers states that it names calls, and its connections are kept as before; each answer there must name its call. Any other server gets a connection for each call. The header is not passed on to callers. The operator's client, whose answers name nothing either, opens a connection for each call.

undici reports a connection that ends inside an answer as a parser error if it would have been closed after that answer anyway. Such an answer is now a lost connection, as on kept ones, and no longer malformed.

Fake servers and the stand-in of "a connection is reused although the body ends after [DONE]" now return the header. "a call that requires a new connection is not sent on an idle one" first makes one call more, so that the idle connections that it stalls exist; its counts grow by that call. No bound was changed.

--- a/apps/ctl/src/OperatorClient.ts
+++ b/apps/ctl/src/OperatorClient.ts
@@ -196,6 +196,8 @@
       method,
       path,
       headers: { authorization: `Bearer ${this.key}`, ...headers },
+      // Nothing in an answer names its call, so that each has a connection of its own.
+      reset: true,
       ...(body === undefined ? {} : { body }),
     });
     return { status: response.statusCode, text: await response.body.text() };
--- a/packages/adapters/src/answerProof.ts
+++ b/packages/adapters/src/answerProof.ts
@@ -16,12 +16,23 @@
  * | opaque calls without an ID                                     | `onlyCall`                            |
  * | orders to move caches or to size pools, reports of usage       | `onlyCall`                            |
  * | pages of the list of instances, probes                         | `onlyCall`                            |
- * | requests between processes of the system, in frames            | ID of the request, used once          |
+ * | calls by the system's own interfaces to servers that name them | `namesCall`                           |
+| calls by these interfaces to other servers                     | `onlyCall`                            |
+| calls of an operator's client                                  | `onlyCall`                            |
+| requests between processes of the system, in frames            | ID of the request, used once          |
  *
  * A tunnel carries one connection and is judged like it.
  */
 import type { NamedCall } from '@hornbeampond/schema';
 
+/** What proves that the answer to a call belongs to it. */
+export type AnswerProof = 'onlyCall' | 'namesCall';
+
+/** Tells whether an answer is proved to belong to a call, from the ID that the answer names. */
+export function isProven(proof: AnswerProof, namedCall: NamedCall): boolean {
+  return proof === 'namesCall' ? namedCall === 'thisCall' : namedCall !== 'anotherCall';
+}
+
 /**
  * Tells whether an answer belongs to an opaque call, from the ID that the answer names.
  *
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -1,12 +1,14 @@
 /**
  * Sends calls to one HTTP server over HTTP/1.1 and plain TCP, without pipelining, redirects or
- * retries. Apart from a limit on connecting, the caller's `AbortSignal` is the only timeout. A
+ * retries. Each call has an ID in `x-hornbeampond-call-id`. Connections are kept for further calls only
+ * while the server's answers return this header; see `answerProof.ts`. Apart from a limit on connecting, the caller's `AbortSignal` is the only timeout. A
  * kept-alive connection may be closed by the server just as a call is written to it, so a failure
  * does not show whether the call ran. `sendOnNewConnection` opens a connection for one call, which
  * provably did not run if no byte was written to the socket.
  */
+import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
-import type { NotRunProof } from '@hornbeampond/schema';
+import type { NamedCall, NotRunProof } from '@hornbeampond/schema';
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 import {
   connectWithCallback,
@@ -14,6 +16,7 @@
   type ServerConnector,
   type ServerEndpoint,
 } from '../ServerConnector.js';
+import { isProven, type AnswerProof } from '../answerProof.js';
 import { BackendServerFailure, type BackendServerFailureKind } from '../BackendServerFailure.js';
 import { isChunked } from '../isChunked.js';
 import { isFinalStatus } from '../isFinalStatus.js';
@@ -31,6 +34,9 @@
  */
 const DRAIN_TIMEOUT_MILLISECONDS = 1000;
 
+/** Request header with the ID of the call, which the answer returns. */
+export const CALL_ID_HEADER = 'x-hornbeampond-call-id';
+
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
@@ -49,6 +55,13 @@
   readonly signal: AbortSignal;
 }
 
+/** A call as it is sent. */
+interface SentCall extends HttpCall {
+  readonly proof: AnswerProof;
+  /** True if its connection is closed after the answer. */
+  readonly reset?: boolean;
+}
+
 export interface HttpAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -72,11 +85,19 @@
   return error instanceof Error ? error.message : String(error);
 }
 
+/**
+ * True for wrong bytes. `undici` has the same error for a connection that ends inside an answer after which it
+ * would have been closed, but then without bytes.
+ */
+function isParserError(error: Error): boolean {
+  return error.name === 'HTTPParserError' && (error as { readonly data?: string }).data !== '';
+}
+
 function classifyError(error: unknown): BackendServerFailureKind {
   if (!(error instanceof Error)) return 'connectionLost';
   const code = 'code' in error ? error.code : undefined;
   if (code === 'UND_ERR_INVALID_ARG') return 'clientError';
-  const isMalformed = error.name === 'HTTPParserError' || code === 'UND_ERR_HEADERS_OVERFLOW';
+  const isMalformed = isParserError(error) || code === 'UND_ERR_HEADERS_OVERFLOW';
   return isMalformed ? 'malformed' : 'connectionLost';
 }
 
@@ -132,16 +153,20 @@
   body.dump({ limit: Infinity, signal }).catch(() => {});
 }
 
+function findNamedCall(callId: string, { headers }: Dispatcher.ResponseData): NamedCall {
+  const named = headers[CALL_ID_HEADER];
+  if (named === undefined) return 'noCall';
+  return named === callId ? 'thisCall' : 'anotherCall';
+}
+
 /** @param isClosedNormally - True once the server has closed the connection of the answer and not reset it. */
 function makeAnswer(
   data: Dispatcher.ResponseData,
   { method, signal }: HttpCall,
   isClosedNormally: () => boolean,
 ): HttpAnswer {
-  const { statusCode: status, headers, body } = data;
-  // Without a listener, an error before the body is read would end the process. The reader still
-  // receives the error.
-  body.on('error', () => {});
+  const { statusCode: status, body } = data;
+  const headers = { ...data.headers, [CALL_ID_HEADER]: undefined };
   if (!isFinalStatus(status)) {
     body.destroy();
     throw new BackendServerFailure(`there is no status ${status}`, { failure: 'malformed' });
@@ -227,6 +252,9 @@
 
   private readonly connect: Connect;
 
+  /** True if the last answer named its call. */
+  private namesCalls = false;
+
   /**
    * @param origin - For example `http://127.0.0.1:8080`.
    * @param path - Without it, connections are opened to the origin itself.
@@ -240,17 +268,18 @@
   }
 
   /**
-   * Sends a call on a kept-alive connection if one is free. The call must be safe to repeat, since
-   * a failure does not show whether it ran.
+   * Sends a call on a kept-alive connection if one is free and the server names the calls that it answers.
+   * The call must be safe to repeat, since a failure does not show whether it ran.
    */
   async send(call: HttpCall): Promise<HttpAnswer> {
+    if (!this.namesCalls) return this.sendOnNewConnection(call);
     try {
       call.signal.throwIfAborted();
     } catch (error) {
       throw toFailure(error, call.signal, 'nothingWritten');
     }
     try {
-      return await this.request(this.pool, call);
+      return await this.request(this.pool, { ...call, proof: 'namesCall' });
     } catch (error) {
       throw toFailure(error, call.signal);
     }
@@ -266,7 +295,8 @@
     this.singleCallClients.add(client);
     try {
       call.signal.throwIfAborted();
-      return await this.request(client, { ...call, reset: true }, () => {
+      const sent = { ...call, proof: 'onlyCall', reset: true } as const;
+      return await this.request(client, sent, () => {
         this.singleCallClients.delete(client);
         void client.destroy();
       });
@@ -298,12 +328,25 @@
 
   private async request(
     dispatcher: Dispatcher,
-    call: HttpCall & { readonly reset?: boolean },
+    { proof, ...call }: SentCall,
     onBodyClosed?: () => void,
   ): Promise<HttpAnswer> {
     const connection = new CallConnection();
-    const options = { ...call, connection };
+    const callId = randomUUID();
+    const headers = { ...call.headers, [CALL_ID_HEADER]: callId };
+    const options = { ...call, headers, connection };
     const data = await dispatcher.request(options);
+    // Without a listener, an error before the body is read would end the process. The reader still
+    // receives the error.
+    data.body.on('error', () => {});
+    const namedCall = findNamedCall(callId, data);
+    this.namesCalls = namedCall === 'thisCall';
+    if (!isProven(proof, namedCall)) {
+      data.body.destroy();
+      throw new BackendServerFailure('the answer may belong to another call', {
+        failure: 'malformed',
+      });
+    }
     // Now, because the client may open another connection before the body is read.
     const { socket } = connection;
     if (onBodyClosed !== undefined) data.body.once('close', onBodyClosed);
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -24,5 +24,5 @@
 export { HttpPlatformAdapter } from './http/HttpPlatformAdapter.js';
 export { HttpWeightStoreAdapter } from './http/HttpWeightStoreAdapter.js';
 export { resetOnAbort } from './http/resetOnAbort.js';
-export { formatOrigin } from './http/HttpConnections.js';
+export { CALL_ID_HEADER, formatOrigin } from './http/HttpConnections.js';
 export { digestPrefixes, splitPrompt, TOKENS_PER_BLOCK } from './digestPrefixes.js';
--- a/packages/testing/src/adapters/HttpEngineAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpEngineAdapter.test.ts
@@ -5,6 +5,7 @@
 import { test, type TestContext } from 'node:test';
 import {
   BackendServerFailure,
+  CALL_ID_HEADER,
   HttpEngineAdapter,
   type CompletionBody,
   type CompletionStream,
@@ -80,6 +81,7 @@
   let endBody = () => {};
   const stop = { choices: [{ finish_reason: 'stop' }] };
   const server = createServer((request, response) => {
+    response.setHeader(CALL_ID_HEADER, String(request.headers[CALL_ID_HEADER]));
     response.write(`data: ${JSON.stringify(stop)}\n\ndata: [DONE]\n\n`);
     endBody = () => response.end();
   });
--- a/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
+++ b/packages/testing/src/adapters/HttpPlainServiceAdapter.test.ts
@@ -72,6 +72,8 @@
     // that must not be repeated opens a new connection and is answered.
     const { service, adapter } = await startService(t);
     const lookup = { ...offer, method: 'GET', body: undefined, requiresNewConnection: false };
+    // Connections are kept once the service is known to name the calls that it answers.
+    await readText(await adapter.send(lookup));
     const lookups = await Promise.all([1, 2, 3].map(() => adapter.send(lookup)));
     for (const answer of lookups) await readText(answer);
     service.stallOpenConnections();
@@ -80,7 +82,7 @@
     assert.equal((await adapter.send(offer)).status, 200);
     callerAbort.abort();
     await assert.rejects(unanswered, hasFailure('silent', 'maybe'));
-    assert.deepEqual([service.connectionCount, service.runs.length], [4, 4]);
+    assert.deepEqual([service.connectionCount, service.runs.length], [5, 5]);
   },
 );
 
--- a/packages/testing/src/fakes/FakeServer.ts
+++ b/packages/testing/src/fakes/FakeServer.ts
@@ -2,6 +2,7 @@
  * Base class of all fakes: a real HTTP server, by default on the loopback interface. Tests can kill
  * it, restart it, stall its open connections and wait for a change of its state.
  */
+import { CALL_ID_HEADER } from '@hornbeampond/adapters';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
@@ -145,6 +146,8 @@
     const name = `${request.method} ${path}`;
     this.requestCounts.set(name, (this.requestCounts.get(name) ?? 0) + 1);
     this.notifyWaiters();
+    const callId = request.headers[CALL_ID_HEADER];
+    if (callId !== undefined) response.setHeader(CALL_ID_HEADER, callId);
     this.handle(request, response).catch((error: unknown) => {
       if (response.headersSent) response.destroy();
       else answerJson(response, 500, { error: String(error) });
