--- a/packages/adapters/src/answerProof.ts
+++ b/packages/adapters/src/answerProof.ts
@@ -17,9 +17,9 @@
  * | orders to move caches or to size pools, reports of usage       | `onlyCall`                            |
  * | pages of the list of instances, probes                         | `onlyCall`                            |
  * | calls by the system's own interfaces to servers that name them | `namesCall`                           |
-| calls by these interfaces to other servers                     | `onlyCall`                            |
-| calls of an operator's client                                  | `onlyCall`                            |
-| requests between processes of the system, in frames            | ID of the request, used once          |
+ * | calls by these interfaces to other servers                     | `onlyCall`                            |
+ * | calls of an operator's client                                  | `onlyCall`                            |
+ * | requests between processes of the system, in frames            | ID of the request, used once          |
  *
  * A tunnel carries one connection and is judged like it.
  */
--- a/packages/adapters/src/http/HttpConnections.ts
+++ b/packages/adapters/src/http/HttpConnections.ts
@@ -1,10 +1,12 @@
 /**
  * Sends calls to one HTTP server over HTTP/1.1 and plain TCP, without pipelining, redirects or
- * retries. Each call has an ID in `x-hornbeampond-call-id`. Connections are kept for further calls only
- * while the server's answers return this header; see `answerProof.ts`. Apart from a limit on connecting, the caller's `AbortSignal` is the only timeout. A
- * kept-alive connection may be closed by the server just as a call is written to it, so a failure
- * does not show whether the call ran. `sendOnNewConnection` opens a connection for one call, which
- * provably did not run if no byte was written to the socket.
+ * retries. Apart from a limit on connecting, the caller's `AbortSignal` is the only timeout.
+ *
+ * Each call has an ID in `x-hornbeampond-call-id`. Connections are kept for further calls only while the
+ * server's answers return this header; see `answerProof.ts`. A kept-alive connection may be closed by the
+ * server just as a call is written to it, so a failure does not show whether the call ran.
+ * `sendOnNewConnection` opens a connection for one call, which provably did not run if no byte was
+ * written to the socket.
  */
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
--- a/packages/adapters/src/http/HttpEngineAdapter.ts
+++ b/packages/adapters/src/http/HttpEngineAdapter.ts
@@ -7,6 +7,7 @@
  *   gives its number of tokens if that is not 1. To resume, the body contains
  *   `resume: {generated_text, generated_tokens}`; the stream then holds what follows that text.
  * - Status 429 or 503 means busy: the request was not run.
+ * - Each answer returns `x-hornbeampond-call-id`, or has a connection of its own.
  * - `POST /engine/cancel` `{attemptId}`; 404 if there is no such attempt.
  * - `GET /engine/cache?attempt=ID` returns the KV cache as bytes, with its number of tokens in
  *   `x-cache-tokens`; `PUT` on the same path imports it.
